Shared types of the decision core, the platform and the peers

Cause: the parts are built side by side and need one vocabulary first. Conclusion: the base for the thin path.

--- /dev/null
+++ b/internal/core/table/table.go
@@ -0,0 +1,96 @@
+// Package table holds the rows that the decision core's systems work on:
+// endpoints grouped in pools. Rows are plain data; the systems in the sibling
+// packages own the fields that carry their name. Times are durations since the
+// process started, on the monotonic clock that the driver passes in.
+package table
+
+import "time"
+
+// EndpointState is what this entry holds of an endpoint's life.
+type EndpointState uint8
+
+// The states of an endpoint. For one incarnation they only move forward.
+const (
+	EndpointLive EndpointState = iota
+	// EndpointLeaving gets no new work; work in flight ends in peace.
+	EndpointLeaving
+	// EndpointGone is kept only until its last attempt has ended.
+	EndpointGone
+)
+
+// Sighting is the latest knowledge of load that others put on an endpoint.
+type Sighting struct {
+	// Foreign is the number of requests in flight or queued at the endpoint
+	// that this entry did not place.
+	Foreign int32
+	// At is when it was true as far as known.
+	At time.Duration
+	// Seen is false until the first sighting.
+	Seen bool
+}
+
+// Health is owned by the health system.
+type Health struct {
+	// EjectedUntil: no ordinary work before this time; 0 when not ejected.
+	EjectedUntil time.Duration
+	// Ejections counts ejections in a row, for growing times.
+	Ejections int32
+	// LatencyNanos is a smoothed time from dispatch to answer, 0 at first.
+	LatencyNanos float64
+	// FailureRate is a smoothed share of attempts that failed or were refused.
+	FailureRate float64
+	// Samples counts attempts seen, up to a cap, since the last readmission.
+	Samples int32
+	// TrialAt is when the next trial request may be sent while ejected.
+	TrialAt time.Duration
+}
+
+// Endpoint is one endpoint VM.
+type Endpoint struct {
+	Name        string
+	Incarnation uint64
+	Address     string
+	Region      string
+	Domain      string
+	State       EndpointState
+	// Slots is how many requests the endpoint works on at a time.
+	Slots int32
+	// Outstanding counts this entry's own attempts in flight; exact.
+	Outstanding int32
+	// Sighting is what others are known to have placed there.
+	Sighting Sighting
+	// AdmittedAt is when the endpoint became known, for slow start.
+	AdmittedAt time.Duration
+	// ServiceNanos is a smoothed time of one request at the endpoint.
+	ServiceNanos float64
+	Health       Health
+}
+
+// Pool is a group of endpoints that share their work. Services of the same
+// pool compete for its slots.
+type Pool struct {
+	Name string
+	// Endpoints are in a stable order; an index is valid until the next
+	// membership change.
+	Endpoints []Endpoint
+}
+
+// Slots returns the slots of all live endpoints.
+func (p *Pool) Slots() int {
+	total := 0
+	for i := range p.Endpoints {
+		if p.Endpoints[i].State == EndpointLive {
+			total += int(p.Endpoints[i].Slots)
+		}
+	}
+	return total
+}
+
+// Outstanding returns this entry's own attempts in flight over all endpoints.
+func (p *Pool) Outstanding() int {
+	total := 0
+	for i := range p.Endpoints {
+		total += int(p.Endpoints[i].Outstanding)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,121 @@
+// Package message defines what entries tell each other. The types carry no
+// behaviour; package peer moves them and package core decides on them.
+package message
+
+import "github.com/tealhall/tealhall/internal/core/idem"
+
+// The versions of the peer protocol that this program speaks.
+const (
+	Version    uint16 = 1
+	MinVersion uint16 = 1
+)
+
+// EntryState is the state of an entry as it tells its peers.
+type EntryState uint8
+
+// The states of an entry. For one incarnation they only move forward.
+const (
+	EntryStarting EntryState = iota
+	EntryServing
+	EntryLeaving
+	EntryStopped
+)
+
+// Hello opens a peer link and identifies both ends.
+type Hello struct {
+	Version       uint16
+	MinVersion    uint16
+	Name          string
+	Incarnation   uint64
+	Region        string
+	Domain        string
+	CallerAddress string
+	PeerAddress   string
+}
+
+// Mark identifies a revision of a published value without its text.
+type Mark struct {
+	Revision uint64
+	Digest   uint64
+}
+
+// EvidenceKind is what an entry claims of a VM.
+type EvidenceKind uint8
+
+// The kinds of evidence about a VM.
+const (
+	// EvidenceLeaving: the VM announced that it drains or leaves. Final for
+	// its incarnation.
+	EvidenceLeaving EvidenceKind = iota + 1
+	// EvidenceReplaced: a later incarnation answers at the VM's address.
+	EvidenceReplaced
+)
+
+// Evidence is a claim about one incarnation of a VM that spreads over the fleet.
+type Evidence struct {
+	VM          string
+	Incarnation uint64
+	Kind        EvidenceKind
+	// AgeMillis is how old the claim was when it was sent.
+	AgeMillis uint32
+}
+
+// Sighting is one entry's knowledge of the load of one endpoint.
+type Sighting struct {
+	// Endpoint is the endpoint's VM name.
+	Endpoint    string
+	Incarnation uint64
+	// InFlight counts requests that the endpoint works on or queues.
+	InFlight uint16
+	// Own is how many of these the sender placed itself.
+	Own       uint16
+	AgeMillis uint16
+}
+
+// Update is the regular message between two entries. It carries changes, not
+// tables; a receiver may miss any of them and be told again later.
+type Update struct {
+	From     uint64 // incarnation of the sender
+	Sequence uint64
+	State    EntryState
+	Epoch    uint32 // current epoch of the sender's idempotency keys
+	Profiles Mark
+	VMs      Mark
+	// Reader says that the sender reads the platform itself.
+	Reader bool
+	// Rate is the sender's calls per second, for weights.
+	Rate      uint32
+	Evidence  []Evidence
+	Sightings []Sighting
+}
+
+// Fetch asks a peer for the text of a published value.
+type Fetch struct {
+	Name string
+	// After: answer only if the peer holds a later revision than this.
+	After uint64
+}
+
+// Document is a published value as a peer holds it.
+type Document struct {
+	Name     string
+	Revision uint64
+	Data     []byte
+}
+
+// Handover is a part of a sealed idempotency table.
+type Handover struct {
+	// Home is the incarnation whose keys these are.
+	Home    uint64
+	Part    int
+	Last    bool
+	Records []idem.Record
+	// OldestEpoch: keys of earlier epochs were forgotten before the table was sealed.
+	OldestEpoch uint32
+}
+
+// Ack answers a message that needs no content.
+type Ack struct {
+	Accepted bool
+	Reason   string
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,83 @@
+// Package platform reads the platform's configuration service: published
+// values with a revision, and the list of live and leaving VMs. The service is
+// only ever read and watched; nothing here writes to it.
+package platform
+
+import "context"
+
+// Names of the values that tealhall reads.
+const (
+	// ProfilesValue holds the profile document (TOML).
+	ProfilesValue = "tealhall/profiles"
+	// VMsValue holds the list of VMs (JSON, see VMList).
+	VMsValue = "tealhall/vms"
+)
+
+// MaxValueBytes is the largest value that the service holds.
+const MaxValueBytes = 1 << 20
+
+// Value is one published value at one revision. Revisions of a name only grow
+// at the service; a lagging replica may still answer with an older one.
+type Value struct {
+	Name     string
+	Revision uint64
+	Data     []byte
+}
+
+// Service is the platform's configuration service as a reader sees it.
+// Implementations are safe for concurrent use.
+type Service interface {
+	// Read returns the current value of name.
+	Read(ctx context.Context, name string) (Value, error)
+	// Watch returns once the value of name has a revision later than after, or
+	// with an error of kind fault.PlatformDown when the service ended the wait.
+	// A wait that ends without a change returns a Value with Revision == after
+	// and no data. One waiting Watch counts as one call at the service.
+	Watch(ctx context.Context, name string, after uint64) (Value, error)
+}
+
+// State is what the platform says of a VM.
+type State string
+
+// The states of a VM in the platform's list.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Role says what runs on a VM.
+type Role string
+
+// The roles of a VM in the platform's list.
+const (
+	EntryRole    Role = "entry"
+	EndpointRole Role = "endpoint"
+)
+
+// VM is one machine in the platform's list.
+type VM struct {
+	// Name is unique among the VMs that are live or leaving.
+	Name string `json:"name"`
+	// Incarnation distinguishes a replaced VM from the one before it under the
+	// same name or address. Never zero.
+	Incarnation uint64 `json:"incarnation"`
+	Role        Role   `json:"role"`
+	State       State  `json:"state"`
+	// Region and Domain place the VM; Domain is its failure domain.
+	Region string `json:"region"`
+	Domain string `json:"domain"`
+	// Address is where requests are served, IP:port.
+	Address string `json:"address"`
+	// PeerAddress is where an entry serves its peers, IP:port; empty for endpoints.
+	PeerAddress string `json:"peer_address,omitempty"`
+	// Pool names the group of endpoints that share their work; empty for entries.
+	Pool string `json:"pool,omitempty"`
+	// Slots is how many requests an endpoint works on at a time; default 2.
+	Slots int `json:"slots,omitempty"`
+}
+
+// VMList is the platform's list at one revision. It lags behind reality.
+type VMList struct {
+	Revision uint64 `json:"-"`
+	VMs      []VM   `json:"vms"`
+}
