Headers, paths and values of the caller and endpoint contract

Entries, endpoints and callers need one place that names the headers they agree on. Package contract holds the names and reads and writes the values without allocating on the request path.

--- /dev/null
+++ b/internal/contract/load.go
@@ -0,0 +1,96 @@
+package contract
+
+import (
+	"strconv"
+	"strings"
+)
+
+// maxCount is the largest count accepted in a header. It fits an uint16, the
+// size in which entries tell each other of load.
+const maxCount = 1<<16 - 1
+
+// Load is an endpoint's own report of its load when it wrote an answer. It may
+// lag and may be wrong.
+type Load struct {
+	// InFlight counts the requests that hold a slot, not counting the one that
+	// the report answers.
+	InFlight int
+	// Queued counts the requests that wait for a slot.
+	Queued int
+	// Slots is how many requests the endpoint works on at a time.
+	Slots int
+}
+
+// The fields of HeaderLoad, in the order in which they are written.
+const (
+	inFlightField = "in-flight"
+	queuedField   = "queued"
+	slotsField    = "slots"
+)
+
+// AppendTo appends the value of HeaderLoad to dst.
+func (l Load) AppendTo(dst []byte) []byte {
+	dst = append(dst, inFlightField+"="...)
+	dst = strconv.AppendInt(dst, int64(l.InFlight), 10)
+	dst = append(dst, ","+queuedField+"="...)
+	dst = strconv.AppendInt(dst, int64(l.Queued), 10)
+	dst = append(dst, ","+slotsField+"="...)
+	return strconv.AppendInt(dst, int64(l.Slots), 10)
+}
+
+// String returns the value of HeaderLoad.
+func (l Load) String() string {
+	var buffer [48]byte
+	return string(l.AppendTo(buffer[:0]))
+}
+
+// ParseLoad reads the value of HeaderLoad without allocating. The three fields
+// may come in any order with spaces around them, each exactly once; fields that
+// this program doesn't know are skipped, so that later releases can add some.
+// Counts above 65535 and a report of no slots are malformed.
+func ParseLoad(value string) (Load, bool) {
+	var load Load
+	var seen fieldSet
+	for rest, more := value, true; more; {
+		var field string
+		field, rest, more = strings.Cut(rest, ",")
+		name, text, found := strings.Cut(strings.TrimSpace(field), "=")
+		if !found || !load.set(&seen, name, text) {
+			return Load{}, false
+		}
+	}
+	return load, seen == allFields && load.Slots > 0
+}
+
+// fieldSet remembers which fields of a load report were read.
+type fieldSet uint8
+
+const (
+	sawInFlight fieldSet = 1 << iota
+	sawQueued
+	sawSlots
+	allFields = sawInFlight | sawQueued | sawSlots
+)
+
+// set stores one field and reports whether it was well-formed and new.
+func (l *Load) set(seen *fieldSet, name, text string) bool {
+	var target *int
+	var bit fieldSet
+	switch name {
+	case inFlightField:
+		target, bit = &l.InFlight, sawInFlight
+	case queuedField:
+		target, bit = &l.Queued, sawQueued
+	case slotsField:
+		target, bit = &l.Slots, sawSlots
+	default:
+		return true
+	}
+	number, ok := parseUint(text, maxCount)
+	if !ok || *seen&bit != 0 {
+		return false
+	}
+	*target = int(number)
+	*seen |= bit
+	return true
+}
