--- /dev/null
+++ b/internal/profile/problem.go
@@ -0,0 +1,53 @@
+package profile
+
+import (
+	"fmt"
+	"strings"
+)
+
+// maxProblemsInMessage bounds the text of a DocumentError; its Problems are
+// always complete.
+const maxProblemsInMessage = 100
+
+// Problem is one thing wrong with a document.
+type Problem struct {
+	// Line counts from 1.
+	Line int
+	// Path is the key, as in "profile.live-counts.deadline". Entries of an
+	// array count from 1. It is empty for a problem of the whole document.
+	Path string
+	// Problem says what is wrong, Remedy what to do about it.
+	Problem string
+	Remedy  string
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	if p.Path == "" {
+		return fmt.Sprintf("line %d: %s; %s", p.Line, p.Problem, p.Remedy)
+	}
+	return fmt.Sprintf("line %d: %s: %s; %s", p.Line, p.Path, p.Problem, p.Remedy)
+}
+
+// DocumentError lists everything for which a document was refused. Parse
+// returns it inside an error of kind fault.BadProfile; errors.As finds it.
+type DocumentError struct {
+	// Problems are sorted by line.
+	Problems []Problem
+}
+
+// Error returns one problem a line.
+func (e *DocumentError) Error() string {
+	var text strings.Builder
+	for i, p := range e.Problems {
+		if i == maxProblemsInMessage {
+			fmt.Fprintf(&text, "\nand %d more", len(e.Problems)-i)
+			break
+		}
+		if i > 0 {
+			text.WriteByte('\n')
+		}
+		text.WriteString(p.String())
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/profile/snapshot.go
@@ -0,0 +1,83 @@
+package profile
+
+import (
+	"bytes"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Close is a time during which the close settings are in force: from Start on,
+// until just before End.
+type Close struct {
+	Name       string
+	Start, End time.Time
+}
+
+// Snapshot is one accepted document at one revision. It never changes and is
+// safe for concurrent use. What it returns by pointer must not be changed.
+type Snapshot struct {
+	revision uint64
+	digest   uint64
+	data     []byte
+	services []*Service // sorted by name
+	byName   map[string]*Service
+	profiles []string // sorted
+	zone     string
+	closes   []Close // sorted by start, then name
+	warnings []Problem
+}
+
+// Revision returns the revision at which the document was published.
+func (s *Snapshot) Revision() uint64 { return s.revision }
+
+// Digest returns the xxhash of the document's text.
+func (s *Snapshot) Digest() uint64 { return s.digest }
+
+// Data returns a copy of the document's text.
+func (s *Snapshot) Data() []byte { return bytes.Clone(s.data) }
+
+// Service returns the service of that name.
+func (s *Snapshot) Service(name string) (*Service, bool) {
+	service, ok := s.byName[name]
+	return service, ok
+}
+
+// Services returns all services, sorted by name.
+func (s *Snapshot) Services() []*Service { return slices.Clone(s.services) }
+
+// Profiles returns the names of all profiles, sorted.
+func (s *Snapshot) Profiles() []string { return slices.Clone(s.profiles) }
+
+// Warnings returns what looks unintended in the document but is no reason to
+// refuse it, sorted by line.
+func (s *Snapshot) Warnings() []Problem { return slices.Clone(s.warnings) }
+
+// TimeZone returns the name of the calendar's time zone, "" without a calendar.
+func (s *Snapshot) TimeZone() string { return s.zone }
+
+// Closes returns the calendar, sorted by start.
+func (s *Snapshot) Closes() []Close { return slices.Clone(s.closes) }
+
+// CloseAt returns the close in force at wall. Of several it is the one that
+// started first, and of these the first by name.
+func (s *Snapshot) CloseAt(wall time.Time) (Close, bool) {
+	for _, c := range s.closes {
+		if c.Start.After(wall) {
+			break
+		}
+		if wall.Before(c.End) {
+			return c, true
+		}
+	}
+	return Close{}, false
+}
+
+// NextClose returns the first close that starts after wall.
+func (s *Snapshot) NextClose(wall time.Time) (Close, bool) {
+	i := sort.Search(len(s.closes), func(i int) bool { return s.closes[i].Start.After(wall) })
+	if i == len(s.closes) {
+		return Close{}, false
+	}
+	return s.closes[i], true
+}
