Endpoint choice: interface and the plain policies

Cause: the request path needs a pure choice of endpoint before the rest of the core can be joined up. Change: package balance with Picker, Ask, Choice, Observation, PeerLoad and the policies random, round-robin, least-outstanding, p2c-own, p2c-reports. Refusals don't count as service time.

--- /dev/null
+++ b/internal/core/balance/balance.go
@@ -0,0 +1,179 @@
+// Package balance chooses the endpoint of a request, or says that the request
+// had better wait in this entry's queue. It is pure: time, randomness and every
+// observation are passed in, and a Picker must not be used concurrently. A
+// choice scans one pool and allocates nothing.
+//
+// A Picker serves one pool. What it knows of other entries' load is advice that
+// ages: a wrong view costs latency, never a promise.
+package balance
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/fault"
+)
+
+// Set is a set of endpoint indexes below MaxRemembered.
+type Set uint64
+
+// MaxRemembered is the number of endpoints of a pool that a Set can hold.
+// Indexes beyond it are never members.
+const MaxRemembered = 64
+
+// With returns s and index i.
+func (s Set) With(i int) Set {
+	if i < 0 || i >= MaxRemembered {
+		return s
+	}
+	return s | 1<<uint(i)
+}
+
+// Has reports whether i is in s.
+func (s Set) Has(i int) bool {
+	return i >= 0 && i < MaxRemembered && s&(1<<uint(i)) != 0
+}
+
+// Ask describes the request that needs an endpoint.
+type Ask struct {
+	// Tried holds the endpoints that already refused or failed the request.
+	Tried Set
+	// Trial says that the request may be spent on an ejected endpoint whose
+	// next trial is due: it is idempotent and not urgent.
+	Trial bool
+	// LocalDomain breaks ties towards endpoints of the entry's own failure
+	// domain; empty for no preference.
+	LocalDomain string
+}
+
+// Choice is the answer to an Ask.
+type Choice struct {
+	// Index of the endpoint in the pool, valid if OK.
+	Index int
+	// OK is false when waiting in the entry's queue is better than any
+	// endpoint now, or when no endpoint may be used.
+	OK bool
+	// IdleOnly asks the endpoint to refuse the request at once rather than
+	// queue it when no slot is idle. An endpoint that ignores this queues it.
+	IdleOnly bool
+	// Trial marks a choice of an ejected endpoint.
+	Trial bool
+	// Wait is how long to wait at the latest before asking again, if not OK.
+	// An answer, a peer's report or a membership change is a reason to ask
+	// earlier.
+	Wait time.Duration
+}
+
+// Observation is what an answer tells about its endpoint.
+type Observation struct {
+	// Latency is the time from dispatch to the answer's head.
+	Latency time.Duration
+	// HasLoad says that InFlight, Queued and Slots were reported. They don't
+	// count the request that was answered.
+	HasLoad  bool
+	InFlight int
+	Queued   int
+	Slots    int
+	// Refused: the endpoint said that it did not run the request.
+	Refused bool
+	// Failed: the attempt ended without a usable answer.
+	Failed bool
+}
+
+// PeerLoad is what another entry says of its own attempts at one endpoint.
+type PeerLoad struct {
+	// From is the index of the peer among the deciders given to Changed.
+	From int
+	// Own counts the attempts that the peer has in flight there.
+	Own int32
+	// At is when this was true, on this entry's clock.
+	At time.Duration
+}
+
+// Picker is a policy with its view of one pool.
+type Picker interface {
+	// Changed is called first, and after each change of the pool's endpoints
+	// or of the entries that serve the pool's callers. Deciders are their
+	// names, this entry's own among them; it may be empty when unknown.
+	Changed(now time.Duration, p *table.Pool, deciders []string)
+	// Pick chooses for a request that has waited in this entry's queue.
+	Pick(now time.Duration, p *table.Pool, ask Ask, waited time.Duration) Choice
+	// Dispatched follows the sending of an attempt to endpoint i; the
+	// endpoint's Outstanding already counts it.
+	Dispatched(now time.Duration, p *table.Pool, i int)
+	// Answered follows the end of an attempt; Outstanding no longer counts it.
+	Answered(now time.Duration, p *table.Pool, i int, obs Observation)
+	// Told passes on another entry's sighting of the whole foreign load.
+	Told(now time.Duration, p *table.Pool, i int, s table.Sighting)
+	// PeerTold passes on another entry's count of its own attempts.
+	PeerTold(now time.Duration, p *table.Pool, i int, load PeerLoad)
+}
+
+// Config tunes the policies. The zero value of a field means its default.
+type Config struct {
+	// Self is this entry's name, as among the deciders.
+	Self string
+	// Service is the time of a request assumed before any was measured.
+	Service time.Duration
+	// SlowStart is how long a new endpoint gets fewer requests.
+	SlowStart time.Duration
+	// QueueAtEndpoint is how many requests beyond its slots the chosen policy
+	// lets an endpoint hold; negative for none.
+	QueueAtEndpoint int
+}
+
+// Defaults of Config.
+const (
+	DefaultService   = 15 * time.Millisecond
+	DefaultSlowStart = 2 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.Service <= 0 {
+		c.Service = DefaultService
+	}
+	if c.SlowStart <= 0 {
+		c.SlowStart = DefaultSlowStart
+	}
+	return c
+}
+
+// Names of the policies.
+const (
+	Random           = "random"
+	RoundRobin       = "round-robin"
+	LeastOutstanding = "least-outstanding"
+	P2COwn           = "p2c-own"
+	P2CReports       = "p2c-reports"
+)
+
+// Default is the policy to use unless a profile names another.
+const Default = P2CReports
+
+// Policies returns the names that New accepts.
+func Policies() []string {
+	return []string{Random, RoundRobin, LeastOutstanding, P2COwn, P2CReports}
+}
+
+// New returns a picker for one pool. The picker owns rng.
+func New(policy string, cfg Config, rng *rand.Rand) (Picker, error) {
+	cfg = cfg.withDefaults()
+	base := view{cfg: cfg, rng: rng}
+	switch policy {
+	case Random:
+		return &random{view: base}, nil
+	case RoundRobin:
+		return &roundRobin{view: base, next: rng.IntN(1 << 16)}, nil
+	case LeastOutstanding:
+		return &leastOutstanding{view: base}, nil
+	case P2COwn:
+		return &twoChoices{view: base}, nil
+	case P2CReports:
+		return &twoChoices{view: base, reports: true}, nil
+	}
+	return nil, fault.New(fault.BadSettings,
+		"use one of "+strings.Join(Policies(), ", "),
+		"unknown balancing policy %q", policy)
+}
--- /dev/null
+++ b/internal/core/balance/view.go
@@ -0,0 +1,143 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+const (
+	// serviceWeight is the weight of a new measurement in ServiceNanos.
+	serviceWeight = 0.1
+	// idleWait is how long to wait when no endpoint may be used at all.
+	idleWait = 5 * time.Millisecond
+)
+
+// view is what the policies share: eligibility, and the upkeep of the fields of
+// table.Endpoint that this package owns (Sighting, ServiceNanos).
+type view struct {
+	cfg Config
+	rng *rand.Rand
+}
+
+func (v *view) Changed(time.Duration, *table.Pool, []string)       {}
+func (v *view) Dispatched(time.Duration, *table.Pool, int)         {}
+func (v *view) PeerTold(time.Duration, *table.Pool, int, PeerLoad) {}
+
+func (v *view) Told(_ time.Duration, p *table.Pool, i int, s table.Sighting) {
+	e := &p.Endpoints[i]
+	if s.Seen && (!e.Sighting.Seen || s.At > e.Sighting.At) {
+		e.Sighting = s
+	}
+}
+
+func (v *view) Answered(now time.Duration, p *table.Pool, i int, obs Observation) {
+	e := &p.Endpoints[i]
+	if obs.HasLoad {
+		e.Sighting = table.Sighting{
+			Foreign: max(0, int32(obs.InFlight+obs.Queued)-e.Outstanding),
+			At:      now,
+			Seen:    true,
+		}
+		if obs.Slots > 0 {
+			e.Slots = int32(obs.Slots)
+		}
+	}
+	if obs.Refused || obs.Failed {
+		// A refusal is quick; counting it as service time would make an
+		// endpoint that turns everything away look fast.
+		return
+	}
+	if e.ServiceNanos == 0 {
+		e.ServiceNanos = float64(obs.Latency)
+		return
+	}
+	e.ServiceNanos += serviceWeight * (float64(obs.Latency) - e.ServiceNanos)
+}
+
+// usable reports whether ordinary work may go to e.
+func usable(now time.Duration, e *table.Endpoint) bool {
+	return e.State == table.EndpointLive && now >= e.Health.EjectedUntil
+}
+
+// standing says how far eligibility must be relaxed for a choice to exist.
+type standing uint8
+
+const (
+	// ordinary: live and not ejected.
+	ordinary standing = iota
+	// relaxed: live, though ejected. Used when every live endpoint is ejected:
+	// then the view is wrong or nothing is lost by trying.
+	relaxed
+	// nowhere: no endpoint may be used.
+	nowhere
+)
+
+// stands returns the standing that endpoints must have for this request.
+func stands(now time.Duration, p *table.Pool, tried Set) standing {
+	found := nowhere
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if e.State != table.EndpointLive || tried.Has(i) {
+			continue
+		}
+		if now >= e.Health.EjectedUntil {
+			return ordinary
+		}
+		found = relaxed
+	}
+	return found
+}
+
+// eligible reports whether endpoint i may get the request under the standing.
+func eligible(now time.Duration, p *table.Pool, i int, tried Set, s standing) bool {
+	e := &p.Endpoints[i]
+	if e.State != table.EndpointLive || tried.Has(i) {
+		return false
+	}
+	return s == relaxed || now >= e.Health.EjectedUntil
+}
+
+// trial returns an ejected endpoint whose next trial is due.
+func trial(now time.Duration, p *table.Pool, ask Ask) (Choice, bool) {
+	if !ask.Trial {
+		return Choice{}, false
+	}
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if e.State == table.EndpointLive && e.Health.EjectedUntil > now && e.Health.TrialAt > 0 &&
+			now >= e.Health.TrialAt && e.Outstanding == 0 && !ask.Tried.Has(i) {
+			return Choice{Index: i, OK: true, Trial: true}, true
+		}
+	}
+	return Choice{}, false
+}
+
+// begin does what every policy does first. It returns the standing to choose
+// under, or a finished choice.
+func (v *view) begin(now time.Duration, p *table.Pool, ask Ask) (standing, Choice, bool) {
+	if c, ok := trial(now, p, ask); ok {
+		return ordinary, c, true
+	}
+	s := stands(now, p, ask.Tried)
+	if s == nowhere {
+		return s, Choice{Wait: idleWait}, true
+	}
+	return s, Choice{}, false
+}
+
+// pickRandom returns a random eligible endpoint other than not.
+func (v *view) pickRandom(now time.Duration, p *table.Pool, tried Set, s standing, not int) (int, bool) {
+	count, chosen := 0, -1
+	for i := range p.Endpoints {
+		if i == not || !eligible(now, p, i, tried, s) {
+			continue
+		}
+		count++
+		if v.rng.IntN(count) == 0 {
+			chosen = i
+		}
+	}
+	return chosen, chosen >= 0
+}
