--- /dev/null
+++ b/internal/core/idem/answers.go
@@ -0,0 +1,67 @@
+package idem
+
+// The memory that an answer takes besides its text, in bytes: its own
+// structure, and two string headers for each name and value.
+const (
+	answerOverhead = 64
+	headerOverhead = 32
+)
+
+// cost returns the bytes that an answer takes.
+func (a *Answer) cost() int64 {
+	total := answerOverhead + len(a.Body)
+	for _, pair := range a.Header {
+		total += headerOverhead + len(pair[0]) + len(pair[1])
+	}
+	return int64(total)
+}
+
+// fits reports whether an answer is small enough to be kept at all.
+func (t *Table) fits(cost int64) bool {
+	return cost <= int64(t.cfg.MaxAnswerBytes) && cost <= t.cfg.MaxAnswerTotal
+}
+
+// keep returns a if it can be kept for key k, or nil. Older answers make room:
+// a caller that lost its answer asks again soon or not at all.
+func (t *Table) keep(rows *epochRows, k Key, a *Answer) *Answer {
+	if a == nil {
+		return nil
+	}
+	cost := a.cost()
+	if !t.fits(cost) || !t.makeRoom(cost) {
+		t.stats.AnswersDropped++
+		return nil
+	}
+	t.answers += cost
+	rows.kept = append(rows.kept, k.Random)
+	return a
+}
+
+// makeRoom drops the oldest answers of the table's own keys until cost more
+// bytes fit. It fails if adopted answers take the room.
+func (t *Table) makeRoom(cost int64) bool {
+	for _, rows := range t.epochs {
+		for t.answers+cost > t.cfg.MaxAnswerTotal && rows.keptFrom < len(rows.kept) {
+			t.dropOldestAnswer(rows)
+		}
+	}
+	return t.answers+cost <= t.cfg.MaxAnswerTotal
+}
+
+func (t *Table) dropOldestAnswer(rows *epochRows) {
+	random := rows.kept[rows.keptFrom]
+	rows.keptFrom++
+	r := rows.byRandom[random]
+	t.answers -= r.answer.cost()
+	t.stats.AnswersDropped++
+	r.answer = nil
+	rows.byRandom[random] = r
+}
+
+// dropAnswers takes an epoch that is forgotten out of the count of bytes.
+func (t *Table) dropAnswers(rows *epochRows) {
+	for _, random := range rows.kept[rows.keptFrom:] {
+		r := rows.byRandom[random]
+		t.answers -= r.answer.cost()
+	}
+}
