Divide duties by rendezvous hashing and answer callers' directory requests

First compiling version of the duty and directory packages and two small additions to the peer messages (evidence of a stopped VM, digest of the evidence held).

--- /dev/null
+++ b/internal/core/directory/pick.go
@@ -0,0 +1,63 @@
+package directory
+
+import "math"
+
+// pick chooses from ordered candidates: the serving ones first, then others
+// until there are enough entries and failure domains. It reorders found.
+func pick(found []candidate) []candidate {
+	ordered := make([]candidate, 0, len(found))
+	for _, c := range found {
+		if c.serving {
+			ordered = append(ordered, c)
+		}
+	}
+	serving := len(ordered)
+	for _, c := range found {
+		if !c.serving {
+			ordered = append(ordered, c)
+		}
+	}
+	n := min(max(serving, MinChoices), MaxChoices, len(ordered))
+	spread(ordered, n)
+	return ordered[:n]
+}
+
+// spread makes sure that the first n candidates cover MinDomains failure
+// domains if all of them do: the last of the n gives way. Guards against an
+// answer that is useless as a whole when one failure domain goes.
+func spread(ordered []candidate, n int) {
+	if n < MinDomains || countDomains(ordered[:n]) >= MinDomains {
+		return
+	}
+	for i := n; i < len(ordered); i++ {
+		if ordered[i].entry.Domain != ordered[0].entry.Domain {
+			ordered[n-1], ordered[i] = ordered[i], ordered[n-1]
+			return
+		}
+	}
+}
+
+// countDomains counts failure domains up to MinDomains.
+func countDomains(list []candidate) int {
+	for i := range list {
+		if list[i].entry.Domain != list[0].entry.Domain {
+			return MinDomains
+		}
+	}
+	return min(len(list), 1)
+}
+
+// choices turns candidates into the caller's list.
+func choices(picked []candidate) []Choice {
+	out := make([]Choice, 0, len(picked))
+	for _, c := range picked {
+		out = append(out, Choice{
+			Incarnation: c.entry.Incarnation,
+			Address:     c.entry.Address,
+			Domain:      c.entry.Domain,
+			Epoch:       c.entry.Epoch,
+			Weight:      uint32(max(math.Round(c.weight*MaxWeight), 1)),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/duty/assign.go
@@ -0,0 +1,116 @@
+package duty
+
+import (
+	"cmp"
+	"slices"
+)
+
+// The scopes of keys, one for each kind of work.
+const (
+	scopeReader  = "reader"
+	scopeProbe   = "probe"
+	scopeService = "service"
+)
+
+// Readers returns the incarnations of the entries of a failure domain that
+// watch the platform for all others, best first; at most perDomain.
+func Readers(entries []Member, domain string, perDomain int) []uint64 {
+	return first(inDomain(entries, domain), Key(scopeReader, domain), perDomain)
+}
+
+// IsReader reports whether the entry self is among the readers of its own
+// failure domain. An entry that is not in entries reads: it does not know
+// enough of the fleet to rely on others.
+func IsReader(self uint64, entries []Member, perDomain int) bool {
+	own := slices.IndexFunc(entries, func(m Member) bool { return m.Incarnation == self })
+	if own < 0 {
+		return true
+	}
+	return slices.Contains(Readers(entries, entries[own].Domain, perDomain), self)
+}
+
+// ProbeOwner returns the incarnation of the entry that probes an endpoint, or
+// 0 without entries. It does not allocate.
+func ProbeOwner(entries []Member, endpoint string) uint64 {
+	key := Key(scopeProbe, endpoint)
+	var owner, best uint64
+	for i := range entries {
+		score := Score(key, entries[i].Incarnation)
+		if owner == 0 || score > best {
+			owner, best = entries[i].Incarnation, score
+		}
+	}
+	return owner
+}
+
+// ServiceEntries returns the incarnations of the entries that callers of a
+// service are steered to: perDomain of each failure domain, ordered by domain
+// and then by score. An entry that comes or goes changes the answer only in
+// its own failure domain and only by itself and one other.
+func ServiceEntries(service string, entries []Member, perDomain int) []uint64 {
+	key := Key(scopeService, service)
+	var chosen []uint64
+	for _, domain := range domains(entries) {
+		chosen = append(chosen, first(inDomain(entries, domain), key, perDomain)...)
+	}
+	return chosen
+}
+
+// Limits of how full the entries of a service may get before more of them, or
+// fewer, serve it. They are far apart so that a rate that varies by less than
+// a factor of two never moves callers back and forth.
+const (
+	widenAbove  = 0.8
+	narrowBelow = 0.35
+)
+
+// Width returns how many entries of each failure domain should serve a service
+// of rate calls per second, given how many do now. perEntry is what one entry
+// can serve, domains the number of failure domains.
+func Width(current int, rate, perEntry float64, domains int) int {
+	width := max(current, 1)
+	each := perEntry * float64(max(domains, 1))
+	if each <= 0 {
+		return width
+	}
+	for rate > widenAbove*each*float64(width) {
+		width++
+	}
+	for width > 1 && rate < narrowBelow*each*float64(width) {
+		width--
+	}
+	return width
+}
+
+// inDomain returns a copy of the members of one failure domain.
+func inDomain(entries []Member, domain string) []Member {
+	var found []Member
+	for _, m := range entries {
+		if m.Domain == domain {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// domains returns the failure domains of entries in order, each once.
+func domains(entries []Member) []string {
+	names := make([]string, 0, len(entries))
+	for _, m := range entries {
+		names = append(names, m.Domain)
+	}
+	slices.SortFunc(names, cmp.Compare)
+	return slices.Compact(names)
+}
+
+// first returns the incarnations of the n members with the highest scores. It
+// reorders members.
+func first(members []Member, key uint64, n int) []uint64 {
+	rank(members, key)
+	n = min(max(n, 0), len(members))
+	chosen := make([]uint64, 0, n)
+	for _, m := range members[:n] {
+		chosen = append(chosen, m.Incarnation)
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/core/duty/fetch.go
@@ -0,0 +1,138 @@
+package duty
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Fetch names whom to ask for a later revision.
+type Fetch struct {
+	// From is Platform or the incarnation of a peer.
+	From uint64
+	// After: only a later revision is of use.
+	After uint64
+}
+
+// maxHolders bounds how many peers that hold a later revision are remembered.
+const maxHolders = 4
+
+// platformTurn: while peers hold a later revision, every third fetch asks the
+// platform instead, in case they cannot be reached.
+const platformTurn = 3
+
+// fetchPlan is when and whom to ask next.
+type fetchPlan struct {
+	wanted   uint64
+	holders  []uint64 // peers that said they hold a later revision
+	retryAt  time.Duration
+	failures int
+	attempt  int
+	asking   bool
+	// quietUntil: callers' hints are ignored before this time.
+	quietUntil time.Duration
+}
+
+// want asks for a revision as soon as no fetch is under way.
+func (p *fetchPlan) want(now time.Duration, revision uint64) {
+	if revision <= p.wanted {
+		return
+	}
+	p.wanted = revision
+	p.retryAt = now
+}
+
+// hold notes a peer that can give a later revision.
+func (p *fetchPlan) hold(now time.Duration, revision, peer uint64) {
+	p.want(now, revision)
+	if slices.Contains(p.holders, peer) {
+		return
+	}
+	if len(p.holders) == maxHolders {
+		p.holders = slices.Delete(p.holders, 0, 1)
+	}
+	p.holders = append(p.holders, peer)
+}
+
+// Next returns whom to ask now, if anybody. The caller ends each fetch with
+// Done; until then no other one is due. peers are the entries that can be
+// reached, which a fresh entry asks in turn with the platform.
+func (t *Tracker) Next(now time.Duration, peers []uint64) (Fetch, bool) {
+	p := &t.plan
+	fresh := t.inForce.Revision == 0
+	if p.asking || now < p.retryAt || (!fresh && t.Wanted() == 0) {
+		return Fetch{}, false
+	}
+	p.asking = true
+	f := Fetch{From: p.source(fresh, peers), After: t.settled()}
+	p.attempt++
+	return f, true
+}
+
+// source picks whom to ask in this attempt.
+func (p *fetchPlan) source(fresh bool, peers []uint64) uint64 {
+	if n := len(p.holders); n > 0 {
+		if p.attempt%platformTurn == platformTurn-1 {
+			return Platform
+		}
+		return p.holders[p.attempt%n]
+	}
+	if fresh && len(peers) > 0 && p.attempt%2 == 1 {
+		return peers[(p.attempt/2)%len(peers)]
+	}
+	return Platform
+}
+
+// Done ends a fetch. answered is false when the source could not be reached.
+// What the source gave must have been offered and settled before.
+func (t *Tracker) Done(now time.Duration, f Fetch, answered bool, rng *rand.Rand) {
+	p := &t.plan
+	p.asking = false
+	if t.Wanted() == 0 {
+		p.holders = p.holders[:0]
+		p.failures = 0
+		p.retryAt = now + t.pause(rng)
+		return
+	}
+	if !answered {
+		p.failures++
+		p.retryAt = now + t.pause(rng)
+		return
+	}
+	p.failures = 0
+	p.retryAt = now + t.pause(rng)
+	p.denied(now, f, t)
+}
+
+// denied handles an answer without the wanted revision. A peer that does not
+// hold it is asked no more. When the platform has not got it and no peer
+// claims to, the revision was a false hint.
+func (p *fetchPlan) denied(now time.Duration, f Fetch, t *Tracker) {
+	if f.From != Platform {
+		p.holders = slices.DeleteFunc(p.holders, func(h uint64) bool { return h == f.From })
+		return
+	}
+	if len(p.holders) == 0 {
+		p.wanted = t.settled()
+		p.quietUntil = now + t.cfg.HintQuiet
+	}
+}
+
+// pauseJitter spreads retries of entries that failed together.
+const pauseJitter = 0.5
+
+// pause returns the time before the next fetch: doubling with each failure.
+func (t *Tracker) pause(rng *rand.Rand) time.Duration {
+	d := t.cfg.RetryBase << min(t.plan.failures, 16)
+	return jittered(min(d, t.cfg.RetryMax), pauseJitter, rng)
+}
+
+// Pause notes that the process slept for gap until now. A fetch that was under
+// way is given up, and the platform's confirmation no longer counts. Guards
+// against a late wake-up that takes its old revision for the latest.
+func (t *Tracker) Pause(now, gap time.Duration) {
+	t.plan.asking = false
+	t.plan.retryAt = now
+	t.confirmed = false
+	t.started += gap
+}
--- /dev/null
+++ b/internal/core/duty/hash.go
@@ -0,0 +1,53 @@
+// Package duty divides work among entries without an election: who reads the
+// platform, who probes an endpoint, which entries serve a service. Every entry
+// computes the same division from the entries that it knows. Two entries that
+// know different entries overlap or leave a gap for as long as they differ; an
+// overlap costs calls, and each entry's own slow check closes a gap.
+//
+// The package also tracks the revision in force of a published value.
+// Everything here is pure: time is passed in as the duration since the process
+// started. Nothing is safe for concurrent use.
+package duty
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is an entry among which work is divided.
+type Member struct {
+	Incarnation uint64
+	Region      string
+	Domain      string
+}
+
+// Key hashes a text for use with Score. The scope keeps different kinds of
+// work apart, so that one entry is not first in all of them.
+func Key(scope, text string) uint64 {
+	return mix(xxhash.Sum64String(scope)) ^ xxhash.Sum64String(text)
+}
+
+// Score is the rendezvous score of an entry for a key. The entry with the
+// highest score does the work; when it goes, only its own work moves.
+func Score(key, incarnation uint64) uint64 {
+	return mix(key ^ mix(incarnation))
+}
+
+// mix is the finalizer of the SplitMix64 generator: a bijection that spreads
+// incarnations, which may be consecutive numbers, over all 64 bits.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// rank orders members by falling score for key. Equal scores, which only equal
+// incarnations can have, keep their order.
+func rank(members []Member, key uint64) {
+	slices.SortStableFunc(members, func(a, b Member) int {
+		return cmp.Compare(Score(key, b.Incarnation), Score(key, a.Incarnation))
+	})
+}
--- /dev/null
+++ b/internal/core/duty/tracker.go
@@ -0,0 +1,244 @@
+package duty
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/message"
+)
+
+// Platform is the source of what the platform itself answered; any other
+// source is the incarnation of a peer.
+const Platform uint64 = 0
+
+// Verdict is what to do with an offered revision.
+type Verdict uint8
+
+// The verdicts on an offered revision.
+const (
+	// Adopt: later than the one in force; validate its text, then call Settle.
+	Adopt Verdict = iota + 1
+	// Same: it is in force already.
+	Same
+	// Stale: an older one than is in force, from a replica that lags. Not
+	// adopted; the audit trail should say so.
+	Stale
+	// Conflict: the revision in force with another text. Not adopted; the audit
+	// trail should say so.
+	Conflict
+	// Refused: its text was found invalid before.
+	Refused
+)
+
+// String returns the verdict as the audit trail shows it.
+func (v Verdict) String() string {
+	switch v {
+	case Adopt:
+		return "adopt"
+	case Same:
+		return "same"
+	case Stale:
+		return "stale"
+	case Conflict:
+		return "conflict"
+	case Refused:
+		return "refused"
+	}
+	return "unknown"
+}
+
+// TrackerConfig bounds a Tracker. Zero fields take defaults.
+type TrackerConfig struct {
+	// RetryBase and RetryMax bound the times between fetches that fail.
+	RetryBase, RetryMax time.Duration
+	// StartPeers is how many peers must have told their revision before a
+	// fresh entry is ready.
+	StartPeers int
+	// StartGrace is how long a fresh entry waits for that many.
+	StartGrace time.Duration
+	// HintQuiet is how long callers' hints are ignored after one was false.
+	HintQuiet time.Duration
+}
+
+// The defaults of TrackerConfig.
+const (
+	defaultRetryBase  = 100 * time.Millisecond
+	defaultRetryMax   = 5 * time.Second
+	defaultStartPeers = 3
+	defaultStartGrace = 5 * time.Second
+	defaultHintQuiet  = 10 * time.Second
+)
+
+func (c TrackerConfig) withDefaults() TrackerConfig {
+	if c.RetryBase <= 0 {
+		c.RetryBase = defaultRetryBase
+	}
+	if c.RetryMax <= 0 {
+		c.RetryMax = defaultRetryMax
+	}
+	if c.StartPeers <= 0 {
+		c.StartPeers = defaultStartPeers
+	}
+	if c.StartGrace <= 0 {
+		c.StartGrace = defaultStartGrace
+	}
+	if c.HintQuiet <= 0 {
+		c.HintQuiet = defaultHintQuiet
+	}
+	return c
+}
+
+// Tracker holds the revision in force of one published value and decides when
+// to fetch a later one. The revision in force never goes back.
+type Tracker struct {
+	cfg     TrackerConfig
+	started time.Duration
+
+	inForce message.Mark
+	refused message.Mark
+	// confirmedAt is when the platform last said that inForce is its latest.
+	confirmedAt time.Duration
+	confirmed   bool
+
+	plan  fetchPlan
+	heard []uint64 // peers that told their revision, at most StartPeers
+	ready bool
+}
+
+// NewTracker returns a tracker without a revision in force.
+func NewTracker(now time.Duration, cfg TrackerConfig) *Tracker {
+	return &Tracker{cfg: cfg.withDefaults(), started: now}
+}
+
+// InForce returns the mark of the revision in force; its Revision is 0 before
+// the first.
+func (t *Tracker) InForce() message.Mark { return t.inForce }
+
+// LastRefused returns the mark of the latest text that was found invalid.
+func (t *Tracker) LastRefused() message.Mark { return t.refused }
+
+// Wanted returns the latest revision that was mentioned and is neither in
+// force nor refused, or 0.
+func (t *Tracker) Wanted() uint64 {
+	if t.plan.wanted > t.settled() {
+		return t.plan.wanted
+	}
+	return 0
+}
+
+// ConfirmedAt returns when the platform last said that the revision in force
+// is its latest, and whether it ever did.
+func (t *Tracker) ConfirmedAt() (time.Duration, bool) { return t.confirmedAt, t.confirmed }
+
+// settled is the highest revision whose text was judged here.
+func (t *Tracker) settled() uint64 { return max(t.inForce.Revision, t.refused.Revision) }
+
+// Offer judges a revision whose text came from source: Platform or a peer. It
+// changes nothing that is in force; after Adopt the caller validates the text
+// and calls Settle.
+func (t *Tracker) Offer(now time.Duration, m message.Mark, source uint64) Verdict {
+	v := t.judge(m)
+	if source == Platform && (v == Same || v == Adopt || v == Refused) {
+		t.confirm(now)
+	}
+	return v
+}
+
+// judge compares a mark with what is in force. Guards against an older
+// replica of the platform and a peer that slept: both would show as profiles
+// that change back. Only a higher revision can pass, so neither can.
+func (t *Tracker) judge(m message.Mark) Verdict {
+	switch {
+	case m.Revision < t.inForce.Revision || m.Revision == 0:
+		return Stale
+	case m.Revision == t.inForce.Revision && m.Digest == t.inForce.Digest:
+		return Same
+	case m.Revision == t.inForce.Revision:
+		return Conflict
+	case m == t.refused:
+		return Refused
+	}
+	return Adopt
+}
+
+// Settle records how validating an adopted text ended. It reports whether the
+// revision is now in force.
+func (t *Tracker) Settle(m message.Mark, accepted bool) bool {
+	if t.judge(m) != Adopt {
+		return false
+	}
+	if !accepted {
+		if m.Revision >= t.refused.Revision {
+			t.refused = m
+		}
+		return false
+	}
+	t.inForce = m
+	return true
+}
+
+// Confirm notes that a watch at the platform ended without a later revision.
+func (t *Tracker) Confirm(now time.Duration) { t.confirm(now) }
+
+func (t *Tracker) confirm(now time.Duration) {
+	t.confirmedAt, t.confirmed = now, true
+}
+
+// Seen notes the revision that a peer holds. A later one than was judged here
+// makes a fetch from that peer due at once.
+func (t *Tracker) Seen(now time.Duration, revision, peer uint64) {
+	t.hear(peer)
+	if revision > t.settled() {
+		t.plan.hold(now, revision, peer)
+	}
+}
+
+// SeenByCaller notes the revision that a caller has seen in another entry's
+// answer. It is a hint: when nobody has a later revision, callers' hints are
+// ignored for a time, so that a caller that makes them up costs few calls.
+func (t *Tracker) SeenByCaller(now time.Duration, revision uint64) {
+	if revision > t.settled() && now >= t.plan.quietUntil {
+		t.plan.want(now, revision)
+	}
+}
+
+// hear remembers that a peer told its revision.
+func (t *Tracker) hear(peer uint64) {
+	if len(t.heard) >= t.cfg.StartPeers {
+		return
+	}
+	for _, known := range t.heard {
+		if known == peer {
+			return
+		}
+	}
+	t.heard = append(t.heard, peer)
+}
+
+// Ready reports whether this entry may serve: a revision is in force and
+// enough of the peers that can be reached have told theirs, none of them
+// later. Once true it stays true. The reason is for operators and empty when
+// ready.
+//
+// It guards against a fresh entry that asks a lagging replica and puts an older
+// revision in force than the fleet has; callers would see settings change back.
+func (t *Tracker) Ready(now time.Duration, peers int) (ready bool, reason string) {
+	if t.ready {
+		return true, ""
+	}
+	need := min(t.cfg.StartPeers, peers)
+	switch {
+	case t.inForce.Revision == 0 && t.refused.Revision != 0:
+		return false, fmt.Sprintf("revision %d is invalid and no earlier one is known", t.refused.Revision)
+	case t.inForce.Revision == 0:
+		return false, "neither the platform nor a peer has given a revision yet"
+	case t.Wanted() != 0:
+		return false, fmt.Sprintf("revision %d is in force but %d exists", t.inForce.Revision, t.Wanted())
+	case len(t.heard) < need && now-t.started < t.cfg.StartGrace:
+		return false, fmt.Sprintf("%d of %d peers have told their revision", len(t.heard), need)
+	case len(t.heard) == 0 && !t.confirmed:
+		return false, "neither the platform nor a peer has confirmed the revision"
+	}
+	t.ready = true
+	return true, ""
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -49,6 +49,8 @@
 	EvidenceLeaving EvidenceKind = iota + 1
 	// EvidenceReplaced: a later incarnation answers at the VM's address.
 	EvidenceReplaced
+	// EvidenceStopped: the VM said that it has stopped. Final as well.
+	EvidenceStopped
 )
 
 // Evidence is a claim about one incarnation of a VM that spreads over the fleet.
@@ -84,7 +86,10 @@
 	// Reader says that the sender reads the platform itself.
 	Reader bool
 	// Rate is the sender's calls per second, for weights.
-	Rate      uint32
+	Rate uint32
+	// Known digests all evidence that the sender holds. Equal digests tell two
+	// entries that neither has evidence for the other.
+	Known     uint64
 	Evidence  []Evidence
 	Sightings []Sighting
 }
