Check and compile the profile document

Profiles, services and the calendar are read from TOML; every problem carries its line, path and remedy. One table describes each setting for the checks, the reference and the comparison of two documents.

--- /dev/null
+++ b/internal/profile/checker.go
@@ -0,0 +1,153 @@
+package profile
+
+import (
+	"cmp"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// namePattern holds for services, pools and profiles: they appear in URLs,
+// headers, metric names and tables.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+const nameRemedy = "use up to 63 lower-case letters, digits and hyphens"
+
+// section is one table of the document.
+type section struct {
+	path   string
+	values map[string]any
+}
+
+func (s section) child(key string) string { return join(s.path, key) }
+
+// keys returns the section's keys, sorted, so that nothing depends on the
+// order of a map.
+func (s section) keys() []string {
+	keys := make([]string, 0, len(s.values))
+	for key := range s.values {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// checker gathers the problems of one document.
+type checker struct {
+	lines    *lineIndex
+	problems []Problem
+	warnings []Problem
+}
+
+func (c *checker) report(path, problem, remedy string) {
+	c.problems = append(c.problems, c.problem(path, problem, remedy))
+}
+
+func (c *checker) warn(path, problem, remedy string) {
+	c.warnings = append(c.warnings, c.problem(path, problem, remedy))
+}
+
+func (c *checker) problem(path, problem, remedy string) Problem {
+	return Problem{Line: c.lines.line(path), Path: path, Problem: problem, Remedy: remedy}
+}
+
+// sortProblems orders by line and drops what was found twice: a broken rule
+// that the close inherits unchanged is one problem.
+func sortProblems(problems []Problem) []Problem {
+	slices.SortStableFunc(problems, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Path, b.Path), cmp.Compare(a.Problem, b.Problem))
+	})
+	return slices.Compact(problems)
+}
+
+// table returns the table under key. A missing one is empty; ok is false if
+// there is none or something else stands there.
+func (c *checker) table(parent section, key string) (child section, ok bool) {
+	child = section{path: parent.child(key)}
+	value, present := parent.values[key]
+	if !present {
+		return child, false
+	}
+	child.values, ok = value.(map[string]any)
+	if !ok {
+		c.report(child.path, "this is not a table", fmt.Sprintf("write it as [%s]", child.path))
+	}
+	return child, ok
+}
+
+// unknown reports the keys of s that are not among those known.
+func (c *checker) unknown(s section, known []string) {
+	for _, key := range s.keys() {
+		if slices.Contains(known, key) {
+			continue
+		}
+		remedy := "remove it, or see docs/PROFILES.md for the fields that exist"
+		if near, ok := nearest(key, known); ok {
+			remedy = fmt.Sprintf("did you mean %s?", near)
+		}
+		c.report(s.child(key), "unknown field", remedy)
+	}
+}
+
+// name checks the name that a table is given by its key.
+func (c *checker) name(path, name string) bool {
+	if namePattern.MatchString(name) {
+		return true
+	}
+	c.report(path, "the name is not usable", nameRemedy)
+	return false
+}
+
+// text returns the string under key; ok is false, and the problem reported, if
+// it is missing or no string.
+func (c *checker) text(s section, key, remedy string) (text string, ok bool) {
+	value, present := s.values[key]
+	if !present {
+		c.report(s.child(key), "the field is missing", remedy)
+		return "", false
+	}
+	text, ok = value.(string)
+	if !ok {
+		c.report(s.child(key), "the value is not a string", remedy)
+	}
+	return text, ok
+}
+
+// maxNameDistance is how many letters a mistyped field may differ by.
+const maxNameDistance = 2
+
+// nearest returns the known name that was probably meant.
+func nearest(name string, known []string) (string, bool) {
+	best, found := maxNameDistance+1, ""
+	for _, k := range known {
+		if len(name) > len(k)+maxNameDistance {
+			continue
+		}
+		if d := distance(strings.ToLower(name), k); d < best {
+			best, found = d, k
+		}
+	}
+	return found, found != ""
+}
+
+// distance is the Levenshtein distance between two short names.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			change := diagonal
+			if a[i] != b[j] {
+				change++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(change, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
--- a/internal/profile/diff.go
+++ b/internal/profile/diff.go
@@ -1,6 +1,9 @@
 package profile
 
-import "fmt"
+import (
+	"slices"
+	"strings"
+)
 
 // Subject says what a Change is about.
 type Subject string
@@ -8,13 +11,14 @@
 // The subjects of a change.
 const (
 	ServiceSubject  Subject = "service"
+	CloseSubject    Subject = "close"
 	CalendarSubject Subject = "calendar"
 )
 
 // Change is one difference between two documents in what is in force.
 type Change struct {
 	Subject Subject
-	// Name is the service, or the close; "" for the calendar's time zone.
+	// Name is the service or the close; "" for the calendar.
 	Name string
 	// Mode is the mode in which a service's setting changes; "" for changes
 	// that concern both.
@@ -27,9 +31,105 @@
 
 // String returns the change on one line.
 func (c Change) String() string {
-	return fmt.Sprintf("%s %s %s %s: %s -> %s", c.Subject, c.Name, c.Mode, c.Field, c.From, c.To)
+	words := []string{string(c.Subject)}
+	if c.Name != "" {
+		words = append(words, c.Name)
+	}
+	if c.Mode != "" {
+		words = append(words, "("+string(c.Mode)+")")
+	}
+	subject := strings.Join(words, " ")
+	switch {
+	case c.Field != "":
+		return subject + ": " + c.Field + " " + orNone(c.From) + " -> " + orNone(c.To)
+	case c.From == "":
+		return subject + ": added, " + c.To
+	default:
+		return subject + ": removed, was " + c.From
+	}
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "none"
+	}
+	return text
 }
 
 // Diff returns what changes for callers when next replaces prev, which may be
-// nil: services sorted by name, then the calendar.
-func Diff(prev, next *Snapshot) []Change { return nil }
+// nil: the services sorted by name, then the calendar sorted by time. Profiles
+// show by the services that use them.
+func Diff(prev, next *Snapshot) []Change {
+	if prev == nil {
+		prev = &Snapshot{}
+	}
+	var changes []Change
+	for _, name := range serviceNames(prev, next) {
+		changes = append(changes, diffService(prev.byName[name], next.byName[name])...)
+	}
+	return append(changes, diffCalendar(prev, next)...)
+}
+
+func serviceNames(prev, next *Snapshot) []string {
+	var names []string
+	for _, s := range append(prev.Services(), next.services...) {
+		names = append(names, s.Name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func diffService(prev, next *Service) []Change {
+	switch {
+	case prev == nil:
+		return []Change{{Subject: ServiceSubject, Name: next.Name, To: describeService(next)}}
+	case next == nil:
+		return []Change{{Subject: ServiceSubject, Name: prev.Name, From: describeService(prev)}}
+	}
+	var changes []Change
+	add := func(mode Mode, field, from, to string) {
+		if from != to {
+			changes = append(changes, Change{ServiceSubject, next.Name, mode, field, from, to})
+		}
+	}
+	add("", "profile", prev.Profile, next.Profile)
+	add("", "pool", prev.Pool, next.Pool)
+	for i := range fields {
+		f := &fields[i]
+		if f.fixed {
+			add("", f.name, f.text(&prev.Ordinary), f.text(&next.Ordinary))
+			continue
+		}
+		add(Ordinary, f.name, f.text(&prev.Ordinary), f.text(&next.Ordinary))
+		add(Closing, f.name, f.text(&prev.Close), f.text(&next.Close))
+	}
+	return changes
+}
+
+func describeService(s *Service) string {
+	return "profile " + s.Profile + ", pool " + s.Pool
+}
+
+func diffCalendar(prev, next *Snapshot) []Change {
+	var changes []Change
+	if prev.zone != next.zone {
+		changes = append(changes, Change{Subject: CalendarSubject, Field: "time_zone", From: prev.zone, To: next.zone})
+	}
+	for _, c := range prev.closes {
+		if !containsClose(next.closes, c) {
+			changes = append(changes, Change{Subject: CloseSubject, Name: c.Name, From: c.String()})
+		}
+	}
+	for _, c := range next.closes {
+		if !containsClose(prev.closes, c) {
+			changes = append(changes, Change{Subject: CloseSubject, Name: c.Name, To: c.String()})
+		}
+	}
+	return changes
+}
+
+func containsClose(closes []Close, c Close) bool {
+	return slices.ContainsFunc(closes, func(other Close) bool {
+		return other.Name == c.Name && other.Start.Equal(c.Start) && other.End.Equal(c.End)
+	})
+}
--- /dev/null
+++ b/internal/profile/lines.go
@@ -0,0 +1,138 @@
+package profile
+
+import (
+	"bytes"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// maxPathDepth bounds the keys whose line is kept. The deepest key that a
+// document may hold has four parts. Without a bound the paths of one dotted
+// key with hundreds of thousands of parts would take all memory.
+const maxPathDepth = 6
+
+// maxKeyInPath bounds what one key adds to a path. Keys that a document may
+// hold are shorter; a longer one would stand in the path of each problem
+// within its table.
+const maxKeyInPath = 80
+
+var bareKey = regexp.MustCompile(`^[A-Za-z0-9_-]+$`)
+
+// join appends a key to a path, quoted where TOML would need that.
+func join(path, key string) string {
+	if len(key) > maxKeyInPath {
+		key = key[:maxKeyInPath] + "..."
+	}
+	if !bareKey.MatchString(key) {
+		key = strconv.Quote(key)
+	}
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// element appends the index of an array's element to a path, from 1.
+func element(path string, index int) string {
+	return path + "[" + strconv.Itoa(index) + "]"
+}
+
+// lineIndex knows on which line each key of a document first stands.
+type lineIndex struct {
+	lines map[string]int
+	// newlines holds the offsets of the line ends.
+	newlines []int
+	// elements counts the tables of each array of tables so far.
+	elements map[string]int
+}
+
+// indexLines reads a document that is known to be valid TOML.
+func indexLines(data []byte) *lineIndex {
+	x := &lineIndex{lines: map[string]int{}, elements: map[string]int{}}
+	for at := 0; ; at++ {
+		next := bytes.IndexByte(data[at:], '\n')
+		if next < 0 {
+			break
+		}
+		at += next
+		x.newlines = append(x.newlines, at)
+	}
+	var parser unstable.Parser
+	parser.Reset(data)
+	table, depth := "", 0
+	for parser.NextExpression() {
+		switch node := parser.Expression(); node.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			table, depth = x.keys("", 0, node.Key(), node.Kind == unstable.ArrayTable)
+		case unstable.KeyValue:
+			x.keyValue(table, depth, node)
+		}
+	}
+	return x
+}
+
+// line returns the line of the path, or of the nearest table around it.
+func (x *lineIndex) line(path string) int {
+	for path != "" {
+		if line, ok := x.lines[path]; ok {
+			return line
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+	return 1
+}
+
+// keys records the parts of a dotted key and returns its path and depth.
+func (x *lineIndex) keys(path string, depth int, parts unstable.Iterator, newElement bool) (string, int) {
+	for parts.Next() {
+		depth++
+		if depth > maxPathDepth {
+			continue
+		}
+		node := parts.Node()
+		path = join(path, string(node.Data))
+		x.record(path, node)
+		if newElement && parts.IsLast() {
+			x.elements[path]++
+		}
+		if n := x.elements[path]; n > 0 {
+			path = element(path, n)
+			x.record(path, node)
+		}
+	}
+	return path, depth
+}
+
+func (x *lineIndex) record(path string, node *unstable.Node) {
+	if _, ok := x.lines[path]; ok {
+		return
+	}
+	x.lines[path] = 1 + sort.SearchInts(x.newlines, int(node.Raw.Offset))
+}
+
+func (x *lineIndex) keyValue(table string, depth int, node *unstable.Node) {
+	path, depth := x.keys(table, depth, node.Key(), false)
+	x.value(path, depth, node.Value())
+}
+
+// value descends into inline tables, also those that are elements of an array.
+func (x *lineIndex) value(path string, depth int, node *unstable.Node) {
+	if depth >= maxPathDepth {
+		return
+	}
+	children := node.Children()
+	switch node.Kind {
+	case unstable.InlineTable:
+		for children.Next() {
+			x.keyValue(path, depth, children.Node())
+		}
+	case unstable.Array:
+		for i := 1; children.Next(); i++ {
+			x.value(element(path, i), depth+1, children.Node())
+		}
+	}
+}
--- a/internal/profile/parse.go
+++ b/internal/profile/parse.go
@@ -2,8 +2,24 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/tealhall/tealhall/internal/fault"
+)
+
+const (
+	// DocumentFormat is the value of the document's field format.
+	DocumentFormat = 1
+	// ProgramFormat is the largest value of the document's field requires that
+	// this program satisfies. It grows when a field is added.
+	ProgramFormat = 1
+	// MaxDocumentBytes is the largest document, which is also the largest
+	// value that the platform's configuration service holds.
+	MaxDocumentBytes = 1 << 20
 )
 
 // Parse checks a document and compiles it. A document with a problem is
@@ -11,5 +27,94 @@
 // *DocumentError. Parse keeps no reference to data.
 func Parse(data []byte, revision uint64) (*Snapshot, error) {
 	s := &Snapshot{revision: revision, digest: xxhash.Sum64(data), data: bytes.Clone(data)}
+	root, lines, problem := decode(s.data)
+	if problem != nil {
+		return nil, refuse([]Problem{*problem})
+	}
+	c := &checker{lines: lines}
+	if !c.header(root) {
+		return nil, refuse(c.problems)
+	}
+	profiles := c.readProfiles(root)
+	c.readServices(root, profiles, s)
+	c.readCalendar(root, s)
+	if len(c.problems) > 0 {
+		return nil, refuse(sortProblems(c.problems))
+	}
+	s.warnings = sortProblems(c.warnings)
 	return s, nil
 }
+
+func refuse(problems []Problem) error {
+	return fault.Wrap(&DocumentError{Problems: problems}, fault.BadProfile,
+		"mend the document and publish it again", "profile document refused, %d problem(s)", len(problems))
+}
+
+// decode reads the text into generic values, and finds the lines of its keys.
+func decode(data []byte) (root section, lines *lineIndex, problem *Problem) {
+	if len(data) > MaxDocumentBytes {
+		return section{}, nil, &Problem{
+			Line:    1,
+			Problem: fmt.Sprintf("the document has %d bytes, more than %d", len(data), MaxDocumentBytes),
+			Remedy:  "make it smaller",
+		}
+	}
+	// A document that made the TOML library panic would end every entry at
+	// once, and again at each start, for as long as it stays published.
+	// Refused like any other, it leaves the one before it in force.
+	defer func() {
+		if r := recover(); r != nil {
+			problem = &Problem{Line: 1, Problem: fmt.Sprintf("the TOML library failed: %v", r), Remedy: "simplify the document"}
+		}
+	}()
+	if err := toml.Unmarshal(data, &root.values); err != nil {
+		return section{}, nil, syntaxProblem(err)
+	}
+	return root, indexLines(data), nil
+}
+
+func syntaxProblem(err error) *Problem {
+	p := &Problem{Line: 1, Problem: err.Error(), Remedy: "correct the TOML syntax"}
+	var decodeError *toml.DecodeError
+	if errors.As(err, &decodeError) {
+		p.Line, _ = decodeError.Position()
+	}
+	return p
+}
+
+// header checks the version fields. It returns false if this program can't
+// judge the rest: fields that it does not know are then to be expected, and
+// listing them would hide the one remedy.
+func (c *checker) header(root section) bool {
+	format, given := c.version(root, "format")
+	if !given {
+		c.report("format", "the field is missing", fmt.Sprintf("write format = %d at the top", DocumentFormat))
+	}
+	requires, _ := c.version(root, "requires")
+	if format > DocumentFormat || requires > ProgramFormat {
+		c.problems = nil
+		path, wanted, have := "format", format, int64(DocumentFormat)
+		if requires > ProgramFormat {
+			path, wanted, have = "requires", requires, ProgramFormat
+		}
+		c.report(path, fmt.Sprintf("the document needs a program of format %d, this one has %d", wanted, have),
+			"upgrade every entry first, then publish again")
+		return false
+	}
+	c.unknown(root, []string{"format", "requires", "profile", "service", "calendar"})
+	return true
+}
+
+// version reads an optional version number from 1.
+func (c *checker) version(root section, key string) (n int64, given bool) {
+	value, given := root.values[key]
+	if !given {
+		return 0, false
+	}
+	n, ok := value.(int64)
+	if !ok || n < 1 {
+		c.report(key, "the value is not a version", "write a whole number from 1")
+		return 0, true
+	}
+	return n, true
+}
--- /dev/null
+++ b/internal/profile/pool.go
@@ -0,0 +1,70 @@
+package profile
+
+import (
+	"slices"
+	"time"
+)
+
+// PoolLimits holds what concerns the endpoints of a pool rather than the
+// requests of one service. Where services share a pool, each limit is the
+// smallest that one of them sets, so that no profile's limit is exceeded.
+type PoolLimits struct {
+	WatchBudget         float64
+	EjectMaxShare       float64
+	EjectBase, EjectMax time.Duration
+}
+
+// poolModes is a pool's limits in both modes.
+type poolModes struct {
+	ordinary, closing PoolLimits
+}
+
+// Pools returns the names of all pools, sorted.
+func (s *Snapshot) Pools() []string {
+	names := make([]string, 0, len(s.pools))
+	for name := range s.pools {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// PoolLimits returns the limits of a pool in one mode.
+func (s *Snapshot) PoolLimits(pool string, closing bool) (PoolLimits, bool) {
+	m, ok := s.pools[pool]
+	if closing {
+		return m.closing, ok
+	}
+	return m.ordinary, ok
+}
+
+func (s *Snapshot) compilePools() {
+	s.pools = map[string]poolModes{}
+	for _, service := range s.services {
+		m, shared := s.pools[service.Pool]
+		if !shared {
+			m = poolModes{ordinary: limitsOf(&service.Ordinary), closing: limitsOf(&service.Close)}
+		}
+		m.ordinary = smallest(m.ordinary, limitsOf(&service.Ordinary))
+		m.closing = smallest(m.closing, limitsOf(&service.Close))
+		s.pools[service.Pool] = m
+	}
+}
+
+func limitsOf(p *Policy) PoolLimits {
+	return PoolLimits{
+		WatchBudget:   p.WatchBudget,
+		EjectMaxShare: p.EjectMaxShare,
+		EjectBase:     p.EjectBase,
+		EjectMax:      p.EjectMax,
+	}
+}
+
+func smallest(a, b PoolLimits) PoolLimits {
+	return PoolLimits{
+		WatchBudget:   min(a.WatchBudget, b.WatchBudget),
+		EjectMaxShare: min(a.EjectMaxShare, b.EjectMaxShare),
+		EjectBase:     min(a.EjectBase, b.EjectBase),
+		EjectMax:      min(a.EjectMax, b.EjectMax),
+	}
+}
--- /dev/null
+++ b/internal/profile/rules.go
@@ -0,0 +1,147 @@
+package profile
+
+import (
+	"fmt"
+	"strings"
+)
+
+// rule is a combination of settings within one profile that can't be meant.
+// Its text is also its line in the reference.
+type rule struct {
+	// fields are the settings concerned; the problem is shown at the first of
+	// them that the document sets.
+	fields  []string
+	broken  func(p *Policy) bool
+	problem string
+	remedy  string
+}
+
+// rules holds in both modes of every profile.
+var rules = []rule{
+	{
+		fields:  []string{"hedge_after", "kind"},
+		broken:  func(p *Policy) bool { return p.HedgeAfter > 0 && (p.Kind == Once || p.Kind == Bulk) },
+		problem: "a hedge runs a request a second time, which kinds once and bulk do not allow",
+		remedy:  "remove hedge_after",
+	},
+	{
+		fields:  []string{"max_attempts", "require_key", "kind"},
+		broken:  func(p *Policy) bool { return p.Kind == Once && !p.RequireKey && p.MaxAttempts > 1 },
+		problem: "kind once without a required key can have one attempt only",
+		remedy:  "set require_key = true or max_attempts = 1",
+	},
+	{
+		fields:  []string{"hedge_after", "deadline"},
+		broken:  func(p *Policy) bool { return p.HedgeAfter >= p.Deadline },
+		problem: "the hedge would start at the deadline or later",
+		remedy:  "set hedge_after well below deadline, or remove it",
+	},
+	{
+		fields:  []string{"hedge_after", "max_attempts"},
+		broken:  func(p *Policy) bool { return p.HedgeAfter > 0 && p.MaxAttempts < 2 },
+		problem: "a hedge is a second attempt, and max_attempts allows one",
+		remedy:  "set max_attempts to 2 or more, or remove hedge_after",
+	},
+	{
+		fields:  []string{"hedge_after", "retry_budget"},
+		broken:  func(p *Policy) bool { return p.HedgeAfter > 0 && p.RetryBudget == 0 },
+		problem: "hedges are paid from retry_budget, which is 0",
+		remedy:  "set retry_budget above 0, or remove hedge_after",
+	},
+	{
+		fields:  []string{"eject_base", "eject_max"},
+		broken:  func(p *Policy) bool { return p.EjectBase > p.EjectMax },
+		problem: "the first ejection is longer than the longest one",
+		remedy:  "set eject_base to eject_max or less",
+	},
+	{
+		fields: []string{"caller_share", "queue_limit"},
+		broken: func(p *Policy) bool {
+			return p.QueueLimit > 0 && p.CallerShare*float64(p.QueueLimit) < 1
+		},
+		problem: "caller_share of queue_limit is less than one place, so no caller could ever wait",
+		remedy:  "set caller_share to 1 / queue_limit or more, or queue_limit = 0",
+	},
+}
+
+const (
+	orderWithoutQueue       = "queue_order has no meaning with queue_limit = 0"
+	orderWithoutQueueRemedy = "remove queue_order or set queue_limit to 1 or more"
+)
+
+// checkRules reports the broken rules of one mode. The blocks are where the
+// mode's settings may stand, the decisive one first. Rules about a setting
+// that was refused itself are left out, as the policy holds its default.
+func (c *checker) checkRules(p *Policy, blocks []section, refused map[string]bool) {
+	for _, r := range rules {
+		if r.broken(p) && !anyOf(refused, r.fields) {
+			c.report(locate(blocks, r.fields), r.problem, r.remedy)
+		}
+	}
+	_, ordered := blocks[0].values["queue_order"]
+	if ordered && p.QueueLimit == 0 && !anyOf(refused, []string{"queue_limit"}) {
+		c.report(blocks[0].child("queue_order"), orderWithoutQueue, orderWithoutQueueRemedy)
+	}
+}
+
+func anyOf(set map[string]bool, names []string) bool {
+	for _, name := range names {
+		if set[name] {
+			return true
+		}
+	}
+	return false
+}
+
+// locate returns the path of the first of the fields that a block sets.
+func locate(blocks []section, names []string) string {
+	for _, block := range blocks {
+		for _, name := range names {
+			if _, ok := block.values[name]; ok {
+				return block.child(name)
+			}
+		}
+	}
+	return blocks[0].child(names[0])
+}
+
+// urgentReserve is the share of a pool's slots that services of other kinds
+// may never hold where an urgent service shares the pool. Without it bulk
+// requests, which hold a slot for long and are never cut off, could fill every
+// slot, and an urgent request would wait for a whole upload.
+const urgentReserve = 0.1
+
+// shareTolerance absorbs the rounding of a sum of decimal shares.
+const shareTolerance = 1e-9
+
+// checkReserve reports pools whose other services leave too little for the
+// urgent ones. Services are sorted by name.
+func (c *checker) checkReserve(services []*Service) {
+	for _, s := range services {
+		if s.Ordinary.Kind != Urgent {
+			continue
+		}
+		for _, mode := range []Mode{Ordinary, Closing} {
+			c.checkReserveOf(s, mode, services)
+		}
+	}
+}
+
+func (c *checker) checkReserveOf(urgent *Service, mode Mode, services []*Service) {
+	var sum float64
+	var names []string
+	for _, s := range services {
+		if s.Pool != urgent.Pool || s.Ordinary.Kind == Urgent {
+			continue
+		}
+		sum += s.Policy(mode == Closing).SlotShare
+		names = append(names, s.Name)
+	}
+	if sum <= 1-urgentReserve+shareTolerance {
+		return
+	}
+	problem := fmt.Sprintf("in %s mode the other services of pool %s (%s) may hold %.4g of its slots, which leaves too little for urgent requests",
+		mode, urgent.Pool, strings.Join(names, ", "), sum)
+	remedy := fmt.Sprintf("set their slot_share to %.4g or less together", 1-urgentReserve)
+	c.report(join("service", urgent.Name), problem, remedy)
+}
--- a/internal/profile/snapshot.go
+++ b/internal/profile/snapshot.go
@@ -14,6 +14,12 @@
 	Start, End time.Time
 }
 
+// String returns both times with their zone, without the name.
+func (c Close) String() string {
+	const layout = localLayout + " MST"
+	return c.Start.Format(layout) + " to " + c.End.Format(layout)
+}
+
 // Snapshot is one accepted document at one revision. It never changes and is
 // safe for concurrent use. What it returns by pointer must not be changed.
 type Snapshot struct {
@@ -25,6 +31,7 @@
 	profiles []string // sorted
 	zone     string
 	closes   []Close // sorted by start, then name
+	pools    map[string]poolModes
 	warnings []Problem
 }
 
