Static settings of the daemon with one error for all mistakes

Each setting is decoded by itself, since the decoder stops at the first wrong value and operators want all of them with line and remedy. The reference page is compared with the structs by a test.

--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,186 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Load reads a settings document over the defaults and checks every setting.
+// Its error is a fault.BadSettings that wraps an *Error with all problems at
+// once, except that a syntax error hides what follows it.
+func Load(data []byte) (*Settings, error) {
+	var document map[string]any
+	if err := toml.Unmarshal(data, &document); err != nil {
+		return nil, refuse([]Problem{syntaxProblem(err)})
+	}
+	s := Default()
+	lines := keyLines(data)
+	problems := decodeEach(s, document, lines)
+	refused := make(map[string]bool, len(problems))
+	for _, p := range problems {
+		refused[p.Field] = true
+	}
+	for _, p := range check(s) {
+		if refused[p.Field] {
+			continue // the default stands in for a value that could not be read
+		}
+		p.Line = lines[p.Field]
+		problems = append(problems, p)
+	}
+	if err := refuse(problems); err != nil {
+		return nil, err
+	}
+	s.fillAdvertised()
+	return s, nil
+}
+
+func (s *Settings) fillAdvertised() {
+	if s.Addresses.CallerAdvertised == "" {
+		s.Addresses.CallerAdvertised = s.Addresses.Caller
+	}
+	if s.Addresses.PeerAdvertised == "" {
+		s.Addresses.PeerAdvertised = s.Addresses.Peer
+	}
+}
+
+func syntaxProblem(err error) Problem {
+	p := Problem{What: strings.TrimPrefix(err.Error(), "toml: "), Remedy: "write valid TOML"}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		p.Line, _ = decode.Position()
+	}
+	return p
+}
+
+// decodeEach decodes every setting by itself, because the decoder stops at the
+// first value of a wrong type and an operator wants to see all of them.
+func decodeEach(s *Settings, document map[string]any, lines map[string]int) []Problem {
+	var problems []Problem
+	known := Reference()
+	for _, leaf := range leaves(nil, document) {
+		field := strings.Join(leaf.path, ".")
+		p := Problem{Line: lines[field], Field: field}
+		at := slices.IndexFunc(known, func(e Entry) bool { return e.Field == field })
+		switch {
+		case at >= 0:
+			if leaf.decode(s) == nil {
+				continue
+			}
+			p.What, p.Remedy = fmt.Sprintf("%#v is no value for it", leaf.value), "write "+form(known[at])
+		case isTable(known, field):
+			p.What, p.Remedy = "it is a table", fmt.Sprintf("write [%s] and the settings below it", field)
+		default:
+			p.What, p.Remedy = "there is no such setting", "remove it or correct its name"
+		}
+		problems = append(problems, p)
+	}
+	return problems
+}
+
+func isTable(known []Entry, field string) bool {
+	return slices.ContainsFunc(known, func(e Entry) bool { return strings.HasPrefix(e.Field, field+".") })
+}
+
+// form says how the value of a setting is written.
+func form(e Entry) string {
+	switch {
+	case e.Unit == "duration":
+		return `a duration such as "250ms", "90s" or "1m30s"`
+	case e.Unit == unitText:
+		return "a text in quotes"
+	case e.Unit == unitList:
+		return "a list of texts in quotes"
+	case e.Unit == unitBool:
+		return "true or false"
+	case e.Unit == "calls/s":
+		return "a number"
+	}
+	return "a whole number"
+}
+
+// leaf is one setting of a decoded document.
+type leaf struct {
+	path  []string
+	value any
+}
+
+// nested returns the document that holds only this leaf.
+func (l leaf) nested() map[string]any {
+	value := l.value
+	for _, key := range slices.Backward(l.path) {
+		value = map[string]any{key: value}
+	}
+	return value.(map[string]any)
+}
+
+// decode puts this setting alone into s.
+func (l leaf) decode(s *Settings) error {
+	single, err := toml.Marshal(l.nested())
+	if err != nil {
+		return err
+	}
+	return toml.NewDecoder(bytes.NewReader(single)).DisallowUnknownFields().Decode(s)
+}
+
+// leaves lists the settings of a table in the order of their names. An empty
+// table counts as a setting, so that a table with an unknown name is noticed.
+func leaves(path []string, table map[string]any) []leaf {
+	var out []leaf
+	for _, key := range slices.Sorted(maps.Keys(table)) {
+		at := append(slices.Clone(path), key)
+		if inner, ok := table[key].(map[string]any); ok && len(inner) > 0 {
+			out = append(out, leaves(at, inner)...)
+			continue
+		}
+		out = append(out, leaf{path: at, value: table[key]})
+	}
+	return out
+}
+
+// keyLines maps the dotted name of each table and key to its line.
+func keyLines(data []byte) map[string]int {
+	lines := make(map[string]int)
+	var parser unstable.Parser
+	parser.Reset(data)
+	var table []string
+	for parser.NextExpression() {
+		node := parser.Expression()
+		switch node.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			table = noteKey(&parser, lines, nil, node)
+		case unstable.KeyValue:
+			noteKeyValue(&parser, lines, table, node)
+		}
+	}
+	return lines
+}
+
+func noteKeyValue(parser *unstable.Parser, lines map[string]int, table []string, node *unstable.Node) {
+	path := noteKey(parser, lines, table, node)
+	if node.Value().Kind != unstable.InlineTable {
+		return
+	}
+	children := node.Value().Children()
+	for children.Next() {
+		noteKeyValue(parser, lines, path, children.Node())
+	}
+}
+
+// noteKey notes the line of a key below the given table and returns its path.
+func noteKey(parser *unstable.Parser, lines map[string]int, table []string, node *unstable.Node) []string {
+	path := slices.Clone(table)
+	line := 0
+	for keys := node.Key(); keys.Next(); {
+		path = append(path, string(keys.Node().Data))
+		line = parser.Shape(keys.Node().Raw).Start.Line
+	}
+	lines[strings.Join(path, ".")] = line
+	return path
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,204 @@
+// Package settings holds the static settings of the daemon: what one entry is
+// told once, at its start, in a TOML document. What may change while it runs
+// is in the published profiles instead.
+package settings
+
+import "time"
+
+// Settings are the static settings of one entry. The comment of each field
+// gives its unit and its default; docs/SETTINGS.md is the reference, which a
+// test compares with Default and the tags below.
+type Settings struct {
+	// Name of the entry, unique in the fleet; required.
+	Name string `toml:"name"`
+	// Region of the entry; required.
+	Region string `toml:"region"`
+	// FailureDomain of the entry, unique over all regions; required.
+	FailureDomain string `toml:"failure_domain"`
+
+	Addresses Addresses `toml:"addresses"`
+	Platform  Platform  `toml:"platform"`
+	Peers     Peers     `toml:"peers"`
+	TLS       TLS       `toml:"tls"`
+	Limits    Limits    `toml:"limits"`
+	Timeouts  Timeouts  `toml:"timeouts"`
+	Balance   Balance   `toml:"balance"`
+	Audit     Audit     `toml:"audit"`
+	Log       Log       `toml:"log"`
+}
+
+// Addresses are where the entry listens and what it tells others to dial.
+type Addresses struct {
+	// Caller is the IP:port on which callers are served; required.
+	Caller string `toml:"caller"`
+	// CallerAdvertised is the IP:port that callers are told; the default is Caller.
+	CallerAdvertised string `toml:"caller_advertised"`
+	// Peer is the IP:port on which other entries are served; required.
+	Peer string `toml:"peer"`
+	// PeerAdvertised is the IP:port that other entries are told; the default is Peer.
+	PeerAdvertised string `toml:"peer_advertised"`
+	// Admin is the IP:port of the admin interface; default 127.0.0.1:9090.
+	Admin string `toml:"admin"`
+}
+
+// Platform says how the configuration service is read.
+type Platform struct {
+	// URL is the base URL of the configuration service, http or https; required.
+	URL string `toml:"url"`
+	// CallsPerSecond bounds this entry's calls; default 5.
+	CallsPerSecond float64 `toml:"calls_per_second" unit:"calls/s"`
+	// Timeout bounds a read; default 5s.
+	Timeout Duration `toml:"timeout" unit:"duration"`
+	// Watch is how long one watch may wait; default 30s.
+	Watch Duration `toml:"watch" unit:"duration"`
+}
+
+// Peers says how the entry talks with other entries.
+type Peers struct {
+	// Seeds are IP:port peer addresses to try before the platform's list of
+	// VMs is known, so that a start works while the platform is down; none by
+	// default.
+	Seeds []string `toml:"seeds"`
+	// Heartbeat is the longest silence that a sender leaves on a link; default 1s.
+	Heartbeat Duration `toml:"heartbeat" unit:"duration"`
+	// CallTimeout bounds one call to a peer; default 3s.
+	CallTimeout Duration `toml:"call_timeout" unit:"duration"`
+	// BytesPerSecond bounds what the entry sends in regular updates to all
+	// peers together; default 10000.
+	BytesPerSecond int `toml:"bytes_per_second" unit:"bytes/s"`
+	// Connections bounds the accepted peer connections; default 256.
+	Connections int `toml:"connections" unit:"connections"`
+}
+
+// TLS names the files for encrypted links. Empty file names switch a side off.
+// The files are read again when they change.
+type TLS struct {
+	// Caller is the side towards callers.
+	Caller ServerTLS `toml:"caller"`
+	// Peer is the side towards other entries; both ends show a certificate.
+	Peer MutualTLS `toml:"peer"`
+	// Admin is the side towards operators.
+	Admin ServerTLS `toml:"admin"`
+	// Poll is how often the files are looked at for a change; default 10s.
+	Poll Duration `toml:"poll" unit:"duration"`
+}
+
+// ServerTLS names the files of a server that asks for no client certificate.
+type ServerTLS struct {
+	// Certificate is a PEM file with the certificate chain; off by default.
+	Certificate string `toml:"certificate"`
+	// Key is the PEM file of the certificate's private key.
+	Key string `toml:"key"`
+}
+
+// MutualTLS names the files of links on which both ends show a certificate.
+type MutualTLS struct {
+	// Certificate is a PEM file with the certificate chain; off by default.
+	Certificate string `toml:"certificate"`
+	// Key is the PEM file of the certificate's private key.
+	Key string `toml:"key"`
+	// Authorities is a PEM file with the authorities that sign peers' certificates.
+	Authorities string `toml:"authorities"`
+	// ServerName is the DNS name that each peer's certificate must bear; when
+	// empty, the certificate must bear the peer's IP number.
+	ServerName string `toml:"server_name"`
+}
+
+// Limits bound what the entry holds in memory.
+type Limits struct {
+	// InFlightRequests bounds the requests held at once, waiting ones
+	// included; default 20000.
+	InFlightRequests int `toml:"in_flight_requests" unit:"requests"`
+	// HeaderBytes bounds a request's header; default 65536.
+	HeaderBytes int `toml:"header_bytes" unit:"bytes"`
+	// ReplayBodyBytes is the largest request body that is kept for a second
+	// try; larger bodies are streamed and tried once; default 65536.
+	ReplayBodyBytes int `toml:"replay_body_bytes" unit:"bytes"`
+	// ConnectionsPerEndpoint bounds this entry's connections to one endpoint;
+	// default 4, so that 60 entries together stay within an endpoint's 240.
+	ConnectionsPerEndpoint int `toml:"connections_per_endpoint" unit:"connections"`
+	// Keys bounds the idempotency keys held; default 100000.
+	Keys int `toml:"keys" unit:"keys"`
+	// KeyAnswerBytes is the largest answer kept with a key for replay; default 16384.
+	KeyAnswerBytes int `toml:"key_answer_bytes" unit:"bytes"`
+	// KeyTableBytes bounds all kept answers together; default 16777216.
+	KeyTableBytes int `toml:"key_table_bytes" unit:"bytes"`
+	// LargestFleet is the largest number of entries that may run at once. Each
+	// entry spends the watching budget divided by this number, never by the
+	// number of peers that it sees; default 60.
+	LargestFleet int `toml:"largest_fleet" unit:"entries"`
+}
+
+// Timeouts bound how long things may take.
+type Timeouts struct {
+	// Header bounds the arrival of a request's header; default 5s.
+	Header Duration `toml:"header" unit:"duration"`
+	// Idle bounds the silence on a caller's kept connection; default 90s.
+	Idle Duration `toml:"idle" unit:"duration"`
+	// Connect bounds the opening of a connection to an endpoint; default 1s.
+	Connect Duration `toml:"connect" unit:"duration"`
+	// Silence is how long sent bytes may stay unacknowledged before a
+	// connection counts as dead (TCP user time-out); default 5s.
+	Silence Duration `toml:"silence" unit:"duration"`
+	// StopGrace bounds how long a planned stop waits for ordinary requests in
+	// flight after the given answers have run out; default 30s.
+	StopGrace Duration `toml:"stop_grace" unit:"duration"`
+	// StopUpload bounds how long a planned stop waits for uploads; default 15m.
+	StopUpload Duration `toml:"stop_upload" unit:"duration"`
+}
+
+// Balance chooses how endpoints are picked.
+type Balance struct {
+	// Policy is the name of the balance policy; "" lets the program choose,
+	// which is the default.
+	Policy string `toml:"policy"`
+}
+
+// Audit bounds the audit trail.
+type Audit struct {
+	// Records is how many changes are kept in memory; default 4096.
+	Records int `toml:"records" unit:"records"`
+}
+
+// Log says what is logged to standard error.
+type Log struct {
+	// Requests switches one line per request on; default false.
+	Requests bool `toml:"requests"`
+	// Verbosity is the level of detail, 0 to 5; default 0.
+	Verbosity int `toml:"verbosity" unit:"level"`
+}
+
+// Default returns the settings that hold where a document says nothing. The
+// required fields are empty.
+func Default() *Settings {
+	return &Settings{
+		Addresses: Addresses{Admin: "127.0.0.1:9090"},
+		Platform:  Platform{CallsPerSecond: 5, Timeout: Duration{5 * time.Second}, Watch: Duration{30 * time.Second}},
+		Peers: Peers{
+			Heartbeat:      Duration{time.Second},
+			CallTimeout:    Duration{3 * time.Second},
+			BytesPerSecond: 10_000,
+			Connections:    256,
+		},
+		TLS: TLS{Poll: Duration{10 * time.Second}},
+		Limits: Limits{
+			InFlightRequests:       20_000,
+			HeaderBytes:            64 << 10,
+			ReplayBodyBytes:        64 << 10,
+			ConnectionsPerEndpoint: 4,
+			Keys:                   100_000,
+			KeyAnswerBytes:         16 << 10,
+			KeyTableBytes:          16 << 20,
+			LargestFleet:           60,
+		},
+		Timeouts: Timeouts{
+			Header:     Duration{5 * time.Second},
+			Idle:       Duration{90 * time.Second},
+			Connect:    Duration{time.Second},
+			Silence:    Duration{5 * time.Second},
+			StopGrace:  Duration{30 * time.Second},
+			StopUpload: Duration{15 * time.Minute},
+		},
+		Audit: Audit{Records: 4096},
+	}
+}
