--- /dev/null
+++ b/internal/core/budget/retry.go
@@ -0,0 +1,57 @@
+package budget
+
+import "time"
+
+// RetryConfig sets the retry budget of one service.
+type RetryConfig struct {
+	// Share is how many retries and hedges each success earns, for example 0.1.
+	Share float64
+	// MinPerSecond is earned by all entries together without any success, so
+	// that a service with little traffic can retry.
+	MinPerSecond float64
+	// LargestFleet is as in WatchConfig.
+	LargestFleet int
+	// Cap is the most that can be saved up, DefaultRetryCap if zero.
+	Cap float64
+}
+
+// DefaultRetryCap is the default of RetryConfig.Cap.
+const DefaultRetryCap = 10
+
+// Retry decides whether one more attempt may be sent for a request, as a retry
+// or a hedge.
+//
+// It guards against retry storms: when endpoints fail because of overload,
+// every retry adds load and makes more requests fail. Retries are paid by
+// successes, so without successes only the small minimum is left. Over any
+// time t in which an entry sees s successes it sends at most
+// Share*s + MinPerSecond/LargestFleet*t + Cap extra attempts. It starts empty,
+// so that a restart gives no extra.
+type Retry struct {
+	config RetryConfig
+	bucket bucket
+}
+
+// NewRetry returns an empty budget.
+func NewRetry(cfg RetryConfig) *Retry {
+	cfg.LargestFleet = max(1, cfg.LargestFleet)
+	if cfg.Cap <= 0 {
+		cfg.Cap = DefaultRetryCap
+	}
+	return &Retry{config: cfg, bucket: bucket{capacity: max(1, cfg.Cap)}}
+}
+
+// Earn counts a request that was answered with success.
+func (r *Retry) Earn() { r.bucket.add(r.config.Share) }
+
+// TrySpend takes one attempt if it is there.
+func (r *Retry) TrySpend(now time.Duration) bool {
+	r.bucket.earn(now, r.config.MinPerSecond/float64(r.config.LargestFleet))
+	return r.bucket.take(1)
+}
+
+// Level returns how many attempts are saved up.
+func (r *Retry) Level() float64 { return r.bucket.tokens }
+
+// SetShare changes what a success earns.
+func (r *Retry) SetShare(share float64) { r.config.Share = share }
--- /dev/null
+++ b/internal/core/budget/watch.go
@@ -0,0 +1,115 @@
+package budget
+
+import "time"
+
+// WatchConfig sets the watching budget of one pool.
+type WatchConfig struct {
+	// Share is the share of the pool's slot time that all entries together may
+	// spend on probes, for example 0.01.
+	Share float64
+	// ProbeCost is the slot time of one probe, 6 ms if zero.
+	ProbeCost time.Duration
+	// LargestFleet is the largest number of entry processes that ever run at a
+	// time, those that are being replaced and their successors included. It is
+	// a setting and never the number of peers seen: in a partition, or while
+	// peers are counted twice or not yet known, every entry would divide by
+	// another number and the sum would pass the budget.
+	LargestFleet int
+	// Window is the shortest window in which the budget holds, 10 s if zero.
+	Window time.Duration
+}
+
+// Defaults of WatchConfig.
+const (
+	DefaultProbeCost = 6 * time.Millisecond
+	DefaultWindow    = 10 * time.Second
+)
+
+// Watch decides when this entry may probe an endpoint of a pool.
+//
+// The bound: in every window of at least Window, all entries together spend at
+// most Share of the pool's slot time, provided that at most LargestFleet entry
+// processes run at any moment. The bucket holds the cost of one probe at most
+// and starts empty. So a process that runs for the time t of a window spends
+// at most the rate times t, and the cost of one probe more if it ran before
+// the window began; only LargestFleet processes can have done that. Each
+// entry's rate is its part of the budget less ProbeCost/Window, which pays for
+// that one probe. Restarts cost nothing extra, however many there are: the
+// successor of a process that ended starts with an empty bucket.
+type Watch struct {
+	config WatchConfig
+	bucket bucket
+	// slots and share are the lowest values since the last call, so that time
+	// before a change is never paid at the higher rate.
+	slots int
+	share float64
+	spent Spending
+}
+
+// Spending counts what was spent since the process started.
+type Spending struct {
+	Probes   uint64
+	SlotTime time.Duration
+}
+
+// NewWatch returns an empty budget.
+func NewWatch(cfg WatchConfig) *Watch {
+	if cfg.ProbeCost <= 0 {
+		cfg.ProbeCost = DefaultProbeCost
+	}
+	if cfg.Window <= 0 {
+		cfg.Window = DefaultWindow
+	}
+	cfg.LargestFleet = max(1, cfg.LargestFleet)
+	return &Watch{
+		config: cfg,
+		bucket: bucket{capacity: cfg.ProbeCost.Seconds()},
+		share:  cfg.Share,
+	}
+}
+
+// Rate returns the slot time per second that this entry may spend in the long
+// run. It is zero if the pool is too small for the window; then this entry
+// never probes, and a longer window or a larger share is the remedy.
+func (w *Watch) Rate(slots int) float64 {
+	return w.rate(w.config.Share, slots)
+}
+
+func (w *Watch) rate(share float64, slots int) float64 {
+	part := share * float64(slots) / float64(w.config.LargestFleet)
+	return max(0, part-w.config.ProbeCost.Seconds()/w.config.Window.Seconds())
+}
+
+// TrySpend takes the cost of one probe if it is there. slots is the number of
+// slots of the pool's endpoints.
+func (w *Watch) TrySpend(now time.Duration, slots int) bool {
+	w.bucket.earn(now, w.rate(min(w.share, w.config.Share), min(w.slots, slots)))
+	w.slots = slots
+	w.share = w.config.Share
+	if !w.bucket.take(w.config.ProbeCost.Seconds()) {
+		return false
+	}
+	w.spent.Probes++
+	w.spent.SlotTime += w.config.ProbeCost
+	return true
+}
+
+// Charge accounts for a probe that took longer than its cost, for example at a
+// slow endpoint. The excess is paid before the next probe.
+func (w *Watch) Charge(excess time.Duration) {
+	if excess <= 0 {
+		return
+	}
+	w.bucket.tokens -= excess.Seconds()
+	w.spent.SlotTime += excess
+}
+
+// SetShare changes the share, for example when a close begins. In a window
+// that spans the change the larger of the two shares holds.
+func (w *Watch) SetShare(share float64) {
+	w.share = min(w.share, share)
+	w.config.Share = share
+}
+
+// Spent returns what was spent since the process started.
+func (w *Watch) Spent() Spending { return w.spent }
--- /dev/null
+++ b/internal/core/queue/class.go
@@ -0,0 +1,240 @@
+package queue
+
+import (
+	"cmp"
+	"slices"
+)
+
+// PassLimit bounds how long a lower priority waits. A class of waiting
+// requests that may take a slot and was passed over this often is served next.
+// With k such classes each is served at least once in PassLimit + k dispatches.
+const PassLimit = 16
+
+// turn is one dispatch in the virtual time of a class.
+const turn int64 = 1 << 20
+
+// class holds the waiting requests of one service at one priority. A service
+// has two classes only for a while after its priority was changed.
+//
+// Callers share a class by fair queueing. The virtual time of the class grows
+// by one turn per dispatch divided by the number of callers that wait, which
+// is the pace at which each of them should be served. A caller's flow may be
+// served once its start time is reached, and each dispatch moves the start
+// time on by a turn. A caller with a thousand requests is therefore held back
+// to its part, while callers below their part are ordered by deadline or
+// arrival as if the class had no fairness at all.
+type class struct {
+	service  int32
+	priority int
+	waiting  int
+	virtual  int64
+	// passed counts the dispatches of other classes since this one was served
+	// last, while it had a request that could have run.
+	passed int
+	// open is set by Next: the class had a request that might take the slot.
+	open bool
+	// ready and held are heaps of flows: those whose start time is reached, in
+	// the order of their first item, and the others by start time.
+	ready, held indexedHeap
+	flows       map[uint64]int32
+	first, last int32
+}
+
+// flow holds the waiting items of one caller in a class.
+type flow struct {
+	class  *class
+	caller uint64
+	start  int64
+	ready  bool
+	items  indexedHeap
+}
+
+// classOf returns the class, making it if needed. An empty class is used
+// again, so that the number of classes is bounded by those in use at a time.
+func (q *Queue) classOf(service int32, priority int) *class {
+	var empty *class
+	for _, c := range q.classes {
+		if c.service == service && c.priority == priority {
+			return c
+		}
+		if c.waiting == 0 {
+			empty = c
+		}
+	}
+	if empty == nil {
+		empty = &class{flows: make(map[uint64]int32), first: none, last: none}
+		q.classes = append(q.classes, empty)
+	}
+	empty.service, empty.priority = service, priority
+	slices.SortFunc(q.classes, compareClasses)
+	return empty
+}
+
+func compareClasses(a, b *class) int {
+	if a.priority != b.priority {
+		return cmp.Compare(b.priority, a.priority)
+	}
+	return cmp.Compare(a.service, b.service)
+}
+
+// goesBefore reports whether c is served before best. Both may take the slot,
+// and c comes later in the order of classes.
+//
+// It guards against starvation: under a lasting overload of a high priority
+// the lower ones would never be served and all their requests would expire.
+func (q *Queue) goesBefore(c, best *class) bool {
+	if c.overdue() || best.overdue() {
+		return c.passed > best.passed
+	}
+	if c.priority != best.priority {
+		return false
+	}
+	return q.nodes[q.head(c)].item.Enqueued < q.nodes[q.head(best)].item.Enqueued
+}
+
+func (c *class) overdue() bool { return c.passed >= PassLimit }
+
+// Overdue reports whether the service has waited for PassLimit dispatches of
+// others. See Holder.
+func (q *Queue) Overdue(service int32) bool {
+	for _, c := range q.classes {
+		if c.service == service && c.waiting > 0 && c.overdue() {
+			return true
+		}
+	}
+	return false
+}
+
+// countPassed notes that a request of served goes before those of the others.
+// Classes that may not take a slot are counted too: their turn comes, and the
+// rule of shares then lets them have one slot (see MayTake).
+func (q *Queue) countPassed(served *class) {
+	for _, c := range q.classes {
+		if c != served && c.waiting > 0 {
+			c.passed++
+		}
+	}
+	served.passed = 0
+}
+
+// head returns the item of the class that goes first; the class must not be
+// empty.
+func (q *Queue) head(c *class) int32 {
+	if c.ready.len() == 0 {
+		c.virtual = c.held.top().key
+		q.release(c)
+	}
+	return q.flows[c.ready.top().ref].items.top().ref
+}
+
+// release makes the flows ready whose start time is reached.
+func (q *Queue) release(c *class) {
+	for c.held.len() > 0 && c.held.top().key <= c.virtual {
+		ref := c.held.top().ref
+		c.held.remove(q.inClass, ref)
+		q.enter(c, ref)
+	}
+}
+
+// enter puts a flow with items into the heap where it belongs.
+func (q *Queue) enter(c *class, ref int32) {
+	f := &q.flows[ref]
+	f.ready = f.start <= c.virtual
+	if f.ready {
+		first := f.items.top()
+		c.ready.push(q.inClass, element{first.key, first.tie, ref})
+		return
+	}
+	c.held.push(q.inClass, element{f.start, f.caller, ref})
+}
+
+func (q *Queue) leave(c *class, ref int32) {
+	if q.flows[ref].ready {
+		c.ready.remove(q.inClass, ref)
+		return
+	}
+	c.held.remove(q.inClass, ref)
+}
+
+// charge counts one dispatch for a flow and moves the virtual time on.
+func (q *Queue) charge(c *class, ref int32) {
+	q.leave(c, ref)
+	f := &q.flows[ref]
+	f.start = max(f.start, c.virtual) + turn
+	c.virtual += max(1, turn/int64(len(c.flows)))
+	q.enter(c, ref)
+	q.release(c)
+}
+
+func (q *Queue) addToFlow(c *class, ref int32) {
+	n := &q.nodes[ref]
+	at, ok := c.flows[n.item.Caller]
+	if ok {
+		q.leave(c, at)
+	} else {
+		at = q.newFlow(c, n.item.Caller)
+	}
+	n.flow = at
+	q.flows[at].items.push(q.inFlow, element{n.key, n.item.ID, ref})
+	q.enter(c, at)
+}
+
+func (q *Queue) removeFromFlow(c *class, ref int32) {
+	at := q.nodes[ref].flow
+	q.leave(c, at)
+	f := &q.flows[at]
+	f.items.remove(q.inFlow, ref)
+	if f.items.len() > 0 {
+		q.enter(c, at)
+		return
+	}
+	delete(c.flows, f.caller)
+	q.freeFlows = append(q.freeFlows, at)
+}
+
+// newFlow starts a flow at the present virtual time: a caller gets no credit
+// for the time in which it had nothing waiting.
+func (q *Queue) newFlow(c *class, caller uint64) int32 {
+	at := int32(len(q.flows))
+	if last := len(q.freeFlows) - 1; last >= 0 {
+		at = q.freeFlows[last]
+		q.freeFlows = q.freeFlows[:last]
+	} else {
+		q.flows = append(q.flows, flow{})
+		q.inClass = append(q.inClass, 0)
+	}
+	items := q.flows[at].items
+	q.flows[at] = flow{class: c, caller: caller, start: c.virtual, items: items}
+	c.flows[caller] = at
+	return at
+}
+
+// link appends an item to the arrival order of its class.
+func (q *Queue) link(c *class, ref int32) {
+	q.nodes[ref].previous = c.last
+	if c.last == none {
+		c.first = ref
+	} else {
+		q.nodes[c.last].next = ref
+	}
+	c.last = ref
+	c.waiting++
+}
+
+func (q *Queue) unlink(c *class, ref int32) {
+	n := &q.nodes[ref]
+	if n.previous == none {
+		c.first = n.next
+	} else {
+		q.nodes[n.previous].next = n.next
+	}
+	if n.next == none {
+		c.last = n.previous
+	} else {
+		q.nodes[n.next].previous = n.previous
+	}
+	c.waiting--
+	if c.waiting == 0 {
+		c.passed = 0
+	}
+}
--- /dev/null
+++ b/internal/core/queue/shares.go
@@ -0,0 +1,107 @@
+package queue
+
+import (
+	"math"
+	"time"
+)
+
+// overdueShare is the share of the slots, at least one slot, that a service
+// gets by waiting long although others have first claim.
+const overdueShare = 1.0 / 16
+
+// Holder is a service that competes for the slots of a pool. The counts are
+// over the whole pool as far as known.
+type Holder struct {
+	// Held is how many slots it uses.
+	Held int
+	// Waiting is how many of its requests wait.
+	Waiting int
+	// Share is the largest share of the slots that it may hold; at least one
+	// slot is always allowed.
+	Share float64
+	// Priority: the higher one has first claim.
+	Priority int
+	// Need is how many slots its traffic keeps busy on average, for example
+	// from Demand. Lower priorities leave that many free for it and some more
+	// for chance. Zero reserves nothing.
+	Need float64
+	// Overdue is set when it was passed over for long; see Queue.Overdue.
+	Overdue bool
+}
+
+// Capacity is the state of a pool's slots.
+type Capacity struct {
+	Slots int
+	// Free is how many slots are idle as far as known.
+	Free int
+}
+
+// MayTake reports whether the service me may take a slot now.
+//
+// It guards against bulk work that fills all slots with long requests just
+// before urgent ones arrive, which would then wait a whole service time of the
+// bulk: a service leaves free what those of higher priority wait for and what
+// they use on average. A service that is overdue may pass these claims, but
+// only for a small part of the slots, so that it never starves and its long
+// requests never add up to the whole pool.
+func MayTake(holders []Holder, me int, c Capacity) bool {
+	h := &holders[me]
+	if c.Free <= 0 || h.Held >= h.limit(c.Slots) {
+		return false
+	}
+	if h.Overdue && h.Held < overdueSlots(c.Slots) {
+		return true
+	}
+	claimed := 0
+	for i := range holders {
+		if holders[i].Priority > h.Priority {
+			claimed += holders[i].claim(c.Slots)
+		}
+	}
+	return c.Free > claimed
+}
+
+func (h *Holder) limit(slots int) int {
+	return max(1, int(h.Share*float64(slots)))
+}
+
+// claim is how many free slots the service has first claim to. To the average
+// need comes its square root: the spread of the number in use when requests
+// arrive independently of each other.
+func (h *Holder) claim(slots int) int {
+	need := 0
+	if h.Need > 0 {
+		need = int(math.Ceil(h.Need + math.Sqrt(h.Need)))
+	}
+	claim := max(h.Waiting, need-h.Held)
+	return max(0, min(claim, h.limit(slots)-h.Held))
+}
+
+func overdueSlots(slots int) int {
+	return max(1, int(overdueShare*float64(slots)))
+}
+
+// demandTime is the time over which Demand averages.
+const demandTime = 5 * time.Second
+
+// Demand measures how many slots the traffic of a service keeps busy. The zero
+// value is ready for use.
+type Demand struct {
+	slots float64
+	at    time.Duration
+}
+
+// Add counts a request that arrived now and will use a slot for the time work.
+func (d *Demand) Add(now, work time.Duration) {
+	d.slots = d.Slots(now) + float64(work)/float64(demandTime)
+	d.at = max(d.at, now)
+}
+
+// Slots returns the average number of slots in use, by Little's law the rate
+// of arrivals times the time of each, weighing recent arrivals most.
+func (d *Demand) Slots(now time.Duration) float64 {
+	if now <= d.at {
+		return d.slots
+	}
+	return d.slots * math.Exp(-float64(now-d.at)/float64(demandTime))
+}
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -31,18 +31,30 @@
 
 // Health is owned by the health system.
 type Health struct {
-	// EjectedUntil: no ordinary work before this time; 0 when not ejected.
+	// EjectedUntil: no work at all before this time, then only trial requests
+	// until the endpoint is readmitted; 0 when not ejected.
 	EjectedUntil time.Duration
 	// Ejections counts ejections in a row, for growing times.
 	Ejections int32
-	// LatencyNanos is a smoothed time from dispatch to answer, 0 at first.
-	LatencyNanos float64
-	// FailureRate is a smoothed share of attempts that failed or were refused.
-	FailureRate float64
-	// Samples counts attempts seen, up to a cap, since the last readmission.
-	Samples int32
+	// CalmSince is when the endpoint was readmitted or Ejections last fell.
+	CalmSince time.Duration
 	// TrialAt is when the next trial request may be sent while ejected.
 	TrialAt time.Duration
+	// JudgeFrom: outcomes of requests sent before this time are not counted.
+	JudgeFrom time.Duration
+	// SampledAt is when the last outcome was counted.
+	SampledAt time.Duration
+	// Samples counts outcomes up to a cap, SlowSamples those with a latency.
+	Samples, SlowSamples int32
+	// FailureRate is a smoothed share of attempts that failed or were refused.
+	FailureRate float64
+	// Slowness is a smoothed ratio of the time of an answer to the time that
+	// its service commonly takes on the pool; 1 is ordinary.
+	Slowness float64
+	// LatencyNanos is a smoothed time from dispatch to answer, 0 at first.
+	LatencyNanos float64
+	// ViewWrong is set on all rows of a pool while most of them look bad.
+	ViewWrong bool
 }
 
 // Endpoint is one endpoint VM.
