Forward: one connection per request, never a silent replay

The standard transport replays a request with an Idempotency-Key when a reused connection dies. This package writes each request on exactly one connection, counts the bytes the kernel took, checks an idle connection before use and tells a silent connection from a slow endpoint by the kernel's view of it.

--- /dev/null
+++ b/internal/forward/answer.go
@@ -0,0 +1,219 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+)
+
+var (
+	errSwitching  = errors.New("the endpoint switched protocols unasked")
+	errUnframed   = errors.New("the answer has neither a length nor chunks")
+	errNoProgress = errors.New("no acknowledgement came back")
+	errSlow       = errors.New("the endpoint is alive but gave no answer")
+)
+
+// readHead reads informational answers and the head of the final one.
+func (x *exchange) readHead(delivery *Delivery) (*http.Response, error) {
+	x.conn.limitHead(x.connections.cfg.MaxResponseHeaderBytes)
+	defer x.conn.unlimit()
+	for {
+		if err := x.awaitByte(); err != nil {
+			return nil, err
+		}
+		if delivery.FirstByte == 0 {
+			delivery.FirstByte = x.connections.cfg.Clock()
+		}
+		resp, err := http.ReadResponse(x.conn.reader, x.out.Request)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, &Error{Failure: BadAnswer, Address: x.out.Address, Cause: errSwitching}
+		case resp.StatusCode == http.StatusContinue:
+			if x.bodyDue {
+				x.startUpload()
+			}
+		case resp.StatusCode < http.StatusOK:
+			if x.out.Informational != nil {
+				x.out.Informational(resp.StatusCode, resp.Header)
+			}
+		default:
+			return resp, nil
+		}
+	}
+}
+
+// awaitByte waits for the next byte of the answer. It wakes up from time to
+// time to tell a dead connection from a slow endpoint.
+func (x *exchange) awaitByte() error {
+	if x.conn.reader.Buffered() > 0 {
+		return nil
+	}
+	defer x.conn.SetReadDeadline(time.Time{})
+	cfg := &x.connections.cfg
+	waiting := cfg.Clock()
+	for {
+		x.conn.SetReadDeadline(time.Now().Add(x.waitStep(cfg.Clock() - waiting)))
+		_, err := x.conn.reader.Peek(1)
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if x.conn.socket.silent(cfg.SilentAfter) {
+			return &Error{Failure: Silent, Address: x.out.Address, Cause: errNoProgress}
+		}
+		if err := x.checkWait(waiting); err != nil {
+			return err
+		}
+	}
+}
+
+// laterChecks is how many times per Config.SilentAfter a connection is looked at
+// again: the kernel's first retransmission may fall just after the first look.
+const laterChecks = 4
+
+// waitStep returns how long to wait before the connection is looked at again.
+func (x *exchange) waitStep(waited time.Duration) time.Duration {
+	cfg := &x.connections.cfg
+	step := cfg.SilentAfter
+	if waited >= step {
+		step /= laterChecks
+	}
+	if x.bodyDue {
+		step = min(step, cfg.ContinueTimeout-waited)
+	}
+	if cfg.HeaderTimeout > 0 && waited < cfg.HeaderTimeout {
+		step = min(step, cfg.HeaderTimeout-waited)
+	}
+	return max(step, time.Millisecond)
+}
+
+// checkWait acts on the time-outs that passed: the body is sent to an endpoint
+// that says nothing about the expectation, and a slow endpoint is given up. The
+// wait for the head begins when the body is sent.
+func (x *exchange) checkWait(since time.Duration) error {
+	cfg := &x.connections.cfg
+	if x.bodyDue {
+		if cfg.Clock()-since >= cfg.ContinueTimeout {
+			x.startUpload()
+		}
+		return nil
+	}
+	if x.upload != nil {
+		select {
+		case <-x.upload.done:
+			since = max(since, x.upload.ended)
+		default:
+			return nil
+		}
+	}
+	if cfg.HeaderTimeout > 0 && cfg.Clock()-since >= cfg.HeaderTimeout {
+		return &Error{Failure: Slow, Address: x.out.Address, Cause: errSlow}
+	}
+	return nil
+}
+
+// answer prepares the final answer for the caller of Send.
+func (x *exchange) answer(resp *http.Response) (*http.Response, error) {
+	head := x.out.Request.Method == http.MethodHead
+	if unframed(resp, head) && !x.connections.cfg.AllowUnframed {
+		return nil, &Error{Failure: BadAnswer, Address: x.out.Address, Cause: errUnframed}
+	}
+	if resp.Body == http.NoBody || head {
+		// An endpoint that wrongly sends a body here would have it taken for the
+		// head of the next answer on this connection, another caller's.
+		bare := !head && resp.ContentLength <= 0
+		x.release(!resp.Close && bare)
+		resp.Body = http.NoBody
+		return resp, nil
+	}
+	resp.Body = &answerBody{exchange: x, source: resp.Body, reusable: !resp.Close}
+	return resp, nil
+}
+
+// unframed reports whether only the end of the connection ends the body.
+func unframed(resp *http.Response, head bool) bool {
+	return !head && resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// answerBody streams the body of an answer. Like any http.Response.Body it is
+// for one goroutine at a time.
+type answerBody struct {
+	exchange *exchange
+	source   io.Reader
+	reusable bool
+	// err is what Read returns once the exchange is over.
+	err error
+}
+
+// Read returns io.EOF only after the whole body; trailers are set by then.
+func (b *answerBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.source.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if err == io.EOF {
+		b.err = io.EOF
+		b.exchange.release(b.reusable)
+		return n, io.EOF
+	}
+	b.err = b.exchange.failBody(err)
+	return n, b.err
+}
+
+// Close ends the exchange. Before the end of the body it closes the connection,
+// which tells the endpoint that nobody waits for the rest.
+func (b *answerBody) Close() error {
+	if b.err == nil {
+		b.err = http.ErrBodyReadAfterClose
+		b.exchange.drop()
+	}
+	return nil
+}
+
+// fail ends the exchange before the head of the answer and classifies err.
+func (x *exchange) fail(err error) error {
+	return x.classify(err, Died)
+}
+
+// failBody ends the exchange in the body of the answer and classifies err.
+func (x *exchange) failBody(err error) error {
+	return x.classify(err, Truncated)
+}
+
+// classify ends the exchange and returns the error that explains it best: why
+// this process closed the connection, else err itself, else fallback.
+func (x *exchange) classify(err error, fallback Failure) error {
+	failure := x.conn.abortedFor()
+	x.drop()
+	typed := &Error{Failure: fallback, Address: x.out.Address, Cause: err}
+	switch {
+	case failure != None && failure != Closed:
+		typed.Failure = failure
+		if failure == BadBody {
+			typed.Cause = x.upload.err
+		}
+	case x.ctx.Err() != nil:
+		typed.Failure = contextFailure(x.ctx)
+	case errors.As(err, &typed):
+	case errors.Is(err, errHeadTooLarge), malformed(err):
+		typed.Failure = BadAnswer
+	}
+	if typed.Failure == Silent {
+		x.pool.count(func(s *ConnStats) { s.Silent++ })
+		x.connections.Suspect(x.out.Address)
+	}
+	return typed
+}
+
+// malformed reports whether err is about what was read, not about reading.
+func malformed(err error) bool {
+	var netErr interface{ Timeout() bool }
+	return !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &netErr)
+}
--- /dev/null
+++ b/internal/forward/config.go
@@ -0,0 +1,81 @@
+package forward
+
+import "time"
+
+// Config bounds the connections of one entry. Zero values take the defaults
+// named at each field.
+type Config struct {
+	// MaxConnsPerEndpoint bounds the open connections to one address, busy,
+	// idle and being dialled. Default 16: an instance has room for about 240
+	// connections from up to 15 entries.
+	MaxConnsPerEndpoint int
+	// DialTimeout bounds the set-up of a connection. Default 1 s.
+	DialTimeout time.Duration
+	// IdleTimeout is the age at which an idle connection is closed. Keep it
+	// below the idle time-out of the endpoints, so that the entry closes first.
+	// Default 30 s.
+	IdleTimeout time.Duration
+	// FreshWithin is how recently an idle connection must have brought an
+	// answer for a request that may run only once. Default 1 s.
+	FreshWithin time.Duration
+	// HeaderTimeout bounds the wait for the head of the answer after the whole
+	// request was written. Zero leaves the bound to the request's context.
+	HeaderTimeout time.Duration
+	// SilentAfter is how long the endpoint's kernel may leave written bytes
+	// unacknowledged, while they are sent again, before the connection counts
+	// as silent. Default 400 ms, twice the shortest retransmission time-out.
+	SilentAfter time.Duration
+	// UserTimeout is the TCP user time-out: the kernel ends a connection whose
+	// bytes stay unacknowledged for so long. It also ends an upload that the
+	// endpoint stops reading for so long. Default 15 s.
+	UserTimeout time.Duration
+	// KeepAlive is the idle time before the first TCP keep-alive probe and the
+	// time between probes. Default 5 s.
+	KeepAlive time.Duration
+	// ContinueTimeout is how long a request with "Expect: 100-continue" waits
+	// for the endpoint's word before its body is sent. Default 1 s.
+	ContinueTimeout time.Duration
+	// MaxResponseHeaderBytes bounds the head of an answer together with the
+	// informational answers before it. Default 64 KiB.
+	MaxResponseHeaderBytes int64
+	// AllowUnframed passes on answers that have neither a Content-Length nor
+	// the chunked coding. Their end can't be told from a lost connection, so
+	// they are refused by default.
+	AllowUnframed bool
+	// Clock is the monotonic time since the process started. Required.
+	Clock func() time.Duration
+}
+
+// The defaults of Config.
+const (
+	defaultMaxConns        = 16
+	defaultDialTimeout     = time.Second
+	defaultIdleTimeout     = 30 * time.Second
+	defaultFreshWithin     = time.Second
+	defaultSilentAfter     = 400 * time.Millisecond
+	defaultUserTimeout     = 15 * time.Second
+	defaultKeepAlive       = 5 * time.Second
+	defaultContinueTimeout = time.Second
+	defaultHeaderBytes     = 64 << 10
+)
+
+// withDefaults returns c with its zero values replaced.
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxConnsPerEndpoint, defaultMaxConns)
+	setDefault(&c.DialTimeout, defaultDialTimeout)
+	setDefault(&c.IdleTimeout, defaultIdleTimeout)
+	setDefault(&c.FreshWithin, defaultFreshWithin)
+	setDefault(&c.SilentAfter, defaultSilentAfter)
+	setDefault(&c.UserTimeout, defaultUserTimeout)
+	setDefault(&c.KeepAlive, defaultKeepAlive)
+	setDefault(&c.ContinueTimeout, defaultContinueTimeout)
+	setDefault(&c.MaxResponseHeaderBytes, defaultHeaderBytes)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/forward/conn.go
@@ -0,0 +1,97 @@
+package forward
+
+import (
+	"bufio"
+	"errors"
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// bufferSize is the size of each connection's read and write buffer.
+const bufferSize = 4 << 10
+
+// errHeadTooLarge ends the reading of an answer whose head is too large.
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
+// conn is one TCP connection to an endpoint. It belongs to one exchange at a
+// time, or to its pool; only abort and silent may be called by others.
+type conn struct {
+	net.Conn
+	socket *socket
+	reader *bufio.Reader
+	writer *bufio.Writer
+
+	// written counts the bytes that the kernel took over, for "no byte of this
+	// request was written"; the uploading goroutine writes too.
+	written atomic.Int64
+	// headLeft is how many bytes the head of the answer may still take.
+	headLeft int64
+
+	// slot is the index in pool.all; guarded by the pool.
+	slot int
+	// aliveAt is when the connection was set up or last brought a whole answer.
+	aliveAt time.Duration
+
+	abortOnce sync.Once
+	// aborted is why abort closed the connection.
+	aborted atomic.Uint32
+}
+
+func newConn(tcp *net.TCPConn, now time.Duration) (*conn, error) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: tcp, socket: newSocket(raw), headLeft: math.MaxInt64, aliveAt: now}
+	c.reader = bufio.NewReaderSize(c, bufferSize)
+	c.writer = bufio.NewWriterSize(c, bufferSize)
+	return c, nil
+}
+
+// Read reads from the connection within the bound on the answer's head.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLarge
+	}
+	if int64(len(p)) > c.headLeft {
+		p = p[:c.headLeft]
+	}
+	n, err := c.Conn.Read(p)
+	if c.headLeft != math.MaxInt64 {
+		c.headLeft -= int64(n)
+	}
+	return n, err
+}
+
+// Write writes to the connection and counts.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// limitHead bounds the bytes that may be read until unlimit.
+func (c *conn) limitHead(limit int64) { c.headLeft = limit }
+
+// unlimit lifts the bound for the body of the answer.
+func (c *conn) unlimit() { c.headLeft = math.MaxInt64 }
+
+// reusable reports whether the idle connection can carry another request.
+func (c *conn) reusable() bool {
+	return c.reader.Buffered() == 0 && c.socket.idle()
+}
+
+// abort closes the connection for the given reason; the first reason counts.
+// For the endpoint this is the cancellation of the request.
+func (c *conn) abort(reason Failure) {
+	c.abortOnce.Do(func() {
+		c.aborted.Store(uint32(reason))
+		c.Conn.Close()
+	})
+}
+
+// abortedFor returns why abort was called, or None.
+func (c *conn) abortedFor() Failure { return Failure(c.aborted.Load()) }
