Stand-ins for the platform and for endpoints, with faults to switch

Tests, demo and benchmarks need a configuration service and endpoints that fail on demand over real TCP.

--- /dev/null
+++ b/internal/standin/clock.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"sync"
+	"time"
+)
+
+// Clock is the time that the stand-ins live by.
+type Clock interface {
+	// Now is monotonic.
+	Now() time.Duration
+	// After returns a channel that receives once d has passed, and a function
+	// that releases the timer early.
+	After(d time.Duration) (fired <-chan struct{}, stop func())
+}
+
+// RealClock is the process's own clock.
+func RealClock() Clock {
+	return realClock{start: time.Now()}
+}
+
+type realClock struct{ start time.Time }
+
+func (c realClock) Now() time.Duration { return time.Since(c.start) }
+
+func (c realClock) After(d time.Duration) (<-chan struct{}, func()) {
+	fired := make(chan struct{})
+	timer := time.AfterFunc(d, func() { close(fired) })
+	return fired, func() { timer.Stop() }
+}
+
+// ManualClock stands still until a test moves it. It is safe for concurrent use.
+type ManualClock struct {
+	mu      sync.Mutex
+	changed *sync.Cond
+	now     time.Duration
+	timers  map[*manualTimer]struct{}
+}
+
+type manualTimer struct {
+	due   time.Duration
+	fired chan struct{}
+}
+
+// NewManualClock returns a clock that shows zero.
+func NewManualClock() *ManualClock {
+	c := &ManualClock{timers: make(map[*manualTimer]struct{})}
+	c.changed = sync.NewCond(&c.mu)
+	return c
+}
+
+// Now implements Clock.
+func (c *ManualClock) Now() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+// After implements Clock.
+func (c *ManualClock) After(d time.Duration) (<-chan struct{}, func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	timer := &manualTimer{due: c.now + d, fired: make(chan struct{})}
+	if d <= 0 {
+		close(timer.fired)
+		return timer.fired, func() {}
+	}
+	c.timers[timer] = struct{}{}
+	c.changed.Broadcast()
+	return timer.fired, func() { c.stop(timer) }
+}
+
+func (c *ManualClock) stop(timer *manualTimer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.timers, timer)
+	c.changed.Broadcast()
+}
+
+// Advance moves the clock and fires every timer that is due by then.
+func (c *ManualClock) Advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now += d
+	for timer := range c.timers {
+		if timer.due <= c.now {
+			close(timer.fired)
+			delete(c.timers, timer)
+		}
+	}
+	c.changed.Broadcast()
+}
+
+// AwaitTimers returns once exactly n timers are pending.
+func (c *ManualClock) AwaitTimers(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.timers) != n {
+		c.changed.Wait()
+	}
+}
--- /dev/null
+++ b/internal/standin/conn.go
@@ -0,0 +1,159 @@
+package standin
+
+import (
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// connections are the connections accepted by one server, so that faults can be
+// caused on all that are open at one moment.
+type connections struct {
+	clock Clock
+	// delay holds back the first byte of each new connection: its set-up cost.
+	delay time.Duration
+
+	accepted atomic.Int64
+
+	mu   sync.Mutex
+	open map[*conn]struct{}
+}
+
+func newConnections(clock Clock, delay time.Duration) *connections {
+	return &connections{clock: clock, delay: delay, open: make(map[*conn]struct{})}
+}
+
+// blackHole silences every open connection for good. New ones work. It returns
+// how many were silenced.
+func (c *connections) blackHole() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		conn.silent.Store(true)
+	}
+	return len(c.open)
+}
+
+// reset ends every open connection at once, without the usual farewell.
+func (c *connections) reset() {
+	c.mu.Lock()
+	open := make([]*conn, 0, len(c.open))
+	for conn := range c.open {
+		open = append(open, conn)
+	}
+	c.mu.Unlock()
+	for _, conn := range open {
+		if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// count returns how many connections are open.
+func (c *connections) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// listener hands out connections that can be silenced.
+type listener struct {
+	net.Listener
+	conns *connections
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	wrapped := &conn{Conn: accepted, conns: l.conns, closed: make(chan struct{}), nudged: make(chan struct{}, 1)}
+	l.conns.accepted.Add(1)
+	l.conns.mu.Lock()
+	l.conns.open[wrapped] = struct{}{}
+	l.conns.mu.Unlock()
+	return wrapped, nil
+}
+
+// conn is a connection that can go silent: what arrives is dropped, what is
+// written disappears, and that the far end closed it goes unnoticed. This is
+// how it looks to both ends when something between them has lost track of it.
+type conn struct {
+	net.Conn
+	conns  *connections
+	silent atomic.Bool
+	ready  atomic.Bool // the set-up cost was paid
+
+	closeOnce sync.Once
+	closed    chan struct{}
+	nudged    chan struct{} // a read deadline was set
+}
+
+// Read drops what arrives once the connection is silent. It still obeys Close
+// and read deadlines, by which the HTTP server stops its own pending reads.
+func (c *conn) Read(p []byte) (int, error) {
+	c.setUp()
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.silent.Load() {
+			return n, err
+		}
+		if err == nil {
+			continue
+		}
+		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+			return 0, err
+		}
+		select {
+		case <-c.closed:
+			return 0, net.ErrClosed
+		case <-c.nudged:
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// SetReadDeadline also interrupts a Read that waits after the far end closed.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() && c.silent.Load() {
+		select {
+		case c.nudged <- struct{}{}:
+		default:
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() {
+		close(c.closed)
+		c.conns.mu.Lock()
+		delete(c.conns.open, c)
+		c.conns.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+// setUp waits once for the cost of a new connection.
+func (c *conn) setUp() {
+	if c.conns.delay <= 0 || c.ready.Swap(true) {
+		return
+	}
+	fired, stop := c.conns.clock.After(c.conns.delay)
+	defer stop()
+	select {
+	case <-fired:
+	case <-c.closed:
+	}
+}
--- /dev/null
+++ b/internal/standin/endpointserve.go
@@ -0,0 +1,302 @@
+package standin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/contract"
+)
+
+// call is one request as an Endpoint handles it.
+type call struct {
+	id       identity
+	probe    bool
+	deadline time.Duration // on the endpoint's clock; zero is none
+	answer   answerSpec
+	work     time.Duration // replaces the service time when above zero
+}
+
+// answerSpec is the answer that the request asked for.
+type answerSpec struct {
+	id      string
+	size    int64
+	status  int
+	chunked bool
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	call, err := e.parseCall(r)
+	if err != nil {
+		e.fail(w, http.StatusBadRequest)
+		return
+	}
+	e.arrive(call)
+	faults := e.faults.Load()
+	switch {
+	case faults.Hang:
+		e.hang(r.Context())
+		panic(http.ErrAbortHandler) // no answer
+	case e.draining.Load():
+		e.refuse(w, contract.NotRunDraining)
+	case faults.FailFast > 0 && !call.probe:
+		e.fail(w, faults.FailFast)
+	case faults.Shed:
+		e.refuse(w, contract.NotRunOverload)
+	default:
+		e.admit(w, r, call)
+	}
+}
+
+func (e *Endpoint) parseCall(r *http.Request) (call, error) {
+	query := r.URL.Query()
+	c := call{probe: r.URL.Path == contract.ProbePath}
+	c.id.key = r.Header.Get(contract.HeaderIdempotencyKey)
+	c.id.request = r.Header.Get(contract.HeaderRequest)
+	if text := r.Header.Get(contract.HeaderDeadline); text != "" {
+		left, ok := contract.ParseDeadline(text)
+		if !ok {
+			return c, errors.New("malformed deadline")
+		}
+		c.deadline = max(1, e.cfg.Clock.Now()+left)
+	}
+	var err error
+	if query.Has(WorkParameter) {
+		c.work, err = time.ParseDuration(query.Get(WorkParameter))
+		if err != nil {
+			return c, err
+		}
+	}
+	c.answer, err = parseAnswer(query, c.id.request)
+	return c, err
+}
+
+func parseAnswer(query url.Values, request string) (answerSpec, error) {
+	spec := answerSpec{id: query.Get(IDParameter), status: http.StatusOK, chunked: query.Has(ChunkedParameter)}
+	if spec.id == "" {
+		spec.id = request
+	}
+	spec.size = AnswerSize(spec.id)
+	var err error
+	if query.Has(BytesParameter) {
+		spec.size, err = strconv.ParseInt(query.Get(BytesParameter), 10, 64)
+		if err != nil || spec.size < 0 {
+			return spec, errors.New("malformed size")
+		}
+	}
+	if query.Has(StatusParameter) {
+		spec.status, err = strconv.Atoi(query.Get(StatusParameter))
+		if err != nil || spec.status < 200 || spec.status > 599 {
+			return spec, errors.New("malformed status")
+		}
+	}
+	if spec.status == http.StatusNoContent || spec.status == http.StatusNotModified {
+		spec.size, spec.chunked = 0, true // no body, so no length either
+	}
+	return spec, nil
+}
+
+func (e *Endpoint) arrive(c call) {
+	if c.probe {
+		e.count(func(s *EndpointStats) { s.Probes++ })
+		return
+	}
+	e.cfg.Ledger.arrived(c.id)
+	e.count(func(s *EndpointStats) { s.Requests++ })
+}
+
+// refuse states that the request was not run.
+func (e *Endpoint) refuse(w http.ResponseWriter, reason contract.NotRunReason) {
+	e.count(func(s *EndpointStats) { s.NotRun[reason]++ })
+	e.announce(w.Header())
+	w.Header().Set(contract.HeaderNotRun, string(reason))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// fail answers with a status that proves nothing.
+func (e *Endpoint) fail(w http.ResponseWriter, status int) {
+	e.count(func(s *EndpointStats) { s.Failed++ })
+	e.announce(w.Header())
+	w.WriteHeader(status)
+}
+
+// hang waits until the client goes or the fault ends.
+func (e *Endpoint) hang(ctx context.Context) {
+	for e.faults.Load().Hang {
+		e.mu.Lock()
+		changed := e.changed
+		e.mu.Unlock()
+		if !e.faults.Load().Hang {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// admit gets the request a slot or refuses it.
+func (e *Endpoint) admit(w http.ResponseWriter, r *http.Request, c call) {
+	if e.expired(c) {
+		e.refuse(w, contract.NotRunDeadline)
+		return
+	}
+	waiter, entered := e.slots.enter()
+	if !entered {
+		e.refuse(w, contract.NotRunBusy)
+		return
+	}
+	if waiter != nil && !e.await(w, r, c, waiter) {
+		return
+	}
+	if e.expired(c) {
+		e.slots.leave()
+		e.refuse(w, contract.NotRunDeadline)
+		return
+	}
+	e.run(w, r, c)
+}
+
+func (e *Endpoint) expired(c call) bool {
+	return c.deadline > 0 && e.cfg.Clock.Now() >= c.deadline
+}
+
+// await waits in the queue and reports whether the request got a slot.
+func (e *Endpoint) await(w http.ResponseWriter, r *http.Request, c call, queued *waiter) bool {
+	expired, stop := e.timeout(c)
+	defer stop()
+	select {
+	case <-queued.granted:
+		return true
+	case <-expired:
+		e.slots.abandon(queued)
+		e.refuse(w, contract.NotRunDeadline)
+	case <-r.Context().Done():
+		e.slots.abandon(queued)
+		e.count(func(s *EndpointStats) { s.CancelledQueued++ })
+	}
+	return false
+}
+
+// timeout fires at the deadline of c, never when it has none.
+func (e *Endpoint) timeout(c call) (<-chan struct{}, func()) {
+	if c.deadline == 0 {
+		return nil, func() {}
+	}
+	return e.cfg.Clock.After(c.deadline - e.cfg.Clock.Now())
+}
+
+// run holds a slot for the request's time and answers.
+func (e *Endpoint) run(w http.ResponseWriter, r *http.Request, c call) {
+	started := e.cfg.Clock.Now()
+	if !c.probe {
+		e.cfg.Ledger.ran(c.id)
+		e.count(func(s *EndpointStats) { s.Runs++ })
+	}
+	digest, bytes, err := readBody(r)
+	ended := endedBroken
+	if err == nil {
+		ended = e.work(r.Context(), c)
+	}
+	e.slots.leave()
+	e.account(c, e.cfg.Clock.Now()-started, ended)
+	switch ended {
+	case endedWhole:
+		w.Header().Set(BodyDigestHeader, digest)
+		w.Header().Set(BodyBytesHeader, strconv.FormatInt(bytes, 10))
+		e.answer(w, c)
+	case endedLate:
+		e.announce(w.Header())
+		w.WriteHeader(http.StatusGatewayTimeout)
+	case endedBroken:
+		panic(http.ErrAbortHandler) // nobody is there to answer
+	}
+}
+
+// ending says how a run ended.
+type ending int
+
+const (
+	endedWhole ending = iota
+	endedLate
+	endedBroken
+)
+
+// work takes the request's time, but ends with the client or at the deadline.
+func (e *Endpoint) work(ctx context.Context, c call) ending {
+	done, stop := e.cfg.Clock.After(e.holdTime(c.probe, c.work))
+	defer stop()
+	expired, stopDeadline := e.timeout(c)
+	defer stopDeadline()
+	select {
+	case <-done:
+		return endedWhole
+	case <-expired:
+		return endedLate
+	case <-ctx.Done():
+		return endedBroken
+	}
+}
+
+// account counts a run's slot time and how it ended.
+func (e *Endpoint) account(c call, held time.Duration, ended ending) {
+	if !c.probe && ended == endedWhole {
+		e.cfg.Ledger.finished(c.id)
+	}
+	e.count(func(s *EndpointStats) {
+		if c.probe {
+			s.ProbeSlotTime += held
+			return
+		}
+		s.SlotTime += held
+		switch ended {
+		case endedWhole:
+			s.Finished++
+		case endedLate:
+			s.Late++
+		case endedBroken:
+			s.CancelledRunning++
+		}
+	})
+}
+
+// answer writes the answer that the request asked for.
+func (e *Endpoint) answer(w http.ResponseWriter, c call) {
+	spec := c.answer
+	header := w.Header()
+	e.announce(header)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if c.id.request != "" {
+		header.Set(contract.HeaderRequest, c.id.request)
+	}
+	if !spec.chunked {
+		header.Set("Content-Length", strconv.FormatInt(spec.size, 10))
+	}
+	w.WriteHeader(spec.status)
+	if !e.faults.Load().CutAnswer {
+		_ = WriteAnswer(w, spec.id, spec.size)
+		return
+	}
+	_ = WriteAnswer(w, spec.id, spec.size/2)
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler) // the server's way to break the connection
+}
+
+// readBody reads the request's body as a stream and returns its digest and size.
+func readBody(r *http.Request) (digest string, bytes int64, err error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return "", 0, nil
+	}
+	hash := sha256.New()
+	bytes, err = io.Copy(hash, r.Body)
+	return hex.EncodeToString(hash.Sum(nil)), bytes, err
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,231 @@
+package standin
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+const (
+	// keptRevisions bounds how far back a lagging replica can be.
+	keptRevisions = 8
+	// maxWait bounds how long a watch may wait.
+	maxWait = time.Minute
+)
+
+// Platform plays the configuration service. It implements http.Handler for the
+// documented calls and is safe for concurrent use.
+type Platform struct {
+	clock Clock
+
+	mu      sync.Mutex
+	first   uint64 // the revision of each name's first value
+	values  map[string][]platform.Value // the last revisions, oldest first
+	faults  PlatformFaults
+	frozen  map[string]uint64 // revisions served while Stale
+	changed chan struct{}     // closed at the next change of values or faults
+	lagging bool              // the next call goes to the replica that lags
+	stats   callCounter
+}
+
+// NewPlatform returns a service that holds nothing.
+func NewPlatform(clock Clock) *Platform {
+	return &Platform{
+		clock:   clock,
+		first:   1,
+		values:  make(map[string][]platform.Value),
+		changed: make(chan struct{}),
+	}
+}
+
+// StartAt sets the revision that values get which are not there yet; default 1.
+// A service that replaces another continues above the other's revisions.
+func (p *Platform) StartAt(revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.first = max(1, revision)
+}
+
+// Put publishes data under name and returns its revision. It takes values above
+// the size that the real service holds, so that tests can serve them.
+func (p *Platform) Put(name string, data []byte) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.values[name]
+	revision := p.first
+	if len(kept) > 0 {
+		revision = kept[len(kept)-1].Revision + 1
+	}
+	kept = append(kept, platform.Value{Name: name, Revision: revision, Data: data})
+	if len(kept) > keptRevisions {
+		kept = kept[1:]
+	}
+	p.values[name] = kept
+	p.wake()
+	return revision
+}
+
+// SetVMs publishes the list of VMs and returns its revision.
+func (p *Platform) SetVMs(vms ...platform.VM) uint64 {
+	return p.Put(platform.VMsValue, platform.EncodeVMs(platform.VMList{VMs: vms}))
+}
+
+// wake lets waiting watches look again.
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name, found := strings.CutPrefix(r.URL.Path, platform.ValuesPath)
+	if !found || name == "" {
+		http.NotFound(w, r)
+		return
+	}
+	if r.Method != http.MethodGet {
+		http.Error(w, "values can only be read", http.StatusMethodNotAllowed)
+		return
+	}
+	watch, err := parseWatch(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	lagging := p.begin(watch.waits)
+	defer p.end(watch.waits)
+	p.delay(r)
+	if watch.waits {
+		p.serveWatch(w, r, name, watch, lagging)
+		return
+	}
+	p.write(w, p.look(name, lagging))
+}
+
+// watch holds the parameters of a call.
+type watch struct {
+	waits bool
+	after uint64
+	wait  time.Duration
+}
+
+func parseWatch(r *http.Request) (watch, error) {
+	query := r.URL.Query()
+	if !query.Has(platform.AfterParameter) {
+		return watch{}, nil
+	}
+	after, err := strconv.ParseUint(query.Get(platform.AfterParameter), 10, 64)
+	if err != nil {
+		return watch{}, err
+	}
+	wait, err := time.ParseDuration(query.Get(platform.WaitParameter))
+	if err != nil {
+		return watch{}, err
+	}
+	return watch{waits: true, after: after, wait: min(max(0, wait), maxWait)}, nil
+}
+
+// begin counts a call and says which replica answers it.
+func (p *Platform) begin(waits bool) (lagging bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.begin(p.clock.Now(), waits)
+	if !p.faults.OlderReplica {
+		return false
+	}
+	p.lagging = !p.lagging
+	return p.lagging
+}
+
+func (p *Platform) end(waits bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.end(waits)
+}
+
+// delay holds the call back while the service is slow.
+func (p *Platform) delay(r *http.Request) {
+	p.mu.Lock()
+	slow := p.faults.Delay
+	p.mu.Unlock()
+	if slow <= 0 {
+		return
+	}
+	fired, stop := p.clock.After(slow)
+	defer stop()
+	select {
+	case <-fired:
+	case <-r.Context().Done():
+	}
+}
+
+// serveWatch answers once a later revision is there, the wait is over or the
+// service goes down. A lagging replica answers at once with what it has.
+func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request, name string, watch watch, lagging bool) {
+	fired, stop := p.clock.After(watch.wait)
+	defer stop()
+	for {
+		answer := p.look(name, lagging)
+		if answer.status != http.StatusOK || answer.value.Revision > watch.after || lagging {
+			p.write(w, answer)
+			return
+		}
+		select {
+		case <-answer.changed:
+		case <-r.Context().Done():
+			return
+		case <-fired:
+			w.Header().Set(platform.RevisionHeader, strconv.FormatUint(answer.value.Revision, 10))
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+	}
+}
+
+// Stats returns what the service counted so far.
+func (p *Platform) Stats() PlatformStats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stats.total
+}
+
+// PlatformStats is what a Platform counted.
+type PlatformStats struct {
+	// Calls counts every call; a watch is one however long it waits.
+	Calls int64 `json:"calls"`
+	// Watches is how many watches wait now, PeakWatches the most at a time.
+	Watches     int `json:"watches"`
+	PeakWatches int `json:"peak_watches"`
+	// PeakPerSecond is the most calls begun in one second of the clock.
+	PeakPerSecond int64 `json:"peak_per_second"`
+}
+
+// callCounter keeps PlatformStats.
+type callCounter struct {
+	total  PlatformStats
+	second time.Duration
+	calls  int64 // in that second
+}
+
+func (c *callCounter) begin(now time.Duration, waits bool) {
+	if second := now.Truncate(time.Second); second != c.second {
+		c.second, c.calls = second, 0
+	}
+	c.calls++
+	c.total.Calls++
+	c.total.PeakPerSecond = max(c.total.PeakPerSecond, c.calls)
+	if waits {
+		c.total.Watches++
+		c.total.PeakWatches = max(c.total.PeakWatches, c.total.Watches)
+	}
+}
+
+func (c *callCounter) end(waits bool) {
+	if waits {
+		c.total.Watches--
+	}
+}
--- /dev/null
+++ b/internal/standin/platformfaults.go
@@ -0,0 +1,117 @@
+package standin
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+// PlatformFaults are the faults of a Platform. The zero value is a healthy
+// service. A refused connection is caused at its Server, by Kill and Start.
+type PlatformFaults struct {
+	// Down answers every call with 503, waiting watches too.
+	Down bool `json:"down,omitempty"`
+	// Delay holds every call back.
+	Delay time.Duration `json:"delay_ns,omitempty"`
+	// Stale serves what was current when the fault began, whatever is published.
+	Stale bool `json:"stale,omitempty"`
+	// OlderReplica sends every other call to a replica one revision behind.
+	OlderReplica bool `json:"older_replica,omitempty"`
+	// Cut breaks the connection in the middle of each body.
+	Cut Cut `json:"cut,omitempty"`
+	// HalveLists serves the first half of the VM list as if it were whole, with
+	// a matching length.
+	HalveLists bool `json:"halve_lists,omitempty"`
+}
+
+// Cut says how a body that breaks off was announced.
+type Cut string
+
+// The kinds of Cut.
+const (
+	CutNone Cut = ""
+	// CutSized breaks off a body with a Content-Length.
+	CutSized Cut = "sized"
+	// CutChunked breaks off a chunked body.
+	CutChunked Cut = "chunked"
+)
+
+// SetFaults replaces the faults. Watches that wait see the change at once.
+func (p *Platform) SetFaults(faults PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if faults.Stale && !p.faults.Stale {
+		p.frozen = make(map[string]uint64, len(p.values))
+		for name, kept := range p.values {
+			p.frozen[name] = kept[len(kept)-1].Revision
+		}
+	}
+	p.faults = faults
+	p.wake()
+}
+
+// answer is what one call gets.
+type answer struct {
+	status  int
+	value   platform.Value
+	cut     Cut
+	changed <-chan struct{} // closed when looking again may give another answer
+}
+
+// look returns the answer for name as it is now.
+func (p *Platform) look(name string, lagging bool) answer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := answer{status: http.StatusOK, cut: p.faults.Cut, changed: p.changed}
+	kept := p.visible(name)
+	switch {
+	case p.faults.Down:
+		found.status = http.StatusServiceUnavailable
+	case len(kept) == 0:
+		found.status = http.StatusNotFound
+	case lagging && len(kept) > 1:
+		found.value = kept[len(kept)-2]
+	default:
+		found.value = kept[len(kept)-1]
+	}
+	if p.faults.HalveLists && name == platform.VMsValue {
+		found.value.Data = found.value.Data[:len(found.value.Data)/2]
+	}
+	return found
+}
+
+// visible returns the revisions of name that a stale service has heard of.
+func (p *Platform) visible(name string) []platform.Value {
+	kept := p.values[name]
+	if !p.faults.Stale {
+		return kept
+	}
+	for len(kept) > 0 && kept[len(kept)-1].Revision > p.frozen[name] {
+		kept = kept[:len(kept)-1]
+	}
+	return kept
+}
+
+// write sends an answer, or the part of it that the fault lets through.
+func (p *Platform) write(w http.ResponseWriter, a answer) {
+	if a.status != http.StatusOK {
+		http.Error(w, http.StatusText(a.status), a.status)
+		return
+	}
+	data := a.value.Data
+	header := w.Header()
+	header.Set(platform.RevisionHeader, strconv.FormatUint(a.value.Revision, 10))
+	header.Set("Content-Type", "application/octet-stream")
+	if a.cut != CutChunked {
+		header.Set("Content-Length", strconv.Itoa(len(data)))
+	}
+	if a.cut == CutNone {
+		_, _ = w.Write(data)
+		return
+	}
+	_, _ = w.Write(data[:len(data)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler) // the server's way to break the connection
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,121 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/fault"
+)
+
+// DefaultListen is a free port on loopback.
+const DefaultListen = "127.0.0.1:0"
+
+const readHeaderTimeout = 10 * time.Second
+
+// Server serves a handler on one address and can fail in the ways a machine or
+// a network does. It is safe for concurrent use.
+type Server struct {
+	handler http.Handler
+	conns   *connections
+
+	mu      sync.Mutex
+	address string
+	http    *http.Server // nil while stopped
+	served  chan struct{}
+	cancel  context.CancelFunc // ends all requests
+}
+
+// NewServer listens on address and serves handler until it is stopped. Each new
+// connection's first byte is held back by delay.
+func NewServer(address string, handler http.Handler, clock Clock, delay time.Duration) (*Server, error) {
+	s := &Server{handler: handler, conns: newConnections(clock, delay), address: address}
+	if err := s.Start(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Start serves on the address of before again. It does nothing while running.
+func (s *Server) Start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil {
+		return nil
+	}
+	inner, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return fault.Wrap(err, fault.BadSettings, "choose a free address of this machine", "listening on %s failed", s.address)
+	}
+	s.address = inner.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &http.Server{
+		Handler:           s.handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	served := make(chan struct{})
+	s.http, s.served, s.cancel = server, served, cancel
+	go func() {
+		defer close(served)
+		_ = server.Serve(&listener{Listener: inner, conns: s.conns})
+	}()
+	return nil
+}
+
+// Address is the IP:port that the server has or last had.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// URL is the server's base URL.
+func (s *Server) URL() string { return "http://" + s.Address() }
+
+// Shutdown refuses new connections and waits for the requests in flight.
+func (s *Server) Shutdown(ctx context.Context) error {
+	server, served, cancel := s.take()
+	if server == nil {
+		return nil
+	}
+	defer cancel()
+	err := server.Shutdown(ctx)
+	if err != nil {
+		_ = server.Close()
+	}
+	<-served
+	return err
+}
+
+// Kill stops at once: new connections are refused and open ones reset.
+func (s *Server) Kill() {
+	server, served, cancel := s.take()
+	if server == nil {
+		return
+	}
+	cancel()
+	s.conns.reset()
+	_ = server.Close()
+	<-served
+}
+
+// BlackHole makes every open connection go silent for good while new ones work.
+// It returns how many were open.
+func (s *Server) BlackHole() int { return s.conns.blackHole() }
+
+// OpenConnections returns how many connections are open.
+func (s *Server) OpenConnections() int { return s.conns.count() }
+
+// AcceptedConnections returns how many connections were accepted so far.
+func (s *Server) AcceptedConnections() int64 { return s.conns.accepted.Load() }
+
+func (s *Server) take() (*http.Server, chan struct{}, context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server := s.http
+	s.http = nil
+	return server, s.served, s.cancel
+}
--- /dev/null
+++ b/internal/standin/slots.go
@@ -0,0 +1,109 @@
+package standin
+
+import (
+	"sync"
+
+	"github.com/tealhall/tealhall/internal/contract"
+)
+
+// slots is an endpoint's fixed number of places to work, with a first-in
+// first-out queue of limited length before them.
+type slots struct {
+	mu       sync.Mutex
+	total    int
+	limit    int // longest queue
+	inFlight int
+	queue    []*waiter // in order of arrival
+	peak     int       // longest queue seen
+	idle     *sync.Cond
+}
+
+// waiter is one request in the queue. granted is closed when it gets a slot.
+type waiter struct{ granted chan struct{} }
+
+func newSlots(total, limit int) *slots {
+	s := &slots{total: total, limit: limit}
+	s.idle = sync.NewCond(&s.mu)
+	return s
+}
+
+// enter takes a slot or a place in the queue. It returns nil, false when both
+// are full, and nil, true when a slot was free.
+func (s *slots) enter() (*waiter, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inFlight < s.total {
+		s.inFlight++
+		return nil, true
+	}
+	if len(s.queue) >= s.limit {
+		return nil, false
+	}
+	w := &waiter{granted: make(chan struct{})}
+	s.queue = append(s.queue, w)
+	s.peak = max(s.peak, len(s.queue))
+	return w, true
+}
+
+// abandon takes w out of the queue. When w was granted a slot meanwhile, the
+// slot goes to the next in the queue.
+func (s *slots) abandon(w *waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, queued := range s.queue {
+		if queued == w {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			s.wakeIdle()
+			return
+		}
+	}
+	s.release()
+}
+
+// leave gives a slot back.
+func (s *slots) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.release()
+}
+
+// release hands the slot to the first in the queue, or frees it.
+func (s *slots) release() {
+	if len(s.queue) > 0 {
+		first := s.queue[0]
+		s.queue = s.queue[1:]
+		close(first.granted)
+		return
+	}
+	s.inFlight--
+	s.wakeIdle()
+}
+
+func (s *slots) wakeIdle() {
+	if s.inFlight == 0 && len(s.queue) == 0 {
+		s.idle.Broadcast()
+	}
+}
+
+// load reports the slots and the queue as they are.
+func (s *slots) load() contract.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return contract.Load{InFlight: s.inFlight, Queued: len(s.queue), Slots: s.total}
+}
+
+// longestQueue returns the longest queue seen.
+func (s *slots) longestQueue() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peak
+}
+
+// awaitIdle returns once nothing holds a slot or waits for one.
+func (s *slots) awaitIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.inFlight > 0 || len(s.queue) > 0 {
+		s.idle.Wait()
+	}
+}
