--- a/internal/core/health/observe.go
+++ b/internal/core/health/observe.go
@@ -43,7 +43,10 @@
 // Observation is the outcome of one attempt.
 type Observation struct {
 	Outcome Outcome
-	// Latency is the time from dispatch to this outcome, for all outcomes.
+	// Sent is when the attempt was dispatched. Zero means Latency ago.
+	Sent time.Duration
+	// Latency is the time from dispatch to the head of the answer, or to the
+	// failure. Time that a caller takes to receive an answer must not count.
 	Latency time.Duration
 	// Expected is what a request of this service commonly takes on the pool,
 	// from Typical. Without it the latency is shown but not judged, because
@@ -82,7 +85,12 @@
 // Observe counts the outcome of an attempt.
 func Observe(now time.Duration, e *table.Endpoint, o Observation) {
 	h := &e.Health
-	if o.Outcome == ConnSilent || now-o.Latency < h.JudgeFrom {
+	if o.Outcome == ConnSilent || o.sent(now) < h.JudgeFrom {
+		return
+	}
+	if o.Outcome == TimedOut && cold(now, e) {
+		// The first answers of a new endpoint may be very slow; that is no
+		// failure. One that is dead shows by connections that fail or break.
 		return
 	}
 	h.SampledAt = now
@@ -93,6 +101,13 @@
 	}
 }
 
+func (o *Observation) sent(now time.Duration) time.Duration {
+	if o.Sent != 0 {
+		return o.Sent
+	}
+	return now - o.Latency
+}
+
 func smooth(value, sample, weight float64) float64 {
 	return value + weight*(sample-value)
 }
--- a/internal/core/health/sweep.go
+++ b/internal/core/health/sweep.go
@@ -1,39 +1,13 @@
 package health
 
 import (
+	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/table"
 )
 
-// Limits bound ejection in one pool, from the profiles. Zero durations and
-// factors take the defaults.
-type Limits struct {
-	// MaxShare is the largest share of the live endpoints that may be ejected
-	// at a time. If it is above 0, one endpoint of a pool of two or more always
-	// may; never all.
-	MaxShare float64
-	// Base and Max are the shortest and longest time of an ejection. The time
-	// doubles with each ejection in a row.
-	Base, Max time.Duration
-	// SlowFactor: an endpoint is a straggler when its answers take more than
-	// this factor of the pool's median.
-	SlowFactor float64
-	// Busy is the share of the pool's slots that is in use. Stragglers are not
-	// ejected if the others could not carry the load: a slow slot is better
-	// than a queue. Endpoints that fail carry nothing, so they may always go.
-	Busy float64
-}
-
-// Defaults of Limits.
-const (
-	DefaultBase       = 2 * time.Second
-	DefaultMax        = 60 * time.Second
-	DefaultSlowFactor = 3.0
-)
-
 // What Sweep judges by.
 const (
 	// failureLimit is the failure rate above which an endpoint looks bad.
@@ -49,10 +23,6 @@
 	carryLimit = 0.9
 	// staleAfter: an endpoint that got no request for so long is judged anew.
 	staleAfter = 10 * time.Second
-	// trials is how many good trial requests readmit an endpoint.
-	trials = 3
-	// trialGap is the time between two trial requests.
-	trialGap = 250 * time.Millisecond
 )
 
 // EventKind is what Sweep decided.
@@ -60,7 +30,7 @@
 
 // The kinds of events.
 const (
-	// Ejected: the endpoint gets no work until Event.Until, then trials.
+	// Ejection: the endpoint gets no work until Event.Until, then trials.
 	Ejection EventKind = iota
 	// Readmission: the endpoint gets ordinary work again.
 	Readmission
@@ -71,52 +41,247 @@
 	ViewRestored
 )
 
+// String returns the kind in the form used in the audit trail.
+func (k EventKind) String() string {
+	switch k {
+	case Ejection:
+		return "eject"
+	case Readmission:
+		return "readmit"
+	case ViewWrong:
+		return "view-wrong"
+	case ViewRestored:
+		return "view-restored"
+	}
+	return "unknown"
+}
+
 // Event is a decision for the audit trail.
 type Event struct {
 	// Endpoint is the index in the pool, or -1 for the whole pool.
 	Endpoint int
 	Kind     EventKind
-	Why      string
-	Until    time.Duration
+	// Why says what was measured and what will clear it.
+	Why string
+	// Until is the end of an ejection.
+	Until time.Duration
 }
 
-// Ejected reports whether the endpoint gets no ordinary work.
-func Ejected(now time.Duration, e *table.Endpoint) bool {
-	return e.Health.EjectedUntil != 0
+// Sweep judges the endpoints of a pool, changes their Health and appends what
+// it decided to out. Call it at each tick. Only live endpoints are judged.
+func Sweep(now time.Duration, p *table.Pool, lim Limits, rng *rand.Rand, out []Event) []Event {
+	s := sweep{now: now, pool: p, limits: lim.withDefaults(), rng: rng, out: out}
+	s.age()
+	s.survey()
+	if s.viewWrong() {
+		s.readmitAll("most endpoints look bad, so all of them are used")
+		return s.out
+	}
+	s.endTrials()
+	s.keepLimit()
+	s.ejectWorst()
+	return s.out
 }
 
-// TrialDue reports whether an idempotent request should go to the ejected
-// endpoint to find out whether it works again.
-func TrialDue(now time.Duration, e *table.Endpoint) bool {
-	h := &e.Health
-	return h.EjectedUntil != 0 && now >= h.EjectedUntil && now >= h.TrialAt
+// sweep is one run over a pool.
+type sweep struct {
+	now    time.Duration
+	pool   *table.Pool
+	limits Limits
+	rng    *rand.Rand
+	out    []Event
+
+	live, ejected int
+	// judged counts the live endpoints that something is known of, and bad
+	// those of them that fail or are ejected.
+	judged, bad int
+	// slowJudged counts those that can be compared by their latency.
+	slowJudged     int
+	medianFailure  float64
+	medianSlowness float64
 }
 
-// TrialSent notes that a trial request was sent.
-func TrialSent(now time.Duration, e *table.Endpoint) {
-	e.Health.TrialAt = now + trialGap
+// each calls f for every live endpoint.
+func (s *sweep) each(f func(i int, e *table.Endpoint)) {
+	for i := range s.pool.Endpoints {
+		e := &s.pool.Endpoints[i]
+		if e.State == table.EndpointLive {
+			f(i, e)
+		}
+	}
 }
 
-// Pause notes that the process slept for the time gap up to now. What was
-// measured is stale, and the outcomes of requests sent before the pause tell
-// about the pause and not about the endpoints; without this a late wake-up
-// would eject a healthy pool for being slow.
-func Pause(now, gap time.Duration, p *table.Pool) {
-	for i := range p.Endpoints {
-		forget(now, &p.Endpoints[i].Health)
+// age lets old knowledge lapse, so that an endpoint that was avoided for its
+// past is tried again although nobody asks for it.
+func (s *sweep) age() {
+	s.each(func(_ int, e *table.Endpoint) {
+		h := &e.Health
+		if h.EjectedUntil != 0 {
+			return
+		}
+		if h.Samples > 0 && stale(s.now, h) {
+			reset(h)
+		}
+		if h.Ejections > 0 && s.now-h.CalmSince >= s.limits.Max {
+			h.Ejections--
+			h.CalmSince = s.now
+		}
+	})
+}
+
+func (s *sweep) survey() {
+	var failures, slowness sample
+	s.each(func(_ int, e *table.Endpoint) {
+		h := &e.Health
+		s.live++
+		if h.EjectedUntil != 0 {
+			s.ejected++
+			s.judged++
+			s.bad++
+			return
+		}
+		if h.Samples > 0 {
+			failures.add(h.FailureRate)
+		}
+		if h.Samples >= failureSamples {
+			s.judged++
+			if h.FailureRate > failureLimit {
+				s.bad++
+			}
+		}
+		if h.SlowSamples >= slowSamples {
+			slowness.add(h.Slowness)
+		}
+	})
+	s.slowJudged = slowness.len()
+	s.medianFailure = failures.median()
+	s.medianSlowness = slowness.median()
+}
+
+// viewWrong reports whether most endpoints look bad. It guards against an
+// entry that is cut off from the endpoints, or a fault that all share, such as
+// a bad request that every endpoint answers with an error: ejecting would put
+// the whole load on the few that are left and break them too.
+func (s *sweep) viewWrong() bool {
+	wrong := 2*s.judged > s.live && 2*s.bad > s.judged
+	was := false
+	s.each(func(_ int, e *table.Endpoint) {
+		was = was || e.Health.ViewWrong
+		e.Health.ViewWrong = wrong
+	})
+	if wrong != was {
+		s.noteView(wrong)
 	}
+	return wrong
 }
 
-// forget drops what was measured; only requests sent from now on count.
-func forget(now time.Duration, h *table.Health) {
-	h.JudgeFrom = now
-	h.Samples, h.SlowSamples = 0, 0
-	h.FailureRate, h.Slowness = 0, 0
+func (s *sweep) noteView(wrong bool) {
+	kind, why := ViewRestored, fmt.Sprintf("%d of %d judged endpoints look bad", s.bad, s.judged)
+	if wrong {
+		kind = ViewWrong
+		why += "; all are used until most look good; check the paths from this entry and the service itself"
+	}
+	s.out = append(s.out, Event{Endpoint: -1, Kind: kind, Why: why})
 }
 
-func stale(now time.Duration, h *table.Health) bool {
-	return now-h.SampledAt > staleAfter
+// endTrials readmits or ejects again the endpoints whose trials are decided.
+func (s *sweep) endTrials() {
+	s.each(func(i int, e *table.Endpoint) {
+		h := &e.Health
+		if h.EjectedUntil == 0 || s.now < h.EjectedUntil {
+			return
+		}
+		switch {
+		case h.FailureRate > trialFailures:
+			s.eject(i, fmt.Sprintf("trial requests failed; %s", cleared))
+		case s.trialSlow(h):
+			s.eject(i, fmt.Sprintf("trial requests took %.1f times the pool's median; %s", h.Slowness/s.medianSlowness, cleared))
+		case h.Samples >= trials:
+			s.readmit(i, fmt.Sprintf("%d trial requests went well", h.Samples))
+		case s.now-max(h.EjectedUntil, h.SampledAt) >= trialPatience:
+			s.readmit(i, "no request was suited for a trial")
+		}
+	})
 }
 
-var _ = rand.New
-var _ = slices.Sort[[]int]
+func (s *sweep) trialSlow(h *table.Health) bool {
+	return s.slowJudged > 0 && h.SlowSamples >= trials && h.Slowness > s.limits.SlowFactor*s.medianSlowness
+}
+
+// keepLimit readmits endpoints while more are ejected than may be, which
+// happens when others leave the pool or the profile changes. Those that were
+// to return first go first.
+func (s *sweep) keepLimit() {
+	for s.ejected > s.limits.most(s.live) {
+		first := -1
+		s.each(func(i int, e *table.Endpoint) {
+			until := e.Health.EjectedUntil
+			if until != 0 && (first < 0 || until < s.pool.Endpoints[first].Health.EjectedUntil) {
+				first = i
+			}
+		})
+		s.readmit(first, "more endpoints are ejected than the profile allows")
+	}
+}
+
+// ejectWorst ejects the endpoints that are much worse than the others, the
+// worst first, as far as the limits allow.
+func (s *sweep) ejectWorst() {
+	for s.ejected < s.limits.most(s.live) {
+		worst, worstScore := -1, 0.0
+		s.each(func(i int, e *table.Endpoint) {
+			if score := s.score(e); score > worstScore {
+				worst, worstScore = i, score
+			}
+		})
+		if worst < 0 {
+			return
+		}
+		s.eject(worst, s.why(&s.pool.Endpoints[worst].Health))
+	}
+}
+
+// failingScore is above any score of a slow endpoint: one that answers late is
+// still better than one that does not answer.
+const failingScore = 1e6
+
+// score returns how bad an endpoint is, 0 if it is to stay.
+func (s *sweep) score(e *table.Endpoint) float64 {
+	h := &e.Health
+	switch {
+	case h.EjectedUntil != 0:
+		return 0
+	case s.failing(h):
+		return failingScore + h.FailureRate
+	case s.slow(e) && s.othersCarry():
+		return h.Slowness / s.medianSlowness
+	}
+	return 0
+}
+
+func (s *sweep) failing(h *table.Health) bool {
+	return h.Samples >= failureSamples && h.FailureRate > failureLimit &&
+		h.FailureRate > s.medianFailure+failureGap
+}
+
+func (s *sweep) slow(e *table.Endpoint) bool {
+	h := &e.Health
+	return s.slowJudged >= medianOf && h.SlowSamples >= slowSamples && !cold(s.now, e) &&
+		h.Slowness > s.limits.SlowFactor*s.medianSlowness
+}
+
+// othersCarry reports whether the endpoints that would be left can carry the
+// load if one more is ejected.
+func (s *sweep) othersCarry() bool {
+	using := float64(s.live - s.ejected)
+	return s.limits.Busy*using <= carryLimit*(using-1)
+}
+
+func (s *sweep) why(h *table.Health) string {
+	if s.failing(h) {
+		return fmt.Sprintf("failed %.0f %% of its latest requests while the pool's median is %.0f %%; %s",
+			100*h.FailureRate, 100*s.medianFailure, cleared)
+	}
+	return fmt.Sprintf("took %.1f times the pool's median over %d answers; %s",
+		h.Slowness/s.medianSlowness, h.SlowSamples, cleared)
+}
