--- a/internal/core/idem/answers.go
+++ b/internal/core/idem/answers.go
@@ -16,13 +16,17 @@
 	return int64(total)
 }
 
+// answerBytes returns the bytes of all kept answers, own and adopted.
+func (t *Table) answerBytes() int64 {
+	return t.answers + t.adopted.answers
+}
+
 // fits reports whether an answer is small enough to be kept at all.
 func (t *Table) fits(cost int64) bool {
-	return cost <= int64(t.cfg.MaxAnswerBytes) && cost <= t.cfg.MaxAnswerTotal
+	return cost <= int64(t.cfg.MaxAnswerBytes)
 }
 
-// keep returns a if it can be kept for key k, or nil. Older answers make room:
-// a caller that lost its answer asks again soon or not at all.
+// keep returns a if it can be kept for key k, or nil.
 func (t *Table) keep(rows *epochRows, k Key, a *Answer) *Answer {
 	if a == nil {
 		return nil
@@ -38,14 +42,18 @@
 }
 
 // makeRoom drops the oldest answers of the table's own keys until cost more
-// bytes fit. It fails if adopted answers take the room.
+// bytes fit: a caller that lost its answer asks again soon or not at all.
 func (t *Table) makeRoom(cost int64) bool {
+	limit := t.cfg.MaxAnswerTotal - t.adopted.answers
+	if cost > limit {
+		return false
+	}
 	for _, rows := range t.epochs {
-		for t.answers+cost > t.cfg.MaxAnswerTotal && rows.keptFrom < len(rows.kept) {
+		for t.answers+cost > limit && rows.keptFrom < len(rows.kept) {
 			t.dropOldestAnswer(rows)
 		}
 	}
-	return t.answers+cost <= t.cfg.MaxAnswerTotal
+	return true
 }
 
 func (t *Table) dropOldestAnswer(rows *epochRows) {
@@ -58,10 +66,9 @@
 	rows.byRandom[random] = r
 }
 
-// dropAnswers takes an epoch that is forgotten out of the count of bytes.
+// dropAnswers takes the answers of an epoch that is forgotten out of the count.
 func (t *Table) dropAnswers(rows *epochRows) {
 	for _, random := range rows.kept[rows.keptFrom:] {
-		r := rows.byRandom[random]
-		t.answers -= r.answer.cost()
+		t.answers -= rows.byRandom[random].answer.cost()
 	}
 }
--- a/internal/core/idem/table.go
+++ b/internal/core/idem/table.go
@@ -42,7 +42,7 @@
 	epochs  []*epochRows // oldest first
 	keys    int          // rows in epochs
 	running int
-	answers int64 // bytes of kept answers, adopted ones included
+	answers int64 // bytes of the kept answers in epochs
 	adopted adoptedHomes
 	stats   Stats
 }
@@ -59,6 +59,8 @@
 	AdoptedHomes int
 	// Begun counts the keys that were given Run.
 	Begun uint64
+	// Released counts the keys that ended without a run.
+	Released uint64
 	// RefusedFull counts new keys that found no room.
 	RefusedFull uint64
 	// RefusedMismatch counts keys that came with another request or caller.
@@ -104,7 +106,7 @@
 	s.OldestEpoch = t.Oldest()
 	s.Keys = t.keys
 	s.Running = t.running
-	s.AnswerBytes = t.answers
+	s.AnswerBytes = t.answerBytes()
 	s.AdoptedKeys = t.adopted.keys
 	s.AdoptedHomes = len(t.adopted.order)
 	return s
@@ -135,9 +137,6 @@
 	if k.Home != t.cfg.Self {
 		return t.beginAdopted(k, caller, d)
 	}
-	if k.Epoch > t.epoch {
-		return Verdict{Kind: FromFuture, Home: k.Home}
-	}
 	rows := t.rowsOf(k.Epoch)
 	if rows != nil {
 		if r, ok := rows.byRandom[k.Random]; ok {
@@ -160,13 +159,15 @@
 // beginNew answers for a key without a row; rows is nil if its epoch has none.
 func (t *Table) beginNew(rows *epochRows, k Key, caller uint64, d Digest) Verdict {
 	switch {
-	case k.Epoch < t.Oldest():
-		return Verdict{Kind: Expired, Home: k.Home}
 	case rows != nil && rows.spent.has(k.Random):
 		t.stats.RefusedSpent++
 		return Verdict{Kind: Spent, Home: k.Home}
+	case k.Epoch < t.Oldest():
+		return Verdict{Kind: Expired, Home: k.Home}
 	case t.sealed:
 		return Verdict{Kind: Sealed, Home: k.Home}
+	case k.Epoch > t.epoch:
+		return Verdict{Kind: FromFuture, Home: k.Home}
 	}
 	if rows == nil {
 		rows = t.addEpoch(k.Epoch)
@@ -206,6 +207,7 @@
 	delete(rows.byRandom, k.Random)
 	rows.spent.add(k.Random)
 	t.keys--
+	t.stats.Released++
 	t.ended(rows)
 }
 
