Decide when to tell which peer what, within a bound

First compiling version of the gossip scheduler: heartbeats, news through fingers on a ring, sightings with what is left, links between regions, token buckets.

--- /dev/null
+++ b/internal/core/gossip/compose.go
@@ -0,0 +1,156 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/message"
+)
+
+// Compose returns the message that is due to a peer, and whether there is one
+// within the bounds. sightings are those that may be of use to the peer, the
+// most useful first; only changes are sent. The caller sends the message at
+// once and reports with Done how that ended.
+//
+// When the bounds are tight, sightings are dropped first, then heartbeats are
+// late, and with them the rate; news comes last.
+func (s *Scheduler) Compose(now time.Duration, to uint64, sightings []message.Sighting) (message.Update, bool) {
+	s.allow.refill(now)
+	p := s.peers[to]
+	if p == nil {
+		return message.Update{}, false
+	}
+	why := s.due(now, p)
+	if why == notDue || !s.allow.covers(heartbeatBytes, why.floor()) {
+		return message.Update{}, false
+	}
+	u := s.base()
+	room := s.room(why.floor())
+	u.Evidence = s.owedEvidence(now, p, room)
+	if p.shares && p.kind == linkMesh {
+		room = s.room(sightingFloor) - Size(&u) + heartbeatBytes
+		u.Sightings = p.changed(now, sightings, room)
+		p.sightingAt = now + s.cfg.SightingEvery
+	}
+	if why == dueSightings && len(u.Sightings) == 0 {
+		return message.Update{}, false
+	}
+	s.send(now, p, &u)
+	return u, true
+}
+
+// room returns how many bytes a message may have beyond a heartbeat.
+func (s *Scheduler) room(floor float64) int {
+	return int(s.allow.bytes-floor*s.allow.bytesRate) - heartbeatBytes
+}
+
+// base returns an update with what this entry tells of itself.
+func (s *Scheduler) base() message.Update {
+	s.sequence++
+	return message.Update{
+		From:     s.cfg.Self,
+		Sequence: s.sequence,
+		State:    s.state.State,
+		Epoch:    s.state.Epoch,
+		Profiles: s.state.Profiles,
+		VMs:      s.state.VMs,
+		Reader:   s.state.Reader,
+		Rate:     s.state.Rate,
+		Known:    s.log.digest,
+	}
+}
+
+// changed returns the sightings that differ from what the peer was last told,
+// as many as fit into room bytes, and remembers them as told.
+func (p *peer) changed(now time.Duration, sightings []message.Sighting, room int) []message.Sighting {
+	var out []message.Sighting
+	if len(p.sightings) > maxTracked {
+		clear(p.sightings)
+	}
+	for _, g := range sightings {
+		last, known := p.sightings[g.Endpoint]
+		next := toldSighting{incarnation: g.Incarnation, inFlight: g.InFlight, own: g.Own, at: last.at}
+		if known && next == last && now-last.at < sightingRefresh {
+			continue
+		}
+		if time.Duration(g.AgeMillis)*time.Millisecond > sightingRefresh {
+			continue
+		}
+		room -= sightingBytes + len(g.Endpoint)
+		if room < 0 || len(out) == maxSightings {
+			break
+		}
+		next.at = now
+		p.sightings[g.Endpoint] = next
+		out = append(out, g)
+	}
+	return out
+}
+
+// send charges a message and notes it as under way.
+func (s *Scheduler) send(now time.Duration, p *peer, u *message.Update) {
+	s.allow.take(Size(u))
+	p.inFlight, p.sentAt, p.sequence = true, now, u.Sequence
+	p.offered = told{state: u.State, profiles: u.Profiles.Revision, vms: u.VMs.Revision}
+	p.heartbeatAt = s.nextHeartbeat(now, p)
+	p.urgentAt = now + s.cfg.UrgentGap
+}
+
+// Done reports whether the message with this sequence reached its peer. A lost
+// one is told again: with the next message after a growing pause.
+func (s *Scheduler) Done(now time.Duration, to, sequence uint64, acked bool) {
+	p := s.peers[to]
+	if p == nil || !p.inFlight || p.sequence != sequence {
+		return
+	}
+	p.inFlight = false
+	if acked {
+		s.acked(p)
+		return
+	}
+	p.underWay = p.underWay[:0]
+	clear(p.sightings)
+	p.failures++
+	pause := min(retryMin<<min(p.failures-1, 8), retryMax)
+	p.retryAt = now + pause
+	if p.kind == linkRegion && p.failures == failuresToSkip {
+		s.setTopology()
+	}
+}
+
+func (s *Scheduler) acked(p *peer) {
+	recovered := p.failures >= failuresToSkip
+	p.failures = 0
+	p.retryAt = 0
+	p.told = p.offered
+	for _, c := range p.underWay {
+		if s.log.index[keyOf(c.evidence)] == c {
+			s.markKnown(c, p)
+		}
+	}
+	p.underWay = p.underWay[:0]
+	if recovered && p.kind == linkRegion {
+		s.setTopology()
+	}
+}
+
+// Received notes what a peer's message says about what the peer knows, and
+// takes in its evidence to pass on. Evidence that both have is not sent back.
+func (s *Scheduler) Received(now time.Duration, u *message.Update) {
+	p := s.peers[u.From]
+	for _, e := range u.Evidence {
+		if c := s.hold(now, e); c != nil && p != nil {
+			s.markKnown(c, p)
+		}
+	}
+	if p == nil {
+		return
+	}
+	p.told.profiles = max(p.told.profiles, u.Profiles.Revision)
+	p.told.vms = max(p.told.vms, u.VMs.Revision)
+	if u.Known != s.log.digest {
+		return
+	}
+	for _, c := range s.log.claims {
+		s.markKnown(c, p)
+	}
+}
--- /dev/null
+++ b/internal/core/gossip/config.go
@@ -0,0 +1,117 @@
+// Package gossip decides when to tell which peer what, within a bound on bytes
+// and messages per second that holds whatever happens. It tells changes, not
+// tables.
+//
+// Within a region each entry sends heartbeats to all others, at a pace that
+// falls with their number. News (evidence of VMs that leave, later revisions,
+// its own state) goes at once to a few fingers on a ring of the entries, which
+// pass it on; heartbeats bring it to whoever was missed. Sightings of load get
+// what is left of the bound. Between regions a few links carry the same
+// messages without sightings.
+//
+// The package is pure: time is passed in as the duration since the process
+// started. A Scheduler is not safe for concurrent use.
+package gossip
+
+import "time"
+
+// Config sets the bounds of a Scheduler. Zero fields take defaults.
+type Config struct {
+	Self   uint64
+	Region string
+	// BytesPerSecond and MessagesPerSecond bound what this entry sends, acks
+	// that come back included. Peers send it as much on average.
+	BytesPerSecond    float64
+	MessagesPerSecond float64
+	// SightingEvery is the time between sightings to a peer that shares a
+	// service, while the bound allows.
+	SightingEvery time.Duration
+	// HeartbeatMin is the shortest time between heartbeats to a peer.
+	HeartbeatMin time.Duration
+	// SummaryEvery is the time between messages on a link between regions.
+	SummaryEvery time.Duration
+	// UrgentGap is the shortest time between two urgent messages to a peer;
+	// news that comes in between goes out together.
+	UrgentGap time.Duration
+	// KeepEvidence is how long evidence is passed on after it was first given.
+	KeepEvidence time.Duration
+}
+
+// The defaults of Config. 9,000 bytes a second sent and as many received are
+// 18,000 of the 20,000 bytes that a node may spend on control.
+const (
+	defaultBytesPerSecond    = 9000
+	defaultMessagesPerSecond = 60
+	defaultSightingEvery     = 10 * time.Millisecond
+	defaultHeartbeatMin      = 500 * time.Millisecond
+	defaultSummaryEvery      = time.Second
+	defaultUrgentGap         = 200 * time.Millisecond
+	defaultKeepEvidence      = 2 * time.Hour
+)
+
+// Bounds of one message and of what is kept.
+const (
+	maxEvidence  = 64
+	maxSightings = 64
+	// maxClaims bounds the evidence held; the oldest goes first.
+	maxClaims = 1024
+	// maxTracked bounds the sightings remembered per peer as told.
+	maxTracked = 1024
+	// MaxPeers bounds the peers; more are not talked to.
+	MaxPeers = 256
+)
+
+// Shares of the bound.
+const (
+	// heartbeatShare is what heartbeats to all peers may take together.
+	heartbeatShare = 0.5
+	// sightingFloor is the share of a second's bound that sightings leave for
+	// what is worth more; heartbeatFloor is what heartbeats leave for news.
+	sightingFloor  = 0.5
+	heartbeatFloor = 0.1
+)
+
+// Times after which a message counts as lost, and between tries of a peer that
+// does not answer.
+const (
+	inFlightLimit = 2 * time.Second
+	retryMin      = 250 * time.Millisecond
+	retryMax      = 5 * time.Second
+)
+
+// sightingRefresh: an unchanged sighting is told again after this time, and one
+// older than this is not told.
+const sightingRefresh = time.Second
+
+func (c Config) withDefaults() Config {
+	c.BytesPerSecond = orDefault(c.BytesPerSecond, defaultBytesPerSecond)
+	c.MessagesPerSecond = orDefault(c.MessagesPerSecond, defaultMessagesPerSecond)
+	c.SightingEvery = orDefault(c.SightingEvery, defaultSightingEvery)
+	c.HeartbeatMin = orDefault(c.HeartbeatMin, defaultHeartbeatMin)
+	c.SummaryEvery = orDefault(c.SummaryEvery, defaultSummaryEvery)
+	c.UrgentGap = orDefault(c.UrgentGap, defaultUrgentGap)
+	c.KeepEvidence = orDefault(c.KeepEvidence, defaultKeepEvidence)
+	return c
+}
+
+func orDefault[T float64 | time.Duration](v, byDefault T) T {
+	if v <= 0 {
+		return byDefault
+	}
+	return v
+}
+
+// HeartbeatPeriod returns how often each of so many peers in the region is
+// told, and so how often it is heard:
+//
+//	peers × size of a heartbeat / (heartbeatShare × BytesPerSecond)
+//
+// and the same for messages, at least HeartbeatMin.
+func (c Config) HeartbeatPeriod(peers int) time.Duration {
+	c = c.withDefaults()
+	byBytes := float64(peers*heartbeatBytes) / (heartbeatShare * c.BytesPerSecond)
+	byCount := float64(peers) / (heartbeatShare * c.MessagesPerSecond)
+	return max(seconds(max(byBytes, byCount)), c.HeartbeatMin)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/core/gossip/scheduler.go
@@ -0,0 +1,259 @@
+package gossip
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/duty"
+	"github.com/tealhall/tealhall/internal/message"
+)
+
+// State is what this entry tells of itself.
+type State struct {
+	State    message.EntryState
+	Epoch    uint32
+	Profiles message.Mark
+	VMs      message.Mark
+	Reader   bool
+	Rate     uint32
+}
+
+// told is what a peer is known to have been told.
+type told struct {
+	state         message.EntryState
+	profiles, vms uint64
+}
+
+// behind reports whether a peer that has t lacks news of s.
+func (t told) behind(s State) bool {
+	return t.state != s.State || t.profiles < s.Profiles.Revision || t.vms < s.VMs.Revision
+}
+
+// toldSighting is the last sighting of an endpoint that a peer was told.
+type toldSighting struct {
+	incarnation   uint64
+	inFlight, own uint16
+	at            time.Duration
+}
+
+// peer is what is known of one link.
+type peer struct {
+	incarnation uint64
+	slot        int
+	region      string
+	shares      bool
+	suspected   bool
+	kind        linkKind
+	finger      bool
+
+	heartbeatAt time.Duration
+	sightingAt  time.Duration
+	urgentAt    time.Duration
+
+	told      told
+	owed      int // claims that it is not known to have
+	sightings map[string]toldSighting
+
+	inFlight bool
+	sentAt   time.Duration
+	sequence uint64
+	offered  told     // becomes told when the message in flight is acked
+	underWay []*claim // becomes known when the message in flight is acked
+
+	failures int
+	retryAt  time.Duration
+}
+
+// Scheduler decides when to tell which peer what.
+type Scheduler struct {
+	cfg      Config
+	state    State
+	peers    map[uint64]*peer
+	order    []uint64 // incarnations of peers in order
+	slots    [MaxPeers]bool
+	mesh     int // peers in the same region
+	allow    allowance
+	log      evidenceLog
+	sequence uint64
+	expireAt time.Duration
+}
+
+// New returns a scheduler without peers.
+func New(cfg Config) *Scheduler {
+	cfg = cfg.withDefaults()
+	return &Scheduler{
+		cfg:   cfg,
+		peers: make(map[uint64]*peer),
+		allow: newAllowance(cfg.BytesPerSecond, cfg.MessagesPerSecond),
+		log:   newEvidenceLog(),
+	}
+}
+
+// SetState sets what this entry tells of itself from now on.
+func (s *Scheduler) SetState(state State) { s.state = state }
+
+// SetPeers sets the other entries that are known, this one excluded. Call it
+// when they or what is believed of them change.
+func (s *Scheduler) SetPeers(now time.Duration, peers []Peer) {
+	wanted := make(map[uint64]bool, len(peers))
+	for _, p := range peers {
+		wanted[p.Incarnation] = true
+	}
+	for _, id := range slices.Clone(s.order) {
+		if !wanted[id] {
+			s.removePeer(id)
+		}
+	}
+	for _, p := range peers {
+		if known := s.peers[p.Incarnation]; known != nil {
+			known.region, known.shares, known.suspected = p.Region, p.Shares, p.Suspected
+		} else if p.Incarnation != s.cfg.Self {
+			s.addPeer(now, p)
+		}
+	}
+	s.mesh = 0
+	for _, id := range s.order {
+		if s.peers[id].region == s.cfg.Region {
+			s.mesh++
+		}
+	}
+	s.setTopology()
+}
+
+func (s *Scheduler) addPeer(now time.Duration, p Peer) {
+	slot := slices.Index(s.slots[:], false)
+	if slot < 0 {
+		return
+	}
+	s.slots[slot] = true
+	added := &peer{
+		incarnation: p.Incarnation, slot: slot, region: p.Region,
+		shares: p.Shares, suspected: p.Suspected,
+		owed:      len(s.log.claims),
+		sightings: make(map[string]toldSighting),
+	}
+	// A new peer is told at once; later heartbeats are spread by hash, so that
+	// an entry that knows many peers does not tell all of them together.
+	added.heartbeatAt = now
+	s.peers[p.Incarnation] = added
+	at, _ := slices.BinarySearch(s.order, p.Incarnation)
+	s.order = slices.Insert(s.order, at, p.Incarnation)
+}
+
+func (s *Scheduler) removePeer(id uint64) {
+	p := s.peers[id]
+	s.slots[p.slot] = false
+	for _, c := range s.log.claims {
+		c.known.remove(p.slot)
+	}
+	delete(s.peers, id)
+	at, _ := slices.BinarySearch(s.order, id)
+	s.order = slices.Delete(s.order, at, at+1)
+}
+
+// period is the time between heartbeats to a peer.
+func (s *Scheduler) period(p *peer) time.Duration {
+	if p.kind == linkRegion {
+		return s.cfg.SummaryEvery
+	}
+	return s.cfg.HeartbeatPeriod(s.mesh)
+}
+
+// nextHeartbeat spreads heartbeats: up to an eighth of a period early, by hash
+// of the link and the message, so that links drift apart.
+func (s *Scheduler) nextHeartbeat(now time.Duration, p *peer) time.Duration {
+	period := s.period(p)
+	share := float64(duty.Score(s.cfg.Self^s.sequence, p.incarnation)>>11) / (1 << 53)
+	return now + period - time.Duration(share*float64(period)/8)
+}
+
+// urgency is why a message is due; a higher one goes first.
+type urgency uint8
+
+const (
+	notDue urgency = iota
+	dueSightings
+	dueHeartbeat
+	dueNews
+	// dueOverdue: a heartbeat that is late by a whole period goes before
+	// everything, so that a flood of news never looks like a dead entry.
+	dueOverdue
+)
+
+// floor is the share of the bound that a message leaves for others.
+func (u urgency) floor() float64 {
+	switch u {
+	case dueSightings:
+		return sightingFloor
+	case dueHeartbeat:
+		return heartbeatFloor
+	}
+	return 0
+}
+
+// due says why a message to a peer is due, if it is.
+func (s *Scheduler) due(now time.Duration, p *peer) urgency {
+	if p.inFlight || now < p.retryAt || p.kind == linkNone {
+		return notDue
+	}
+	switch {
+	case now-p.heartbeatAt >= s.period(p):
+		return dueOverdue
+	case p.finger && now >= p.urgentAt && (p.owed > 0 || p.told.behind(s.state)):
+		return dueNews
+	case now >= p.heartbeatAt:
+		return dueHeartbeat
+	case p.shares && p.kind == linkMesh && now >= p.sightingAt:
+		return dueSightings
+	}
+	return notDue
+}
+
+// duePeer is a peer with why it is due.
+type duePeer struct {
+	peer    *peer
+	urgency urgency
+}
+
+// Due appends the peers to whom a message is due to out, the most urgent
+// first; the caller then calls Compose for each. Messages without an ack for
+// too long count as lost.
+func (s *Scheduler) Due(now time.Duration, out []uint64) []uint64 {
+	s.allow.refill(now)
+	if now >= s.expireAt {
+		s.expire(now)
+		s.expireAt = now + time.Second
+	}
+	var scratch [MaxPeers]duePeer
+	found := scratch[:0]
+	for _, id := range s.order {
+		p := s.peers[id]
+		if p.inFlight && now-p.sentAt >= inFlightLimit {
+			s.Done(now, id, p.sequence, false)
+		}
+		u := s.due(now, p)
+		if u != notDue && s.allow.covers(heartbeatBytes, u.floor()) {
+			found = append(found, duePeer{p, u})
+		}
+	}
+	slices.SortFunc(found, func(a, b duePeer) int {
+		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(a.peer.waiting(a.urgency), b.peer.waiting(b.urgency)),
+			cmp.Compare(a.peer.incarnation, b.peer.incarnation))
+	})
+	for _, d := range found {
+		out = append(out, d.peer.incarnation)
+	}
+	return out
+}
+
+// waiting is since when a peer has waited for a message of this urgency.
+func (p *peer) waiting(u urgency) time.Duration {
+	switch u {
+	case dueSightings:
+		return p.sightingAt
+	case dueNews:
+		return p.urgentAt
+	}
+	return p.heartbeatAt
+}
