Stand-ins: timers accurate to a tenth of a millisecond

An idle process waits for the runtime's timers in whole milliseconds: a trial of 300 timers of 5 to 6 ms came late by 0.59 ms in the median and 1.07 ms at p99.

--- a/internal/standin/clock.go
+++ b/internal/standin/clock.go
@@ -14,7 +14,14 @@
 	After(d time.Duration) (fired <-chan struct{}, stop func())
 }
 
-// RealClock is the process's own clock.
+// coarseTimer is by how much the runtime's timer may come late: an idle process
+// waits for it in whole milliseconds. At service times of a few milliseconds
+// that would be a tenth of what is measured.
+const coarseTimer = 1200 * time.Microsecond
+
+// RealClock is the process's own clock. Its timers are as accurate as the
+// operating system's sleep, without busy waiting: the runtime's timer covers
+// all but the last millisecond, a sleep of the thread the rest.
 func RealClock() Clock {
 	return realClock{start: time.Now()}
 }
@@ -25,7 +32,11 @@
 
 func (c realClock) After(d time.Duration) (<-chan struct{}, func()) {
 	fired := make(chan struct{})
-	timer := time.AfterFunc(d, func() { close(fired) })
+	due := time.Now().Add(d)
+	timer := time.AfterFunc(d-coarseTimer, func() {
+		sleepUntil(due)
+		close(fired)
+	})
 	return fired, func() { timer.Stop() }
 }
 
--- /dev/null
+++ b/internal/standin/clock_linux.go
@@ -0,0 +1,15 @@
+package standin
+
+import (
+	"syscall"
+	"time"
+)
+
+// sleepUntil puts the thread to sleep until due. A signal may wake it early, so
+// it looks at the time again.
+func sleepUntil(due time.Time) {
+	for left := time.Until(due); left > 0; left = time.Until(due) {
+		pause := syscall.NsecToTimespec(int64(left))
+		_ = syscall.Nanosleep(&pause, nil)
+	}
+}
--- /dev/null
+++ b/internal/standin/clock_other.go
@@ -0,0 +1,10 @@
+//go:build !linux
+
+package standin
+
+import "time"
+
+// sleepUntil waits until due with the accuracy of the runtime's timer.
+func sleepUntil(due time.Time) {
+	time.Sleep(time.Until(due))
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -23,7 +23,7 @@
 	clock Clock
 
 	mu      sync.Mutex
-	first   uint64 // the revision of each name's first value
+	first   uint64                      // the revision of each name's first value
 	values  map[string][]platform.Value // the last revisions, oldest first
 	faults  PlatformFaults
 	frozen  map[string]uint64 // revisions served while Stale
