--- a/internal/core/queue/class.go
+++ b/internal/core/queue/class.go
@@ -8,8 +8,12 @@
 // PassLimit bounds how long a lower priority waits. A class of waiting
 // requests that may take a slot and was passed over this often is served next.
 // With k such classes each is served at least once in PassLimit + k dispatches.
+// At 16 a lower priority gets at most a seventeenth from a busy higher one.
 const PassLimit = 16
 
+// keptClasses is how many classes are kept although nothing waits in them.
+const keptClasses = 16
+
 // turn is one dispatch in the virtual time of a class.
 const turn int64 = 1 << 20
 
@@ -29,15 +33,14 @@
 	waiting  int
 	virtual  int64
 	// passed counts the dispatches of other classes since this one was served
-	// last, while it had a request that could have run.
+	// last or began to wait.
 	passed int
-	// open is set by Next: the class had a request that might take the slot.
-	open bool
 	// ready and held are heaps of flows: those whose start time is reached, in
 	// the order of their first item, and the others by start time.
 	ready, held indexedHeap
 	flows       map[uint64]int32
 	first, last int32
+	pace        pace
 }
 
 // flow holds the waiting items of one caller in a class.
@@ -49,25 +52,36 @@
 	items  indexedHeap
 }
 
-// classOf returns the class, making it if needed. An empty class is used
-// again, so that the number of classes is bounded by those in use at a time.
+// classOf returns the class, making it if needed.
 func (q *Queue) classOf(service int32, priority int) *class {
-	var empty *class
+	if c := q.find(service, priority); c != nil {
+		return c
+	}
+	c := q.emptyClass()
+	c.service, c.priority = service, priority
+	c.pace = pace{}
+	slices.SortFunc(q.classes, compareClasses)
+	return c
+}
+
+func (q *Queue) find(service int32, priority int) *class {
 	for _, c := range q.classes {
 		if c.service == service && c.priority == priority {
 			return c
 		}
-		if c.waiting == 0 {
-			empty = c
-		}
 	}
-	if empty == nil {
-		empty = &class{flows: make(map[uint64]int32), first: none, last: none}
-		q.classes = append(q.classes, empty)
+	return nil
+}
+
+func (q *Queue) emptyClass() *class {
+	for _, c := range q.classes {
+		if c.waiting == 0 && len(q.classes) >= keptClasses {
+			return c
+		}
 	}
-	empty.service, empty.priority = service, priority
-	slices.SortFunc(q.classes, compareClasses)
-	return empty
+	c := &class{flows: make(map[uint64]int32), first: none, last: none}
+	q.classes = append(q.classes, c)
+	return c
 }
 
 func compareClasses(a, b *class) int {
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -113,7 +113,6 @@
 
 	// lapsed are items that Next found expired and Expire has yet to report.
 	lapsed []Item
-	pace   pace
 }
 
 // New returns an empty queue.
@@ -128,10 +127,10 @@
 	if refusal := q.check(now, &it, lim, expectedWait); refusal != None {
 		return refusal
 	}
-	if q.Len() == 0 {
-		q.pace.restart(now)
-	}
 	c := q.classOf(it.Service, it.Priority)
+	if c.waiting == 0 {
+		c.pace.begin(now)
+	}
 	ref := q.newNode(it, lim)
 	q.byID[it.ID] = ref
 	q.deadlines.push(q.inDeadlines, element{int64(it.latestStart()), it.ID, ref})
@@ -189,8 +188,10 @@
 	q.lapse(now)
 	var best *class
 	for _, c := range q.classes {
-		c.open = c.waiting > 0 && eligible(c.service)
-		if c.open && (best == nil || q.goesBefore(c, best)) {
+		if c.waiting == 0 || !eligible(c.service) {
+			continue
+		}
+		if best == nil || q.goesBefore(c, best) {
 			best = c
 		}
 	}
@@ -211,9 +212,8 @@
 	c := q.flows[q.nodes[ref].flow].class
 	q.countPassed(c)
 	q.charge(c, q.nodes[ref].flow)
-	it := q.drop(ref)
-	q.pace.taken(now, q.Len() > 0)
-	return it, true
+	c.pace.taken(now)
+	return q.drop(ref), true
 }
 
 // Remove removes an item that will not be dispatched, for example because its
--- a/internal/core/queue/shares.go
+++ b/internal/core/queue/shares.go
@@ -81,27 +81,40 @@
 	return max(1, int(overdueShare*float64(slots)))
 }
 
-// demandTime is the time over which Demand averages.
-const demandTime = 5 * time.Second
+const (
+	// demandTime is the time over which Demand averages.
+	demandTime = 5 * time.Second
+	// demandStart is the shortest time that an average is taken over.
+	demandStart = time.Second
+)
 
 // Demand measures how many slots the traffic of a service keeps busy. The zero
 // value is ready for use.
 type Demand struct {
 	slots float64
-	at    time.Duration
+	// since is the first arrival and at the latest one.
+	since, at time.Duration
+	started   bool
 }
 
 // Add counts a request that arrived now and will use a slot for the time work.
 func (d *Demand) Add(now, work time.Duration) {
-	d.slots = d.Slots(now) + float64(work)/float64(demandTime)
+	if !d.started {
+		*d = Demand{since: now, at: now, started: true}
+	}
+	d.slots = d.faded(now) + float64(work)/float64(demandTime)
 	d.at = max(d.at, now)
 }
 
 // Slots returns the average number of slots in use, by Little's law the rate
-// of arrivals times the time of each, weighing recent arrivals most.
+// of arrivals times the time of each, weighing recent arrivals most. Shortly
+// after the first arrival the average is over the time since then, so that an
+// entry that has just started reserves enough.
 func (d *Demand) Slots(now time.Duration) float64 {
-	if now <= d.at {
-		return d.slots
-	}
-	return d.slots * math.Exp(-float64(now-d.at)/float64(demandTime))
+	age := max(now-d.since, demandStart)
+	return d.faded(now) / (1 - math.Exp(-float64(age)/float64(demandTime)))
+}
+
+func (d *Demand) faded(now time.Duration) float64 {
+	return d.slots * math.Exp(-float64(max(0, now-d.at))/float64(demandTime))
 }
