--- /dev/null
+++ b/internal/bench/decider.go
@@ -0,0 +1,193 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/balance"
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+// waiter is a request in a decider's queue.
+type waiter struct {
+	since  time.Time
+	ask    balance.Ask
+	choice chan balance.Choice
+}
+
+// decider stands for one entry: a picker, its view of the pool, a
+// first-in-first-out queue and connections of its own.
+type decider struct {
+	cfg    Config
+	epoch  time.Time
+	index  int
+	name   string
+	client *http.Client
+
+	mu      sync.Mutex
+	pool    table.Pool
+	picker  balance.Picker
+	queue   []*waiter
+	timer   *time.Timer
+	refused int64
+	tries   int64
+	failed  int64
+}
+
+func deciderName(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+func newDecider(cfg Config, variant Variant, faults Faults, index, count int, endpoints []*endpoint, epoch time.Time) (*decider, error) {
+	tuning := variant.Balance
+	tuning.Self = deciderName(index)
+	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(index)+1000))
+	picker, err := balance.New(variant.Policy, tuning, rng)
+	if err != nil {
+		return nil, err
+	}
+	d := &decider{
+		cfg: cfg, epoch: epoch, index: index, name: tuning.Self, picker: picker,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}},
+	}
+	d.pool.Name = "pool"
+	for i, e := range endpoints {
+		row := table.Endpoint{Name: fmt.Sprintf("endpoint-%d", i), Incarnation: 1, Address: e.address, Slots: int32(cfg.Slots)}
+		if variant.Perfect && i == 0 && (faults.FailFast || faults.StragglerFactor > 1) {
+			row.State = table.EndpointLeaving
+		}
+		d.pool.Endpoints = append(d.pool.Endpoints, row)
+	}
+	names := make([]string, count)
+	for i := range names {
+		names[i] = deciderName(i)
+	}
+	// An hour of uptime: slow start is over and age 0 is not special.
+	d.picker.Changed(d.now(), &d.pool, names)
+	d.timer = time.AfterFunc(time.Hour, d.wake)
+	return d, nil
+}
+
+func (d *decider) close() {
+	d.timer.Stop()
+	d.client.CloseIdleConnections()
+}
+
+func (d *decider) now() time.Duration { return time.Hour + time.Since(d.epoch) }
+
+func (d *decider) wake() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pump()
+}
+
+// pump hands choices to the head of the queue for as long as there are any.
+func (d *decider) pump() {
+	for len(d.queue) > 0 {
+		head := d.queue[0]
+		c := d.picker.Pick(d.now(), &d.pool, head.ask, time.Since(head.since))
+		if !c.OK {
+			d.timer.Reset(max(c.Wait, 100*time.Microsecond))
+			return
+		}
+		d.queue = d.queue[1:]
+		d.dispatched(c.Index)
+		head.choice <- c
+	}
+}
+
+func (d *decider) dispatched(i int) {
+	d.tries++
+	d.pool.Endpoints[i].Outstanding++
+	d.picker.Dispatched(d.now(), &d.pool, i)
+}
+
+// choose returns an endpoint, after waiting in the queue if need be. A request
+// that was tried before goes to the head of the queue.
+func (d *decider) choose(since time.Time, tried balance.Set) balance.Choice {
+	d.mu.Lock()
+	if tried != 0 || len(d.queue) == 0 {
+		ask := balance.Ask{Tried: tried}
+		if c := d.picker.Pick(d.now(), &d.pool, ask, time.Since(since)); c.OK {
+			d.dispatched(c.Index)
+			d.mu.Unlock()
+			return c
+		}
+	}
+	w := &waiter{since: since, choice: make(chan balance.Choice, 1)}
+	if tried != 0 {
+		d.queue = append([]*waiter{w}, d.queue...)
+	} else {
+		d.queue = append(d.queue, w)
+	}
+	d.pump()
+	d.mu.Unlock()
+	return <-w.choice
+}
+
+// serve carries one request through and reports whether it was answered.
+func (d *decider) serve(ctx context.Context, a arrival) bool {
+	since := time.Now()
+	var tried balance.Set
+	failures := 0
+	for ctx.Err() == nil && failures < d.cfg.Attempts {
+		c := d.choose(since, tried)
+		obs := d.send(ctx, c, a.demand)
+		d.mu.Lock()
+		d.pool.Endpoints[c.Index].Outstanding--
+		d.picker.Answered(d.now(), &d.pool, c.Index, obs)
+		if obs.Refused {
+			d.refused++
+		}
+		if obs.Failed {
+			d.failed++
+			failures++
+		}
+		d.pump()
+		d.mu.Unlock()
+		if !obs.Refused && !obs.Failed {
+			return true
+		}
+		tried = tried.With(c.Index)
+	}
+	return false
+}
+
+// send makes one attempt.
+func (d *decider) send(ctx context.Context, c balance.Choice, demand time.Duration) balance.Observation {
+	begun := time.Now()
+	d.mu.Lock()
+	address := d.pool.Endpoints[c.Index].Address
+	d.mu.Unlock()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/", nil)
+	if err != nil {
+		return balance.Observation{Failed: true}
+	}
+	request.Header.Set(demandHeader, strconv.FormatInt(int64(demand), 10))
+	if c.IdleOnly {
+		request.Header.Set(idleOnlyHeader, "1")
+	}
+	return observe(d.client, request, begun)
+}
+
+func observe(client *http.Client, request *http.Request, begun time.Time) balance.Observation {
+	answer, err := client.Do(request)
+	if err != nil {
+		return balance.Observation{Failed: true, Latency: time.Since(begun)}
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	obs := balance.Observation{Latency: time.Since(begun)}
+	obs.Refused = answer.Header.Get(refusedHeader) != ""
+	obs.Failed = answer.StatusCode != http.StatusOK && !obs.Refused
+	if load := answer.Header.Get(inFlightHeader); load != "" {
+		obs.HasLoad = true
+		obs.InFlight, _ = strconv.Atoi(load)
+		obs.Queued, _ = strconv.Atoi(answer.Header.Get(queuedHeader))
+	}
+	return obs
+}
--- /dev/null
+++ b/internal/bench/variants.go
@@ -0,0 +1,85 @@
+package bench
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/balance"
+	"github.com/tealhall/tealhall/internal/fault"
+)
+
+// steered is how many entries the answer to a caller names: one for each
+// failure domain.
+const steered = 3
+
+// defaultProbeShare is the watching budget that probing variants may spend.
+const defaultProbeShare = 0.01
+
+// allVariants are the ways to decide that the design note compares. Those whose
+// name ends in "@3" are steered: callers are told of three entries only.
+func allVariants() []Variant {
+	var all []Variant
+	for _, policy := range []string{
+		balance.Random, balance.RoundRobin, balance.LeastOutstanding, balance.P2COwn,
+		balance.P2CReports, balance.Prequal, balance.Sightings, balance.Shares, balance.Claims,
+	} {
+		v := Variant{Name: policy, Policy: policy}
+		if policy == balance.Prequal {
+			v.ProbeShare = defaultProbeShare
+		}
+		narrow := v
+		narrow.Name += "@3"
+		narrow.Deciders = steered
+		all = append(all, v, narrow)
+	}
+	for _, every := range []time.Duration{5, 10, 20} {
+		all = append(all, Variant{
+			Name: "claims@3+" + (every * time.Millisecond).String(), Policy: balance.Claims,
+			Deciders: steered, PeerInterval: every * time.Millisecond,
+		})
+	}
+	all = append(all, Variant{Name: "claims@1", Policy: balance.Claims, Deciders: 1})
+	return all
+}
+
+// VariantNames lists what PickVariants knows.
+func VariantNames() []string {
+	var names []string
+	for _, v := range allVariants() {
+		names = append(names, v.Name)
+	}
+	return names
+}
+
+// PickVariants returns the oracle and the named variants, or all of them.
+func PickVariants(names []string) ([]Variant, error) {
+	chosen := []Variant{Oracle()}
+	if len(names) == 0 {
+		return append(chosen, allVariants()...), nil
+	}
+	for _, name := range names {
+		at := slices.IndexFunc(allVariants(), func(v Variant) bool { return v.Name == name })
+		if at < 0 {
+			return nil, fault.New(fault.BadSettings, "use some of "+strings.Join(VariantNames(), ", "), "unknown variant %q", name)
+		}
+		chosen = append(chosen, allVariants()[at])
+	}
+	return chosen, nil
+}
+
+// PickScenarios returns the named scenarios; "all" stands for all of them.
+func PickScenarios(names []string) ([]Faults, error) {
+	var chosen []Faults
+	for _, name := range names {
+		if name == "all" {
+			return AllScenarios(), nil
+		}
+		at := slices.IndexFunc(AllScenarios(), func(f Faults) bool { return f.Name == name })
+		if at < 0 {
+			return nil, fault.New(fault.BadSettings, "use all, healthy, noisy, straggler or fail-fast", "unknown scenario %q", name)
+		}
+		chosen = append(chosen, AllScenarios()[at])
+	}
+	return chosen, nil
+}
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -147,14 +147,22 @@
 	LeastOutstanding = "least-outstanding"
 	P2COwn           = "p2c-own"
 	P2CReports       = "p2c-reports"
+	Prequal          = "prequal"
+	Sightings        = "sightings"
+	Shares           = "shares"
+	CentralQueue     = "central-queue"
+	Claims           = "claims"
 )
 
 // Default is the policy to use unless a profile names another.
-const Default = P2CReports
+const Default = Claims
 
 // Policies returns the names that New accepts.
 func Policies() []string {
-	return []string{Random, RoundRobin, LeastOutstanding, P2COwn, P2CReports}
+	return []string{
+		Random, RoundRobin, LeastOutstanding, P2COwn, P2CReports,
+		Prequal, Sightings, Shares, CentralQueue, Claims,
+	}
 }
 
 // New returns a picker for one pool. The picker owns rng.
@@ -172,6 +180,16 @@
 		return &twoChoices{view: base}, nil
 	case P2CReports:
 		return &twoChoices{view: base, reports: true}, nil
+	case Prequal:
+		return &prequal{view: base}, nil
+	case Sightings:
+		return &sightings{view: base}, nil
+	case Shares:
+		return &shares{view: base}, nil
+	case CentralQueue:
+		return &centralQueue{view: base}, nil
+	case Claims:
+		return &claims{view: base}, nil
 	}
 	return nil, fault.New(fault.BadSettings,
 		"use one of "+strings.Join(Policies(), ", "),
--- /dev/null
+++ b/internal/core/balance/prequal.go
@@ -0,0 +1,143 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+// Parameters of the probe pool.
+const (
+	probePoolSize = 16
+	probeMaxAge   = time.Second
+	// probeUses is how often one result may be used. Results are scarce here
+	// because probes are budgeted.
+	probeUses = 2
+	// hotQuantile separates the endpoints with many requests in flight.
+	hotQuantile = 0.84
+)
+
+type probeResult struct {
+	index   int
+	load    int32
+	latency float64
+	at      time.Duration
+	uses    int
+}
+
+// prequal keeps a small pool of load reports that are used up: among the
+// reports that are not hot it takes the lowest latency, else the least load.
+// Reports on ordinary answers fill the pool as well as probes do.
+type prequal struct {
+	view
+	pool  [probePoolSize]probeResult
+	count int
+}
+
+// Changed implements Picker; indexes of old results are void.
+func (q *prequal) Changed(time.Duration, *table.Pool, []string) { q.count = 0 }
+
+// Told implements Picker.
+func (q *prequal) Told(now time.Duration, p *table.Pool, i int, s table.Sighting) {
+	q.view.Told(now, p, i, s)
+	if s.Seen {
+		q.put(probeResult{i, p.Endpoints[i].Outstanding + s.Foreign, p.Endpoints[i].ServiceNanos, s.At, probeUses})
+	}
+}
+
+// Answered implements Picker.
+func (q *prequal) Answered(now time.Duration, p *table.Pool, i int, obs Observation) {
+	q.view.Answered(now, p, i, obs)
+	if obs.HasLoad && !obs.Failed {
+		q.put(probeResult{i, int32(obs.InFlight + obs.Queued), p.Endpoints[i].ServiceNanos, now, probeUses})
+	}
+}
+
+// put adds a result in place of an older one of the same endpoint or of the
+// oldest.
+func (q *prequal) put(r probeResult) {
+	for k := range q.count {
+		if q.pool[k].index == r.index {
+			q.pool[k] = r
+			return
+		}
+	}
+	if q.count < probePoolSize {
+		q.pool[q.count] = r
+		q.count++
+		return
+	}
+	oldest := 0
+	for k := range q.count {
+		if q.pool[k].at < q.pool[oldest].at {
+			oldest = k
+		}
+	}
+	q.pool[oldest] = r
+}
+
+func (q *prequal) remove(k int) {
+	q.count--
+	q.pool[k] = q.pool[q.count]
+}
+
+// Pick implements Picker.
+func (q *prequal) Pick(now time.Duration, p *table.Pool, ask Ask, _ time.Duration) Choice {
+	s, c, done := q.begin(now, p, ask)
+	if done {
+		return c
+	}
+	for k := q.count - 1; k >= 0; k-- {
+		if now-q.pool[k].at > probeMaxAge {
+			q.remove(k)
+		}
+	}
+	best, hot := -1, q.hotLoad()
+	for k := range q.count {
+		if !eligible(now, p, q.pool[k].index, ask.Tried, s) {
+			continue
+		}
+		if best < 0 || q.better(&q.pool[k], &q.pool[best], hot) {
+			best = k
+		}
+	}
+	if best < 0 {
+		i, ok := q.pickRandom(now, p, ask.Tried, s, -1)
+		return Choice{Index: i, OK: ok}
+	}
+	chosen := q.pool[best].index
+	q.pool[best].load++
+	q.pool[best].uses--
+	if q.pool[best].uses == 0 {
+		q.remove(best)
+	}
+	return Choice{Index: chosen, OK: true}
+}
+
+// hotLoad is the load at the hot quantile of the pool.
+func (q *prequal) hotLoad() int32 {
+	var loads [probePoolSize]int32
+	for k := range q.count {
+		at := k
+		for at > 0 && loads[at-1] > q.pool[k].load {
+			loads[at] = loads[at-1]
+			at--
+		}
+		loads[at] = q.pool[k].load
+	}
+	if q.count == 0 {
+		return 0
+	}
+	return loads[int(hotQuantile*float64(q.count-1))]
+}
+
+func (q *prequal) better(a, b *probeResult, hot int32) bool {
+	aHot, bHot := a.load > hot, b.load > hot
+	switch {
+	case aHot != bHot:
+		return bHot
+	case aHot:
+		return a.load < b.load
+	}
+	return a.latency < b.latency
+}
--- /dev/null
+++ b/internal/core/balance/reports.go
@@ -0,0 +1,70 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+// centralQueue sends a request only to a slot that is idle by the entry's own
+// count and lets it wait in the entry otherwise. With one entry for the whole
+// load it is one queue with perfect knowledge: the yardstick of the others.
+type centralQueue struct{ view }
+
+// Pick implements Picker.
+func (q *centralQueue) Pick(now time.Duration, p *table.Pool, ask Ask, _ time.Duration) Choice {
+	s, c, done := q.begin(now, p, ask)
+	if done {
+		return c
+	}
+	best, ties := -1, 0
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if e.Outstanding >= max(1, e.Slots) || !eligible(now, p, i, ask.Tried, s) {
+			continue
+		}
+		switch {
+		case best < 0 || e.Outstanding < p.Endpoints[best].Outstanding:
+			best, ties = i, 1
+		case e.Outstanding == p.Endpoints[best].Outstanding:
+			ties++
+			if q.rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	if best < 0 {
+		return Choice{Wait: idleWait}
+	}
+	return Choice{Index: best, OK: true}
+}
+
+// sightings takes the endpoint with the least known load: own attempts and the
+// foreign ones of the last report, which weigh less as they age.
+type sightings struct{ view }
+
+// Pick implements Picker.
+func (g *sightings) Pick(now time.Duration, p *table.Pool, ask Ask, _ time.Duration) Choice {
+	s, c, done := g.begin(now, p, ask)
+	if done {
+		return c
+	}
+	best, bestLoad, ties := -1, 0.0, 0
+	for i := range p.Endpoints {
+		if !eligible(now, p, i, ask.Tried, s) {
+			continue
+		}
+		e := &p.Endpoints[i]
+		load := (float64(e.Outstanding) + g.foreign(now, e)) / float64(max(1, e.Slots))
+		switch {
+		case best < 0 || load < bestLoad:
+			best, bestLoad, ties = i, load, 1
+		case load == bestLoad:
+			ties++
+			if g.rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return Choice{Index: best, OK: best >= 0}
+}
--- /dev/null
+++ b/internal/core/balance/shares.go
@@ -0,0 +1,48 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+// loanTries is how many borrowed slots are tried before a request waits.
+const loanTries = 3
+
+// shares uses the endpoints on which this entry has first claim while they have
+// a slot that it does not fill itself, then tries to borrow idle slots of others,
+// then waits for one of its own.
+type shares struct {
+	view
+	order order
+}
+
+// Changed implements Picker.
+func (h *shares) Changed(_ time.Duration, p *table.Pool, deciders []string) {
+	h.order.rebuild(p, deciders, h.cfg.Self)
+}
+
+// Pick implements Picker.
+func (h *shares) Pick(now time.Duration, p *table.Pool, ask Ask, _ time.Duration) Choice {
+	s, c, done := h.begin(now, p, ask)
+	if done {
+		return c
+	}
+	best, tries := -1, 0
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if ask.Tried.Has(i) {
+			tries++
+		}
+		if e.Outstanding >= max(1, e.Slots) || !eligible(now, p, i, ask.Tried, s) {
+			continue
+		}
+		if best < 0 || h.order.rank[i] < h.order.rank[best] {
+			best = i
+		}
+	}
+	if best < 0 || (!h.order.home[best] && tries >= loanTries) {
+		return Choice{Wait: idleWait}
+	}
+	return Choice{Index: best, OK: true, IdleOnly: true}
+}
