Members, duties, gossip: close gaps found on reading

A fresh entry backs off while nobody has a revision; VMs that leave no longer count as lost by a list; first heartbeats are spread over a period; a link between regions begins again when all peers failed.

--- a/internal/core/duty/fetch.go
+++ b/internal/core/duty/fetch.go
@@ -42,7 +42,8 @@
 	p.retryAt = now
 }
 
-// hold notes a peer that can give a later revision.
+// hold notes a peer that can give a later revision. A further peer is worth a
+// fetch at once, however the ones before it failed.
 func (p *fetchPlan) hold(now time.Duration, revision, peer uint64) {
 	p.want(now, revision)
 	if slices.Contains(p.holders, peer) {
@@ -52,6 +53,7 @@
 		p.holders = slices.Delete(p.holders, 0, 1)
 	}
 	p.holders = append(p.holders, peer)
+	p.retryAt = now
 }
 
 // Next returns whom to ask now, if anybody. The caller ends each fetch with
@@ -88,20 +90,18 @@
 func (t *Tracker) Done(now time.Duration, f Fetch, answered bool, rng *rand.Rand) {
 	p := &t.plan
 	p.asking = false
-	if t.Wanted() == 0 {
+	fresh := t.inForce.Revision == 0
+	switch {
+	case !fresh && t.Wanted() == 0:
 		p.holders = p.holders[:0]
 		p.failures = 0
-		p.retryAt = now + t.pause(rng)
-		return
-	}
-	if !answered {
+	case answered:
+		p.denied(now, f, t)
+		fallthrough
+	default:
 		p.failures++
-		p.retryAt = now + t.pause(rng)
-		return
 	}
-	p.failures = 0
 	p.retryAt = now + t.pause(rng)
-	p.denied(now, f, t)
 }
 
 // denied handles an answer without the wanted revision. A peer that does not
--- a/internal/core/gossip/compose.go
+++ b/internal/core/gossip/compose.go
@@ -121,7 +121,11 @@
 	recovered := p.failures >= failuresToSkip
 	p.failures = 0
 	p.retryAt = 0
-	p.told = p.offered
+	p.told = told{
+		state:    p.offered.state,
+		profiles: max(p.told.profiles, p.offered.profiles),
+		vms:      max(p.told.vms, p.offered.vms),
+	}
 	for _, c := range p.underWay {
 		if s.log.index[keyOf(c.evidence)] == c {
 			s.markKnown(c, p)
--- a/internal/core/gossip/scheduler.go
+++ b/internal/core/gossip/scheduler.go
@@ -47,6 +47,7 @@
 	kind        linkKind
 	finger      bool
 
+	scheduled   bool // heartbeatAt is set
 	heartbeatAt time.Duration
 	sightingAt  time.Duration
 	urgentAt    time.Duration
@@ -109,7 +110,7 @@
 		if known := s.peers[p.Incarnation]; known != nil {
 			known.region, known.shares, known.suspected = p.Region, p.Shares, p.Suspected
 		} else if p.Incarnation != s.cfg.Self {
-			s.addPeer(now, p)
+			s.addPeer(p)
 		}
 	}
 	s.mesh = 0
@@ -119,9 +120,25 @@
 		}
 	}
 	s.setTopology()
+	s.scheduleNew(now)
 }
 
-func (s *Scheduler) addPeer(now time.Duration, p Peer) {
+// scheduleNew spreads the first heartbeats to new peers over a period by hash
+// of the link. Guards against entries that start together and all tell the
+// same peer first.
+func (s *Scheduler) scheduleNew(now time.Duration) {
+	for _, id := range s.order {
+		p := s.peers[id]
+		if p.scheduled {
+			continue
+		}
+		p.scheduled = true
+		share := float64(duty.Score(s.cfg.Self, id)>>11) / (1 << 53)
+		p.heartbeatAt = now + time.Duration(share*float64(s.period(p)))
+	}
+}
+
+func (s *Scheduler) addPeer(p Peer) {
 	slot := slices.Index(s.slots[:], false)
 	if slot < 0 {
 		return
@@ -133,9 +150,6 @@
 		owed:      len(s.log.claims),
 		sightings: make(map[string]toldSighting),
 	}
-	// A new peer is told at once; later heartbeats are spread by hash, so that
-	// an entry that knows many peers does not tell all of them together.
-	added.heartbeatAt = now
 	s.peers[p.Incarnation] = added
 	at, _ := slices.BinarySearch(s.order, p.Incarnation)
 	s.order = slices.Insert(s.order, at, p.Incarnation)
--- a/internal/core/gossip/topology.go
+++ b/internal/core/gossip/topology.go
@@ -103,20 +103,34 @@
 	}
 }
 
+// answering returns the first peers that have not failed too often.
+func (s *Scheduler) answering(ranked []uint64) []uint64 {
+	var chosen []uint64
+	for _, id := range ranked {
+		if len(chosen) < linksPerRegion && s.peers[id].failures < failuresToSkip {
+			chosen = append(chosen, id)
+		}
+	}
+	return chosen
+}
+
 // linkRegion picks the peers of another region to talk to, if it is on this
-// entry to do so. A peer that keeps failing gives its place to the next one;
-// when all fail the regions have lost each other and the first ones are tried.
+// entry to do so. A peer that keeps failing gives its place to the next one,
+// and the first ones are tried on, so that links return to them.
 func (s *Scheduler) linkRegion(region string, local, remote []uint64) {
 	key := linkKey(s.cfg.Region, region)
 	if !slices.Contains(topRanked(local, key, linksPerRegion), s.cfg.Self) {
 		return
 	}
-	var chosen []uint64
 	ranked := topRanked(remote, key, len(remote))
-	for _, id := range ranked {
-		if len(chosen) < linksPerRegion && s.peers[id].failures < failuresToSkip {
-			chosen = append(chosen, id)
+	chosen := s.answering(ranked)
+	if len(chosen) < linksPerRegion {
+		// All were tried in vain: the regions have lost each other, or only
+		// those that were tried last are gone. Begin again.
+		for _, id := range ranked {
+			s.peers[id].failures = 0
 		}
+		chosen = s.answering(ranked)
 	}
 	for _, id := range ranked[:min(linksPerRegion, len(ranked))] {
 		if !slices.Contains(chosen, id) {
--- a/internal/core/member/claim.go
+++ b/internal/core/member/claim.go
@@ -58,13 +58,13 @@
 	if r != nil && !r.suspected && r.vm.Incarnation > vm.Incarnation {
 		return nil // an older incarnation woke up late
 	}
-	changes, _ := t.makeRoomFor(now, r, vm)
-	changes = append(changes, t.add(now, vm, "it introduced itself")...)
-	return changes
+	changes := t.supersede(now, r, vm)
+	return append(changes, t.add(now, vm, "it introduced itself")...)
 }
 
-// makeRoomFor ends the rows whose place a VM takes that spoke for itself.
-func (t *Table) makeRoomFor(now time.Duration, r *row, vm platform.VM) ([]Change, bool) {
+// supersede ends the rows whose place a VM takes that spoke for itself: r under
+// its name, if any, and another one at its address.
+func (t *Table) supersede(now time.Duration, r *row, vm platform.VM) []Change {
 	var changes []Change
 	if r != nil {
 		changes = t.replaced(now, r, vm)
@@ -72,7 +72,7 @@
 	if other := t.byAddress(vm); other != nil {
 		changes = append(changes, t.replaced(now, other, vm)...)
 	}
-	return changes, true
+	return changes
 }
 
 // Heard notes a message from an entry about itself. It returns nothing for an
@@ -93,10 +93,11 @@
 		t.version++
 		changes = append(changes, Change{Kind: EntryReturned, VM: r.vm, Why: "it was heard again"})
 	}
-	if !r.leaving && state != r.state {
+	if !r.leaving && (state > r.state || !r.spoke) && state != r.state {
 		r.state = state
 		t.version++
 	}
+	r.spoke = true
 	switch {
 	case state == message.EntryStopped:
 		return append(changes, t.end(now, r, message.EvidenceStopped, "it said that it stopped")...)
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -19,6 +19,8 @@
 	// held: the losses of the latest list do not count yet.
 	held   bool
 	heldAt time.Duration
+	// skipped are the names on unusable rows of the latest list.
+	skipped map[string]bool
 }
 
 // ListRevision returns the revision of the latest list, when it was applied or
@@ -42,14 +44,18 @@
 		return []Change{{Kind: ListRefused, Why: why}}
 	}
 	vms, skipped, changes := t.usable(l)
-	news := l.Revision > t.list.revision || !t.list.applied
-	t.list.revision, t.list.at, t.list.applied, t.list.vms = l.Revision, now, true, vms
+	news := l.Revision > t.list.revision || t.list.vms == nil
+	if !news {
+		changes = nil // told before
+	}
+	t.list.revision, t.list.at, t.list.applied = l.Revision, now, true
+	t.list.vms, t.list.skipped = vms, skipped
 	for _, vm := range l.VMs {
 		if kept, ok := vms[vm.Name]; ok && kept.Incarnation == vm.Incarnation {
 			changes = append(changes, t.listed(now, kept)...)
 		}
 	}
-	return append(changes, t.absences(now, skipped, news)...)
+	return append(changes, t.absences(now, news)...)
 }
 
 // usable returns the rows that can be worked with by name, and the names of
@@ -113,19 +119,13 @@
 	if r == nil {
 		return changes, true
 	}
-	if other, both := t.list.vms[r.vm.Name]; both && other == listedForm(r.vm, other) && r.vm.Incarnation > vm.Incarnation {
-		return changes, false
+	rival, both := t.list.vms[r.vm.Name]
+	if both && rival.Incarnation == r.vm.Incarnation && rival.Incarnation > vm.Incarnation {
+		return changes, false // the list has two VMs at one address; the later one counts
 	}
 	return append(changes, t.replaced(now, r, vm)...), true
 }
 
-// listedForm returns vm with the state that other has, so that both can be
-// compared by what identifies and places them.
-func listedForm(vm, other platform.VM) platform.VM {
-	vm.State = other.State
-	return vm
-}
-
 func (t *Table) replaced(now time.Duration, r *row, by platform.VM) []Change {
 	why := fmt.Sprintf("%s incarnation %d took its place", by.Name, by.Incarnation)
 	return t.end(now, r, message.EvidenceReplaced, why)
@@ -141,9 +141,9 @@
 }
 
 // absences handles the VMs that the latest list does not name.
-func (t *Table) absences(now time.Duration, skipped map[string]bool, news bool) []Change {
-	lost, base := t.lost(skipped)
-	if len(lost) < holdMin || float64(len(lost)) <= t.cfg.HoldShare*float64(base) {
+func (t *Table) absences(now time.Duration, news bool) []Change {
+	lost, live, base := t.lost()
+	if live < holdMin || float64(live) <= t.cfg.HoldShare*float64(base) {
 		t.list.held = false
 		return t.miss(now, lost)
 	}
@@ -157,24 +157,33 @@
 	if !news {
 		return nil
 	}
-	why := fmt.Sprintf("list revision %d loses %d of %d VMs; held for %v", t.list.revision, len(lost), base, t.cfg.HoldFor)
+	why := fmt.Sprintf("list revision %d loses %d of %d live VMs; held for %v", t.list.revision, live, base, t.cfg.HoldFor)
 	return []Change{{Kind: ListHeld, Why: why}}
 }
 
 // lost returns the rows that were listed before and are not in the latest
-// list, and how many rows count as the fleet for the share lost.
-func (t *Table) lost(skipped map[string]bool) (lost []*row, base int) {
+// list, how many of them were believed live, and how many live ones there were
+// before. VMs that leave are expected to disappear.
+func (t *Table) lost() (lost []*row, live, base int) {
 	for _, name := range t.names {
 		r := t.rows[name]
 		if !r.listed || r.missing {
 			continue
 		}
-		base++
-		if vm, there := t.list.vms[name]; !skipped[name] && (!there || vm.Incarnation != r.vm.Incarnation) {
+		vm, there := t.list.vms[name]
+		gone := !t.list.skipped[name] && (!there || vm.Incarnation != r.vm.Incarnation)
+		if gone {
 			lost = append(lost, r)
 		}
+		if r.leaving {
+			continue
+		}
+		base++
+		if gone {
+			live++
+		}
 	}
-	return lost, base
+	return lost, live, base
 }
 
 // miss starts the ageing of rows that the list lost. A leaving VM that is gone
@@ -193,8 +202,8 @@
 
 // confirmHeld lets the losses of a held list count.
 func (t *Table) confirmHeld(now time.Duration) []Change {
-	lost, base := t.lost(nil)
+	lost, live, base := t.lost()
 	t.list.held = false
-	why := fmt.Sprintf("list revision %d has lost %d of %d VMs for %v", t.list.revision, len(lost), base, t.cfg.HoldFor)
+	why := fmt.Sprintf("list revision %d has lost %d of %d live VMs for %v", t.list.revision, live, base, t.cfg.HoldFor)
 	return append([]Change{{Kind: ListConfirmed, Why: why}}, t.miss(now, lost)...)
 }
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -73,8 +73,9 @@
 	// answered is false until an endpoint answers, and again after a pause.
 	answered bool
 
-	// For entries only.
+	// For entries only. Until the entry spoke, state is a guess.
 	state       message.EntryState
+	spoke       bool
 	suspected   bool
 	unreachable bool
 }
--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -121,7 +121,7 @@
 // against a late wake-up that sends callers to entries that have left: each
 // entry has to be heard within one heartbeat or is suspected. Times that count
 // against a VM start again, since nothing could have been heard meanwhile.
-func (t *Table) Pause(now, gap time.Duration) []Change {
+func (t *Table) Pause(now, gap time.Duration) {
 	beat := t.cfg.Heartbeat(t.localPeers()) + suspectSlack
 	since := now - (t.SuspectAfter() - beat)
 	for _, name := range t.names {
@@ -132,10 +132,9 @@
 		}
 		if isEntry(r.vm) {
 			r.unreachable = false
-			r.seenAt = min(max(r.seenAt+gap, r.seenAt), since)
+			r.seenAt = min(r.seenAt+gap, since)
 		}
 	}
 	t.list.heldAt += gap
 	t.list.applied = false
-	return nil
 }
