Front: the server towards callers

net/http accepts some shapes by which two programs can read one request differently (Content-Length beside Transfer-Encoding, folded headers, bare line feeds) and removes their traces before a handler sees them. A guard on the connection checks each head whole before the server reads it.

--- /dev/null
+++ b/internal/front/guard.go
@@ -0,0 +1,284 @@
+package front
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// refusedPath is the target of the request that stands in for a refused one.
+const refusedPath = "/.tealhall/refused"
+
+// refusedHead is given to the server in place of a refused head. The refusal so
+// takes its turn behind the answers to earlier requests on the connection.
+const refusedHead = "GET " + refusedPath + " HTTP/1.1\r\nHost: refused\r\nConnection: close\r\n\r\n"
+
+const (
+	readSize    = 4 << 10
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
+)
+
+// guard is a caller's connection. It shows the server each head only after
+// checking it whole, since net/http accepts some misleading shapes and removes
+// their traces before a handler sees the request: a Content-Length beside a
+// Transfer-Encoding, a Transfer-Encoding in HTTP/1.0, folded headers, bare line
+// feeds. Bodies are passed on as they come.
+type guard struct {
+	net.Conn
+	socket  *net.TCPConn
+	maxHead int
+	slow    time.Duration // time for a head from its first byte on
+
+	// The fields below belong to the reading goroutine; the server has one at
+	// a time.
+	head   []byte // bytes read but not yet given out
+	scan   int    // where the search for the end of the head goes on
+	ready  int    // bytes at the start of head that may be given out
+	body   bodyTracker
+	broken bool // the body broke the rules; net/http refuses it too
+
+	// shape is set when a head was refused.
+	shape atomic.Uint32
+	// partial is set from the first byte of a head until the server works on the
+	// request.
+	partial atomic.Bool
+	// idle is set while the server waits for a request.
+	idle atomic.Bool
+
+	mu           sync.Mutex
+	deadline     time.Time // as the server set it
+	headDeadline time.Time // zero while no head is being read
+}
+
+// Read gives out checked heads and bodies. One call never crosses the end of a
+// request, so that the next head is checked before any of it is seen.
+func (g *guard) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if g.refused() != ShapeNone && g.ready == 0 {
+		return g.discard()
+	}
+	if g.ready == 0 && g.body.ended() {
+		if err := g.readHead(); err != nil {
+			return 0, err
+		}
+	}
+	if g.ready > 0 {
+		n := copy(p, g.head[:g.ready])
+		g.consume(n)
+		return n, nil
+	}
+	return g.readBody(p)
+}
+
+// readHead reads until a whole head is there, then checks it.
+func (g *guard) readHead() error {
+	for {
+		if end := g.headEnd(); end > 0 {
+			g.partial.Store(true)
+			g.endHead()
+			g.accept(end)
+			return nil
+		}
+		if len(g.head) > g.maxHead {
+			g.refuse(ShapeTooLarge)
+			return nil
+		}
+		if len(g.head) > 0 {
+			g.beginHead()
+		}
+		if err := g.fill(); err != nil {
+			return err
+		}
+	}
+}
+
+// beginHead notes that the caller has begun to send a head.
+func (g *guard) beginHead() {
+	g.partial.Store(true)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.headDeadline.IsZero() {
+		g.headDeadline = time.Now().Add(g.slow)
+		g.applyDeadline()
+	}
+}
+
+// fill reads more into the buffer. What it has read so far is kept when the read is
+// interrupted, which the server does to every request that ends.
+func (g *guard) fill() error {
+	if cap(g.head)-len(g.head) < readSize/2 {
+		grown := make([]byte, len(g.head), max(readSize, 2*cap(g.head)))
+		copy(grown, g.head)
+		g.head = grown
+	}
+	n, err := g.Conn.Read(g.head[len(g.head):cap(g.head)])
+	g.head = g.head[:len(g.head)+n]
+	if n > 0 {
+		return nil
+	}
+	if err == io.EOF && len(g.head) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// headEnd returns the length of the head if it is whole, else 0. Empty lines
+// before a request line are allowed by RFC 9112 and dropped.
+func (g *guard) headEnd() int {
+	for bytes.HasPrefix(g.head, []byte("\r\n")) {
+		g.head = g.head[:copy(g.head, g.head[2:])]
+		g.scan = 0
+	}
+	for {
+		next := bytes.IndexByte(g.head[g.scan:], '\n')
+		if next < 0 {
+			return 0
+		}
+		end := g.scan + next + 1
+		// A bare line feed may end the head for a lenient reader; it is taken for
+		// the end here, and refused by the check.
+		if next == 0 || next == 1 && g.head[g.scan] == '\r' {
+			g.scan = 0
+			return end
+		}
+		g.scan = end
+	}
+}
+
+// accept checks the head and makes it, or the stand-in for it, ready.
+func (g *guard) accept(end int) {
+	if end > g.maxHead {
+		g.refuse(ShapeTooLarge)
+		return
+	}
+	info, shape := checkHead(g.head[:end])
+	if shape != ShapeNone {
+		g.refuse(shape)
+		return
+	}
+	g.ready = end
+	g.body.start(info)
+}
+
+func (g *guard) refuse(shape Shape) {
+	g.endHead()
+	g.shape.Store(uint32(shape))
+	g.head = append(g.head[:0], refusedHead...)
+	g.ready = len(g.head)
+}
+
+// refused returns the shape that was refused on this connection, if any.
+func (g *guard) refused() Shape { return Shape(g.shape.Load()) }
+
+func (g *guard) consume(n int) {
+	g.ready -= n
+	g.head = g.head[:copy(g.head, g.head[n:])]
+}
+
+// readBody gives out bytes of the body only. The lines of the chunked coding go
+// through the guard's own buffer, where the next head's first bytes may stay.
+func (g *guard) readBody(p []byte) (int, error) {
+	if g.broken {
+		return 0, io.ErrUnexpectedEOF
+	}
+	if len(g.head) == 0 {
+		if data := g.body.data(); data > 0 {
+			n, err := g.Conn.Read(p[:min(int64(len(p)), data)])
+			g.track(p[:n])
+			return n, err
+		}
+		if err := g.fill(); err != nil {
+			return 0, err
+		}
+	}
+	n := g.track(p[:copy(p, g.head)])
+	g.head = g.head[:copy(g.head, g.head[n:])]
+	if n == 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return n, nil
+}
+
+// track follows the body through b and returns how much of b belongs to it.
+func (g *guard) track(b []byte) int {
+	n, ok := g.body.advance(b)
+	g.broken = !ok
+	return n
+}
+
+// discard reads and drops what follows a refused head, until the server closes
+// the connection.
+func (g *guard) discard() (int, error) {
+	var scrap [readSize]byte
+	for {
+		if _, err := g.Conn.Read(scrap[:]); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// SetReadDeadline sets the server's deadline. While the server waits for a
+// request under a deadline, a head in the making also has its own. Without the
+// latter a caller could take the whole idle time-out for each head, byte by
+// byte. While a request is worked on, the server reads without a deadline and
+// an expired one would cancel that request.
+func (g *guard) SetReadDeadline(t time.Time) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deadline = t
+	return g.applyDeadline()
+}
+
+// endHead lifts the head's own deadline.
+func (g *guard) endHead() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.headDeadline.IsZero() {
+		return
+	}
+	g.headDeadline = time.Time{}
+	g.applyDeadline()
+}
+
+func (g *guard) applyDeadline() error {
+	effective := g.deadline
+	if !effective.IsZero() && !g.headDeadline.IsZero() && g.headDeadline.Before(effective) {
+		effective = g.headDeadline
+	}
+	return g.Conn.SetReadDeadline(effective)
+}
+
+// SetDeadline keeps the two deadlines of this type apart.
+func (g *guard) SetDeadline(t time.Time) error {
+	if err := g.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return g.Conn.SetWriteDeadline(t)
+}
+
+// CloseWrite lets the server close in two steps, so that a caller that is still
+// sending reads the answer before it learns that nobody listens.
+func (g *guard) CloseWrite() error {
+	if half, ok := g.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection; after a refusal it first reads on for a while,
+// since a close with unread bytes resets the connection and the caller might
+// never see why it was refused.
+func (g *guard) Close() error {
+	if g.refused() != ShapeNone {
+		g.CloseWrite()
+		g.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		io.CopyN(io.Discard, g.Conn, lingerBytes)
+	}
+	return g.Conn.Close()
+}
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,226 @@
+// Package front is the side of an entry that faces callers: an HTTP/1.1 server
+// with bounds on time and size that refuses misleading requests, bodies that
+// can be read again for another attempt, and the copying of answers.
+package front
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// ServerConfig bounds what callers may take. Zero values take the defaults
+// named at each field.
+type ServerConfig struct {
+	// ReadHeaderTimeout bounds the time from the first byte of a head to its
+	// last. Default 5 s.
+	ReadHeaderTimeout time.Duration
+	// IdleTimeout bounds the wait for a connection's next request. Default 60 s.
+	IdleTimeout time.Duration
+	// MaxHeaderBytes bounds a head. Default 32 KiB.
+	MaxHeaderBytes int
+	// KeepAlive is the time between TCP keep-alive probes. Default 10 s.
+	KeepAlive time.Duration
+	// UserTimeout is the TCP user time-out; it also ends a connection whose
+	// caller reads nothing of its answer for so long. Default 30 s.
+	UserTimeout time.Duration
+	// TLS, if not nil, is used for callers' connections.
+	TLS *tls.Config
+	// ErrorLog gets the server's errors; nil for the standard logger.
+	ErrorLog *log.Logger
+}
+
+// The defaults of ServerConfig.
+const (
+	defaultReadHeader  = 5 * time.Second
+	defaultIdle        = 60 * time.Second
+	defaultHeaderBytes = 32 << 10
+	defaultKeepAlive   = 10 * time.Second
+	defaultUserTimeout = 30 * time.Second
+)
+
+func (c ServerConfig) withDefaults() ServerConfig {
+	setDefault(&c.ReadHeaderTimeout, defaultReadHeader)
+	setDefault(&c.IdleTimeout, defaultIdle)
+	setDefault(&c.MaxHeaderBytes, defaultHeaderBytes)
+	setDefault(&c.KeepAlive, defaultKeepAlive)
+	setDefault(&c.UserTimeout, defaultUserTimeout)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	cfg      ServerConfig
+	handler  http.Handler
+	http     *http.Server
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+
+	mu        sync.Mutex
+	listeners []*listener
+	conns     map[*guard]struct{}
+	stopped   bool
+}
+
+// NewServer returns a server that passes requests of sound shape to handler.
+func NewServer(cfg ServerConfig, handler http.Handler) *Server {
+	cfg = cfg.withDefaults()
+	if cfg.TLS != nil {
+		cfg.TLS = cfg.TLS.Clone()
+		cfg.TLS.NextProtos = []string{"http/1.1"}
+	}
+	s := &Server{cfg: cfg, handler: handler, conns: make(map[*guard]struct{})}
+	s.http = &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: cfg.ReadHeaderTimeout,
+		IdleTimeout:       cfg.IdleTimeout,
+		// The guard applies the bound; the server's must not be reached first.
+		MaxHeaderBytes:               2 * cfg.MaxHeaderBytes,
+		ErrorLog:                     cfg.ErrorLog,
+		DisableGeneralOptionsHandler: true,
+		ConnState:                    s.connState,
+		ConnContext:                  connContext,
+	}
+	return s
+}
+
+// guardKey finds the connection of a request in its context.
+type guardKey struct{}
+
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, guardKey{}, c)
+}
+
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	g, ok := c.(*guard)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateNew:
+		g.idle.Store(true)
+		s.track(g, true)
+	case http.StateActive:
+		g.idle.Store(false)
+		g.partial.Store(false)
+	case http.StateIdle:
+		g.idle.Store(true)
+	case http.StateClosed, http.StateHijacked:
+		s.track(g, false)
+	}
+}
+
+func (s *Server) track(g *guard, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if open {
+		s.conns[g] = struct{}{}
+		return
+	}
+	delete(s.conns, g)
+}
+
+// Serve accepts callers on l until Stop. It returns nil after a stop.
+func (s *Server) Serve(l *net.TCPListener) error {
+	guarded := &listener{TCPListener: l, server: s}
+	s.mu.Lock()
+	if s.stopped {
+		s.mu.Unlock()
+		return l.Close()
+	}
+	s.listeners = append(s.listeners, guarded)
+	s.mu.Unlock()
+	err := s.http.Serve(guarded)
+	if guarded.leaving.Load() || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// InFlight returns how many requests are being worked on.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// ServeHTTP is called by the http.Server for each request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	g, _ := r.Context().Value(guardKey{}).(*guard)
+	if g != nil && r.URL.Path == refusedPath && g.refused() != ShapeNone {
+		refuseShape(w, g.refused())
+		return
+	}
+	tracked := &answerWriter{ResponseWriter: w, server: s}
+	s.handler.ServeHTTP(tracked, r)
+	if tracked.cutOff {
+		abort(g, r)
+	}
+}
+
+// abort ends the caller's connection so that the answer can't pass as whole.
+// In HTTP/1.0 an answer without a length ends with the connection; only a reset
+// shows such a caller that it was cut off.
+func abort(g *guard, r *http.Request) {
+	if g != nil && !r.ProtoAtLeast(1, 1) {
+		g.socket.SetLinger(0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// answerWriter is the http.ResponseWriter that handlers get.
+type answerWriter struct {
+	http.ResponseWriter
+	server *Server
+	wrote  bool
+	// cutOff is set when the answer that was begun can't be completed.
+	cutOff bool
+}
+
+// WriteHeader asks the caller to go elsewhere while the server leaves.
+func (w *answerWriter) WriteHeader(status int) {
+	if status >= http.StatusOK && !w.wrote {
+		w.wrote = true
+		if w.server.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body, after the head if that is missing.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	if !w.wrote {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap is for http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// unwrapTo returns the first writer of type T below w.
+func unwrapTo[T http.ResponseWriter](w http.ResponseWriter) (T, bool) {
+	for {
+		if found, ok := w.(T); ok {
+			return found, true
+		}
+		wrapped, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			var none T
+			return none, false
+		}
+		w = wrapped.Unwrap()
+	}
+}
--- /dev/null
+++ b/internal/front/stop.go
@@ -0,0 +1,72 @@
+package front
+
+import (
+	"context"
+	"time"
+)
+
+// stopPoll is how often Stop looks for connections that became quiet.
+const stopPoll = 10 * time.Millisecond
+
+// Leave makes every answer from now on ask its caller to close the connection.
+// New connections are still accepted, so that callers have time to learn of
+// other entries. Call Stop later.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Leaving reports whether Leave or Stop was called.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
+// Stop refuses new connections, closes idle ones and waits until the requests
+// in flight are answered. A caller whose connection is refused knows that its
+// request did not run. If ctx ends first, beforeCut is told how many requests
+// will be cut off, then they are; their number is returned. beforeCut may be nil.
+func (s *Server) Stop(ctx context.Context, beforeCut func(inFlight int)) (cut int) {
+	s.Leave()
+	s.closeListeners()
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for s.closeQuiet() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			cut = s.InFlight()
+			if beforeCut != nil {
+				beforeCut(cut)
+			}
+			s.http.Close()
+			return cut
+		}
+	}
+	s.http.Close()
+	return 0
+}
+
+func (s *Server) closeListeners() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	for _, l := range s.listeners {
+		l.leave()
+	}
+	s.listeners = nil
+}
+
+// closeQuiet closes the connections on which nothing of a request has arrived
+// and returns how many others there are.
+func (s *Server) closeQuiet() int {
+	s.mu.Lock()
+	open := make([]*guard, 0, len(s.conns))
+	for g := range s.conns {
+		open = append(open, g)
+	}
+	s.mu.Unlock()
+	left := 0
+	for _, g := range open {
+		if g.quiet() {
+			g.Close()
+			continue
+		}
+		left++
+	}
+	return left
+}
