Contract tests of the platform's reader

The client runs against the stand-in under each fault of the service in a table, and against raw answers that the stand-in never gives. The tests found that a malformed load report came back half filled; it is empty now. go test -race -count=2 of internal/platform and internal/contract passes.

--- /dev/null
+++ b/internal/contract/contract_test.go
@@ -0,0 +1,124 @@
+package contract
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestLoadSurvivesTheHeader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		load := Load{
+			InFlight: rapid.IntRange(0, maxCount).Draw(t, "inFlight"),
+			Queued:   rapid.IntRange(0, maxCount).Draw(t, "queued"),
+			Slots:    rapid.IntRange(1, maxCount).Draw(t, "slots"),
+		}
+		if parsed, ok := ParseLoad(load.String()); !ok || parsed != load {
+			t.Fatalf("ParseLoad(%q) = %+v, %v", load.String(), parsed, ok)
+		}
+	})
+}
+
+func TestParseLoad(t *testing.T) {
+	whole := Load{InFlight: 3, Queued: 1, Slots: 2}
+	cases := map[string]struct {
+		value string
+		want  Load
+		ok    bool
+	}{
+		"as written":        {"in-flight=3,queued=1,slots=2", whole, true},
+		"spaces and order":  {" slots=2, queued=1 , in-flight=3", whole, true},
+		"unknown field":     {"in-flight=3,cpu=0.7,queued=1,slots=2", whole, true},
+		"empty":             {"", Load{}, false},
+		"field missing":     {"in-flight=3,slots=2", Load{}, false},
+		"field twice":       {"in-flight=3,in-flight=3,queued=1,slots=2", Load{}, false},
+		"no slots":          {"in-flight=3,queued=1,slots=0", Load{}, false},
+		"negative":          {"in-flight=-1,queued=1,slots=2", Load{}, false},
+		"too large":         {"in-flight=65536,queued=1,slots=2", Load{}, false},
+		"overflow":          {"in-flight=18446744073709551617,queued=1,slots=2", Load{}, false},
+		"comma at the end":  {"in-flight=3,queued=1,slots=2,", Load{}, false},
+		"number left empty": {"in-flight=,queued=1,slots=2", Load{}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got, ok := ParseLoad(c.value); got != c.want || ok != c.ok {
+				t.Fatalf("ParseLoad(%q) = %+v, %v; want %+v, %v", c.value, got, ok, c.want, c.ok)
+			}
+		})
+	}
+	value := whole.String()
+	if allocs := testing.AllocsPerRun(100, func() { ParseLoad(value) }); allocs != 0 {
+		t.Errorf("ParseLoad allocates %v times", allocs)
+	}
+}
+
+// A caller is told that its booking was not run and books again. The endpoint
+// had run the first one: its 503 came from a handler that failed after its work,
+// or from a proxy on the way. Only the explicit statement may count as proof.
+func TestProvedNotRun(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		values []string
+		ok     bool
+	}{
+		"stated":              {503, []string{"busy"}, true},
+		"plain 503":           {503, nil, false},
+		"plain 500":           {500, nil, false},
+		"stated with 500":     {500, []string{"busy"}, false},
+		"stated with 200":     {200, []string{"busy"}, false},
+		"unknown reason":      {503, []string{"tired"}, false},
+		"empty reason":        {503, []string{""}, false},
+		"two statements":      {503, []string{"busy", "draining"}, false},
+		"other spelling":      {503, []string{"Busy"}, false},
+		"joined by a gateway": {503, []string{"busy, draining"}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if _, ok := ProvedNotRun(c.status, http.Header{HeaderNotRun: c.values}); ok != c.ok {
+				t.Fatalf("ProvedNotRun(%d, %q) = %v; want %v", c.status, c.values, ok, c.ok)
+			}
+		})
+	}
+}
+
+func TestNumbers(t *testing.T) {
+	if got := FormatDeadline(1999 * time.Microsecond); got != "1" {
+		t.Errorf("a deadline of 1.999 ms is sent as %q, not rounded down", got)
+	}
+	if got := FormatDeadline(-time.Second); got != "0" {
+		t.Errorf("a deadline that passed is sent as %q", got)
+	}
+	checks := map[string]struct{ got, want bool }{
+		"deadline":           {isOK(ParseDeadline("1500")), true},
+		"deadline signed":    {isOK(ParseDeadline("+5")), false},
+		"deadline of a year": {isOK(ParseDeadline("31536000000")), false},
+		"attempt":            {isOK(ParseAttempt("1")), true},
+		"attempt zero":       {isOK(ParseAttempt("0")), false},
+		"deepest":            {isOK(ParseDepth("6")), true},
+		"too deep":           {isOK(ParseDepth("7")), false},
+		"incarnation":        {isOK(ParseIncarnation("18446744073709551615")), true},
+		"incarnation zero":   {isOK(ParseIncarnation("0")), false},
+	}
+	for name, check := range checks {
+		if check.got != check.want {
+			t.Errorf("%s: accepted = %v, want %v", name, check.got, check.want)
+		}
+	}
+}
+
+func isOK[T any](_ T, ok bool) bool { return ok }
+
+func TestHeaderNamesAreCanonical(t *testing.T) {
+	names := []string{
+		HeaderDeadline, HeaderAttempt, HeaderDepth, HeaderRequest, HeaderIdempotencyKey, HeaderService,
+		HeaderLoad, HeaderIncarnation, HeaderDraining, HeaderNotRun, HeaderCaller, HeaderOutcome,
+		HeaderReason, HeaderRevision, HeaderEntry, HeaderForwarded,
+	}
+	for _, name := range names {
+		if canonical := http.CanonicalHeaderKey(name); canonical != name {
+			t.Errorf("%q can't index a header; canonical is %q", name, canonical)
+		}
+	}
+}
--- a/internal/contract/load.go
+++ b/internal/contract/load.go
@@ -59,7 +59,10 @@
 			return Load{}, false
 		}
 	}
-	return load, seen == allFields && load.Slots > 0
+	if seen != allFields || load.Slots == 0 {
+		return Load{}, false
+	}
+	return load, true
 }
 
 // fieldSet remembers which fields of a load report were read.
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,324 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/standin"
+)
+
+const (
+	// soon ends waits that must end without an answer.
+	soon = 50 * time.Millisecond
+	// patient bounds waits that end by an event.
+	patient = 20 * time.Second
+)
+
+// fixture is a stand-in for the service behind a server. Its clock stands still
+// unless a test moves it, so that what is slow never answers.
+type fixture struct {
+	clock   *standin.ManualClock
+	service *standin.Platform
+	server  *standin.Server
+}
+
+// startService returns a service with two revisions of each value.
+func startService(t *testing.T) fixture {
+	t.Helper()
+	clock := standin.NewManualClock()
+	service := standin.NewPlatform(clock)
+	service.Put(platform.ProfilesValue, []byte("first"))
+	service.Put(platform.ProfilesValue, []byte("second"))
+	service.SetVMs(endpointVM("one"))
+	service.SetVMs(endpointVM("one"), endpointVM("two"))
+	server, err := standin.NewServer(standin.DefaultListen, service, standin.RealClock(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Kill)
+	return fixture{clock, service, server}
+}
+
+func endpointVM(name string) platform.VM {
+	return platform.VM{
+		Name: name, Incarnation: 7, Role: platform.EndpointRole, State: platform.Live,
+		Region: "tunis", Domain: "a", Address: "127.0.0.1:9000", Pool: "library", Slots: 2,
+	}
+}
+
+func newClient(server *standin.Server, timeout time.Duration) *platform.Client {
+	return platform.NewClient(platform.ClientConfig{
+		BaseURL: server.URL(), Timeout: timeout, WatchWait: patient, CallsPerSecond: 1e6, Burst: 1e6,
+	})
+}
+
+// TestRead is the contract of Service.Read under every fault of the service.
+func TestRead(t *testing.T) {
+	cases := map[string]struct {
+		faults   standin.PlatformFaults
+		prepare  func(fixture)
+		name     string
+		timeout  time.Duration
+		revision uint64
+		data     string
+		kind     fault.Kind
+	}{
+		"healthy":          {revision: 2, data: "second"},
+		"no such value":    {name: "tealhall/none", kind: fault.NotFound},
+		"answers 503":      {faults: standin.PlatformFaults{Down: true}, kind: fault.PlatformDown},
+		"refuses":          {prepare: func(f fixture) { f.server.Kill() }, kind: fault.PlatformDown},
+		"slow":             {faults: standin.PlatformFaults{Delay: time.Hour}, timeout: soon, kind: fault.PlatformDown},
+		"cut, with length": {faults: standin.PlatformFaults{Cut: standin.CutSized}, kind: fault.PlatformAnswer},
+		"cut, in chunks":   {faults: standin.PlatformFaults{Cut: standin.CutChunked}, kind: fault.PlatformAnswer},
+		"stale": {
+			faults:  standin.PlatformFaults{Stale: true},
+			prepare: func(f fixture) { f.service.Put(platform.ProfilesValue, []byte("third")) },
+			// The reader can't tell; that the answer is old shows in its revision.
+			revision: 2, data: "second",
+		},
+		"older replica": {faults: standin.PlatformFaults{OlderReplica: true}, revision: 1, data: "first"},
+		"largest value": {
+			prepare:  func(f fixture) { f.service.Put("large", make([]byte, platform.MaxValueBytes)) },
+			name:     "large",
+			revision: 1, data: string(make([]byte, platform.MaxValueBytes)),
+		},
+		"value too large": {
+			prepare: func(f fixture) { f.service.Put("large", make([]byte, platform.MaxValueBytes+1)) },
+			name:    "large",
+			kind:    fault.PlatformAnswer,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := startService(t)
+			f.service.SetFaults(c.faults)
+			if c.prepare != nil {
+				c.prepare(f)
+			}
+			if c.name == "" {
+				c.name = platform.ProfilesValue
+			}
+			if c.timeout == 0 {
+				c.timeout = patient
+			}
+			value, err := newClient(f.server, c.timeout).Read(context.Background(), c.name)
+			if fault.KindOf(err) != c.kind || value.Revision != c.revision || string(value.Data) != c.data {
+				t.Fatalf("revision %d, %d bytes, error %v; want revision %d, %d bytes, kind %q",
+					value.Revision, len(value.Data), err, c.revision, len(c.data), c.kind)
+			}
+			if err != nil && fault.Remedy(err) == "" {
+				t.Errorf("error names no remedy: %v", err)
+			}
+		})
+	}
+}
+
+// TestWatch is the contract of Service.Watch: what ends the wait.
+func TestWatch(t *testing.T) {
+	cases := map[string]struct {
+		during   func(fixture) // once the watch waits
+		revision uint64
+		data     string
+		kind     fault.Kind
+	}{
+		"published": {
+			during:   func(f fixture) { f.service.Put(platform.ProfilesValue, []byte("third")) },
+			revision: 3, data: "third",
+		},
+		"nothing new": {
+			during:   func(f fixture) { f.clock.Advance(patient) },
+			revision: 2,
+		},
+		"goes down": {
+			during: func(f fixture) { f.service.SetFaults(standin.PlatformFaults{Down: true}) },
+			kind:   fault.PlatformDown,
+		},
+		"is killed": {
+			during: func(f fixture) { f.server.Kill() },
+			kind:   fault.PlatformDown,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := startService(t)
+			client := newClient(f.server, patient)
+			type result struct {
+				value platform.Value
+				err   error
+			}
+			results := make(chan result)
+			go func() {
+				value, err := client.Watch(context.Background(), platform.ProfilesValue, 2)
+				results <- result{value, err}
+			}()
+			f.clock.AwaitTimers(1) // the service holds the watch
+			c.during(f)
+			got := <-results
+			if fault.KindOf(got.err) != c.kind || got.value.Revision != c.revision || string(got.value.Data) != c.data {
+				t.Fatalf("got %+v, error %v", got.value, got.err)
+			}
+		})
+	}
+}
+
+// TestWatchAtLaggingReplica: a reader that asks for what is later than revision 2
+// reaches a replica that has only revision 1. The answer must come through as it
+// is: the decision that 1 is older than what is in force is made elsewhere.
+func TestWatchAtLaggingReplica(t *testing.T) {
+	f := startService(t)
+	f.service.SetFaults(standin.PlatformFaults{OlderReplica: true})
+	client := newClient(f.server, patient)
+	value, err := client.Watch(context.Background(), platform.ProfilesValue, 2)
+	if err != nil || value.Revision != 1 || string(value.Data) != "first" {
+		t.Errorf("got %+v, error %v", value, err)
+	}
+	if stats := f.service.Stats(); stats.Calls != 1 || stats.PeakWatches != 1 {
+		t.Errorf("the service counted %+v; want one call that is one watch", stats)
+	}
+}
+
+// TestWatchGivenUp: the reader stops a watch, as when its duty moves to another
+// entry. The service must not count it as waiting any longer.
+func TestWatchGivenUp(t *testing.T) {
+	f := startService(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		f.clock.AwaitTimers(1)
+		cancel()
+	}()
+	_, err := newClient(f.server, patient).Watch(ctx, platform.ProfilesValue, 2)
+	if !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v", err)
+	}
+	f.clock.AwaitTimers(0)
+}
+
+// A profile is published but some entries don't take it for minutes. Their open
+// connections had gone silent: something on the way forgot them. The failed call
+// must take its connection out of use, so that the next goes over a new one.
+func TestReadAfterConnectionWentSilent(t *testing.T) {
+	server := startService(t).server
+	client := newClient(server, patient)
+	if _, err := client.Read(context.Background(), platform.ProfilesValue); err != nil {
+		t.Fatal(err)
+	}
+	if silenced := server.BlackHole(); silenced != 1 {
+		t.Fatalf("%d open connections instead of one", silenced)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), soon)
+	defer cancel()
+	if _, err := client.Read(ctx, platform.ProfilesValue); fault.KindOf(err) != fault.PlatformDown {
+		t.Fatalf("error on the silent connection: %v", err)
+	}
+	value, err := client.Read(context.Background(), platform.ProfilesValue)
+	if err != nil || value.Revision != 2 || server.AcceptedConnections() != 2 {
+		t.Errorf("got %+v over %d connections, error %v", value, server.AcceptedConnections(), err)
+	}
+}
+
+// TestUnusableAnswers feeds the client answers that the stand-in never gives.
+func TestUnusableAnswers(t *testing.T) {
+	ok := func(header ...string) string {
+		return "HTTP/1.1 200 OK\r\n" + strings.Join(header, "\r\n") + "\r\n\r\nbody"
+	}
+	cases := map[string]struct {
+		answer string
+		kind   fault.Kind
+	}{
+		"usable":             {ok("Content-Length: 4", "Platform-Revision: 3"), ""},
+		"no revision":        {ok("Content-Length: 4"), fault.PlatformAnswer},
+		"revision zero":      {ok("Content-Length: 4", "Platform-Revision: 0"), fault.PlatformAnswer},
+		"malformed revision": {ok("Content-Length: 4", "Platform-Revision: 3a"), fault.PlatformAnswer},
+		"two revisions":      {ok("Content-Length: 4", "Platform-Revision: 3", "Platform-Revision: 4"), fault.PlatformAnswer},
+		"no length":          {ok("Connection: close", "Platform-Revision: 3"), fault.PlatformAnswer},
+		"shorter than said":  {ok("Content-Length: 5", "Platform-Revision: 3"), fault.PlatformAnswer},
+		"compressed":         {ok("Content-Length: 4", "Content-Encoding: gzip", "Platform-Revision: 3"), fault.PlatformAnswer},
+		"redirect":           {"HTTP/1.1 302 Found\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n", fault.PlatformAnswer},
+		"unasked 304":        {"HTTP/1.1 304 Not Modified\r\n\r\n", fault.PlatformAnswer},
+		"too many calls":     {"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n", fault.PlatformDown},
+		"not HTTP":           {"SSH-2.0-OpenSSH\r\n\r\n", fault.PlatformDown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err == nil {
+					_, _ = io.WriteString(conn, c.answer)
+					_ = conn.Close()
+				}
+			}))
+			defer server.Close()
+			client := platform.NewClient(platform.ClientConfig{BaseURL: server.URL, Timeout: patient})
+			value, err := client.Read(context.Background(), platform.ProfilesValue)
+			if fault.KindOf(err) != c.kind {
+				t.Fatalf("got %+v, error %v; want kind %q", value, err, c.kind)
+			}
+		})
+	}
+}
+
+// endless is a chunked body without end that counts what is read of it.
+type endless struct{ read int }
+
+func (e *endless) Read(p []byte) (int, error) { e.read += len(p); return len(p), nil }
+func (e *endless) Close() error               { return nil }
+
+type transportFunc func(*http.Request) (*http.Response, error)
+
+func (f transportFunc) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+func TestReadStopsAtTheLargestValue(t *testing.T) {
+	body := &endless{}
+	client := platform.NewClient(platform.ClientConfig{
+		BaseURL: "http://127.0.0.1:1",
+		Transport: transportFunc(func(*http.Request) (*http.Response, error) {
+			return &http.Response{
+				StatusCode: http.StatusOK, ContentLength: -1, TransferEncoding: []string{"chunked"},
+				Header: http.Header{platform.RevisionHeader: {"1"}}, Body: body,
+			}, nil
+		}),
+	})
+	_, err := client.Read(context.Background(), platform.ProfilesValue)
+	if fault.KindOf(err) != fault.PlatformAnswer || body.read > platform.MaxValueBytes+1 {
+		t.Errorf("error %v after %d bytes", err, body.read)
+	}
+}
+
+func TestCallsAreBounded(t *testing.T) {
+	now := time.Unix(0, 0)
+	calls := 0
+	client := platform.NewClient(platform.ClientConfig{
+		BaseURL: "http://127.0.0.1:1", CallsPerSecond: 2, Burst: 3,
+		Now: func() time.Time { return now },
+		Transport: transportFunc(func(*http.Request) (*http.Response, error) {
+			calls++
+			return nil, fmt.Errorf("call %d", calls)
+		}),
+	})
+	for range 100 { // a hundred tries in ten seconds
+		_, err := client.Read(context.Background(), platform.ProfilesValue)
+		if kind := fault.KindOf(err); kind != fault.RateLimited && kind != fault.PlatformDown {
+			t.Fatalf("error %v", err)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if most := 3 + 2*10; calls > most || calls < most-2 {
+		t.Errorf("%d calls went out; want about %d", calls, most)
+	}
+}
+
+func TestUnusableAddress(t *testing.T) {
+	client := platform.NewClient(platform.ClientConfig{BaseURL: "http://[::1"})
+	if _, err := client.Read(context.Background(), "name"); fault.KindOf(err) != fault.BadSettings {
+		t.Errorf("error %v", err)
+	}
+}
--- /dev/null
+++ b/internal/platform/follow_test.go
@@ -0,0 +1,117 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+// scripted answers watches from a list and records from where each one asked.
+type scripted struct {
+	now   time.Duration
+	steps []step
+	asked []uint64
+	stop  context.CancelFunc
+}
+
+type step struct {
+	revision uint64
+	held     time.Duration
+	err      error
+}
+
+func (s *scripted) Read(context.Context, string) (platform.Value, error) {
+	return platform.Value{}, errors.New("not read")
+}
+
+func (s *scripted) Watch(_ context.Context, name string, after uint64) (platform.Value, error) {
+	if len(s.steps) == 0 {
+		s.stop()
+		return platform.Value{}, context.Canceled
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	s.asked = append(s.asked, after)
+	s.now += next.held
+	return platform.Value{Name: name, Revision: next.revision}, next.err
+}
+
+// Through a close, the service fails, comes back on a replica that lags and
+// answers it without holding the watch. The reader must pass on what it hears,
+// never ask from a lower revision than it saw, and not call in a tight loop.
+func TestFollow(t *testing.T) {
+	down := errors.New("down")
+	ctx, cancel := context.WithCancel(context.Background())
+	service := &scripted{stop: cancel, steps: []step{
+		{revision: 5},
+		{err: down},
+		{err: down},
+		{revision: 3},                         // lags, not held
+		{revision: 5},                         // unchanged, not held
+		{revision: 5, held: 25 * time.Second}, // unchanged, held
+		{revision: 6},
+		{err: down},
+	}}
+	var delivered []uint64
+	var pauses, failures int
+	platform.Follow(ctx, service, platform.ProfilesValue, 4, platform.FollowOptions{
+		Backoff: platform.NewBackoff(time.Second, time.Minute),
+		Rand:    rand.New(rand.NewPCG(1, 2)),
+		Now:     func() time.Duration { return service.now },
+		Sleep:   func(context.Context, time.Duration) { pauses++ },
+		OnError: func(error) { failures++ },
+	}, func(v platform.Value) { delivered = append(delivered, v.Revision) })
+	if diff := cmp.Diff([]uint64{5, 3, 5, 5, 6}, delivered); diff != "" {
+		t.Errorf("delivered (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]uint64{4, 5, 5, 5, 5, 5, 5, 6}, service.asked); diff != "" {
+		t.Errorf("asked from (-want +got):\n%s", diff)
+	}
+	if pauses != 5 || failures != 3 {
+		t.Errorf("%d pauses and %d failures; want 5 (three failures, two answers not held) and 3", pauses, failures)
+	}
+}
+
+// TestBackoff: every delay is above zero and within a ceiling that doubles up to
+// Max and never wraps around, however long the service is down.
+func TestBackoff(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		low := time.Duration(rapid.Int64Range(1, int64(time.Hour)).Draw(t, "min"))
+		high := low + time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "more"))
+		backoff := platform.NewBackoff(low, high)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		for round := range 2 {
+			ceiling := low
+			for failure := range 80 {
+				if delay := backoff.Next(rng); delay <= 0 || delay > ceiling {
+					t.Fatalf("round %d, failure %d: delay %v not in (0, %v]", round, failure, delay, ceiling)
+				}
+				ceiling = min(2*ceiling, high)
+			}
+			backoff.Reset()
+		}
+	})
+}
+
+// Readers that lost the service together must not come back together: the
+// delays after the same number of failures spread over the whole range.
+func TestBackoffSpreads(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	var quarters [4]int
+	for range 400 {
+		backoff := platform.NewBackoff(time.Second, time.Minute)
+		quarters[(backoff.Next(rng)-1)/(time.Second/4)]++
+	}
+	for i, count := range quarters {
+		if count < 70 || count > 130 {
+			t.Errorf("quarter %d holds %d of 400 first delays", i, count)
+		}
+	}
+}
