--- /dev/null
+++ b/internal/profile/golden_test.go
@@ -0,0 +1,51 @@
+package profile
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/tealhall/tealhall/internal/fault"
+)
+
+// TestRefused holds the problems that an operator sees for a document.
+func TestRefused(t *testing.T) {
+	datadriven.RunTest(t, "testdata/refused", func(t *testing.T, d *datadriven.TestData) string {
+		s, err := Parse([]byte(d.Input), 1)
+		if err == nil {
+			return "accepted\n" + lines(s.Warnings())
+		}
+		if kind := fault.KindOf(err); kind != fault.BadProfile {
+			t.Errorf("kind = %q", kind)
+		}
+		var refused *DocumentError
+		if !errors.As(err, &refused) {
+			t.Fatalf("%v holds no DocumentError", err)
+		}
+		return lines(refused.Problems)
+	})
+}
+
+// TestDiff publishes one document after another and shows what changes.
+func TestDiff(t *testing.T) {
+	var inForce *Snapshot
+	datadriven.RunTest(t, "testdata/diff", func(t *testing.T, d *datadriven.TestData) string {
+		next, err := Parse([]byte(d.Input), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		changes := Diff(inForce, next)
+		inForce = next
+		return lines(changes)
+	})
+}
+
+func lines[T interface{ String() string }](items []T) string {
+	var b strings.Builder
+	for _, item := range items {
+		b.WriteString(item.String() + "\n")
+	}
+	return b.String()
+}
--- a/internal/profile/lines.go
+++ b/internal/profile/lines.go
@@ -132,7 +132,11 @@
 		}
 	case unstable.Array:
 		for i := 1; children.Next(); i++ {
-			x.value(element(path, i), depth+1, children.Node())
+			child := children.Node()
+			if child.Raw.Length > 0 {
+				x.record(element(path, i), child)
+			}
+			x.value(element(path, i), depth+1, child)
 		}
 	}
 }
--- /dev/null
+++ b/internal/profile/parse_test.go
@@ -0,0 +1,261 @@
+package profile
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const example = "../../examples/mermaconteo.toml"
+
+// mustParse returns the snapshot of a document that has to be accepted.
+func mustParse(t *testing.T, document string) *Snapshot {
+	t.Helper()
+	s, err := Parse([]byte(document), 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestExamples(t *testing.T) {
+	cases := []struct {
+		file     string
+		services string
+		pools    string
+	}{
+		{example, "live-counts photo-batches waste-entries weekly-summaries", "batches live-counts waste-entries"},
+		{"../../examples/sabra.toml", "booking library scans site-checks", "booking field library"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.file, func(t *testing.T) {
+			data, err := os.ReadFile(tc.file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := mustParse(t, string(data))
+			var services []string
+			for _, service := range s.Services() {
+				services = append(services, service.Name)
+				checkSound(t, service)
+			}
+			if got := strings.Join(services, " "); got != tc.services {
+				t.Errorf("services = %s", got)
+			}
+			if got := strings.Join(s.Pools(), " "); got != tc.pools {
+				t.Errorf("pools = %s", got)
+			}
+			if len(s.Warnings()) > 0 || len(s.Closes()) == 0 {
+				t.Errorf("warnings %v, closes %v", s.Warnings(), s.Closes())
+			}
+		})
+	}
+}
+
+func TestSnapshot(t *testing.T) {
+	document := `format = 1
+requires = 1
+[profile.scans]
+kind = "bulk"
+deadline = "1h"
+watch_budget = 0
+[profile.scans.close]
+deadline = "90s"
+max_body = "3GiB"
+[profile.checks]
+kind = "urgent"
+slot_share = 1
+[profile.checks.close]
+eject_max_share = 0.1
+[service.scans]
+profile = "scans"
+pool = "field"
+[service.checks]
+profile = "checks"
+pool = "field"
+`
+	data := []byte(document)
+	s, err := Parse(data, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[0] = 'X'
+	s.Data()[1] = 'X'
+	if s.Revision() != 7 || string(s.Data()) != document {
+		t.Errorf("revision %d, data %q", s.Revision(), s.Data())
+	}
+	if s.Digest() == mustParse(t, document+"\n").Digest() {
+		t.Error("another text has the same digest")
+	}
+
+	scans, ok := s.Service("scans")
+	if _, other := s.Service("photos"); !ok || other {
+		t.Fatal("a service is missing or made up")
+	}
+	ordinary := Default(Bulk)
+	ordinary.Deadline, ordinary.WatchBudget = time.Hour, 0
+	during := ordinary
+	during.Deadline, during.MaxBodyBytes = 90*time.Second, 3<<30
+	if *scans.Policy(false) != ordinary || *scans.Policy(true) != during {
+		t.Errorf("scans = %+v", scans)
+	}
+
+	limits := PoolLimits{WatchBudget: 0, EjectMaxShare: 0.2, EjectBase: 5 * time.Second, EjectMax: 2 * time.Minute}
+	if got, ok := s.PoolLimits("field", false); !ok || got != limits {
+		t.Errorf("ordinary limits = %+v", got)
+	}
+	limits.EjectMaxShare = 0.1
+	if got, ok := s.PoolLimits("field", true); !ok || got != limits {
+		t.Errorf("limits during a close = %+v", got)
+	}
+	if _, ok := s.PoolLimits("scans", false); ok {
+		t.Error("a service's own name is a pool although it picked another")
+	}
+}
+
+// A document that is syntactically sound can still be built to exhaust an
+// entry. All entries read it at once and again at each start, so none may fail.
+func TestHostileDocuments(t *testing.T) {
+	half := MaxDocumentBytes/2 - 10
+	cases := map[string]string{
+		"too large":         strings.Repeat("#", MaxDocumentBytes+1),
+		"nested lists":      "format = " + strings.Repeat("[", half) + strings.Repeat("]", half),
+		"dotted key":        "format = 1\nprofile.x.kind" + strings.Repeat(".a", half-20) + " = 1",
+		"dotted table":      "[a" + strings.Repeat(".a", half) + "]",
+		"long name":         "[profile." + strings.Repeat("a", half) + "]\n" + strings.Repeat("a=1\n", 1) + "\n",
+		"many unknown keys": "format = 1\n" + numberedKeys(50000),
+		"zero bytes":        "format = 1\x00",
+		"not UTF-8":         "format = 1 # \xff",
+	}
+	for name, document := range cases {
+		t.Run(name, func(t *testing.T) {
+			if _, err := Parse([]byte(document), 1); err == nil {
+				t.Error("accepted")
+			} else if len(err.Error()) > 64*kilobyte {
+				t.Errorf("the message has %d bytes", len(err.Error()))
+			}
+		})
+	}
+}
+
+func numberedKeys(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString("key" + strings.Repeat("x", i%7) + formatShare(float64(i)) + " = 1\n")
+	}
+	return b.String()
+}
+
+// checkSound restates what must hold of a service however it was written.
+func checkSound(t interface{ Errorf(string, ...any) }, s *Service) {
+	if s.Ordinary.Kind != s.Close.Kind || s.Ordinary.RequireKey != s.Close.RequireKey {
+		t.Errorf("%s: the contract with callers differs in a close", s.Name)
+	}
+	for _, closing := range []bool{false, true} {
+		p := s.Policy(closing)
+		twice := p.Kind == Read || p.Kind == Urgent
+		sound := s.Pool != "" && s.Profile != "" &&
+			p.Deadline > 0 && p.HedgeAfter >= 0 && p.HedgeAfter < p.Deadline &&
+			(p.HedgeAfter == 0 || twice && p.MaxAttempts > 1 && p.RetryBudget > 0) &&
+			(p.Kind != Once || p.RequireKey || p.MaxAttempts == 1) &&
+			(p.QueueOrder == ByDeadline || p.QueueOrder == ByArrival) &&
+			p.QueueLimit >= 0 && p.Priority >= 0 && p.Priority <= 9 &&
+			p.SlotShare > 0 && p.SlotShare <= 1 && p.CallerShare > 0 && p.CallerShare <= 1 &&
+			(p.QueueLimit == 0 || p.CallerShare*float64(p.QueueLimit) >= 1) &&
+			p.RetryBudget >= 0 && p.RetryBudget <= 1 && p.MaxAttempts >= 1 && p.MaxAttempts <= 5 &&
+			p.WatchBudget >= 0 && p.WatchBudget <= 0.2 && p.EjectMaxShare >= 0 && p.EjectMaxShare <= 0.5 &&
+			p.EjectBase > 0 && p.EjectBase <= p.EjectMax && p.MaxBodyBytes >= 0 && p.EntriesPerDomain >= 1
+		if !sound {
+			t.Errorf("%s: accepted in closing=%v: %+v", s.Name, closing, *p)
+		}
+	}
+}
+
+// drawDocument writes a document from plausible parts, good and bad. Several
+// of its bad values are rare, so that a fair share is accepted.
+func drawDocument(t *rapid.T) string {
+	values := map[string][]string{
+		"duration":      {`"20ms"`, `"1s"`, `"2m"`, `"1h"`, `"0s"`, `"-1s"`, "5"},
+		"whole number":  {"1", "3", "5", "0", "9", "-1", "10001", `"1"`},
+		"share":         {"0.1", "0.2", "0.02", "0", "0.5", "1", "1.5", "inf"},
+		"size":          {`"0B"`, `"8MB"`, `"1GiB"`, `"17GB"`, `"-1B"`},
+		"true or false": {"true", "false", "1"},
+		"choice":        {`"deadline"`, `"arrival"`, `"other"`},
+	}
+	block := func(b *strings.Builder, header string) {
+		b.WriteString(header)
+		for range rapid.IntRange(0, 4).Draw(t, "fields") {
+			f := rapid.SampledFrom(fields[1:]).Draw(t, "field")
+			if !strings.Contains(header, "kind") && f.fixed || strings.Contains(b.String()[strings.LastIndex(b.String(), "["):], "\n"+f.name+" ") {
+				continue
+			}
+			b.WriteString(f.name + " = " + rapid.SampledFrom(values[f.unit()]).Draw(t, "value") + "\n")
+		}
+	}
+	var b strings.Builder
+	b.WriteString("format = 1\n")
+	for _, name := range []string{"a", "b"} {
+		kind := rapid.SampledFrom(Kinds()).Draw(t, "kind")
+		block(&b, "[profile."+name+"]\nkind = \""+string(kind)+"\"\n")
+		block(&b, "[profile."+name+".close]\n")
+		pool := rapid.SampledFrom([]string{"p", "q"}).Draw(t, "pool")
+		b.WriteString("[service." + name + "]\nprofile = \"" + name + "\"\npool = \"" + pool + "\"\n")
+	}
+	return b.String()
+}
+
+func TestParseProperties(t *testing.T) {
+	accepted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		document := drawDocument(t)
+		first, err := Parse([]byte(document), 1)
+		second, again := Parse([]byte(document), 1)
+		if err != nil || again != nil {
+			if err == nil || again == nil || err.Error() != again.Error() {
+				t.Fatalf("one outcome %v, then %v", err, again)
+			}
+			return
+		}
+		accepted++
+		if changes := Diff(first, second); len(changes) > 0 {
+			t.Errorf("the same document differs: %v", changes)
+		}
+		for _, s := range first.Services() {
+			checkSound(t, s)
+		}
+	})
+	if accepted == 0 {
+		t.Error("no document was accepted, so none was checked")
+	}
+}
+
+// Damaged documents arrive when a publisher cuts a file or mangles its text.
+func TestParseDamaged(t *testing.T) {
+	whole, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		data := bytes.Clone(whole)
+		for range rapid.IntRange(1, 5).Draw(t, "damages") {
+			at := rapid.IntRange(0, len(data)-1).Draw(t, "at")
+			end := min(at+rapid.IntRange(0, 200).Draw(t, "length"), len(data))
+			noise := rapid.SampledFrom([]string{"", "\n", "[", "]]", "{", "=", `"`, ".", "\xff", "9"}).Draw(t, "noise")
+			data = append(append(bytes.Clone(data[:at]), noise...), data[end:]...)
+			if len(data) == 0 {
+				break
+			}
+		}
+		s, err := Parse(data, 1)
+		if err != nil {
+			return
+		}
+		for _, service := range s.Services() {
+			checkSound(t, service)
+		}
+	})
+}
--- a/internal/profile/profiles.go
+++ b/internal/profile/profiles.go
@@ -32,7 +32,7 @@
 	kind := &fields[0]
 	value, given := s.values[kind.name]
 	if !given {
-		c.report(s.child(kind.name), "the field is missing", "set it to "+kind.admitted())
+		c.report(s.child(kind.name), "the field is missing", "use "+kind.admitted())
 		refused[kind.name] = true
 	} else if !kind.set(&m.ordinary, value) {
 		refused[kind.name] = true
@@ -67,7 +67,7 @@
 			continue
 		}
 		refused[f.name] = true
-		c.report(s.child(f.name), printable(value)+" is not a value of this field", "set it to "+f.admitted())
+		c.report(s.child(f.name), printable(value)+" is not a value of this field", "use "+f.admitted())
 	}
 }
 
