--- a/internal/core/budget/retry.go
+++ b/internal/core/budget/retry.go
@@ -16,7 +16,7 @@
 }
 
 // DefaultRetryCap is the default of RetryConfig.Cap.
-const DefaultRetryCap = 10
+const DefaultRetryCap = 5
 
 // Retry decides whether one more attempt may be sent for a request, as a retry
 // or a hedge.
@@ -38,7 +38,9 @@
 	if cfg.Cap <= 0 {
 		cfg.Cap = DefaultRetryCap
 	}
-	return &Retry{config: cfg, bucket: bucket{capacity: max(1, cfg.Cap)}}
+	// The minimum is earned from the start of the process and not from the
+	// first failure on, which would otherwise never be tried again.
+	return &Retry{config: cfg, bucket: bucket{capacity: max(1, cfg.Cap), started: true}}
 }
 
 // Earn counts a request that was answered with success.
--- a/internal/core/budget/watch.go
+++ b/internal/core/budget/watch.go
@@ -39,11 +39,7 @@
 type Watch struct {
 	config WatchConfig
 	bucket bucket
-	// slots and share are the lowest values since the last call, so that time
-	// before a change is never paid at the higher rate.
-	slots int
-	share float64
-	spent Spending
+	spent  Spending
 }
 
 // Spending counts what was spent since the process started.
@@ -64,7 +60,6 @@
 	return &Watch{
 		config: cfg,
 		bucket: bucket{capacity: cfg.ProbeCost.Seconds()},
-		share:  cfg.Share,
 	}
 }
 
@@ -72,20 +67,15 @@
 // run. It is zero if the pool is too small for the window; then this entry
 // never probes, and a longer window or a larger share is the remedy.
 func (w *Watch) Rate(slots int) float64 {
-	return w.rate(w.config.Share, slots)
-}
-
-func (w *Watch) rate(share float64, slots int) float64 {
-	part := share * float64(slots) / float64(w.config.LargestFleet)
+	part := w.config.Share * float64(slots) / float64(w.config.LargestFleet)
 	return max(0, part-w.config.ProbeCost.Seconds()/w.config.Window.Seconds())
 }
 
 // TrySpend takes the cost of one probe if it is there. slots is the number of
-// slots of the pool's endpoints.
+// slots of the pool's endpoints; the bound holds for the largest number that
+// any entry passes in the window.
 func (w *Watch) TrySpend(now time.Duration, slots int) bool {
-	w.bucket.earn(now, w.rate(min(w.share, w.config.Share), min(w.slots, slots)))
-	w.slots = slots
-	w.share = w.config.Share
+	w.bucket.earn(now, w.Rate(slots))
 	if !w.bucket.take(w.config.ProbeCost.Seconds()) {
 		return false
 	}
@@ -105,11 +95,10 @@
 }
 
 // SetShare changes the share, for example when a close begins. In a window
-// that spans the change the larger of the two shares holds.
-func (w *Watch) SetShare(share float64) {
-	w.share = min(w.share, share)
-	w.config.Share = share
-}
+// that spans the change the larger of the two shares holds: what the first
+// call afterwards earns at the new rate for the time before is within the one
+// probe that the bucket holds.
+func (w *Watch) SetShare(share float64) { w.config.Share = share }
 
 // Spent returns what was spent since the process started.
 func (w *Watch) Spent() Spending { return w.spent }
