--- a/internal/core/gossip/compose.go
+++ b/internal/core/gossip/compose.go
@@ -40,7 +40,7 @@
 
 // room returns how many bytes a message may have beyond a heartbeat.
 func (s *Scheduler) room(floor float64) int {
-	return int(s.allow.bytes-floor*s.allow.bytesRate) - heartbeatBytes
+	return int(s.allow.room(floor)) - heartbeatBytes
 }
 
 // base returns an update with what this entry tells of itself.
@@ -141,6 +141,7 @@
 // takes in its evidence to pass on. Evidence that both have is not sent back.
 func (s *Scheduler) Received(now time.Duration, u *message.Update) {
 	p := s.peers[u.From]
+	held := len(s.log.claims)
 	for _, e := range u.Evidence {
 		if c := s.hold(now, e); c != nil && p != nil {
 			s.markKnown(c, p)
@@ -149,6 +150,9 @@
 	if p == nil {
 		return
 	}
+	if len(s.log.claims)-held >= bulk && p.behind > 0 {
+		s.leaveToSender(now, p)
+	}
 	p.told.profiles = max(p.told.profiles, u.Profiles.Revision)
 	p.told.vms = max(p.told.vms, u.VMs.Revision)
 	if u.Known != s.log.digest {
@@ -158,3 +162,17 @@
 		s.markKnown(c, p)
 	}
 }
+
+// leaveToSender lets fingers wait that the sender of bulky news reaches without
+// this entry. The sender's own fingers divide the ring into arcs; this entry
+// first serves the arc that begins with it. Guards against a bound that is spent
+// on second copies while others have none, which would show as seconds of delay
+// when a whole failure domain leaves. If a way is lost, the wait ends.
+func (s *Scheduler) leaveToSender(now time.Duration, sender *peer) {
+	for _, id := range s.order {
+		p := s.peers[id]
+		if p.finger && p.kind == linkMesh && p.distance >= sender.behind {
+			p.urgentAt = max(p.urgentAt, now+bulkWait)
+		}
+	}
+}
--- a/internal/core/gossip/config.go
+++ b/internal/core/gossip/config.go
@@ -51,7 +51,7 @@
 
 // Bounds of one message and of what is kept.
 const (
-	maxEvidence  = 64
+	maxEvidence  = 128
 	maxSightings = 64
 	// maxClaims bounds the evidence held; the oldest goes first.
 	maxClaims = 1024
@@ -61,22 +61,34 @@
 	MaxPeers = 256
 )
 
+// bulk is from how many pieces on news is bulky, and bulkWait how long a second
+// copy of it waits for the first copies.
+const (
+	bulk     = 16
+	bulkWait = 700 * time.Millisecond
+)
+
 // Shares of the bound.
 const (
 	// heartbeatShare is what heartbeats to all peers may take together.
 	heartbeatShare = 0.5
-	// sightingFloor is the share of a second's bound that sightings leave for
-	// what is worth more; heartbeatFloor is what heartbeats leave for news.
+	// sightingFloor is the share of a full bucket that sightings leave for what
+	// is worth more; heartbeatFloor is what heartbeats leave for news.
 	sightingFloor  = 0.5
 	heartbeatFloor = 0.1
 )
 
+// burst is how many seconds' worth of the bound may be saved up. With half of
+// it kept from sightings, news of a whole failure domain that leaves finds a
+// second's worth at hand.
+const burst = 2.0
+
 // Times after which a message counts as lost, and between tries of a peer that
 // does not answer.
 const (
 	inFlightLimit = 2 * time.Second
 	retryMin      = 250 * time.Millisecond
-	retryMax      = 5 * time.Second
+	retryMax      = 2 * time.Second
 )
 
 // sightingRefresh: an unchanged sighting is told again after this time, and one
--- a/internal/core/gossip/scheduler.go
+++ b/internal/core/gossip/scheduler.go
@@ -46,6 +46,8 @@
 	suspected   bool
 	kind        linkKind
 	finger      bool
+	distance    int // on the ring from this entry to the peer; 0 if not on it
+	behind      int // on the ring from the peer to this entry
 
 	scheduled   bool // heartbeatAt is set
 	heartbeatAt time.Duration
@@ -190,7 +192,7 @@
 	dueSightings
 	dueHeartbeat
 	dueNews
-	// dueOverdue: a heartbeat that is late by a whole period goes before
+	// dueOverdue: a heartbeat that is late by half a period goes before
 	// everything, so that a flood of news never looks like a dead entry.
 	dueOverdue
 )
@@ -212,7 +214,7 @@
 		return notDue
 	}
 	switch {
-	case now-p.heartbeatAt >= s.period(p):
+	case now-p.heartbeatAt >= s.period(p)/2:
 		return dueOverdue
 	case p.finger && now >= p.urgentAt && (p.owed > 0 || p.told.behind(s.state)):
 		return dueNews
@@ -231,8 +233,9 @@
 }
 
 // Due appends the peers to whom a message is due to out, the most urgent
-// first; the caller then calls Compose for each. Messages without an ack for
-// too long count as lost.
+// first; the caller then calls Compose for each. Of peers that wait alike, the
+// farthest on the ring comes first: most entries depend on it, and it is another
+// one for each entry. Messages without an ack for too long count as lost.
 func (s *Scheduler) Due(now time.Duration, out []uint64) []uint64 {
 	s.allow.refill(now)
 	if now >= s.expireAt {
@@ -253,7 +256,7 @@
 	}
 	slices.SortFunc(found, func(a, b duePeer) int {
 		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(a.peer.waiting(a.urgency), b.peer.waiting(b.urgency)),
-			cmp.Compare(a.peer.incarnation, b.peer.incarnation))
+			cmp.Compare(b.peer.distance, a.peer.distance), cmp.Compare(a.peer.incarnation, b.peer.incarnation))
 	})
 	for _, d := range found {
 		out = append(out, d.peer.incarnation)
--- a/internal/core/gossip/size.go
+++ b/internal/core/gossip/size.go
@@ -33,7 +33,8 @@
 }
 
 // allowance is a pair of token buckets, for bytes and for messages. Each holds
-// one second's worth, so any span of t seconds costs at most t+1 seconds' worth.
+// burst seconds' worth, so any span of t seconds costs at most t+burst seconds'
+// worth.
 type allowance struct {
 	bytes, messages         float64
 	bytesRate, messagesRate float64
@@ -41,7 +42,10 @@
 }
 
 func newAllowance(bytesRate, messagesRate float64) allowance {
-	return allowance{bytes: bytesRate, messages: messagesRate, bytesRate: bytesRate, messagesRate: messagesRate}
+	return allowance{
+		bytes: burst * bytesRate, messages: burst * messagesRate,
+		bytesRate: bytesRate, messagesRate: messagesRate,
+	}
 }
 
 func (a *allowance) refill(now time.Duration) {
@@ -50,16 +54,19 @@
 	}
 	passed := (now - a.at).Seconds()
 	a.at = now
-	a.bytes = min(a.bytes+passed*a.bytesRate, a.bytesRate)
-	a.messages = min(a.messages+passed*a.messagesRate, a.messagesRate)
+	a.bytes = min(a.bytes+passed*a.bytesRate, burst*a.bytesRate)
+	a.messages = min(a.messages+passed*a.messagesRate, burst*a.messagesRate)
 }
 
 // covers reports whether a message of size bytes may be sent while floor, a
-// share of a second's worth, is left for other messages.
+// share of a full bucket, is left for other messages.
 func (a *allowance) covers(size int, floor float64) bool {
-	return a.bytes-float64(size) >= floor*a.bytesRate && a.messages-1 >= floor*a.messagesRate
+	return a.room(floor) >= float64(size) && a.messages-1 >= floor*burst*a.messagesRate
 }
 
+// room returns how many bytes are left above floor.
+func (a *allowance) room(floor float64) float64 { return a.bytes - floor*burst*a.bytesRate }
+
 func (a *allowance) take(size int) {
 	a.bytes -= float64(size)
 	a.messages--
--- a/internal/core/gossip/topology.go
+++ b/internal/core/gossip/topology.go
@@ -33,6 +33,9 @@
 // to how many entries there. With two and two, each end may lose one.
 const linksPerRegion = 2
 
+// farAway is the ring distance of a peer in another region: beyond all others.
+const farAway = 1 << 30
+
 // failuresToSkip: a peer in another region that failed so often gives its
 // place to the next one.
 const failuresToSkip = 3
@@ -42,22 +45,15 @@
 	return duty.Score(duty.Key("ring", ""), incarnation)
 }
 
-// fingers returns the entries at distance 1, 2, 4, … from self on the ring of
-// members, which includes self. If each entry passes news on to its fingers,
-// it reaches all n after at most ceil(log2 n) steps; several ways lead to each
-// entry, so one that is lost costs steps, not the news.
-func fingers(self uint64, members []uint64) []uint64 {
+// ringFrom returns members, which includes self, in ring order beginning with
+// self. The fingers of self are those at 1, 2, 4, … If each entry passes news
+// on to its fingers, it reaches all n after at most ceil(log2 n) steps; several
+// ways lead to each entry, so one that is lost costs steps, not the news.
+func ringFrom(self uint64, members []uint64) []uint64 {
 	ring := slices.Clone(members)
 	slices.SortFunc(ring, func(a, b uint64) int { return cmp.Compare(ringPlace(a), ringPlace(b)) })
 	own := slices.Index(ring, self)
-	if own < 0 {
-		return nil
-	}
-	var found []uint64
-	for step := 1; step < len(ring); step *= 2 {
-		found = append(found, ring[(own+step)%len(ring)])
-	}
-	return found
+	return append(ring[own:], ring[:own]...)
 }
 
 // topRanked returns the incarnations of up to n peers with the highest scores for key.
@@ -81,7 +77,7 @@
 	var regions []string
 	for _, id := range s.order {
 		p := s.peers[id]
-		p.kind, p.finger = linkNone, false
+		p.kind, p.finger, p.distance, p.behind = linkNone, false, 0, 0
 		switch {
 		case p.region == s.cfg.Region:
 			p.kind = linkMesh
@@ -95,8 +91,12 @@
 			remote[p.region] = append(remote[p.region], id)
 		}
 	}
-	for _, id := range fingers(s.cfg.Self, local) {
-		s.peers[id].finger = true
+	ring := ringFrom(s.cfg.Self, local)
+	for at, id := range ring[1:] {
+		p := s.peers[id]
+		p.distance = at + 1
+		p.behind = len(ring) - p.distance
+		p.finger = p.distance&(p.distance-1) == 0
 	}
 	for _, region := range regions {
 		s.linkRegion(region, local, remote[region])
@@ -140,5 +140,6 @@
 	for _, id := range chosen {
 		s.peers[id].kind = linkRegion
 		s.peers[id].finger = true
+		s.peers[id].distance = farAway
 	}
 }
