--- a/internal/profile/parse.go
+++ b/internal/profile/parse.go
@@ -20,6 +20,11 @@
 	// MaxDocumentBytes is the largest document, which is also the largest
 	// value that the platform's configuration service holds.
 	MaxDocumentBytes = 1 << 20
+	// maxKeys bounds the keys and table headers of a document. The TOML
+	// library compares each key with all others of its table, so that without
+	// a bound a document full of short keys would occupy an entry for half a
+	// minute. A thousand services need a few thousand.
+	maxKeys = 20000
 )
 
 // Parse checks a document and compiles it. A document with a problem is
@@ -50,14 +55,25 @@
 		"mend the document and publish it again", "profile document refused, %d problem(s)", len(problems))
 }
 
+// tooLarge returns the problem of a document beyond the bounds, or nil.
+func tooLarge(data []byte) *Problem {
+	p := &Problem{Line: 1, Remedy: "make it smaller"}
+	if len(data) > MaxDocumentBytes {
+		p.Problem = fmt.Sprintf("the document has %d bytes, more than %d", len(data), MaxDocumentBytes)
+		return p
+	}
+	// This counts a little too much: the signs may also stand in a comment.
+	if n := bytes.Count(data, []byte("=")) + bytes.Count(data, []byte("[")); n > maxKeys {
+		p.Problem = fmt.Sprintf("the document has %d keys and tables, more than %d", n, maxKeys)
+		return p
+	}
+	return nil
+}
+
 // decode reads the text into generic values, and finds the lines of its keys.
 func decode(data []byte) (root section, lines *lineIndex, problem *Problem) {
-	if len(data) > MaxDocumentBytes {
-		return section{}, nil, &Problem{
-			Line:    1,
-			Problem: fmt.Sprintf("the document has %d bytes, more than %d", len(data), MaxDocumentBytes),
-			Remedy:  "make it smaller",
-		}
+	if problem := tooLarge(data); problem != nil {
+		return section{}, nil, problem
 	}
 	// A document that made the TOML library panic would end every entry at
 	// once, and again at each start, for as long as it stays published.
