--- /dev/null
+++ b/internal/core/duty/assign_test.go
@@ -0,0 +1,133 @@
+package duty
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func members(n, domains int) []Member {
+	list := make([]Member, n)
+	for i := range list {
+		list[i] = Member{Incarnation: uint64(100 + i), Domain: fmt.Sprint("domain-", i%domains)}
+	}
+	return list
+}
+
+func without(list []Member, at int) []Member {
+	return slices.Delete(slices.Clone(list), at, at+1)
+}
+
+// A user would see connections and idempotency tables move all over the fleet
+// whenever one entry is replaced. When an entry goes, only its own work may
+// move; the order in which entries are known must not matter.
+func TestOnlyTheWorkOfAGoneEntryMoves(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 60).Draw(rt, "entries")
+		all := members(n, rapid.IntRange(1, 8).Draw(rt, "domains"))
+		gone := rapid.IntRange(0, n-1).Draw(rt, "gone")
+		left := without(all, gone)
+		rand.New(rand.NewPCG(uint64(n), 1)).Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
+		per := rapid.IntRange(1, 3).Draw(rt, "per domain")
+		for i := range 40 {
+			name := fmt.Sprint("name-", i)
+			before, after := ProbeOwner(all, name), ProbeOwner(left, name)
+			if before != all[gone].Incarnation && before != after {
+				rt.Fatalf("probes of %s moved from %d to %d", name, before, after)
+			}
+			was, is := ServiceEntries(name, all, per), ServiceEntries(name, left, per)
+			for _, id := range was {
+				if id != all[gone].Incarnation && !slices.Contains(is, id) {
+					rt.Fatalf("%s lost entry %d", name, id)
+				}
+			}
+			added := 0
+			for _, id := range is {
+				if !slices.Contains(was, id) {
+					added++
+				}
+			}
+			if added > 1 {
+				rt.Fatalf("%s got %d other entries", name, added)
+			}
+		}
+	})
+}
+
+func TestDutiesAreSpread(t *testing.T) {
+	all := members(60, 8)
+	probes, steered := map[uint64]int{}, map[uint64]int{}
+	for i := range 560 {
+		probes[ProbeOwner(all, fmt.Sprint("endpoint-", i))]++
+	}
+	for i := range 46 {
+		for _, id := range ServiceEntries(fmt.Sprint("service-", i), all, 1) {
+			steered[id]++
+		}
+	}
+	most := func(m map[uint64]int) (most int) {
+		for _, n := range m {
+			most = max(most, n)
+		}
+		return most
+	}
+	t.Logf("560 probes over 60 entries: at most %d; 368 places in services: at most %d", most(probes), most(steered))
+	if most(probes) > 25 || most(steered) > 16 {
+		t.Error("want at most 25 and 16")
+	}
+	readers := 0
+	for _, m := range all {
+		if IsReader(m.Incarnation, all, 2) {
+			readers++
+		}
+	}
+	if readers != 16 {
+		t.Errorf("%d readers in 8 failure domains, want 16", readers)
+	}
+	if !IsReader(7, all, 1) || !IsReader(100, all[:1], 1) {
+		t.Error("an entry that knows too little of the fleet must read")
+	}
+}
+
+// The platform would be overrun by a fleet that grows, or by one whose entries
+// know nobody else and each take themselves for alone.
+func TestCheckRateIsBounded(t *testing.T) {
+	limits := DefaultCheckLimits()
+	for _, c := range []struct{ known, fleet int }{{15, 15}, {60, 60}, {1, 60}, {600, 600}, {0, 600}} {
+		period := CheckPeriod(c.known, limits)
+		rate := float64(c.fleet*limits.Values) / period.Seconds()
+		t.Logf("%d entries that know %d: each every %v, %.0f calls/s", c.fleet, c.known, period, rate)
+		if rate > 120 || period < limits.Shortest || period > limits.Longest {
+			t.Errorf("period %v, rate %.0f", period, rate)
+		}
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 100 {
+		if at := NextCheck(time.Minute, 20*time.Second, rng); at < 75*time.Second || at > 85*time.Second {
+			t.Errorf("next check at %v", at)
+		}
+	}
+}
+
+func TestWidth(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		current int
+		rate    float64
+		want    int
+	}{
+		{"idle", 1, 0, 1},
+		{"full", 1, 13000, 2},
+		{"varies by less than half", 2, 13000, 2},
+		{"far more", 1, 40000, 4},
+		{"idle again", 4, 1000, 1},
+	} {
+		if got := Width(c.current, c.rate, 5000, 3); got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, got, c.want)
+		}
+	}
+}
