--- a/internal/core/health/eject.go
+++ b/internal/core/health/eject.go
@@ -133,6 +133,8 @@
 	}
 	reset(h)
 	h.JudgeFrom = s.now
+	// From the limit, the trials alone decide to which side it goes.
+	h.Slowness = s.limits.SlowFactor * s.medianSlowness
 	s.out = append(s.out, Event{Endpoint: i, Kind: Ejection, Why: why, Until: h.EjectedUntil})
 }
 
--- a/internal/core/health/observe.go
+++ b/internal/core/health/observe.go
@@ -62,8 +62,9 @@
 	// failureWeight is the weight of the latest outcome: five failures in a
 	// row raise the failure rate from 0 to 0.67.
 	failureWeight = 0.2
-	// latencyWeight is the weight of the latest latency.
-	latencyWeight = 0.15
+	// latencyWeight is the weight of the latest latency. It is small enough that
+	// service times that vary as much as their mean make no straggler.
+	latencyWeight = 0.08
 	// largestStep bounds a latency sample by a multiple of the present value.
 	// One pause of a neighbour on the host then can't make a straggler, while a
 	// lasting change passes in a few samples.
@@ -135,6 +136,10 @@
 	if o.Expected <= 0 || cold(now, e) {
 		return
 	}
+	if h.SlowSamples == 0 && h.Slowness == 0 {
+		// Not the first sample: it may be the one late answer in a thousand.
+		h.Slowness = 1
+	}
 	h.SlowSamples = min(h.SlowSamples+1, sampleCap)
 	h.Slowness = smoothBounded(h.Slowness, latency/float64(o.Expected), latencyWeight)
 }
