--- a/internal/profile/parse_test.go
+++ b/internal/profile/parse_test.go
@@ -156,16 +156,21 @@
 	}
 }
 
-// drawDocument writes a document from good and bad parts. The bad ones are the
-// fewer, so that a fair share of the documents is accepted.
+// drawDocument writes a document from parts that are mostly good, so that a
+// fair share of the documents is accepted.
 func drawDocument(t *rapid.T) string {
 	values := map[string][]string{
-		"duration":      {`"20ms"`, `"1s"`, `"2m"`, `"1h"`, `"0s"`, `"-1s"`, "5"},
-		"whole number":  {"1", "3", "5", "0", "9", "-1", "10001", `"1"`},
-		"share":         {"0.1", "0.2", "0.02", "0", "0.5", "1", "1.5", "inf"},
-		"size":          {`"0B"`, `"8MB"`, `"1GiB"`, `"17GB"`, `"-1B"`},
-		"true or false": {"true", "false", "1"},
-		"choice":        {`"deadline"`, `"arrival"`, `"other"`},
+		"duration":      {`"1s"`, `"5s"`, `"1m"`, `"20ms"`, `"1h"`},
+		"whole number":  {"1", "2", "3", "5"},
+		"share":         {"0.1", "0.2", "0.02", "0.45"},
+		"size":          {`"0B"`, `"8MB"`, `"1GiB"`},
+		"true or false": {"true", "false"},
+		"choice":        {`"deadline"`, `"arrival"`},
+	}
+	if rapid.IntRange(0, 3).Draw(t, "spoilt") == 0 {
+		for unit := range values {
+			values[unit] = append(values[unit], "0", "-1", "1.5", "inf", `"-1s"`, `"0s"`, `"17GB"`, `"other"`)
+		}
 	}
 	isSame := func(a, b field) bool { return a.name == b.name }
 	settings := func() (text string) {
