--- a/internal/core/idem/config.go
+++ b/internal/core/idem/config.go
@@ -15,8 +15,8 @@
 
 // Config bounds a Table.
 type Config struct {
-	// Self is the incarnation whose keys the table runs. It must be drawn at
-	// random for each process (see Key.Home).
+	// Self is the incarnation whose keys the table runs. No other process may
+	// ever have the same one (see Key.Home).
 	Self uint64
 	// EpochLength is how long callers make keys of the same epoch.
 	EpochLength time.Duration
--- a/internal/core/idem/key.go
+++ b/internal/core/idem/key.go
@@ -33,9 +33,10 @@
 	// Home is the entry incarnation that alone may dispatch the request.
 	//
 	// Two processes with the same Home could both run a key. The daemon
-	// excludes that: it draws 64 random bits at every start of the process,
-	// and never takes the number from settings, the VM or the platform, which
-	// stay the same when a process is restarted on its VM.
+	// excludes that: it makes the number anew at every start of the process,
+	// from the second of the start and 32 random bits, and never takes it from
+	// settings, the VM or the platform, which stay the same when a process is
+	// restarted on its VM.
 	Home uint64
 	// Epoch is the home's key epoch in which the key was made.
 	Epoch uint32
