--- a/internal/core/duty/tracker_test.go
+++ b/internal/core/duty/tracker_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -12,43 +14,44 @@
 	"pgregory.net/rapid"
 )
 
-// trackerSession runs one command of a golden file: offers are validated at
-// once, revisions named in "bad" are invalid.
-func trackerSession(t *testing.T, tr *Tracker, rng *rand.Rand, d *datadriven.TestData) string {
-	var seconds float64
-	var rev, digest, from uint64
-	d.MaybeScanArgs(t, "at", &seconds)
-	d.MaybeScanArgs(t, "rev", &rev)
-	d.MaybeScanArgs(t, "digest", &digest)
-	d.MaybeScanArgs(t, "from", &from)
+// trackerCommand runs one line of a golden file: seconds, command, then key=value
+// pairs and flags. Offers are validated at once, those marked bad are invalid.
+func trackerCommand(t *testing.T, tr *Tracker, rng *rand.Rand, fields []string) string {
+	seconds, _ := strconv.ParseFloat(fields[0], 64)
 	now := time.Duration(seconds * float64(time.Second))
-	switch d.Cmd {
+	args := make(map[string]uint64)
+	for _, field := range fields[2:] {
+		key, value, _ := strings.Cut(field, "=")
+		args[key], _ = strconv.ParseUint(value, 10, 64)
+	}
+	flag := func(name string) bool { return slices.Contains(fields, name) }
+	switch fields[1] {
 	case "offer":
-		m := message.Mark{Revision: rev, Digest: digest}
-		verdict := tr.Offer(now, m, from)
+		m := message.Mark{Revision: args["rev"], Digest: args["digest"]}
+		verdict := tr.Offer(now, m, args["from"])
 		if verdict == Adopt {
-			tr.Settle(m, !d.HasArg("bad"))
+			tr.Settle(m, !flag("bad"))
 		}
-		return fmt.Sprintf("%v, in force %d\n", verdict, tr.InForce().Revision)
+		return fmt.Sprintf("%v, in force %d", verdict, tr.InForce().Revision)
 	case "seen":
-		tr.Seen(now, rev, from)
+		tr.Seen(now, args["rev"], args["from"])
 	case "caller":
-		tr.SeenByCaller(now, rev)
+		tr.SeenByCaller(now, args["rev"])
 	case "next":
 		f, due := tr.Next(now, []uint64{31, 32})
 		if !due {
-			return "nothing\n"
+			return "nothing"
 		}
-		return fmt.Sprintf("ask %d after %d\n", f.From, f.After)
+		return fmt.Sprintf("ask %d after %d", f.From, f.After)
 	case "done":
-		tr.Done(now, Fetch{From: from}, !d.HasArg("failed"), rng)
+		tr.Done(now, Fetch{From: args["from"]}, !flag("failed"), rng)
 	case "ready":
-		var peers int
-		d.ScanArgs(t, "peers", &peers)
-		ready, reason := tr.Ready(now, peers)
-		return strings.TrimSpace(fmt.Sprint(ready, " ", reason)) + "\n"
+		ready, reason := tr.Ready(now, int(args["peers"]))
+		return fmt.Sprintf("%v %s", ready, reason)
 	case "pause":
 		tr.Pause(now, time.Second)
+	default:
+		t.Fatalf("unknown command %s", fields[1])
 	}
 	return ""
 }
@@ -58,7 +61,14 @@
 		tr := NewTracker(0, TrackerConfig{})
 		rng := rand.New(rand.NewPCG(1, 2))
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			return trackerSession(t, tr, rng, d)
+			var b strings.Builder
+			for _, line := range strings.Split(d.Input, "\n") {
+				fields := strings.Fields(line)
+				if result := trackerCommand(t, tr, rng, fields); result != "" {
+					fmt.Fprintf(&b, "%s %s: %s\n", fields[0], fields[1], strings.TrimSpace(result))
+				}
+			}
+			return b.String()
 		})
 	})
 }
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -13,114 +13,112 @@
 	"pgregory.net/rapid"
 )
 
-// parseVM reads "e1/3 domain state": names that start with "entry" are
-// entries, the others endpoints of pool "p". An "@address" overrides the
-// address, which otherwise is the name.
-func parseVM(line string) platform.VM {
-	fields := strings.Fields(line)
-	name, incarnation, _ := strings.Cut(fields[0], "/")
+// parseVM reads "name/incarnation,option": names that start with "entry" are
+// entries, the others endpoints of pool "p". "@x" is an address, which otherwise
+// is the name, "leaving" a state and "r2" a region.
+func parseVM(text string) platform.VM {
+	options := strings.Split(text, ",")
+	name, incarnation, _ := strings.Cut(options[0], "/")
 	vm := platform.VM{Name: name, Role: platform.EndpointRole, Pool: "p", Region: "r1", Address: name, State: platform.Live}
 	vm.Incarnation, _ = strconv.ParseUint(incarnation, 10, 64)
 	if strings.HasPrefix(name, "entry") {
 		vm.Role, vm.Pool = platform.EntryRole, ""
 	}
-	for _, field := range fields[1:] {
+	for _, option := range options[1:] {
 		switch {
-		case field == "leaving":
+		case option == "leaving":
 			vm.State = platform.Leaving
-		case strings.HasPrefix(field, "@"):
-			vm.Address = field[1:]
+		case strings.HasPrefix(option, "@"):
+			vm.Address = option[1:]
 		default:
-			vm.Region = field
+			vm.Region = option
 		}
 	}
 	return vm
 }
 
-func show(changes []Change) string {
-	var b strings.Builder
+func show(changes []Change) (lines []string) {
 	for _, c := range changes {
-		b.WriteString(c.Kind.String())
+		line := c.Kind.String()
 		if c.VM.Name != "" {
-			fmt.Fprintf(&b, " %s/%d", c.VM.Name, c.VM.Incarnation)
+			line += fmt.Sprintf(" %s/%d", c.VM.Name, c.VM.Incarnation)
 		}
-		fmt.Fprintf(&b, ": %s\n", c.Why)
+		lines = append(lines, line+": "+c.Why)
 	}
-	return b.String()
+	return lines
 }
 
-func showView(t *Table) string {
-	var b strings.Builder
+func showView(t *Table) (lines []string) {
 	for _, e := range t.Endpoints(nil) {
-		fmt.Fprintf(&b, "%s/%d %s missing=%v\n", e.VM.Name, e.VM.Incarnation, e.VM.State, e.Missing)
+		lines = append(lines, fmt.Sprintf("%s/%d %s missing=%v", e.VM.Name, e.VM.Incarnation, e.VM.State, e.Missing))
 	}
 	for _, e := range t.Entries(nil) {
-		fmt.Fprintf(&b, "%s/%d %s usable=%v suspected=%v\n", e.VM.Name, e.VM.Incarnation, e.VM.State, e.Usable(), e.Suspected)
+		lines = append(lines, fmt.Sprintf("%s/%d %s usable=%v suspected=%v", e.VM.Name, e.VM.Incarnation, e.VM.State, e.Usable(), e.Suspected))
 	}
-	return b.String()
+	return lines
+}
+
+var kinds = map[string]message.EvidenceKind{
+	"leaving": message.EvidenceLeaving, "replaced": message.EvidenceReplaced, "stopped": message.EvidenceStopped,
 }
 
-// session runs one command of a golden file at the time of its "at" argument.
-func session(t *testing.T, table *Table, d *datadriven.TestData) string {
-	var seconds float64
-	var vm string
-	var number uint64
-	d.MaybeScanArgs(t, "at", &seconds)
-	d.MaybeScanArgs(t, "vm", &vm)
-	now := time.Duration(seconds * float64(time.Second))
-	who := platform.VM{}
-	if vm != "" {
-		who = parseVM(vm)
+// command runs one line of a golden file: seconds, command, then VMs and
+// key=value pairs.
+func command(t *testing.T, table *Table, now time.Duration, fields []string) []string {
+	numbers := map[string]uint64{"state": uint64(message.EntryServing)}
+	var vms []platform.VM
+	for _, field := range fields[1:] {
+		if key, value, pair := strings.Cut(field, "="); pair {
+			numbers[key], _ = strconv.ParseUint(value, 10, 64)
+		} else {
+			vms = append(vms, parseVM(field))
+		}
 	}
-	switch d.Cmd {
+	who := append(vms, platform.VM{})[0]
+	switch fields[0] {
 	case "list":
-		d.ScanArgs(t, "rev", &number)
-		l := platform.VMList{Revision: number}
-		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
-			if line != "" {
-				l.VMs = append(l.VMs, parseVM(line))
-			}
-		}
-		return show(table.ApplyList(now, l))
+		return show(table.ApplyList(now, platform.VMList{Revision: numbers["rev"], VMs: vms}))
 	case "leaving", "replaced", "stopped":
-		kinds := map[string]message.EvidenceKind{"leaving": message.EvidenceLeaving, "replaced": message.EvidenceReplaced, "stopped": message.EvidenceStopped}
-		return show(table.Claim(now, message.Evidence{VM: who.Name, Incarnation: who.Incarnation, Kind: kinds[d.Cmd]}))
+		return show(table.Claim(now, message.Evidence{VM: who.Name, Incarnation: who.Incarnation, Kind: kinds[fields[0]]}))
 	case "heard":
-		var state uint64 = uint64(message.EntryServing)
-		d.MaybeScanArgs(t, "state", &state)
-		return show(table.Heard(now, who.Incarnation, message.EntryState(state)))
+		return show(table.Heard(now, who.Incarnation, message.EntryState(numbers["state"])))
 	case "introduce":
 		return show(table.Introduce(now, who))
 	case "answered":
 		return show(table.Answered(now, who.Name, who.Incarnation))
 	case "unreachable":
 		table.Unreachable(who.Incarnation)
-		return ""
 	case "tick":
 		return show(table.Tick(now))
 	case "pause":
-		var gap float64
-		d.ScanArgs(t, "gap", &gap)
-		table.Pause(now, time.Duration(gap*float64(time.Second)))
-		return ""
+		table.Pause(now, time.Duration(numbers["gap"])*time.Second)
 	case "view":
 		return showView(table)
 	case "evidence":
-		var b strings.Builder
+		var lines []string
 		for _, e := range table.TakeEvidence(nil) {
-			fmt.Fprintf(&b, "%s/%d kind=%d\n", e.VM, e.Incarnation, e.Kind)
+			lines = append(lines, fmt.Sprintf("%s/%d kind=%d", e.VM, e.Incarnation, e.Kind))
 		}
-		return b.String()
+		return lines
+	default:
+		t.Fatalf("unknown command %s", fields[0])
 	}
-	t.Fatalf("unknown command %s", d.Cmd)
-	return ""
+	return nil
 }
 
 func TestSessions(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		table := New(Config{Self: 1, Region: "r1"})
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			return session(t, table, d)
+			var b strings.Builder
+			for _, line := range strings.Split(d.Input, "\n") {
+				fields := strings.Fields(line)
+				seconds, _ := strconv.ParseFloat(fields[0], 64)
+				for _, result := range command(t, table, time.Duration(seconds*float64(time.Second)), fields[1:]) {
+					fmt.Fprintf(&b, "%s %s: %s\n", fields[0], fields[1], result)
+				}
+			}
+			return b.String()
 		})
 	})
 }
