--- a/internal/contract/entries.go
+++ b/internal/contract/entries.go
@@ -43,3 +43,6 @@
 
 // ReplayedValue is the only value of HeaderReplayed.
 const ReplayedValue = "1"
+
+// ForwardedValue is the only value of HeaderForwarded.
+const ForwardedValue = "1"
--- /dev/null
+++ b/internal/core/attempt.go
@@ -0,0 +1,318 @@
+package core
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/balance"
+	"github.com/tealhall/tealhall/internal/core/health"
+	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/message"
+)
+
+// serviceWeight is the weight of a new sample in the smoothed service time.
+const serviceWeight = 0.05
+
+// Head feeds the head of an endpoint's answer. The core answers with
+// StepCommit or StepDiscard for the attempt.
+func (c *Core) Head(now time.Duration, h Head, out *Actions) {
+	r, a := c.attemptOf(h.ID, h.Attempt)
+	if r == nil {
+		out.request(Directive{ID: h.ID, Step: StepDiscard, Attempt: h.Attempt})
+		return
+	}
+	a.status = h.Status
+	if !a.forward {
+		c.observeHead(now, r, a, h, out)
+	}
+	if c.useAnswer(now, r, a, h) {
+		c.commit(r, h, out)
+		return
+	}
+	out.request(Directive{ID: h.ID, Step: StepDiscard, Attempt: h.Attempt})
+}
+
+// attemptOf returns the row of a live attempt, or nil.
+func (c *Core) attemptOf(id RequestID, n Attempt) (*request, *attempt) {
+	r, ok := c.requests[id]
+	if !ok || n == 0 || n > r.dispatches || !r.attempts[n].live {
+		return nil, nil
+	}
+	return r, &r.attempts[n]
+}
+
+// observeHead learns from an answer what it says of the endpoint.
+func (c *Core) observeHead(now time.Duration, r *request, a *attempt, h Head, out *Actions) {
+	p := r.service.pool
+	e := p.endpointAt(a.index, a.incarnation)
+	if e == nil {
+		return
+	}
+	a.load = h.Load
+	a.headAfter = now - a.at
+	c.claimFromAnswer(now, e, h.Draining, h.Incarnation, out)
+}
+
+// claimFromAnswer turns what an endpoint says of itself into evidence.
+func (c *Core) claimFromAnswer(now time.Duration, e *table.Endpoint, draining bool, incarnation uint64, out *Actions) {
+	if incarnation != 0 && incarnation != e.Incarnation {
+		c.claim(now, message.Evidence{VM: e.Name, Incarnation: e.Incarnation, Kind: message.EvidenceReplaced}, out)
+		return
+	}
+	if draining && e.State == table.EndpointLive {
+		c.claim(now, message.Evidence{VM: e.Name, Incarnation: e.Incarnation, Kind: message.EvidenceLeaving}, out)
+	}
+}
+
+// useAnswer decides whether the caller gets this answer.
+func (c *Core) useAnswer(now time.Duration, r *request, a *attempt, h Head) bool {
+	if r.phase != phaseActive && r.phase != phaseForwarded {
+		return false
+	}
+	if r.committed != 0 {
+		return false
+	}
+	if a.forward {
+		return true
+	}
+	if h.NotRun {
+		return false
+	}
+	if h.Status < http.StatusInternalServerError || !r.harmless {
+		return true
+	}
+	if r.live() > 1 {
+		return false
+	}
+	a.paid = c.mayRetry(now, r, false)
+	return !a.paid
+}
+
+// commit makes an attempt's answer the caller's answer.
+func (c *Core) commit(r *request, h Head, out *Actions) {
+	r.committed = h.Attempt
+	outcome := OutcomeDone
+	if !r.harmless && doubtful(h.Status) {
+		outcome = OutcomeUnknown
+	}
+	out.request(Directive{ID: h.ID, Step: StepCommit, Attempt: h.Attempt, Outcome: outcome})
+	c.cancelOthers(r, h.Attempt, out)
+}
+
+// doubtful says that an answer of this status does not tell whether the
+// request was run: it may come from a machine in front of the application or
+// from an application that gave up half way.
+func doubtful(status int) bool {
+	switch status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+// End feeds the end of an attempt.
+func (c *Core) End(now time.Duration, e End, out *Actions) {
+	r, a := c.attemptOf(e.ID, e.Attempt)
+	if r == nil {
+		return
+	}
+	a.live = false
+	r.replayable = e.Replayable
+	if !a.forward {
+		c.settleAttempt(now, r, a, e, out)
+	}
+	if r.phase == phaseFinished {
+		c.forgetIfEnded(r)
+	} else {
+		c.afterEnd(now, r, a, e, out)
+	}
+	if !a.forward {
+		c.drainPool(now, r.service.pool, out)
+	}
+}
+
+// settleAttempt returns the slot and tells the health system.
+func (c *Core) settleAttempt(now time.Duration, r *request, a *attempt, end End, out *Actions) {
+	p := r.service.pool
+	r.service.held--
+	e := p.endpointAt(a.index, a.incarnation)
+	if e == nil {
+		return
+	}
+	e.Outstanding--
+	p.picker.Answered(now, &p.Pool, a.index, observationOf(now, a, end))
+	if end.BodyFailed || end.Kind == EndNotWritten && !end.DialFailed {
+		return
+	}
+	if end.ConnSilent {
+		out.SuspectAddresses = append(out.SuspectAddresses, e.Address)
+	}
+	if o, ok := healthOutcome(a, end); ok {
+		health.Observe(now, e, health.Observation{
+			Outcome:  o,
+			Latency:  now - a.at,
+			Expected: r.service.typical.Latency(),
+			Queued:   a.load.Queued,
+		})
+	}
+	if end.Kind == EndComplete && a.status < http.StatusInternalServerError {
+		r.service.typical.Observe(now - a.at)
+		p.noteServiceTime(now - a.at)
+	}
+}
+
+// observationOf is what the choice policy learns from an attempt.
+func observationOf(now time.Duration, a *attempt, end End) balance.Observation {
+	latency := a.headAfter
+	if latency == 0 {
+		latency = now - a.at
+	}
+	return balance.Observation{
+		Latency:  latency,
+		HasLoad:  a.load.Known,
+		InFlight: a.load.InFlight,
+		Queued:   a.load.Queued,
+		Slots:    a.load.Slots,
+		Refused:  end.Kind == EndNotRun,
+		Failed:   end.Kind == EndLost || end.Kind == EndTruncated || end.Kind == EndNotWritten || a.status >= http.StatusInternalServerError,
+	}
+}
+
+func (p *pool) noteServiceTime(took time.Duration) {
+	if p.serviceNanos == 0 {
+		p.serviceNanos = float64(took)
+		return
+	}
+	p.serviceNanos += serviceWeight * (float64(took) - p.serviceNanos)
+}
+
+// healthOutcome says what an attempt's end tells of the endpoint, if anything.
+func healthOutcome(a *attempt, end End) (health.Outcome, bool) {
+	switch end.Kind {
+	case EndComplete, EndDiscarded:
+		if a.status >= http.StatusInternalServerError {
+			return health.AnsweredError, true
+		}
+		return health.Answered, true
+	case EndNotRun:
+		return health.RefusedNotRun, true
+	case EndNotWritten:
+		return health.ConnectFailed, true
+	case EndTruncated:
+		return health.Broken, true
+	case EndLost:
+		return lostOutcome(end), true
+	default:
+		return 0, false
+	}
+}
+
+func lostOutcome(end End) health.Outcome {
+	switch {
+	case end.ConnSilent:
+		return health.ConnSilent
+	case end.TimedOut:
+		return health.TimedOut
+	default:
+		return health.Broken
+	}
+}
+
+// afterEnd decides how an unfinished request goes on.
+func (c *Core) afterEnd(now time.Duration, r *request, a *attempt, e End, out *Actions) {
+	if a.forward {
+		c.afterForward(now, r, e, out)
+		return
+	}
+	if r.committed == e.Attempt {
+		c.afterCommitted(now, r, a, e, out)
+		return
+	}
+	if e.Kind != EndNotWritten && e.Kind != EndNotRun {
+		r.weakest = OutcomeUnknown
+	}
+	if r.committed != 0 || r.live() > 0 {
+		return
+	}
+	c.retryOrFail(now, r, a, e, out)
+}
+
+// afterCommitted ends a request whose answer was being passed on.
+func (c *Core) afterCommitted(now time.Duration, r *request, a *attempt, e End, out *Actions) {
+	if e.Kind == EndComplete && !(doubtful(a.status) && !r.harmless) {
+		c.counters.Done++
+		if a.status < http.StatusInternalServerError {
+			r.service.retry.Earn()
+		}
+		c.settleKey(now, r, OutcomeDone, e.Answer, out)
+	} else {
+		c.counters.Unknown++
+		c.settleKey(now, r, OutcomeUnknown, nil, out)
+	}
+	c.finish(r, out)
+}
+
+// retryOrFail tries again where that is allowed, else answers the caller.
+func (c *Core) retryOrFail(now time.Duration, r *request, a *attempt, e End, out *Actions) {
+	provablyNotRun := e.Kind == EndNotWritten || e.Kind == EndNotRun
+	r.lastReason = failureReason(e)
+	if e.Kind == EndNotRun {
+		c.counters.EndpointNotRun++
+	}
+	if now >= r.deadline {
+		c.fail(now, r, ReasonDeadline, out)
+		return
+	}
+	if e.BodyFailed || !provablyNotRun && !r.harmless {
+		c.fail(now, r, r.lastReason, out)
+		return
+	}
+	if !a.paid && !c.mayRetry(now, r, provablyNotRun) {
+		c.fail(now, r, r.lastReason, out)
+		return
+	}
+	c.counters.Retried++
+	if c.tryDispatch(now, r, false, out) {
+		return
+	}
+	c.enqueue(now, r, out)
+}
+
+func failureReason(e End) Reason {
+	switch {
+	case e.BodyFailed:
+		return ReasonBodyBroken
+	case e.Kind == EndNotRun:
+		return ReasonEndpointsRefuse
+	case e.Kind == EndNotWritten:
+		return ReasonNoEndpoint
+	case e.TimedOut:
+		return ReasonDeadline
+	default:
+		return ReasonEndpointLost
+	}
+}
+
+// mayRetry says whether one more attempt is allowed, and pays for it.
+//
+// Calls of services nest up to maxDepth deep. If each level tried again, one
+// failing endpoint at the bottom would see the attempts of all levels
+// multiplied. So a failure that may have run is tried again only for the
+// outermost call, and not at all below a call that is itself a second try.
+func (c *Core) mayRetry(now time.Duration, r *request, provablyNotRun bool) bool {
+	if int(r.dispatches) >= min(r.policy.MaxAttempts, MaxAttempts) {
+		return false
+	}
+	if !r.replayable || now >= r.deadline {
+		return false
+	}
+	nested := r.arrival.Depth > 0 || r.arrival.CallerAttempt > 1
+	if nested && !provablyNotRun {
+		return false
+	}
+	if !r.service.retry.TrySpend(now) {
+		c.counters.RetriesDenied++
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/core/callers.go
@@ -0,0 +1,176 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/directory"
+	"github.com/tealhall/tealhall/internal/core/duty"
+	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+// EntryChoice is one entry in the answer to a caller.
+type EntryChoice struct {
+	directory.Choice
+	Name string
+	// KeyPrefix starts the idempotency keys whose home is the entry.
+	KeyPrefix string
+}
+
+// EntriesFor answers a caller that asks which entries to use for a service.
+// known is false if no such service is published.
+func (c *Core) EntriesFor(now time.Duration, req directory.Request) (choices []EntryChoice, ttl time.Duration, known bool) {
+	sv, ok := c.services[req.Service]
+	if !ok {
+		return nil, 0, false
+	}
+	view := c.directoryView(sv)
+	answer := view.Answer(req)
+	for _, choice := range answer.Entries {
+		choices = append(choices, EntryChoice{
+			Choice:    choice,
+			Name:      c.entryName(choice.Incarnation),
+			KeyPrefix: idem.Prefix(choice.Incarnation, choice.Epoch),
+		})
+	}
+	return choices, answer.TTL, true
+}
+
+// MaxBody returns the largest request body of a service in bytes, and whether
+// the service is published.
+func (c *Core) MaxBody(service string) (int64, bool) {
+	sv, ok := c.services[service]
+	if !ok {
+		return 0, false
+	}
+	return sv.policy.MaxBodyBytes, true
+}
+
+// directoryView lists the entries with what is known of their state and load.
+func (c *Core) directoryView(sv *service) directory.View {
+	f := &c.fleet
+	view := directory.View{
+		Self:    c.cfg.Self.Incarnation,
+		Region:  c.cfg.Self.Region,
+		Serving: duty.ServiceEntries(sv.name, f.dutyMembers, sv.policy.EntriesPerDomain),
+	}
+	for i := range f.entries {
+		e := &f.entries[i]
+		row := directory.Entry{
+			Incarnation: e.VM.Incarnation,
+			Address:     e.VM.Address,
+			Region:      e.VM.Region,
+			Domain:      e.VM.Domain,
+			Leaving:     e.State != message.EntryServing || e.VM.State == platform.Leaving,
+			Suspected:   e.Suspected,
+		}
+		if e.VM.Incarnation == c.cfg.Self.Incarnation {
+			row.Epoch, row.Load = c.keys.Epoch(), c.ownLoad()
+			row.Leaving = c.state != message.EntryServing
+		} else if p, ok := f.peers[e.VM.Incarnation]; ok {
+			row.Epoch, row.Load = p.update.Epoch, c.loadOf(float64(p.update.Rate))
+			row.Leaving = row.Leaving || p.update.State != message.EntryServing
+		} else {
+			continue // never heard: its epoch is not known, so no key could be made for it
+		}
+		view.Entries = append(view.Entries, row)
+	}
+	return view
+}
+
+// loadOf is the share of an entry's capacity that a call rate uses.
+func (c *Core) loadOf(rate float64) float64 {
+	return rate / c.cfg.CallsPerSecond
+}
+
+func (c *Core) ownLoad() float64 {
+	return c.loadOf(float64(c.fleet.rate))
+}
+
+func (c *Core) entryName(incarnation uint64) string {
+	for i := range c.fleet.entries {
+		if e := &c.fleet.entries[i]; e.VM.Incarnation == incarnation {
+			return e.VM.Name
+		}
+	}
+	return ""
+}
+
+// State returns the state that this entry tells its peers.
+func (c *Core) State() message.EntryState { return c.state }
+
+// Leave begins a planned stop: callers are no longer sent here and peers are
+// told. Requests are served as before.
+func (c *Core) Leave(now time.Duration, why string, out *Actions) {
+	if c.state >= message.EntryLeaving {
+		return
+	}
+	c.state = message.EntryLeaving
+	out.note(Note{Subject: "entry " + c.cfg.Self.Name, Action: "leaving", From: "serving", To: "leaving", Why: why})
+	c.applyChanges(now, c.fleet.members.Heard(now, c.cfg.Self.Incarnation, message.EntryLeaving), "self", out)
+	c.composeUpdates(now, out)
+}
+
+// SealKeys ends the making of new keys here. Requests with new keys are
+// refused as not run; those that run go on.
+func (c *Core) SealKeys(now time.Duration) { c.keys.Seal(now) }
+
+// Handover returns the sealed table for the successors, and who they are.
+func (c *Core) Handover(successors int) (records []idem.Record, oldest uint32, to []uint64) {
+	return c.keys.Export(), c.keys.Oldest(), c.successors(successors)
+}
+
+// successors are the entries that answer for this one's keys after its stop:
+// the first by rendezvous hashing, so that few move when entries change.
+func (c *Core) successors(n int) []uint64 {
+	key := duty.Key("successor", c.cfg.Self.Name)
+	type scored struct {
+		incarnation, score uint64
+	}
+	var best []scored
+	for _, m := range c.fleet.dutyMembers {
+		if m.Incarnation == c.cfg.Self.Incarnation {
+			continue
+		}
+		best = append(best, scored{m.Incarnation, duty.Score(key, m.Incarnation)})
+	}
+	slices.SortFunc(best, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	var out []uint64
+	for _, s := range best[:min(n, len(best))] {
+		out = append(out, s.incarnation)
+	}
+	return out
+}
+
+// Adopt takes over the keys of an entry that stopped.
+func (c *Core) Adopt(now time.Duration, home uint64, oldest uint32, records []idem.Record, complete bool, out *Actions) {
+	c.keys.Adopt(now, home, oldest, records, complete)
+	if complete {
+		out.note(Note{Actor: c.sourceName(home), Subject: "idempotency keys", Action: "adopted",
+			To: strconv.Itoa(len(records)) + " keys", Why: "the entry that ran them stops"})
+	}
+}
+
+// Stopped marks the end of a planned stop.
+func (c *Core) Stopped(now time.Duration, out *Actions) {
+	c.state = message.EntryStopped
+	c.composeUpdates(now, out)
+}
+
+// UsableEntries returns how many entries can be given to callers: they serve,
+// and this one has heard them.
+func (c *Core) UsableEntries() int {
+	n := 0
+	for i := range c.fleet.entries {
+		e := &c.fleet.entries[i]
+		self := e.VM.Incarnation == c.cfg.Self.Incarnation
+		if p, heard := c.fleet.peers[e.VM.Incarnation]; self && c.state == message.EntryServing || heard && p.update.State == message.EntryServing {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,190 @@
+// Package core is the decision core of an entry. It is pure and deterministic:
+// entities live in tables (VMs, pools of endpoints, services, requests, keys,
+// peers), systems run over them; inputs are events with an explicit monotonic
+// time, outputs are Actions for the driver. It holds no goroutine, lock, clock
+// or I/O, so that any driver can run many cores in one process.
+//
+// A driver calls one method at a time (it owns the lock if it needs one),
+// carries out the appended actions and reports their results as further
+// events. Times are durations since the process started; they never go back.
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/health"
+	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/profile"
+)
+
+// The periods of the systems that run less often than every tick.
+const (
+	healthPeriod = 100 * time.Millisecond
+	probePeriod  = 50 * time.Millisecond
+	memberPeriod = 100 * time.Millisecond
+	// pauseGap is the time between two ticks from which on the process is taken
+	// to have slept: its beliefs about others are stale.
+	pauseGap = time.Second
+	// defaultCallsPerSecond is what a small entry VM carries.
+	defaultCallsPerSecond = 5000
+	// maxDepth is how deep calls between services may be nested.
+	maxDepth = 6
+)
+
+// Config holds what a core needs to know at its start.
+type Config struct {
+	// Self identifies this entry to its peers and callers.
+	Self message.Hello
+	// Policy names the endpoint choice policy (see package balance).
+	Policy string
+	// MaxInFlight bounds the requests that this entry holds at a time.
+	MaxInFlight int
+	// CallsPerSecond is what one entry is taken to carry, for its weight in the
+	// answers to callers.
+	CallsPerSecond float64
+	// LargestFleet is the number of entries that the watching budget is
+	// divided by. It is never derived from the peers seen.
+	LargestFleet int
+	// Keys bounds the idempotency table.
+	Keys idem.Config
+	// ReadersPerDomain is how many entries of a failure domain read the platform.
+	ReadersPerDomain int
+	// PeerBytesPerSecond and PeerMessagesPerSecond bound what is sent to peers;
+	// 0 stands for the defaults of package gossip.
+	PeerBytesPerSecond    float64
+	PeerMessagesPerSecond float64
+	// ProbeCost is the slot time that a probe takes at an endpoint.
+	ProbeCost time.Duration
+}
+
+// DefaultConfig returns the configuration of an entry of 15 at most 60.
+func DefaultConfig(self message.Hello) Config {
+	return Config{
+		Self:             self,
+		Policy:           defaultPolicy,
+		MaxInFlight:      20_000,
+		CallsPerSecond:   defaultCallsPerSecond,
+		LargestFleet:     60,
+		Keys:             idem.DefaultConfig(self.Incarnation),
+		ReadersPerDomain: 2,
+		ProbeCost:        6 * time.Millisecond,
+	}
+}
+
+// Core is the decision core of one entry. It is not safe for concurrent use.
+type Core struct {
+	cfg Config
+	rng *rand.Rand
+
+	snapshot *profile.Snapshot
+	closing  bool
+	services map[string]*service
+	// serviceRows holds the services by their index; a removed service keeps its row.
+	serviceRows []*service
+	pools       map[string]*pool
+	poolRows    []*pool
+
+	requests map[RequestID]*request
+	free     []*request
+	keys     *idem.Table
+	// waiters are the requests that wait for a running one with the same key,
+	// joined lists them all for their deadlines.
+	waiters map[idem.Key][]RequestID
+	joined  []RequestID
+
+	fleet fleet
+	state message.EntryState
+
+	lastTick   time.Duration
+	nextHealth time.Duration
+	nextProbe  time.Duration
+	nextMember time.Duration
+	wall       time.Time
+	counters   Counters
+	// lastStale is the latest note about a stale or conflicting value.
+	lastStale Note
+	// healthEvents is scratch memory of the health sweep.
+	healthEvents []health.Event
+}
+
+// Counters count what the core did since its start.
+type Counters struct {
+	Arrived, Done, NotRun, Unknown  uint64
+	Dispatched, Retried, Hedged     uint64
+	Queued, Forwarded, Replayed     uint64
+	Probes, ProbesDenied, Pauses    uint64
+	EndpointNotRun, RetriesDenied   uint64
+	Ejections, Readmissions         uint64
+	StaleProfiles, RefusedDocuments uint64
+	// Refused counts answers of tealhall's own by reason.
+	Refused [reasonCount]uint64
+}
+
+// New returns a core that is starting: it has no profiles and knows no VM.
+func New(cfg Config, rng *rand.Rand) *Core {
+	c := &Core{
+		cfg:      cfg,
+		rng:      rng,
+		services: make(map[string]*service),
+		pools:    make(map[string]*pool),
+		requests: make(map[RequestID]*request),
+		keys:     idem.NewTable(cfg.Keys),
+		waiters:  make(map[idem.Key][]RequestID),
+		state:    message.EntryStarting,
+	}
+	c.initFleet()
+	return c
+}
+
+// Counters returns what the core counted so far.
+func (c *Core) Counters() Counters { return c.counters }
+
+// InFlight returns the number of requests that the core holds.
+func (c *Core) InFlight() int { return len(c.requests) }
+
+// Tick runs the systems that are due. The driver calls it every few
+// milliseconds; wall is used only for the calendar of closes.
+func (c *Core) Tick(now time.Duration, wall time.Time, out *Actions) {
+	c.wall = wall
+	c.notePause(now, out)
+	c.lastTick = now
+	c.keys.Tick(now)
+	c.applyCalendar(out)
+	c.expireQueues(now, out)
+	c.expireJoined(now, out)
+	c.hedgeDue(now, out)
+	if now >= c.nextMember {
+		c.nextMember = now + memberPeriod
+		c.tickFleet(now, out)
+	}
+	if now >= c.nextHealth {
+		c.nextHealth = now + healthPeriod
+		c.sweepHealth(now, out)
+	}
+	if now >= c.nextProbe {
+		c.nextProbe = now + probePeriod
+		c.probeDue(now, out)
+	}
+	c.composeUpdates(now, out)
+	c.drainQueues(now, out)
+}
+
+// notePause handles a process that slept (a frozen VM, a long stop). It shows
+// as a gap between two ticks. What the core believed of others is then as old
+// as the gap: sightings and samples lapse at once; requests whose deadline
+// passed are answered by the expiry that follows, before anything is sent.
+func (c *Core) notePause(now time.Duration, out *Actions) {
+	gap := now - c.lastTick
+	if c.lastTick == 0 || gap < pauseGap {
+		return
+	}
+	c.counters.Pauses++
+	for _, p := range c.poolRows {
+		p.forgetBeliefs(now, gap)
+	}
+	c.fleet.members.Pause(now, gap)
+	out.note(Note{Subject: c.cfg.Self.Name, Action: "pause", To: gap.Round(time.Millisecond).String(),
+		Why: "the process did not run for this time; sightings and peers' states are taken as stale"})
+}
--- /dev/null
+++ b/internal/core/dispatch.go
@@ -0,0 +1,228 @@
+package core
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/balance"
+	"github.com/tealhall/tealhall/internal/core/health"
+	"github.com/tealhall/tealhall/internal/core/queue"
+	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/profile"
+)
+
+// tryDispatch sends r to an endpoint now if its service may take a slot and
+// the policy knows a place to go.
+func (c *Core) tryDispatch(now time.Duration, r *request, hedge bool, out *Actions) bool {
+	if int(r.dispatches) >= MaxAttempts {
+		return false
+	}
+	p := r.service.pool
+	if !c.mayTakeSlot(now, p, r.service) {
+		return false
+	}
+	if i := c.trialEndpoint(now, r); i >= 0 {
+		health.TrialSent(now, &p.Endpoints[i])
+		c.dispatch(now, r, i, hedge, out)
+		return true
+	}
+	ask := balance.Ask{Tried: r.tried, LocalDomain: c.cfg.Self.Domain}
+	choice := p.picker.Pick(now, &p.Pool, ask, now-r.arrived)
+	if !choice.OK {
+		return false
+	}
+	c.dispatch(now, r, choice.Index, hedge, out)
+	return true
+}
+
+// trialEndpoint returns an ejected endpoint that is due for a trial by a real
+// request, or -1. Only a first try that is harmless to repeat is used.
+func (c *Core) trialEndpoint(now time.Duration, r *request) int {
+	if !r.harmless || !r.replayable || r.dispatches > 0 {
+		return -1
+	}
+	p := r.service.pool
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if e.State == table.EndpointLive && health.TrialDue(now, e) {
+			return i
+		}
+	}
+	return -1
+}
+
+// mayTakeSlot applies the shares of the services that use the same endpoints.
+func (c *Core) mayTakeSlot(now time.Duration, p *pool, sv *service) bool {
+	if len(p.services) < 2 {
+		return true
+	}
+	me := -1
+	for i, other := range p.services {
+		if other == sv {
+			me = i
+		}
+		p.holders[i] = queue.Holder{
+			Held:     other.held,
+			Waiting:  p.queue.LenOf(other.index),
+			Share:    other.policy.SlotShare,
+			Priority: other.policy.Priority,
+			Need:     other.demand.Slots(now),
+			Overdue:  p.queue.Overdue(other.index),
+		}
+	}
+	if me < 0 {
+		return true
+	}
+	return queue.MayTake(p.holders, me, p.capacity())
+}
+
+// capacity counts the pool's slots and those that look idle: not taken by this
+// entry and not seen taken by others.
+func (p *pool) capacity() queue.Capacity {
+	var c queue.Capacity
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if e.State != table.EndpointLive {
+			continue
+		}
+		c.Slots += int(e.Slots)
+		c.Free += max(0, int(e.Slots-e.Outstanding-e.Sighting.Foreign))
+	}
+	return c
+}
+
+// dispatch records an attempt and directs the driver to send it.
+func (c *Core) dispatch(now time.Duration, r *request, index int, hedge bool, out *Actions) {
+	p := r.service.pool
+	e := &p.Endpoints[index]
+	r.phase = phaseActive
+	r.dispatches++
+	r.attempts[r.dispatches] = attempt{
+		live:        true,
+		hedge:       hedge,
+		index:       index,
+		incarnation: e.Incarnation,
+		at:          now,
+	}
+	r.tried = r.tried.With(index)
+	e.Outstanding++
+	r.service.held++
+	p.picker.Dispatched(now, &p.Pool, index)
+	c.counters.Dispatched++
+	if r.dispatches == 1 {
+		c.noteHedge(now, r)
+	}
+	out.request(Directive{
+		ID:       r.arrival.ID,
+		Step:     StepDispatch,
+		Attempt:  r.dispatches,
+		Address:  e.Address,
+		Once:     r.policy.Kind == profile.Once || r.keyed,
+		Deadline: r.deadline,
+	})
+}
+
+// MaySend is asked by the driver right before the first byte of an attempt is
+// written. It is false for a request that was answered, cancelled or whose
+// deadline passed meanwhile: a process that slept between the decision and the
+// write must not send what its caller no longer waits for or was told is not
+// run. After false the driver reports EndNotWritten.
+func (c *Core) MaySend(now time.Duration, id RequestID, n Attempt) bool {
+	r, ok := c.requests[id]
+	if !ok || r.phase == phaseFinished || now >= r.deadline {
+		return false
+	}
+	if n == 0 || n > r.dispatches || !r.attempts[n].live {
+		return false
+	}
+	if r.committed != 0 && r.committed != n {
+		return false
+	}
+	return !r.keyed || c.keys.MayDispatch(r.arrival.Key)
+}
+
+// drainQueues dispatches what waits in any pool.
+func (c *Core) drainQueues(now time.Duration, out *Actions) {
+	for _, p := range c.poolRows {
+		c.drainPool(now, p, out)
+	}
+}
+
+// drainPool dispatches waiting requests until the policy says to wait.
+func (c *Core) drainPool(now time.Duration, p *pool, out *Actions) {
+	for p.queue.Len() > 0 {
+		item, ok := p.queue.Next(now, func(service int32) bool {
+			return c.mayTakeSlot(now, p, c.serviceRows[service])
+		})
+		if !ok {
+			return
+		}
+		r, ok := c.requests[RequestID(item.ID)]
+		if !ok {
+			p.queue.Remove(item.ID)
+			continue
+		}
+		if !c.dispatchQueued(now, r, out) {
+			return
+		}
+	}
+}
+
+// dispatchQueued moves the head of the queue to an endpoint.
+func (c *Core) dispatchQueued(now time.Duration, r *request, out *Actions) bool {
+	if now >= r.deadline {
+		c.fail(now, r, ReasonDeadline, out)
+		return true
+	}
+	if !r.service.pool.hasLive() {
+		c.fail(now, r, ReasonNoEndpoint, out)
+		return true
+	}
+	if !c.tryDispatch(now, r, false, out) {
+		return false
+	}
+	r.service.pool.queue.Take(now, uint64(r.arrival.ID))
+	return true
+}
+
+// hedgeDue is a request that is hedged if it is still unanswered at a time.
+type hedgeDue struct {
+	id RequestID
+	at time.Duration
+}
+
+func (c *Core) noteHedge(now time.Duration, r *request) {
+	if r.policy.HedgeAfter <= 0 || !r.harmless || !r.replayable {
+		return
+	}
+	sv := r.service
+	sv.hedges = append(sv.hedges, hedgeDue{id: r.arrival.ID, at: now + r.policy.HedgeAfter})
+}
+
+// hedgeDue sends a second attempt for harmless requests that are late, as far
+// as the retry budget allows.
+func (c *Core) hedgeDue(now time.Duration, out *Actions) {
+	for _, sv := range c.serviceRows {
+		n := 0
+		for n < len(sv.hedges) && sv.hedges[n].at <= now {
+			c.hedge(now, sv.hedges[n].id, out)
+			n++
+		}
+		if n > 0 {
+			sv.hedges = append(sv.hedges[:0], sv.hedges[n:]...)
+		}
+	}
+}
+
+func (c *Core) hedge(now time.Duration, id RequestID, out *Actions) {
+	r, ok := c.requests[id]
+	if !ok || r.phase != phaseActive || r.committed != 0 || r.dispatches != 1 || r.live() != 1 {
+		return
+	}
+	if !r.service.retry.TrySpend(now) {
+		c.counters.RetriesDenied++
+		return
+	}
+	if c.tryDispatch(now, r, true, out) {
+		c.counters.Hedged++
+	}
+}
--- /dev/null
+++ b/internal/core/event.go
@@ -0,0 +1,259 @@
+package core
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/message"
+)
+
+// RequestID identifies a caller's request inside one entry incarnation. The
+// driver chooses it; it is never reused.
+type RequestID uint64
+
+// Attempt numbers the dispatches of one request, from 1.
+type Attempt uint8
+
+// Arrival is a caller's request as the driver read it. The body stays with the
+// driver.
+type Arrival struct {
+	ID      RequestID
+	Service string
+	// Caller is a hash of the caller's identity, for fairness and to bind keys.
+	Caller uint64
+	// CallerDomain is the failure domain that the caller names, or "".
+	CallerDomain string
+	// Key is the caller's idempotency key; valid only if HasKey.
+	Key    idem.Key
+	HasKey bool
+	Digest idem.Digest
+	// Safe says that the method is idempotent by its definition (GET, PUT ...).
+	Safe bool
+	// Replayable says that the driver can send the body more than once.
+	Replayable bool
+	// Timeout is what the caller still allows; 0 if it named no deadline.
+	Timeout time.Duration
+	// CallerAttempt is 1 for a first try and higher when the caller, itself an
+	// endpoint of another service, carries the attempt count of its own call.
+	CallerAttempt int
+	// Depth is how many calls this one is nested in.
+	Depth int
+	// Forwarded says that another entry sent the request on to the home of its key.
+	Forwarded bool
+	// Revision is the latest revision of the profiles that the caller has seen.
+	Revision uint64
+}
+
+// Head is the head of an endpoint's answer.
+type Head struct {
+	ID      RequestID
+	Attempt Attempt
+	Status  int
+	Load    Load
+	// NotRun says that the endpoint stated explicitly that it did not run the request.
+	NotRun bool
+	// Draining says that the endpoint announced that it leaves.
+	Draining bool
+	// Incarnation is what the endpoint says of itself; 0 if it said nothing.
+	Incarnation uint64
+}
+
+// Load is an endpoint's report of its own load.
+type Load struct {
+	Known    bool
+	InFlight int
+	Queued   int
+	Slots    int
+}
+
+// EndKind says how an attempt ended.
+type EndKind uint8
+
+// How an attempt can end.
+const (
+	// EndComplete: the whole answer was passed on or captured.
+	EndComplete EndKind = iota + 1
+	// EndNotWritten: no byte of the request reached a socket.
+	EndNotWritten
+	// EndNotRun: the endpoint stated that it did not run the request.
+	EndNotRun
+	// EndDiscarded: a head arrived and the core decided not to use the answer.
+	EndDiscarded
+	// EndLost: bytes were written and no answer came.
+	EndLost
+	// EndTruncated: the answer broke off after its head.
+	EndTruncated
+	// EndCancelled: the core cancelled the attempt.
+	EndCancelled
+	// EndCallerGone: the answer could not be passed on to the caller.
+	EndCallerGone
+)
+
+// End is the end of an attempt.
+type End struct {
+	ID      RequestID
+	Attempt Attempt
+	Kind    EndKind
+	// TimedOut says that the attempt ran into its deadline.
+	TimedOut bool
+	// ConnSilent says that the connection and not the endpoint is suspected.
+	ConnSilent bool
+	// BodyFailed says that the caller's own request broke off or is unusable.
+	BodyFailed bool
+	// DialFailed says that no connection could be opened.
+	DialFailed bool
+	// Replayable says that the body can still be sent whole.
+	Replayable bool
+	// Answer is the captured answer of a request with a key, or nil.
+	Answer *idem.Answer
+}
+
+// Outcome is the statement that tealhall makes about a request.
+type Outcome uint8
+
+// The outcomes. With several attempts the weakest statement of all counts.
+const (
+	// OutcomeDone: an endpoint answered and this is its answer.
+	OutcomeDone Outcome = iota + 1
+	// OutcomeNotRun: no endpoint ran the request.
+	OutcomeNotRun
+	// OutcomeUnknown: an endpoint may have run the request.
+	OutcomeUnknown
+)
+
+// String returns the outcome as callers see it.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeDone:
+		return "done"
+	case OutcomeNotRun:
+		return "not-run"
+	default:
+		return "unknown"
+	}
+}
+
+// Step is what the driver must do next for one request.
+type Step uint8
+
+// The steps of a request.
+const (
+	// StepDispatch: send the request to Address as attempt Attempt.
+	StepDispatch Step = iota + 1
+	// StepForward: send the request to the entry at Address, the home of its key.
+	StepForward
+	// StepCommit: pass the answer of Attempt on to the caller.
+	StepCommit
+	// StepDiscard: drop the answer of Attempt unread; report EndDiscarded or EndNotRun.
+	StepDiscard
+	// StepCancel: cancel Attempt; its end is reported but changes nothing for the caller.
+	StepCancel
+	// StepReply: give the caller tealhall's own final answer (Outcome, Reason).
+	StepReply
+	// StepReplay: give the caller the kept Answer.
+	StepReplay
+)
+
+// Directive tells the driver one step of one request.
+type Directive struct {
+	ID      RequestID
+	Step    Step
+	Attempt Attempt
+	// Address is where to send the request, IP:port.
+	Address string
+	// Once says that the attempt must not be sent twice by any layer below and
+	// needs a connection that is known to be alive.
+	Once bool
+	// Deadline is when the attempt must have ended.
+	Deadline time.Duration
+	Outcome  Outcome
+	Reason   Reason
+	// RetryAfter is when the caller may come back; 0 if it need not wait.
+	RetryAfter time.Duration
+	Answer     *idem.Answer
+}
+
+// Probe asks the driver for one probe of an endpoint.
+type Probe struct {
+	Pool        string
+	Endpoint    string
+	Incarnation uint64
+	Address     string
+}
+
+// ProbeEnd is the result of a probe.
+type ProbeEnd struct {
+	Probe   Probe
+	OK      bool
+	Load    Load
+	Latency time.Duration
+	// Draining and Seen are what the endpoint says of itself.
+	Draining bool
+	Seen     uint64
+}
+
+// Outgoing is an update for one peer.
+type Outgoing struct {
+	// To is the peer's incarnation. The driver reports with UpdateDone.
+	To      uint64
+	Address string
+	Update  message.Update
+}
+
+// FetchFrom asks the driver to get a published value.
+type FetchFrom struct {
+	Name string
+	// Source is duty.Platform or the incarnation of the peer at Address.
+	Source  uint64
+	Address string
+	// After: only a later revision is of use.
+	After uint64
+	// Planned fetches are ended with FetchDone.
+	Planned bool
+}
+
+// Note is a change for the audit trail.
+type Note struct {
+	// Actor is who caused the change; "" stands for the entry itself.
+	Actor    string
+	Subject  string
+	Action   string
+	From     string
+	To       string
+	Revision uint64
+	Why      string
+}
+
+// Actions collects what the driver must do after an event. The driver owns it,
+// passes it to every call and empties it with Reset; the core only appends.
+type Actions struct {
+	Requests []Directive
+	Probes   []Probe
+	Updates  []Outgoing
+	Fetches  []FetchFrom
+	Notes    []Note
+	// DropAddresses: connections to these addresses are no longer wanted.
+	DropAddresses []string
+	// SuspectAddresses: idle connections to these addresses may be dead.
+	SuspectAddresses []string
+}
+
+// Reset empties a without giving up its memory.
+func (a *Actions) Reset() {
+	clear(a.Requests)
+	a.Requests = a.Requests[:0]
+	a.Probes = a.Probes[:0]
+	a.Updates = a.Updates[:0]
+	a.Fetches = a.Fetches[:0]
+	a.Notes = a.Notes[:0]
+	a.DropAddresses = a.DropAddresses[:0]
+	a.SuspectAddresses = a.SuspectAddresses[:0]
+}
+
+func (a *Actions) request(d Directive) {
+	a.Requests = append(a.Requests, d)
+}
+
+func (a *Actions) note(n Note) {
+	a.Notes = append(a.Notes, n)
+}
--- /dev/null
+++ b/internal/core/fleet.go
@@ -0,0 +1,211 @@
+package core
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/duty"
+	"github.com/tealhall/tealhall/internal/core/gossip"
+	"github.com/tealhall/tealhall/internal/core/member"
+	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+// fleet is what this entry knows of VMs and of the other entries.
+type fleet struct {
+	members *member.Table
+	// version is the member table's version that the lists below were made at.
+	version     uint64
+	entries     []member.Entry
+	dutyMembers []duty.Member
+	peers       map[uint64]*peer
+	profiles    *duty.Tracker
+	vms         *duty.Tracker
+	nextCheck   time.Duration
+	// rows finds an endpoint's row by the VM's name.
+	rows   map[string]endpointRef
+	gossip *gossip.Scheduler
+	// due, fresh and sightings are scratch memory of composeUpdates.
+	due       []uint64
+	fresh     []message.Evidence
+	sightings []message.Sighting
+	// rate is this entry's calls per second, last sampled at rateAt.
+	rate     uint32
+	rateAt   time.Duration
+	rateFrom uint64
+	// reader says that this entry watches the platform itself.
+	reader bool
+}
+
+// endpointRef is where an endpoint's row is.
+type endpointRef struct {
+	pool  *pool
+	index int
+}
+
+// peer is what another entry said last.
+type peer struct {
+	update message.Update
+	heard  time.Duration
+}
+
+func (c *Core) initFleet() {
+	c.fleet = fleet{
+		members:  member.New(member.Config{Self: c.cfg.Self.Incarnation, Region: c.cfg.Self.Region}),
+		peers:    make(map[uint64]*peer),
+		profiles: duty.NewTracker(0, duty.TrackerConfig{}),
+		vms:      duty.NewTracker(0, duty.TrackerConfig{}),
+		rows:     make(map[string]endpointRef),
+		gossip: gossip.New(gossip.Config{
+			Self:              c.cfg.Self.Incarnation,
+			Region:            c.cfg.Self.Region,
+			BytesPerSecond:    c.cfg.PeerBytesPerSecond,
+			MessagesPerSecond: c.cfg.PeerMessagesPerSecond,
+		}),
+		reader: true,
+	}
+	c.fleet.members.Introduce(0, vmOf(c.cfg.Self))
+	c.refreshEntries()
+}
+
+// vmOf is an entry as it describes itself, in the form of the platform's list.
+func vmOf(h message.Hello) platform.VM {
+	return platform.VM{
+		Name:        h.Name,
+		Incarnation: h.Incarnation,
+		Role:        platform.EntryRole,
+		State:       platform.Live,
+		Region:      h.Region,
+		Domain:      h.Domain,
+		Address:     h.CallerAddress,
+		PeerAddress: h.PeerAddress,
+	}
+}
+
+// callerAddressOf returns where the entry of an incarnation serves callers.
+func (f *fleet) callerAddressOf(incarnation uint64) (string, bool) {
+	for i := range f.entries {
+		if f.entries[i].VM.Incarnation == incarnation {
+			return f.entries[i].VM.Address, true
+		}
+	}
+	return "", false
+}
+
+// refreshEntries makes the derived lists anew after a change of members.
+func (c *Core) refreshEntries() {
+	f := &c.fleet
+	f.version = f.members.Version()
+	f.entries = f.members.Entries(f.entries[:0])
+	f.dutyMembers = f.dutyMembers[:0]
+	for i := range f.entries {
+		e := &f.entries[i]
+		if !e.Usable() && e.VM.Incarnation != c.cfg.Self.Incarnation {
+			continue
+		}
+		f.dutyMembers = append(f.dutyMembers, duty.Member{
+			Incarnation: e.VM.Incarnation,
+			Region:      e.VM.Region,
+			Domain:      e.VM.Domain,
+		})
+	}
+	f.reader = duty.IsReader(c.cfg.Self.Incarnation, f.dutyMembers, c.cfg.ReadersPerDomain)
+}
+
+// Reader reports whether this entry should watch the platform itself.
+func (c *Core) Reader() bool { return c.fleet.reader }
+
+// PeerAddresses appends the addresses of the entries to hold links with.
+func (c *Core) PeerAddresses(out []string) []string {
+	for i := range c.fleet.entries {
+		e := &c.fleet.entries[i]
+		if e.VM.Incarnation != c.cfg.Self.Incarnation && e.VM.PeerAddress != "" {
+			out = append(out, e.VM.PeerAddress)
+		}
+	}
+	return out
+}
+
+// Introduce feeds the first message on a peer link.
+func (c *Core) Introduce(now time.Duration, h message.Hello, out *Actions) {
+	c.applyChanges(now, c.fleet.members.Introduce(now, vmOf(h)), "peer "+h.Name, out)
+}
+
+// claim feeds evidence about a VM.
+func (c *Core) claim(now time.Duration, ev message.Evidence, out *Actions) {
+	c.applyChanges(now, c.fleet.members.Claim(now, ev), "evidence", out)
+}
+
+// applyChanges carries changed beliefs into the pools and the audit trail.
+func (c *Core) applyChanges(now time.Duration, changes []member.Change, actor string, out *Actions) {
+	if len(changes) == 0 {
+		return
+	}
+	for i := range changes {
+		c.applyChange(now, &changes[i], out)
+		out.note(changeNote(&changes[i], actor))
+	}
+	if c.fleet.members.Version() != c.fleet.version {
+		c.refreshEntries()
+	}
+	c.announceDeciders(now)
+	c.drainQueues(now, out)
+}
+
+func changeNote(ch *member.Change, actor string) Note {
+	subject := "vm list"
+	if ch.VM.Name != "" {
+		subject = string(ch.VM.Role) + " " + ch.VM.Name
+	}
+	return Note{Actor: actor, Subject: subject, Action: ch.Kind.String(), Why: ch.Why}
+}
+
+func (c *Core) applyChange(now time.Duration, ch *member.Change, out *Actions) {
+	switch ch.Kind {
+	case member.EndpointAdded:
+		p := c.poolNamed(ch.VM.Pool)
+		index := p.add(now, ch.VM)
+		c.fleet.rows[ch.VM.Name] = endpointRef{pool: p, index: index}
+	case member.EndpointLeaving:
+		if e := c.rowOfVM(&ch.VM); e != nil {
+			e.State = table.EndpointLeaving
+		}
+	case member.EndpointGone:
+		if e := c.rowOfVM(&ch.VM); e != nil {
+			e.State = table.EndpointGone
+			delete(c.fleet.rows, ch.VM.Name)
+			out.DropAddresses = append(out.DropAddresses, ch.VM.Address)
+		}
+	case member.EntryGone:
+		delete(c.fleet.peers, ch.VM.Incarnation)
+		out.DropAddresses = append(out.DropAddresses, ch.VM.Address)
+	}
+}
+
+// rowOfVM returns the row of one incarnation of an endpoint, or nil.
+func (c *Core) rowOfVM(vm *platform.VM) *table.Endpoint {
+	ref, ok := c.fleet.rows[vm.Name]
+	if !ok {
+		return nil
+	}
+	return ref.pool.endpointAt(ref.index, vm.Incarnation)
+}
+
+// tickFleet ages the beliefs about VMs and asks for published values.
+func (c *Core) tickFleet(now time.Duration, out *Actions) {
+	c.applyChanges(now, c.fleet.members.Tick(now), "silence", out)
+	c.fetchDue(now, out)
+	c.becomeReady(now, out)
+}
+
+// PeerAddressesOf returns the peer addresses of the given incarnations, without
+// those that are not known.
+func (c *Core) PeerAddressesOf(incarnations []uint64) []string {
+	var out []string
+	for _, incarnation := range incarnations {
+		if address, ok := c.peerAddressOf(incarnation); ok && address != "" {
+			out = append(out, address)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/keys.go
@@ -0,0 +1,196 @@
+package core
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/profile"
+)
+
+// admitKey applies the idempotency key of a request. It returns false when the
+// request was answered, joined to a running one or sent on to its key's home.
+func (c *Core) admitKey(now time.Duration, r *request, out *Actions) bool {
+	if r.policy.Kind == profile.Read || r.policy.Kind == profile.Urgent {
+		return true
+	}
+	if !r.arrival.HasKey {
+		if r.policy.RequireKey {
+			c.fail(now, r, ReasonKeyRequired, out)
+			return false
+		}
+		return true
+	}
+	v := c.keys.Begin(now, r.arrival.Key, r.arrival.Caller, r.arrival.Digest)
+	return c.applyVerdict(now, r, v, out)
+}
+
+func (c *Core) applyVerdict(now time.Duration, r *request, v idem.Verdict, out *Actions) bool {
+	switch v.Kind {
+	case idem.Run:
+		r.keyed = true
+		return true
+	case idem.Join:
+		r.phase = phaseJoined
+		c.waiters[r.arrival.Key] = append(c.waiters[r.arrival.Key], r.arrival.ID)
+		c.joined = append(c.joined, r.arrival.ID)
+	case idem.Replay:
+		c.replay(r, v.Answer, out)
+	case idem.NotHome:
+		c.forwardHome(now, r, v.Home, out)
+	default:
+		c.replyVerdict(now, r, v.Kind, out)
+	}
+	return false
+}
+
+// verdictReplies says what a caller is told for verdicts that end the request.
+var verdictReplies = map[idem.VerdictKind]struct {
+	outcome Outcome
+	reason  Reason
+}{
+	idem.DoneNoAnswer:   {OutcomeDone, ReasonKeyDone},
+	idem.OutcomeUnknown: {OutcomeUnknown, ReasonKeyUnknown},
+	idem.Mismatch:       {OutcomeNotRun, ReasonKeyMismatch},
+	idem.Expired:        {OutcomeUnknown, ReasonKeyExpired},
+	idem.FromFuture:     {OutcomeUnknown, ReasonKeyFuture},
+	idem.Spent:          {OutcomeNotRun, ReasonKeySpent},
+	idem.Sealed:         {OutcomeNotRun, ReasonStopping},
+	idem.Full:           {OutcomeNotRun, ReasonKeyTableFull},
+	idem.SealedNotRun:   {OutcomeNotRun, ReasonHomeGoneNotRun},
+	idem.HomeUnknown:    {OutcomeUnknown, ReasonHomeLost},
+}
+
+func (c *Core) replyVerdict(now time.Duration, r *request, kind idem.VerdictKind, out *Actions) {
+	told := verdictReplies[kind]
+	c.counters.Refused[told.reason]++
+	c.countOutcome(told.outcome)
+	after := c.retryAfter(now, r, told.reason)
+	out.request(Directive{ID: r.arrival.ID, Step: StepReply, Outcome: told.outcome, Reason: told.reason, RetryAfter: after})
+	c.finish(r, out)
+}
+
+func (c *Core) countOutcome(o Outcome) {
+	switch o {
+	case OutcomeDone:
+		c.counters.Done++
+	case OutcomeNotRun:
+		c.counters.NotRun++
+	default:
+		c.counters.Unknown++
+	}
+}
+
+func (c *Core) replay(r *request, answer *idem.Answer, out *Actions) {
+	c.counters.Replayed++
+	c.counters.Done++
+	out.request(Directive{ID: r.arrival.ID, Step: StepReplay, Outcome: OutcomeDone, Answer: answer})
+	c.finish(r, out)
+}
+
+// forwardHome sends a request on to the entry that alone may run its key. A
+// request that was already sent on once is not sent on again: two entries that
+// disagree about a home must not pass it to and fro.
+func (c *Core) forwardHome(now time.Duration, r *request, home uint64, out *Actions) {
+	address, ok := c.fleet.callerAddressOf(home)
+	if !ok || r.arrival.Forwarded {
+		c.reply(r, OutcomeUnknown, ReasonHomeLost, 0, out)
+		c.finish(r, out)
+		return
+	}
+	c.counters.Forwarded++
+	r.phase = phaseForwarded
+	r.dispatches = 1
+	r.attempts[1] = attempt{live: true, forward: true, index: -1, at: now}
+	out.request(Directive{ID: r.arrival.ID, Step: StepForward, Attempt: 1, Address: address, Once: true, Deadline: r.deadline})
+}
+
+// afterForward ends a request that was sent on to another entry. Whatever went
+// wrong on the way, an earlier try with the same key may have run there: the
+// only true statement is "unknown".
+func (c *Core) afterForward(_ time.Duration, r *request, e End, out *Actions) {
+	switch {
+	case e.Kind == EndComplete:
+		c.counters.Done++
+	case r.committed == e.Attempt:
+		c.counters.Unknown++
+	default:
+		c.reply(r, OutcomeUnknown, ReasonHomeUnreachable, minRetryAfter, out)
+	}
+	c.finish(r, out)
+}
+
+// settleKey records the result of a keyed request and answers those that
+// joined it.
+func (c *Core) settleKey(now time.Duration, r *request, outcome Outcome, answer *idem.Answer, out *Actions) {
+	if !r.keyed {
+		return
+	}
+	switch outcome {
+	case OutcomeNotRun:
+		c.releaseKey(now, r, out)
+		return
+	case OutcomeDone:
+		c.keys.Finish(r.arrival.Key, idem.Done, answer)
+	default:
+		c.keys.Finish(r.arrival.Key, idem.Unknown, nil)
+	}
+	r.keyed = false
+	c.answerWaiters(now, r.arrival.Key, out)
+}
+
+// releaseKey forgets a key whose request was not run.
+func (c *Core) releaseKey(now time.Duration, r *request, out *Actions) {
+	c.keys.Release(r.arrival.Key)
+	r.keyed = false
+	c.answerWaiters(now, r.arrival.Key, out)
+}
+
+// expireJoined answers requests that waited for a running one beyond their own
+// deadline. The running one may have run, so "unknown" is all that is true.
+func (c *Core) expireJoined(now time.Duration, out *Actions) {
+	kept := c.joined[:0]
+	for _, id := range c.joined {
+		r, ok := c.requests[id]
+		if !ok || r.phase != phaseJoined {
+			continue
+		}
+		if now < r.deadline {
+			kept = append(kept, id)
+			continue
+		}
+		c.leaveWaiters(r)
+		c.reply(r, OutcomeUnknown, ReasonDeadline, minRetryAfter, out)
+		c.finish(r, out)
+	}
+	c.joined = kept
+}
+
+func (c *Core) leaveWaiters(r *request) {
+	ids := c.waiters[r.arrival.Key]
+	for i, id := range ids {
+		if id == r.arrival.ID {
+			c.waiters[r.arrival.Key] = append(ids[:i], ids[i+1:]...)
+			return
+		}
+	}
+}
+
+// answerWaiters lets the requests that joined a key see what became of it: the
+// first runs if the key was released, all others get the recorded result.
+func (c *Core) answerWaiters(now time.Duration, key idem.Key, out *Actions) {
+	ids := c.waiters[key]
+	if len(ids) == 0 {
+		return
+	}
+	delete(c.waiters, key)
+	for _, id := range ids {
+		r, ok := c.requests[id]
+		if !ok || r.phase != phaseJoined {
+			continue
+		}
+		r.phase = phaseActive
+		if c.admitKey(now, r, out) {
+			c.place(now, r, out)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,220 @@
+package core
+
+import (
+	"math"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/balance"
+	"github.com/tealhall/tealhall/internal/core/duty"
+	"github.com/tealhall/tealhall/internal/core/gossip"
+	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+// ratePeriod is how often the call rate is sampled.
+const ratePeriod = time.Second
+
+// announceDeciders tells each pool's policy which endpoints and which entries
+// there are, and the scheduler which peers serve the same pools.
+func (c *Core) announceDeciders(now time.Duration) {
+	shares := make(map[uint64]bool)
+	for _, p := range c.poolRows {
+		deciders := c.decidersOf(p)
+		p.serving = deciders[c.cfg.Self.Incarnation]
+		c.setDeciders(now, p, deciders)
+		if !p.serving {
+			continue
+		}
+		for incarnation := range deciders {
+			shares[incarnation] = true
+		}
+	}
+	c.fleet.gossip.SetPeers(now, c.gossipPeers(shares))
+}
+
+// decidersOf returns the entries to which callers of the pool's services are sent.
+func (c *Core) decidersOf(p *pool) map[uint64]bool {
+	chosen := make(map[uint64]bool)
+	for _, sv := range p.services {
+		for _, incarnation := range duty.ServiceEntries(sv.name, c.fleet.dutyMembers, sv.policy.EntriesPerDomain) {
+			chosen[incarnation] = true
+		}
+	}
+	return chosen
+}
+
+// setDeciders lists the deciders in the order of the entries' names.
+func (c *Core) setDeciders(now time.Duration, p *pool, chosen map[uint64]bool) {
+	p.deciders = p.deciders[:0]
+	var names []string
+	for i := range c.fleet.entries {
+		if e := &c.fleet.entries[i]; chosen[e.VM.Incarnation] {
+			p.deciders = append(p.deciders, e.VM.Incarnation)
+			names = append(names, e.VM.Name)
+		}
+	}
+	p.picker.Changed(now, &p.Pool, names)
+}
+
+func (c *Core) gossipPeers(shares map[uint64]bool) []gossip.Peer {
+	var peers []gossip.Peer
+	for i := range c.fleet.entries {
+		e := &c.fleet.entries[i]
+		if e.VM.Incarnation == c.cfg.Self.Incarnation {
+			continue
+		}
+		peers = append(peers, gossip.Peer{
+			Incarnation: e.VM.Incarnation,
+			Region:      e.VM.Region,
+			Shares:      shares[e.VM.Incarnation],
+			Suspected:   e.Suspected,
+		})
+	}
+	return peers
+}
+
+// composeUpdates sends the messages to peers that are due.
+func (c *Core) composeUpdates(now time.Duration, out *Actions) {
+	f := &c.fleet
+	c.sampleRate(now)
+	f.fresh = f.members.TakeEvidence(f.fresh[:0])
+	if len(f.fresh) > 0 {
+		f.gossip.Spread(now, f.fresh)
+	}
+	f.gossip.SetState(gossip.State{
+		State:    c.state,
+		Epoch:    c.keys.Epoch(),
+		Profiles: c.InForce(platform.ProfilesValue),
+		VMs:      c.InForce(platform.VMsValue),
+		Reader:   f.reader,
+		Rate:     f.rate,
+	})
+	f.due = f.gossip.Due(now, f.due[:0])
+	if len(f.due) == 0 {
+		return
+	}
+	c.collectSightings(now)
+	for _, to := range f.due {
+		c.composeFor(now, to, out)
+	}
+}
+
+func (c *Core) composeFor(now time.Duration, to uint64, out *Actions) {
+	f := &c.fleet
+	u, ok := f.gossip.Compose(now, to, f.sightings)
+	if !ok {
+		return
+	}
+	address, known := c.peerAddressOf(to)
+	if !known || address == "" {
+		f.gossip.Done(now, to, u.Sequence, false)
+		return
+	}
+	out.Updates = append(out.Updates, Outgoing{To: to, Address: address, Update: u})
+}
+
+// UpdateDone says whether an update reached its peer.
+func (c *Core) UpdateDone(now time.Duration, to, sequence uint64, acked bool) {
+	c.fleet.gossip.Done(now, to, sequence, acked)
+	if !acked {
+		c.fleet.members.Unreachable(to)
+	}
+}
+
+// sampleRate measures the calls per second of this entry.
+func (c *Core) sampleRate(now time.Duration) {
+	f := &c.fleet
+	if now < f.rateAt+ratePeriod {
+		return
+	}
+	calls := c.counters.Arrived - f.rateFrom
+	f.rate = uint32(math.Round(float64(calls) / (now - f.rateAt).Seconds()))
+	f.rateAt, f.rateFrom = now, c.counters.Arrived
+}
+
+// collectSightings lists what this entry knows of the endpoints of the pools
+// that it serves.
+func (c *Core) collectSightings(now time.Duration) {
+	f := &c.fleet
+	f.sightings = f.sightings[:0]
+	for _, p := range c.poolRows {
+		if !p.serving {
+			continue
+		}
+		for i := range p.Endpoints {
+			e := &p.Endpoints[i]
+			if e.State == table.EndpointLive {
+				f.sightings = append(f.sightings, sightingOf(now, e))
+			}
+		}
+	}
+}
+
+func sightingOf(now time.Duration, e *table.Endpoint) message.Sighting {
+	s := message.Sighting{
+		Endpoint:    e.Name,
+		Incarnation: e.Incarnation,
+		InFlight:    uint16(e.Outstanding),
+		Own:         uint16(e.Outstanding),
+	}
+	if e.Sighting.Seen {
+		s.InFlight += uint16(max(e.Sighting.Foreign, 0))
+	}
+	return s
+}
+
+// peerSighting takes in what a peer says of one endpoint.
+func (c *Core) peerSighting(now time.Duration, from uint64, s *message.Sighting) {
+	ref, ok := c.fleet.rows[s.Endpoint]
+	if !ok {
+		return
+	}
+	e := ref.pool.endpointAt(ref.index, s.Incarnation)
+	if e == nil {
+		return
+	}
+	at := now - time.Duration(s.AgeMillis)*time.Millisecond
+	decider := c.deciderIndex(ref.pool, from)
+	ref.pool.picker.PeerTold(now, &ref.pool.Pool, ref.index, balance.PeerLoad{From: decider, Own: int32(s.Own), At: at})
+}
+
+// deciderIndex returns the place of an entry among the pool's deciders, or -1.
+func (c *Core) deciderIndex(p *pool, incarnation uint64) int {
+	for i, known := range p.deciders {
+		if known == incarnation {
+			return i
+		}
+	}
+	return -1
+}
+
+// PeerUpdate feeds a regular message from another entry. It reports whether
+// the sender is known; an unknown one has to introduce itself first.
+func (c *Core) PeerUpdate(now time.Duration, u *message.Update, out *Actions) bool {
+	f := &c.fleet
+	if u.From == c.cfg.Self.Incarnation || !f.members.Knows(u.From) {
+		return false
+	}
+	p, ok := f.peers[u.From]
+	if !ok {
+		p = &peer{}
+		f.peers[u.From] = p
+	}
+	if u.Sequence <= p.update.Sequence {
+		return true
+	}
+	p.update, p.heard = *u, now
+	f.profiles.Seen(now, u.Profiles.Revision, u.From)
+	f.vms.Seen(now, u.VMs.Revision, u.From)
+	f.gossip.Received(now, u)
+	c.applyChanges(now, f.members.Heard(now, u.From, u.State), "peer", out)
+	for _, ev := range u.Evidence {
+		c.claim(now, ev, out)
+	}
+	for i := range u.Sightings {
+		c.peerSighting(now, u.From, &u.Sightings[i])
+	}
+	c.fetchDue(now, out)
+	return true
+}
--- /dev/null
+++ b/internal/core/published.go
@@ -0,0 +1,228 @@
+package core
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/duty"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/profile"
+)
+
+// Offered is a published value that the driver got from the platform or a
+// peer, already parsed. Parsing depends on the text alone, so that all entries
+// accept and refuse alike.
+type Offered struct {
+	// Name is platform.ProfilesValue or platform.VMsValue.
+	Name string
+	Mark message.Mark
+	// Source is duty.Platform or the incarnation of a peer.
+	Source uint64
+	// Profiles or VMs is the parsed text, unless Problem says why it is refused.
+	Profiles *profile.Snapshot
+	VMs      platform.VMList
+	Problem  error
+}
+
+// tracker returns the tracker of a published value.
+func (c *Core) tracker(name string) *duty.Tracker {
+	if name == platform.VMsValue {
+		return c.fleet.vms
+	}
+	return c.fleet.profiles
+}
+
+// Offer feeds a published value. Only a later revision than the one in force
+// that is valid as a whole comes into force.
+func (c *Core) Offer(now time.Duration, o Offered, out *Actions) {
+	t := c.tracker(o.Name)
+	from := t.InForce().Revision
+	note := Note{
+		Actor:    c.sourceName(o.Source),
+		Subject:  o.Name,
+		From:     revisionText(from),
+		To:       revisionText(o.Mark.Revision),
+		Revision: o.Mark.Revision,
+	}
+	switch t.Offer(now, o.Mark, o.Source) {
+	case duty.Adopt:
+		c.adopt(now, t, o, note, out)
+	case duty.Stale:
+		c.counters.StaleProfiles++
+		note.Action, note.Why = "ignored", "an older revision than the one in force, from a replica that lags"
+		c.noteOnce(&c.lastStale, note, out)
+	case duty.Conflict:
+		note.Action, note.Why = "refused", "another text under the revision in force; publish again under a new revision"
+		c.noteOnce(&c.lastStale, note, out)
+	}
+}
+
+// noteOnce keeps a fault that repeats with every read from filling the trail.
+func (c *Core) noteOnce(last *Note, n Note, out *Actions) {
+	if *last == n {
+		return
+	}
+	*last = n
+	out.note(n)
+}
+
+func (c *Core) adopt(now time.Duration, t *duty.Tracker, o Offered, note Note, out *Actions) {
+	if o.Problem != nil {
+		t.Settle(o.Mark, false)
+		c.counters.RefusedDocuments++
+		note.Action, note.Why = "refused", o.Problem.Error()
+		out.note(note)
+		return
+	}
+	if !t.Settle(o.Mark, true) {
+		return
+	}
+	note.Action = "accepted"
+	out.note(note)
+	if o.Name == platform.VMsValue {
+		c.applyChanges(now, c.fleet.members.ApplyList(now, o.VMs), note.Actor, out)
+		return
+	}
+	c.applySnapshot(o.Profiles, out)
+	c.announceDeciders(now)
+	c.drainQueues(now, out)
+}
+
+// Confirm says that the platform holds no later revision than the one in force.
+func (c *Core) Confirm(now time.Duration, name string) {
+	c.tracker(name).Confirm(now)
+}
+
+// InForce returns the mark of the revision in force of a value.
+func (c *Core) InForce(name string) message.Mark { return c.tracker(name).InForce() }
+
+// FetchDone says that a fetch ended. What it brought was offered before.
+func (c *Core) FetchDone(now time.Duration, f FetchFrom, answered bool) {
+	c.tracker(f.Name).Done(now, duty.Fetch{From: f.Source, After: f.After}, answered, c.rng)
+}
+
+// callerSaw notes the revision that a caller carries: when it is later than
+// the one in force here, this entry is behind and fetches at once.
+func (c *Core) callerSaw(now time.Duration, revision uint64, out *Actions) {
+	if revision == 0 || revision <= c.fleet.profiles.InForce().Revision {
+		return
+	}
+	c.fleet.profiles.SeenByCaller(now, revision)
+	c.fetchDue(now, out)
+}
+
+// fetchDue asks for published values that exist in a later revision, and, at a
+// slow rate of its own, for any that a wrong belief could hide.
+func (c *Core) fetchDue(now time.Duration, out *Actions) {
+	peers := c.reachablePeers()
+	c.fetchNext(now, platform.ProfilesValue, peers, out)
+	c.fetchNext(now, platform.VMsValue, peers, out)
+	c.slowCheck(now, out)
+}
+
+func (c *Core) fetchNext(now time.Duration, name string, peers []uint64, out *Actions) {
+	f, ok := c.tracker(name).Next(now, peers)
+	if !ok {
+		return
+	}
+	address, ok := c.peerAddressOf(f.From)
+	if !ok {
+		c.tracker(name).Done(now, f, false, c.rng)
+		return
+	}
+	out.Fetches = append(out.Fetches, FetchFrom{Name: name, Source: f.From, Address: address, After: f.After, Planned: true})
+}
+
+// slowCheck reads the platform itself from time to time although others do it
+// for all, so that a wrong belief about who reads can't last.
+func (c *Core) slowCheck(now time.Duration, out *Actions) {
+	if now < c.fleet.nextCheck {
+		return
+	}
+	period := duty.CheckPeriod(len(c.fleet.dutyMembers), duty.DefaultCheckLimits())
+	first := c.fleet.nextCheck == 0
+	c.fleet.nextCheck = duty.NextCheck(now, period, c.rng)
+	if first || c.fleet.reader {
+		return
+	}
+	for _, name := range []string{platform.ProfilesValue, platform.VMsValue} {
+		out.Fetches = append(out.Fetches, FetchFrom{Name: name, Source: duty.Platform, After: c.InForce(name).Revision})
+	}
+}
+
+func (c *Core) reachablePeers() []uint64 {
+	var peers []uint64
+	for _, m := range c.fleet.dutyMembers {
+		if m.Incarnation != c.cfg.Self.Incarnation {
+			peers = append(peers, m.Incarnation)
+		}
+	}
+	return peers
+}
+
+// peerAddressOf returns the peer address of an incarnation; the platform's is "".
+func (c *Core) peerAddressOf(incarnation uint64) (string, bool) {
+	if incarnation == duty.Platform {
+		return "", true
+	}
+	for i := range c.fleet.entries {
+		if e := &c.fleet.entries[i]; e.VM.Incarnation == incarnation {
+			return e.VM.PeerAddress, true
+		}
+	}
+	return "", false
+}
+
+func (c *Core) sourceName(source uint64) string {
+	if source == duty.Platform {
+		return "platform"
+	}
+	for i := range c.fleet.entries {
+		if e := &c.fleet.entries[i]; e.VM.Incarnation == source {
+			return "peer " + e.VM.Name
+		}
+	}
+	return "peer " + strconv.FormatUint(source, 16)
+}
+
+func revisionText(revision uint64) string {
+	if revision == 0 {
+		return "none"
+	}
+	return "revision " + strconv.FormatUint(revision, 10)
+}
+
+// becomeReady lets a starting entry serve once it knows the latest revision
+// that it can learn of.
+func (c *Core) becomeReady(now time.Duration, out *Actions) {
+	if c.state != message.EntryStarting {
+		return
+	}
+	ready, _ := c.ReadyReason(now)
+	if !ready {
+		return
+	}
+	c.state = message.EntryServing
+	out.note(Note{Subject: "entry " + c.cfg.Self.Name, Action: "ready", From: "starting", To: "serving",
+		Revision: c.InForce(platform.ProfilesValue).Revision})
+}
+
+// ReadyReason reports whether this entry may be given to callers, and if not why.
+func (c *Core) ReadyReason(now time.Duration) (bool, string) {
+	switch c.state {
+	case message.EntryServing:
+		return true, ""
+	case message.EntryStarting:
+	default:
+		return false, "the entry is leaving"
+	}
+	peers := len(c.reachablePeers())
+	if ok, why := c.fleet.profiles.Ready(now, peers); !ok {
+		return false, "profiles: " + why
+	}
+	if ok, why := c.fleet.vms.Ready(now, peers); !ok {
+		return false, "VM list: " + why
+	}
+	return true, ""
+}
--- /dev/null
+++ b/internal/core/request.go
@@ -0,0 +1,340 @@
+package core
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/balance"
+	"github.com/tealhall/tealhall/internal/core/queue"
+	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/profile"
+)
+
+// MaxAttempts bounds the dispatches of one request, whatever a profile says.
+const MaxAttempts = 6
+
+// phase is where a request stands.
+type phase uint8
+
+const (
+	phaseQueued phase = iota + 1
+	// phaseActive: at least one attempt is out, or about to be.
+	phaseActive
+	// phaseJoined: another request with the same key is running.
+	phaseJoined
+	// phaseForwarded: another entry, the home of the key, has it.
+	phaseForwarded
+	// phaseFinished: the caller has its answer; attempts may still have to end.
+	phaseFinished
+)
+
+// attempt is one dispatch of a request.
+type attempt struct {
+	live        bool
+	hedge       bool
+	forward     bool
+	index       int
+	incarnation uint64
+	at          time.Duration
+	// status, load and headAfter are what the head of the answer said.
+	status    int
+	load      Load
+	headAfter time.Duration
+	// paid is set when the retry after this attempt was already paid for.
+	paid bool
+}
+
+// request is one caller's request.
+type request struct {
+	arrival  Arrival
+	service  *service
+	policy   *profile.Policy
+	phase    phase
+	arrived  time.Duration
+	deadline time.Duration
+	// harmless says that running it twice does no harm.
+	harmless bool
+	// keyed says that the idempotency table holds it as running here.
+	keyed      bool
+	replayable bool
+	// weakest is the weakest statement that any ended attempt allows.
+	weakest    Outcome
+	committed  Attempt
+	attempts   [MaxAttempts + 1]attempt
+	dispatches Attempt
+	// tried are the endpoints that the request was dispatched to.
+	tried balance.Set
+	// lastReason is why the latest attempt failed.
+	lastReason Reason
+}
+
+func (r *request) live() int {
+	n := 0
+	for i := Attempt(1); i <= r.dispatches; i++ {
+		if r.attempts[i].live {
+			n++
+		}
+	}
+	return n
+}
+
+// Arrive feeds a caller's request. The core answers at once or later with
+// directives for it.
+func (c *Core) Arrive(now time.Duration, a Arrival, out *Actions) {
+	c.counters.Arrived++
+	c.callerSaw(now, a.Revision, out)
+	if reason := c.refusalAtDoor(&a); reason != ReasonNone {
+		c.refuse(a.ID, reason, 0, out)
+		return
+	}
+	sv := c.services[a.Service]
+	sv.arrived++
+	sv.demand.Add(now, time.Duration(sv.pool.serviceNanos))
+	r := c.newRequest(now, a, sv)
+	if !c.admitKey(now, r, out) {
+		return
+	}
+	c.place(now, r, out)
+}
+
+// refusalAtDoor checks what needs no state of the request's own.
+func (c *Core) refusalAtDoor(a *Arrival) Reason {
+	if c.snapshot == nil {
+		return ReasonStarting
+	}
+	if c.state == message.EntryStopped {
+		return ReasonStopping
+	}
+	if _, ok := c.services[a.Service]; !ok {
+		return ReasonUnknownService
+	}
+	if a.Depth > maxDepth {
+		return ReasonTooDeep
+	}
+	if len(c.requests) >= c.cfg.MaxInFlight {
+		return ReasonOverload
+	}
+	return ReasonNone
+}
+
+func (c *Core) newRequest(now time.Duration, a Arrival, sv *service) *request {
+	r := c.takeRow()
+	policy := sv.policy
+	limit := policy.Deadline
+	if a.Timeout > 0 && a.Timeout < limit {
+		limit = a.Timeout
+	}
+	*r = request{
+		arrival:    a,
+		service:    sv,
+		policy:     policy,
+		phase:      phaseActive,
+		arrived:    now,
+		deadline:   now + limit,
+		harmless:   runsHarmlesslyTwice(policy.Kind, a.Safe),
+		replayable: a.Replayable,
+		weakest:    OutcomeNotRun,
+	}
+	c.requests[a.ID] = r
+	return r
+}
+
+// runsHarmlesslyTwice says whether a request may be sent to a second endpoint
+// although the first may have run it. Reads and urgent checks are declared
+// harmless by the kind in the profile; a bulk upload only if its method is
+// idempotent by definition; a once-only request never.
+func runsHarmlesslyTwice(kind profile.Kind, safe bool) bool {
+	switch kind {
+	case profile.Read, profile.Urgent:
+		return true
+	case profile.Bulk:
+		return safe
+	default:
+		return false
+	}
+}
+
+func (c *Core) takeRow() *request {
+	n := len(c.free)
+	if n == 0 {
+		return new(request)
+	}
+	r := c.free[n-1]
+	c.free = c.free[:n-1]
+	return r
+}
+
+// place dispatches r now or puts it into its pool's queue.
+func (c *Core) place(now time.Duration, r *request, out *Actions) {
+	p := r.service.pool
+	if !p.hasLive() {
+		c.fail(now, r, ReasonNoEndpoint, out)
+		return
+	}
+	if p.queue.Len() == 0 && c.tryDispatch(now, r, false, out) {
+		return
+	}
+	c.enqueue(now, r, out)
+	c.drainPool(now, p, out)
+}
+
+func (p *pool) hasLive() bool {
+	for i := range p.Endpoints {
+		if p.Endpoints[i].State == table.EndpointLive {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) enqueue(now time.Duration, r *request, out *Actions) {
+	p := r.service.pool
+	item := queue.Item{
+		ID:       uint64(r.arrival.ID),
+		Service:  r.service.index,
+		Caller:   r.arrival.Caller,
+		Priority: r.policy.Priority,
+		Enqueued: now,
+		Deadline: r.deadline,
+		Work:     min(time.Duration(p.serviceNanos), (r.deadline-now)/2),
+	}
+	limits := queue.Limits{
+		QueueLimit:    r.policy.QueueLimit,
+		CallerShare:   r.policy.CallerShare,
+		DeadlineOrder: r.policy.QueueOrder == profile.ByDeadline,
+	}
+	switch p.queue.Push(now, item, limits, p.expectedWait(now, item)) {
+	case queue.Full:
+		c.fail(now, r, ReasonQueueFull, out)
+	case queue.CallerShare:
+		c.fail(now, r, ReasonCallerShare, out)
+	case queue.TooLate:
+		c.fail(now, r, ReasonTooLate, out)
+	default:
+		c.counters.Queued++
+		r.phase = phaseQueued
+	}
+}
+
+// expectedWait estimates how long an item would wait for a slot.
+func (p *pool) expectedWait(now time.Duration, item queue.Item) time.Duration {
+	capacity := p.capacity()
+	between := time.Duration(p.serviceNanos / float64(max(capacity.Slots, 1)))
+	return p.queue.ExpectedWait(now, item, capacity.Free, between)
+}
+
+// expireQueues answers requests whose deadline passed while they waited.
+func (c *Core) expireQueues(now time.Duration, out *Actions) {
+	var expired []queue.Item
+	for _, p := range c.poolRows {
+		expired = p.queue.Expire(now, expired[:0])
+		for _, item := range expired {
+			if r, ok := c.requests[RequestID(item.ID)]; ok {
+				c.fail(now, r, ReasonDeadline, out)
+			}
+		}
+	}
+}
+
+// CallerGone says that the caller of a request closed its connection. Work
+// that nobody waits for is cancelled. A request with an idempotency key runs
+// on: its caller will ask for the result, and cancelling it would turn a known
+// result into an unknown one. CallerGone reports whether the request runs on;
+// if not, the driver gets no further directive for it.
+func (c *Core) CallerGone(now time.Duration, id RequestID, out *Actions) (runsOn bool) {
+	r, ok := c.requests[id]
+	if !ok || r.phase == phaseFinished {
+		return false
+	}
+	if r.keyed && r.phase == phaseActive {
+		return true
+	}
+	p := r.service.pool
+	if r.phase == phaseJoined {
+		c.leaveWaiters(r)
+	}
+	c.settleKey(now, r, r.weakest, nil, out)
+	c.finish(r, out)
+	c.drainPool(now, p, out)
+	return false
+}
+
+// refuse answers a request that has no row.
+func (c *Core) refuse(id RequestID, reason Reason, after time.Duration, out *Actions) {
+	c.counters.NotRun++
+	c.counters.Refused[reason]++
+	out.request(Directive{ID: id, Step: StepReply, Outcome: OutcomeNotRun, Reason: reason, RetryAfter: after})
+}
+
+// fail ends a request with tealhall's own answer. The outcome is the weakest
+// statement of all its attempts: only if none may have run is it "not run".
+func (c *Core) fail(now time.Duration, r *request, reason Reason, out *Actions) {
+	outcome := r.weakest
+	if r.live() > 0 {
+		outcome = OutcomeUnknown
+	}
+	c.reply(r, outcome, reason, c.retryAfter(now, r, reason), out)
+	c.settleKey(now, r, outcome, nil, out)
+	c.finish(r, out)
+}
+
+func (c *Core) reply(r *request, outcome Outcome, reason Reason, after time.Duration, out *Actions) {
+	c.counters.Refused[reason]++
+	if outcome == OutcomeNotRun {
+		c.counters.NotRun++
+	} else {
+		c.counters.Unknown++
+	}
+	out.request(Directive{ID: r.arrival.ID, Step: StepReply, Outcome: outcome, Reason: reason, RetryAfter: after})
+}
+
+// The bounds of Retry-After.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+// retryAfter tells a caller when it makes sense to come back: after the queue
+// as it stands has been worked off.
+func (c *Core) retryAfter(now time.Duration, r *request, reason Reason) time.Duration {
+	switch reason.Status() {
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusTooManyRequests:
+	default:
+		return 0
+	}
+	item := queue.Item{Service: r.service.index, Priority: r.policy.Priority, Enqueued: now, Deadline: r.deadline}
+	wait := r.service.pool.expectedWait(now, item)
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// finish marks a request as answered. Attempts that are still out are
+// cancelled; the row stays until they ended.
+func (c *Core) finish(r *request, out *Actions) {
+	if r.phase == phaseFinished {
+		return
+	}
+	if r.phase == phaseQueued {
+		r.service.pool.queue.Remove(uint64(r.arrival.ID))
+	}
+	r.phase = phaseFinished
+	c.cancelOthers(r, 0, out)
+	c.forgetIfEnded(r)
+}
+
+// cancelOthers cancels every live attempt but keep.
+func (c *Core) cancelOthers(r *request, keep Attempt, out *Actions) {
+	for i := Attempt(1); i <= r.dispatches; i++ {
+		if i != keep && r.attempts[i].live {
+			out.request(Directive{ID: r.arrival.ID, Step: StepCancel, Attempt: i})
+		}
+	}
+}
+
+func (c *Core) forgetIfEnded(r *request) {
+	if r.phase != phaseFinished || r.live() > 0 {
+		return
+	}
+	delete(c.requests, r.arrival.ID)
+	c.free = append(c.free, r)
+}
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -73,6 +73,8 @@
 	Sighting Sighting
 	// AdmittedAt is when the endpoint became known, for slow start.
 	AdmittedAt time.Duration
+	// ProbedAt is when this entry last probed the endpoint.
+	ProbedAt time.Duration
 	// ServiceNanos is a smoothed time of one request at the endpoint.
 	ServiceNanos float64
 	Health       Health
--- /dev/null
+++ b/internal/core/watch.go
@@ -0,0 +1,136 @@
+package core
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/duty"
+	"github.com/tealhall/tealhall/internal/core/health"
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+const (
+	// probeAfter is the age of the latest knowledge of an endpoint from which
+	// on a probe is worth its cost. Ordinary answers keep busy endpoints below it.
+	probeAfter = 2 * time.Second
+	// probesPerRound bounds the probes that one round starts.
+	probesPerRound = 4
+)
+
+// probeDue probes endpoints of which nothing was seen for long, within the
+// watching budget. Free sightings come first: an endpoint that answers requests
+// is not probed. Of several entries only one probes an endpoint; where their
+// views differ more may, and the budget still holds since each spends only its
+// fixed part.
+func (c *Core) probeDue(now time.Duration, out *Actions) {
+	started := 0
+	for _, p := range c.poolRows {
+		slots := p.Slots()
+		for i := range p.Endpoints {
+			e := &p.Endpoints[i]
+			if started >= probesPerRound {
+				return
+			}
+			if !c.wantsProbe(now, e) {
+				continue
+			}
+			if !p.watch.TrySpend(now, slots) {
+				c.counters.ProbesDenied++
+				break
+			}
+			started++
+			c.counters.Probes++
+			e.ProbedAt = now
+			out.Probes = append(out.Probes, Probe{Pool: p.Name, Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address})
+		}
+	}
+}
+
+func (c *Core) wantsProbe(now time.Duration, e *table.Endpoint) bool {
+	if e.State != table.EndpointLive || e.Outstanding > 0 {
+		return false
+	}
+	last := max(e.Sighting.At, e.ProbedAt, e.AdmittedAt-probeAfter)
+	if now-last < probeAfter {
+		return false
+	}
+	return duty.ProbeOwner(c.fleet.dutyMembers, e.Name) == c.cfg.Self.Incarnation
+}
+
+// ProbeEnd feeds the result of a probe.
+func (c *Core) ProbeEnd(now time.Duration, end ProbeEnd, out *Actions) {
+	p, ok := c.pools[end.Probe.Pool]
+	if !ok {
+		return
+	}
+	i := p.find(end.Probe.Endpoint, end.Probe.Incarnation)
+	if i < 0 {
+		return
+	}
+	e := &p.Endpoints[i]
+	if over := end.Latency - c.cfg.ProbeCost; over > 0 {
+		p.watch.Charge(over)
+	}
+	if !end.OK {
+		health.Observe(now, e, health.Observation{Outcome: health.ConnectFailed})
+		return
+	}
+	c.claimFromAnswer(now, e, end.Draining, end.Seen, out)
+	if end.Load.Known {
+		foreign := max(0, end.Load.InFlight+end.Load.Queued-int(e.Outstanding))
+		e.Sighting = table.Sighting{Foreign: int32(foreign), At: now, Seen: true}
+	}
+	c.drainPool(now, p, out)
+}
+
+// sweepHealth ejects and readmits endpoints.
+func (c *Core) sweepHealth(now time.Duration, out *Actions) {
+	for _, p := range c.poolRows {
+		if len(p.services) == 0 {
+			continue
+		}
+		c.sweepPool(now, p, out)
+	}
+}
+
+func (c *Core) sweepPool(now time.Duration, p *pool, out *Actions) {
+	c.healthEvents = health.Sweep(now, &p.Pool, p.healthLimits(), c.rng, c.healthEvents[:0])
+	for _, ev := range c.healthEvents {
+		out.note(c.healthNote(now, p, ev))
+	}
+	if len(c.healthEvents) > 0 {
+		c.drainPool(now, p, out)
+	}
+}
+
+// healthLimits are the most careful of the services that share the pool.
+func (p *pool) healthLimits() health.Limits {
+	first := p.services[0].policy
+	limits := health.Limits{MaxShare: first.EjectMaxShare, Base: first.EjectBase, Max: first.EjectMax}
+	for _, sv := range p.services[1:] {
+		limits.MaxShare = min(limits.MaxShare, sv.policy.EjectMaxShare)
+	}
+	if slots := p.Slots(); slots > 0 {
+		limits.Busy = 1 - float64(p.capacity().Free)/float64(slots)
+	}
+	return limits
+}
+
+func (c *Core) healthNote(now time.Duration, p *pool, ev health.Event) Note {
+	n := Note{Subject: "pool " + p.Name, Why: ev.Why}
+	if ev.Endpoint >= 0 {
+		n.Subject = "endpoint " + p.Endpoints[ev.Endpoint].Name
+	}
+	switch ev.Kind {
+	case health.Ejection:
+		c.counters.Ejections++
+		n.Action, n.From, n.To = "ejected", "in use", "trials from "+(ev.Until-now).Round(time.Millisecond).String()+" on"
+	case health.Readmission:
+		c.counters.Readmissions++
+		n.Action, n.From, n.To = "readmitted", "ejected", "in use"
+	case health.ViewWrong:
+		n.Action, n.To = "ejects-nobody", "all endpoints in use"
+	case health.ViewRestored:
+		n.Action, n.To = "ejects-again", "ejection in force"
+	}
+	return n
+}
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/tealhall/tealhall/internal/contract"
+	"github.com/tealhall/tealhall/internal/core"
+	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/forward"
+)
+
+// attempt sends the request once and reports to the core what came of it. The
+// answer that the core commits to goes to the exchange.
+func (x *exchange) attempt(ctx context.Context, done context.CancelFunc, d core.Directive) {
+	body, ok := x.body.Reader()
+	if !ok || !x.entry.engine.maySend(d.ID, d.Attempt) {
+		done()
+		x.end(d.Attempt, core.EndNotWritten, nil)
+		return
+	}
+	response, delivery, err := x.entry.connections.Send(ctx, forward.Outgoing{
+		Address:       d.Address,
+		Request:       x.request,
+		Body:          body,
+		ContentLength: x.body.Length(),
+		Trailer:       x.request.Trailer,
+		Extra:         x.extraHeader(d),
+		Once:          d.Once,
+	})
+	if err != nil {
+		done()
+		x.entry.engine.end(x.failedEnd(d, delivery, err))
+		return
+	}
+	x.answered(d, response, done)
+}
+
+// extraHeader holds the headers that tealhall adds for the endpoint.
+func (x *exchange) extraHeader(d core.Directive) http.Header {
+	left := d.Deadline - x.entry.engine.clock()
+	h := http.Header{
+		contract.HeaderDeadline: {contract.FormatDeadline(left)},
+		contract.HeaderAttempt:  {strconv.Itoa(int(d.Attempt) + x.callerAttempt - 1)},
+		contract.HeaderRequest:  {x.requestName},
+		contract.HeaderService:  {x.service},
+	}
+	if d.Step == core.StepForward {
+		h[contract.HeaderForwarded] = []string{contract.ForwardedValue}
+		h[contract.HeaderCaller] = []string{x.caller}
+	} else {
+		h[contract.HeaderDepth] = []string{strconv.Itoa(x.depth + 1)}
+	}
+	return h
+}
+
+// answered feeds the head of an answer and either passes the answer to the
+// exchange or drops it.
+func (x *exchange) answered(d core.Directive, response *http.Response, done context.CancelFunc) {
+	head := headOf(d, response)
+	commit, outcome := x.entry.engine.head(head)
+	if commit {
+		c := &committed{response: response, attempt: d.Attempt, outcome: outcome, forwarded: d.Step == core.StepForward}
+		if !x.offer(c) {
+			x.abandon(c)
+		}
+		return
+	}
+	done()
+	_ = response.Body.Close()
+	kind := core.EndDiscarded
+	if head.NotRun {
+		kind = core.EndNotRun
+	}
+	x.end(d.Attempt, kind, nil)
+}
+
+// abandon drops an answer that nobody waits for any more.
+func (x *exchange) abandon(c *committed) {
+	x.cancel(c.attempt)
+	_ = c.response.Body.Close()
+	x.end(c.attempt, core.EndCallerGone, nil)
+}
+
+// end reports the end of an attempt to the core.
+func (x *exchange) end(n core.Attempt, kind core.EndKind, answer *idem.Answer) {
+	x.entry.engine.end(core.End{ID: x.id, Attempt: n, Kind: kind, Replayable: !x.body.Streamed(), Answer: answer})
+}
+
+// headOf reads what an endpoint's answer says of itself.
+func headOf(d core.Directive, response *http.Response) core.Head {
+	h := core.Head{ID: d.ID, Attempt: d.Attempt, Status: response.StatusCode}
+	if d.Step == core.StepForward {
+		return h
+	}
+	_, h.NotRun = contract.ProvedNotRun(response.StatusCode, response.Header)
+	h.Draining = response.Header.Get(contract.HeaderDraining) == contract.DrainingValue
+	h.Incarnation, _ = contract.ParseIncarnation(response.Header.Get(contract.HeaderIncarnation))
+	h.Load = loadOf(response.Header)
+	return h
+}
+
+func loadOf(header http.Header) core.Load {
+	load, ok := contract.ParseLoad(header.Get(contract.HeaderLoad))
+	return core.Load{Known: ok, InFlight: load.InFlight, Queued: load.Queued, Slots: load.Slots}
+}
+
+// failedEnd classifies an attempt that brought no head.
+func (x *exchange) failedEnd(d core.Directive, delivery forward.Delivery, err error) core.End {
+	end := core.End{ID: d.ID, Attempt: d.Attempt, Kind: core.EndLost, Replayable: !x.body.Streamed()}
+	switch forward.FailureOf(err) {
+	case forward.RefusedDial, forward.DialTimeout, forward.DialFailed:
+		end.DialFailed = true
+	case forward.Silent:
+		end.ConnSilent = true
+	case forward.Slow, forward.Deadline:
+		end.TimedOut = true
+	case forward.BadBody, forward.BadRequest:
+		end.BodyFailed = true
+	case forward.Cancelled:
+		end.Kind = core.EndCancelled
+	}
+	if !delivery.Wrote {
+		end.Kind = core.EndNotWritten
+	}
+	return end
+}
--- /dev/null
+++ b/internal/entry/carry.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/tealhall/tealhall/internal/audit"
+	"github.com/tealhall/tealhall/internal/contract"
+	"github.com/tealhall/tealhall/internal/core"
+	"github.com/tealhall/tealhall/internal/core/duty"
+	"github.com/tealhall/tealhall/internal/forward"
+)
+
+// The bounds of work that serves no caller.
+const (
+	probeTimeout = 2 * time.Second
+	fetchTimeout = 3 * time.Second
+)
+
+// carryOut does what the core asked for beside single requests.
+func (e *Entry) carryOut(a *core.Actions) {
+	for i := range a.Notes {
+		e.trail.Add(e.recordOf(&a.Notes[i]))
+	}
+	for i := range a.Updates {
+		u := &a.Updates[i]
+		sent := e.links.Send(u.Address, u.Update)
+		e.updateDone(u.To, u.Update.Sequence, sent)
+	}
+	for _, address := range a.DropAddresses {
+		e.connections.Drop(address)
+	}
+	for _, address := range a.SuspectAddresses {
+		e.connections.Suspect(address)
+	}
+	for _, p := range a.Probes {
+		e.run(func() { e.probe(p) })
+	}
+	for _, f := range a.Fetches {
+		e.run(func() { e.fetch(f) })
+	}
+}
+
+func (e *Entry) recordOf(n *core.Note) audit.Record {
+	return audit.Record{
+		Actor:    orElse(n.Actor, "entry "+e.settings.Name),
+		Subject:  n.Subject,
+		Action:   n.Action,
+		From:     n.From,
+		To:       n.To,
+		Revision: n.Revision,
+		Why:      n.Why,
+	}
+}
+
+func (e *Entry) updateDone(to, sequence uint64, acked bool) {
+	e.engine.event(func(now time.Duration, c *core.Core, _ *core.Actions) {
+		c.UpdateDone(now, to, sequence, acked)
+	})
+}
+
+// probe asks an endpoint how it is.
+func (e *Entry) probe(p core.Probe) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	end := core.ProbeEnd{Probe: p}
+	began := e.engine.clock()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, contract.ProbePath, nil)
+	if err == nil {
+		e.sendProbe(ctx, request, &end)
+	}
+	end.Latency = e.engine.clock() - began
+	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { c.ProbeEnd(now, end, out) })
+}
+
+func (e *Entry) sendProbe(ctx context.Context, request *http.Request, end *core.ProbeEnd) {
+	request.Host = end.Probe.Address
+	response, _, err := e.connections.Send(ctx, forward.Outgoing{Address: end.Probe.Address, Request: request})
+	if err != nil {
+		return
+	}
+	_ = response.Body.Close()
+	head := headOf(core.Directive{}, response)
+	end.OK = response.StatusCode < http.StatusInternalServerError || head.NotRun
+	end.Load, end.Draining, end.Seen = head.Load, head.Draining, head.Incarnation
+}
+
+// fetch gets a published value from a peer or the platform.
+func (e *Entry) fetch(f core.FetchFrom) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	answered := e.fetchFrom(ctx, f)
+	if f.Planned {
+		e.engine.event(func(now time.Duration, c *core.Core, _ *core.Actions) { c.FetchDone(now, f, answered) })
+	}
+}
+
+func (e *Entry) fetchFrom(ctx context.Context, f core.FetchFrom) bool {
+	if f.Source == duty.Platform {
+		value, err := e.options.Platform.Read(ctx, f.Name)
+		if err != nil {
+			klog.V(1).InfoS("the platform did not answer", "value", f.Name, "err", err)
+			return false
+		}
+		e.offer(value, duty.Platform)
+		return true
+	}
+	return e.fetchFromPeer(ctx, f)
+}
--- /dev/null
+++ b/internal/entry/engine.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core"
+)
+
+// engine drives the decision core: it serialises the events, stamps them with
+// the time and hands the resulting actions to whoever carries them out.
+type engine struct {
+	clock func() time.Duration
+	wall  func() time.Time
+
+	mu      sync.Mutex
+	core    *core.Core
+	actions core.Actions
+	// exchanges are the callers' requests that are being served.
+	exchanges map[core.RequestID]*exchange
+	// carry gets the actions that concern no single request. It is called
+	// without the lock and must not keep the slices.
+	carry func(*core.Actions)
+
+	nextID atomic.Uint64
+	// spare holds emptied action lists for carry.
+	spare sync.Pool
+}
+
+func newEngine(c *core.Core, clock func() time.Duration, wall func() time.Time) *engine {
+	return &engine{
+		clock:     clock,
+		wall:      wall,
+		core:      c,
+		exchanges: make(map[core.RequestID]*exchange),
+		spare:     sync.Pool{New: func() any { return new(core.Actions) }},
+	}
+}
+
+// event runs f on the core and carries out what it appended.
+func (e *engine) event(f func(now time.Duration, c *core.Core, out *core.Actions)) {
+	e.mu.Lock()
+	f(e.clock(), e.core, &e.actions)
+	rest := e.dispatchLocked()
+	e.mu.Unlock()
+	e.carryOut(rest)
+}
+
+// dispatchLocked hands the directives to their requests and returns the other
+// actions, or nil if there are none. The lock is held.
+func (e *engine) dispatchLocked() *core.Actions {
+	for i := range e.actions.Requests {
+		d := &e.actions.Requests[i]
+		if x, ok := e.exchanges[d.ID]; ok {
+			x.push(*d)
+		}
+	}
+	if !hasRest(&e.actions) {
+		e.actions.Reset()
+		return nil
+	}
+	rest := e.spare.Get().(*core.Actions)
+	*rest, e.actions = e.actions, *rest
+	return rest
+}
+
+func hasRest(a *core.Actions) bool {
+	return len(a.Probes)+len(a.Updates)+len(a.Fetches)+len(a.Notes)+len(a.DropAddresses)+len(a.SuspectAddresses) > 0
+}
+
+func (e *engine) carryOut(rest *core.Actions) {
+	if rest == nil {
+		return
+	}
+	e.carry(rest)
+	rest.Reset()
+	e.spare.Put(rest)
+}
+
+// arrive registers an exchange and feeds its request to the core.
+func (e *engine) arrive(x *exchange, a *core.Arrival) {
+	e.mu.Lock()
+	e.exchanges[a.ID] = x
+	e.core.Arrive(e.clock(), *a, &e.actions)
+	rest := e.dispatchLocked()
+	e.mu.Unlock()
+	e.carryOut(rest)
+}
+
+// forget unregisters an exchange: no more directives reach it.
+func (e *engine) forget(id core.RequestID) {
+	e.mu.Lock()
+	delete(e.exchanges, id)
+	e.mu.Unlock()
+}
+
+// head feeds the head of an answer and reports whether the answer is to be
+// passed on and with which outcome.
+func (e *engine) head(h core.Head) (commit bool, outcome core.Outcome) {
+	e.mu.Lock()
+	e.core.Head(e.clock(), h, &e.actions)
+	for i := range e.actions.Requests {
+		d := &e.actions.Requests[i]
+		if d.ID == h.ID && d.Attempt == h.Attempt && d.Step == core.StepCommit {
+			commit, outcome = true, d.Outcome
+		}
+	}
+	rest := e.dispatchLocked()
+	e.mu.Unlock()
+	e.carryOut(rest)
+	return commit, outcome
+}
+
+// end feeds the end of an attempt.
+func (e *engine) end(end core.End) {
+	e.mu.Lock()
+	e.core.End(e.clock(), end, &e.actions)
+	rest := e.dispatchLocked()
+	e.mu.Unlock()
+	e.carryOut(rest)
+}
+
+// maySend asks whether an attempt may still be written.
+func (e *engine) maySend(id core.RequestID, n core.Attempt) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.MaySend(e.clock(), id, n)
+}
+
+// callerGone says that nobody waits for a request any more, and reports whether
+// it runs on nevertheless.
+func (e *engine) callerGone(id core.RequestID) (runsOn bool) {
+	e.event(func(now time.Duration, c *core.Core, out *core.Actions) {
+		runsOn = c.CallerGone(now, id, out)
+	})
+	return runsOn
+}
+
+// tick runs the core's systems.
+func (e *engine) tick() {
+	e.event(func(now time.Duration, c *core.Core, out *core.Actions) {
+		c.Tick(now, e.wall(), out)
+	})
+}
+
+// view runs f with the core locked; f must not keep what it reads.
+func (e *engine) view(f func(now time.Duration, c *core.Core)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(e.clock(), e.core)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,255 @@
+// Package entry is the shell around the decision core: it owns the goroutines,
+// the clock, the sockets and the locks, feeds events to the core and carries
+// out its actions. Its life is plain: New checks and builds, Start listens and
+// runs, Stop leaves gracefully.
+package entry
+
+import (
+	"context"
+	cryptorand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/audit"
+	"github.com/tealhall/tealhall/internal/core"
+	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/forward"
+	"github.com/tealhall/tealhall/internal/front"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/peer"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/settings"
+)
+
+// tickPeriod is how often the core's systems run. It bounds how late a queued
+// request is answered after its deadline and how late a hedge starts.
+const tickPeriod = 5 * time.Millisecond
+
+// Options are what an Entry is built from besides its settings.
+type Options struct {
+	// Platform is the configuration service.
+	Platform platform.Service
+	// Audit gets every change; nil makes a trail that logs.
+	Audit *audit.Trail
+	// Wall is the wall clock; nil means time.Now.
+	Wall func() time.Time
+	// Incarnation identifies the process; 0 draws one.
+	Incarnation uint64
+	// CallerListener and PeerListener, if not nil, are served in place of the
+	// addresses in the settings. The entry closes them.
+	CallerListener *net.TCPListener
+	PeerListener   net.Listener
+}
+
+// Entry is one running entry.
+type Entry struct {
+	settings *settings.Settings
+	options  Options
+	hello    message.Hello
+	// requestPrefix starts the names of requests, unique to this process.
+	requestPrefix string
+
+	engine      *engine
+	connections *forward.Connections
+	front       *front.Server
+	peerServer  *peer.Server
+	links       *peer.Links
+	trail       *audit.Trail
+	documents   documents
+	adoptions   adoptions
+
+	// revision of the profiles in force, for answers.
+	revision atomic.Uint64
+
+	callerListener *net.TCPListener
+	peerListener   net.Listener
+	cancel         context.CancelFunc
+	running        sync.WaitGroup
+}
+
+// New builds an entry. It opens no socket yet.
+func New(s *settings.Settings, opts Options) (*Entry, error) {
+	if opts.Wall == nil {
+		opts.Wall = time.Now
+	}
+	if opts.Audit == nil {
+		opts.Audit = audit.New(s.Audit.Records, opts.Wall, audit.LogSink)
+	}
+	incarnation, err := incarnationOf(opts)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{
+		settings:      s,
+		options:       opts,
+		trail:         opts.Audit,
+		requestPrefix: s.Name + "-" + strconv.FormatUint(incarnation, 36) + "-",
+		hello: message.Hello{
+			Version:       message.Version,
+			MinVersion:    message.MinVersion,
+			Name:          s.Name,
+			Incarnation:   incarnation,
+			Region:        s.Region,
+			Domain:        s.FailureDomain,
+			CallerAddress: orElse(s.Addresses.CallerAdvertised, s.Addresses.Caller),
+			PeerAddress:   orElse(s.Addresses.PeerAdvertised, s.Addresses.Peer),
+		},
+	}
+	clock := monotonic()
+	e.connections = forward.New(forward.Config{
+		MaxConnsPerEndpoint: s.Limits.ConnectionsPerEndpoint,
+		DialTimeout:         s.Timeouts.Connect.Duration,
+		UserTimeout:         s.Timeouts.Silence.Duration,
+		Clock:               clock,
+	})
+	rng := rand.New(rand.NewPCG(incarnation, uint64(opts.Wall().UnixNano())))
+	e.engine = newEngine(core.New(e.coreConfig(), rng), clock, opts.Wall)
+	e.engine.carry = e.carryOut
+	return e, nil
+}
+
+func orElse(value, otherwise string) string {
+	if value == "" {
+		return otherwise
+	}
+	return value
+}
+
+// monotonic returns a clock that counts from now on.
+func monotonic() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
+
+// incarnationOf draws the number of this process: the second of its start in
+// the upper half, so that later processes have higher numbers, and 32 random
+// bits, so that no two processes share one.
+func incarnationOf(opts Options) (uint64, error) {
+	if opts.Incarnation != 0 {
+		return opts.Incarnation, nil
+	}
+	var random [4]byte
+	if _, err := cryptorand.Read(random[:]); err != nil {
+		return 0, fault.Wrap(err, fault.Unavailable, "check the system's source of randomness", "can't draw an incarnation")
+	}
+	return uint64(opts.Wall().Unix())<<32 | uint64(binary.BigEndian.Uint32(random[:])), nil
+}
+
+func (e *Entry) coreConfig() core.Config {
+	limits := &e.settings.Limits
+	c := core.DefaultConfig(e.hello)
+	if e.settings.Balance.Policy != "" {
+		c.Policy = e.settings.Balance.Policy
+	}
+	c.MaxInFlight = limits.InFlightRequests
+	c.LargestFleet = limits.LargestFleet
+	c.PeerBytesPerSecond = float64(e.settings.Peers.BytesPerSecond)
+	keys := idem.DefaultConfig(e.hello.Incarnation)
+	keys.MaxKeys = limits.Keys
+	keys.MaxAnswerBytes = limits.KeyAnswerBytes
+	keys.MaxAnswerTotal = int64(limits.KeyTableBytes)
+	c.Keys = keys
+	return c
+}
+
+// Start opens the sockets and runs until Stop. It does not wait for readiness.
+func (e *Entry) Start() error {
+	if err := e.listen(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	e.startPeers()
+	e.front = front.NewServer(front.ServerConfig{
+		ReadHeaderTimeout: e.settings.Timeouts.Header.Duration,
+		IdleTimeout:       e.settings.Timeouts.Idle.Duration,
+		MaxHeaderBytes:    e.settings.Limits.HeaderBytes,
+	}, e.callerHandler())
+	e.run(func() { _ = e.front.Serve(e.callerListener) })
+	e.run(func() { _ = e.peerServer.Serve(e.peerListener) })
+	e.run(func() { e.tickLoop(ctx) })
+	e.run(func() { e.followLoop(ctx, platform.ProfilesValue) })
+	e.run(func() { e.followLoop(ctx, platform.VMsValue) })
+	return nil
+}
+
+func (e *Entry) listen() (err error) {
+	e.callerListener, e.peerListener = e.options.CallerListener, e.options.PeerListener
+	if e.callerListener == nil {
+		if e.callerListener, err = listenTCP(e.settings.Addresses.Caller); err != nil {
+			return err
+		}
+	}
+	if e.peerListener == nil {
+		if e.peerListener, err = listenTCP(e.settings.Addresses.Peer); err != nil {
+			_ = e.callerListener.Close()
+			return err
+		}
+	}
+	return nil
+}
+
+func listenTCP(address string) (*net.TCPListener, error) {
+	resolved, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadSettings, "give the address as IP:port", "bad address %q", address)
+	}
+	l, err := net.ListenTCP("tcp", resolved)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "free the port or set another one", "can't listen on %s", address)
+	}
+	return l, nil
+}
+
+// run starts a goroutine that Stop waits for.
+func (e *Entry) run(f func()) {
+	e.running.Add(1)
+	go func() {
+		defer e.running.Done()
+		f()
+	}()
+}
+
+// tickLoop runs the core's systems.
+func (e *Entry) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	var peers []string
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.engine.tick()
+			peers = e.updateLinks(peers)
+		}
+	}
+}
+
+// Name returns the entry's name.
+func (e *Entry) Name() string { return e.settings.Name }
+
+// CallerAddress returns where callers are served.
+func (e *Entry) CallerAddress() string { return e.hello.CallerAddress }
+
+// Ready reports whether the entry may be given to callers, and if not why.
+func (e *Entry) Ready() (ready bool, reason string) {
+	e.engine.view(func(now time.Duration, c *core.Core) { ready, reason = c.ReadyReason(now) })
+	return ready, reason
+}
+
+// PeerAddress returns where peers are served.
+func (e *Entry) PeerAddress() string { return e.hello.PeerAddress }
+
+// KnownEntries returns how many entries may be given to callers as far as this
+// one knows, itself included.
+func (e *Entry) KnownEntries() (n int) {
+	e.engine.view(func(_ time.Duration, c *core.Core) { n = c.UsableEntries() })
+	return n
+}
--- /dev/null
+++ b/internal/entry/pass.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/tealhall/tealhall/internal/contract"
+	"github.com/tealhall/tealhall/internal/core"
+	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/forward"
+	"github.com/tealhall/tealhall/internal/front"
+)
+
+// ownHeaders are the headers by which an entry speaks to callers and endpoints
+// speak to entries. An endpoint's answer must not bring them to a caller: a
+// stray "not-run" in it would be a false statement of tealhall's.
+var ownHeaders = []string{
+	contract.HeaderOutcome,
+	contract.HeaderReason,
+	contract.HeaderEntry,
+	contract.HeaderRevision,
+	contract.HeaderReplayed,
+	contract.HeaderLoad,
+	contract.HeaderIncarnation,
+	contract.HeaderDraining,
+	contract.HeaderNotRun,
+}
+
+// pass gives the caller the answer that the core committed to.
+func (x *exchange) pass(w http.ResponseWriter, c *committed) {
+	if !c.forwarded {
+		for _, name := range ownHeaders {
+			delete(c.response.Header, name)
+		}
+		x.entry.mark(w.Header(), c.outcome.String(), core.ReasonNone)
+	}
+	if x.keyed && !c.forwarded {
+		x.passKept(w, c)
+		return
+	}
+	x.stream(w, c, nil)
+}
+
+// stream copies the answer to the caller and then reports its end.
+func (x *exchange) stream(w http.ResponseWriter, c *committed, answer *idem.Answer) {
+	_, err := front.CopyAnswer(w, c.response)
+	x.end(c.attempt, endOfCopy(err), answer)
+}
+
+// endOfCopy tells an answer that broke off from a caller that went away: only
+// the reading side has errors of package forward.
+func endOfCopy(err error) core.EndKind {
+	switch {
+	case err == nil:
+		return core.EndComplete
+	case forward.FailureOf(err) != forward.None:
+		return core.EndTruncated
+	default:
+		return core.EndCallerGone
+	}
+}
+
+// passKept passes on the answer of a request that must run once. An answer
+// that is small enough is read whole first: then its result is recorded before
+// the caller sees it, and a caller that loses the answer gets it again. A
+// larger one is streamed, and only its result is recorded.
+func (x *exchange) passKept(w http.ResponseWriter, c *committed) {
+	limit := int64(x.entry.settings.Limits.KeyAnswerBytes)
+	body := c.response.Body
+	start, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		_ = body.Close()
+		x.end(c.attempt, core.EndTruncated, nil)
+		x.entry.reply(w, x.request, core.Directive{Outcome: core.OutcomeUnknown, Reason: core.ReasonAnswerBroken})
+		return
+	}
+	c.response.Body = rejoin(start, body)
+	if int64(len(start)) > limit {
+		x.stream(w, c, nil)
+		return
+	}
+	x.end(c.attempt, core.EndComplete, keptAnswer(c.response, start))
+	_, _ = front.CopyAnswer(w, c.response)
+}
+
+// rejoin puts bytes that were read back in front of a body.
+func rejoin(start []byte, body io.ReadCloser) io.ReadCloser {
+	return struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(start), body), body}
+}
+
+func keptAnswer(response *http.Response, body []byte) *idem.Answer {
+	answer := &idem.Answer{Status: response.StatusCode, Body: body}
+	for name, values := range front.ResponseHeader(response.Header) {
+		if name == "Content-Length" {
+			continue
+		}
+		for _, value := range values {
+			answer.Header = append(answer.Header, [2]string{name, value})
+		}
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/tealhall/tealhall/internal/core"
+	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/peer"
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+// startPeers builds the server for peers and the links to them.
+func (e *Entry) startPeers() {
+	cfg := peer.Config{
+		Heartbeat:      e.settings.Peers.Heartbeat.Duration,
+		CallTimeout:    e.settings.Peers.CallTimeout.Duration,
+		BytesPerSecond: e.settings.Peers.BytesPerSecond,
+		Connections:    e.settings.Peers.Connections,
+	}
+	e.peerServer = peer.NewServer(cfg, (*peerHandler)(e))
+	e.links = peer.NewLinks(cfg, func() message.Hello { return e.hello }, func(_ string, h message.Hello) { e.introduce(h) })
+	e.links.Set(e.settings.Peers.Seeds)
+}
+
+// introduce tells the core who is at the other end of a link.
+func (e *Entry) introduce(h message.Hello) {
+	if h.Incarnation == e.hello.Incarnation {
+		return
+	}
+	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { c.Introduce(now, h, out) })
+}
+
+// updateLinks holds links with the entries that the core knows, and with the
+// seeds while it knows none. It returns the addresses that are set.
+func (e *Entry) updateLinks(current []string) []string {
+	var wanted []string
+	e.engine.view(func(_ time.Duration, c *core.Core) { wanted = c.PeerAddresses(nil) })
+	if len(wanted) == 0 {
+		wanted = slices.Clone(e.settings.Peers.Seeds)
+	}
+	slices.Sort(wanted)
+	if slices.Equal(wanted, current) {
+		return current
+	}
+	e.links.Set(wanted)
+	return wanted
+}
+
+// peerHandler answers peers.
+type peerHandler Entry
+
+// Hello implements peer.Handler.
+func (h *peerHandler) Hello(from message.Hello) (message.Hello, error) {
+	e := (*Entry)(h)
+	e.introduce(from)
+	return e.hello, nil
+}
+
+// Update implements peer.Handler.
+func (h *peerHandler) Update(u message.Update) (message.Ack, error) {
+	e := (*Entry)(h)
+	known := false
+	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { known = c.PeerUpdate(now, &u, out) })
+	if !known {
+		return message.Ack{Reason: "say hello first"}, nil
+	}
+	return message.Ack{Accepted: true}, nil
+}
+
+// Fetch implements peer.Handler.
+func (h *peerHandler) Fetch(f message.Fetch) (message.Document, error) {
+	v := (*Entry)(h).documents.get(f.Name)
+	if v.Revision == 0 {
+		return message.Document{}, fault.New(fault.NotFound, "ask another peer or the platform", "no revision of %s is in force here", f.Name)
+	}
+	d := message.Document{Name: v.Name, Revision: v.Revision}
+	if v.Revision > f.After {
+		d.Data = v.Data
+	}
+	return d, nil
+}
+
+// fetchFromPeer gets a published value from a peer.
+func (e *Entry) fetchFromPeer(ctx context.Context, f core.FetchFrom) bool {
+	d, err := e.links.Fetch(ctx, f.Address, message.Fetch{Name: f.Name, After: f.After})
+	if err != nil {
+		klog.V(1).InfoS("a peer gave no value", "peer", f.Address, "value", f.Name, "err", err)
+		return fault.KindOf(err) == fault.NotFound
+	}
+	if len(d.Data) > 0 {
+		e.offer(platform.Value{Name: d.Name, Revision: d.Revision, Data: d.Data}, f.Source)
+	}
+	return true
+}
+
+// adoptions gathers the parts of hand-overs until each is whole.
+type adoptions struct {
+	mu    sync.Mutex
+	parts map[uint64][]message.Handover
+}
+
+// maxAdoptions bounds the hand-overs that are gathered at a time.
+const maxAdoptions = 16
+
+// add keeps a part. It returns all records once the hand-over is whole.
+func (a *adoptions) add(h message.Handover) (records []idem.Record, whole bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.parts == nil || len(a.parts) >= maxAdoptions {
+		a.parts = make(map[uint64][]message.Handover)
+	}
+	parts := a.parts[h.Home]
+	if h.Part == 0 {
+		parts = nil
+	}
+	if h.Part != len(parts) {
+		delete(a.parts, h.Home)
+		return nil, false
+	}
+	parts = append(parts, h)
+	a.parts[h.Home] = parts
+	if !h.Last {
+		return nil, false
+	}
+	delete(a.parts, h.Home)
+	for i := range parts {
+		records = append(records, parts[i].Records...)
+	}
+	return records, true
+}
+
+// Handover implements peer.Handler.
+func (h *peerHandler) Handover(part message.Handover) (message.Ack, error) {
+	e := (*Entry)(h)
+	records, whole := e.adoptions.add(part)
+	if whole {
+		e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) {
+			c.Adopt(now, part.Home, part.OldestEpoch, records, true, out)
+		})
+	}
+	return message.Ack{Accepted: true}, nil
+}
--- /dev/null
+++ b/internal/entry/published.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/tealhall/tealhall/internal/core"
+	"github.com/tealhall/tealhall/internal/core/duty"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/profile"
+)
+
+// readerCheck is how often an entry looks whether it reads the platform.
+const readerCheck = 500 * time.Millisecond
+
+// documents holds the texts in force, to give them to peers.
+type documents struct {
+	mu     sync.Mutex
+	byName map[string]platform.Value
+}
+
+func (d *documents) put(v platform.Value) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.byName == nil {
+		d.byName = make(map[string]platform.Value)
+	}
+	if v.Revision > d.byName[v.Name].Revision {
+		d.byName[v.Name] = v
+	}
+}
+
+func (d *documents) get(name string) platform.Value {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.byName[name]
+}
+
+// followLoop watches a value at the platform for as long as this entry is one
+// of those that read for all.
+func (e *Entry) followLoop(ctx context.Context, name string) {
+	for ctx.Err() == nil {
+		if e.isReader() {
+			e.follow(ctx, name)
+		}
+		sleep(ctx, readerCheck)
+	}
+}
+
+func (e *Entry) isReader() (reader bool) {
+	e.engine.view(func(_ time.Duration, c *core.Core) { reader = c.Reader() })
+	return reader
+}
+
+// follow watches until this entry is no longer a reader.
+func (e *Entry) follow(ctx context.Context, name string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e.run(func() { e.endFollowing(ctx, cancel) })
+	var after uint64
+	e.engine.view(func(_ time.Duration, c *core.Core) { after = c.InForce(name).Revision })
+	options := platform.FollowOptions{
+		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		OnError: func(err error) { klog.V(1).InfoS("the platform did not answer", "value", name, "err", err) },
+	}
+	platform.Follow(ctx, e.options.Platform, name, after, options, func(v platform.Value) {
+		e.offer(v, duty.Platform)
+	})
+}
+
+// endFollowing cancels once others read for this entry.
+func (e *Entry) endFollowing(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		sleep(ctx, readerCheck)
+		if !e.isReader() {
+			cancel()
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// offer parses a value and gives it to the core. A value without a text says
+// that there is no later revision.
+func (e *Entry) offer(v platform.Value, source uint64) {
+	if v.Data == nil {
+		e.engine.event(func(now time.Duration, c *core.Core, _ *core.Actions) {
+			if c.InForce(v.Name).Revision == v.Revision {
+				c.Confirm(now, v.Name)
+			}
+		})
+		return
+	}
+	offered := parse(v)
+	offered.Source = source
+	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) {
+		c.Offer(now, offered, out)
+		if c.InForce(v.Name) != offered.Mark {
+			return
+		}
+		e.documents.put(v)
+		if v.Name == platform.ProfilesValue {
+			e.revision.Store(v.Revision)
+		}
+	})
+}
+
+// parse reads a value's text. It takes no lock: a document may be large.
+func parse(v platform.Value) core.Offered {
+	o := core.Offered{
+		Name: v.Name,
+		Mark: message.Mark{Revision: v.Revision, Digest: xxhash.Sum64(v.Data)},
+	}
+	if v.Name == platform.VMsValue {
+		o.VMs, o.Problem = platform.ParseVMs(v)
+		return o
+	}
+	o.Profiles, o.Problem = profile.Parse(v.Data, v.Revision)
+	return o
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,225 @@
+package entry
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+
+	"github.com/tealhall/tealhall/internal/contract"
+	"github.com/tealhall/tealhall/internal/core"
+	"github.com/tealhall/tealhall/internal/core/directory"
+	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/front"
+)
+
+// callerHandler routes what callers send: tealhall's own paths and, all else,
+// requests to services.
+func (e *Entry) callerHandler() http.Handler {
+	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	router.HandleFunc(contract.EntriesPath, e.serveEntries).Methods(http.MethodGet)
+	router.HandleFunc(contract.HealthPath, e.serveHealth).Methods(http.MethodGet, http.MethodHead)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Requests to services skip the router: their paths are the services' own.
+		if strings.HasPrefix(r.URL.Path, contract.ReservedPrefix) {
+			router.ServeHTTP(w, r)
+			return
+		}
+		e.serveRequest(w, r)
+	})
+}
+
+// serveRequest brings one request to an endpoint and its answer back.
+func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
+	x, arrival, refusal := e.admit(w, r)
+	if refusal != core.ReasonNone {
+		e.reply(w, r, core.Directive{Outcome: core.OutcomeNotRun, Reason: refusal})
+		return
+	}
+	if x == nil {
+		return
+	}
+	defer x.close()
+	e.engine.arrive(x, arrival)
+	x.serve(w)
+}
+
+// admit reads a request. Without an exchange and a reason the caller was
+// answered already.
+func (e *Entry) admit(w http.ResponseWriter, r *http.Request) (*exchange, *core.Arrival, core.Reason) {
+	service := serviceOf(r)
+	var limit int64
+	known := false
+	e.engine.view(func(_ time.Duration, c *core.Core) { limit, known = c.MaxBody(service) })
+	if !known {
+		return nil, nil, e.unknownService()
+	}
+	body, err := front.NewReplayBody(w, r, front.BodyLimits{Buffer: int64(e.settings.Limits.ReplayBodyBytes), Max: limit})
+	if tooLarge := (*front.TooLarge)(nil); errors.As(err, &tooLarge) {
+		front.RefuseTooLarge(w, tooLarge.Limit, false)
+		return nil, nil, core.ReasonNone
+	}
+	if err != nil {
+		return nil, nil, core.ReasonBodyBroken
+	}
+	x := &exchange{
+		entry:   e,
+		id:      core.RequestID(e.engine.nextID.Add(1)),
+		request: r,
+		body:    body,
+		service: service,
+		caller:  callerOf(r),
+		wake:    make(chan struct{}, 1),
+	}
+	arrival, reason := x.arrival()
+	return x, arrival, reason
+}
+
+// unknownService tells a service that isn't published from an entry that knows
+// no profiles yet.
+func (e *Entry) unknownService() core.Reason {
+	if e.revision.Load() == 0 {
+		return core.ReasonStarting
+	}
+	return core.ReasonUnknownService
+}
+
+// serviceOf returns the service that a request names: in its header, else as
+// the first label of the host.
+func serviceOf(r *http.Request) string {
+	if name := r.Header.Get(contract.HeaderService); name != "" {
+		return name
+	}
+	host, _, _ := strings.Cut(r.Host, ":")
+	label, _, _ := strings.Cut(host, ".")
+	return label
+}
+
+// callerOf returns the name of the caller, else its IP number.
+func callerOf(r *http.Request) string {
+	if name := r.Header.Get(contract.HeaderCaller); name != "" {
+		return name
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// arrival describes the request to the core.
+func (x *exchange) arrival() (*core.Arrival, core.Reason) {
+	h := x.request.Header
+	a := &core.Arrival{
+		ID:            x.id,
+		Service:       x.service,
+		Caller:        xxhash.Sum64String(x.caller),
+		Safe:          idempotentMethod(x.request.Method),
+		Replayable:    x.body.Whole(),
+		CallerAttempt: 1,
+		Forwarded:     h.Get(contract.HeaderForwarded) == contract.ForwardedValue,
+	}
+	if left, ok := contract.ParseDeadline(h.Get(contract.HeaderDeadline)); ok {
+		a.Timeout = max(left, time.Nanosecond)
+	}
+	if attempt, ok := contract.ParseAttempt(h.Get(contract.HeaderAttempt)); ok && !a.Forwarded {
+		a.CallerAttempt = attempt
+	}
+	if depth := h.Get(contract.HeaderDepth); depth != "" {
+		if a.Depth, _ = strconv.Atoi(depth); a.Depth < 0 || a.Depth > contract.MaxDepth {
+			return nil, core.ReasonTooDeep
+		}
+	}
+	a.Revision, _ = strconv.ParseUint(h.Get(contract.HeaderRevision), 10, 64)
+	x.depth, x.callerAttempt = a.Depth, a.CallerAttempt
+	x.requestName = h.Get(contract.HeaderRequest)
+	if x.requestName == "" {
+		x.requestName = x.entry.requestPrefix + strconv.FormatUint(uint64(x.id), 10)
+	}
+	return a, x.readKey(a)
+}
+
+// readKey reads the idempotency key of a request.
+func (x *exchange) readKey(a *core.Arrival) core.Reason {
+	values := x.request.Header[contract.HeaderIdempotencyKey]
+	if len(values) == 0 {
+		return core.ReasonNone
+	}
+	key, err := idem.ParseKey(values[0])
+	if err != nil || len(values) > 1 {
+		return core.ReasonKeyBad
+	}
+	a.Key, a.HasKey = key, true
+	a.Digest, _ = front.Digest(x.caller, x.request, x.body)
+	x.keyed = true
+	return core.ReasonNone
+}
+
+func idempotentMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// serveEntries answers which entries a caller should use.
+func (e *Entry) serveEntries(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	req := directory.Request{
+		Service: query.Get("service"),
+		Caller:  xxhash.Sum64String(query.Get("caller")),
+		Domain:  query.Get("domain"),
+	}
+	answer := contract.EntriesAnswer{Service: req.Service, Revision: e.revision.Load()}
+	known := false
+	e.engine.view(func(now time.Duration, c *core.Core) {
+		choices, ttl, ok := c.EntriesFor(now, req)
+		known = ok
+		answer.TTLMillis = ttl.Milliseconds()
+		answer.Entries = entryAddresses(choices)
+	})
+	if !known {
+		e.reply(w, r, core.Directive{Outcome: core.OutcomeNotRun, Reason: e.unknownService()})
+		return
+	}
+	writeJSON(w, r, http.StatusOK, answer)
+}
+
+func entryAddresses(choices []core.EntryChoice) []contract.EntryAddress {
+	out := make([]contract.EntryAddress, 0, len(choices))
+	for _, c := range choices {
+		out = append(out, contract.EntryAddress{
+			Name:        c.Name,
+			Address:     c.Address,
+			Incarnation: strconv.FormatUint(c.Incarnation, 16),
+			Domain:      c.Domain,
+			KeyPrefix:   c.KeyPrefix,
+			Weight:      float64(c.Weight) / directory.MaxWeight,
+		})
+	}
+	return out
+}
+
+// healthAnswer is the JSON answer to contract.HealthPath.
+type healthAnswer struct {
+	Ready    bool   `json:"ready"`
+	Reason   string `json:"reason,omitempty"`
+	Revision uint64 `json:"revision"`
+}
+
+// serveHealth answers whether the entry may be used.
+func (e *Entry) serveHealth(w http.ResponseWriter, r *http.Request) {
+	answer := healthAnswer{Revision: e.revision.Load()}
+	e.engine.view(func(now time.Duration, c *core.Core) { answer.Ready, answer.Reason = c.ReadyReason(now) })
+	status := http.StatusOK
+	if !answer.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, r, status, answer)
+}
