--- a/internal/core/health/eject.go
+++ b/internal/core/health/eject.go
@@ -65,8 +65,8 @@
 	trialFailures = 0.25
 	// trialGap is the time between two trial requests.
 	trialGap = 250 * time.Millisecond
-	// trialPatience is how long trials are waited for. Where no request is
-	// idempotent, an endpoint comes back without a trial.
+	// trialPatience is how long the next trial is waited for. Where no request
+	// is idempotent, an endpoint comes back without a trial.
 	trialPatience = 5 * time.Second
 	// jitter is the part of an ejection's time that is left to chance, so that
 	// entries that ejected an endpoint together don't return to it together.
@@ -78,15 +78,14 @@
 var cleared = fmt.Sprintf("cleared by %d good trial requests after the ejection", trials)
 
 // Ejected reports whether the endpoint gets no ordinary work.
-func Ejected(_ time.Duration, e *table.Endpoint) bool {
-	return e.Health.EjectedUntil != 0
+func Ejected(now time.Duration, e *table.Endpoint) bool {
+	return now < e.Health.EjectedUntil
 }
 
 // TrialDue reports whether an idempotent request should go to the ejected
 // endpoint to find out whether it works again.
 func TrialDue(now time.Duration, e *table.Endpoint) bool {
-	h := &e.Health
-	return h.EjectedUntil != 0 && now >= h.EjectedUntil && now >= h.TrialAt
+	return Ejected(now, e) && now >= e.Health.TrialAt
 }
 
 // TrialSent notes that a trial request was sent.
@@ -103,8 +102,11 @@
 		h := &p.Endpoints[i].Health
 		reset(h)
 		h.JudgeFrom = now
-		// Time asleep is no time without failures.
+		// Time asleep is neither time without failures nor time for trials.
 		h.CalmSince += gap
+		if h.EjectedUntil != 0 {
+			h.EjectedUntil = max(h.EjectedUntil, now+trialPatience)
+		}
 	}
 }
 
@@ -126,8 +128,8 @@
 	if h.EjectedUntil == 0 {
 		s.ejected++
 	}
-	h.EjectedUntil = s.now + s.duration(h.Ejections)
-	h.TrialAt = h.EjectedUntil
+	h.TrialAt = s.now + s.duration(h.Ejections)
+	h.EjectedUntil = h.TrialAt + trialPatience
 	if !cold(s.now, e) {
 		h.Ejections = min(h.Ejections+1, mostDoublings)
 	}
@@ -135,7 +137,7 @@
 	h.JudgeFrom = s.now
 	// From the limit, the trials alone decide to which side it goes.
 	h.Slowness = s.limits.SlowFactor * s.medianSlowness
-	s.out = append(s.out, Event{Endpoint: i, Kind: Ejection, Why: why, Until: h.EjectedUntil})
+	s.out = append(s.out, Event{Endpoint: i, Kind: Ejection, Why: why, Until: h.TrialAt})
 }
 
 // duration returns the time of the ejection after so many others in a row.
--- a/internal/core/health/sweep.go
+++ b/internal/core/health/sweep.go
@@ -63,7 +63,7 @@
 	Kind     EventKind
 	// Why says what was measured and what will clear it.
 	Why string
-	// Until is the end of an ejection.
+	// Until is when the trials of an ejected endpoint begin.
 	Until time.Duration
 }
 
@@ -130,7 +130,8 @@
 }
 
 func (s *sweep) survey() {
-	var failures, slowness sample
+	var store [2][inlineSample]float64
+	failures, slowness := sample(store[0][:0]), sample(store[1][:0])
 	s.each(func(_ int, e *table.Endpoint) {
 		h := &e.Health
 		s.live++
@@ -141,7 +142,7 @@
 			return
 		}
 		if h.Samples > 0 {
-			failures.add(h.FailureRate)
+			failures = append(failures, h.FailureRate)
 		}
 		if h.Samples >= failureSamples {
 			s.judged++
@@ -150,10 +151,10 @@
 			}
 		}
 		if h.SlowSamples >= slowSamples {
-			slowness.add(h.Slowness)
+			slowness = append(slowness, h.Slowness)
 		}
 	})
-	s.slowJudged = slowness.len()
+	s.slowJudged = len(slowness)
 	s.medianFailure = failures.median()
 	s.medianSlowness = slowness.median()
 }
@@ -188,9 +189,12 @@
 func (s *sweep) endTrials() {
 	s.each(func(i int, e *table.Endpoint) {
 		h := &e.Health
-		if h.EjectedUntil == 0 || s.now < h.EjectedUntil {
+		if h.EjectedUntil == 0 {
 			return
 		}
+		if h.Samples > 0 {
+			h.EjectedUntil = max(h.EjectedUntil, h.SampledAt+trialPatience)
+		}
 		switch {
 		case h.FailureRate > trialFailures:
 			s.eject(i, fmt.Sprintf("trial requests failed; %s", cleared))
@@ -198,7 +202,7 @@
 			s.eject(i, fmt.Sprintf("trial requests took %.1f times the pool's median; %s", h.Slowness/s.medianSlowness, cleared))
 		case h.Samples >= trials:
 			s.readmit(i, fmt.Sprintf("%d trial requests went well", h.Samples))
-		case s.now-max(h.EjectedUntil, h.SampledAt) >= trialPatience:
+		case s.now >= h.EjectedUntil:
 			s.readmit(i, "no request was suited for a trial")
 		}
 	})
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -31,8 +31,8 @@
 
 // Health is owned by the health system.
 type Health struct {
-	// EjectedUntil: no work at all before this time, then only trial requests
-	// until the endpoint is readmitted; 0 when not ejected.
+	// EjectedUntil: no ordinary work before this time; 0 when not ejected.
+	// Trial requests from TrialAt on may end the ejection earlier.
 	EjectedUntil time.Duration
 	// Ejections counts ejections in a row, for growing times.
 	Ejections int32
