Forward: tests that count arrivals while connections die

Open connections are black-holed by a socket filter in the kernel, so that silent and slow are told apart by real acknowledgements. Errors in the head are classed by what was read, since the parsers call a line that was cut off malformed.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -26,7 +26,7 @@
 		if delivery.FirstByte == 0 {
 			delivery.FirstByte = x.connections.cfg.Clock()
 		}
-		resp, err := http.ReadResponse(x.conn.reader, x.out.Request)
+		resp, err := x.parseHead()
 		if err != nil {
 			return nil, err
 		}
@@ -47,6 +47,27 @@
 	}
 }
 
+// parseHead reads one head whose first byte is there.
+func (x *exchange) parseHead() (*http.Response, error) {
+	if timeout := x.connections.cfg.HeaderTimeout; timeout > 0 {
+		x.conn.SetReadDeadline(time.Now().Add(timeout))
+		defer x.conn.SetReadDeadline(time.Time{})
+	}
+	resp, err := http.ReadResponse(x.conn.reader, x.out.Request)
+	if err == nil {
+		return resp, nil
+	}
+	failure := Died
+	switch {
+	case errors.Is(x.conn.readErr, os.ErrDeadlineExceeded):
+		failure = Slow
+	case x.conn.readErr == nil, x.conn.readErr == errHeadTooLarge:
+		// Nothing is wrong with the connection, only with what was read.
+		failure = BadAnswer
+	}
+	return nil, &Error{Failure: failure, Address: x.out.Address, Cause: err}
+}
+
 // awaitByte waits for the next byte of the answer. It wakes up from time to
 // time to tell a dead connection from a slow endpoint.
 func (x *exchange) awaitByte() error {
@@ -177,33 +198,28 @@
 	return nil
 }
 
-// fail ends the exchange before the head of the answer and classifies err.
-func (x *exchange) fail(err error) error {
-	return x.classify(err, Died)
-}
+// fail ends the exchange before the body of the answer and classifies err.
+func (x *exchange) fail(err error) error { return x.classify(err, Died) }
 
 // failBody ends the exchange in the body of the answer and classifies err.
-func (x *exchange) failBody(err error) error {
-	return x.classify(err, Truncated)
-}
+func (x *exchange) failBody(err error) error { return x.classify(err, Truncated) }
 
 // classify ends the exchange and returns the error that explains it best: why
 // this process closed the connection, else err itself, else fallback.
 func (x *exchange) classify(err error, fallback Failure) error {
-	failure := x.conn.abortedFor()
+	aborted := x.conn.abortedFor()
 	x.drop()
 	typed := &Error{Failure: fallback, Address: x.out.Address, Cause: err}
 	switch {
-	case failure != None && failure != Closed:
-		typed.Failure = failure
-		if failure == BadBody {
+	case aborted != None && aborted != Closed:
+		typed.Failure = aborted
+		if aborted == BadBody {
 			typed.Cause = x.upload.err
 		}
 	case x.ctx.Err() != nil:
 		typed.Failure = contextFailure(x.ctx)
-	case errors.As(err, &typed):
-	case errors.Is(err, errHeadTooLarge), malformed(err):
-		typed.Failure = BadAnswer
+	default:
+		errors.As(err, &typed)
 	}
 	if typed.Failure == Silent {
 		x.pool.count(func(s *ConnStats) { s.Silent++ })
@@ -211,9 +227,3 @@
 	}
 	return typed
 }
-
-// malformed reports whether err is about what was read, not about reading.
-func malformed(err error) bool {
-	var netErr interface{ Timeout() bool }
-	return !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &netErr)
-}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -29,6 +29,9 @@
 	written atomic.Int64
 	// headLeft is how many bytes the head of the answer may still take.
 	headLeft int64
+	// readErr is the last error of Read, for what the parsers hide: they call a
+	// line that was cut off malformed.
+	readErr error
 
 	// slot is the index in pool.all; guarded by the pool.
 	slot int
@@ -54,12 +57,14 @@
 // Read reads from the connection within the bound on the answer's head.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headLeft <= 0 {
+		c.readErr = errHeadTooLarge
 		return 0, errHeadTooLarge
 	}
 	if int64(len(p)) > c.headLeft {
 		p = p[:c.headLeft]
 	}
 	n, err := c.Conn.Read(p)
+	c.readErr = err
 	if c.headLeft != math.MaxInt64 {
 		c.headLeft -= int64(n)
 	}
--- /dev/null
+++ b/internal/forward/fake_test.go
@@ -0,0 +1,187 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// endpoint is a fake endpoint. Its script handles each connection.
+type endpoint struct {
+	t       *testing.T
+	address string
+	// arrivals counts the requests of which at least a byte came in.
+	arrivals atomic.Int32
+	conns    atomic.Int32
+}
+
+// peer is one connection of a fake endpoint.
+type peer struct {
+	*net.TCPConn
+	endpoint *endpoint
+	reader   *bufio.Reader
+}
+
+func newEndpoint(t *testing.T, script func(p *peer, number int)) *endpoint {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	e := &endpoint{t: t, address: listener.Addr().String()}
+	go func() {
+		for {
+			tcp, err := listener.AcceptTCP()
+			if err != nil {
+				return
+			}
+			p := &peer{TCPConn: tcp, endpoint: e, reader: bufio.NewReader(tcp)}
+			t.Cleanup(func() { tcp.Close() })
+			number := int(e.conns.Add(1))
+			go script(p, number)
+		}
+	}()
+	return e
+}
+
+// arrive waits for the first byte of a request and counts it.
+func (p *peer) arrive() bool {
+	if _, err := p.reader.Peek(1); err != nil {
+		return false
+	}
+	p.endpoint.arrivals.Add(1)
+	return true
+}
+
+// request reads a whole request.
+func (p *peer) request() *http.Request {
+	if !p.arrive() {
+		return nil
+	}
+	r, err := http.ReadRequest(p.reader)
+	if err != nil {
+		return nil
+	}
+	io.Copy(io.Discard, r.Body)
+	return r
+}
+
+func (p *peer) say(text string) { io.WriteString(p, text) }
+
+// reset closes the connection with a RST.
+func (p *peer) reset() {
+	p.SetLinger(0)
+	p.Close()
+}
+
+// blackHole makes the kernel drop every segment that comes in, as if something
+// between the two ends had lost track of the connection.
+func (p *peer) blackHole() {
+	raw, err := p.SyscallConn()
+	if err != nil {
+		p.endpoint.t.Error(err)
+		return
+	}
+	drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+	program := unix.SockFprog{Len: 1, Filter: &drop}
+	raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	})
+	if err != nil {
+		p.endpoint.t.Error(err)
+	}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// answering serves every request with the same answer.
+func answering(answer string) func(*peer, int) {
+	return func(p *peer, _ int) {
+		for p.request() != nil {
+			p.say(answer)
+		}
+	}
+}
+
+// manualClock is a clock that the test moves.
+type manualClock struct{ now atomic.Int64 }
+
+func (c *manualClock) read() time.Duration     { return time.Duration(c.now.Load()) }
+func (c *manualClock) advance(d time.Duration) { c.now.Add(int64(d)) }
+
+func realClock() func() time.Duration {
+	started := time.Now()
+	return func() time.Duration { return time.Since(started) }
+}
+
+func newConnections(t testing.TB, cfg Config) *Connections {
+	if cfg.Clock == nil {
+		cfg.Clock = realClock()
+	}
+	c := New(cfg)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func outgoing(t testing.TB, address, method, body string) Outgoing {
+	r, err := http.NewRequest(method, "http://service/tray?kind=live", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Idempotency-Key", "key")
+	out := Outgoing{Address: address, Request: r}
+	if body != "" {
+		out.Body, out.ContentLength = strings.NewReader(body), int64(len(body))
+	}
+	return out
+}
+
+// exchangeText sends a request and reads the answer whole.
+func exchangeText(c *Connections, out Outgoing) (string, Delivery, error) {
+	resp, delivery, err := c.Send(context.Background(), out)
+	if err != nil {
+		return "", delivery, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return string(text), delivery, err
+}
+
+func mustExchange(t *testing.T, c *Connections, out Outgoing) Delivery {
+	t.Helper()
+	text, delivery, err := exchangeText(c, out)
+	if err != nil || text != "ok" {
+		t.Fatalf("got %q, %v", text, err)
+	}
+	return delivery
+}
+
+// eventually waits for what another goroutine or the kernel does shortly.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(10 * time.Second); !holds(); runtime.Gosched() {
+		if time.Now().After(limit) {
+			t.Fatal("never happened: " + what)
+		}
+	}
+}
+
+// idleDead reports whether no idle connection to address can be used.
+func idleDead(c *Connections, address string) func() bool {
+	return func() bool {
+		p := c.lookup(address)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.idle) == 0 || !p.idle[0].reusable()
+	}
+}
