Contract tests of the endpoint stand-in

Each state and fault in a table on a clock that only the test moves, and three stories: queue and drain, silent connections, runs without an answer. They found that a deadline of zero at time zero was taken for none.

--- /dev/null
+++ b/internal/standin/endpoint_test.go
@@ -0,0 +1,310 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tealhall/tealhall/internal/contract"
+)
+
+const (
+	serviceTime = 5 * time.Millisecond
+	// soon ends waits that must end without an answer.
+	soon = 50 * time.Millisecond
+)
+
+// start returns an endpoint of one slot and one place in the queue, on a clock
+// that only the test moves.
+func start(t *testing.T, change func(*EndpointConfig)) (*Endpoint, *ManualClock) {
+	t.Helper()
+	clock := NewManualClock()
+	cfg := EndpointConfig{Name: "one", Incarnation: 7, Slots: 1, QueueLimit: 1, ServiceTime: Constant(serviceTime), Clock: clock}
+	if change != nil {
+		change(&cfg)
+	}
+	endpoint, err := NewEndpoint(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(endpoint.Server().Kill)
+	return endpoint, clock
+}
+
+// reply is an answer as its caller got it; err says how it was cut off.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+// send sends one request in the background.
+func send(ctx context.Context, e *Endpoint, path string, header ...string) <-chan reply {
+	replies := make(chan reply, 1)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.Server().URL()+path, strings.NewReader("body"))
+	if err != nil {
+		replies <- reply{err: err}
+		return replies
+	}
+	request.GetBody = nil // the transport must not send it again
+	for i := 0; i < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	go func() {
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			replies <- reply{err: err}
+			return
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		replies <- reply{response.StatusCode, response.Header, body, err}
+	}()
+	return replies
+}
+
+// TestContract sends one request to an endpoint in each of its states.
+func TestContract(t *testing.T) {
+	idle := "in-flight=0,queued=0,slots=1"
+	bodyDigest := "230d8358dc8e8890b4c58deeb62912ee2f20357ae92a5cc861b98e68fe31acb5"
+	cases := map[string]struct {
+		change   func(*EndpointConfig)
+		faults   EndpointFaults
+		drain    bool
+		path     string
+		deadline string
+		hold     time.Duration // the slot time that the clock is moved by
+		status   int           // zero: the connection breaks
+		header   map[string]string
+		counted  EndpointStats
+	}{
+		"answers": {
+			hold: serviceTime, status: 200,
+			header:  map[string]string{contract.HeaderLoad: idle, contract.HeaderIncarnation: "7", BodyDigestHeader: bodyDigest},
+			counted: EndpointStats{Requests: 1, Runs: 1, Finished: 1, SlotTime: serviceTime},
+		},
+		"answers in chunks": {
+			path: "/echo?id=own&bytes=100000&chunked=1&status=409&work=1ms", hold: time.Millisecond, status: 409,
+			counted: EndpointStats{Requests: 1, Runs: 1, Finished: 1, SlotTime: time.Millisecond},
+		},
+		"probe": {
+			path: contract.ProbePath, hold: DefaultProbeTime, status: 200,
+			counted: EndpointStats{Probes: 1, ProbeSlotTime: DefaultProbeTime},
+		},
+		"cold": {
+			change: func(c *EndpointConfig) { c.ColdFactor, c.ColdTime = 4, time.Minute },
+			hold:   4 * serviceTime, status: 200,
+			counted: EndpointStats{Requests: 1, Runs: 1, Finished: 1, SlotTime: 4 * serviceTime},
+		},
+		"straggles": {
+			faults: EndpointFaults{Straggle: 10}, hold: 10 * serviceTime, status: 200,
+			counted: EndpointStats{Requests: 1, Runs: 1, Finished: 1, SlotTime: 10 * serviceTime},
+		},
+		"lies about its load": {
+			faults: EndpointFaults{Load: &contract.Load{InFlight: 9, Slots: 8}}, hold: serviceTime, status: 200,
+			header:  map[string]string{contract.HeaderLoad: "in-flight=9,queued=0,slots=8"},
+			counted: EndpointStats{Requests: 1, Runs: 1, Finished: 1, SlotTime: serviceTime},
+		},
+		"fails fast": {
+			faults: EndpointFaults{FailFast: 503}, status: 503,
+			header:  map[string]string{contract.HeaderNotRun: "", contract.HeaderLoad: idle},
+			counted: EndpointStats{Requests: 1, Failed: 1},
+		},
+		"sheds": {
+			faults: EndpointFaults{Shed: true}, status: 503,
+			header:  map[string]string{contract.HeaderNotRun: "overload"},
+			counted: EndpointStats{Requests: 1, NotRun: map[contract.NotRunReason]int64{contract.NotRunOverload: 1}},
+		},
+		"drains": {
+			drain: true, status: 503,
+			header:  map[string]string{contract.HeaderNotRun: "draining", contract.HeaderDraining: "1"},
+			counted: EndpointStats{Requests: 1, NotRun: map[contract.NotRunReason]int64{contract.NotRunDraining: 1}},
+		},
+		"deadline passed": {
+			deadline: "0", status: 503,
+			header:  map[string]string{contract.HeaderNotRun: "deadline"},
+			counted: EndpointStats{Requests: 1, NotRun: map[contract.NotRunReason]int64{contract.NotRunDeadline: 1}},
+		},
+		"deadline while it runs": { // what was begun is never said to be not run
+			deadline: "2", hold: 2 * time.Millisecond, status: 504,
+			header:  map[string]string{contract.HeaderNotRun: ""},
+			counted: EndpointStats{Requests: 1, Runs: 1, Late: 1, SlotTime: 2 * time.Millisecond},
+		},
+		"deadline malformed": {deadline: "soon", status: 400, counted: EndpointStats{Failed: 1}},
+		"cuts its answer": {
+			faults: EndpointFaults{CutAnswer: true}, hold: serviceTime,
+			counted: EndpointStats{Requests: 1, Runs: 1, Finished: 1, SlotTime: serviceTime},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			endpoint, clock := start(t, c.change)
+			endpoint.SetFaults(c.faults)
+			if c.drain {
+				endpoint.Drain()
+			}
+			path := "/echo?id=own&bytes=100000"
+			if c.path != "" {
+				path = c.path
+			}
+			header := []string{contract.HeaderRequest, "r1"}
+			timers := 1
+			if c.deadline != "" {
+				header, timers = append(header, contract.HeaderDeadline, c.deadline), 2
+			}
+			replies := send(t.Context(), endpoint, path, header...)
+			if c.hold > 0 {
+				clock.AwaitTimers(timers)
+				clock.Advance(c.hold)
+			}
+			got := <-replies
+			if (got.err != nil) != (c.status == 0) || (got.err == nil && got.status != c.status) {
+				t.Fatalf("status %d, error %v; want status %d", got.status, got.err, c.status)
+			}
+			for key, want := range c.header {
+				if have := got.header.Get(key); have != want {
+					t.Errorf("%s: %q; want %q", key, have, want)
+				}
+			}
+			if c.counted.Finished > 0 && got.err == nil {
+				if err := CheckAnswer(got.body, "own", 100000); err != nil {
+					t.Error(err)
+				}
+			}
+			if err := endpoint.Close(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			counted := endpoint.Stats()
+			counted.Connections = 0
+			if c.counted.NotRun == nil {
+				c.counted.NotRun = map[contract.NotRunReason]int64{}
+			}
+			if diff := cmp.Diff(c.counted, counted); diff != "" {
+				t.Errorf("counted (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// One request holds the only slot and one waits: the next is refused as busy,
+// the waiting one is refused when its deadline passes, both truthfully as not
+// run. The endpoint drains meanwhile and still finishes what it has.
+func TestQueueWhileDraining(t *testing.T) {
+	endpoint, clock := start(t, nil)
+	first := send(t.Context(), endpoint, "/?work=1h", contract.HeaderIdempotencyKey, "first")
+	clock.AwaitTimers(1)
+	second := send(t.Context(), endpoint, "/", contract.HeaderIdempotencyKey, "second", contract.HeaderDeadline, "20")
+	clock.AwaitTimers(2)
+	third := <-send(t.Context(), endpoint, "/", contract.HeaderIdempotencyKey, "third")
+	endpoint.Drain()
+	fourth := <-send(t.Context(), endpoint, "/", contract.HeaderIdempotencyKey, "fourth")
+	clock.Advance(20 * time.Millisecond)
+	refused := map[string]reply{"deadline": <-second, "busy": third, "draining": fourth}
+	for want, got := range refused {
+		if reason, ok := contract.ProvedNotRun(got.status, got.header); !ok || string(reason) != want {
+			t.Errorf("%s: status %d, header %v, error %v", want, got.status, got.header, got.err)
+		}
+	}
+	if load := third.header.Get(contract.HeaderLoad); load != "in-flight=1,queued=1,slots=1" {
+		t.Errorf("load of the full endpoint: %s", load)
+	}
+	clock.Advance(time.Hour)
+	if got := <-first; got.status != http.StatusOK || got.header.Get(contract.HeaderDraining) == "" {
+		t.Errorf("the request in flight got %+v", got)
+	}
+	endpoint.AwaitIdle()
+	want := map[string]Count{"first": {1, 1, 1}, "second": {Arrivals: 1}, "third": {Arrivals: 1}, "fourth": {Arrivals: 1}}
+	if diff := cmp.Diff(want, endpoint.Ledger().Keys()); diff != "" {
+		t.Errorf("ledger (-want +got):\n%s", diff)
+	}
+}
+
+// A booking is sent over a connection that something on the way has forgotten:
+// it never arrives. One that was running when that happened did run, and its
+// answer never comes. New connections work throughout.
+func TestBlackHole(t *testing.T) {
+	endpoint, clock := start(t, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	running := send(ctx, endpoint, "/", contract.HeaderIdempotencyKey, "running")
+	clock.AwaitTimers(1)
+	endpoint.Server().BlackHole()
+	clock.Advance(serviceTime)
+	endpoint.AwaitIdle()
+	late, cancelLate := context.WithTimeout(t.Context(), soon)
+	defer cancelLate()
+	select {
+	case got := <-running:
+		t.Errorf("an answer came over the silent connection: %+v", got)
+	case <-late.Done():
+	}
+	cancel()
+	<-running
+	fresh := send(t.Context(), endpoint, "/", contract.HeaderIdempotencyKey, "fresh")
+	clock.AwaitTimers(1)
+	clock.Advance(serviceTime)
+	if got := <-fresh; got.status != http.StatusOK {
+		t.Fatalf("over a new connection: %+v", got)
+	}
+	endpoint.Server().BlackHole() // the connection is idle in the pool now
+	lost, cancelLost := context.WithTimeout(t.Context(), soon)
+	defer cancelLost()
+	if got := <-send(lost, endpoint, "/", contract.HeaderIdempotencyKey, "lost"); got.err == nil {
+		t.Errorf("over the silent connection: %+v", got)
+	}
+	if err := endpoint.Close(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(map[string]Count{"running": {1, 1, 1}, "fresh": {1, 1, 1}}, endpoint.Ledger().Keys()); diff != "" {
+		t.Errorf("ledger (-want +got):\n%s", diff)
+	}
+}
+
+// The three ways in which a run ends without an answer: the caller goes away,
+// the machine dies, the program hangs. Each is known to the ledger.
+func TestRunsWithoutAnswer(t *testing.T) {
+	endpoint, clock := start(t, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	gone := send(ctx, endpoint, "/", contract.HeaderIdempotencyKey, "gone")
+	clock.AwaitTimers(1)
+	cancel()
+	<-gone
+	endpoint.AwaitIdle()
+	endpoint.SetFaults(EndpointFaults{Hang: true})
+	ctx, cancel = context.WithCancel(t.Context())
+	hung := send(ctx, endpoint, "/", contract.HeaderIdempotencyKey, "hung")
+	for endpoint.Ledger().Key("hung").Arrivals == 0 {
+		runtime.Gosched()
+	}
+	cancel()
+	if got := <-hung; got.err == nil {
+		t.Errorf("a hanging endpoint answered %+v", got)
+	}
+	endpoint.SetFaults(EndpointFaults{})
+	dead := send(t.Context(), endpoint, "/", contract.HeaderIdempotencyKey, "dead")
+	clock.AwaitTimers(1)
+	endpoint.Server().Kill()
+	if got := <-dead; got.err == nil {
+		t.Errorf("a killed endpoint answered %+v", got)
+	}
+	if err := endpoint.Server().Start(); err != nil {
+		t.Fatal(err)
+	}
+	again := send(t.Context(), endpoint, "/", contract.HeaderIdempotencyKey, "dead")
+	clock.AwaitTimers(1)
+	clock.Advance(serviceTime)
+	<-again
+	want := map[string]Count{"gone": {1, 1, 0}, "hung": {Arrivals: 1}, "dead": {2, 2, 1}}
+	if diff := cmp.Diff(want, endpoint.Ledger().Keys()); diff != "" {
+		t.Errorf("ledger (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"dead"}, endpoint.Ledger().RanTwice()); diff != "" {
+		t.Errorf("ran twice (-want +got):\n%s", diff)
+	}
+}
--- a/internal/standin/endpointserve.go
+++ b/internal/standin/endpointserve.go
@@ -18,7 +18,8 @@
 type call struct {
 	id       identity
 	probe    bool
-	deadline time.Duration // on the endpoint's clock; zero is none
+	limited  bool          // it has a deadline
+	deadline time.Duration // on the endpoint's clock
 	answer   answerSpec
 	work     time.Duration // replaces the service time when above zero
 }
@@ -65,7 +66,7 @@
 		if !ok {
 			return c, errors.New("malformed deadline")
 		}
-		c.deadline = max(1, e.cfg.Clock.Now()+left)
+		c.limited, c.deadline = true, e.cfg.Clock.Now()+left
 	}
 	var err error
 	if query.Has(WorkParameter) {
@@ -167,7 +168,7 @@
 }
 
 func (e *Endpoint) expired(c call) bool {
-	return c.deadline > 0 && e.cfg.Clock.Now() >= c.deadline
+	return c.limited && e.cfg.Clock.Now() >= c.deadline
 }
 
 // await waits in the queue and reports whether the request got a slot.
@@ -189,7 +190,7 @@
 
 // timeout fires at the deadline of c, never when it has none.
 func (e *Endpoint) timeout(c call) (<-chan struct{}, func()) {
-	if c.deadline == 0 {
+	if !c.limited {
 		return nil, func() {}
 	}
 	return e.cfg.Clock.After(c.deadline - e.cfg.Clock.Now())
