Keys: refusals at the door stay true, parts of a hand-over in any order, successors asked

Cause: review of the idempotency path. A keyed request refused at the door was told not run although an earlier try may have run; a late part of an older export could look whole; keys of homes that stopped were never looked up at their successors. Change: the door asks the key table before it says not run; hand-over parts carry the total and are adopted one by one; adopted tables are handed on; forwarding goes to the successor once the home is gone. Tested: demo and core packages under -race pass.

--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -1,9 +1,6 @@
 package core
 
 import (
-	"cmp"
-	"slices"
-	"strconv"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/directory"
@@ -115,46 +112,6 @@
 	c.composeUpdates(now, out)
 }
 
-// SealKeys ends the making of new keys here. Requests with new keys are
-// refused as not run; those that run go on.
-func (c *Core) SealKeys(now time.Duration) { c.keys.Seal(now) }
-
-// Handover returns the sealed table for the successors, and who they are.
-func (c *Core) Handover(successors int) (records []idem.Record, oldest uint32, to []uint64) {
-	return c.keys.Export(), c.keys.Oldest(), c.successors(successors)
-}
-
-// successors are the entries that answer for this one's keys after its stop:
-// the first by rendezvous hashing, so that few move when entries change.
-func (c *Core) successors(n int) []uint64 {
-	key := duty.Key("successor", c.cfg.Self.Name)
-	type scored struct {
-		incarnation, score uint64
-	}
-	var best []scored
-	for _, m := range c.fleet.dutyMembers {
-		if m.Incarnation == c.cfg.Self.Incarnation {
-			continue
-		}
-		best = append(best, scored{m.Incarnation, duty.Score(key, m.Incarnation)})
-	}
-	slices.SortFunc(best, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	var out []uint64
-	for _, s := range best[:min(n, len(best))] {
-		out = append(out, s.incarnation)
-	}
-	return out
-}
-
-// Adopt takes over the keys of an entry that stopped.
-func (c *Core) Adopt(now time.Duration, home uint64, oldest uint32, records []idem.Record, complete bool, out *Actions) {
-	c.keys.Adopt(now, home, oldest, records, complete)
-	if complete {
-		out.note(Note{Actor: c.sourceName(home), Subject: "idempotency keys", Action: "adopted",
-			To: strconv.Itoa(len(records)) + " keys", Why: "the entry that ran them stops"})
-	}
-}
-
 // Stopped marks the end of a planned stop.
 func (c *Core) Stopped(now time.Duration, out *Actions) {
 	c.state = message.EntryStopped
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -197,15 +197,3 @@
 	c.fetchDue(now, out)
 	c.becomeReady(now, out)
 }
-
-// PeerAddressesOf returns the peer addresses of the given incarnations, without
-// those that are not known.
-func (c *Core) PeerAddressesOf(incarnations []uint64) []string {
-	var out []string
-	for _, incarnation := range incarnations {
-		if address, ok := c.peerAddressOf(incarnation); ok && address != "" {
-			out = append(out, address)
-		}
-	}
-	return out
-}
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -87,11 +87,12 @@
 	c.finish(r, out)
 }
 
-// forwardHome sends a request on to the entry that alone may run its key. A
-// request that was already sent on once is not sent on again: two entries that
-// disagree about a home must not pass it to and fro.
+// forwardHome sends a request on to the entry that alone may run its key, or,
+// when that one is gone, to a successor that may hold its table. A request that
+// was already sent on once is not sent on again: two entries that disagree
+// about a home must not pass it to and fro.
 func (c *Core) forwardHome(now time.Duration, r *request, home uint64, out *Actions) {
-	address, ok := c.fleet.callerAddressOf(home)
+	address, ok := c.homeAddress(home)
 	if !ok || r.arrival.Forwarded {
 		c.reply(r, OutcomeUnknown, ReasonHomeLost, 0, out)
 		c.finish(r, out)
@@ -104,6 +105,21 @@
 	out.request(Directive{ID: r.arrival.ID, Step: StepForward, Attempt: 1, Address: address, Once: true, Deadline: r.deadline})
 }
 
+// homeAddress returns where the keys of a home are answered: at the home while
+// it may still run, else at the first successor.
+func (c *Core) homeAddress(home uint64) (string, bool) {
+	if address, ok := c.fleet.callerAddressOf(home); ok {
+		return address, true
+	}
+	for _, incarnation := range c.successorsOf(home, successorCount) {
+		if incarnation == c.cfg.Self.Incarnation {
+			continue
+		}
+		return c.fleet.callerAddressOf(incarnation)
+	}
+	return "", false
+}
+
 // afterForward ends a request that was sent on to another entry. Whatever went
 // wrong on the way, an earlier try with the same key may have run there: the
 // only true statement is "unknown".
@@ -138,7 +154,8 @@
 	c.answerWaiters(now, r.arrival.Key, out)
 }
 
-// releaseKey forgets a key whose request was not run.
+// releaseKey ends a key whose request was not run. The key is spent: it never
+// runs, so that "not run" stays true.
 func (c *Core) releaseKey(now time.Duration, r *request, out *Actions) {
 	c.keys.Release(r.arrival.Key)
 	r.keyed = false
@@ -175,8 +192,7 @@
 	}
 }
 
-// answerWaiters lets the requests that joined a key see what became of it: the
-// first runs if the key was released, all others get the recorded result.
+// answerWaiters lets the requests that joined a key see what became of it.
 func (c *Core) answerWaiters(now time.Duration, key idem.Key, out *Actions) {
 	ids := c.waiters[key]
 	if len(ids) == 0 {
@@ -189,8 +205,6 @@
 			continue
 		}
 		r.phase = phaseActive
-		if c.admitKey(now, r, out) {
-			c.place(now, r, out)
-		}
+		c.admitKey(now, r, out)
 	}
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/balance"
+	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/core/queue"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/message"
@@ -85,7 +86,7 @@
 	c.counters.Arrived++
 	c.callerSaw(now, a.Revision, out)
 	if reason := c.refusalAtDoor(&a); reason != ReasonNone {
-		c.refuse(a.ID, reason, 0, out)
+		c.refuseAtDoor(now, &a, reason, out)
 		return
 	}
 	sv := c.services[a.Service]
@@ -260,11 +261,22 @@
 	return false
 }
 
-// refuse answers a request that has no row.
-func (c *Core) refuse(id RequestID, reason Reason, after time.Duration, out *Actions) {
-	c.counters.NotRun++
+// refuseAtDoor answers a request that is not taken in. With an idempotency key
+// it may be a later try of a request that has run: then "not run" would be
+// false. Only a key that is new at its home is provably not run, and it is
+// spent so that this stays true.
+func (c *Core) refuseAtDoor(now time.Duration, a *Arrival, reason Reason, out *Actions) {
+	outcome := OutcomeNotRun
+	if a.HasKey {
+		outcome = OutcomeUnknown
+		if c.keys.Begin(now, a.Key, a.Caller, a.Digest).Kind == idem.Run {
+			c.keys.Release(a.Key)
+			outcome = OutcomeNotRun
+		}
+	}
+	c.countOutcome(outcome)
 	c.counters.Refused[reason]++
-	out.request(Directive{ID: id, Step: StepReply, Outcome: OutcomeNotRun, Reason: reason, RetryAfter: after})
+	out.request(Directive{ID: a.ID, Step: StepReply, Outcome: outcome, Reason: reason, RetryAfter: refusedAtDoorRetry})
 }
 
 // fail ends a request with tealhall's own answer. The outcome is the weakest
@@ -293,6 +305,8 @@
 const (
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
+	// refusedAtDoorRetry goes with refusals of the entry as a whole.
+	refusedAtDoorRetry = time.Second
 )
 
 // retryAfter tells a caller when it makes sense to come back: after the queue
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,7 +62,6 @@
 	links       *peer.Links
 	trail       *audit.Trail
 	documents   documents
-	adoptions   adoptions
 
 	// revision of the profiles in force, for answers.
 	revision atomic.Uint64
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/tealhall/tealhall/internal/core"
-	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/fault"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/peer"
@@ -100,50 +98,9 @@
 	return true
 }
 
-// adoptions gathers the parts of hand-overs until each is whole.
-type adoptions struct {
-	mu    sync.Mutex
-	parts map[uint64][]message.Handover
-}
-
-// maxAdoptions bounds the hand-overs that are gathered at a time.
-const maxAdoptions = 16
-
-// add keeps a part. It returns all records once the hand-over is whole.
-func (a *adoptions) add(h message.Handover) (records []idem.Record, whole bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.parts == nil || len(a.parts) >= maxAdoptions {
-		a.parts = make(map[uint64][]message.Handover)
-	}
-	parts := a.parts[h.Home]
-	if h.Part == 0 {
-		parts = nil
-	}
-	if h.Part != len(parts) {
-		delete(a.parts, h.Home)
-		return nil, false
-	}
-	parts = append(parts, h)
-	a.parts[h.Home] = parts
-	if !h.Last {
-		return nil, false
-	}
-	delete(a.parts, h.Home)
-	for i := range parts {
-		records = append(records, parts[i].Records...)
-	}
-	return records, true
-}
-
 // Handover implements peer.Handler.
 func (h *peerHandler) Handover(part message.Handover) (message.Ack, error) {
 	e := (*Entry)(h)
-	records, whole := e.adoptions.add(part)
-	if whole {
-		e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) {
-			c.Adopt(now, part.Home, part.OldestEpoch, records, true, out)
-		})
-	}
+	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { c.Adopt(now, &part, out) })
 	return message.Ack{Accepted: true}, nil
 }
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// successors is how many entries get the idempotency table at a planned stop.
-	successors = 2
+	// handoverRecords is how many keys one message of a hand-over holds. Kept
+	// answers may add to it, within the bound of a message.
+	handoverRecords = 256
 	// handoverTimeout bounds the hand-over to one successor.
 	handoverTimeout = 5 * time.Second
 	// farewell is how long the last message may take on its way.
@@ -47,7 +48,7 @@
 		klog.ErrorS(nil, "cutting off requests; raise timeouts.stop_upload to wait longer", "requests", inFlight)
 	})
 	cancel()
-	summary.HandedOver, summary.Successors = e.handOver(ctx)
+	summary.HandedOver, summary.Successors = e.handOver(context.WithoutCancel(ctx))
 	e.finish()
 	summary.Took = e.engine.clock() - began
 	return summary
@@ -65,16 +66,18 @@
 	return directory.MaxTTL
 }
 
-// handOver gives the sealed idempotency table to the successors.
+// handOver gives the sealed idempotency table to the successors, and with it
+// what this entry adopted from others before.
 func (e *Entry) handOver(ctx context.Context) (keys, taken int) {
 	var parts []message.Handover
 	var addresses []string
 	e.engine.view(func(_ time.Duration, c *core.Core) {
-		records, oldest, to := c.Handover(successors)
-		keys = len(records)
-		parts = []message.Handover{{Home: e.hello.Incarnation, Last: true, Records: records, OldestEpoch: oldest}}
-		addresses = c.PeerAddressesOf(to)
+		parts = c.Handover(handoverRecords)
+		addresses = c.SuccessorAddresses()
 	})
+	for _, part := range parts {
+		keys += len(part.Records)
+	}
 	for _, address := range addresses {
 		if e.handOverTo(ctx, address, parts) {
 			taken++
@@ -89,7 +92,7 @@
 	for _, part := range parts {
 		ack, err := e.links.Handover(ctx, address, part)
 		if err != nil || !ack.Accepted {
-			klog.ErrorS(err, "a successor did not take the idempotency keys; its callers will be told unknown", "peer", address, "reason", ack.Reason)
+			klog.ErrorS(err, "a successor did not take the idempotency keys; callers that ask it will be told unknown", "peer", address, "reason", ack.Reason)
 			return false
 		}
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -108,12 +108,13 @@
 	Data     []byte
 }
 
-// Handover is a part of a sealed idempotency table.
+// Handover is a part of a sealed idempotency table. Parts may come in any order
+// and more than once.
 type Handover struct {
 	// Home is the incarnation whose keys these are.
-	Home    uint64
-	Part    int
-	Last    bool
+	Home uint64
+	// Total is how many records the whole table has.
+	Total   int
 	Records []idem.Record
 	// OldestEpoch: keys of earlier epochs were forgotten before the table was sealed.
 	OldestEpoch uint32
