--- /dev/null
+++ b/internal/core/queue/shares_test.go
@@ -0,0 +1,80 @@
+package queue
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestMayTake(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		bulk, urgent Holder
+		free         int
+		want         bool
+	}{
+		{"alone in an idle pool", Holder{}, Holder{}, 12, true},
+		{"no free slot", Holder{}, Holder{}, 0, false},
+		{"at its share", Holder{Held: 6}, Holder{}, 6, false},
+		{"urgent ones wait for the free slots", Holder{}, Holder{Waiting: 3, Share: 1, Priority: 9}, 3, false},
+		{"more free than urgent ones wait for", Holder{}, Holder{Waiting: 3, Share: 1, Priority: 9}, 4, true},
+		{"urgent ones at their share claim nothing", Holder{}, Holder{Held: 3, Waiting: 9, Share: 0.25, Priority: 9}, 1, true},
+		{"slots are kept for the average need", Holder{}, Holder{Held: 1, Share: 1, Priority: 9, Need: 4}, 5, false},
+		{"need that is in use claims nothing", Holder{}, Holder{Held: 6, Share: 1, Priority: 9, Need: 4}, 1, true},
+		{"overdue passes the claims", Holder{Overdue: true}, Holder{Waiting: 9, Share: 1, Priority: 9}, 1, true},
+		{"overdue with its one slot does not", Holder{Overdue: true, Held: 1}, Holder{Waiting: 9, Share: 1, Priority: 9}, 1, false},
+	} {
+		tt.bulk.Share, tt.bulk.Priority = 0.5, 1
+		if got := MayTake([]Holder{tt.urgent, tt.bulk}, 1, Capacity{Slots: 12, Free: tt.free}); got != tt.want {
+			t.Errorf("%s: got %v", tt.name, got)
+		}
+	}
+}
+
+// At night scales push photo batches of one second each; contractors' urgent
+// checks of 10 ms arrive all the time, 4 slots' worth on 12 slots, and see
+// their answers a second late: bulk had filled every idle slot, and no slot
+// came free before a batch had ended. Yet the batches must arrive.
+func TestBulkLeavesSlotsAndIsServed(t *testing.T) {
+	const slots, urgent, bulk = 12, 0, 1
+	work := [2]time.Duration{10 * ms, time.Second}
+	q, demand := New(), Demand{}
+	var ends [2][]time.Duration // when the slots of each service come free
+	id, late, batches := uint64(0), 0, 0
+	push := func(now time.Duration, service int32, priority int) {
+		id++
+		q.Push(now, Item{ID: id, Service: service, Priority: priority, Enqueued: now, Deadline: now + time.Hour}, roomy, 0)
+	}
+	for now := time.Duration(0); now < 30*time.Second; now += 5 * ms {
+		if now < 250*ms {
+			push(now, bulk, 1)
+		}
+		for range 2 {
+			push(now, urgent, 9)
+			demand.Add(now, work[urgent])
+		}
+		for s := range ends {
+			ends[s] = slices.DeleteFunc(ends[s], func(end time.Duration) bool { return end <= now })
+		}
+		eligible := func(service int32) bool {
+			holders := []Holder{
+				{Held: len(ends[urgent]), Waiting: q.LenOf(urgent), Share: 1, Priority: 9, Need: demand.Slots(now)},
+				{Held: len(ends[bulk]), Waiting: q.LenOf(bulk), Share: 1, Priority: 1, Overdue: q.Overdue(bulk)},
+			}
+			free := slots - len(ends[urgent]) - len(ends[bulk])
+			return MayTake(holders, int(service), Capacity{Slots: slots, Free: free})
+		}
+		for it, ok := q.Next(now, eligible); ok; it, ok = q.Next(now, eligible) {
+			q.Take(now, it.ID)
+			ends[it.Service] = append(ends[it.Service], now+work[it.Service])
+			if it.Service == bulk {
+				batches++
+			} else if now > it.Enqueued && now > 2*time.Second {
+				late++
+			}
+		}
+	}
+	if late > 0 || batches != 50 {
+		t.Errorf("%d urgent requests waited after the first seconds, %d of 50 batches ran", late, batches)
+	}
+}
