Entries: the list numbers VMs, processes number themselves

Cause: an entry draws a random incarnation at each start of its process, because idempotency keys need a home that no other process shares; the platform's list numbers VMs. The member table took both for one number, so a list row of an entry was declared replaced as soon as the entry introduced itself, and its leaving mark was lost. Change: the table keeps the list's number beside the process's own; only an introduced entry is usable; a leaving mark counts for the process that was there when the list first said so. Duties are divided by the entries' names, so that a restart moves none. Heartbeat patience follows the gossip pace; answers of endpoints and pauses reach the member table and the trackers; pool limits come from the profiles.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -55,12 +55,10 @@
 
 // claimFromAnswer turns what an endpoint says of itself into evidence.
 func (c *Core) claimFromAnswer(now time.Duration, e *table.Endpoint, draining bool, incarnation uint64, out *Actions) {
-	if incarnation != 0 && incarnation != e.Incarnation {
-		c.claim(now, message.Evidence{VM: e.Name, Incarnation: e.Incarnation, Kind: message.EvidenceReplaced}, out)
-		return
-	}
-	if draining && e.State == table.EndpointLive {
-		c.claim(now, message.Evidence{VM: e.Name, Incarnation: e.Incarnation, Kind: message.EvidenceLeaving}, out)
+	name, known := e.Name, e.Incarnation
+	c.applyChanges(now, c.fleet.members.Answered(now, name, incarnation), "endpoint "+name, out)
+	if draining && (incarnation == 0 || incarnation == known) && e.State == table.EndpointLive {
+		c.claim(now, message.Evidence{VM: name, Incarnation: known, Kind: message.EvidenceLeaving}, out)
 	}
 }
 
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -9,7 +9,7 @@
 
 // process is one run of an entry: its clock starts when the process does.
 type process struct {
-	watch   *Watch
+	*Watch
 	started time.Duration
 }
 
@@ -59,7 +59,7 @@
 		moments := []moment{{share: cfg.Share}}
 		anyEntry := rapid.IntRange(0, fleet-1)
 		poll := func(i int) {
-			for e := entries[i]; e.watch.TrySpend(now-e.started, slots); {
+			for e := entries[i]; e.TrySpend(now-e.started, slots); {
 				moments = append(moments, moment{now, 1, cfg.Share})
 			}
 		}
@@ -83,7 +83,7 @@
 				cfg.Share = rapid.SampledFrom([]float64{0, 0.004, 0.01, 0.1}).Draw(t, "share")
 				moments = append(moments, moment{now, 0, cfg.Share})
 				for _, e := range entries {
-					e.watch.SetShare(cfg.Share)
+					e.SetShare(cfg.Share)
 				}
 			},
 		})
@@ -145,9 +145,9 @@
 				}
 			}
 		}
-		t.Logf("%v slots: %d arrivals for %d requests", slots, arrived, offered)
-		if float64(arrived) >= 1.1*float64(offered) {
-			t.Errorf("%v slots: %d arrivals for %d requests", slots, arrived, offered)
+		ratio := float64(arrived) / float64(offered)
+		if t.Logf("%v slots: %d arrivals for %d requests", slots, arrived, offered); ratio >= 1.1 {
+			t.Errorf("%v slots: arrivals are %.3f of the requests", slots, ratio)
 		}
 	}
 }
--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/directory"
-	"github.com/tealhall/tealhall/internal/core/duty"
 	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/platform"
@@ -53,7 +52,7 @@
 	view := directory.View{
 		Self:    c.cfg.Self.Incarnation,
 		Region:  c.cfg.Self.Region,
-		Serving: duty.ServiceEntries(sv.name, f.dutyMembers, sv.policy.EntriesPerDomain),
+		Serving: c.serviceEntries(sv),
 	}
 	for i := range f.entries {
 		e := &f.entries[i]
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -185,6 +185,8 @@
 		p.forgetBeliefs(now, gap)
 	}
 	c.fleet.members.Pause(now, gap)
+	c.fleet.profiles.Pause(now, gap)
+	c.fleet.vms.Pause(now, gap)
 	out.note(Note{Subject: c.cfg.Self.Name, Action: "pause", To: gap.Round(time.Millisecond).String(),
 		Why: "the process did not run for this time; sightings and peers' states are taken as stale"})
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tealhall/tealhall/internal/core/duty"
 	"github.com/tealhall/tealhall/internal/core/gossip"
 	"github.com/tealhall/tealhall/internal/core/member"
@@ -15,9 +17,12 @@
 type fleet struct {
 	members *member.Table
 	// version is the member table's version that the lists below were made at.
-	version     uint64
-	entries     []member.Entry
+	version uint64
+	entries []member.Entry
+	// dutyMembers are the entries that duties are divided among. They are
+	// known there by dutyID, so that a restart moves no duty.
 	dutyMembers []duty.Member
+	selfID      uint64
 	peers       map[uint64]*peer
 	profiles    *duty.Tracker
 	vms         *duty.Tracker
@@ -50,19 +55,25 @@
 }
 
 func (c *Core) initFleet() {
+	gossipConfig := gossip.Config{
+		Self:              c.cfg.Self.Incarnation,
+		Region:            c.cfg.Self.Region,
+		BytesPerSecond:    c.cfg.PeerBytesPerSecond,
+		MessagesPerSecond: c.cfg.PeerMessagesPerSecond,
+	}
 	c.fleet = fleet{
-		members:  member.New(member.Config{Self: c.cfg.Self.Incarnation, Region: c.cfg.Self.Region}),
+		selfID: dutyID(c.cfg.Self.Name),
+		members: member.New(member.Config{
+			Self:      c.cfg.Self.Incarnation,
+			Region:    c.cfg.Self.Region,
+			Heartbeat: gossipConfig.HeartbeatPeriod,
+		}),
 		peers:    make(map[uint64]*peer),
 		profiles: duty.NewTracker(0, duty.TrackerConfig{}),
 		vms:      duty.NewTracker(0, duty.TrackerConfig{}),
 		rows:     make(map[string]endpointRef),
-		gossip: gossip.New(gossip.Config{
-			Self:              c.cfg.Self.Incarnation,
-			Region:            c.cfg.Self.Region,
-			BytesPerSecond:    c.cfg.PeerBytesPerSecond,
-			MessagesPerSecond: c.cfg.PeerMessagesPerSecond,
-		}),
-		reader: true,
+		gossip:   gossip.New(gossipConfig),
+		reader:   true,
 	}
 	c.fleet.members.Introduce(0, vmOf(c.cfg.Self))
 	c.refreshEntries()
@@ -104,12 +115,37 @@
 			continue
 		}
 		f.dutyMembers = append(f.dutyMembers, duty.Member{
-			Incarnation: e.VM.Incarnation,
+			Incarnation: dutyID(e.VM.Name),
 			Region:      e.VM.Region,
 			Domain:      e.VM.Domain,
 		})
 	}
-	f.reader = duty.IsReader(c.cfg.Self.Incarnation, f.dutyMembers, c.cfg.ReadersPerDomain)
+	f.reader = duty.IsReader(f.selfID, f.dutyMembers, c.cfg.ReadersPerDomain)
+}
+
+// dutyID is an entry's number in the division of duties. It is made from the
+// name and not from the incarnation.
+func dutyID(name string) uint64 { return xxhash.Sum64String(name) }
+
+// entryWithDuty returns the entry of a dutyID, or nil.
+func (c *Core) entryWithDuty(id uint64) *member.Entry {
+	for i := range c.fleet.entries {
+		if dutyID(c.fleet.entries[i].VM.Name) == id {
+			return &c.fleet.entries[i]
+		}
+	}
+	return nil
+}
+
+// incarnationsOf turns numbers of duties into incarnations.
+func (c *Core) incarnationsOf(ids []uint64) []uint64 {
+	var out []uint64
+	for _, id := range ids {
+		if e := c.entryWithDuty(id); e != nil {
+			out = append(out, e.VM.Incarnation)
+		}
+	}
+	return out
 }
 
 // Reader reports whether this entry should watch the platform itself.
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -79,9 +79,11 @@
 	type scored struct{ incarnation, score uint64 }
 	key := duty.Key("successor", strconv.FormatUint(home, 16))
 	var best []scored
-	for _, m := range c.fleet.dutyMembers {
-		if m.Incarnation != home {
-			best = append(best, scored{m.Incarnation, duty.Score(key, m.Incarnation)})
+	for i := range c.fleet.entries {
+		e := &c.fleet.entries[i]
+		self := e.VM.Incarnation == c.cfg.Self.Incarnation
+		if e.VM.Incarnation != home && (e.Usable() || self) {
+			best = append(best, scored{e.VM.Incarnation, duty.Score(key, dutyID(e.VM.Name))})
 		}
 	}
 	slices.SortFunc(best, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
--- a/internal/core/member/claim.go
+++ b/internal/core/member/claim.go
@@ -46,28 +46,40 @@
 }
 
 // Introduce takes in an entry that opened a link and said who it is. It may be
-// newer than the platform's list.
+// newer than the platform's list, which numbers VMs and not processes: whatever
+// the list says of its VM stays with it.
 func (t *Table) Introduce(now time.Duration, vm platform.VM) []Change {
 	if unusable(vm) != "" || !isEntry(vm) || t.verdicts.isGone(vm.Name, vm.Incarnation) {
 		return nil
 	}
 	r := t.rows[vm.Name]
-	if r != nil && r.vm.Incarnation == vm.Incarnation {
+	if r != nil && r.introduced && r.vm.Incarnation == vm.Incarnation {
 		return t.hear(now, r, r.state)
 	}
-	if r != nil && !r.suspected && r.vm.Incarnation > vm.Incarnation {
+	if r != nil && r.introduced && !r.suspected && r.vm.Incarnation > vm.Incarnation {
 		return nil // an older incarnation woke up late
 	}
-	changes := t.supersede(now, r, vm)
-	return append(changes, t.add(now, vm, "it introduced itself")...)
+	changes := t.makeRoomFor(now, r, vm)
+	changes = append(changes, t.add(now, vm, "it introduced itself")...)
+	next := t.rows[vm.Name]
+	next.introduced, next.introducedAt = true, now
+	next.state = max(next.state, message.EntryServing)
+	if r != nil {
+		next.listed, next.listedAs, next.missing, next.missingAt = r.listed, r.listedAs, r.missing, r.missingAt
+	}
+	return changes
 }
 
-// supersede ends the rows whose place a VM takes that spoke for itself: r under
-// its name, if any, and another one at its address.
-func (t *Table) supersede(now time.Duration, r *row, vm platform.VM) []Change {
+// makeRoomFor ends the rows whose place a VM takes that spoke for itself. A row
+// that only the list knew becomes the VM's own.
+func (t *Table) makeRoomFor(now time.Duration, r *row, vm platform.VM) []Change {
 	var changes []Change
-	if r != nil {
+	switch {
+	case r == nil:
+	case r.introduced:
 		changes = t.replaced(now, r, vm)
+	default:
+		t.drop(r, "")
 	}
 	if other := t.byAddress(vm); other != nil {
 		changes = append(changes, t.replaced(now, other, vm)...)
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -87,6 +87,9 @@
 	if t.verdicts.isGone(vm.Name, vm.Incarnation) {
 		return nil
 	}
+	if isEntry(vm) {
+		return t.listedEntry(now, vm)
+	}
 	changes, accepted := t.makeRoom(now, vm)
 	if !accepted {
 		return changes
@@ -105,14 +108,52 @@
 	return changes
 }
 
+// listedEntry takes in a list's row of an entry. The list tells where entries
+// are before they are heard, that a VM leaves, and that it was replaced.
+func (t *Table) listedEntry(now time.Duration, vm platform.VM) []Change {
+	r := t.rows[vm.Name]
+	var changes []Change
+	if r != nil && r.listedAs != 0 && r.listedAs != vm.Incarnation && !t.heardLately(now, r) {
+		changes = t.replaced(now, r, vm)
+		r = nil
+	}
+	if r == nil {
+		changes = append(changes, t.add(now, vm, "listed by the platform")...)
+		r = t.rows[vm.Name]
+	}
+	r.listed, r.missing, r.listedAs = true, false, vm.Incarnation
+	if !r.introduced {
+		t.refresh(r, vm)
+	}
+	if vm.State != platform.Leaving {
+		return changes
+	}
+	return append(changes, t.listedLeaving(now, r, vm)...)
+}
+
+// heardLately reports whether an entry spoke for itself within the time after
+// which its silence would be held against it.
+func (t *Table) heardLately(now time.Duration, r *row) bool {
+	return r.introduced && (r.vm.Incarnation == t.cfg.Self || now-r.seenAt < t.SuspectAfter())
+}
+
+// listedLeaving applies a list that says that an entry's VM leaves. Guards
+// against a list that lags: a process that introduced itself after the list had
+// said so runs on the VM that took the place of the leaving one.
+func (t *Table) listedLeaving(now time.Duration, r *row, vm platform.VM) []Change {
+	t.verdicts.note(now, now, message.Evidence{VM: vm.Name, Incarnation: vm.Incarnation, Kind: message.EvidenceLeaving})
+	said := t.verdicts.known[vmKey{vm.Name, vm.Incarnation}]
+	if r.introduced && r.introducedAt > said.since {
+		return nil
+	}
+	t.judge(now, message.Evidence{VM: vm.Name, Incarnation: r.vm.Incarnation, Kind: message.EvidenceLeaving})
+	return t.leave(r, "the platform's list says so")
+}
+
 // makeRoom ends the incarnation whose place vm takes, by name or by address.
 // It reports whether vm is to be believed.
 func (t *Table) makeRoom(now time.Duration, vm platform.VM) (changes []Change, accepted bool) {
 	if r := t.rows[vm.Name]; r != nil && r.vm.Incarnation != vm.Incarnation {
-		// An entry that introduced itself is newer than a list that lags.
-		if !r.listed && r.vm.Incarnation > vm.Incarnation {
-			return nil, false
-		}
 		changes = t.replaced(now, r, vm)
 	}
 	r := t.byAddress(vm)
@@ -171,7 +212,7 @@
 			continue
 		}
 		vm, there := t.list.vms[name]
-		gone := !t.list.skipped[name] && (!there || vm.Incarnation != r.vm.Incarnation)
+		gone := !t.list.skipped[name] && (!there || vm.Incarnation != r.listedNumber())
 		if gone {
 			lost = append(lost, r)
 		}
@@ -186,6 +227,14 @@
 	return lost, live, base
 }
 
+// listedNumber is the incarnation under which the list names the VM.
+func (r *row) listedNumber() uint64 {
+	if isEntry(r.vm) {
+		return r.listedAs
+	}
+	return r.vm.Incarnation
+}
+
 // miss starts the ageing of rows that the list lost. A leaving VM that is gone
 // from the list has done what it announced.
 func (t *Table) miss(now time.Duration, lost []*row) []Change {
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -73,7 +73,13 @@
 	// answered is false until an endpoint answers, and again after a pause.
 	answered bool
 
-	// For entries only. Until the entry spoke, state is a guess.
+	// For entries only. The list numbers VMs, while an entry draws a number of
+	// its own at each start of its process; vm.Incarnation is the latter from
+	// introducedAt on, and listedAs the number of the VM in the list.
+	introduced   bool
+	introducedAt time.Duration
+	listedAs     uint64
+	// Until the entry spoke, state is a guess.
 	state       message.EntryState
 	spoke       bool
 	suspected   bool
@@ -115,7 +121,7 @@
 
 // add inserts a row for a VM that was not known.
 func (t *Table) add(now time.Duration, vm platform.VM, why string) []Change {
-	r := &row{vm: vm, seenAt: now, state: message.EntryServing}
+	r := &row{vm: vm, seenAt: now}
 	r.vm.State = platform.Live
 	t.rows[vm.Name] = r
 	at, _ := slices.BinarySearch(t.names, vm.Name)
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -19,7 +19,8 @@
 type Entry struct {
 	// VM.State is Leaving as soon as any evidence says so.
 	VM platform.VM
-	// State is what the entry last said of itself; serving until it says more.
+	// State is what the entry last said of itself: starting while only the list
+	// names it, serving from its introduction until it says more.
 	State message.EntryState
 	// Suspected: silent for too long.
 	Suspected bool
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -37,13 +37,18 @@
 func (c *Core) decidersOf(p *pool) map[uint64]bool {
 	chosen := make(map[uint64]bool)
 	for _, sv := range p.services {
-		for _, incarnation := range duty.ServiceEntries(sv.name, c.fleet.dutyMembers, sv.policy.EntriesPerDomain) {
+		for _, incarnation := range c.serviceEntries(sv) {
 			chosen[incarnation] = true
 		}
 	}
 	return chosen
 }
 
+// serviceEntries returns the entries to which callers of a service are sent.
+func (c *Core) serviceEntries(sv *service) []uint64 {
+	return c.incarnationsOf(duty.ServiceEntries(sv.name, c.fleet.dutyMembers, sv.policy.EntriesPerDomain))
+}
+
 // setDeciders lists the deciders in the order of the entries' names.
 func (c *Core) setDeciders(now time.Duration, p *pool, chosen map[uint64]bool) {
 	p.deciders = p.deciders[:0]
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -153,9 +153,10 @@
 
 func (c *Core) reachablePeers() []uint64 {
 	var peers []uint64
-	for _, m := range c.fleet.dutyMembers {
-		if m.Incarnation != c.cfg.Self.Incarnation {
-			peers = append(peers, m.Incarnation)
+	for i := range c.fleet.entries {
+		e := &c.fleet.entries[i]
+		if e.Usable() && e.VM.Incarnation != c.cfg.Self.Incarnation {
+			peers = append(peers, e.VM.Incarnation)
 		}
 	}
 	return peers
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -58,14 +58,11 @@
 	for i := range uint64(2) {
 		q.Push(0, Item{ID: 2000 + i, Caller: 2, Deadline: 2 * time.Hour}, roomy, 0)
 	}
-	served := 0
 	for range 5 {
-		if run(q, 0).Caller == 2 {
-			served++
-		}
+		run(q, 0)
 	}
-	if served != 2 {
-		t.Errorf("%d of the second caller's 2 requests among the next 5", served)
+	if _, waits := q.Remove(2001); waits {
+		t.Error("both requests of the second caller must be among the next 5")
 	}
 }
 
@@ -215,20 +212,15 @@
 // BenchmarkQueue measures one request's way through a queue of a given length
 // shared by three services and 100 callers.
 func BenchmarkQueue(b *testing.B) {
-	for _, length := range []int{10, 1000, 10000} {
+	for _, length := range []uint64{10, 1000, 10000} {
 		b.Run(fmt.Sprintf("waiting=%d", length), func(b *testing.B) {
-			q := New()
-			push := func(id uint64) {
+			q, id := New(), uint64(0)
+			for b.ReportAllocs(); id < length || b.Loop(); id++ {
 				q.Push(0, Item{ID: id, Service: int32(id % 3), Caller: id * 7919 % 100, Priority: int(id % 3),
 					Deadline: time.Hour + time.Duration(id*104729%1000)}, roomy, 0)
-			}
-			for i := range length {
-				push(uint64(i))
-			}
-			b.ReportAllocs()
-			for id := uint64(length); b.Loop(); id++ {
-				push(id)
-				run(q, 0)
+				if id >= length {
+					run(q, 0)
+				}
 			}
 		})
 	}
--- a/internal/core/queue/shares_test.go
+++ b/internal/core/queue/shares_test.go
@@ -41,17 +41,15 @@
 	q, demand := New(), Demand{}
 	var ends [2][]time.Duration // when the slots of each service come free
 	id, late, batches := uint64(0), 0, 0
-	push := func(now time.Duration, service int32, priority int) {
-		id++
-		q.Push(now, Item{ID: id, Service: service, Priority: priority, Enqueued: now, Deadline: now + time.Hour}, roomy, 0)
-	}
 	for now := time.Duration(0); now < 30*time.Second; now += 5 * ms {
-		if now < 250*ms {
-			push(now, bulk, 1)
-		}
-		for range 2 {
-			push(now, urgent, 9)
-			demand.Add(now, work[urgent])
+		for range 3 {
+			it := Item{ID: id, Service: int32(id % 3 / 2), Priority: 9 - int(id%3/2), Enqueued: now, Deadline: time.Hour}
+			if id++; it.Service == urgent {
+				demand.Add(now, work[urgent])
+			} else if now >= 250*ms {
+				continue
+			}
+			q.Push(now, it, roomy, 0)
 		}
 		for s := range ends {
 			ends[s] = slices.DeleteFunc(ends[s], func(end time.Duration) bool { return end <= now })
@@ -59,7 +57,7 @@
 		eligible := func(service int32) bool {
 			holders := []Holder{
 				{Held: len(ends[urgent]), Waiting: q.LenOf(urgent), Share: 1, Priority: 9, Need: demand.Slots(now)},
-				{Held: len(ends[bulk]), Waiting: q.LenOf(bulk), Share: 1, Priority: 1, Overdue: q.Overdue(bulk)},
+				{Held: len(ends[bulk]), Waiting: q.LenOf(bulk), Share: 1, Priority: 8, Overdue: q.Overdue(bulk)},
 			}
 			free := slots - len(ends[urgent]) - len(ends[bulk])
 			return MayTake(holders, int(service), Capacity{Slots: slots, Free: free})
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -221,23 +221,11 @@
 	}
 	for _, p := range c.poolRows {
 		p.holders = make([]queue.Holder, len(p.services))
-		p.watch.SetShare(p.watchShare())
+		limits, _ := c.snapshot.PoolLimits(p.Name, c.closing)
+		p.watch.SetShare(limits.WatchBudget)
 	}
 }
 
-// watchShare is the smallest watching budget among the pool's services: the
-// endpoints are shared, so the most careful user of them decides.
-func (p *pool) watchShare() float64 {
-	if len(p.services) == 0 {
-		return 0
-	}
-	share := p.services[0].policy.WatchBudget
-	for _, sv := range p.services[1:] {
-		share = min(share, sv.policy.WatchBudget)
-	}
-	return share
-}
-
 // applyCalendar starts and ends a close by the local calendar, so that it
 // happens also while the configuration service is down.
 func (c *Core) applyCalendar(out *Actions) {
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -53,7 +53,7 @@
 	if now-last < probeAfter {
 		return false
 	}
-	return duty.ProbeOwner(c.fleet.dutyMembers, e.Name) == c.cfg.Self.Incarnation
+	return duty.ProbeOwner(c.fleet.dutyMembers, e.Name) == c.fleet.selfID
 }
 
 // ProbeEnd feeds the result of a probe.
@@ -74,11 +74,11 @@
 		health.Observe(now, e, health.Observation{Outcome: health.ConnectFailed})
 		return
 	}
-	c.claimFromAnswer(now, e, end.Draining, end.Seen, out)
 	if end.Load.Known {
 		foreign := max(0, end.Load.InFlight+end.Load.Queued-int(e.Outstanding))
 		e.Sighting = table.Sighting{Foreign: int32(foreign), At: now, Seen: true}
 	}
+	c.claimFromAnswer(now, e, end.Draining, end.Seen, out)
 	c.drainPool(now, p, out)
 }
 
@@ -93,7 +93,7 @@
 }
 
 func (c *Core) sweepPool(now time.Duration, p *pool, out *Actions) {
-	c.healthEvents = health.Sweep(now, &p.Pool, p.healthLimits(), c.rng, c.healthEvents[:0])
+	c.healthEvents = health.Sweep(now, &p.Pool, c.healthLimits(p), c.rng, c.healthEvents[:0])
 	for _, ev := range c.healthEvents {
 		out.note(c.healthNote(now, p, ev))
 	}
@@ -102,12 +102,13 @@
 	}
 }
 
-// healthLimits are the most careful of the services that share the pool.
-func (p *pool) healthLimits() health.Limits {
-	first := p.services[0].policy
-	limits := health.Limits{MaxShare: first.EjectMaxShare, Base: first.EjectBase, Max: first.EjectMax}
-	for _, sv := range p.services[1:] {
-		limits.MaxShare = min(limits.MaxShare, sv.policy.EjectMaxShare)
+// healthLimits are those of the profiles for the pool as a whole.
+func (c *Core) healthLimits(p *pool) health.Limits {
+	published, _ := c.snapshot.PoolLimits(p.Name, c.closing)
+	limits := health.Limits{
+		MaxShare: published.EjectMaxShare,
+		Base:     published.EjectBase,
+		Max:      published.EjectMax,
 	}
 	if slots := p.Slots(); slots > 0 {
 		limits.Busy = 1 - float64(p.capacity().Free)/float64(slots)
