Daemon, demo command: first versions

Cause: an operator needs a program to start and a way to see the whole path at work. Change: tealhalld reads settings, checks them, runs one entry, stops gracefully on a signal and quickly on a second; tealhallctl demo runs a fleet with traffic, a profile change, leaving endpoints and the stop of an entry, and judges the promises.

--- /dev/null
+++ b/cmd/tealhalld/main.go
@@ -0,0 +1,13 @@
+// Command tealhalld is the daemon of an entry VM. See docs/SETTINGS.md and
+// docs/OPERATORS.md.
+package main
+
+import (
+	"os"
+
+	"github.com/tealhall/tealhall/internal/daemon"
+)
+
+func main() {
+	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,154 @@
+// Package daemon is the program tealhalld: it reads the settings, runs one
+// entry and stops it on a signal. The process starts no other process and
+// writes no file; logs go to standard error.
+package daemon
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/settings"
+)
+
+// The exit codes of the daemon. docs/RUNNING.md lists them for operators.
+const (
+	// ExitOK: the settings are valid, or a planned stop cut off nothing.
+	ExitOK = 0
+	// ExitFailure: the entry could not start or broke off.
+	ExitFailure = 1
+	// ExitSettings: the command line or the settings are unusable.
+	ExitSettings = 2
+	// ExitCut: a stop cut off requests in flight.
+	ExitCut = 3
+)
+
+// pendingSignals is how many signals may wait: one for a planned stop, one that
+// makes it quick.
+const pendingSignals = 2
+
+// Main runs the daemon with the arguments after the program's name and returns
+// the exit code. The first SIGTERM or SIGINT begins a planned stop, the second
+// makes it quick.
+func Main(args []string, out, errOut io.Writer) int {
+	signals := make(chan os.Signal, pendingSignals)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	return run(args, out, errOut, signals)
+}
+
+// flags are the command line.
+type flags struct {
+	config string
+	check  bool
+}
+
+// errCut says that a stop cut off requests; the log has the number.
+var errCut = errors.New("requests in flight were cut off")
+
+func run(args []string, out, errOut io.Writer, signals <-chan os.Signal) int {
+	command := newCommand(signals)
+	command.SetArgs(args)
+	command.SetOut(out)
+	command.SetErr(errOut)
+	err := command.Execute()
+	if err != nil {
+		fmt.Fprintln(errOut, "tealhalld:", err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, errCut):
+		return ExitCut
+	case fault.KindOf(err) == fault.BadSettings:
+		return ExitSettings
+	default:
+		return ExitFailure
+	}
+}
+
+func newCommand(signals <-chan os.Signal) *cobra.Command {
+	var f flags
+	command := &cobra.Command{
+		Use:           "tealhalld --config FILE",
+		Short:         "Run one entry of tealhall",
+		Args:          badCommandLine(cobra.NoArgs),
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return runFlags(command, f, signals)
+		},
+	}
+	command.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return fault.Wrap(err, fault.BadSettings, "see tealhalld --help", "the command line is unusable")
+	})
+	set := command.Flags()
+	set.StringVar(&f.config, "config", "", "file with the settings (TOML, see docs/SETTINGS.md)")
+	set.BoolVar(&f.check, "check", false, "check the settings and exit: 0 if they are valid, else 2")
+	return command
+}
+
+// badCommandLine gives errors about arguments the kind of bad settings.
+func badCommandLine(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(command *cobra.Command, args []string) error {
+		return fault.Wrap(check(command, args), fault.BadSettings, "see tealhalld --help", "the command line is unusable")
+	}
+}
+
+func runFlags(command *cobra.Command, f flags, signals <-chan os.Signal) error {
+	s, err := readSettings(f.config)
+	if err != nil {
+		return err
+	}
+	if err := checkFiles(s); err != nil {
+		return err
+	}
+	if f.check {
+		fmt.Fprintf(command.OutOrStdout(), "%s: the settings of %s are valid\n", f.config, s.Name)
+		return nil
+	}
+	logTo(command.ErrOrStderr(), s.Log.Verbosity)
+	defer klog.Flush()
+	return serve(s, signals)
+}
+
+func readSettings(path string) (*settings.Settings, error) {
+	if path == "" {
+		return nil, fault.New(fault.BadSettings, "name the settings file with --config FILE", "no settings")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadSettings, "name a readable file with --config", "the settings can't be read")
+	}
+	return settings.Load(data)
+}
+
+// logTo sends the log to w, every line once.
+func logTo(w io.Writer, verbosity int) {
+	set := flag.NewFlagSet("log", flag.ContinueOnError)
+	klog.InitFlags(set)
+	for name, value := range map[string]string{
+		"logtostderr":     "false",
+		"alsologtostderr": "false",
+		"stderrthreshold": "FATAL",
+		"one_output":      "true",
+		"v":               strconv.Itoa(verbosity),
+	} {
+		// These names and values are klog's own; they are always accepted.
+		_ = set.Set(name, value)
+	}
+	klog.SetOutput(w)
+}
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"context"
+	"os"
+
+	"k8s.io/klog/v2"
+
+	"github.com/tealhall/tealhall/internal/entry"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/settings"
+)
+
+// serve runs an entry until a signal comes, then stops it.
+func serve(s *settings.Settings, signals <-chan os.Signal) error {
+	logPlainText(s)
+	e, err := entry.New(s, entry.Options{Platform: platformClient(s)})
+	if err != nil {
+		return err
+	}
+	if err := e.Start(); err != nil {
+		return err
+	}
+	klog.InfoS("serving", "entry", s.Name, "failureDomain", s.FailureDomain, "callers", e.CallerAddress(), "peers", e.PeerAddress())
+	first := <-signals
+	return stop(e, first, signals)
+}
+
+func platformClient(s *settings.Settings) *platform.Client {
+	return platform.NewClient(platform.ClientConfig{
+		BaseURL:        s.Platform.URL,
+		Timeout:        s.Platform.Timeout.Duration,
+		WatchWait:      s.Platform.Watch.Duration,
+		CallsPerSecond: s.Platform.CallsPerSecond,
+	})
+}
+
+// stopper is what stop needs of an entry.
+type stopper interface {
+	Name() string
+	Stop(ctx context.Context) entry.StopSummary
+}
+
+// stop makes a planned stop, which ends early at a second signal.
+func stop(e stopper, first os.Signal, signals <-chan os.Signal) error {
+	klog.InfoS("a planned stop begins; a second signal makes it quick", "entry", e.Name(), "signal", first.String())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case second := <-signals:
+			klog.InfoS("the stop is quick from now on", "entry", e.Name(), "signal", second.String())
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	summary := e.Stop(ctx)
+	klog.InfoS("stopped", "entry", e.Name(), "took", summary.Took.String(), "requestsCut", summary.Cut,
+		"keysHandedOver", summary.HandedOver, "successors", summary.Successors)
+	if summary.Cut > 0 {
+		return errCut
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/demo/changes.go
@@ -0,0 +1,98 @@
+package demo
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/audit"
+)
+
+// The audit records that tell which profiles are in force.
+const (
+	profilesSubject = "profiles"
+	inForceAction   = "in-force"
+)
+
+// changeLog learns from the audit trails when profiles come into force.
+type changeLog struct {
+	mu       sync.Mutex
+	at       map[string]map[uint64]time.Time // by entry and revision
+	latest   map[string]uint64
+	wentBack []string
+
+	revision  uint64
+	published time.Time
+}
+
+func newChangeLog() *changeLog {
+	return &changeLog{at: make(map[string]map[uint64]time.Time), latest: make(map[string]uint64)}
+}
+
+// add takes a record of an entry's trail.
+func (c *changeLog) add(entry string, r audit.Record) {
+	if r.Subject != profilesSubject || r.Action != inForceAction {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Revision < c.latest[entry] {
+		c.wentBack = append(c.wentBack, fmt.Sprintf("%s from revision %d to %d", entry, c.latest[entry], r.Revision))
+	}
+	c.latest[entry] = r.Revision
+	if c.at[entry] == nil {
+		c.at[entry] = make(map[uint64]time.Time)
+	}
+	c.at[entry][r.Revision] = r.Wall
+}
+
+// expect names the revision whose coming into force is reported.
+func (c *changeLog) expect(revision uint64, published time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision, c.published = revision, published
+}
+
+// report lists when the expected revision came into force on each entry.
+func (c *changeLog) report(entries []string) ChangeReport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := ChangeReport{Revision: c.revision, WentBack: c.wentBack}
+	for _, name := range entries {
+		at, ok := c.at[name][c.revision]
+		if !ok {
+			r.Missing = append(r.Missing, name)
+			continue
+		}
+		r.InForce = append(r.InForce, InForce{Entry: name, After: at.Sub(c.published)})
+	}
+	return r
+}
+
+// leavingWatch counts the requests that a leaving endpoint gets after the grace
+// time.
+type leavingWatch struct {
+	endpoint *Endpoint
+	how      string
+
+	mu       sync.Mutex
+	counting bool
+	before   int64
+}
+
+func (w *leavingWatch) startCounting() {
+	requests := w.endpoint.Stats().Requests
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.counting, w.before = true, requests
+}
+
+func (w *leavingWatch) report() LeavingReport {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := LeavingReport{Endpoint: w.endpoint.VM.Name, How: w.how, Counted: w.counting}
+	if w.counting {
+		r.LateRequests = int(w.endpoint.Stats().Requests - w.before)
+	}
+	return r
+}
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -38,7 +38,11 @@
 type PoolConfig struct {
 	Name      string
 	Endpoints int
-	Endpoint  standin.EndpointConfig
+	// Endpoint describes each of them but for its name, incarnation and ledger.
+	Endpoint standin.EndpointConfig
+	// ServiceTime, if not nil, makes the service times of the i-th endpoint.
+	// Endpoints can't share one that is random.
+	ServiceTime func(i int) standin.ServiceTime
 }
 
 // Fleet is a running fleet.
@@ -47,11 +51,14 @@
 	Platform *standin.Platform
 	Server   *standin.Server
 	Ledger   *standin.Ledger
+	began    time.Time
 
 	mu        sync.Mutex
 	Entries   []*entry.Entry
 	Endpoints []*Endpoint
 	vms       []platform.VM
+	// names are all entries that ever ran.
+	names []string
 }
 
 // Endpoint is an endpoint of a fleet with its row in the platform's list.
@@ -65,7 +72,12 @@
 
 // NewFleet starts a fleet. Close it also after an error.
 func NewFleet(cfg FleetConfig) (*Fleet, error) {
-	f := &Fleet{cfg: cfg, Platform: standin.NewPlatform(standin.RealClock()), Ledger: standin.NewLedger()}
+	f := &Fleet{
+		cfg:      cfg,
+		Platform: standin.NewPlatform(standin.RealClock()),
+		Ledger:   standin.NewLedger(),
+		began:    time.Now(),
+	}
 	server, err := standin.NewServer(standin.DefaultListen, f.Platform, standin.RealClock(), 0)
 	if err != nil {
 		return f, err
@@ -94,6 +106,9 @@
 		cfg.Name = fmt.Sprintf("%s-%d", p.Name, i+1)
 		cfg.Incarnation = uint64(i + 1)
 		cfg.Ledger = f.Ledger
+		if p.ServiceTime != nil {
+			cfg.ServiceTime = p.ServiceTime(i)
+		}
 		e, err := standin.NewEndpoint(cfg)
 		if err != nil {
 			return err
@@ -128,6 +143,7 @@
 	}
 	f.mu.Lock()
 	f.Entries = append(f.Entries, e)
+	f.names = append(f.names, name)
 	f.mu.Unlock()
 	return e, e.Start()
 }
@@ -206,6 +222,17 @@
 	return f.Platform.Put(platform.ProfilesValue, document)
 }
 
+// endpointsOf returns the endpoints of a pool.
+func (f *Fleet) endpointsOf(pool string) []*Endpoint {
+	var out []*Endpoint
+	for _, e := range f.Endpoints {
+		if e.VM.Pool == pool {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // MarkLeaving publishes a list in which the endpoint leaves.
 func (f *Fleet) MarkLeaving(name string) {
 	for i := range f.vms {
--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -12,9 +12,6 @@
 	"github.com/tealhall/tealhall/internal/standin"
 )
 
-// startTimeout bounds the start of a fleet in a test.
-const startTimeout = 20 * time.Second
-
 func startFleet(t *testing.T, cfg FleetConfig) *Fleet {
 	t.Helper()
 	f, err := NewFleet(cfg)
--- /dev/null
+++ b/internal/demo/gather.go
@@ -0,0 +1,64 @@
+package demo
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/profile"
+)
+
+// report gathers what was counted. All requests have been answered.
+func (s *session) report() *Report {
+	r := &Report{
+		Took:   time.Since(s.began),
+		Added:  s.pairs.report(),
+		Change: s.changes.report(s.fleet.names),
+		Stop:   s.stop,
+		CutOff: s.wire.count(),
+	}
+	for _, t := range s.tallies {
+		r.Services = append(r.Services, t.report(s.fleet.Ledger))
+		if t.service == onceService {
+			r.RanTwice = append(t.ranTwice(s.fleet.Ledger), s.fleet.Ledger.RanTwice()...)
+		}
+	}
+	for _, w := range s.leaving {
+		r.Leaving = append(r.Leaving, w.report())
+	}
+	r.Watching = s.fleet.Watching()
+	return r
+}
+
+// Watching adds up what probes took of each pool's slot time since the fleet
+// started, as the endpoints counted it.
+func (f *Fleet) Watching() []WatchReport {
+	took := time.Since(f.began)
+	budgets := f.watchBudgets()
+	var out []WatchReport
+	for _, p := range f.cfg.Pools {
+		w := WatchReport{Pool: p.Name, Budget: budgets[p.Name]}
+		for _, e := range f.endpointsOf(p.Name) {
+			stats := e.Stats()
+			w.Probes += stats.Probes
+			w.Spent += stats.ProbeSlotTime
+			w.SlotTime += time.Duration(e.VM.Slots) * took
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// watchBudgets returns the smallest watching budget of the services of each pool.
+func (f *Fleet) watchBudgets() map[string]float64 {
+	budgets := make(map[string]float64)
+	snapshot, err := profile.Parse(f.cfg.Profiles, 1)
+	if err != nil {
+		return budgets
+	}
+	for _, service := range snapshot.Services() {
+		budget := service.Policy(false).WatchBudget
+		if known, ok := budgets[service.Pool]; !ok || budget < known {
+			budgets[service.Pool] = budget
+		}
+	}
+	return budgets
+}
--- /dev/null
+++ b/internal/demo/pairs.go
@@ -0,0 +1,113 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/tealhall/tealhall/internal/contract"
+	"github.com/tealhall/tealhall/internal/standin"
+)
+
+// pairEvery is the time between two pairs of calls.
+const pairEvery = 50 * time.Millisecond
+
+// pairs measures what an entry adds to a call: the same call is made straight
+// to an endpoint and through an entry to that endpoint, in turn, so that both
+// see the same machine.
+type pairs struct {
+	http   *http.Client
+	direct string
+	entry  string
+
+	mu     sync.Mutex
+	count  int
+	failed int
+	alone  *hdrhistogram.Histogram
+	via    *hdrhistogram.Histogram
+}
+
+func newPairs(c *http.Client, endpoint, entry string) *pairs {
+	return &pairs{http: c, direct: endpoint, entry: entry, alone: newHistogram(), via: newHistogram()}
+}
+
+func (p *pairs) run(ctx context.Context) {
+	ticker := time.NewTicker(pairEvery)
+	defer ticker.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.pair(n)
+		}
+	}
+}
+
+// pair makes one pair of calls; which goes first changes every time.
+func (p *pairs) pair(n int) {
+	order := []string{p.direct, p.entry}
+	if n%2 == 0 {
+		order[0], order[1] = order[1], order[0]
+	}
+	took := make(map[string]time.Duration, len(order))
+	for _, address := range order {
+		d, err := p.call(address, fmt.Sprintf("pair-%d", n))
+		if err != nil {
+			p.fail()
+			return
+		}
+		took[address] = d
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.count++
+	_ = p.alone.RecordValue(took[p.direct].Microseconds())
+	_ = p.via.RecordValue(took[p.entry].Microseconds())
+}
+
+func (p *pairs) fail() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed++
+}
+
+func (p *pairs) call(address, id string) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), requestLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/?"+standin.IDParameter+"="+id, nil)
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set(contract.HeaderService, pairedService)
+	began := time.Now()
+	response, err := p.http.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	took := time.Since(began)
+	if err != nil {
+		return 0, err
+	}
+	return took, standin.CheckAnswer(body, id, standin.AnswerSize(id))
+}
+
+func (p *pairs) report() AddedReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return AddedReport{
+		Pairs:     p.count,
+		Failed:    p.failed,
+		DirectP50: micros(p.alone, 50),
+		DirectP99: micros(p.alone, 99),
+		EntryP50:  micros(p.via, 50),
+		EntryP99:  micros(p.via, 99),
+	}
+}
--- /dev/null
+++ b/internal/demo/session.go
@@ -0,0 +1,245 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tealhall/tealhall/client"
+	"github.com/tealhall/tealhall/internal/contract"
+	"github.com/tealhall/tealhall/internal/settings"
+)
+
+// When things happen, counted from the first request. A planned stop of an
+// entry takes as long as callers may keep answers that name it, so it begins
+// early and the session ends with it.
+const (
+	publishAt     = 1 * time.Second
+	stopEntryAt   = 2 * time.Second
+	drainAt       = 4 * time.Second
+	markLeavingAt = 6 * time.Second
+	uploadsFrom   = 7 * time.Second
+	shortest      = 15 * time.Second
+	progressEvery = 1 * time.Second
+	// leavingGrace is how long after the word that it leaves an endpoint may
+	// still get new work.
+	leavingGrace = 3 * time.Second
+)
+
+const (
+	// callers is how many callers send the requests.
+	callers = 6
+	// largestFleet divides the watching budget; the demo never runs more entries.
+	largestFleet = 4
+	// waitAfter bounds the wait for the last requests.
+	waitAfter = 10 * time.Second
+)
+
+// adjust sets what differs from an installation: the fleet is small for sure.
+func adjust(s *settings.Settings) { s.Limits.LargestFleet = largestFleet }
+
+// session is one run of the demo.
+type session struct {
+	fleet   *Fleet
+	changes *changeLog
+	out     io.Writer
+	seed    uint64
+
+	began   time.Time
+	wire    *cutCounter
+	callers []*client.Client
+	tallies []*tally
+	pairs   *pairs
+	leaving []*leavingWatch
+	stop    StopReport
+}
+
+func newSession(f *Fleet, changes *changeLog, opts Options) (*session, error) {
+	s := &session{fleet: f, changes: changes, out: opts.Out, seed: opts.Seed, wire: newCutCounter()}
+	for i := range callers {
+		c, err := client.New(client.Options{
+			Seeds:  f.Seeds(),
+			Caller: fmt.Sprintf("caller-%d", i+1),
+			Domain: f.domain(i),
+			HTTP:   &http.Client{Transport: s.wire},
+		})
+		if err != nil {
+			return nil, err
+		}
+		s.callers = append(s.callers, c)
+	}
+	endpoint := f.endpointsOf(pairedService)[0]
+	s.pairs = newPairs(&http.Client{Transport: s.wire}, endpoint.Server().Address(), f.Seeds()[0])
+	return s, nil
+}
+
+// run sends the requests, carries out the script and gathers the report.
+func (s *session) run(ctx context.Context) (*Report, error) {
+	s.began = time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var sending sync.WaitGroup
+	for _, st := range s.streams() {
+		sending.Go(func() { st.run(ctx) })
+	}
+	sending.Go(func() { s.pairs.run(ctx) })
+	sending.Go(func() { s.progress(ctx) })
+	err := s.script(ctx)
+	cancel()
+	sending.Wait()
+	if err != nil {
+		return nil, err
+	}
+	return s.report(), nil
+}
+
+// script makes the changes on the way, one after the other.
+func (s *session) script(ctx context.Context) error {
+	s.at(ctx, publishAt)
+	revision := s.fleet.Publish(changedProfiles())
+	published := time.Now()
+	s.say("published the profiles with %s as revision %d", changedHedge, revision)
+	s.changes.expect(revision, published)
+
+	s.at(ctx, stopEntryAt)
+	var stopping sync.WaitGroup
+	stopping.Go(func() { s.stopEntry(ctx) })
+	defer stopping.Wait()
+
+	s.at(ctx, drainAt)
+	announcing := s.fleet.endpointsOf(readService)[0]
+	s.watchLeaving(ctx, announcing, "announced by the endpoint")
+	announcing.Drain()
+
+	s.at(ctx, markLeavingAt)
+	marked := s.fleet.endpointsOf(onceService)[0]
+	s.watchLeaving(ctx, marked, "marked in the platform's list")
+	s.fleet.MarkLeaving(announcing.VM.Name)
+	s.fleet.MarkLeaving(marked.VM.Name)
+
+	stopping.Wait()
+	s.at(ctx, shortest)
+	return ctx.Err()
+}
+
+// at waits until d after the first request.
+func (s *session) at(ctx context.Context, d time.Duration) {
+	sleep(ctx, time.Until(s.began.Add(d)))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// say prints a line of progress.
+func (s *session) say(format string, args ...any) {
+	fmt.Fprintf(s.out, "%5.1fs  %s\n", time.Since(s.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// stopEntry stops the last entry gracefully.
+func (s *session) stopEntry(ctx context.Context) {
+	entries := s.fleet.entries()
+	leaver := entries[len(entries)-1]
+	s.say("%s begins a planned stop; callers may keep answers that name it for some seconds", leaver.Name())
+	s.fleet.Forget(leaver)
+	summary := leaver.Stop(ctx)
+	s.stop = StopReport{Entry: leaver.Name(), Cut: summary.Cut, Keys: summary.HandedOver, Successors: summary.Successors, Took: summary.Took}
+	s.say("%s stopped after %.1f s: %d requests cut off, %d idempotency keys handed to %d entries",
+		leaver.Name(), summary.Took.Seconds(), summary.Cut, summary.HandedOver, summary.Successors)
+}
+
+// watchLeaving counts what an endpoint gets after the grace time.
+func (s *session) watchLeaving(ctx context.Context, e *Endpoint, how string) {
+	s.say("%s leaves: %s", e.VM.Name, how)
+	w := &leavingWatch{endpoint: e, how: how}
+	s.leaving = append(s.leaving, w)
+	told := time.Now()
+	go func() {
+		sleep(ctx, time.Until(told.Add(leavingGrace)))
+		w.startCounting()
+	}()
+}
+
+// progress prints a line every second.
+func (s *session) progress(ctx context.Context) {
+	ticker := time.NewTicker(progressEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.say("%s", s.progressLine())
+		}
+	}
+}
+
+func (s *session) progressLine() string {
+	line := ""
+	for _, t := range s.tallies {
+		sent, done := t.progress()
+		line += fmt.Sprintf("%s %d/%d done  ", t.service, done, sent)
+	}
+	return line
+}
+
+// cutCounter is a transport that counts answers that broke off.
+type cutCounter struct {
+	base http.RoundTripper
+
+	mu  sync.Mutex
+	cut int
+}
+
+// idleConnections is how many idle connections are kept to one entry.
+const idleConnections = 64
+
+func newCutCounter() *cutCounter {
+	return &cutCounter{base: &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *cutCounter) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := c.base.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &countedBody{ReadCloser: response.Body, counter: c, ctx: r.Context()}
+	return response, nil
+}
+
+func (c *cutCounter) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut
+}
+
+type countedBody struct {
+	io.ReadCloser
+	counter *cutCounter
+	ctx     context.Context
+}
+
+// Read counts an error that is not the end and not the caller's own doing.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF && b.ctx.Err() == nil {
+		b.counter.mu.Lock()
+		b.counter.cut++
+		b.counter.mu.Unlock()
+	}
+	return n, err
+}
+
+// request headers of the demo's own.
+func requestHeader(id string) http.Header {
+	return http.Header{contract.HeaderRequest: {id}}
+}
--- /dev/null
+++ b/internal/demo/tally.go
@@ -0,0 +1,122 @@
+package demo
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/tealhall/tealhall/client"
+	"github.com/tealhall/tealhall/internal/standin"
+)
+
+// The range and precision of latencies.
+const (
+	longestLatency = int64(time.Minute / time.Microsecond)
+	latencyDigits  = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longestLatency, latencyDigits)
+}
+
+func micros(h *hdrhistogram.Histogram, quantile float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(quantile)) * time.Microsecond
+}
+
+// tally counts what became of the requests to one service.
+type tally struct {
+	service string
+	kind    string
+
+	mu      sync.Mutex
+	sent    int
+	counts  map[client.Outcome]int
+	retried int
+	latency *hdrhistogram.Histogram
+	wrong   []string
+	// done and notRun are the ids of requests of which this was said; the
+	// ledger tells at the end whether it is true.
+	done   []string
+	notRun []string
+}
+
+func newTally(service, kind string) *tally {
+	return &tally{service: service, kind: kind, counts: make(map[client.Outcome]int), latency: newHistogram()}
+}
+
+func (t *tally) sending() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent++
+}
+
+// add counts one result; wrong says what is wrong with its answer, or nil.
+func (t *tally) add(id string, r client.Result, took time.Duration, wrong error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts[r.Outcome]++
+	if r.Tries > 1 {
+		t.retried++
+	}
+	if wrong != nil {
+		t.wrong = append(t.wrong, wrong.Error())
+	}
+	switch r.Outcome {
+	case client.Done:
+		t.done = append(t.done, id)
+		_ = t.latency.RecordValue(took.Microseconds())
+	case client.NotRun:
+		t.notRun = append(t.notRun, id)
+	}
+}
+
+func (t *tally) progress() (sent, done int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sent, t.counts[client.Done]
+}
+
+// report compares what callers were told with what the endpoints did.
+func (t *tally) report(ledger *standin.Ledger) ServiceReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := ServiceReport{
+		Service: t.service,
+		Kind:    t.kind,
+		Sent:    t.sent,
+		Done:    t.counts[client.Done],
+		NotRun:  t.counts[client.NotRun],
+		Unknown: t.counts[client.Unknown],
+		Retried: t.retried,
+		P50:     micros(t.latency, 50),
+		P99:     micros(t.latency, 99),
+		Wrong:   t.wrong,
+	}
+	for _, id := range t.done {
+		if ledger.Request(id).Finished == 0 {
+			r.Wrong = append(r.Wrong, id+" was said to be done, and no endpoint finished it")
+		}
+	}
+	for _, id := range t.notRun {
+		if ledger.Request(id).Runs > 0 {
+			r.FalseNotRun = append(r.FalseNotRun, id)
+		}
+	}
+	return r
+}
+
+// ranTwice returns the ids of requests that ran more than once. Every request
+// of the service has an id that stays the same over all tries and keys.
+func (t *tally) ranTwice(ledger *standin.Ledger) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var twice []string
+	for id := range t.sent {
+		name := requestID(t.service, id+1)
+		if ledger.Request(name).Runs > 1 {
+			twice = append(twice, name)
+		}
+	}
+	return twice
+}
