Ask an endpoint for an idle slot or nothing

Cause: with two slots an endpoint that looks idle is often taken by another entry's request at the same moment; the request then waits a whole service time. The choice policies can ask for an idle slot only, but the core had no way to pass that on. Change: an attempt may carry Tealhall-Idle-Only; a refusal to it is no failure of the endpoint and no retry, is bounded to 3 a request and to 0.3 of the requests that succeed, so that endpoints that refuse everything see no more than their requests. Tested: builds; core fault tests are being written.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -145,7 +145,7 @@
 	if end.ConnSilent {
 		out.SuspectAddresses = append(out.SuspectAddresses, e.Address)
 	}
-	if o, ok := healthOutcome(a, end); ok {
+	if o, ok := healthOutcome(a, end); ok && !refusedIdle(a, end) {
 		health.Observe(now, e, health.Observation{
 			Outcome:  o,
 			Sent:     a.at,
@@ -173,6 +173,12 @@
 	}
 }
 
+// refusedIdle says that an endpoint did what it was asked: it refused a request
+// for which it had no idle slot.
+func refusedIdle(a *attempt, end End) bool {
+	return a.idleOnly && end.Kind == EndNotRun
+}
+
 // latency is the time to the head of the answer, or to the failure. The time
 // that a caller takes to receive an answer must not count: a slow caller would
 // make its endpoint look slow.
@@ -248,6 +254,7 @@
 		c.counters.Done++
 		if a.status < http.StatusInternalServerError {
 			r.service.retry.Earn()
+			r.service.idle.Earn()
 		}
 		c.settleKey(now, r, OutcomeDone, e.Answer, out)
 	} else {
@@ -272,11 +279,22 @@
 		c.fail(now, r, r.lastReason, out)
 		return
 	}
+	if refusedIdle(a, e) && r.replayable {
+		r.idleRefusals++
+		r.service.idle.TrySpend(now)
+		c.placeAgain(now, r, out)
+		return
+	}
 	if !a.paid && !c.mayRetry(now, r, provablyNotRun) {
 		c.fail(now, r, r.lastReason, out)
 		return
 	}
 	c.counters.Retried++
+	c.placeAgain(now, r, out)
+}
+
+// placeAgain dispatches a request anew or lets it wait.
+func (c *Core) placeAgain(now time.Duration, r *request, out *Actions) {
 	if c.tryDispatch(now, r, false, out) {
 		return
 	}
@@ -305,7 +323,8 @@
 // multiplied. So a failure that may have run is tried again only for the
 // outermost call, and not at all below a call that is itself a second try.
 func (c *Core) mayRetry(now time.Duration, r *request, provablyNotRun bool) bool {
-	if int(r.dispatches) >= min(r.policy.MaxAttempts, MaxAttempts) {
+	tries := int(r.dispatches) - r.idleRefusals
+	if tries >= r.policy.MaxAttempts || int(r.dispatches) >= MaxAttempts {
 		return false
 	}
 	if !r.replayable || now >= r.deadline {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -22,7 +22,7 @@
 	}
 	if i := c.trialEndpoint(now, r); i >= 0 {
 		health.TrialSent(now, &p.Endpoints[i])
-		c.dispatch(now, r, i, hedge, out)
+		c.dispatch(now, r, balance.Choice{Index: i}, hedge, out)
 		return true
 	}
 	ask := balance.Ask{Tried: r.tried, LocalDomain: c.cfg.Self.Domain}
@@ -30,10 +30,17 @@
 	if !choice.OK {
 		return false
 	}
-	c.dispatch(now, r, choice.Index, hedge, out)
+	choice.IdleOnly = choice.IdleOnly && c.mayAskIdle(r)
+	c.dispatch(now, r, choice, hedge, out)
 	return true
 }
 
+// mayAskIdle says whether an endpoint may be asked to refuse r rather than
+// queue it. A refusal costs a round trip and an arrival at the endpoint.
+func (c *Core) mayAskIdle(r *request) bool {
+	return r.replayable && r.idleRefusals < maxIdleRefusals && r.service.idle.Level() >= 1
+}
+
 // trialEndpoint returns an ejected endpoint that is due for a trial by a real
 // request, or -1. Only a first try that is harmless to repeat is used.
 func (c *Core) trialEndpoint(now time.Duration, r *request) int {
@@ -95,14 +102,16 @@
 }
 
 // dispatch records an attempt and directs the driver to send it.
-func (c *Core) dispatch(now time.Duration, r *request, index int, hedge bool, out *Actions) {
+func (c *Core) dispatch(now time.Duration, r *request, choice balance.Choice, hedge bool, out *Actions) {
 	p := r.service.pool
+	index := choice.Index
 	e := &p.Endpoints[index]
 	r.phase = phaseActive
 	r.dispatches++
 	r.attempts[r.dispatches] = attempt{
 		live:        true,
 		hedge:       hedge,
+		idleOnly:    choice.IdleOnly,
 		index:       index,
 		incarnation: e.Incarnation,
 		at:          now,
@@ -121,6 +130,7 @@
 		Attempt:  r.dispatches,
 		Address:  e.Address,
 		Once:     r.policy.Kind == profile.Once || r.keyed,
+		IdleOnly: choice.IdleOnly,
 		Deadline: r.deadline,
 	})
 }
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -164,6 +164,8 @@
 	// Once says that the attempt must not be sent twice by any layer below and
 	// needs a connection that is known to be alive.
 	Once bool
+	// IdleOnly asks the endpoint to refuse the request rather than queue it.
+	IdleOnly bool
 	// Deadline is when the attempt must have ended.
 	Deadline time.Duration
 	Outcome  Outcome
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -13,7 +13,17 @@
 )
 
 // MaxAttempts bounds the dispatches of one request, whatever a profile says.
-const MaxAttempts = 6
+const MaxAttempts = 8
+
+const (
+	// maxIdleRefusals is how often one request may be refused by endpoints that
+	// were asked to take it only into an idle slot.
+	maxIdleRefusals = 3
+	// idleRefusalShare bounds these refusals to a share of the requests that
+	// succeed, so that a service whose endpoints refuse everything sees no
+	// more than its requests.
+	idleRefusalShare = 0.3
+)
 
 // phase is where a request stands.
 type phase uint8
@@ -35,6 +45,7 @@
 	live        bool
 	hedge       bool
 	forward     bool
+	idleOnly    bool
 	index       int
 	incarnation uint64
 	at          time.Duration
@@ -64,6 +75,8 @@
 	committed  Attempt
 	attempts   [MaxAttempts + 1]attempt
 	dispatches Attempt
+	// idleRefusals counts the dispatches that only an idle slot was to take.
+	idleRefusals int
 	// tried are the endpoints that the request was dispatched to.
 	tried balance.Set
 	// lastReason is why the latest attempt failed.
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -32,6 +32,8 @@
 	policy *profile.Policy
 	pool   *pool
 	retry  *budget.Retry
+	// idle pays for refusals by endpoints that had no idle slot.
+	idle *budget.Retry
 	// held counts this entry's attempts in flight for the service.
 	held int
 	// demand is how many slots the service's traffic keeps busy.
@@ -206,6 +208,7 @@
 func (c *Core) applyMode(sv *service) {
 	sv.policy = sv.spec.Policy(c.closing)
 	if sv.retry == nil {
+		sv.idle = budget.NewRetry(budget.RetryConfig{Share: idleRefusalShare, LargestFleet: 1})
 		sv.retry = budget.NewRetry(budget.RetryConfig{
 			Share:        sv.policy.RetryBudget,
 			MinPerSecond: minRetriesPerSecond,
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -46,6 +46,9 @@
 		contract.HeaderRequest:  {x.requestName},
 		contract.HeaderService:  {x.service},
 	}
+	if d.IdleOnly {
+		h[contract.HeaderIdleOnly] = []string{contract.IdleOnlyValue}
+	}
 	if d.Step == core.StepForward {
 		h[contract.HeaderForwarded] = []string{contract.ForwardedValue}
 		h[contract.HeaderCaller] = []string{x.caller}
