--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,124 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/entry"
+)
+
+// output is a buffer for a log that several goroutines write.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
+
+// validSettings need no other process: the platform at this address is down.
+const validSettings = `
+name = "entry-1"
+region = "local"
+failure_domain = "local-a"
+[addresses]
+caller = "CALLER"
+caller_advertised = "127.0.0.1:1"
+peer = "127.0.0.1:0"
+peer_advertised = "127.0.0.1:2"
+admin = "127.0.0.1:0"
+[platform]
+url = "http://127.0.0.1:1"
+`
+
+func writeSettings(t *testing.T, text, caller string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "entry.toml")
+	if err := os.WriteFile(path, []byte(strings.ReplaceAll(text, "CALLER", caller)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestMainExits(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	const free = "127.0.0.1:0"
+	valid := writeSettings(t, validSettings, free)
+	wrong := writeSettings(t, strings.Replace(validSettings, "region", "regoin", 1), free)
+	cases := []struct {
+		name string
+		args []string
+		code int
+		says string
+	}{
+		{"no settings", nil, ExitSettings, "--config FILE"},
+		{"unknown flag", []string{"--colour"}, ExitSettings, "--help"},
+		{"argument too many", []string{"--config", valid, "start"}, ExitSettings, "--help"},
+		{"file missing", []string{"--config", valid + ".old"}, ExitSettings, "readable file"},
+		{"checked", []string{"--config", valid, "--check"}, ExitOK, "the settings of entry-1 are valid"},
+		{"misspelt setting", []string{"--config", wrong, "--check"}, ExitSettings, "regoin: there is no such setting"},
+		{"misspelt setting, not only checked", []string{"--config", wrong}, ExitSettings, "region: it is required"},
+		{"port in use", []string{"--config", writeSettings(t, validSettings, taken.Addr().String())}, ExitFailure, "free the port"},
+		{"stopped by a signal", []string{"--config", valid}, ExitOK, `"stopped" entry="entry-1"`},
+		{"TLS is off", []string{"--config", valid}, ExitOK, `side="callers"`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			signals := make(chan os.Signal, pendingSignals)
+			signals <- syscall.SIGTERM
+			var out output
+			if code := run(c.args, &out, &out, signals); code != c.code {
+				t.Errorf("exit code %d, want %d", code, c.code)
+			}
+			if !strings.Contains(out.String(), c.says) {
+				t.Errorf("%q is missing in:\n%s", c.says, out.String())
+			}
+		})
+	}
+}
+
+// slowEntry stops once its context ends, and then cuts requests off.
+type slowEntry struct{ stopping chan struct{} }
+
+func (*slowEntry) Name() string { return "entry-1" }
+
+func (e *slowEntry) Stop(ctx context.Context) entry.StopSummary {
+	close(e.stopping)
+	<-ctx.Done()
+	return entry.StopSummary{Cut: 2, Took: time.Second}
+}
+
+// An operator who can't wait for a long upload sends a second signal. The stop
+// must end at once then, and the exit code must tell that requests were cut.
+func TestSecondSignalMakesTheStopQuick(t *testing.T) {
+	e := &slowEntry{stopping: make(chan struct{})}
+	signals := make(chan os.Signal, pendingSignals)
+	go func() {
+		<-e.stopping
+		signals <- syscall.SIGINT
+	}()
+	if code := exitCode(stop(e, syscall.SIGTERM, signals)); code != ExitCut {
+		t.Errorf("exit code %d, want %d", code, ExitCut)
+	}
+}
