Queue: a request that comes back keeps its age

Cause: a request that an endpoint refused went to the end of the queue and never to that endpoint again. Change: it waits by the time of its arrival, and endpoints tried before are open to it again.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -59,12 +59,18 @@
 
 // request is one caller's request.
 type request struct {
-	arrival  Arrival
-	service  *service
+	arrival Arrival
+	service *service
+	// pool is the one that the service used when the request arrived. Its
+	// queue and its endpoints' rows hold the request, so it stays although a
+	// new profile moves the service to another pool meanwhile.
+	pool     *pool
 	policy   *profile.Policy
 	phase    phase
 	arrived  time.Duration
 	deadline time.Duration
+	// queued is when it began to wait in the queue, the last time it did.
+	queued time.Duration
 	// harmless says that running it twice does no harm.
 	harmless bool
 	// keyed says that the idempotency table holds it as running here.
@@ -142,6 +148,7 @@
 	*r = request{
 		arrival:    a,
 		service:    sv,
+		pool:       sv.pool,
 		policy:     policy,
 		phase:      phaseActive,
 		arrived:    now,
@@ -181,7 +188,7 @@
 
 // place dispatches r now or puts it into its pool's queue.
 func (c *Core) place(now time.Duration, r *request, out *Actions) {
-	p := r.service.pool
+	p := r.pool
 	if !p.hasLive() {
 		c.fail(now, r, ReasonNoEndpoint, out)
 		return
@@ -203,13 +210,13 @@
 }
 
 func (c *Core) enqueue(now time.Duration, r *request, out *Actions) {
-	p := r.service.pool
+	p := r.pool
 	item := queue.Item{
 		ID:       uint64(r.arrival.ID),
 		Service:  r.service.index,
 		Caller:   r.arrival.Caller,
 		Priority: r.policy.Priority,
-		Enqueued: now,
+		Enqueued: r.arrived,
 		Deadline: r.deadline,
 		Work:     min(time.Duration(p.serviceNanos), (r.deadline-now)/2),
 	}
@@ -228,6 +235,9 @@
 	default:
 		c.counters.Queued++
 		r.phase = phaseQueued
+		// While it waits, endpoints that refused it may become idle.
+		r.tried = 0
+		r.queued = now
 	}
 }
 
@@ -264,7 +274,7 @@
 	if r.keyed && r.phase == phaseActive {
 		return true
 	}
-	p := r.service.pool
+	p := r.pool
 	if r.phase == phaseJoined {
 		c.leaveWaiters(r)
 	}
@@ -331,7 +341,7 @@
 		return 0
 	}
 	item := queue.Item{Service: r.service.index, Priority: r.policy.Priority, Enqueued: now, Deadline: r.deadline}
-	wait := r.service.pool.expectedWait(now, item)
+	wait := r.pool.expectedWait(now, item)
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
@@ -342,7 +352,7 @@
 		return
 	}
 	if r.phase == phaseQueued {
-		r.service.pool.queue.Remove(uint64(r.arrival.ID))
+		r.pool.queue.Remove(uint64(r.arrival.ID))
 	}
 	r.phase = phaseFinished
 	c.cancelOthers(r, 0, out)
