Core: a service that moves to another pool; a close divides the work anew

Cause: requests followed their service to a new pool while the old pool's queue still held them, so that a waiting once-only request was sent up to three times (found by a test of several entries and a profile change). The calendar switched policies without dividing the entries of a service anew. Change: a request keeps the pool that it arrived at. A switch of the calendar announces the deciders.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -43,7 +43,7 @@
 
 // observeHead learns from an answer what it says of the endpoint.
 func (c *Core) observeHead(now time.Duration, r *request, a *attempt, h Head, out *Actions) {
-	p := r.service.pool
+	p := r.pool
 	e := p.endpointAt(a.index, a.incarnation)
 	if e == nil {
 		return
@@ -125,13 +125,13 @@
 		c.afterEnd(now, r, a, e, out)
 	}
 	if !a.forward {
-		c.drainPool(now, r.service.pool, out)
+		c.drainPool(now, r.pool, out)
 	}
 }
 
 // settleAttempt returns the slot and tells the health system.
 func (c *Core) settleAttempt(now time.Duration, r *request, a *attempt, end End, out *Actions) {
-	p := r.service.pool
+	p := r.pool
 	r.service.held--
 	e := p.endpointAt(a.index, a.incarnation)
 	if e == nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,6 +49,9 @@
 	LargestFleet int
 	// Keys bounds the idempotency table.
 	Keys idem.Config
+	// AnswersTTL is the longest that a caller may keep the answer which entries
+	// to use; 0 stands for the default of package directory.
+	AnswersTTL time.Duration
 	// ReadersPerDomain is how many entries of a failure domain read the platform.
 	ReadersPerDomain int
 	// PeerBytesPerSecond and PeerMessagesPerSecond bound what is sent to peers;
@@ -151,7 +154,7 @@
 	c.notePause(now, out)
 	c.lastTick = now
 	c.keys.Tick(now)
-	c.applyCalendar(out)
+	c.applyCalendar(now, out)
 	c.expireQueues(now, out)
 	c.expireJoined(now, out)
 	c.hedgeDue(now, out)
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -16,7 +16,7 @@
 	if int(r.dispatches) >= MaxAttempts {
 		return false
 	}
-	p := r.service.pool
+	p := r.pool
 	if !c.mayTakeSlot(now, p, r.service) {
 		return false
 	}
@@ -47,7 +47,7 @@
 	if !r.harmless || !r.replayable || r.dispatches > 0 {
 		return -1
 	}
-	p := r.service.pool
+	p := r.pool
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
 		if e.State == table.EndpointLive && health.TrialDue(now, e) {
@@ -103,7 +103,7 @@
 
 // dispatch records an attempt and directs the driver to send it.
 func (c *Core) dispatch(now time.Duration, r *request, choice balance.Choice, hedge bool, out *Actions) {
-	p := r.service.pool
+	p := r.pool
 	index := choice.Index
 	e := &p.Endpoints[index]
 	r.phase = phaseActive
@@ -187,14 +187,14 @@
 		c.fail(now, r, ReasonDeadline, out)
 		return true
 	}
-	if !r.service.pool.hasLive() {
+	if !r.pool.hasLive() {
 		c.fail(now, r, ReasonNoEndpoint, out)
 		return true
 	}
 	if !c.tryDispatch(now, r, false, out) {
 		return false
 	}
-	r.service.pool.queue.Take(now, uint64(r.arrival.ID))
+	r.pool.queue.Take(now, uint64(r.arrival.ID))
 	return true
 }
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -69,8 +69,6 @@
 	phase    phase
 	arrived  time.Duration
 	deadline time.Duration
-	// queued is when it began to wait in the queue, the last time it did.
-	queued time.Duration
 	// harmless says that running it twice does no harm.
 	harmless bool
 	// keyed says that the idempotency table holds it as running here.
@@ -237,7 +235,6 @@
 		r.phase = phaseQueued
 		// While it waits, endpoints that refused it may become idle.
 		r.tried = 0
-		r.queued = now
 	}
 }
 
--- a/internal/core/rig_test.go
+++ b/internal/core/rig_test.go
@@ -11,7 +11,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/tealhall/tealhall/internal/core/duty"
-	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
@@ -31,11 +30,12 @@
 	now  time.Duration
 	wall time.Time // at time 0
 	// tick is how often the cores run their systems.
-	tick   time.Duration
-	nodes  []*node
-	under  []letter
-	docs   map[string]platform.Value
-	nextID RequestID
+	tick     time.Duration
+	nodes    []*node
+	under    []letter
+	docs     map[string]platform.Value
+	nextID   RequestID
+	keysMade uint64
 	// cut says that nothing gets from one entry to another, down that an entry
 	// can't reach the platform.
 	cut  func(from, to *node) bool
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -239,7 +239,7 @@
 
 // applyCalendar starts and ends a close by the local calendar, so that it
 // happens also while the configuration service is down.
-func (c *Core) applyCalendar(out *Actions) {
+func (c *Core) applyCalendar(now time.Duration, out *Actions) {
 	if c.snapshot == nil {
 		return
 	}
@@ -252,6 +252,7 @@
 		c.applyMode(sv)
 	}
 	c.regroupPools()
+	c.announceDeciders(now)
 	mode := modeName(closing)
 	out.note(Note{Subject: "mode", Action: "switch", From: modeName(!closing), To: mode, Revision: c.snapshot.Revision(),
 		Why: closeWhy(cl, closing)})
--- a/internal/core/traffic_test.go
+++ b/internal/core/traffic_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net/http"
 	"strings"
@@ -149,7 +150,9 @@
 	if _, open := n.open[t]; !open {
 		return
 	}
-	r.do(n, func(now time.Duration, out *Actions) { n.Head(now, Head{ID: t.id, Attempt: t.n, Status: http.StatusOK}, out) })
+	r.do(n, func(now time.Duration, out *Actions) {
+		n.Head(now, Head{ID: t.id, Attempt: t.n, Status: http.StatusOK}, out)
+	})
 	r.tell(n, t.id, answer)
 	r.end(n, t, End{Kind: EndComplete})
 }
@@ -189,14 +192,10 @@
 	return false
 }
 
-func TestRig(t *testing.T) {
-	r := settled(t, 3, "counts/c1", "counts/c2", "waste/w1")
-	id := r.ask(r.nodes[0], Arrival{Service: "counts"})
-	r.run(sec)
-	t.Log(r.nodes[0].told[id], r.now)
-	for _, n := range r.nodes {
-		for _, x := range n.notes {
-			t.Log(n.hello.Name, x)
-		}
-	}
+// key makes a new key whose home is an entry.
+func (r *rig) key(home *node) idem.Key {
+	r.keysMade++
+	key := idem.Key{Home: home.hello.Incarnation, Epoch: home.keys.Epoch()}
+	binary.LittleEndian.PutUint64(key.Random[:], r.keysMade)
+	return key
 }
