Claims: requests that waited long may queue at an endpoint

Change: after its patience a request may queue at the endpoint where it is served soonest, which takes the next free slot from whoever held it.

--- a/internal/bench/variants.go
+++ b/internal/bench/variants.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -39,6 +40,17 @@
 			Deciders: steered, PeerInterval: every * time.Millisecond,
 		})
 	}
+	for _, peer := range []time.Duration{5, 10} {
+		for _, q := range []int{1, 2, 4} {
+			for _, patience := range []time.Duration{5, 10, 15} {
+				all = append(all, Variant{
+					Name: fmt.Sprintf("c3i%dq%dp%d", peer, q, patience), Policy: balance.Claims,
+					Deciders: steered, PeerInterval: peer * time.Millisecond,
+					Balance: balance.Config{QueueAtEndpoint: q, Patience: patience * time.Millisecond},
+				})
+			}
+		}
+	}
 	all = append(all, Variant{Name: "claims@1", Policy: balance.Claims, Deciders: 1})
 	return all
 }
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -119,9 +119,12 @@
 	Service time.Duration
 	// SlowStart is how long a new endpoint gets fewer requests.
 	SlowStart time.Duration
-	// QueueAtEndpoint is how many requests beyond its slots the chosen policy
-	// lets an endpoint hold; negative for none.
+	// QueueAtEndpoint is how many requests beyond its slots the claims policy
+	// lets an endpoint hold.
 	QueueAtEndpoint int
+	// Patience is how long a request waits in the entry for an idle slot before
+	// it may queue at an endpoint.
+	Patience time.Duration
 }
 
 // Defaults of Config.
--- a/internal/core/balance/claims.go
+++ b/internal/core/balance/claims.go
@@ -57,7 +57,7 @@
 }
 
 // Pick implements Picker.
-func (c *claims) Pick(now time.Duration, p *table.Pool, ask Ask, _ time.Duration) Choice {
+func (c *claims) Pick(now time.Duration, p *table.Pool, ask Ask, waited time.Duration) Choice {
 	s, choice, done := c.begin(now, p, ask)
 	if done {
 		return choice
@@ -79,10 +79,36 @@
 			best, bestScore = i, score
 		}
 	}
-	if best < 0 {
+	if best >= 0 {
+		return Choice{Index: best, OK: true, IdleOnly: true}
+	}
+	if waited >= c.cfg.Patience {
+		if i, ok := c.queueAt(now, p, ask, s); ok {
+			return Choice{Index: i, OK: true}
+		}
 		return Choice{Wait: askAgain}
 	}
-	return Choice{Index: best, OK: true, IdleOnly: true}
+	return Choice{Wait: min(askAgain, c.cfg.Patience-waited)}
+}
+
+// queueAt returns the endpoint where a queued request is served soonest.
+func (c *claims) queueAt(now time.Duration, p *table.Pool, ask Ask, s standing) (int, bool) {
+	best, bestTime := -1, 0.0
+	for i := range p.Endpoints {
+		if !eligible(now, p, i, ask.Tried, s) {
+			continue
+		}
+		e := &p.Endpoints[i]
+		load := float64(e.Outstanding) + c.peers.foreign(now, i, c.service(e))
+		if load >= float64(int(e.Slots)+c.cfg.QueueAtEndpoint)-idleShare {
+			continue
+		}
+		t := load + float64(c.order.rank[i])*1e-3
+		if best < 0 || t < bestTime {
+			best, bestTime = i, t
+		}
+	}
+	return best, best >= 0
 }
 
 // score prefers endpoints of the own share, then emptier ones, then the order.
