Stand-ins: keep a killed server's port, and three races in the tests

A killed server could lose its port to any connection on the machine before it came back; a bound socket that never listens keeps it now.

--- a/internal/standin/endpoint_test.go
+++ b/internal/standin/endpoint_test.go
@@ -20,9 +20,16 @@
 	soon = 50 * time.Millisecond
 )
 
+// subject is an endpoint with a client of its own: the address may have been
+// another test's, to which a shared client would still hold dead connections.
+type subject struct {
+	*Endpoint
+	client *http.Client
+}
+
 // start returns an endpoint of one slot and one place in the queue, on a clock
 // that only the test moves.
-func start(t *testing.T, change func(*EndpointConfig)) (*Endpoint, *ManualClock) {
+func start(t *testing.T, change func(*EndpointConfig)) (subject, *ManualClock) {
 	t.Helper()
 	clock := NewManualClock()
 	cfg := EndpointConfig{Name: "one", Incarnation: 7, Slots: 1, QueueLimit: 1, ServiceTime: Constant(serviceTime), Clock: clock}
@@ -33,8 +40,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	transport := &http.Transport{}
 	t.Cleanup(endpoint.Server().Kill)
-	return endpoint, clock
+	t.Cleanup(transport.CloseIdleConnections)
+	return subject{endpoint, &http.Client{Transport: transport}}, clock
 }
 
 // reply is an answer as its caller got it; err says how it was cut off.
@@ -46,7 +55,7 @@
 }
 
 // send sends one request in the background.
-func send(ctx context.Context, e *Endpoint, path string, header ...string) <-chan reply {
+func send(ctx context.Context, e subject, path string, header ...string) <-chan reply {
 	replies := make(chan reply, 1)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.Server().URL()+path, strings.NewReader("body"))
 	if err != nil {
@@ -58,7 +67,7 @@
 		request.Header.Set(header[i], header[i+1])
 	}
 	go func() {
-		response, err := http.DefaultClient.Do(request)
+		response, err := e.client.Do(request)
 		if err != nil {
 			replies <- reply{err: err}
 			return
@@ -293,6 +302,7 @@
 	if got := <-dead; got.err == nil {
 		t.Errorf("a killed endpoint answered %+v", got)
 	}
+	clock.AwaitTimers(0) // the run has ended
 	if err := endpoint.Server().Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/endpointserve.go
+++ b/internal/standin/endpointserve.go
@@ -39,8 +39,8 @@
 		e.fail(w, http.StatusBadRequest)
 		return
 	}
+	faults := e.faults.Load() // before the request is seen to have arrived
 	e.arrive(call)
-	faults := e.faults.Load()
 	switch {
 	case faults.Hang:
 		e.hang(r.Context())
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 
 	mu      sync.Mutex
 	address string
+	port    *os.File     // keeps the port while stopped; nil where it can't
 	http    *http.Server // nil while stopped
 	served  chan struct{}
 	cancel  context.CancelFunc // ends all requests
@@ -31,7 +33,11 @@
 // NewServer listens on address and serves handler until it is stopped. Each new
 // connection's first byte is held back by delay.
 func NewServer(address string, handler http.Handler, clock Clock, delay time.Duration) (*Server, error) {
-	s := &Server{handler: handler, conns: newConnections(clock, delay), address: address}
+	port, bound, err := reservePort(address)
+	if err != nil {
+		return nil, listenError(err, address)
+	}
+	s := &Server{handler: handler, conns: newConnections(clock, delay), address: bound, port: port}
 	if err := s.Start(); err != nil {
 		return nil, err
 	}
@@ -47,7 +53,7 @@
 	}
 	inner, err := net.Listen("tcp", s.address)
 	if err != nil {
-		return fault.Wrap(err, fault.BadSettings, "choose a free address of this machine", "listening on %s failed", s.address)
+		return listenError(err, s.address)
 	}
 	s.address = inner.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -65,6 +71,10 @@
 	return nil
 }
 
+func listenError(err error, address string) error {
+	return fault.Wrap(err, fault.BadSettings, "choose a free IP:port of this machine", "listening on %q failed", address)
+}
+
 // Address is the IP:port that the server has or last had.
 func (s *Server) Address() string {
 	s.mu.Lock()
