Peer links: say whether a peer accepted an update; leave pacing to the core

Send's result was taken for the peer's acceptance, so a claim that was lost on the way counted as known to the peer. Deliver calls back with the truth. The core paces its messages itself, so the links' own byte budget and joined updates go; one update waits per link, and pings keep to a tenth of the bound. Found by the ping test: the short time-out of strangers was set for a peer whose Hello was still in work.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -19,7 +19,6 @@
 	owner   *Links
 	cfg     Config
 	address string
-	budget  *budget
 	meter   meter
 	cancel  context.CancelFunc
 	done    chan struct{}
@@ -53,7 +52,6 @@
 		owner:   owner,
 		cfg:     owner.cfg,
 		address: address,
-		budget:  newBudget(float64(owner.cfg.BytesPerSecond)),
 		cancel:  cancel,
 		done:    make(chan struct{}),
 		ready:   make(chan struct{}, 1),
@@ -70,15 +68,19 @@
 	defer close(l.done)
 	failures := 0
 	for ctx.Err() == nil {
+		before := l.snapshot().Messages
 		l.note(func(s *LinkStats) { s.State = LinkDialing })
-		opened, err := l.session(ctx)
-		if opened {
-			failures = 0
-		}
+		err := l.session(ctx)
 		l.note(func(s *LinkStats) { s.State, s.LastError = LinkWaiting, err.Error() })
+		l.giveUp()
+		if l.snapshot().Messages > before {
+			failures = 0 // the peer took something, so this is a new failure
+		}
 		pause(ctx, l.backoff(failures))
 		failures++
 	}
+	l.note(func(s *LinkStats) { s.State = linkStopped })
+	l.giveUp()
 }
 
 // maxDoublings keeps the shift below from overflowing.
@@ -101,10 +103,10 @@
 }
 
 // session opens a connection and uses it until it breaks.
-func (l *link) session(ctx context.Context) (opened bool, err error) {
+func (l *link) session(ctx context.Context) error {
 	c, peer, err := l.connect(ctx)
 	if err != nil {
-		return false, err
+		return err
 	}
 	defer c.end()
 	l.note(func(s *LinkStats) {
@@ -114,7 +116,7 @@
 	l.owner.onHello(l.address, peer)
 	l.use(c)
 	defer l.use(nil)
-	return true, l.pump(ctx, c)
+	return l.pump(ctx, c)
 }
 
 // connect dials, and says Hello within the dial time-out.
@@ -173,93 +175,100 @@
 	return reply.Hello, checkVersion(reply.Hello)
 }
 
-// pump sends what waits until the connection breaks.
+// pump sends what waits, and pings when nothing does, until the connection
+// breaks.
 func (l *link) pump(ctx context.Context, c *connection) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	last := time.Now()
 	for {
+		timer.Reset(time.Until(last.Add(time.Duration(l.owner.pingPeriod.Load()))))
+		var err error
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-c.broken:
 			return l.down(net.ErrClosed)
 		case <-l.ready:
+			err = l.sendWaiting(ctx, c)
 		case <-timer.C:
+			err = l.exchange(ctx, c, wire.MethodPing, &wire.Ping{}, new(wire.PingReply))
 		}
-		sent, err := l.step(ctx, c, last)
 		if err != nil {
 			return err
 		}
-		if sent {
-			last = time.Now()
-		}
-		timer.Reset(l.next(last))
+		last = time.Now()
 	}
 }
 
-// next returns how long the pump may sleep: until the budget allows the update
-// that waits, or until the next heartbeat.
-func (l *link) next(last time.Time) time.Duration {
-	heartbeat := time.Until(last.Add(l.cfg.Heartbeat))
+func (l *link) sendWaiting(ctx context.Context, c *connection) error {
 	l.mu.Lock()
-	waiting, urgent := l.outbox.waiting, l.outbox.urgent()
+	u, done, ok := l.outbox.take(time.Now())
 	l.mu.Unlock()
-	if !waiting {
-		return heartbeat
-	}
-	return min(heartbeat, l.budget.wait(time.Now(), urgent))
-}
-
-// step sends the update that waits if the budget allows it, or else a ping if
-// a heartbeat is due.
-func (l *link) step(ctx context.Context, c *connection, last time.Time) (sent bool, err error) {
-	if u, ok := l.takeUpdate(); ok {
-		return true, l.sendUpdate(ctx, c, u)
-	}
-	if time.Since(last) < l.cfg.Heartbeat {
-		return false, nil
-	}
-	return true, l.exchange(ctx, c, wire.MethodPing, &wire.Ping{}, new(wire.PingReply))
-}
-
-func (l *link) takeUpdate() (message.Update, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	if !l.outbox.waiting || l.budget.wait(now, l.outbox.urgent()) > 0 {
-		return message.Update{}, false
+	if !ok {
+		return nil
 	}
-	u, dropped := l.outbox.take(now, l.budget.sightings(now))
-	l.stats.Dropped += uint64(dropped)
-	return u, true
+	err := l.sendUpdate(ctx, c, u)
+	l.settle(done, err == nil)
+	return err
 }
 
 func (l *link) sendUpdate(ctx context.Context, c *connection, u message.Update) error {
-	packed := c.packer.Pack(u)
-	l.budget.spend(time.Now(), packed.Size()+2*packetBytes)
 	reply := new(wire.AckReply)
-	if err := l.exchange(ctx, c, wire.MethodUpdate, packed, reply); err != nil {
+	if err := l.exchange(ctx, c, wire.MethodUpdate, c.packer.Pack(u), reply); err != nil {
 		return err
 	}
 	if err := reply.Refusal.Err(); err != nil {
 		return err
 	}
-	l.note(func(s *LinkStats) { s.Messages++ })
+	if !reply.Ack.Accepted {
+		// Its reasons end with a new Hello, which a new connection begins with.
+		return fault.New(fault.PeerDown, "nothing: the link is opened again", "%s did not accept an update: %s", l.address, reply.Ack.Reason)
+	}
 	return nil
 }
 
-// send puts an update into the outbox; it reports false if something was dropped.
-func (l *link) send(u message.Update) bool {
+// settle counts an update and tells its sender how it ended.
+func (l *link) settle(done func(acked bool), acked bool) {
+	l.note(func(s *LinkStats) {
+		if acked {
+			s.Messages++
+		} else {
+			s.Dropped++
+		}
+	})
+	done(acked)
+}
+
+// giveUp fails the update that waits, if there is one.
+func (l *link) giveUp() {
 	l.mu.Lock()
-	dropped := l.outbox.put(time.Now(), u)
-	l.stats.Dropped += uint64(dropped)
+	_, done, ok := l.outbox.take(time.Now())
 	l.mu.Unlock()
+	if ok {
+		l.settle(done, false)
+	}
+}
+
+// send puts an update into the outbox unless the link is down. An update waits
+// for a link that is being dialled.
+func (l *link) send(u message.Update, done func(acked bool)) bool {
+	l.mu.Lock()
+	if l.stats.State == LinkWaiting || l.stats.State == linkStopped {
+		l.stats.Dropped++
+		l.mu.Unlock()
+		return false
+	}
+	replaced := l.outbox.put(time.Now(), u, done)
+	l.mu.Unlock()
+	if replaced != nil {
+		l.settle(replaced, false)
+	}
 	select {
 	case l.ready <- struct{}{}:
 	default: // a signal is pending already
 	}
-	return dropped == 0
+	return true
 }
 
 func (l *link) use(c *connection) {
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/fault"
@@ -18,6 +19,9 @@
 	self    func() message.Hello
 	onHello func(address string, h message.Hello)
 
+	// pingPeriod is after which silence a link pings, in nanoseconds.
+	pingPeriod atomic.Int64
+
 	mu     sync.Mutex
 	closed bool
 	links  map[string]*link
@@ -49,20 +53,27 @@
 			l.links[address] = startLink(l, address)
 		}
 	}
-	for _, open := range l.links {
-		open.budget.set(float64(l.cfg.BytesPerSecond) / float64(len(l.links)))
+	l.pingPeriod.Store(int64(l.cfg.pingPeriod(len(l.links))))
+}
+
+// Deliver hands an update to a link and never blocks. One update waits for each
+// peer, and a newer one takes its place. Done is called exactly once: with true
+// when the peer has accepted the update, with false when it was replaced, or
+// when the link is down or broke before the answer. It is called before Deliver
+// returns if the link is known to be down, else on the link's goroutine, which
+// waits for it. The update's slices must not change before done is called.
+func (l *Links) Deliver(address string, u message.Update, done func(acked bool)) {
+	open := l.find(address)
+	if open == nil || !open.send(u, done) {
+		done(false)
 	}
 }
 
-// Send hands an update to a link and never blocks. One update waits for each
-// peer: a newer one takes its place and is joined with its evidence and
-// sightings. What does not fit into the byte budget is dropped, oldest
-// sightings first; sightings that grew too old are dropped too. Send returns
-// false when the address is not wanted or something was dropped at once; the
-// rest is counted in LinkStats. The update's slices stay the caller's.
+// Send is Deliver for senders that need not know whether the peer accepted the
+// update. It reports whether the link has taken it.
 func (l *Links) Send(address string, u message.Update) bool {
 	open := l.find(address)
-	return open != nil && open.send(u)
+	return open != nil && open.send(u, func(bool) {})
 }
 
 // Fetch asks a peer for a published value.
@@ -120,6 +131,7 @@
 	LinkDialing LinkState = "dialing"
 	LinkOpen    LinkState = "open"
 	LinkWaiting LinkState = "waiting" // for the back-off after a failure
+	linkStopped LinkState = "stopped" // no longer wanted
 )
 
 // LinkStats describes one link.
@@ -130,8 +142,8 @@
 	Peer message.Hello
 	// BytesIn and BytesOut count the bytes of the TCP streams.
 	BytesIn, BytesOut uint64
-	// Messages counts updates sent, Dropped sightings and claims that were
-	// left out, Opened how often the link was opened.
+	// Messages counts updates that the peer accepted, Dropped those that it
+	// did not get, Opened how often the link was opened.
 	Messages, Dropped, Opened uint64
 	// Heard is when the peer last answered; zero before that.
 	Heard time.Time
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,8 +3,8 @@
 // what comes in, Links sends what goes out.
 //
 // Every call has a time-out, every message a size limit, every table a bound.
-// A link that went silent is found by heartbeats and opened again with jittered
-// back-off. What is sent may be lost; receivers are told again later.
+// A link that went silent is found by the next message or ping and opened again
+// with jittered back-off. What is sent may be lost; senders are told so.
 package peer
 
 import (
@@ -35,7 +35,7 @@
 // Config bounds links and servers. The zero value of a field means its
 // default; both ends of a link should use the same Heartbeat.
 type Config struct {
-	// Heartbeat is the longest silence that a sender leaves; default 1 s.
+	// Heartbeat is the shortest silence after which a sender pings; default 1 s.
 	Heartbeat time.Duration
 	// CallTimeout bounds one call; default 3 s. A Fetch or Handover may be
 	// bounded further by its context.
@@ -52,8 +52,9 @@
 	DocumentBytes int
 	// Connections bounds the connections that a server holds; default 256.
 	Connections int
-	// BytesPerSecond bounds what Links send in updates to all peers together,
-	// packet headers included; default 10,000. See Links.Send.
+	// BytesPerSecond is the bound within which updates are composed; default
+	// 10,000. Pings to all peers together take at most a tenth of it, packet
+	// headers included, so that they grow rarer in a large fleet.
 	BytesPerSecond int
 	// ServerTLS encrypts accepted connections; nil for plain TCP.
 	ServerTLS *tls.Config
@@ -89,8 +90,18 @@
 	replyBytes = 4 << 10
 	// requestsInFlight bounds the requests of one connection in work.
 	requestsInFlight = 4
-	// silentHeartbeats is after how many missing heartbeats a connection ends.
-	silentHeartbeats = 4
+	// lostHeartbeats is for how many heartbeats sent bytes may stay
+	// unacknowledged before the kernel ends a connection.
+	lostHeartbeats = 4
+	// pingBytes is what a ping and its acknowledgement cost the sender, packet
+	// headers included, and pingShare what pings may take of the byte bound.
+	pingBytes = 130
+	pingShare = 0.1
+	// maxPingPeriod bounds the silence on a link, and serverSilence is after
+	// which silence a server closes a connection: it only clears away what a
+	// lost peer left behind, so it is far longer.
+	maxPingPeriod = 15 * time.Second
+	serverSilence = 60 * time.Second
 )
 
 func (c Config) withDefaults() Config {
@@ -104,7 +115,7 @@
 	orDefault(&c.Connections, defaultConnections)
 	orDefault(&c.BytesPerSecond, defaultBytes)
 	if c.Dial == nil {
-		c.Dial = dialTCP(c.silence())
+		c.Dial = dialTCP(c.unacked())
 	}
 	if c.Jitter == nil {
 		c.Jitter = rand.Float64
@@ -118,8 +129,14 @@
 	}
 }
 
-// silence is how long a connection may be silent before it counts as dead.
-func (c Config) silence() time.Duration { return silentHeartbeats * c.Heartbeat }
+// unacked is how long sent bytes may stay unacknowledged.
+func (c Config) unacked() time.Duration { return lostHeartbeats * c.Heartbeat }
+
+// pingPeriod returns after which silence each of so many links pings.
+func (c Config) pingPeriod(links int) time.Duration {
+	seconds := float64(links*pingBytes) / (pingShare * float64(c.BytesPerSecond))
+	return min(max(time.Duration(seconds*float64(time.Second)), c.Heartbeat), maxPingPeriod)
+}
 
 func (c Config) limits() wire.Limits {
 	return wire.Limits{
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -125,7 +125,7 @@
 // start serves a connection on its own goroutine, or closes it when there are
 // too many.
 func (s *Server) start(conn net.Conn) {
-	tune(conn, s.cfg.silence())
+	tune(conn, s.cfg.unacked())
 	conn = meteredConn{Conn: conn, meter: &s.meter}
 	if s.cfg.ServerTLS != nil {
 		conn = tls.Server(conn, s.cfg.ServerTLS)
@@ -202,7 +202,7 @@
 	if c.peer.Load() == nil {
 		return c.server.cfg.DialTimeout - time.Since(c.opened)
 	}
-	return c.server.cfg.silence()
+	return serverSilence
 }
 
 // serve answers calls until the connection ends. Each connection has a net/rpc
--- a/internal/peer/wire/codec.go
+++ b/internal/peer/wire/codec.go
@@ -171,6 +171,9 @@
 // goroutine for each, and a peer that sends without waiting would otherwise
 // show as memory that grows without bound.
 func (c *ServerCodec) ReadRequestHeader(r *rpc.Request) error {
+	if c.method == MethodHello {
+		c.awaitAnswers()
+	}
 	c.slots <- struct{}{}
 	if err := c.readHeader(r); err != nil {
 		<-c.slots
@@ -179,6 +182,18 @@
 	return nil
 }
 
+// awaitAnswers waits until no request is in work. After a Hello it keeps the
+// codec from setting the short time-out of strangers for a peer whose Hello is
+// still being looked at, which would show as links that end after seconds.
+func (c *ServerCodec) awaitAnswers() {
+	for range cap(c.slots) {
+		c.slots <- struct{}{}
+	}
+	for range cap(c.slots) {
+		<-c.slots
+	}
+}
+
 func (c *ServerCodec) readHeader(r *rpc.Request) error {
 	if err := c.conn.SetReadDeadline(time.Now().Add(c.silence())); err != nil {
 		return err
--- a/internal/peer/wire/update.go
+++ b/internal/peer/wire/update.go
@@ -99,25 +99,6 @@
 	packed.Sightings = binary.AppendUvarint(b, uint64(s.AgeMillis))
 }
 
-// The parts of a packed update's size on the wire, at their usual values.
-const (
-	baseBytes     = 50 // request header, sequence, rate, flags, one new mark
-	nameBytes     = 14 // beside the text: lengths, field numbers, incarnation
-	evidenceBytes = 18 // beside the text
-)
-
-// Size estimates the bytes that the update takes on the wire.
-func (u *Update) Size() int {
-	size := baseBytes + len(u.Sightings)
-	for _, n := range u.Names {
-		size += nameBytes + len(n.Endpoint)
-	}
-	for _, e := range u.Evidence {
-		size += evidenceBytes + len(e.VM)
-	}
-	return size
-}
-
 // Unpacker restores the updates that come in on one connection. It is not safe
 // for concurrent use.
 type Unpacker struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,7 +59,7 @@
 	// VMs is known, so that a start works while the platform is down; none by
 	// default.
 	Seeds []string `toml:"seeds"`
-	// Heartbeat is the longest silence that a sender leaves on a link; default 1s.
+	// Heartbeat is the shortest silence after which a link pings; default 1s.
 	Heartbeat Duration `toml:"heartbeat" unit:"duration"`
 	// CallTimeout bounds one call to a peer; default 3s.
 	CallTimeout Duration `toml:"call_timeout" unit:"duration"`
