Endpoint stand-in: refuse rather than queue when asked for an idle slot

The stand-in answers not run, busy, when no slot is idle; a fault makes it ignore the header as an endpoint would that doesn't know it. go test -race ./internal/standin passes.

--- a/internal/standin/endpoint_test.go
+++ b/internal/standin/endpoint_test.go
@@ -202,13 +202,18 @@
 	}
 }
 
-// One request holds the only slot and one waits: the next is refused as busy,
-// the waiting one is refused when its deadline passes, both truthfully as not
-// run. The endpoint drains meanwhile and still finishes what it has.
+// One request holds the only slot and one waits: the next is refused as busy, as
+// was one before it that asked for an idle slot; the waiting one is refused when
+// its deadline passes, all truthfully as not run. The endpoint drains meanwhile
+// and still finishes what it has.
 func TestQueueWhileDraining(t *testing.T) {
 	endpoint, clock := start(t, nil)
 	first := send(t.Context(), endpoint, "/?work=1h", contract.HeaderIdempotencyKey, "first")
 	clock.AwaitTimers(1)
+	hurried := <-send(t.Context(), endpoint, "/", contract.HeaderIdleOnly, "1")
+	if reason, ok := contract.ProvedNotRun(hurried.status, hurried.header); reason != contract.NotRunBusy || !ok {
+		t.Errorf("a request for an idle slot got %+v", hurried)
+	}
 	second := send(t.Context(), endpoint, "/", contract.HeaderIdempotencyKey, "second", contract.HeaderDeadline, "20")
 	clock.AwaitTimers(2)
 	third := <-send(t.Context(), endpoint, "/", contract.HeaderIdempotencyKey, "third")
--- a/internal/standin/endpointconfig.go
+++ b/internal/standin/endpointconfig.go
@@ -93,6 +93,8 @@
 	Hang bool `json:"hang,omitempty"`
 	// CutAnswer breaks the connection in the middle of each answer.
 	CutAnswer bool `json:"cut_answer,omitempty"`
+	// IgnoreIdleOnly queues requests that ask for an idle slot only.
+	IgnoreIdleOnly bool `json:"ignore_idle_only,omitempty"`
 	// Load is reported instead of the real load.
 	Load *contract.Load `json:"load,omitempty"`
 }
--- a/internal/standin/endpointserve.go
+++ b/internal/standin/endpointserve.go
@@ -18,6 +18,7 @@
 type call struct {
 	id       identity
 	probe    bool
+	idleOnly bool          // refuse it rather than queue it
 	limited  bool          // it has a deadline
 	deadline time.Duration // on the endpoint's clock
 	answer   answerSpec
@@ -61,6 +62,7 @@
 	c := call{probe: r.URL.Path == contract.ProbePath}
 	c.id.key = r.Header.Get(contract.HeaderIdempotencyKey)
 	c.id.request = r.Header.Get(contract.HeaderRequest)
+	c.idleOnly = r.Header.Get(contract.HeaderIdleOnly) == contract.IdleOnlyValue
 	if text := r.Header.Get(contract.HeaderDeadline); text != "" {
 		left, ok := contract.ParseDeadline(text)
 		if !ok {
@@ -151,7 +153,7 @@
 		e.refuse(w, contract.NotRunDeadline)
 		return
 	}
-	waiter, entered := e.slots.enter()
+	waiter, entered := e.slots.enter(c.idleOnly && !e.faults.Load().IgnoreIdleOnly)
 	if !entered {
 		e.refuse(w, contract.NotRunBusy)
 		return
--- a/internal/standin/slots.go
+++ b/internal/standin/slots.go
@@ -27,16 +27,16 @@
 	return s
 }
 
-// enter takes a slot or a place in the queue. It returns nil, false when both
-// are full, and nil, true when a slot was free.
-func (s *slots) enter() (*waiter, bool) {
+// enter takes a slot or, unless idleOnly, a place in the queue. It returns nil,
+// false when there is none, and nil, true when a slot was idle.
+func (s *slots) enter(idleOnly bool) (*waiter, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.inFlight < s.total {
 		s.inFlight++
 		return nil, true
 	}
-	if len(s.queue) >= s.limit {
+	if idleOnly || len(s.queue) >= s.limit {
 		return nil, false
 	}
 	w := &waiter{granted: make(chan struct{})}
