Planned stops: keys found again, links to all seeds, nothing started late

- Entries that start without the platform's list could miss each other for good: the first seed that answered ended the dialling of the other seeds.
Shown as an entry that knew 5 of 6 for 60 s.
The links to seeds now stay.
- A key whose home had stopped was asked for at one successor only.
A home that refuses connections while it finishes an upload, and an entry that joined and ranks before the holders, gave "unknown" although a holder could answer.
Home and successors are now asked in turn; only the home ever runs a key, so any number may be asked.
A table goes to the successors of its own home, not to those of whoever holds it, so that look-ups find it.
- A part of a hand-over was bounded by records and not by bytes: 256 kept answers of 16 KiB exceed the 256 KiB of a message and would have lost the whole table.
- An entry that leaves itself no longer adopts keys that it may not hand on.
- Goroutines could be added while Stop waited for them; probes and fetches held a stop up.
Both end with the entry.
- timeouts.stop_grace had no effect; it now reports what a stop waits for.

A planned stop hands the keys over as soon as they are sealed, and again at the end if any ran meanwhile. timeouts.answers_ttl sets how long callers may keep an answer; it was fixed at 12 s.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -64,15 +64,12 @@
 
 // useAnswer decides whether the caller gets this answer.
 func (c *Core) useAnswer(now time.Duration, r *request, a *attempt, h Head) bool {
-	if r.phase != phaseActive && r.phase != phaseForwarded {
-		return false
+	if a.forward {
+		return c.useForwarded(r, h)
 	}
-	if r.committed != 0 {
+	if r.phase != phaseActive || r.committed != 0 {
 		return false
 	}
-	if a.forward {
-		return true
-	}
 	if h.NotRun {
 		return false
 	}
--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -53,6 +53,7 @@
 		Self:    c.cfg.Self.Incarnation,
 		Region:  c.cfg.Self.Region,
 		Serving: c.serviceEntries(sv),
+		MaxTTL:  c.cfg.AnswersTTL,
 	}
 	for i := range f.entries {
 		e := &f.entries[i]
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -48,6 +48,9 @@
 	// Serving holds the incarnations that the service is steered to, from
 	// duty.ServiceEntries.
 	Serving []uint64
+	// MaxTTL is the longest that a caller may keep the answer; 0 stands for
+	// DefaultMaxTTL.
+	MaxTTL time.Duration
 }
 
 // Choice is one entry of an answer.
@@ -81,12 +84,14 @@
 	// MaxWeight is the weight of an entry with room in the caller's own
 	// failure domain.
 	MaxWeight = 1000
-	// MaxTTL is the longest that a caller may keep an answer. A leaving entry
-	// goes on serving for so long.
-	MaxTTL = 12 * time.Second
-	minTTL = 8 * time.Second
+	// DefaultMaxTTL is the longest that a caller may keep an answer where
+	// nothing else is set. A leaving entry goes on serving for so long.
+	DefaultMaxTTL = 12 * time.Second
 )
 
+// shortestTTL is the share of the longest time to live that every answer has.
+const shortestTTL = 2.0 / 3
+
 // remoteShare is the weight of an entry outside the caller's failure domain
 // against one inside with the same load.
 const remoteShare = 0.05
@@ -119,7 +124,7 @@
 	return Answer{
 		Service:    req.Service,
 		AnsweredBy: v.Self,
-		TTL:        timeToLive(req.Caller),
+		TTL:        v.timeToLive(req.Caller),
 		Entries:    choices(pick(found)),
 	}
 }
@@ -190,7 +195,11 @@
 
 // timeToLive differs by caller, so that callers that started together do not
 // ask again together.
-func timeToLive(caller uint64) time.Duration {
+func (v *View) timeToLive(caller uint64) time.Duration {
+	longest := v.MaxTTL
+	if longest <= 0 {
+		longest = DefaultMaxTTL
+	}
 	share := float64(duty.Score(caller, 0)>>11) / (1 << 53)
-	return minTTL + time.Duration(share*float64(MaxTTL-minTTL))
+	return time.Duration(float64(longest) * (shortestTTL + share*(1-shortestTTL)))
 }
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -56,6 +56,9 @@
 	Draining bool
 	// Incarnation is what the endpoint says of itself; 0 if it said nothing.
 	Incarnation uint64
+	// HomeLost says that the entry to which the request was sent on knows
+	// nothing of its key.
+	HomeLost bool
 }
 
 // Load is an endpoint's report of its own load.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -103,6 +103,12 @@
 	return "", false
 }
 
+// knows reports whether the entry of an incarnation may still run.
+func (f *fleet) knows(incarnation uint64) bool {
+	_, known := f.callerAddressOf(incarnation)
+	return known
+}
+
 // refreshEntries makes the derived lists anew after a change of members.
 func (c *Core) refreshEntries() {
 	f := &c.fleet
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -8,6 +8,7 @@
 
 	"github.com/tealhall/tealhall/internal/core/duty"
 	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/core/member"
 	"github.com/tealhall/tealhall/internal/message"
 )
 
@@ -15,9 +16,23 @@
 // With two, one of them may stop or fail meanwhile.
 const successorCount = 2
 
+// joinedMeanwhile is how many entries may have joined since a hand-over and rank
+// before those that took it. They are asked as well.
+const joinedMeanwhile = 2
+
+// partBytes is about how much one part of a hand-over holds. Kept answers may be
+// large, and a message that is too large for a link loses the whole hand-over.
+const partBytes = 64 << 10
+
+// recordBytes is about what a record takes beside its answer.
+const recordBytes = 128
+
 // SealKeys ends the making of new keys here. Requests with new keys are
-// refused as not run; those that run go on.
-func (c *Core) SealKeys(now time.Duration) { c.keys.Seal(now) }
+// refused as not run; those that run go on, and their number is returned.
+func (c *Core) SealKeys(now time.Duration) (running int) {
+	c.keys.Seal(now)
+	return c.keys.Running()
+}
 
 // Handover returns this entry's sealed table and what it adopted from others,
 // in parts of at most size records.
@@ -39,7 +54,7 @@
 	total := len(records)
 	var parts []message.Handover
 	for {
-		n := min(size, len(records))
+		n := partLength(records, size)
 		parts = append(parts, message.Handover{Home: home, Total: total, OldestEpoch: oldest, Records: records[:n]})
 		records = records[n:]
 		if len(records) == 0 {
@@ -48,8 +63,36 @@
 	}
 }
 
-// Adopt takes over a part of the keys of an entry that stopped.
-func (c *Core) Adopt(now time.Duration, part *message.Handover, out *Actions) {
+// partLength returns how many of the records one part takes: up to size, or up
+// to partBytes, but at least one.
+func partLength(records []idem.Record, size int) int {
+	total := 0
+	for i := range records[:min(size, len(records))] {
+		total += recordBytes + answerBytes(records[i].Answer)
+		if total > partBytes && i > 0 {
+			return i
+		}
+	}
+	return min(size, len(records))
+}
+
+func answerBytes(a *idem.Answer) int {
+	if a == nil {
+		return 0
+	}
+	total := len(a.Body)
+	for _, pair := range a.Header {
+		total += len(pair[0]) + len(pair[1])
+	}
+	return total
+}
+
+// Adopt takes over a part of the keys of an entry that stopped. It reports
+// false when this entry leaves itself: it may have handed over already.
+func (c *Core) Adopt(now time.Duration, part *message.Handover, out *Actions) bool {
+	if c.state >= message.EntryLeaving {
+		return false
+	}
 	c.keys.AdoptPart(now, part.Home, part.OldestEpoch, part.Total, part.Records)
 	out.note(Note{
 		Actor:   c.sourceName(part.Home),
@@ -58,31 +101,39 @@
 		To:      strconv.Itoa(len(part.Records)) + " of " + strconv.Itoa(part.Total) + " keys",
 		Why:     "the entry that ran them stops",
 	})
+	return true
 }
 
-// SuccessorAddresses returns the peer addresses of the entries that take over
-// this entry's keys.
-func (c *Core) SuccessorAddresses() []string {
+// SuccessorAddresses returns the peer addresses of the entries that may take
+// over the keys of a home, best first. The first successorCount that accept are
+// enough; they are asked for first later on.
+func (c *Core) SuccessorAddresses(home uint64) []string {
 	var out []string
-	for _, incarnation := range c.successorsOf(c.cfg.Self.Incarnation, successorCount) {
-		if address, ok := c.peerAddressOf(incarnation); ok && address != "" {
+	for _, incarnation := range c.successorsOf(home, successorCount+joinedMeanwhile, member.Entry.Usable) {
+		address, ok := c.peerAddressOf(incarnation)
+		if ok && address != "" && incarnation != c.cfg.Self.Incarnation {
 			out = append(out, address)
 		}
 	}
 	return out
 }
 
+// mayHold reports whether an entry may hold keys that were handed over to it. One
+// that leaves answers for them until it has handed them on.
+func mayHold(e member.Entry) bool {
+	return !e.Suspected && (e.State == message.EntryServing || e.State == message.EntryLeaving)
+}
+
 // successorsOf returns the entries that answer for the keys of a home, by
-// rendezvous hashing over the entries known, so that all entries agree without
-// a word and few homes move when entries change.
-func (c *Core) successorsOf(home uint64, n int) []uint64 {
+// rendezvous hashing over those that fit, so that all entries agree without a
+// word and few homes move when entries change.
+func (c *Core) successorsOf(home uint64, n int, fits func(member.Entry) bool) []uint64 {
 	type scored struct{ incarnation, score uint64 }
 	key := duty.Key("successor", strconv.FormatUint(home, 16))
 	var best []scored
 	for i := range c.fleet.entries {
 		e := &c.fleet.entries[i]
-		self := e.VM.Incarnation == c.cfg.Self.Incarnation
-		if e.VM.Incarnation != home && (e.Usable() || self) {
+		if e.VM.Incarnation != home && fits(*e) {
 			best = append(best, scored{e.VM.Incarnation, duty.Score(key, dutyID(e.VM.Name))})
 		}
 	}
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/idem"
@@ -87,50 +88,83 @@
 	c.finish(r, out)
 }
 
-// forwardHome sends a request on to the entry that alone may run its key, or,
-// when that one is gone, to a successor that may hold its table. A request that
-// was already sent on once is not sent on again: two entries that disagree
-// about a home must not pass it to and fro.
+// forwardHome sends a request on to the entry that alone may run its key, or to
+// a successor that may hold its table. A request that another entry sent on is
+// not sent on again: two entries that disagree about a home must not pass it to
+// and fro.
 func (c *Core) forwardHome(now time.Duration, r *request, home uint64, out *Actions) {
-	address, ok := c.homeAddress(home)
-	if !ok || r.arrival.Forwarded {
-		c.reply(r, OutcomeUnknown, ReasonHomeLost, 0, out)
-		c.finish(r, out)
+	if !r.arrival.Forwarded && c.forwardNext(now, r, home, out) {
 		return
 	}
+	c.reply(r, OutcomeUnknown, ReasonHomeLost, 0, out)
+	c.finish(r, out)
+}
+
+// forwardNext sends r on to the next entry that may know its key: the home, then
+// its successors one after the other. It is safe to ask any number of them, also
+// after an answer was lost, because only the home ever runs the key. Asking one
+// would not do: a home that stops refuses connections before its peers know, and
+// an entry that joined since may rank before those that hold the table.
+func (c *Core) forwardNext(now time.Duration, r *request, home uint64, out *Actions) bool {
+	if int(r.dispatches) >= MaxAttempts || !r.replayable || now >= r.deadline {
+		return false
+	}
+	address, ok := c.nextHolder(r, home)
+	if !ok {
+		return false
+	}
 	c.counters.Forwarded++
 	r.phase = phaseForwarded
-	r.dispatches = 1
-	r.attempts[1] = attempt{live: true, forward: true, index: -1, at: now}
-	out.request(Directive{ID: r.arrival.ID, Step: StepForward, Attempt: 1, Address: address, Once: true, Deadline: r.deadline})
+	r.dispatches++
+	r.attempts[r.dispatches] = attempt{live: true, forward: true, index: -1, at: now}
+	out.request(Directive{
+		ID:       r.arrival.ID,
+		Step:     StepForward,
+		Attempt:  r.dispatches,
+		Address:  address,
+		Once:     true,
+		Deadline: r.deadline,
+	})
+	return true
 }
 
-// homeAddress returns where the keys of a home are answered: at the home while
-// it may still run, else at the first successor.
-func (c *Core) homeAddress(home uint64) (string, bool) {
-	if address, ok := c.fleet.callerAddressOf(home); ok {
-		return address, true
-	}
-	for _, incarnation := range c.successorsOf(home, successorCount) {
-		if incarnation == c.cfg.Self.Incarnation {
+// nextHolder returns the address of the first entry that may know a key of home
+// and was not asked yet for r.
+func (c *Core) nextHolder(r *request, home uint64) (string, bool) {
+	holders := append([]uint64{home}, c.successorsOf(home, successorCount+joinedMeanwhile, mayHold)...)
+	for _, incarnation := range holders {
+		address, known := c.fleet.callerAddressOf(incarnation)
+		if !known || incarnation == c.cfg.Self.Incarnation || slices.Contains(r.asked, incarnation) {
 			continue
 		}
-		return c.fleet.callerAddressOf(incarnation)
+		r.asked = append(r.asked, incarnation)
+		return address, true
 	}
 	return "", false
 }
 
-// afterForward ends a request that was sent on to another entry. Whatever went
-// wrong on the way, an earlier try with the same key may have run there: the
-// only true statement is "unknown".
-func (c *Core) afterForward(_ time.Duration, r *request, e End, out *Actions) {
+// useForwarded decides whether the caller gets the answer of another entry. One
+// that knows nothing of the key is passed over for those that may.
+func (c *Core) useForwarded(r *request, h Head) bool {
+	return r.phase == phaseForwarded && r.committed == 0 && !h.HomeLost
+}
+
+// afterForward goes on after a request was sent on to another entry. Whatever
+// went wrong on the way, an earlier try with the same key may have run there:
+// the only true statement is "unknown".
+func (c *Core) afterForward(now time.Duration, r *request, e End, out *Actions) {
+	home := r.arrival.Key.Home
 	switch {
-	case e.Kind == EndComplete:
+	case r.committed == e.Attempt && e.Kind == EndComplete:
 		c.counters.Done++
 	case r.committed == e.Attempt:
 		c.counters.Unknown++
-	default:
+	case c.forwardNext(now, r, home, out):
+		return
+	case c.fleet.knows(home):
 		c.reply(r, OutcomeUnknown, ReasonHomeUnreachable, minRetryAfter, out)
+	default:
+		c.reply(r, OutcomeUnknown, ReasonHomeLost, 0, out)
 	}
 	c.finish(r, out)
 }
@@ -184,12 +218,12 @@
 
 func (c *Core) leaveWaiters(r *request) {
 	ids := c.waiters[r.arrival.Key]
-	for i, id := range ids {
-		if id == r.arrival.ID {
-			c.waiters[r.arrival.Key] = append(ids[:i], ids[i+1:]...)
-			return
-		}
+	ids = slices.DeleteFunc(ids, func(id RequestID) bool { return id == r.arrival.ID })
+	if len(ids) == 0 {
+		delete(c.waiters, r.arrival.Key)
+		return
 	}
+	c.waiters[r.arrival.Key] = ids
 }
 
 // answerWaiters lets the requests that joined a key see what became of it.
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -81,6 +81,8 @@
 	dispatches Attempt
 	// idleRefusals counts the dispatches that only an idle slot was to take.
 	idleRefusals int
+	// asked are the entries to which the request was sent on for its key.
+	asked []uint64
 	// tried are the endpoints that the request was dispatched to.
 	tried balance.Set
 	// lastReason is why the latest attempt failed.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -95,6 +95,7 @@
 func headOf(d core.Directive, response *http.Response) core.Head {
 	h := core.Head{ID: d.ID, Attempt: d.Attempt, Status: response.StatusCode}
 	if d.Step == core.StepForward {
+		h.HomeLost = response.Header.Get(contract.HeaderReason) == core.ReasonHomeLost.String()
 		return h
 	}
 	_, h.NotRun = contract.ProvedNotRun(response.StatusCode, response.Header)
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -64,7 +64,7 @@
 
 // probe asks an endpoint how it is.
 func (e *Entry) probe(p core.Probe) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := context.WithTimeout(e.life, probeTimeout)
 	defer cancel()
 	end := core.ProbeEnd{Probe: p}
 	began := e.engine.clock()
@@ -90,7 +90,7 @@
 
 // fetch gets a published value from a peer or the platform.
 func (e *Entry) fetch(f core.FetchFrom) {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	ctx, cancel := context.WithTimeout(e.life, fetchTimeout)
 	defer cancel()
 	answered := e.fetchFrom(ctx, f)
 	if f.Planned {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,8 +68,13 @@
 
 	callerListener *net.TCPListener
 	peerListener   net.Listener
-	cancel         context.CancelFunc
-	running        sync.WaitGroup
+	// life ends with the entry; cancel ends it. Both are nil before Start.
+	life   context.Context
+	cancel context.CancelFunc
+
+	runMu   sync.Mutex // guards ended and the start of goroutines
+	ended   bool
+	running sync.WaitGroup
 }
 
 // New builds an entry. It opens no socket yet.
@@ -148,6 +153,7 @@
 	}
 	c.MaxInFlight = limits.InFlightRequests
 	c.LargestFleet = limits.LargestFleet
+	c.AnswersTTL = e.settings.Timeouts.AnswersTTL.Duration
 	c.PeerBytesPerSecond = float64(e.settings.Peers.BytesPerSecond)
 	keys := idem.DefaultConfig(e.hello.Incarnation)
 	keys.MaxKeys = limits.Keys
@@ -162,8 +168,7 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	e.cancel = cancel
+	e.life, e.cancel = context.WithCancel(context.Background())
 	e.startPeers()
 	e.front = front.NewServer(front.ServerConfig{
 		ReadHeaderTimeout: e.settings.Timeouts.Header.Duration,
@@ -172,9 +177,9 @@
 	}, e.callerHandler())
 	e.run(func() { _ = e.front.Serve(e.callerListener) })
 	e.run(func() { _ = e.peerServer.Serve(e.peerListener) })
-	e.run(func() { e.tickLoop(ctx) })
-	e.run(func() { e.followLoop(ctx, platform.ProfilesValue) })
-	e.run(func() { e.followLoop(ctx, platform.VMsValue) })
+	e.run(func() { e.tickLoop(e.life) })
+	e.run(func() { e.followLoop(e.life, platform.ProfilesValue) })
+	e.run(func() { e.followLoop(e.life, platform.VMsValue) })
 	return nil
 }
 
@@ -206,13 +211,24 @@
 	return l, nil
 }
 
-// run starts a goroutine that Stop waits for.
+// run starts a goroutine that Stop waits for, or none when the entry has ended.
+// Handlers that were cut off may still feed the core while the entry ends; a
+// goroutine that they started then would be added to a WaitGroup that is being
+// waited for, which is a data race, and outlive the entry.
 func (e *Entry) run(f func()) {
-	e.running.Add(1)
-	go func() {
-		defer e.running.Done()
-		f()
-	}()
+	e.runMu.Lock()
+	defer e.runMu.Unlock()
+	if !e.ended {
+		e.running.Go(f)
+	}
+}
+
+// endRunning waits for the goroutines that run started; it starts no more.
+func (e *Entry) endRunning() {
+	e.runMu.Lock()
+	e.ended = true
+	e.runMu.Unlock()
+	e.running.Wait()
 }
 
 // tickLoop runs the core's systems.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -14,6 +14,10 @@
 	"github.com/tealhall/tealhall/internal/platform"
 )
 
+// handoverBytes bounds a message of a hand-over beside one largest kept answer,
+// whose coding adds to its size.
+const handoverBytes = 256 << 10
+
 // startPeers builds the server for peers and the links to them.
 func (e *Entry) startPeers() {
 	cfg := peer.Config{
@@ -21,6 +25,7 @@
 		CallTimeout:    e.settings.Peers.CallTimeout.Duration,
 		BytesPerSecond: e.settings.Peers.BytesPerSecond,
 		Connections:    e.settings.Peers.Connections,
+		HandoverBytes:  handoverBytes + 2*e.settings.Limits.KeyAnswerBytes,
 	}
 	e.peerServer = peer.NewServer(cfg, (*peerHandler)(e))
 	e.links = peer.NewLinks(cfg, func() message.Hello { return e.hello }, func(_ string, h message.Hello) { e.introduce(h) })
@@ -35,15 +40,19 @@
 	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { c.Introduce(now, h, out) })
 }
 
-// updateLinks holds links with the entries that the core knows, and with the
-// seeds while it knows none. It returns the addresses that are set.
+// updateLinks holds links with the entries that the core knows and with the
+// seeds. It returns the addresses that are set.
+//
+// The seeds stay when others are known. Without the platform's list entries learn
+// of each other only by links; if the first seed that answered ended the dialling
+// of the others, two entries could miss each other for good, and callers of one
+// would never be sent to the other.
 func (e *Entry) updateLinks(current []string) []string {
-	var wanted []string
-	e.engine.view(func(_ time.Duration, c *core.Core) { wanted = c.PeerAddresses(nil) })
-	if len(wanted) == 0 {
-		wanted = slices.Clone(e.settings.Peers.Seeds)
-	}
+	wanted := slices.Clone(e.settings.Peers.Seeds)
+	e.engine.view(func(_ time.Duration, c *core.Core) { wanted = c.PeerAddresses(wanted) })
+	wanted = slices.DeleteFunc(wanted, func(address string) bool { return address == e.hello.PeerAddress })
 	slices.Sort(wanted)
+	wanted = slices.Compact(wanted)
 	if slices.Equal(wanted, current) {
 		return current
 	}
@@ -101,6 +110,10 @@
 // Handover implements peer.Handler.
 func (h *peerHandler) Handover(part message.Handover) (message.Ack, error) {
 	e := (*Entry)(h)
-	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { c.Adopt(now, &part, out) })
+	adopted := false
+	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { adopted = c.Adopt(now, &part, out) })
+	if !adopted {
+		return message.Ack{Reason: "this entry leaves as well"}, nil
+	}
 	return message.Ack{Accepted: true}, nil
 }
--- /dev/null
+++ b/internal/entry/restart_test.go
@@ -0,0 +1,127 @@
+package entry_test
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"testing"
+
+	"github.com/tealhall/tealhall/internal/contract"
+	"github.com/tealhall/tealhall/internal/entry"
+	"github.com/tealhall/tealhall/internal/standin"
+)
+
+// upload is a long upload whose body the test feeds.
+type upload struct {
+	body *io.PipeWriter
+	ends chan error
+}
+
+const scanPart = 128 << 10
+
+// startUpload begins an upload straight to an entry and waits until an endpoint
+// has it.
+func startUpload(t *testing.T, f *fleet, e *entry.Entry, id string) *upload {
+	t.Helper()
+	reader, writer := io.Pipe()
+	u := &upload{body: writer, ends: make(chan error, 1)}
+	request, err := http.NewRequest(http.MethodPut, "http://"+e.CallerAddress()+"/scans?id="+id, reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(contract.HeaderService, "scans")
+	request.Header.Set(contract.HeaderRequest, id)
+	go func() { u.ends <- sendUpload(request, id) }()
+	u.feed(t)
+	await(t, "the upload reaches an endpoint", func() bool { return f.Ledger.Request(id).Runs > 0 })
+	return u
+}
+
+func sendUpload(request *http.Request, id string) error {
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	return standin.CheckAnswer(body, id, standin.AnswerSize(id))
+}
+
+func (u *upload) feed(t *testing.T) {
+	t.Helper()
+	if _, err := u.body.Write(make([]byte, scanPart)); err != nil {
+		t.Error(err)
+	}
+}
+
+// finish sends the rest and checks the answer.
+func (u *upload) finish(t *testing.T) {
+	t.Helper()
+	u.feed(t)
+	_ = u.body.Close()
+	if err := <-u.ends; err != nil {
+		t.Errorf("the upload was cut off: %v", err)
+	}
+}
+
+// refuses reports whether an entry takes no new connections any more.
+func refuses(e *entry.Entry) bool {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + e.CallerAddress() + contract.HealthPath)
+	if err == nil {
+		response.Body.Close()
+	}
+	return err != nil
+}
+
+// Operators replace every entry, one after the other, in the middle of a working
+// day. Callers hold answers that name the entry that stops, connections to it,
+// bookings in flight at it, and one sends a long scan that ends only after the
+// entry refuses new connections. None of them may notice.
+func TestRollingRestartOfEveryEntry(t *testing.T) {
+	f := newFleet(t, 6, "a", "b", "c")
+	l := startTraffic(t, f)
+	for i, e := range slices.Clone(f.Entries) {
+		l.awaitMore(t, 50)
+		scan := startUpload(t, f, e, "scan-"+e.Name())
+		stopped := make(chan entry.StopSummary)
+		go func() { stopped <- f.stop(t, e) }()
+		await(t, "the entry refuses connections", func() bool { return refuses(e) })
+		l.awaitMore(t, 50)
+		scan.finish(t)
+		t.Logf("%s: %+v", e.Name(), <-stopped)
+		f.replace(t, e.Name(), i)
+	}
+	l.calm(t, f)
+}
+
+// A failure domain is emptied for maintenance: all its entries stop at the same
+// time, each handing its keys to entries elsewhere, and new ones take their
+// place. Callers may not notice.
+func TestFailureDomainReplaced(t *testing.T) {
+	f := newFleet(t, 9, "a", "b", "c")
+	l := startTraffic(t, f)
+	l.awaitMore(t, 100)
+	var leaving []*entry.Entry
+	for i, e := range slices.Clone(f.Entries) {
+		if i%3 == 0 {
+			leaving = append(leaving, e)
+		}
+	}
+	stopped := make(chan entry.StopSummary)
+	for _, e := range leaving {
+		go func() { stopped <- f.stop(t, e) }()
+	}
+	for range leaving {
+		t.Logf("%+v", <-stopped)
+	}
+	l.awaitMore(t, 100)
+	for i, e := range leaving {
+		f.replace(t, e.Name(), 3*i)
+	}
+	l.awaitMore(t, 100)
+	l.calm(t, f)
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -2,23 +2,22 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/tealhall/tealhall/internal/audit"
 	"github.com/tealhall/tealhall/internal/core"
 	"github.com/tealhall/tealhall/internal/core/directory"
-	"github.com/tealhall/tealhall/internal/message"
 )
 
 const (
-	// handoverRecords is how many keys one message of a hand-over holds. Kept
-	// answers may add to it, within the bound of a message.
-	handoverRecords = 256
-	// handoverTimeout bounds the hand-over to one successor.
-	handoverTimeout = 5 * time.Second
 	// farewell is how long the last message may take on its way.
 	farewell = 500 * time.Millisecond
+	// lateAnswers is how long the news that an entry leaves takes to reach all
+	// others, which until then still name it to callers.
+	lateAnswers = time.Second
 )
 
 // StopSummary says how a planned stop went.
@@ -38,65 +37,78 @@
 // says what it cuts.
 func (e *Entry) Stop(ctx context.Context) StopSummary {
 	began := e.engine.clock()
-	var summary StopSummary
 	e.leave("a planned stop")
-	sleep(ctx, e.answersRunOut())
-	e.engine.view(func(now time.Duration, c *core.Core) { c.SealKeys(now) })
+	sleep(ctx, e.answersTTL())
+	// From here on only callers with late answers come. Each answer asks its
+	// caller to close the connection, so that the close of an idle one, which
+	// could meet a request on its way, is the exception.
 	e.front.Leave()
-	limit, cancel := context.WithTimeout(ctx, e.settings.Timeouts.StopUpload.Duration)
-	summary.Cut = e.front.Stop(limit, func(inFlight int) {
-		klog.ErrorS(nil, "cutting off requests; raise timeouts.stop_upload to wait longer", "requests", inFlight)
-	})
-	cancel()
-	summary.HandedOver, summary.Successors = e.handOver(context.WithoutCancel(ctx))
+	sleep(ctx, min(lateAnswers, e.answersTTL()))
+	var running int
+	e.engine.view(func(now time.Duration, c *core.Core) { running = c.SealKeys(now) })
+	// The keys are handed over at once: from now on this entry refuses
+	// connections, and uploads may keep it for long. Keys that still run are
+	// unknown to the successors until the second hand-over.
+	first := make(chan handover, 1)
+	go func() { first <- e.handOver(context.WithoutCancel(ctx)) }()
+	cut := e.finishRequests(ctx)
+	handedOver := <-first
+	if running > 0 {
+		handedOver = e.handOver(context.WithoutCancel(ctx))
+	}
 	e.finish()
-	summary.Took = e.engine.clock() - began
-	return summary
+	return StopSummary{
+		Cut:        cut,
+		HandedOver: handedOver.keys,
+		Successors: handedOver.takers,
+		Took:       e.engine.clock() - began,
+	}
 }
 
 func (e *Entry) leave(why string) {
 	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { c.Leave(now, why, out) })
 }
 
-// answersRunOut is how long callers may still use answers that name this entry.
-func (e *Entry) answersRunOut() time.Duration {
+// answersTTL is how long callers may still use answers that name this entry.
+func (e *Entry) answersTTL() time.Duration {
 	if e.revision.Load() == 0 {
 		return 0
 	}
-	return directory.MaxTTL
+	if ttl := e.settings.Timeouts.AnswersTTL.Duration; ttl > 0 {
+		return ttl
+	}
+	return directory.DefaultMaxTTL
 }
 
-// handOver gives the sealed idempotency table to the successors, and with it
-// what this entry adopted from others before.
-func (e *Entry) handOver(ctx context.Context) (keys, taken int) {
-	var parts []message.Handover
-	var addresses []string
-	e.engine.view(func(_ time.Duration, c *core.Core) {
-		parts = c.Handover(handoverRecords)
-		addresses = c.SuccessorAddresses()
+// finishRequests refuses new connections, waits for the requests in flight and
+// returns how many it had to cut off. A wait that gets long is reported.
+func (e *Entry) finishRequests(ctx context.Context) int {
+	limits := &e.settings.Timeouts
+	limit, cancel := context.WithTimeout(ctx, limits.StopUpload.Duration)
+	defer cancel()
+	patience := time.AfterFunc(limits.StopGrace.Duration, func() {
+		e.report("waits", e.front.InFlight(), "they are cut off "+limits.StopUpload.String()+" after the given answers ran out")
 	})
-	for _, part := range parts {
-		keys += len(part.Records)
-	}
-	for _, address := range addresses {
-		if e.handOverTo(ctx, address, parts) {
-			taken++
+	defer patience.Stop()
+	return e.front.Stop(limit, func(inFlight int) {
+		why := "a second signal made the stop quick"
+		if ctx.Err() == nil {
+			why = "raise timeouts.stop_upload to wait longer"
 		}
-	}
-	return keys, taken
+		e.report("cuts-off", inFlight, why)
+	})
 }
 
-func (e *Entry) handOverTo(ctx context.Context, address string, parts []message.Handover) bool {
-	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
-	defer cancel()
-	for _, part := range parts {
-		ack, err := e.links.Handover(ctx, address, part)
-		if err != nil || !ack.Accepted {
-			klog.ErrorS(err, "a successor did not take the idempotency keys; callers that ask it will be told unknown", "peer", address, "reason", ack.Reason)
-			return false
-		}
-	}
-	return true
+// report says in log and audit trail what a stop does with requests in flight.
+func (e *Entry) report(action string, requests int, why string) {
+	klog.InfoS("a planned stop meets requests in flight", "action", action, "requests", requests, "why", why)
+	e.trail.Add(audit.Record{
+		Actor:   "entry " + e.settings.Name,
+		Subject: "planned stop",
+		Action:  action,
+		To:      strconv.Itoa(requests) + " requests in flight",
+		Why:     why,
+	})
 }
 
 // finish says goodbye and ends all goroutines.
@@ -107,7 +119,11 @@
 }
 
 // Kill ends the entry at once, as a crash would: nothing is said or finished.
+// It does nothing to an entry that was not started.
 func (e *Entry) Kill() {
+	if e.cancel == nil {
+		return
+	}
 	cancelled, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = e.peerListener.Close()
@@ -120,5 +136,5 @@
 	e.links.Close()
 	e.peerServer.Close()
 	e.connections.Close()
-	e.running.Wait()
+	e.endRunning()
 }
