Front: tests of misleading shapes, cut-off answers, bodies and stops

Raw sockets send 28 misleading shapes, requests without pause between them in pieces of 1 and 7 bytes, and slow heads. A cut-off answer reaches the caller as a broken connection in all three framings. A body that just fits its buffer by length was read one byte too far and taken for whole; mended.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -82,8 +82,8 @@
 // fill reads up to limit bytes into the buffer.
 func (b *ReplayBody) fill(limit int64) error {
 	room := limit + 1 // one more, to see the end of a body that just fits
-	if length := b.request.ContentLength; length >= 0 && length < room {
-		room = length
+	if length := b.request.ContentLength; length >= 0 {
+		room = min(length, limit)
 	}
 	var kept bytes.Buffer
 	kept.Grow(int(min(room, copySize)) + bytes.MinRead)
@@ -103,7 +103,7 @@
 		}
 		return nil
 	}
-	b.whole = n < room
+	b.whole = b.request.ContentLength < 0 && n < room
 	return nil
 }
 
--- /dev/null
+++ b/internal/front/copy_test.go
@@ -0,0 +1,208 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/tealhall/tealhall/internal/forward"
+)
+
+// An auditor's summary ends in the middle of a table and nobody notices. The
+// endpoint died while it answered; the entry had passed on the first part. The
+// caller must see a broken connection, whichever way the answer is delimited:
+// by its length, in chunks, or in HTTP/1.0 by the connection's end.
+func TestCutOffAnswerIsNeverWhole(t *testing.T) {
+	tests := []struct {
+		name, version string
+		length        int64
+		want          error
+	}{
+		{"length", "HTTP/1.1", 9, io.ErrUnexpectedEOF},
+		{"chunks", "HTTP/1.1", -1, io.ErrUnexpectedEOF},
+		{"end of connection", "HTTP/1.0", -1, syscall.ECONNRESET},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, address := serve(t, ServerConfig{}, func(w http.ResponseWriter, _ *http.Request) {
+				cut := io.MultiReader(strings.NewReader("part"), failing{io.ErrUnexpectedEOF})
+				if _, err := CopyAnswer(w, fakeAnswer(cut, test.length)); !errors.Is(err, io.ErrUnexpectedEOF) {
+					t.Errorf("got %v", err)
+				}
+			})
+			c := dial(t, address)
+			c.say(lines("GET / "+test.version, "Host: a", "", ""))
+			if _, _, err := c.answer(http.MethodGet); !errors.Is(err, test.want) {
+				t.Errorf("the caller saw %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+// failing fails every Read.
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+// Live counts are pushed part by part. Each must be with the caller before the
+// endpoint has the next; headers of the endpoint's connection must not be.
+func TestStreamingAnswer(t *testing.T) {
+	source, endpoint := io.Pipe()
+	_, address := serve(t, ServerConfig{}, func(w http.ResponseWriter, _ *http.Request) {
+		resp := fakeAnswer(source, -1)
+		resp.Trailer = http.Header{"Sum": nil}
+		resp.Body = io.NopCloser(io.MultiReader(source, atEnd(func() { resp.Trailer.Set("Sum", "2") })))
+		if n, err := CopyAnswer(w, resp); n != 2 || err != nil {
+			t.Errorf("copied %d, %v", n, err)
+		}
+	})
+	c := dial(t, address)
+	c.say(lines("GET / HTTP/1.1", "Host: a", "", ""))
+	io.WriteString(endpoint, "1")
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"1", "2"} {
+		part := make([]byte, 1)
+		if _, err := io.ReadFull(resp.Body, part); err != nil || string(part) != want {
+			t.Fatalf("got %q, %v", part, err)
+		}
+		if want == "1" {
+			io.WriteString(endpoint, "2")
+		}
+	}
+	endpoint.Close()
+	io.Copy(io.Discard, resp.Body)
+	if resp.Trailer.Get("Sum") != "2" {
+		t.Errorf("got trailers %v", resp.Trailer)
+	}
+	if resp.Header.Get("X-End") != "2" || resp.Header.Get("X-Hop")+resp.Header.Get("Keep-Alive")+resp.Header.Get("Connection") != "" {
+		t.Errorf("got headers %v", resp.Header)
+	}
+}
+
+// atEnd is an empty reader that calls the function.
+type atEnd func()
+
+func (f atEnd) Read([]byte) (int, error) { f(); return 0, io.EOF }
+
+// pass is an entry in small: it brings a request to the endpoint and its answer
+// back.
+func pass(c *forward.Connections, address string, limits BodyLimits) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := NewReplayBody(w, r, limits)
+		if err != nil {
+			refuseBody(w, err, false)
+			return
+		}
+		reader, _ := body.Reader()
+		resp, delivery, err := c.Send(r.Context(), forward.Outgoing{
+			Address: address, Request: r, Body: reader, ContentLength: body.Length(), Trailer: r.Trailer,
+		})
+		if err != nil {
+			refuseBody(w, err, delivery.Wrote)
+			return
+		}
+		CopyAnswer(w, resp)
+	}
+}
+
+func refuseBody(w http.ResponseWriter, err error, sentOn bool) {
+	var large *TooLarge
+	if errors.As(err, &large) {
+		RefuseTooLarge(w, large.Limit, sentOn)
+		return
+	}
+	Refuse(w, Refusal{Status: http.StatusBadGateway, Message: err.Error()})
+}
+
+// The whole way through front and forward, with bodies that fit the buffer and
+// larger ones, each bounded, and endpoints that answer early or not at all.
+func TestBodiesThroughAnEntry(t *testing.T) {
+	const kept, most = 100, 5000
+	_, endpoint := serve(t, ServerConfig{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/early" {
+			http.NewResponseController(w).EnableFullDuplex()
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err == nil {
+			w.Header().Set("Sum", r.Trailer.Get("Sum"))
+			w.Write(body)
+		}
+	})
+	connections := forward.New(forward.Config{Clock: testClock()})
+	t.Cleanup(connections.Close)
+	_, address := serve(t, ServerConfig{}, pass(connections, endpoint, BodyLimits{Buffer: kept, Max: most}))
+	small, large, tooLarge := strings.Repeat("s", kept), strings.Repeat("l", most), strings.Repeat("t", most+1)
+	tests := []struct {
+		name, request, body string
+		status              int
+		outcome             string
+	}{
+		{"no body", lines("GET / HTTP/1.1", "Host: a", "", ""), "", 200, ""},
+		{"small", withLength("/", small), small, 200, ""},
+		{"small in chunks", inChunks("/", small), small, 200, ""},
+		{"large", withLength("/", large), large, 200, ""},
+		{"large in chunks", inChunks("/", large), large, 200, ""},
+		{"too large, announced", withLength("/", tooLarge), "", 413, "not-run"},
+		{"too large in chunks, sent on in part", inChunks("/", tooLarge), "", 413, "unknown"},
+		{"answer before the upload ends", "POST /early HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" + small + small, "", 429, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := dial(t, address)
+			c.say(test.request)
+			resp, text, err := c.answer(http.MethodPost)
+			if err != nil || resp.StatusCode != test.status || resp.StatusCode == 200 && text != test.body {
+				t.Fatalf("got %+v, %d bytes, %v", resp, len(text), err)
+			}
+			if got := resp.Header.Get("Tealhall-Outcome"); got != test.outcome {
+				t.Errorf("got outcome %q, want %q", got, test.outcome)
+			}
+			if strings.Contains(test.request, "Sum") && resp.StatusCode == 200 && resp.Header.Get("Sum") != "7" {
+				t.Errorf("the trailer did not arrive: %v", resp.Header)
+			}
+		})
+	}
+}
+
+func withLength(target, body string) string {
+	return lines("POST "+target+" HTTP/1.1", "Host: a", "Content-Length: "+decimal(len(body)), "", body)
+}
+
+func inChunks(target, body string) string {
+	half := len(body) / 2
+	return lines("POST "+target+" HTTP/1.1", "Host: a", "Transfer-Encoding: chunked", "Trailer: Sum", "",
+		hexadecimal(half), body[:half], hexadecimal(len(body)-half), body[half:], "0", "Sum: 7", "", "")
+}
+
+// A tablet is switched off while its request waits. The entry's context ends, so
+// that the endpoint's slot is freed; also when the body was streamed.
+func TestCallerLeaves(t *testing.T) {
+	for _, buffer := range []int64{100, 1} {
+		started, ended := make(chan struct{}), make(chan struct{})
+		_, address := serve(t, ServerConfig{}, func(w http.ResponseWriter, r *http.Request) {
+			body, err := NewReplayBody(w, r, BodyLimits{Buffer: buffer})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			reader, _ := body.Reader()
+			io.Copy(io.Discard, reader)
+			close(started)
+			<-r.Context().Done()
+			close(ended)
+		})
+		c := dial(t, address)
+		c.say(withLength("/", "tray"))
+		<-started
+		c.Close()
+		<-ended
+	}
+}
--- /dev/null
+++ b/internal/front/fake_test.go
@@ -0,0 +1,75 @@
+package front
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// serve starts a server with handler on loopback and returns its address.
+func serve(t *testing.T, cfg ServerConfig, handler http.HandlerFunc) (*Server, string) {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(cfg, handler)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(listener) }()
+	t.Cleanup(func() {
+		s.http.Close()
+		listener.Close()
+		<-done
+	})
+	return s, listener.Addr().String()
+}
+
+// caller is a caller with a raw socket.
+type caller struct {
+	*net.TCPConn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return &caller{TCPConn: conn.(*net.TCPConn), reader: bufio.NewReader(conn)}
+}
+
+func (c *caller) say(text string) { io.WriteString(c, text) }
+
+// answer reads one answer whole.
+func (c *caller) answer(method string) (*http.Response, string, error) {
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, "", err
+	}
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+// fakeAnswer is an endpoint's answer with the given body.
+func fakeAnswer(body io.Reader, length int64) *http.Response {
+	return &http.Response{
+		StatusCode:    http.StatusOK,
+		Header:        http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"5"}, "X-End": {"2"}},
+		Body:          io.NopCloser(body),
+		ContentLength: length,
+	}
+}
+
+// echo answers with the target and the body.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	io.WriteString(w, r.RequestURI+" "+string(body))
+}
+
+// lines joins lines of a message with CR LF.
+func lines(parts ...string) string { return strings.Join(parts, "\r\n") }
--- /dev/null
+++ b/internal/front/shape_test.go
@@ -0,0 +1,125 @@
+package front
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/contract"
+)
+
+// One caller's body is read as another caller's request. Two programs on the
+// way read the end of a request differently, so the rest of the first is taken
+// for a second. Each shape that allows this is refused before any of it runs,
+// as not run, and the connection, whose next byte can't be placed, is closed.
+func TestMisleadingShapes(t *testing.T) {
+	tests := []struct {
+		name, request string
+		status        int
+	}{
+		{"both lengths", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 5", "Transfer-Encoding: chunked", "", "0", "", "G"), 400},
+		{"both lengths, other order and case", lines("POST / HTTP/1.1", "Host: a", "transfer-encoding: chunked", "content-length: 5", "", "0", "", "G"), 400},
+		{"differing lengths", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 1", "Content-Length: 2", "", "ab"), 400},
+		{"equal lengths twice", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 1", "Content-Length: 1", "", "a"), 400},
+		{"list of lengths", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 1, 1", "", "a"), 400},
+		{"signed length", lines("POST / HTTP/1.1", "Host: a", "Content-Length: +1", "", "a"), 400},
+		{"length beyond reason", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 99999999999999999999", "", "a"), 400},
+		{"unknown coding", lines("POST / HTTP/1.1", "Host: a", "Transfer-Encoding: gzip, chunked", "", ""), 501},
+		{"coding twice", lines("POST / HTTP/1.1", "Host: a", "Transfer-Encoding: chunked", "Transfer-Encoding: chunked", "", ""), 501},
+		{"coding in HTTP/1.0", lines("POST / HTTP/1.0", "Host: a", "Transfer-Encoding: chunked", "", "0", "", ""), 501},
+		{"bare line feed", "GET / HTTP/1.1\r\nHost: a\nX: b\r\n\r\n", 400},
+		{"head ended by bare line feeds", "GET / HTTP/1.1\nHost: a\n\n", 400},
+		{"bare carriage return", "GET / HTTP/1.1\r\nHost: a\rX: b\r\n\r\n", 400},
+		{"folded header", lines("GET / HTTP/1.1", "Host: a", "X: b", " c", "", ""), 400},
+		{"space before colon", lines("POST / HTTP/1.1", "Host: a", "Content-Length : 1", "", "a"), 400},
+		{"zero byte", lines("GET / HTTP/1.1", "Host: a", "X: a\x00b", "", ""), 400},
+		{"no name", lines("GET / HTTP/1.1", "Host: a", ": b", "", ""), 400},
+		{"absolute target", lines("GET http://b/ HTTP/1.1", "Host: a", "", ""), 400},
+		{"no slash", lines("GET a HTTP/1.1", "Host: a", "", ""), 400},
+		{"asterisk", lines("OPTIONS * HTTP/1.1", "Host: a", "", ""), 400},
+		{"fragment", lines("GET /#a HTTP/1.1", "Host: a", "", ""), 400},
+		{"two spaces", lines("GET  / HTTP/1.1", "Host: a", "", ""), 400},
+		{"other version", lines("GET / HTTP/3.0", "Host: a", "", ""), 400},
+		{"tunnel", lines("CONNECT a:1 HTTP/1.1", "Host: a", "", ""), 405},
+		{"large head", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 5000) + "\r\n\r\n", 431},
+		{"endless line", strings.Repeat("x", 9000), 431},
+	}
+	ran := make(chan string, 1)
+	_, address := serve(t, ServerConfig{MaxHeaderBytes: 4096}, func(_ http.ResponseWriter, r *http.Request) { ran <- r.RequestURI })
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := dial(t, address)
+			c.say(test.request)
+			resp, _, err := c.answer(http.MethodGet)
+			if err != nil || resp.StatusCode != test.status {
+				t.Fatalf("got %+v, %v; want status %d", resp, err, test.status)
+			}
+			if got := resp.Header.Get(contract.HeaderOutcome); got != string(contract.OutcomeNotRun) {
+				t.Errorf("got outcome %q", got)
+			}
+			if _, err := c.reader.ReadByte(); err == nil {
+				t.Error("the connection goes on")
+			}
+		})
+	}
+	// These two net/http refuses by itself, without an outcome.
+	for _, request := range []string{lines("GET / HTTP/1.1", "", ""), lines("GET / HTTP/1.1", "Host: a", "Host: b", "", "")} {
+		c := dial(t, address)
+		c.say(request)
+		if resp, _, err := c.answer(http.MethodGet); err != nil || resp.StatusCode != 400 {
+			t.Errorf("%q: got %+v, %v", request, resp, err)
+		}
+	}
+	select {
+	case target := <-ran:
+		t.Errorf("a request to %q was passed on", target)
+	default:
+	}
+}
+
+// Requests that follow each other without waiting keep their own bodies, in
+// pieces of any size, and a refused one takes its turn behind them.
+func TestPipelinedRequests(t *testing.T) {
+	_, address := serve(t, ServerConfig{}, echo)
+	stream := lines("POST /1 HTTP/1.1", "Host: a", "Content-Length: 3", "", "one") +
+		lines("POST /2 HTTP/1.1", "Host: a", "Transfer-Encoding: chunked", "", "2;ext=1", "tw", "1", "o", "0", "Sum: 1", "", "") +
+		lines("", "GET /3 HTTP/1.1", "Host: a", "", "") +
+		lines("POST /4 HTTP/1.1", "Host: a", "Content-Length: 1", "Content-Length: 2", "", "GET /5 HTTP/1.1", "Host: a", "", "")
+	for _, size := range []int{1, 7, len(stream)} {
+		c := dial(t, address)
+		c.SetNoDelay(true)
+		go func() {
+			for rest := stream; rest != ""; rest = rest[min(size, len(rest)):] {
+				c.say(rest[:min(size, len(rest))])
+			}
+		}()
+		for _, want := range []string{"/1 one", "/2 two", "/3 "} {
+			if _, text, err := c.answer(http.MethodGet); text != want || err != nil {
+				t.Errorf("pieces of %d: got %q, %v; want %q", size, text, err, want)
+			}
+		}
+		if resp, _, err := c.answer(http.MethodGet); err != nil || resp.StatusCode != 400 {
+			t.Errorf("pieces of %d: got %+v, %v", size, resp, err)
+		}
+		if _, err := c.reader.ReadByte(); err == nil {
+			t.Errorf("pieces of %d: something follows the refusal", size)
+		}
+	}
+}
+
+// Many callers each send a head byte by byte, or nothing, and hold an entry's
+// connections. They are closed in time, also behind an answered request.
+func TestSlowCallers(t *testing.T) {
+	_, address := serve(t, ServerConfig{ReadHeaderTimeout: 30 * time.Millisecond, IdleTimeout: time.Hour}, echo)
+	for _, begun := range []string{"", lines("GET / HTTP/1.1", "Host: a", "", "")} {
+		c := dial(t, address)
+		c.say(begun + "GET /slow HTTP/1.1\r\n")
+		if begun != "" {
+			c.answer(http.MethodGet)
+		}
+		if _, err := c.reader.ReadByte(); err == nil {
+			t.Errorf("after %q the slow head was answered", begun)
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/stop_test.go
@@ -0,0 +1,148 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func decimal(n int) string     { return strconv.Itoa(n) }
+func hexadecimal(n int) string { return strconv.FormatInt(int64(n), 16) }
+
+func testClock() func() time.Duration {
+	started := time.Now()
+	return func() time.Duration { return time.Since(started) }
+}
+
+// An operator replaces an entry during a close. Requests in flight, and one
+// whose head is on its way, are answered and told to go elsewhere; idle
+// connections end; new ones are refused, which tells callers that nothing ran.
+func TestStopCutsOffNothing(t *testing.T) {
+	entered, proceed := make(chan struct{}), make(chan struct{})
+	s, address := serve(t, ServerConfig{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			entered <- struct{}{}
+			<-proceed
+		}
+		io.WriteString(w, "whole")
+	})
+	idle, waiting, half := dial(t, address), dial(t, address), dial(t, address)
+	for _, c := range []*caller{idle, half} {
+		c.say(lines("GET / HTTP/1.1", "Host: a", "", ""))
+		if resp, _, err := c.answer(http.MethodGet); err != nil || resp.Close {
+			t.Fatalf("got %+v, %v", resp, err)
+		}
+	}
+	waiting.say(lines("GET /wait HTTP/1.1", "Host: a", "", ""))
+	half.say("GET /half HTTP/1.1\r\n")
+	<-entered
+	stopped := make(chan int)
+	go func() { stopped <- s.Stop(context.Background(), nil) }()
+	if _, err := idle.reader.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection ended with %v", err)
+	}
+	if got := s.InFlight(); got != 1 {
+		t.Errorf("%d requests are in flight, want 1", got)
+	}
+	half.say(lines("Host: a", "", ""))
+	close(proceed)
+	for _, c := range []*caller{waiting, half} {
+		resp, text, err := c.answer(http.MethodGet)
+		if err != nil || text != "whole" || !resp.Close {
+			t.Errorf("got %+v, %q, %v", resp, text, err)
+		}
+	}
+	if cut := <-stopped; cut != 0 {
+		t.Errorf("%d requests were cut off", cut)
+	}
+	if _, err := net.Dial("tcp", address); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("a new connection got %v", err)
+	}
+}
+
+func TestStopReportsBeforeItCuts(t *testing.T) {
+	entered := make(chan struct{})
+	s, address := serve(t, ServerConfig{}, func(_ http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+	})
+	c := dial(t, address)
+	c.say(lines("GET / HTTP/1.1", "Host: a", "", ""))
+	<-entered
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	reported := 0
+	if cut := s.Stop(ctx, func(n int) { reported = n }); cut != 1 || reported != 1 {
+		t.Errorf("cut %d, reported %d, want 1", cut, reported)
+	}
+	if _, _, err := c.answer(http.MethodGet); err == nil {
+		t.Error("the request was answered")
+	}
+}
+
+func TestReplayBody(t *testing.T) {
+	tests := []struct {
+		name, body     string
+		length         int64
+		whole          bool
+		again, afterIt bool // readable again after the kept bytes, after all
+	}{
+		{"empty", "", 0, true, true, true},
+		{"fits", "abcd", 4, true, true, true},
+		{"fits, length not known", "abcd", -1, true, true, true},
+		{"larger", "abcde", 5, false, true, false},
+		{"larger, length not known", "abcdef", -1, false, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r, _ := http.NewRequest(http.MethodPost, "http://a/", io.NopCloser(strings.NewReader(test.body)))
+			r.ContentLength = test.length
+			body, err := NewReplayBody(nil, r, BodyLimits{Buffer: 4})
+			if err != nil || body.Whole() != test.whole {
+				t.Fatalf("whole %v, %v", body.Whole(), err)
+			}
+			if reader, ok := body.Reader(); reader != nil && ok {
+				io.ReadFull(reader, make([]byte, 4))
+			}
+			reader, ok := body.Reader()
+			if ok != test.again {
+				t.Fatalf("readable again: %v", ok)
+			}
+			if reader != nil {
+				if text, err := io.ReadAll(reader); string(text) != test.body || err != nil {
+					t.Errorf("got %q, %v", text, err)
+				}
+			}
+			if _, ok := body.Reader(); ok != test.afterIt || body.Streamed() == test.afterIt {
+				t.Errorf("readable after all of it: %v", ok)
+			}
+		})
+	}
+}
+
+// A different request under the same key must not get the first one's answer.
+func TestDigest(t *testing.T) {
+	seen := make(map[[32]byte]string)
+	for _, parts := range [][4]string{
+		{"tablet", "POST", "/tray?a=1", "1"}, {"table", "POST", "/tray?a=1", "1"}, {"tablet", "PUT", "/tray?a=1", "1"},
+		{"tablet", "POST", "/tray?a=11", ""}, {"tablet", "POST", "/tray?a=1", "2"}, {"tablet", "POST", "/tray?a=1", ""},
+	} {
+		r, _ := http.NewRequest(parts[1], "http://a"+parts[2], strings.NewReader(parts[3]))
+		body, err := NewReplayBody(nil, r, BodyLimits{Buffer: 4})
+		if err != nil {
+			t.Fatal(err)
+		}
+		digest, complete := Digest(parts[0], r, body)
+		if other, found := seen[digest]; found || !complete {
+			t.Errorf("%v: same digest as %s", parts, other)
+		}
+		seen[digest] = strings.Join(parts[:], " ")
+	}
+}
