--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -19,7 +19,8 @@
 	HeaderDeadline = "Tealhall-Deadline-Ms"
 	// HeaderAttempt counts the attempts at a request; the first is 1.
 	HeaderAttempt = "Tealhall-Attempt"
-	// HeaderDepth says how deep the call is nested in other calls, 0 to MaxDepth.
+	// HeaderDepth says how deep the call is nested in other calls. A caller sends
+	// 0 (or nothing) to MaxDepth, the entry one more to the endpoint.
 	HeaderDepth = "Tealhall-Depth"
 	// HeaderRequest identifies the caller's request; all its attempts carry the
 	// same value.
@@ -75,7 +76,7 @@
 // DrainingValue is the value of HeaderDraining at an endpoint that leaves.
 const DrainingValue = "1"
 
-// MaxDepth is the deepest nesting of calls between services.
+// MaxDepth is the deepest nesting with which an entry accepts a call.
 const MaxDepth = 6
 
 // maxDeadline bounds what ParseDeadline accepts: no request may wait longer
@@ -148,7 +149,7 @@
 	return int(attempt), ok && attempt > 0
 }
 
-// ParseDepth reads the value of HeaderDepth, 0 to MaxDepth.
+// ParseDepth reads the value of HeaderDepth as a caller sends it, 0 to MaxDepth.
 func ParseDepth(value string) (int, bool) {
 	depth, ok := parseUint(value, MaxDepth)
 	return int(depth), ok
