Core: lost news is told again, a fresh entry is named, nested calls are not hedged

Causes, each found by a test that failed before and passes now: - A link that takes a message and loses it left its peer without the evidence that an endpoint leaves, for as long as the platform's list was stale: the sender held the news as known. Now a peer whose digest of evidence differs for a second, while nothing is owed to it, is told everything again, with growing pauses. - An entry that changed from starting to serving without another change in the fleet was not named to callers: lists made from the member table were refreshed only with a change worth a note. - Each level of nested calls could hedge; now only the outermost does, as for retries. - Choices are told which requests may be spent on a bad endpoint.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -318,7 +318,8 @@
 // Calls of services nest up to maxDepth deep. If each level tried again, one
 // failing endpoint at the bottom would see the attempts of all levels
 // multiplied. So a failure that may have run is tried again only for the
-// outermost call, and not at all below a call that is itself a second try.
+// outermost call, and not at all below a call that is itself a second try. The
+// same holds for hedges.
 func (c *Core) mayRetry(now time.Duration, r *request, provablyNotRun bool) bool {
 	tries := int(r.dispatches) - r.idleRefusals
 	if tries >= r.policy.MaxAttempts || int(r.dispatches) >= MaxAttempts {
@@ -327,8 +328,7 @@
 	if !r.replayable || now >= r.deadline {
 		return false
 	}
-	nested := r.arrival.Depth > 0 || r.arrival.CallerAttempt > 1
-	if nested && !provablyNotRun {
+	if r.nested() && !provablyNotRun {
 		return false
 	}
 	if !r.service.retry.TrySpend(now) {
@@ -337,3 +337,9 @@
 	}
 	return true
 }
+
+// nested says that the request is part of another one, which may itself be
+// tried again.
+func (r *request) nested() bool {
+	return r.arrival.Depth > 0 || r.arrival.CallerAttempt > 1
+}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -25,7 +25,7 @@
 		c.dispatch(now, r, balance.Choice{Index: i}, hedge, out)
 		return true
 	}
-	ask := balance.Ask{Tried: r.tried, LocalDomain: c.cfg.Self.Domain}
+	ask := balance.Ask{Tried: r.tried, LocalDomain: c.cfg.Self.Domain, Trial: r.mayBeTrial()}
 	choice := p.picker.Pick(now, &p.Pool, ask, now-r.arrived)
 	if !choice.OK {
 		return false
@@ -41,10 +41,16 @@
 	return r.replayable && r.idleRefusals < maxIdleRefusals && r.service.idle.Level() >= 1
 }
 
+// mayBeTrial says whether a request may be spent on an endpoint that was bad:
+// only a first try that is harmless to repeat.
+func (r *request) mayBeTrial() bool {
+	return r.harmless && r.replayable && r.dispatches == 0
+}
+
 // trialEndpoint returns an ejected endpoint that is due for a trial by a real
-// request, or -1. Only a first try that is harmless to repeat is used.
+// request, or -1.
 func (c *Core) trialEndpoint(now time.Duration, r *request) int {
-	if !r.harmless || !r.replayable || r.dispatches > 0 {
+	if !r.mayBeTrial() {
 		return -1
 	}
 	p := r.pool
@@ -205,7 +211,7 @@
 }
 
 func (c *Core) noteHedge(now time.Duration, r *request) {
-	if r.policy.HedgeAfter <= 0 || !r.harmless || !r.replayable {
+	if r.policy.HedgeAfter <= 0 || !r.harmless || !r.replayable || r.nested() {
 		return
 	}
 	sv := r.service
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -178,9 +178,11 @@
 	c.applyChanges(now, c.fleet.members.Claim(now, ev), "evidence", out)
 }
 
-// applyChanges carries changed beliefs into the pools and the audit trail.
+// applyChanges carries changed beliefs into the pools and the audit trail. The
+// table may also have changed without a change that is worth a note, such as an
+// entry that has become ready.
 func (c *Core) applyChanges(now time.Duration, changes []member.Change, actor string, out *Actions) {
-	if len(changes) == 0 {
+	if len(changes) == 0 && c.fleet.members.Version() == c.fleet.version {
 		return
 	}
 	for i := range changes {
--- /dev/null
+++ b/internal/core/fleet_test.go
@@ -0,0 +1,331 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/directory"
+	"github.com/tealhall/tealhall/internal/core/duty"
+	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+// until runs the rig until all running entries fulfil ok, and returns how long
+// that took, at most limit.
+func (r *rig) until(limit time.Duration, ok func(n *node) bool) time.Duration {
+	r.Helper()
+	began := r.now
+	for r.now-began < limit {
+		if !slices.ContainsFunc(r.nodes, func(n *node) bool { return !n.dead && !ok(n) }) {
+			break
+		}
+		r.run(r.tick)
+	}
+	return r.now - began
+}
+
+// halves cuts the fleet into entries of even and odd VMs.
+func halves(from, to *node) bool {
+	half := func(n *node) byte { return n.hello.Name[len(n.hello.Name)-1] % 2 }
+	return half(from) != half(to)
+}
+
+func atRevision(revision uint64) func(n *node) bool {
+	return func(n *node) bool { return n.InForce(platform.ProfilesValue).Revision == revision }
+}
+
+// givenTo returns the entries that an entry names to callers, by name.
+func (n *node) givenTo(service string) string {
+	var names []string
+	choices, _, _ := n.EntriesFor(n.lastTick, directory.Request{Service: service, Domain: "d0"})
+	for _, c := range choices {
+		names = append(names, strings.TrimPrefix(c.Name, "entry-"))
+	}
+	slices.Sort(names)
+	return strings.Join(names, " ")
+}
+
+// An endpoint drains at noon while the platform's list still calls it live. It
+// says so on one answer to one entry; requests that others keep sending to it
+// would be cut off when it goes. Whatever happens to the messages between
+// entries, three seconds after the first evidence, or after a first message
+// gets through, nobody sends it new work, and what it works on is finished.
+func TestDrainIsKnownEverywhereWithinSeconds(t *testing.T) {
+	one := func(from, to *node) bool { return from.hello.Name == "entry-0" && to.hello.Name == "entry-4" }
+	for _, tt := range []struct {
+		name string
+		cut  func(from, to *node) bool
+		lost bool          // the link takes one message to each entry and loses it
+		heal time.Duration // after the evidence
+	}{
+		{name: "alone"},
+		{name: "one direction of one link is dead", cut: one, heal: time.Hour},
+		{name: "a partition", cut: halves, heal: 20 * sec},
+		{name: "links take messages and lose them", lost: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := settled(t, 6, "counts/c1", "counts/c2")
+			r.down = func(*node) bool { return true }
+			var evidence, latest time.Duration
+			lost := map[string]bool{}
+			r.cut = func(from, to *node) bool {
+				return tt.cut != nil && evidence > 0 && r.now < evidence+tt.heal && tt.cut(from, to)
+			}
+			r.lose = func(from, to *node, u *message.Update) bool {
+				link := from.hello.Name + to.hello.Name
+				first := tt.lost && len(u.Evidence) > 0 && !lost[link]
+				lost[link] = lost[link] || first
+				return first
+			}
+			r.endpoint = func(name string, a Arrival) reaction {
+				re := reaction{after: 20 * ms}
+				if name == "c2" {
+					latest, re.after = r.now, 600*ms
+					if a.CallerDomain == "entry-0" && r.now > 5*sec {
+						re.head.Draining = true
+						if evidence == 0 {
+							evidence = r.now + re.after
+						}
+					}
+				}
+				return re
+			}
+			var all []told
+			for r.now < 40*sec {
+				for _, n := range r.nodes {
+					id := r.ask(n, Arrival{Service: "counts", CallerDomain: n.hello.Name})
+					r.run(10 * ms)
+					all = append(all, n.told[id])
+				}
+			}
+			r.run(sec)
+			limit := evidence + 3*sec
+			if tt.cut != nil && tt.heal < time.Hour {
+				limit += tt.heal
+			}
+			if evidence == 0 || latest > limit {
+				t.Errorf("evidence at %v, last new work at %v", evidence, latest)
+			}
+			for _, n := range r.nodes {
+				if n.state("c2") != table.EndpointLeaving {
+					t.Errorf("%s holds the endpoint as %v", n.hello.Name, n.state("c2"))
+				}
+				for id, got := range n.told {
+					if got.Outcome != OutcomeDone {
+						t.Fatalf("%s: request %d was told %+v", n.hello.Name, id, got)
+					}
+				}
+			}
+		})
+	}
+}
+
+// An operator publishes a profile; some entries would use the old one for
+// minutes, because only one entry per failure domain reads the service, or only
+// one of all can reach it. 15 entries must have it within 2 s, or 4 s when one
+// alone reaches the service, bounded by one read and the hops of news.
+func TestProfileIsInForceEverywhereWithinSeconds(t *testing.T) {
+	for _, reach := range []int{15, 1} {
+		r := settled(t, 15, "counts/c1")
+		r.down = func(n *node) bool { return reach == 1 && n != r.nodes[7] }
+		r.run(5 * sec)
+		r.republish(2, `deadline = "800ms"`, `deadline = "700ms"`)
+		limit := 2 * sec
+		if reach == 1 {
+			limit = 4 * sec
+		}
+		if took := r.until(10*sec, atRevision(2)); took > limit {
+			t.Errorf("%d entries reach the service: in force after %v", reach, took)
+		}
+	}
+}
+
+// The service is down from the afternoon through the whole close. Tablets would
+// see ordinary limits during the close if it had to be read for that. The
+// calendar is in the document, so the close begins and ends on time everywhere,
+// also at an entry that is replaced meanwhile and has only peers to ask. Half
+// way a replica comes back with an older document, which changes nothing.
+func TestCloseBeginsAndEndsWithoutTheService(t *testing.T) {
+	r := settled(t, 4, "counts/c1")
+	r.republish(2, "queue_limit = 96", "queue_limit = 200")
+	r.until(5*sec, atRevision(2))
+	old := r.docs[platform.ProfilesValue]
+	r.down = func(*node) bool { return true }
+	limits := func(want int) func(n *node) bool {
+		return func(n *node) bool {
+			sv := n.services["counts"]
+			return sv != nil && sv.policy.QueueLimit == want
+		}
+	}
+	at := func(hour, minute int) {
+		r.wall = time.Date(2027, 1, 31, hour, minute, 0, 0, time.UTC).Add(-r.now)
+		r.run(sec)
+	}
+	at(17, 59)
+	if took := r.until(5*sec, limits(64)); took >= 5*sec {
+		t.Error("the close began early")
+	}
+	at(18, 0)
+	if took := r.until(5*sec, limits(200)); took >= 5*sec {
+		t.Error("the close did not begin")
+	}
+	fresh := r.start(1)
+	if took := r.until(10*sec, limits(200)); took > 3*sec {
+		t.Errorf("a fresh entry knew of the close after %v", took)
+	}
+	old.Revision, old.Data = 1, []byte("format = 1")
+	for _, n := range r.nodes {
+		r.offer(n, old, duty.Platform)
+		r.offer(n, platform.Value{Name: old.Name, Revision: 2, Data: old.Data}, duty.Platform)
+		r.offer(n, platform.Value{Name: old.Name, Revision: 3, Data: []byte("format = 99")}, duty.Platform)
+		if n.dead {
+			continue
+		}
+		if !atRevision(2)(n) || !n.noted("ignored an older revision") || !n.noted("refused another text under the revision") || !n.noted("format") {
+			t.Errorf("%s: revision %d, notes %v", n.hello.Name, n.InForce(old.Name).Revision, n.notes)
+		}
+	}
+	if ready, why := fresh.ReadyReason(r.now); !ready {
+		t.Errorf("the fresh entry is not ready: %s", why)
+	}
+	at(19, 0)
+	if took := r.until(5*sec, limits(64)); took >= 5*sec {
+		t.Error("the close did not end")
+	}
+}
+
+// The network splits the fleet and both halves serve their callers. A profile
+// reaches one half only, an entry of each half is replaced, and the service
+// goes down before the network heals. Nobody is on call. The halves name only
+// entries that they hear; 4 s after the network heals (a back-off of 2 s, a
+// heartbeat, a fetch) all entries have the profile, hear each other and name
+// all of them to callers.
+func TestPartitionHealsByItself(t *testing.T) {
+	r := settled(t, 6, "counts/c1", "counts/c2")
+	r.cut = halves
+	r.down = func(n *node) bool { return halves(n, r.nodes[0]) }
+	r.run(10 * sec)
+	r.republish(2, `deadline = "800ms"`, `deadline = "700ms"`)
+	r.run(10 * sec)
+	r.down = func(*node) bool { return true }
+	r.start(2)
+	r.start(3)
+	r.run(10 * sec)
+	for _, n := range r.nodes {
+		if n.dead {
+			continue
+		}
+		even := !halves(n, r.nodes[0])
+		if got := n.InForce(platform.ProfilesValue).Revision; (got == 2) != even {
+			t.Errorf("%s has revision %d during the partition", n.hello.Name, got)
+		}
+		if got := n.givenTo("counts"); even && got != "0 2 4" || !even && got != "1 3 5" {
+			t.Errorf("%s names %q during the partition", n.hello.Name, got)
+		}
+		id := r.ask(n, Arrival{Service: "counts"})
+		r.run(100 * ms)
+		if got := n.told[id]; got.Outcome != OutcomeDone {
+			t.Errorf("%s told %+v during the partition", n.hello.Name, got)
+		}
+	}
+	r.cut = func(_, _ *node) bool { return false }
+	calm := func(n *node) bool {
+		for i := range n.fleet.entries {
+			if e := &n.fleet.entries[i]; !e.Usable() {
+				return false
+			}
+		}
+		return atRevision(2)(n) && n.UsableEntries() == 6
+	}
+	if took := r.until(20*sec, calm); took > 4*sec {
+		t.Errorf("calm %v after the network healed", took)
+		for _, n := range r.nodes {
+			t.Log(n.hello.Name, n.dead, n.InForce(platform.ProfilesValue).Revision, n.UsableEntries(), n.fleet.entries)
+		}
+	}
+}
+
+// Entry 0 hears all others and nobody hears entry 0. Callers would be sent to
+// an entry whose peers can't tell whether it lives; and it must not be dropped,
+// since it serves its callers well. The others suspect it within four seconds
+// and name it no more; it goes on serving. Two seconds after the loss ends it
+// is named again.
+func TestAsymmetricLoss(t *testing.T) {
+	r := settled(t, 3, "counts/c1")
+	deaf := r.nodes[0]
+	r.cut = func(from, _ *node) bool { return from == deaf }
+	named := func(want bool) func(n *node) bool {
+		return func(n *node) bool { return n == deaf || strings.Contains(n.givenTo("counts"), "0") == want }
+	}
+	if took := r.until(20*sec, named(false)); took > 4*sec {
+		t.Errorf("named to callers for %v", took)
+	}
+	id := r.ask(deaf, Arrival{Service: "counts"})
+	r.run(30 * sec)
+	if got := deaf.told[id]; got.Outcome != OutcomeDone || deaf.givenTo("counts") == "0" {
+		t.Errorf("told %+v, names %q", got, deaf.givenTo("counts"))
+	}
+	r.cut = func(_, _ *node) bool { return false }
+	if took := r.until(20*sec, named(true)); took > 2*sec {
+		t.Errorf("named again after %v", took)
+	}
+}
+
+// A fresh entry tells that it starts, some other VM comes, and then it tells that
+// it serves. Its peers would send no callers there until yet another VM changes:
+// the change of state was not carried into the lists made from the table.
+func TestFreshEntryIsNamedAsSoonAsItServes(t *testing.T) {
+	r := settled(t, 2, "counts/c1")
+	n := r.nodes[0]
+	fresh := message.Hello{Name: "entry-2", Incarnation: 77, Region: "r", Domain: "d2", CallerAddress: "10.0.0.3:80", PeerAddress: "10.0.0.3:81"}
+	r.do(n, func(now time.Duration, out *Actions) { n.Introduce(now, fresh, out) })
+	for sequence, state := range []message.EntryState{message.EntryStarting, message.EntryServing} {
+		u := message.Update{From: 77, Sequence: uint64(sequence + 1), State: state, Epoch: 1}
+		r.do(n, func(now time.Duration, out *Actions) { n.PeerUpdate(now, &u, out) })
+		r.list(uint64(2+sequence), "counts/c1", "counts/c2")
+		r.run(200 * ms)
+		if got, want := n.givenTo("counts"), []string{"0 1", "0 1 2"}[sequence]; got != want {
+			t.Errorf("state %v: named %q, want %q", state, got, want)
+		}
+	}
+}
+
+// A tablet got an answer under revision 2 from one entry and asks another one
+// that still has revision 1. It would see the old limits again. The entry
+// fetches at once, in the very event; with the service down it has the revision
+// from a peer a heartbeat later. A caller that makes revisions up costs a few
+// calls of the service and not one per request.
+func TestCallerWithLaterRevision(t *testing.T) {
+	r := settled(t, 3, "counts/c1")
+	n := r.nodes[0]
+	r.republish(2, `deadline = "800ms"`, `deadline = "700ms"`)
+	out := r.do(n, func(now time.Duration, out *Actions) {
+		n.Arrive(now, Arrival{ID: 1 << 40, Service: "counts", Revision: 2}, out)
+	})
+	if len(out.Fetches) != 1 || out.Fetches[0].Name != platform.ProfilesValue || out.Fetches[0].After != 1 {
+		t.Errorf("fetches %+v", out.Fetches)
+	}
+	r.until(5*sec, atRevision(2))
+	r.down = func(x *node) bool { return x != r.nodes[2] }
+	r.republish(3, `deadline = "700ms"`, `deadline = "600ms"`)
+	r.until(5*sec, func(x *node) bool { return x != r.nodes[2] || atRevision(3)(x) })
+	r.ask(n, Arrival{Service: "counts", Revision: 3})
+	if took := r.until(5*sec, func(x *node) bool { return x != n || atRevision(3)(x) }); took > sec {
+		t.Errorf("from a peer after %v", took)
+	}
+	r.down = func(*node) bool { return false }
+	fetches := 0
+	for i := range uint64(1000) {
+		out := r.do(n, func(now time.Duration, out *Actions) {
+			n.Arrive(now, Arrival{ID: RequestID(1<<41 + i), Service: "counts", Revision: 1000 + i}, out)
+		})
+		fetches += len(out.Fetches)
+		r.run(10 * ms)
+	}
+	if fetches > 12 {
+		t.Errorf("%d fetches in 10 s for made-up revisions", fetches)
+	}
+}
--- a/internal/core/gossip/compose.go
+++ b/internal/core/gossip/compose.go
@@ -156,13 +156,40 @@
 	p.told.profiles = max(p.told.profiles, u.Profiles.Revision)
 	p.told.vms = max(p.told.vms, u.VMs.Revision)
 	if u.Known != s.log.digest {
+		s.noteDifference(now, p)
 		return
 	}
+	p.differs, p.repairs = false, 0
 	for _, c := range s.log.claims {
 		s.markKnown(c, p)
 	}
 }
 
+// noteDifference tells a peer everything again whose evidence has differed for
+// long although nothing is owed to it. Guards against a message that a link
+// took and lost: without this the peer would send work to an endpoint that
+// leaves for as long as the platform's list is stale. Where the sets differ for
+// good, because one of them is full, the pauses grow.
+func (s *Scheduler) noteDifference(now time.Duration, p *peer) {
+	if p.owed > 0 || p.inFlight {
+		p.differs = false
+		return
+	}
+	if !p.differs {
+		p.differs, p.differsSince = true, now
+		return
+	}
+	if now-p.differsSince < repairMin<<min(p.repairs, repairDoublings) {
+		return
+	}
+	p.differs = false
+	p.repairs++
+	for _, c := range s.log.claims {
+		c.known.remove(p.slot)
+	}
+	p.owed = len(s.log.claims)
+}
+
 // leaveToSender lets fingers wait that the sender of bulky news reaches without
 // this entry. The sender's own fingers divide the ring into arcs; this entry
 // first serves the arc that begins with it. Guards against a bound that is spent
--- a/internal/core/gossip/config.go
+++ b/internal/core/gossip/config.go
@@ -91,6 +91,14 @@
 	retryMax      = 2 * time.Second
 )
 
+// repairMin is how long the evidence of a peer may differ before it is told
+// everything again. It leaves time for news that is on its way. The time doubles
+// with each repair in a row, up to about two minutes.
+const (
+	repairMin       = time.Second
+	repairDoublings = 7
+)
+
 // sightingRefresh: an unchanged sighting is told again after this time, and one
 // older than this is not told.
 const sightingRefresh = time.Second
--- a/internal/core/gossip/scheduler.go
+++ b/internal/core/gossip/scheduler.go
@@ -66,6 +66,12 @@
 
 	failures int
 	retryAt  time.Duration
+
+	// differs: its evidence has differed since then although nothing is owed;
+	// repairs counts how often it was told everything again for that.
+	differs      bool
+	differsSince time.Duration
+	repairs      int
 }
 
 // Scheduler decides when to tell which peer what.
--- /dev/null
+++ b/internal/core/outcome_test.go
@@ -0,0 +1,124 @@
+package core
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// reactions names what an endpoint, or the way to it, can do with a request.
+var reactions = map[string]reaction{
+	"answers":     {after: 10 * ms},
+	"answers 500": {after: 10 * ms, head: Head{Status: 500}},
+	"answers 503": {after: 10 * ms, head: Head{Status: 503}},
+	"refuses":     {after: 10 * ms, head: Head{Status: 503, NotRun: true}},
+	"not dialled": {after: 10 * ms, ignores: true, end: End{Kind: EndNotWritten, DialFailed: true}},
+	"not sent":    {after: 10 * ms, ignores: true, end: End{Kind: EndNotWritten}},
+	"lost":        {after: 10 * ms, end: End{Kind: EndLost}},
+	"silent":      {after: 10 * ms, end: End{Kind: EndLost, ConnSilent: true}},
+	"breaks off":  {after: 10 * ms, end: End{Kind: EndTruncated}},
+	"slow":        {after: 300 * ms},
+	"slowly lost": {after: 300 * ms, end: End{Kind: EndLost}},
+	"never":       {after: time.Hour},
+	"bad body":    {after: 10 * ms, end: End{Kind: EndLost, BodyFailed: true}},
+}
+
+// scripted lets the attempts of one request meet these reactions in turn, and
+// every later one be answered. It returns what the caller was told and how
+// often the request was sent.
+func scripted(t *testing.T, a Arrival, script string) (told, int) {
+	r := settled(t, 1, "counts/c1", "counts/c2", "counts/c3", "counts/c4",
+		"waste/w1", "waste/w2", "waste/w3", "shared/s1", "shared/s2", "shared/s3")
+	n := r.nodes[0]
+	for range 100 {
+		n.services[a.Service].retry.Earn()
+	}
+	steps := strings.Split(script, ", ")
+	sent := 0
+	r.endpoint = func(string, Arrival) reaction {
+		sent++
+		if sent > len(steps) {
+			return reactions["answers"]
+		}
+		re, known := reactions[steps[sent-1]]
+		if !known {
+			t.Fatalf("no reaction %q", steps[sent-1])
+		}
+		return re
+	}
+	if a.Service == "waste" {
+		a.Key, a.HasKey = r.key(n), true
+	}
+	id := r.ask(n, a)
+	if a.Digest[0] == unreplayable {
+		n.arrivals[id] = Arrival{Service: a.Service}
+	}
+	r.run(12 * sec)
+	got, answered := n.told[id]
+	if !answered || got.twice || n.InFlight() != 0 {
+		t.Errorf("answered %v, twice %v, %d requests held", answered, got.twice, n.InFlight())
+	}
+	return got, sent
+}
+
+// unreplayable marks a request whose body can be sent once only.
+const unreplayable = 255
+
+// A caller must know what became of its request when endpoints fail under it:
+// each case lets the attempts of one request end in different ways. Only when
+// every attempt provably did not run is the caller told "not run", and only
+// what does no harm twice, or provably did not run, is sent again.
+func TestWeakestStatementCounts(t *testing.T) {
+	once, photo, scan := Arrival{Service: "waste"}, Arrival{Service: "photos"}, Arrival{Service: "photos", Safe: true}
+	read, urgent, hedged := Arrival{Service: "counts"}, Arrival{Service: "checks"}, Arrival{Service: "hedged"}
+	nested, again := Arrival{Service: "counts", Depth: 1}, Arrival{Service: "counts", CallerAttempt: 2}
+	unsafeBody := Arrival{Service: "counts", Digest: [32]byte{unreplayable}}
+	nestedHedge := Arrival{Service: "hedged", Depth: 3}
+	for _, tt := range []struct {
+		name    string
+		request Arrival
+		script  string
+		outcome Outcome
+		reason  Reason
+		sent    int
+	}{
+		{"a read is sent again when it is lost", read, "lost", OutcomeDone, ReasonNone, 2},
+		{"a read refused everywhere did not run", read, "refuses, refuses, refuses", OutcomeNotRun, ReasonEndpointsRefuse, 3},
+		{"one lost try among refusals is unknown", read, "refuses, lost, refuses", OutcomeUnknown, ReasonEndpointsRefuse, 3},
+		{"one lost try before failed dials is unknown", read, "lost, not dialled, not dialled", OutcomeUnknown, ReasonNoEndpoint, 3},
+		{"a read is sent again after an error", read, "answers 500", OutcomeDone, ReasonNone, 2},
+		{"the last error of a read is its answer", read, "answers 500, answers 500, answers 500", OutcomeDone, ReasonNone, 3},
+		{"an error among refusals is unknown", read, "answers 500, refuses, refuses", OutcomeUnknown, ReasonEndpointsRefuse, 3},
+		{"a read without an answer", read, "never", OutcomeUnknown, ReasonDeadline, 1},
+		{"a body that can't be sent again", unsafeBody, "refuses", OutcomeNotRun, ReasonEndpointsRefuse, 1},
+		{"a broken body is not sent again", read, "bad body", OutcomeUnknown, ReasonBodyBroken, 1},
+		{"a silent connection is not the end of a read", read, "silent, silent", OutcomeDone, ReasonNone, 3},
+		{"a booking that was lost is unknown", once, "lost", OutcomeUnknown, ReasonEndpointLost, 1},
+		{"a booking on a silent connection is unknown", once, "silent", OutcomeUnknown, ReasonEndpointLost, 1},
+		{"a booking that was refused goes elsewhere", once, "refuses, not dialled", OutcomeDone, ReasonNone, 3},
+		{"a booking that was refused and then lost", once, "refuses, lost", OutcomeUnknown, ReasonEndpointLost, 2},
+		{"a booking refused by all did not run", once, "refuses, not sent, refuses", OutcomeNotRun, ReasonEndpointsRefuse, 3},
+		{"an error is the answer to a booking", once, "answers 500", OutcomeDone, ReasonNone, 1},
+		{"a plain 503 is no proof", once, "answers 503", OutcomeUnknown, ReasonNone, 1},
+		{"a plain 503 after a refusal neither", once, "refuses, answers 503", OutcomeUnknown, ReasonNone, 2},
+		{"a batch that was lost is unknown", photo, "lost", OutcomeUnknown, ReasonEndpointLost, 1},
+		{"an idempotent upload is sent again", scan, "lost", OutcomeDone, ReasonNone, 2},
+		{"a batch that was refused goes elsewhere", photo, "refuses", OutcomeDone, ReasonNone, 2},
+		{"an urgent check is sent again", urgent, "lost, answers 503", OutcomeDone, ReasonNone, 3},
+		{"below another call, what may have run is not sent again", nested, "lost", OutcomeUnknown, ReasonEndpointLost, 1},
+		{"below another call, a refusal goes elsewhere", nested, "refuses", OutcomeDone, ReasonNone, 2},
+		{"below a second try, an error is the answer", again, "answers 500", OutcomeDone, ReasonNone, 1},
+		{"a hedge wins", hedged, "slow, answers", OutcomeDone, ReasonNone, 2},
+		{"a hedge loses", hedged, "slow, never", OutcomeDone, ReasonNone, 2},
+		{"a hedge fails and the first try answers", hedged, "slow, answers 500", OutcomeDone, ReasonNone, 2},
+		{"a hedge is refused after the first try was lost", hedged, "slowly lost, refuses, refuses", OutcomeUnknown, ReasonEndpointsRefuse, 3},
+		{"no hedge below another call", nestedHedge, "slow", OutcomeDone, ReasonNone, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			got, sent := scripted(t, tt.request, tt.script)
+			if got.Outcome != tt.outcome || got.Reason != tt.reason || sent != tt.sent {
+				t.Errorf("told %v (%v) after %d attempts, want %v (%v) after %d", got.Outcome, got.Reason, sent, tt.outcome, tt.reason, tt.sent)
+			}
+		})
+	}
+}
--- a/internal/core/rig_test.go
+++ b/internal/core/rig_test.go
@@ -27,8 +27,9 @@
 // and the platform do. A test may replace any of its functions.
 type rig struct {
 	testing.TB
-	now  time.Duration
-	wall time.Time // at time 0
+	now    time.Duration
+	wall   time.Time // at time 0
+	config func(*Config)
 	// tick is how often the cores run their systems.
 	tick     time.Duration
 	nodes    []*node
@@ -38,8 +39,12 @@
 	keysMade uint64
 	// cut says that nothing gets from one entry to another, down that an entry
 	// can't reach the platform.
-	cut  func(from, to *node) bool
+	cut func(from, to *node) bool
+	// lose says that a link takes a message and loses it.
+	lose func(from, to *node, u *message.Update) bool
 	down func(n *node) bool
+	// dial is the time from a decision to the first byte.
+	dial func() time.Duration
 	// endpoint says what becomes of a request at an endpoint.
 	endpoint func(name string, a Arrival) reaction
 	written  map[string]int // requests written, by endpoint
@@ -97,7 +102,10 @@
 func newRig(t testing.TB, entries int) *rig {
 	r := &rig{TB: t, wall: time.Date(2027, 1, 31, 12, 0, 0, 0, time.UTC), tick: 10 * ms, docs: map[string]platform.Value{},
 		written: map[string]int{}, ran: map[string]int{}}
+	r.config = func(cfg *Config) { cfg.LargestFleet = 8 }
 	r.cut = func(_, _ *node) bool { return false }
+	r.lose = func(_, _ *node, _ *message.Update) bool { return false }
+	r.dial = func() time.Duration { return hop }
 	r.down = func(*node) bool { return false }
 	r.endpoint = func(string, Arrival) reaction { return reaction{after: 10 * ms} }
 	text, err := os.ReadFile("testdata/profiles.toml")
@@ -117,7 +125,7 @@
 	h := message.Hello{Name: fmt.Sprintf("entry-%d", i), Incarnation: incarnation, Region: "r", Domain: fmt.Sprintf("d%d", i%3),
 		CallerAddress: fmt.Sprintf("10.0.0.%d:80", i+1), PeerAddress: fmt.Sprintf("10.0.0.%d:81", i+1)}
 	cfg := DefaultConfig(h)
-	cfg.LargestFleet = 8
+	r.config(&cfg)
 	n := &node{Core: New(cfg, rand.New(rand.NewPCG(1, incarnation))), hello: h, started: r.now,
 		arrivals: map[RequestID]Arrival{}, open: map[tried]Directive{}, told: map[RequestID]told{},
 		relays: map[RequestID]func(told){}, docs: map[string]platform.Value{}}
@@ -259,7 +267,7 @@
 func (r *rig) update(from *node, u Outgoing) {
 	to := r.at(u.Address)
 	acked := r.reaches(from, to) && !to.asleep && r.reaches(to, from)
-	if r.reaches(from, to) {
+	if r.reaches(from, to) && !r.lose(from, to, &u.Update) {
 		r.post(0, to, func() {
 			known := false
 			r.do(to, func(now time.Duration, out *Actions) { known = to.PeerUpdate(now, &u.Update, out) })
--- a/internal/core/traffic_test.go
+++ b/internal/core/traffic_test.go
@@ -22,7 +22,7 @@
 
 // body names a request in the words of its caller.
 func body(a Arrival) string {
-	return fmt.Sprintf("%s caller %d digest %d", a.Service, a.Caller, a.Digest[0])
+	return fmt.Sprintf("%s caller %d digest %x key %v", a.Service, a.Caller, a.Digest[:8], a.Key)
 }
 
 // direct carries out one step of a request.
@@ -32,10 +32,12 @@
 	switch d.Step {
 	case StepDispatch:
 		n.open[t] = d
-		r.post(hop, n, func() { r.write(n, d) })
+		r.post(r.dial(), n, func() { r.write(n, d) })
+		r.post(d.Deadline-(r.now-n.started), n, func() { r.end(n, t, End{Kind: EndLost, TimedOut: true}) })
 	case StepForward:
 		n.open[t] = d
 		r.post(hop, n, func() { r.forward(n, d) })
+		r.post(d.Deadline-(r.now-n.started), n, func() { r.end(n, t, End{Kind: EndLost, TimedOut: true}) })
 	case StepCancel:
 		r.post(0, n, func() { r.end(n, t, End{Kind: EndCancelled}) })
 	case StepReply:
@@ -150,11 +152,16 @@
 	if _, open := n.open[t]; !open {
 		return
 	}
-	r.do(n, func(now time.Duration, out *Actions) {
-		n.Head(now, Head{ID: t.id, Attempt: t.n, Status: http.StatusOK}, out)
-	})
-	r.tell(n, t.id, answer)
-	r.end(n, t, End{Kind: EndComplete})
+	head := Head{ID: t.id, Attempt: t.n, Status: http.StatusOK, HomeLost: answer.Reason == ReasonHomeLost}
+	end := End{Kind: EndDiscarded}
+	out := r.do(n, func(now time.Duration, out *Actions) { n.Head(now, head, out) })
+	for _, d := range out.Requests {
+		if d.Step == StepCommit && d.ID == t.id {
+			r.tell(n, t.id, answer)
+			end.Kind = EndComplete
+		}
+	}
+	r.end(n, t, end)
 }
 
 // settled starts a fleet and runs it until all entries serve.
@@ -199,3 +206,43 @@
 	binary.LittleEndian.PutUint64(key.Random[:], r.keysMade)
 	return key
 }
+
+// traffic sends requests to the entries in turn while time passes, and returns
+// what became of them.
+func (r *rig) traffic(a Arrival, every, d time.Duration) (sent []told) {
+	type request struct {
+		n  *node
+		id RequestID
+	}
+	var all []request
+	for end := r.now + d; r.now < end; r.run(every) {
+		n := r.nodes[len(all)%len(r.nodes)]
+		a.Caller = uint64(len(all))
+		all = append(all, request{n, r.ask(n, a)})
+	}
+	r.run(sec)
+	for _, q := range all {
+		sent = append(sent, q.n.told[q.id])
+	}
+	return sent
+}
+
+// count returns how many callers were told an outcome.
+func count(all []told, o Outcome) (n int) {
+	for _, a := range all {
+		if a.Outcome == o && a.at > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// total adds up what was written to endpoints whose name begins with prefix.
+func (r *rig) total(prefix string) (n int) {
+	for name, written := range r.written {
+		if strings.HasPrefix(name, prefix) {
+			n += written
+		}
+	}
+	return n
+}
