Claims: own attempts' ages, slow and failing endpoints; bench with health and round trips

Cause: queueing at an endpoint ignored how long its requests had run; a fail-fast endpoint looked idle and quick; the bench had no distance and no health system. Change: queue where a slot ends first; pass over endpoints that failed a moment ago or are far slower than the pool's median; service time only from attempts that did not queue; patience as a share of the service time.

--- a/internal/bench/config.go
+++ b/internal/bench/config.go
@@ -27,8 +27,8 @@
 	// ProbeShare is the share of the pool's slot time that the deciders
 	// together may spend on probes; 0 for none.
 	ProbeShare float64
-	// Perfect tells the decider which endpoints are faulty. Only the oracle
-	// is told.
+	// Perfect tells the decider which endpoints are faulty. Only the yardsticks
+	// are told: ratios are to the lowest figure among them.
 	Perfect bool
 }
 
@@ -56,6 +56,11 @@
 	// Fleet is the largest fleet that probe budgets are divided by.
 	Fleet   int
 	Service time.Duration
+	// RoundTrip is added to the time between an entry and an endpoint, half of
+	// it each way; 0 leaves the loopback's.
+	RoundTrip time.Duration
+	// IgnoreIdleOnly makes the endpoints queue requests that ask to be refused.
+	IgnoreIdleOnly bool
 	// PeerDelay is the one-way time of a message between entries.
 	PeerDelay time.Duration
 	// Attempts bounds the tries of one request.
@@ -74,10 +79,15 @@
 	Seed     uint64
 }
 
-// Oracle is the yardstick: one decider that sees every slot and knows which
-// endpoints are faulty.
-func Oracle() Variant {
-	return Variant{Name: "oracle", Policy: balance.CentralQueue, Deciders: 1, Perfect: true}
+// Oracles are the yardsticks: one decider that sees every slot and knows which
+// endpoints are faulty. The first holds each request until a slot is idle; the
+// second may also queue requests at endpoints, which does better where the way
+// to the endpoint takes time, because a slot need not idle for a round trip.
+func Oracles() []Variant {
+	return []Variant{
+		{Name: "oracle", Policy: balance.CentralQueue, Deciders: 1, Perfect: true},
+		{Name: "oracle-queueing", Policy: balance.Claims, Deciders: 1, Perfect: true},
+	}
 }
 
 // DefaultConfig is the benchmark of the design note: a pool of Mermaconteo's
--- a/internal/bench/loadbench/main.go
+++ b/internal/bench/loadbench/main.go
@@ -58,6 +58,8 @@
 	flags.Float64SliceVar(&cfg.Loads, "loads", cfg.Loads, "loads as shares of slot capacity")
 	flags.IntVar(&cfg.Endpoints, "endpoints", cfg.Endpoints, "endpoints of the pool")
 	flags.IntVar(&cfg.EndpointQueue, "endpoint-queue", cfg.EndpointQueue, "requests that an endpoint queues before it refuses")
+	flags.DurationVar(&cfg.RoundTrip, "round-trip", cfg.RoundTrip, "time added between an entry and an endpoint and back")
+	flags.BoolVar(&cfg.IgnoreIdleOnly, "ignore-idle-only", cfg.IgnoreIdleOnly, "endpoints queue requests that ask to be refused")
 	flags.IntVar(&cfg.Rounds, "rounds", cfg.Rounds, "rounds, each with another trace")
 	flags.IntVar(&cfg.Parallel, "parallel", cfg.Parallel, "cells that run at the same time")
 	flags.DurationVar(&cfg.Duration, "duration", cfg.Duration, "measured time of each cell")
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"text/tabwriter"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -19,7 +20,7 @@
 	Unserved int64
 	// Quantiles in milliseconds.
 	P50, P99, P999 float64
-	// Ratios to the first variant, which is the oracle.
+	// Ratios to the lowest figure among the oracles.
 	Ratio50, Ratio99, Ratio999 float64
 	// Refused and Failed attempts for each request.
 	Refused, Failed float64
@@ -93,10 +94,25 @@
 		c.Opened = 1000 * float64(c.opened) / served
 		c.PeerBytes /= float64(max(1, c.rounds))
 		c.Probing /= float64(max(1, c.rounds))
-		oracle := &r.Cells[i-i%len(r.Config.Variants)]
-		c.Ratio50 = c.P50 / oracle.P50
-		c.Ratio99 = c.P99 / oracle.P99
-		c.Ratio999 = c.P999 / oracle.P999
+	}
+	for first := 0; first < len(r.Cells); first += len(r.Config.Variants) {
+		r.compare(r.Cells[first : first+len(r.Config.Variants)])
+	}
+}
+
+// compare sets the ratios of the cells of one load in one scenario.
+func (r *Report) compare(cells []Cell) {
+	best := [3]float64{math.Inf(1), math.Inf(1), math.Inf(1)}
+	for v := range cells {
+		if r.Config.Variants[v].Perfect {
+			best[0] = min(best[0], cells[v].P50)
+			best[1] = min(best[1], cells[v].P99)
+			best[2] = min(best[2], cells[v].P999)
+		}
+	}
+	for v := range cells {
+		c := &cells[v]
+		c.Ratio50, c.Ratio99, c.Ratio999 = c.P50/best[0], c.P99/best[1], c.P999/best[2]
 	}
 }
 
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -102,6 +102,7 @@
 	defer stopWatching()
 	var sent atomic.Int64
 	for _, d := range deciders {
+		go d.sweep(watching)
 		if variant.PeerInterval > 0 {
 			go d.exchange(watching, deciders, variant.PeerInterval, &sent)
 		}
--- /dev/null
+++ b/internal/core/balance/attempts.go
@@ -0,0 +1,59 @@
+package balance
+
+import "time"
+
+// trackedAttempts is how many own attempts in flight are tracked at one
+// endpoint; more than its slots and a short queue tell nothing new.
+const trackedAttempts = 4
+
+// attempts holds when this entry's attempts in flight at one endpoint began.
+type attempts struct {
+	begun [trackedAttempts]time.Duration
+	// queued marks those that were sent to wait at the endpoint.
+	queued [trackedAttempts]bool
+	count  int
+}
+
+func (a *attempts) add(now time.Duration, queued bool) {
+	if a.count == trackedAttempts {
+		return
+	}
+	a.begun[a.count], a.queued[a.count] = now, queued
+	a.count++
+}
+
+// remove forgets the attempt that began closest to begun and reports whether it
+// was known and had not been queued, so that its latency is service time.
+func (a *attempts) remove(begun time.Duration) (served bool) {
+	if a.count == 0 {
+		return false
+	}
+	best := 0
+	for k := 1; k < a.count; k++ {
+		if (a.begun[k] - begun).Abs() < (a.begun[best] - begun).Abs() {
+			best = k
+		}
+	}
+	served = !a.queued[best]
+	a.count--
+	a.begun[best], a.queued[best] = a.begun[a.count], a.queued[a.count]
+	return served
+}
+
+// nextEnd estimates when the first of the attempts in service ends, given a
+// service time.
+func (a *attempts) nextEnd(now time.Duration, service float64) float64 {
+	end := service
+	for k := range a.count {
+		if a.queued[k] {
+			continue
+		}
+		left := max(leastLeft*service, service-float64(now-a.begun[k]))
+		end = min(end, left)
+	}
+	return end
+}
+
+// leastLeft is the share of a service time that an attempt is taken to need
+// still, however long it has run.
+const leastLeft = 0.15
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -120,17 +120,21 @@
 	// SlowStart is how long a new endpoint gets fewer requests.
 	SlowStart time.Duration
 	// QueueAtEndpoint is how many requests beyond its slots the claims policy
-	// lets an endpoint hold.
+	// lets an endpoint hold; negative for none.
 	QueueAtEndpoint int
 	// Patience is how long a request waits in the entry for an idle slot before
-	// it may queue at an endpoint.
-	Patience time.Duration
+	// it may queue at an endpoint, as a share of the pool's service time;
+	// negative for not at all.
+	Patience float64
 }
 
 // Defaults of Config.
 const (
 	DefaultService   = 15 * time.Millisecond
 	DefaultSlowStart = 2 * time.Second
+
+	DefaultQueueAtEndpoint = 4
+	DefaultPatience        = 0.25
 )
 
 func (c Config) withDefaults() Config {
@@ -140,6 +144,14 @@
 	if c.SlowStart <= 0 {
 		c.SlowStart = DefaultSlowStart
 	}
+	if c.QueueAtEndpoint == 0 {
+		c.QueueAtEndpoint = DefaultQueueAtEndpoint
+	}
+	c.QueueAtEndpoint = max(0, c.QueueAtEndpoint)
+	if c.Patience == 0 {
+		c.Patience = DefaultPatience
+	}
+	c.Patience = max(0, c.Patience)
 	return c
 }
 
--- a/internal/core/balance/claims.go
+++ b/internal/core/balance/claims.go
@@ -16,30 +16,72 @@
 	// askAgain is how soon a waiting request asks again without news, as the
 	// estimates fade.
 	askAgain = 2 * time.Millisecond
+	// homeBonus puts an idle slot of the own share before all others, and
+	// rankCost decides between equals.
+	homeBonus = 10
+	rankCost  = 1e-3
 )
 
 // claims keeps a request in the entry's queue until a slot looks idle, by the
 // entry's own count, its peers' counts and the reports on answers, and takes the
 // slots in an order in which the deciders meet as late as possible. The request
 // asks the endpoint to refuse rather than queue it, so that a wrong view costs
-// one round trip instead of a service time.
+// one round trip instead of a service time. A request that waited past its
+// patience may queue at an endpoint: it gets the next free slot there whoever
+// held it, so that no decider starves while others hand their slots on to their
+// own requests.
 type claims struct {
 	view
-	order order
-	peers peerLoads
+	order   order
+	peers   peerLoads
+	records []record
+	// reference is the pool's median service time in nanoseconds, refreshed
+	// after every medianEvery answers.
+	reference float64
+	answers   int
+	// lastIdleOnly is whether the last choice asked for an idle slot.
+	lastIdleOnly bool
 }
 
 // Changed implements Picker.
 func (c *claims) Changed(_ time.Duration, p *table.Pool, deciders []string) {
 	c.order.rebuild(p, deciders, c.cfg.Self)
 	c.peers.reset(len(p.Endpoints), len(deciders))
+	c.records = make([]record, len(p.Endpoints))
+	c.reference = median(p)
+}
+
+// Dispatched implements Picker.
+func (c *claims) Dispatched(now time.Duration, _ *table.Pool, i int) {
+	c.records[i].attempts.add(now, !c.lastIdleOnly)
 }
 
 // Answered implements Picker.
 func (c *claims) Answered(now time.Duration, p *table.Pool, i int, obs Observation) {
-	c.view.Answered(now, p, i, obs)
+	r, e := &c.records[i], &p.Endpoints[i]
+	served := r.attempts.remove(now - obs.Latency)
+	c.sight(now, e, obs)
+	switch {
+	case obs.Failed:
+		r.failed(now)
+		return
+	case obs.Refused:
+		// The refusal itself proves that no slot is idle, whatever load the
+		// endpoint reports.
+		c.peers.sighted(now, i, max(e.Sighting.Foreign, e.Slots-e.Outstanding))
+		return
+	}
 	if obs.HasLoad {
-		c.peers.sighted(now, i, p.Endpoints[i].Sighting.Foreign)
+		c.peers.sighted(now, i, e.Sighting.Foreign)
+	}
+	r.failures, r.avoidUntil = 0, 0
+	if served {
+		r.measured = now
+		c.measure(e, obs.Latency)
+	}
+	c.answers++
+	if c.answers%medianEvery == 0 {
+		c.reference = median(p)
 	}
 }
 
@@ -60,9 +102,35 @@
 func (c *claims) Pick(now time.Duration, p *table.Pool, ask Ask, waited time.Duration) Choice {
 	s, choice, done := c.begin(now, p, ask)
 	if done {
+		c.lastIdleOnly = false
 		return choice
 	}
 	c.peers.expire(now)
+	if i, ok := c.idle(now, p, ask, s, waited); ok {
+		c.lastIdleOnly = true
+		return Choice{Index: i, OK: true, IdleOnly: true}
+	}
+	if patience := c.patience(); waited < patience {
+		return Choice{Wait: min(askAgain, patience-waited)}
+	}
+	if i, ok := c.queueAt(now, p, ask, s); ok {
+		c.lastIdleOnly = false
+		return Choice{Index: i, OK: true}
+	}
+	return Choice{Wait: askAgain}
+}
+
+// patience is how long a request waits for an idle slot only.
+func (c *claims) patience() time.Duration {
+	service := c.reference
+	if service <= 0 {
+		service = float64(c.cfg.Service)
+	}
+	return time.Duration(c.cfg.Patience * service)
+}
+
+// idle returns the best endpoint that seems to have an idle slot.
+func (c *claims) idle(now time.Duration, p *table.Pool, ask Ask, s standing, waited time.Duration) (int, bool) {
 	best, bestScore := -1, 0.0
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
@@ -71,24 +139,38 @@
 			continue
 		}
 		free := float64(slots-e.Outstanding) - c.peers.foreign(now, i, c.service(e))
-		if free < idleShare {
+		if free < idleShare || c.passOver(now, e, i, ask, waited) {
 			continue
 		}
-		score := c.score(i, free, float64(slots))
+		score := free/float64(slots) - float64(c.order.rank[i])*rankCost
+		if c.order.home[i] {
+			score += homeBonus
+		}
 		if best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
 	}
-	if best >= 0 {
-		return Choice{Index: best, OK: true, IdleOnly: true}
+	return best, best >= 0
+}
+
+// passOver reports whether an endpoint is better left alone: it failed a
+// moment ago, or is so slow that the request would end earlier by waiting on.
+func (c *claims) passOver(now time.Duration, e *table.Endpoint, i int, ask Ask, waited time.Duration) bool {
+	r := &c.records[i]
+	if now < r.avoidUntil {
+		return true
 	}
-	if waited >= c.cfg.Patience {
-		if i, ok := c.queueAt(now, p, ask, s); ok {
-			return Choice{Index: i, OK: true}
-		}
-		return Choice{Wait: askAgain}
+	if !c.slow(e) {
+		return false
 	}
-	return Choice{Wait: min(askAgain, c.cfg.Patience-waited)}
+	if ask.Trial && e.Outstanding == 0 && now-r.measured > slowRetry {
+		return false
+	}
+	return float64(waited) < e.ServiceNanos-c.reference
+}
+
+func (c *claims) slow(e *table.Endpoint) bool {
+	return c.reference > 0 && e.ServiceNanos > slowFactor*c.reference
 }
 
 // queueAt returns the endpoint where a queued request is served soonest.
@@ -98,31 +180,18 @@
 		if !eligible(now, p, i, ask.Tried, s) {
 			continue
 		}
-		e := &p.Endpoints[i]
-		load := float64(e.Outstanding) + c.peers.foreign(now, i, c.service(e))
-		if load >= float64(int(e.Slots)+c.cfg.QueueAtEndpoint)-idleShare {
+		e, r := &p.Endpoints[i], &c.records[i]
+		service, slots := c.service(e), float64(max(1, e.Slots))
+		load := float64(e.Outstanding) + c.peers.foreign(now, i, service)
+		if now < r.avoidUntil || load >= slots+float64(c.cfg.QueueAtEndpoint)-idleShare {
 			continue
 		}
-		t := load + float64(c.order.rank[i])*1e-3
-		if best < 0 || t < bestTime {
-			best, bestTime = i, t
+		ahead := max(0, load-slots)
+		end := min(r.attempts.nextEnd(now, service), service/2)
+		ready := end + ahead*service/slots + service
+		if best < 0 || ready < bestTime {
+			best, bestTime = i, ready
 		}
 	}
 	return best, best >= 0
 }
-
-// score prefers endpoints of the own share, then emptier ones, then the order.
-func (c *claims) score(i int, free, slots float64) float64 {
-	score := free/slots - float64(c.order.rank[i])*1e-3
-	if c.order.home[i] {
-		score += 10
-	}
-	return score
-}
-
-func (v *view) service(e *table.Endpoint) float64 {
-	if e.ServiceNanos > 0 {
-		return e.ServiceNanos
-	}
-	return float64(v.cfg.Service)
-}
--- a/internal/core/balance/simple.go
+++ b/internal/core/balance/simple.go
@@ -110,10 +110,7 @@
 	if !e.Sighting.Seen {
 		return 0
 	}
-	service := e.ServiceNanos
-	if service <= 0 {
-		service = float64(v.cfg.Service)
-	}
+	service := v.service(e)
 	age := float64(now - e.Sighting.At)
 	return float64(e.Sighting.Foreign) * service / (service + max(0, age))
 }
--- /dev/null
+++ b/internal/core/balance/standings.go
@@ -0,0 +1,69 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+const (
+	// slowFactor is how much slower than the pool's median an endpoint must be
+	// to be avoided.
+	slowFactor = 2
+	// slowRetry is how often a slow endpoint is measured again by a request
+	// that may be spent on a trial.
+	slowRetry = 5 * time.Second
+	// medianEvery is the number of answers between two looks at the median.
+	medianEvery = 32
+	// avoidFirst and avoidMost bound the time for which an endpoint that
+	// failed a request is passed over; it doubles with each failure in a row.
+	avoidFirst = 20 * time.Millisecond
+	avoidMost  = time.Second
+)
+
+// record is what the claims policy remembers of one endpoint beside its row.
+type record struct {
+	attempts attempts
+	// measured is when an answer last told a service time.
+	measured time.Duration
+	// avoidUntil and failures pass over an endpoint that turns requests away.
+	avoidUntil time.Duration
+	failures   int
+}
+
+// failed notes an attempt without a usable answer. An endpoint that fails fast
+// is idle and quick, hence the most attractive of all by load and latency; the
+// growing pause keeps it from drawing the pool's traffic until the health
+// system has ejected it.
+func (r *record) failed(now time.Duration) {
+	pause := avoidMost
+	if r.failures < 6 {
+		pause = min(avoidMost, avoidFirst<<r.failures)
+	}
+	r.failures++
+	r.avoidUntil = now + pause
+}
+
+// median returns the median service time of the pool's measured live
+// endpoints, or 0. It looks at the first MaxRemembered endpoints.
+func median(p *table.Pool) float64 {
+	var sorted [MaxRemembered]float64
+	count := 0
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if e.State != table.EndpointLive || e.ServiceNanos <= 0 || count == MaxRemembered {
+			continue
+		}
+		at := count
+		for at > 0 && sorted[at-1] > e.ServiceNanos {
+			sorted[at] = sorted[at-1]
+			at--
+		}
+		sorted[at] = e.ServiceNanos
+		count++
+	}
+	if count == 0 {
+		return 0
+	}
+	return sorted[(count-1)/2]
+}
--- a/internal/core/balance/view.go
+++ b/internal/core/balance/view.go
@@ -34,26 +34,44 @@
 
 func (v *view) Answered(now time.Duration, p *table.Pool, i int, obs Observation) {
 	e := &p.Endpoints[i]
-	if obs.HasLoad {
-		e.Sighting = table.Sighting{
-			Foreign: max(0, int32(obs.InFlight+obs.Queued)-e.Outstanding),
-			At:      now,
-			Seen:    true,
-		}
-		if obs.Slots > 0 {
-			e.Slots = int32(obs.Slots)
-		}
+	v.sight(now, e, obs)
+	// A refusal or failure is quick; counting it as service time would make an
+	// endpoint that turns everything away look fast.
+	if !obs.Refused && !obs.Failed {
+		v.measure(e, obs.Latency)
 	}
-	if obs.Refused || obs.Failed {
-		// A refusal is quick; counting it as service time would make an
-		// endpoint that turns everything away look fast.
+}
+
+// sight takes in the load that an answer reported.
+func (v *view) sight(now time.Duration, e *table.Endpoint, obs Observation) {
+	if !obs.HasLoad {
 		return
 	}
+	e.Sighting = table.Sighting{
+		Foreign: max(0, int32(obs.InFlight+obs.Queued)-e.Outstanding),
+		At:      now,
+		Seen:    true,
+	}
+	if obs.Slots > 0 {
+		e.Slots = int32(obs.Slots)
+	}
+}
+
+// measure takes in a service time.
+func (v *view) measure(e *table.Endpoint, latency time.Duration) {
 	if e.ServiceNanos == 0 {
-		e.ServiceNanos = float64(obs.Latency)
+		e.ServiceNanos = float64(latency)
 		return
 	}
-	e.ServiceNanos += serviceWeight * (float64(obs.Latency) - e.ServiceNanos)
+	e.ServiceNanos += serviceWeight * (float64(latency) - e.ServiceNanos)
+}
+
+// service is the endpoint's service time in nanoseconds, or an assumed one.
+func (v *view) service(e *table.Endpoint) float64 {
+	if e.ServiceNanos > 0 {
+		return e.ServiceNanos
+	}
+	return float64(v.cfg.Service)
 }
 
 // usable reports whether ordinary work may go to e.
