Commands of tealhallctl

Checks and compares documents and shows status, entries, endpoints, profiles, audit and metrics as tables or JSON, with documented exit codes. What comes from the network is made printable before it reaches a terminal; a followed trail that goes silent ends with an error.

--- /dev/null
+++ b/internal/ctl/audit.go
@@ -0,0 +1,116 @@
+package ctl
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/tealhall/tealhall/internal/admin"
+	"github.com/tealhall/tealhall/internal/fault"
+)
+
+// followSilence is after which silence a followed trail counts as lost: the
+// entry writes at least every admin.KeepAlive.
+const followSilence = 3 * admin.KeepAlive
+
+// maxLineBytes bounds one record.
+const maxLineBytes = 4 << 20
+
+func auditCommand(o *options) *cobra.Command {
+	var since uint64
+	var follow bool
+	cmd := &cobra.Command{
+		Use:   "audit",
+		Short: "Show the trail of changes: who changed what, from what to what, and why",
+		Long: "Show the trail of changes that an entry holds in memory: who changed what, from\n" +
+			"what to what, at which revision and why. With --output json, one record a line.",
+		Args: exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error { return o.audit(cmd.Context(), since, follow) },
+	}
+	cmd.Flags().Uint64Var(&since, "since", 0, "show only records after this number")
+	cmd.Flags().BoolVarP(&follow, "follow", "f", false, "go on with records as they come")
+	return cmd
+}
+
+func (o *options) audit(ctx context.Context, since uint64, follow bool) error {
+	query := url.Values{"since": {strconv.FormatUint(since, 10)}, "follow": {strconv.FormatBool(follow)}}
+	limit := o.timeout
+	if follow {
+		limit = followSilence
+	}
+	reading, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silent := fault.New(fault.Unavailable, "run the command again; give --since to go on", "nothing came for %s", limit)
+	watchdog := time.AfterFunc(limit, func() { cancel(silent) })
+	defer watchdog.Stop()
+	response, err := o.open(reading, admin.AuditPath+"?"+query.Encode())
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	err = o.copyTrail(response.Body, func() { watchdog.Reset(limit) })
+	switch {
+	case ctx.Err() != nil:
+		return nil // the operator ended it
+	case errors.Is(context.Cause(reading), silent):
+		return silent
+	case err == nil && follow:
+		return fault.New(fault.Unavailable, "run the command again once the entry or its successor runs", "the entry ended the stream")
+	}
+	return err
+}
+
+// copyTrail writes the records of a stream until it ends.
+func (o *options) copyTrail(stream io.Reader, heard func()) error {
+	lines := bufio.NewScanner(stream)
+	lines.Buffer(nil, maxLineBytes)
+	for lines.Scan() {
+		heard()
+		if len(lines.Bytes()) == 0 {
+			continue // the entry shows that it is there
+		}
+		if err := o.writeRecord(lines.Bytes()); err != nil {
+			return err
+		}
+	}
+	return fault.Wrap(lines.Err(), fault.Unavailable, "run the command again; give --since to go on", "the stream broke off")
+}
+
+func (o *options) writeRecord(text []byte) error {
+	if o.output == outputJSON {
+		_, err := fmt.Fprintf(o.out, "%s\n", text)
+		return err
+	}
+	var line admin.AuditLine
+	if err := json.Unmarshal(text, &line); err != nil {
+		return fault.Wrap(err, fault.Unavailable, "use the tealhallctl of the entry's release", "a record can't be read")
+	}
+	p := &page{out: o.out}
+	if line.Dropped {
+		p.line("(earlier records are no longer held)")
+	}
+	p.line("%s", recordText(&line))
+	return nil
+}
+
+func recordText(line *admin.AuditLine) string {
+	text := fmt.Sprintf("%s  #%d  %s: %s %s", clock(line.Wall), line.Seq, line.Actor, line.Subject, line.Action)
+	if line.From != "" || line.To != "" {
+		text += ", " + line.From + " -> " + line.To
+	}
+	if line.Revision > 0 {
+		text += fmt.Sprintf(" (revision %d)", line.Revision)
+	}
+	if line.Why != "" {
+		text += ": " + line.Why
+	}
+	return text
+}
--- /dev/null
+++ b/internal/ctl/command.go
@@ -0,0 +1,96 @@
+// Package ctl holds the commands of tealhallctl, the operators' tool: it checks
+// and compares profile documents and shows what an entry does. It changes
+// nothing in a fleet; that is done by publishing profiles.
+package ctl
+
+import (
+	"io"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+const (
+	defaultAdmin   = "127.0.0.1:9090"
+	defaultTimeout = 5 * time.Second
+)
+
+// options are the flags that all commands share.
+type options struct {
+	admin       string
+	authorities string
+	output      string
+	timeout     time.Duration
+
+	out io.Writer
+}
+
+// NewCommand returns the root command. Results go to out, usage and help that
+// was not asked for to errOut. It prints no errors: the caller does, and exits
+// with ExitCode.
+func NewCommand(out, errOut io.Writer) *cobra.Command {
+	o := &options{out: out}
+	root := &cobra.Command{
+		Use:   "tealhallctl",
+		Short: "Look into tealhall and check what is to be published",
+		Long: "tealhallctl checks and compares profile documents and shows what an entry does.\n" +
+			"It changes nothing in a fleet: that is done by publishing profiles.\n\n" + exitCodesText,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetOut(out)
+	root.SetErr(errOut)
+	flags := root.PersistentFlags()
+	flags.StringVar(&o.admin, "admin", defaultAdmin, "address of an entry's admin interface, IP:port or https://HOST:port")
+	flags.StringVar(&o.authorities, "authorities", "", "PEM file with the authorities to trust for an https address")
+	flags.StringVarP(&o.output, "output", "o", outputTable, "form of the result: table or json")
+	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "bound on the time to get an answer")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
+	root.PersistentPreRunE = func(*cobra.Command, []string) error { return o.check() }
+	// The only error is a flag that does not exist.
+	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp))
+	group(root)
+	root.AddCommand(
+		profileCommand(o),
+		statusCommand(o),
+		entriesCommand(o),
+		endpointsCommand(o),
+		profilesCommand(o),
+		auditCommand(o),
+		metricsCommand(o),
+	)
+	return root
+}
+
+func (o *options) check() error {
+	if o.output != outputTable && o.output != outputJSON {
+		return usagef("--output is %q; give table or json", o.output)
+	}
+	if o.timeout <= 0 {
+		return usagef("--timeout is %s; give a duration above 0", o.timeout)
+	}
+	return nil
+}
+
+// group makes a command that only holds others: without one of them it shows
+// its help, and a name that it does not hold is a usage error.
+func group(cmd *cobra.Command) {
+	cmd.SuggestionsMinimumDistance = 2
+	cmd.Args = func(cmd *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return nil
+		}
+		text := ""
+		if similar := cmd.SuggestionsFor(args[0]); len(similar) > 0 {
+			text = "; did you mean " + strings.Join(similar, " or ") + "?"
+		}
+		return usagef("%s has no command %q%s", cmd.CommandPath(), args[0], text)
+	}
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error { return cmd.Help() }
+}
+
+// exactly returns a check for the number of arguments.
+func exactly(n int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error { return usage(cobra.ExactArgs(n)(cmd, args)) }
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,114 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/tealhall/tealhall/internal/admin"
+	"github.com/tealhall/tealhall/internal/admin/admintest"
+	"github.com/tealhall/tealhall/internal/audit"
+)
+
+// sample serves a made-up entry and returns its address.
+func sample(t *testing.T) string {
+	t.Helper()
+	trail := audit.New(2, func() time.Time { return admintest.Wall }, nil)
+	trail.Add(audit.Record{Actor: "self", Subject: "entry entry-1", Action: "ready"})
+	trail.Add(audit.Record{Actor: "platform", Subject: "profiles", Action: "accepted", From: "revision 41", To: "revision 42", Revision: 42})
+	trail.Add(audit.Record{Actor: "self", Subject: "endpoint waste-2", Action: "ejected", Why: "40 % of its answers failed\x1b[2J\nline 2"})
+	registry := metrics.NewRegistry()
+	metrics.GetOrRegisterCounter("requests.done", registry).Inc(3)
+	server := httptest.NewServer(admin.NewHandler(admintest.Sample{}, trail, registry))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// run runs a command line and returns what it prints, its error and exit code.
+func run(ctx context.Context, args []string) string {
+	var out, errOut bytes.Buffer
+	cmd := NewCommand(&out, &errOut)
+	cmd.SetArgs(args)
+	err := cmd.ExecuteContext(ctx)
+	text := out.String() + errOut.String()
+	if err != nil {
+		text += fmt.Sprintf("error: %v\n", err)
+	}
+	return text + fmt.Sprintf("exit %d\n", ExitCode(err))
+}
+
+// TestCommands runs whole command lines. ADMIN stands for the address of the
+// sample entry, DOWN for one where nothing listens, OTHER for another program,
+// and files are in testdata. "ends" shows only the ends of what is printed.
+func TestCommands(t *testing.T) {
+	address := sample(t)
+	broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != admin.EntriesPath {
+			w.WriteHeader(http.StatusBadGateway)
+		}
+		fmt.Fprint(w, "<html>")
+	}))
+	defer broken.Close()
+	names := strings.NewReplacer("ADMIN", address, "OTHER", broken.Listener.Addr().String(), "DOWN", "127.0.0.1:1")
+	datadriven.RunTest(t, "testdata/commands", func(t *testing.T, d *datadriven.TestData) string {
+		var text string
+		for line := range strings.Lines(d.Input) {
+			text += run(context.Background(), strings.Fields(names.Replace(line)))
+		}
+		if d.Cmd == "ends" {
+			lines := strings.SplitAfter(text, "\n")
+			text = strings.Join(lines[:4], "") + "...\n" + strings.Join(lines[len(lines)-5:], "")
+		}
+		text = strings.ReplaceAll(text, address, "ADMIN")
+		return strings.ReplaceAll(text, broken.Listener.Addr().String(), "OTHER")
+	})
+}
+
+// lineWriter hands over what is written, piece by piece.
+type lineWriter chan string
+
+func (w lineWriter) Write(b []byte) (int, error) {
+	w <- string(b)
+	return len(b), nil
+}
+
+func TestFollowEnds(t *testing.T) {
+	trail := audit.New(4, func() time.Time { return admintest.Wall }, nil)
+	trail.Add(audit.Record{Actor: "self", Subject: "mode", Action: "switch"})
+	server := httptest.NewServer(admin.NewHandler(admintest.Sample{}, trail, metrics.NewRegistry()))
+	defer server.Close()
+	cases := []struct {
+		name string
+		end  func(cancel context.CancelFunc)
+		exit int
+	}{
+		{"by the operator", func(cancel context.CancelFunc) { cancel() }, ExitOK},
+		{"by the entry", func(context.CancelFunc) { server.CloseClientConnections() }, ExitFailure},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			out := make(lineWriter)
+			ended := make(chan error, 1)
+			cmd := NewCommand(out, out)
+			cmd.SetArgs([]string{"audit", "--follow", "--admin", server.URL})
+			go func() { ended <- cmd.ExecuteContext(ctx) }()
+			if line := <-out; !strings.Contains(line, "#1  self: mode switch") {
+				t.Errorf("first record: %q", line)
+			}
+			c.end(cancel)
+			if err := <-ended; ExitCode(err) != c.exit {
+				t.Errorf("ended with %v", err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,62 @@
+package ctl
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/tealhall/tealhall/internal/fault"
+)
+
+// The exit codes.
+const (
+	ExitOK = 0
+	// ExitFailure: the command could not do its work, for example because the
+	// entry did not answer.
+	ExitFailure = 1
+	// ExitUsage: the command line is wrong.
+	ExitUsage = 2
+	// ExitRefused: a profile document would be refused.
+	ExitRefused = 3
+	// ExitNotCalm: "status --require-calm" found a concern.
+	ExitNotCalm = 4
+)
+
+const exitCodesText = `Exit codes:
+  0  done
+  1  the command could not do its work, for example because the entry did not answer
+  2  the command line is wrong
+  3  a profile document would be refused
+  4  status --require-calm found a concern`
+
+// ExitCode returns the exit code for the error of a command.
+func ExitCode(err error) int {
+	var wrong *usageError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &wrong):
+		return ExitUsage
+	case errors.Is(err, errNotCalm):
+		return ExitNotCalm
+	case fault.KindOf(err) == fault.BadProfile:
+		return ExitRefused
+	}
+	return ExitFailure
+}
+
+var errNotCalm = errors.New("the fleet is not calm; see the concerns above")
+
+// usageError is a wrong command line.
+type usageError struct{ cause error }
+
+func (e *usageError) Error() string { return e.cause.Error() + "; see --help" }
+func (e *usageError) Unwrap() error { return e.cause }
+
+func usage(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &usageError{cause: err}
+}
+
+func usagef(format string, args ...any) error { return usage(fmt.Errorf(format, args...)) }
