--- a/internal/peer/bounds_test.go
+++ b/internal/peer/bounds_test.go
@@ -86,6 +86,7 @@
 		{"fetch before Hello", 0, "Peer.Fetch", &message.Fetch{}, new(wire.FetchReply), "before Hello"},
 		{"handover before Hello", 0, "Peer.Handover", &message.Handover{}, new(wire.AckReply), "before Hello"},
 		{"ping before Hello", 0, "Peer.Ping", &wire.Ping{}, new(wire.PingReply), "before Hello"},
+		{"large handover before Hello", 0, "Peer.Handover", &message.Handover{Records: make([]idem.Record, 100)}, new(wire.AckReply), ""},
 		{"Hello twice", 1, "Peer.Hello", &hello, new(wire.HelloReply), "Hello came twice"},
 		{"method of a later release", 1, "Peer.Later", &wire.Ping{}, new(wire.PingReply), "can't find method"},
 		{"update that makes no sense", 1, "Peer.Update", &wire.Update{Sightings: []byte{9, 9, 9, 9}}, new(wire.AckReply), ""},
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -192,14 +192,17 @@
 
 func newSession(s *Server, conn net.Conn) *session {
 	open := &session{server: s, conn: conn, opened: time.Now()}
-	open.codec = wire.NewServerCodec(conn, s.cfg.limits(), open.silence)
+	open.codec = wire.NewServerCodec(conn, s.cfg.limits(), open)
 	return open
 }
 
-// silence bounds the wait for the next request: a stranger has to say Hello
-// soon, whatever else it sends, and a peer has to send heartbeats.
-func (c *session) silence() time.Duration {
-	if c.peer.Load() == nil {
+// Known implements wire.Remote.
+func (c *session) Known() bool { return c.peer.Load() != nil }
+
+// Silence implements wire.Remote: a stranger has to say Hello soon, whatever
+// else it sends, and a peer has to send heartbeats.
+func (c *session) Silence() time.Duration {
+	if !c.Known() {
 		return c.server.cfg.DialTimeout - time.Since(c.opened)
 	}
 	return serverSilence
--- a/internal/peer/wire/codec.go
+++ b/internal/peer/wire/codec.go
@@ -144,24 +144,28 @@
 	return c.read(body, c.limits.Document)
 }
 
+// Remote is what a ServerCodec has to know of the other end.
+type Remote interface {
+	// Known reports whether the other end's Hello was accepted. Before that it
+	// may send nothing larger than a Hello.
+	Known() bool
+	// Silence returns how long the next request may take to come.
+	Silence() time.Duration
+}
+
 // ServerCodec is the answering end of a connection.
 type ServerCodec struct {
 	stream
-	// silence returns how long the next request may take to come.
-	silence func() time.Duration
-	method  Method
-	slots   chan struct{}
+	remote Remote
+	method Method
+	slots  chan struct{}
 }
 
 var _ rpc.ServerCodec = (*ServerCodec)(nil)
 
-// NewServerCodec returns a codec that owns conn. Silence returns how long the
-// next request may take to come before the connection counts as dead.
-func NewServerCodec(conn net.Conn, limits Limits, silence func() time.Duration) *ServerCodec {
-	c := &ServerCodec{
-		silence: silence,
-		slots:   make(chan struct{}, limits.InFlight),
-	}
+// NewServerCodec returns a codec that owns conn.
+func NewServerCodec(conn net.Conn, limits Limits, remote Remote) *ServerCodec {
+	c := &ServerCodec{remote: remote, slots: make(chan struct{}, limits.InFlight)}
 	c.init(conn, limits)
 	return c
 }
@@ -195,7 +199,7 @@
 }
 
 func (c *ServerCodec) readHeader(r *rpc.Request) error {
-	if err := c.conn.SetReadDeadline(time.Now().Add(c.silence())); err != nil {
+	if err := c.conn.SetReadDeadline(time.Now().Add(c.remote.Silence())); err != nil {
 		return err
 	}
 	var header RequestHeader
@@ -212,7 +216,11 @@
 	if err := c.conn.SetReadDeadline(time.Now().Add(c.limits.Read)); err != nil {
 		return err
 	}
-	err := c.read(body, c.limits.request(c.method))
+	limit := c.limits.Hello
+	if c.remote.Known() {
+		limit = c.limits.request(c.method)
+	}
+	err := c.read(body, limit)
 	if err != nil {
 		// The stream can't be followed past a message that was not decoded.
 		c.Close()
