Core: a test of a process that sleeps for 30 s

A frozen entry wakes with requests that wait, one that is about to be written and answers that came meanwhile; with its timers or its sockets first, alone and while an endpoint left, a profile changed and the service went down.

--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -93,12 +93,10 @@
 				}
 				return re
 			}
-			var all []told
 			for r.now < 40*sec {
 				for _, n := range r.nodes {
-					id := r.ask(n, Arrival{Service: "counts", CallerDomain: n.hello.Name})
+					r.ask(n, Arrival{Service: "counts", CallerDomain: n.hello.Name})
 					r.run(10 * ms)
-					all = append(all, n.told[id])
 				}
 			}
 			r.run(sec)
--- a/internal/core/keys_model_test.go
+++ b/internal/core/keys_model_test.go
@@ -72,7 +72,7 @@
 	binary.LittleEndian.PutUint64(a.Digest[:], uint64(len(m.asked)))
 	switch m.pick("request", 10) {
 	case 0:
-		a.Service = []string{"photos", "counts"}[m.pick("service", 2)]
+		a.Service, a.Timeout = []string{"photos", "counts"}[m.pick("service", 2)], 3*sec
 	case 1, 2, 3:
 		a.Service, a.HasKey, a.Key = "waste", true, m.key(m.someone())
 	default:
@@ -87,8 +87,11 @@
 			a.Caller++
 		}
 	}
-	a.Timeout = time.Duration(m.pick("timeout", 3)) * sec
-	m.asked = append(m.asked, asked{n, m.ask(n, a), a})
+	if a.HasKey {
+		a.Timeout = time.Duration(m.pick("timeout", 3)) * sec
+	}
+	id := m.ask(n, a)
+	m.asked = append(m.asked, asked{n, id, n.arrivals[id]})
 }
 
 // disturb lets something fail or be mended.
@@ -201,7 +204,7 @@
 		for i := range 3 {
 			m.start(i)
 		}
-		m.list(1, "waste/w1", "waste/w2", "photos/p1", "counts/c1")
+		m.list(1, "waste/w1", "waste/w2", "shared/s1", "counts/c1")
 		m.run(sec)
 		for range 60 {
 			if m.pick("step", 4) == 0 {
--- /dev/null
+++ b/internal/core/pause_test.go
@@ -0,0 +1,85 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+// sleep stops an entry's process and lets it run again after d, with its timers
+// or its sockets first.
+func (r *rig) sleep(n *node, d time.Duration, timersFirst bool) {
+	n.asleep = true
+	r.run(d)
+	n.asleep = false
+	if timersFirst {
+		r.do(n, func(now time.Duration, out *Actions) { n.Tick(now, r.wall.Add(r.now), out) })
+	}
+}
+
+// An entry's VM freezes for 30 s at noon. In it are bookings and reads that
+// wait, a booking that is about to be written, and answers that have come
+// meanwhile. Callers have long given up or were told by others. On waking it
+// must send nothing that is past its deadline, whatever runs first, and must
+// not blame the endpoints for the time that it slept. Alone, and while an
+// endpoint left, a profile changed and the service went down meanwhile: within
+// 3 s of waking it has learned that from its peers.
+func TestWakesUpWithAnOldPicture(t *testing.T) {
+	for _, timersFirst := range []bool{false, true} {
+		for _, more := range []bool{false, true} {
+			r := settled(t, 3, append([]string{"waste/w1", "shared/s1"}, sixCounts...)...)
+			n := r.nodes[0]
+			r.endpoint = func(string, Arrival) reaction {
+				return reaction{after: 100 * ms, head: Head{Load: Load{Known: true, InFlight: 2, Slots: 2}}}
+			}
+			r.traffic(Arrival{Service: "counts"}, 10*ms, 12*sec)
+			r.dial = func() time.Duration { return 5 * sec } // decided, and not yet written
+			var bookings, reads []RequestID
+			for range 6 {
+				bookings = append(bookings, r.ask(n, Arrival{Service: "waste", Key: r.key(n), HasKey: true}))
+			}
+			for range 30 {
+				reads = append(reads, r.ask(n, Arrival{Service: "counts"}))
+			}
+			batch := r.ask(n, Arrival{Service: "photos"})
+			clear(r.written)
+			if more {
+				r.list(2, "waste/w1", "shared/s1", "counts/c1", "counts/c2", "counts/c3", "counts/c4", "counts/c5", "counts/c6,leaving")
+				r.republish(2, `deadline = "8s"`, `deadline = "7s"`)
+				r.down = func(n *node) bool { return r.now > 15*sec }
+			}
+			r.sleep(n, 30*sec, timersFirst)
+			r.dial = func() time.Duration { return hop }
+			for open, d := range n.open {
+				if open.id != batch && n.MaySend(r.now-n.started, open.id, open.n) {
+					t.Errorf("request %d may be sent, its deadline was %v ago", open.id, r.now-n.started-d.Deadline)
+				}
+			}
+			r.run(sec)
+			if r.total("c")+r.total("w") != 0 || r.written["s1"] != 1 {
+				t.Errorf("written after waking: %v", r.written)
+			}
+			for _, id := range append(bookings, reads...) {
+				if got := n.told[id]; got.Outcome != OutcomeNotRun {
+					t.Errorf("request %d was told %+v", id, got)
+				}
+			}
+			if got := n.told[batch]; got.Outcome != OutcomeDone {
+				t.Errorf("a batch with time left was told %+v", got)
+			}
+			if e := &n.pools["waste"].Endpoints[0]; e.Sighting.Seen || !n.noted("pause") {
+				t.Error("what was seen before the pause is still believed")
+			}
+			r.run(2 * sec)
+			if more && (n.state("c6") != table.EndpointLeaving || n.InForce(platform.ProfilesValue).Revision != 2) {
+				t.Errorf("c6 is %v, revision %d", n.state("c6"), n.InForce(platform.ProfilesValue).Revision)
+			}
+			r.traffic(Arrival{Service: "counts"}, 10*ms, 3*sec)
+			if n.counters.Ejections != 0 || n.UsableEntries() != 3 {
+				t.Errorf("%d ejections, %d usable entries", n.counters.Ejections, n.UsableEntries())
+			}
+		}
+	}
+}
--- a/internal/core/rig_test.go
+++ b/internal/core/rig_test.go
@@ -54,8 +54,6 @@
 // reaction is what an endpoint does with a request.
 type reaction struct {
 	after   time.Duration
-	kind    EndKind // EndComplete if zero
-	status  int     // 200 if zero
 	head    Head
 	end     End
 	ignores bool // the request is not run
--- a/internal/core/traffic_test.go
+++ b/internal/core/traffic_test.go
@@ -15,6 +15,9 @@
 func (r *rig) ask(n *node, a Arrival) RequestID {
 	r.nextID++
 	a.ID, a.Replayable = r.nextID, true
+	if !a.HasKey {
+		binary.LittleEndian.PutUint64(a.Digest[8:], uint64(r.nextID)) // so that each one is told apart
+	}
 	n.arrivals[a.ID] = a
 	r.do(n, func(now time.Duration, out *Actions) { n.Arrive(now, a, out) })
 	return a.ID
@@ -22,7 +25,7 @@
 
 // body names a request in the words of its caller.
 func body(a Arrival) string {
-	return fmt.Sprintf("%s caller %d digest %x key %v", a.Service, a.Caller, a.Digest[:8], a.Key)
+	return fmt.Sprintf("%s caller %d digest %x key %v", a.Service, a.Caller, a.Digest[:16], a.Key)
 }
 
 // direct carries out one step of a request.
