Front and forward: interrupted uploads, silent callers, TLS; socket calls in one place

net/http panics, and logs it, when a handler answered before its full-duplex body was read and the server met the body's end after the handler: such an answer now ends the caller's connection, and the reading of the rest is bounded in time. An attempt that ends before it read beyond the kept bytes leaves the body good for another; the read deadline is touched only while a read may block. A small body in memory no longer waits for the endpoint's 100 Continue. The reading of the kept bytes has a time-out.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -83,7 +83,7 @@
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
-		if x.conn.socket.silent(cfg.SilentAfter) {
+		if x.conn.probe.Silent(cfg.SilentAfter) {
 			return &Error{Failure: Silent, Address: x.out.Address, Cause: errNoProgress}
 		}
 		if err := x.checkWait(waiting); err != nil {
--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -1,6 +1,13 @@
 package forward
 
-import "time"
+import (
+	"cmp"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/forward/socket"
+)
 
 // Config bounds the connections of one entry. Zero values take the defaults
 // named at each field.
@@ -61,21 +68,25 @@
 
 // withDefaults returns c with its zero values replaced.
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxConnsPerEndpoint, defaultMaxConns)
-	setDefault(&c.DialTimeout, defaultDialTimeout)
-	setDefault(&c.IdleTimeout, defaultIdleTimeout)
-	setDefault(&c.FreshWithin, defaultFreshWithin)
-	setDefault(&c.SilentAfter, defaultSilentAfter)
-	setDefault(&c.UserTimeout, defaultUserTimeout)
-	setDefault(&c.KeepAlive, defaultKeepAlive)
-	setDefault(&c.ContinueTimeout, defaultContinueTimeout)
-	setDefault(&c.MaxResponseHeaderBytes, defaultHeaderBytes)
+	c.MaxConnsPerEndpoint = cmp.Or(c.MaxConnsPerEndpoint, defaultMaxConns)
+	c.DialTimeout = cmp.Or(c.DialTimeout, defaultDialTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, defaultIdleTimeout)
+	c.FreshWithin = cmp.Or(c.FreshWithin, defaultFreshWithin)
+	c.SilentAfter = cmp.Or(c.SilentAfter, defaultSilentAfter)
+	c.UserTimeout = cmp.Or(c.UserTimeout, defaultUserTimeout)
+	c.KeepAlive = cmp.Or(c.KeepAlive, defaultKeepAlive)
+	c.ContinueTimeout = cmp.Or(c.ContinueTimeout, defaultContinueTimeout)
+	c.MaxResponseHeaderBytes = cmp.Or(c.MaxResponseHeaderBytes, defaultHeaderBytes)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+// dialer returns the dialer for new connections.
+func (c Config) dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout:         c.DialTimeout,
+		KeepAliveConfig: socket.KeepAlive(c.KeepAlive),
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return socket.SetUserTimeout(raw, c.UserTimeout)
+		},
 	}
 }
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/tealhall/tealhall/internal/forward/socket"
 )
 
 // bufferSize is the size of each connection's read and write buffer.
@@ -20,7 +22,7 @@
 // time, or to its pool; only abort and silent may be called by others.
 type conn struct {
 	net.Conn
-	socket *socket
+	probe  *socket.Probe
 	reader *bufio.Reader
 	writer *bufio.Writer
 
@@ -48,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: tcp, socket: newSocket(raw), headLeft: math.MaxInt64, aliveAt: now}
+	c := &conn{Conn: tcp, probe: socket.NewProbe(raw), headLeft: math.MaxInt64, aliveAt: now}
 	c.reader = bufio.NewReaderSize(c, bufferSize)
 	c.writer = bufio.NewWriterSize(c, bufferSize)
 	return c, nil
@@ -84,9 +86,11 @@
 // unlimit lifts the bound for the body of the answer.
 func (c *conn) unlimit() { c.headLeft = math.MaxInt64 }
 
-// reusable reports whether the idle connection can carry another request.
+// reusable reports whether the idle connection can carry another request. Bytes
+// that came unasked would be taken for the answer to the next request, which
+// may be another caller's.
 func (c *conn) reusable() bool {
-	return c.reader.Buffered() == 0 && c.socket.idle()
+	return c.reader.Buffered() == 0 && c.probe.Arrival() == socket.Nothing
 }
 
 // abort closes the connection for the given reason; the first reason counts.
--- a/internal/forward/head.go
+++ b/internal/forward/head.go
@@ -38,8 +38,17 @@
 // hasBody reports whether a body follows the head.
 func (f framing) hasBody() bool { return f.chunked || f.length > 0 }
 
-// writeHead writes the request line and the headers into w's buffer.
-func (o *Outgoing) writeHead(w *bufio.Writer, body framing) error {
+// asks reports whether the endpoint is asked before the body is sent.
+func (o *Outgoing) asks(body framing, small bool) bool {
+	if !body.hasBody() {
+		return false
+	}
+	return expectsContinue(o.Extra) || !small && expectsContinue(o.Request.Header)
+}
+
+// writeHead writes the request line and the headers into w's buffer. ask is set
+// if the endpoint is to be asked for the body.
+func (o *Outgoing) writeHead(w *bufio.Writer, body framing, ask bool) error {
 	r := o.Request
 	target := r.URL.RequestURI()
 	if err := checkLine(r, target); err != nil {
@@ -56,10 +65,16 @@
 		}
 	}
 	for name, values := range o.Extra {
+		if name == "Expect" {
+			continue
+		}
 		if err := writeHeader(w, name, values); err != nil {
 			return err
 		}
 	}
+	if ask {
+		writeStrings(w, "Expect: 100-continue\r\n")
+	}
 	o.writeFraming(w, body)
 	_, err := w.WriteString("\r\n")
 	return err
@@ -67,10 +82,8 @@
 
 // skip reports whether a caller's header is replaced by one of the entry's.
 func (o *Outgoing) skip(name string) bool {
-	if name == "Host" || name == "Content-Length" {
-		return true
-	}
-	if name == "Expect" && o.Body == nil {
+	switch name {
+	case "Host", "Content-Length", "Expect":
 		return true
 	}
 	_, replaced := o.Extra[name]
--- a/internal/forward/hop.go
+++ b/internal/forward/hop.go
@@ -6,8 +6,8 @@
 )
 
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1),
-// with the older ones that some callers still send. Framing, Trailer and Expect
-// are made anew for each connection.
+// with the older ones that some callers still send. The framing is made anew for
+// each connection.
 var hopByHop = map[string]bool{
 	"Connection":          true,
 	"Keep-Alive":          true,
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -146,7 +146,7 @@
 	defer p.mu.Unlock()
 	p.dropIdle()
 	for _, c := range p.all {
-		if c.socket.silent(silentAfter) {
+		if c.probe.Silent(silentAfter) {
 			c.abort(Silent)
 		}
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -24,7 +24,9 @@
 	// with trailers is sent in chunks.
 	Trailer http.Header
 	// Extra holds the entry's own headers; they replace those of Request. Names
-	// are in canonical form.
+	// are in canonical form. With "Expect: 100-continue" in it, or in Request
+	// unless the body is small and in memory, the endpoint is asked before the
+	// body is sent.
 	Extra http.Header
 	// Once is set when the request must run at most once: it goes only on a new
 	// connection or one that brought an answer within Config.FreshWithin.
@@ -117,35 +119,26 @@
 // writeRequest writes the head and a small body, or starts the upload.
 func (x *exchange) writeRequest() error {
 	body := x.out.framing()
+	small, isSmall := x.out.inline(body)
+	x.bodyDue = x.out.asks(body, isSmall)
 	w := x.conn.writer
-	if err := x.out.writeHead(w, body); err != nil {
+	if err := x.out.writeHead(w, body, x.bodyDue); err != nil {
 		return &Error{Failure: BadRequest, Address: x.out.Address, Cause: err}
 	}
-	if !body.hasBody() {
-		return w.Flush()
-	}
-	if x.expects() {
-		x.bodyDue = true
-		return w.Flush()
-	}
-	if memory, ok := x.out.inline(body); ok {
-		if _, err := memory.WriteTo(w); err != nil {
+	if isSmall && !x.bodyDue {
+		if _, err := small.WriteTo(w); err != nil {
 			return err
 		}
-		return w.Flush()
 	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	x.startUpload()
+	if body.hasBody() && !isSmall && !x.bodyDue {
+		x.startUpload()
+	}
 	return nil
 }
 
-// expects reports whether the endpoint is asked before the body is sent.
-func (x *exchange) expects() bool {
-	return expectsContinue(x.out.Extra) || expectsContinue(x.out.Request.Header)
-}
-
 // startUpload sends the body in another goroutine, so that an answer that comes
 // before the upload's end is seen.
 func (x *exchange) startUpload() {
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -6,7 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
@@ -16,6 +16,8 @@
 	Buffer int64
 	// Max is the largest body; zero for no bound.
 	Max int64
+	// Timeout bounds the wait for the bytes that are kept; zero for no bound.
+	Timeout time.Duration
 }
 
 // TooLarge is the error of a body beyond its bound; see RefuseTooLarge.
@@ -36,22 +38,25 @@
 // fits the buffer can be sent any number of times. A larger one can be sent
 // again until bytes beyond the buffer were read, since those are gone then.
 //
-// It is for one goroutine at a time, but for Interrupt and Streamed.
+// It is for one goroutine at a time, but for Streamed.
 type ReplayBody struct {
 	request    *http.Request
 	controller *http.ResponseController
 	source     io.Reader
 	buffer     []byte
 	whole      bool
-	streamed   atomic.Bool
-	// interrupted is set when the rest may not be read any more.
-	interrupted atomic.Bool
+
+	mu sync.Mutex
+	// streamed is set when the rest beyond the buffer was asked for, ended when
+	// it was read to its end.
+	streamed, ended bool
 }
 
 // NewReplayBody prepares the body of r, and reads up to limits.Buffer bytes of
 // it. It reads nothing if the caller waits for 100-continue with a body that
 // may not fit the buffer: the endpoint is to say first whether it wants it. The
-// error is *TooLarge, or that of the caller's connection.
+// error is *TooLarge, os.ErrDeadlineExceeded within another, or that of the
+// caller's connection.
 func NewReplayBody(w http.ResponseWriter, r *http.Request, limits BodyLimits) (*ReplayBody, error) {
 	b := &ReplayBody{request: r, controller: http.NewResponseController(w), source: r.Body}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
@@ -68,7 +73,11 @@
 	}
 	fits := r.ContentLength >= 0 && r.ContentLength <= limits.Buffer
 	if !fits && (r.Header.Get("Expect") != "" || limits.Buffer <= 0) {
-		return b, b.stream()
+		return b, b.stream(w)
+	}
+	if limits.Timeout > 0 {
+		b.controller.SetReadDeadline(time.Now().Add(limits.Timeout))
+		defer b.controller.SetReadDeadline(time.Time{})
 	}
 	if err := b.fill(limits.Buffer); err != nil {
 		return nil, err
@@ -76,7 +85,7 @@
 	if b.whole {
 		return b, nil
 	}
-	return b, b.stream()
+	return b, b.stream(w)
 }
 
 // fill reads up to limit bytes into the buffer.
@@ -108,7 +117,10 @@
 }
 
 // stream lets an answer begin before the body was read whole.
-func (b *ReplayBody) stream() error {
+func (b *ReplayBody) stream(w http.ResponseWriter) error {
+	if tracked, ok := unwrapTo[*answerWriter](w); ok {
+		tracked.body = b
+	}
 	err := b.controller.EnableFullDuplex()
 	if errors.Is(err, http.ErrNotSupported) {
 		return nil
@@ -125,7 +137,11 @@
 
 // Streamed reports whether bytes beyond the buffer were read, so that the body
 // can't be sent again.
-func (b *ReplayBody) Streamed() bool { return b.streamed.Load() }
+func (b *ReplayBody) Streamed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.streamed
+}
 
 // Length returns the length of the body, -1 if it is not known.
 func (b *ReplayBody) Length() int64 {
@@ -145,26 +161,18 @@
 		}
 		return bytes.NewReader(b.buffer), true
 	}
-	if b.streamed.Load() {
+	if b.Streamed() {
 		return nil, false
 	}
 	return &streamReader{body: b, kept: b.buffer}, true
 }
 
-// Interrupt ends a blocked read of the caller's connection. The body can't be
-// read any more, and the connection ends after the answer.
-func (b *ReplayBody) Interrupt() {
-	if b.whole || b.interrupted.Swap(true) {
-		return
-	}
-	// Any time in the past will do.
-	b.controller.SetReadDeadline(time.Unix(1, 0))
-}
-
 // streamReader is the body for one attempt: the bytes kept, then the rest.
 type streamReader struct {
 	body *ReplayBody
 	kept []byte
+	// stopped is guarded by body.mu.
+	stopped bool
 }
 
 // Read implements io.Reader.
@@ -174,16 +182,55 @@
 		s.kept = s.kept[n:]
 		return n, nil
 	}
-	s.body.streamed.Store(true)
-	if s.body.interrupted.Load() {
+	if !s.beginRest() {
 		return 0, errInterrupted
 	}
 	n, err := s.body.source.Read(p)
+	if err == io.EOF {
+		s.body.endRest()
+	}
 	return n, tooLarge(err)
 }
 
-// Interrupt implements forward.Interrupter.
-func (s *streamReader) Interrupt() { s.body.Interrupt() }
+// beginRest notes that the rest is read, unless this attempt was interrupted
+// before: then the body stays whole for another attempt.
+func (s *streamReader) beginRest() bool {
+	s.body.mu.Lock()
+	defer s.body.mu.Unlock()
+	if s.stopped {
+		return false
+	}
+	s.body.streamed = true
+	return true
+}
+
+// finished reports whether the rest was read to its end.
+func (b *ReplayBody) finished() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended
+}
+
+func (b *ReplayBody) endRest() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+}
+
+// Interrupt ends the attempt's reading of the body. If the rest is being read,
+// the read ends and the caller's connection is closed after the answer. The
+// read deadline must not be touched otherwise: net/http takes an expired one
+// for the caller's leaving once the body has ended.
+func (s *streamReader) Interrupt() {
+	s.body.mu.Lock()
+	defer s.body.mu.Unlock()
+	s.stopped = true
+	if !s.body.streamed || s.body.ended {
+		return
+	}
+	// Any time in the past will do.
+	s.body.controller.SetReadDeadline(time.Unix(1, 0))
+}
 
 // tooLarge turns net/http's error for a body beyond its bound into ours.
 func tooLarge(err error) error {
--- /dev/null
+++ b/internal/front/caller_test.go
@@ -0,0 +1,109 @@
+package front
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/forward"
+	"golang.org/x/sys/unix"
+)
+
+// A contractor's phone walks out of the hall in the middle of a streamed answer.
+// No segment says so: what the entry sends is never acknowledged. The TCP user
+// time-out must end the connection, and with it the endpoint's work.
+func TestSilentCaller(t *testing.T) {
+	ended := make(chan struct{})
+	proceed := make(chan struct{})
+	_, address := serve(t, ServerConfig{UserTimeout: 100 * time.Millisecond}, func(w http.ResponseWriter, r *http.Request) {
+		<-proceed
+		io.WriteString(w, "part")
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		close(ended)
+	})
+	c := dial(t, address)
+	c.say(lines("GET / HTTP/1.1", "Host: a", "", ""))
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+	program := unix.SockFprog{Len: 1, Filter: &drop}
+	raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	close(proceed)
+	<-ended
+}
+
+func TestTLS(t *testing.T) {
+	// The test server lends its certificate and a client that trusts it.
+	lender := httptest.NewTLSServer(nil)
+	defer lender.Close()
+	_, address := serve(t, ServerConfig{TLS: lender.TLS}, echo)
+	resp, err := lender.Client().Get("https://" + address + "/tray")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if text, err := io.ReadAll(resp.Body); string(text) != "/tray " || err != nil || resp.ProtoMajor != 1 {
+		t.Errorf("got %q, %v, %s", text, err, resp.Proto)
+	}
+}
+
+// BenchmarkWay compares a call on a kept raw connection directly to an endpoint
+// and through front and forward, all in one process.
+func BenchmarkWay(b *testing.B) {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, "0123456789012345678901234567890123456789")
+	}))
+	defer endpoint.Close()
+	target, _ := url.Parse(endpoint.URL)
+	connections := forward.New(forward.Config{Clock: testClock()})
+	defer connections.Close()
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := NewServer(ServerConfig{}, pass(connections, target.Host, BodyLimits{Buffer: 64 << 10}))
+	go s.Serve(listener)
+	defer s.http.Close()
+	plain := httptest.NewServer(pass(connections, target.Host, BodyLimits{Buffer: 64 << 10}))
+	defer plain.Close()
+	ways := []struct{ name, address string }{
+		{"direct", target.Host},
+		{"through", listener.Addr().String()},
+		{"through-without-guard", plain.Listener.Addr().String()},
+	}
+	for _, way := range ways {
+		b.Run(way.name, func(b *testing.B) { callRaw(b, way.address) })
+	}
+}
+
+func callRaw(b *testing.B, address string) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	request := lines("GET /tray?kind=live HTTP/1.1", "Host: a", "Tealhall-Service: live-counts", "Accept: */*", "", "")
+	b.ReportAllocs()
+	for b.Loop() {
+		io.WriteString(conn, request)
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+}
--- a/internal/front/copy_test.go
+++ b/internal/front/copy_test.go
@@ -127,6 +127,7 @@
 	_, endpoint := serve(t, ServerConfig{}, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/early" {
 			http.NewResponseController(w).EnableFullDuplex()
+			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusTooManyRequests)
 			return
 		}
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -29,7 +29,7 @@
 // feeds. Bodies are passed on as they come.
 type guard struct {
 	net.Conn
-	socket  *net.TCPConn
+	tcp     *net.TCPConn // Conn, or what it is on top of
 	maxHead int
 	slow    time.Duration // time for a head from its first byte on
 
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -6,15 +6,11 @@
 	"net"
 	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/tealhall/tealhall/internal/forward/socket"
 )
 
-// keepAliveCount is how many keep-alive probes may stay unanswered.
-const keepAliveCount = 3
-
 // drainTime is how long connections that the kernel has accepted are still
 // taken over before a listener closes. Closing it at once would reset them,
 // perhaps with a request sent already.
@@ -55,30 +51,19 @@
 
 // setOptions makes the kernel notice a caller that went away without a word.
 func (s *Server) setOptions(tcp *net.TCPConn) error {
-	err := tcp.SetKeepAliveConfig(net.KeepAliveConfig{
-		Enable:   true,
-		Idle:     s.cfg.KeepAlive,
-		Interval: s.cfg.KeepAlive,
-		Count:    keepAliveCount,
-	})
-	raw, rawErr := tcp.SyscallConn()
-	if err != nil || rawErr != nil {
-		return errors.Join(err, rawErr)
+	if err := tcp.SetKeepAliveConfig(socket.KeepAlive(s.cfg.KeepAlive)); err != nil {
+		return err
 	}
-	return setUserTimeout(raw, s.cfg.UserTimeout)
-}
-
-func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-	})
-	return errors.Join(err, optErr)
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return socket.SetUserTimeout(raw, s.cfg.UserTimeout)
 }
 
 // guard wraps a new connection, inside TLS if that is set.
 func (s *Server) guard(tcp *net.TCPConn) *guard {
-	g := &guard{Conn: tcp, socket: tcp, maxHead: s.cfg.MaxHeaderBytes, slow: s.cfg.ReadHeaderTimeout}
+	g := &guard{Conn: tcp, tcp: tcp, maxHead: s.cfg.MaxHeaderBytes, slow: s.cfg.ReadHeaderTimeout}
 	if s.cfg.TLS != nil {
 		g.Conn = tls.Server(tcp, s.cfg.TLS)
 	}
@@ -90,15 +75,9 @@
 	if !g.idle.Load() || g.partial.Load() {
 		return false
 	}
-	raw, err := g.socket.SyscallConn()
+	raw, err := g.tcp.SyscallConn()
 	if err != nil {
 		return true
 	}
-	empty := true
-	raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = err != nil || n == 0
-	})
-	return empty
+	return socket.NewProbe(raw).Arrival() != socket.Bytes
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -4,6 +4,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -46,21 +47,14 @@
 )
 
 func (c ServerConfig) withDefaults() ServerConfig {
-	setDefault(&c.ReadHeaderTimeout, defaultReadHeader)
-	setDefault(&c.IdleTimeout, defaultIdle)
-	setDefault(&c.MaxHeaderBytes, defaultHeaderBytes)
-	setDefault(&c.KeepAlive, defaultKeepAlive)
-	setDefault(&c.UserTimeout, defaultUserTimeout)
+	c.ReadHeaderTimeout = cmp.Or(c.ReadHeaderTimeout, defaultReadHeader)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, defaultIdle)
+	c.MaxHeaderBytes = cmp.Or(c.MaxHeaderBytes, defaultHeaderBytes)
+	c.KeepAlive = cmp.Or(c.KeepAlive, defaultKeepAlive)
+	c.UserTimeout = cmp.Or(c.UserTimeout, defaultUserTimeout)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
 	cfg      ServerConfig
@@ -164,6 +158,7 @@
 	}
 	tracked := &answerWriter{ResponseWriter: w, server: s}
 	s.handler.ServeHTTP(tracked, r)
+	tracked.end()
 	if tracked.cutOff {
 		abort(g, r)
 	}
@@ -174,7 +169,7 @@
 // shows such a caller that it was cut off.
 func abort(g *guard, r *http.Request) {
 	if g != nil && !r.ProtoAtLeast(1, 1) {
-		g.socket.SetLinger(0)
+		g.tcp.SetLinger(0)
 	}
 	panic(http.ErrAbortHandler)
 }
@@ -184,15 +179,20 @@
 	http.ResponseWriter
 	server *Server
 	wrote  bool
+	// body is set while the request's body is streamed.
+	body *ReplayBody
 	// cutOff is set when the answer that was begun can't be completed.
 	cutOff bool
 }
 
-// WriteHeader asks the caller to go elsewhere while the server leaves.
+// WriteHeader asks the caller to go elsewhere while the server leaves. An
+// answer that begins before the body was read whole also ends the connection:
+// net/http panics if it reads the rest of such a body after the handler and
+// then waits for the next request.
 func (w *answerWriter) WriteHeader(status int) {
 	if status >= http.StatusOK && !w.wrote {
 		w.wrote = true
-		if w.server.leaving.Load() {
+		if w.server.leaving.Load() || w.body != nil && !w.body.finished() {
 			w.Header().Set("Connection", "close")
 		}
 	}
@@ -207,6 +207,19 @@
 	return w.ResponseWriter.Write(p)
 }
 
+// end is called when the handler returned. The server reads on for the rest of
+// a body, to end the connection gently; a caller that sends no more may not hold
+// it for long.
+func (w *answerWriter) end() {
+	if w.body == nil || w.body.finished() {
+		return
+	}
+	if !w.wrote {
+		w.WriteHeader(http.StatusOK)
+	}
+	w.body.controller.SetReadDeadline(time.Now().Add(lingerTime))
+}
+
 // Unwrap is for http.ResponseController.
 func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/tealhall/tealhall/internal/forward"
 )
 
 func decimal(n int) string     { return strconv.Itoa(n) }
@@ -108,8 +110,15 @@
 			if err != nil || body.Whole() != test.whole {
 				t.Fatalf("whole %v, %v", body.Whole(), err)
 			}
-			if reader, ok := body.Reader(); reader != nil && ok {
-				io.ReadFull(reader, make([]byte, 4))
+			// A first attempt ends before the rest is needed.
+			if reader, _ := body.Reader(); reader != nil {
+				io.ReadFull(reader, make([]byte, len(body.Bytes())))
+				if attempt, ok := reader.(forward.Interrupter); ok {
+					attempt.Interrupt()
+					if _, err := reader.Read(make([]byte, 1)); err == nil {
+						t.Error("the interrupted attempt read on")
+					}
+				}
 			}
 			reader, ok := body.Reader()
 			if ok != test.again {
