Shell: the first attempt runs on the handler's goroutine

Cause: each request changed goroutines twice between its handler and its only attempt. Change: the handler makes the attempt itself; a hedge or a cancel that comes meanwhile is carried out by whoever brings it. The entry's headers for an attempt share one array.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -37,24 +37,33 @@
 	x.answered(d, response, done)
 }
 
-// extraHeader holds the headers that tealhall adds for the endpoint.
+// extraHeader holds the headers that tealhall adds for the endpoint. The values
+// share one array, since this is made for every attempt.
 func (x *exchange) extraHeader(d core.Directive) http.Header {
 	left := d.Deadline - x.entry.engine.clock()
+	values := [...]string{
+		contract.FormatDeadline(left),
+		strconv.Itoa(int(d.Attempt) + x.callerAttempt - 1),
+		x.requestName,
+		x.service,
+		x.caller,
+		strconv.Itoa(x.depth + 1),
+	}
 	h := http.Header{
-		contract.HeaderDeadline: {contract.FormatDeadline(left)},
-		contract.HeaderAttempt:  {strconv.Itoa(int(d.Attempt) + x.callerAttempt - 1)},
-		contract.HeaderRequest:  {x.requestName},
-		contract.HeaderService:  {x.service},
+		contract.HeaderDeadline: values[0:1:1],
+		contract.HeaderAttempt:  values[1:2:2],
+		contract.HeaderRequest:  values[2:3:3],
+		contract.HeaderService:  values[3:4:4],
 	}
 	if d.IdleOnly {
 		h[contract.HeaderIdleOnly] = []string{contract.IdleOnlyValue}
 	}
 	if d.Step == core.StepForward {
 		h[contract.HeaderForwarded] = []string{contract.ForwardedValue}
-		h[contract.HeaderCaller] = []string{x.caller}
-	} else {
-		h[contract.HeaderDepth] = []string{strconv.Itoa(x.depth + 1)}
+		h[contract.HeaderCaller] = values[4:5:5]
+		return h
 	}
+	h[contract.HeaderDepth] = values[5:6:6]
 	return h
 }
 
@@ -81,7 +90,9 @@
 
 // abandon drops an answer that nobody waits for any more.
 func (x *exchange) abandon(c *committed) {
-	x.cancel(c.attempt)
+	x.mu.Lock()
+	x.cancelLocked(c.attempt)
+	x.mu.Unlock()
 	_ = c.response.Body.Close()
 	x.end(c.attempt, core.EndCallerGone, nil)
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -30,10 +30,14 @@
 	directives []core.Directive
 	answer     *committed
 	closed     bool
-
-	wake chan struct{}
+	// abandoned: the caller has gone and the request does not run on.
+	abandoned bool
+	// inline: the handler's goroutine is busy with an attempt.
+	inline bool
 	// cancels end the attempts that are out.
-	cancels  [core.MaxAttempts + 1]context.CancelFunc
+	cancels [core.MaxAttempts + 1]context.CancelFunc
+
+	wake     chan struct{}
 	attempts sync.WaitGroup
 }
 
@@ -46,14 +50,31 @@
 	forwarded bool
 }
 
-// push gives the exchange a directive. It never blocks.
+// push gives the exchange a directive. It never blocks. While the handler is
+// busy with an attempt, other attempts are started and cancelled from here, and
+// the attempt is cut short for an answer of the entry's own.
 func (x *exchange) push(d core.Directive) {
 	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case d.Step == core.StepCommit || d.Step == core.StepDiscard:
+		return // told to the attempt itself, see engine.head
+	case d.Step == core.StepCancel:
+		x.cancelLocked(d.Attempt)
+		return
+	case x.inline && sends(d.Step):
+		x.startLocked(d)
+		return
+	case x.inline:
+		x.cancelAllLocked()
+	}
 	x.directives = append(x.directives, d)
-	x.mu.Unlock()
 	x.signal()
 }
 
+// sends reports whether the step is an attempt.
+func sends(s core.Step) bool { return s == core.StepDispatch || s == core.StepForward }
+
 // offer gives the exchange the answer that the core committed to. It is false
 // when nobody waits for it any more.
 func (x *exchange) offer(c *committed) bool {
@@ -86,35 +107,41 @@
 	return d, true
 }
 
-// takeAnswer returns the answer to pass on, if there is one.
-func (x *exchange) takeAnswer() *committed {
+// takeAnswer returns the answer to pass on, if there is one, and whether the
+// request was abandoned.
+func (x *exchange) takeAnswer() (c *committed, abandoned bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	c := x.answer
-	x.answer = nil
-	return c
+	c, x.answer = x.answer, nil
+	return c, x.abandoned
 }
 
-// serve carries out directives until the caller has its answer.
+// serve carries out directives until the caller has its answer or has gone.
 func (x *exchange) serve(w http.ResponseWriter) {
-	gone := x.request.Context().Done()
-	for {
-		select {
-		case <-x.wake:
-			if x.drain(w) {
-				return
-			}
-		case <-gone:
-			gone = nil
-			if !x.entry.engine.callerGone(x.id) {
-				return
-			}
+	stop := context.AfterFunc(x.request.Context(), x.callerGone)
+	defer stop()
+	for range x.wake {
+		if x.drain(w) {
+			return
 		}
 	}
 }
 
-// drain carries out what waits; it reports whether the caller was answered.
-func (x *exchange) drain(w http.ResponseWriter) (answered bool) {
+// callerGone runs when the caller closes its connection. Work that nobody waits
+// for is cancelled; what has an idempotency key may run on.
+func (x *exchange) callerGone() {
+	if x.entry.engine.callerGone(x.id) {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.abandoned = true
+	x.cancelAllLocked()
+	x.signal()
+}
+
+// drain carries out what waits; it reports whether the exchange is over.
+func (x *exchange) drain(w http.ResponseWriter) (over bool) {
 	for {
 		d, ok := x.next()
 		if !ok {
@@ -122,9 +149,7 @@
 		}
 		switch d.Step {
 		case core.StepDispatch, core.StepForward:
-			x.start(d)
-		case core.StepCancel:
-			x.cancel(d.Attempt)
+			x.run(d)
 		case core.StepReply:
 			x.entry.reply(w, x.request, d)
 			return true
@@ -133,18 +158,30 @@
 			return true
 		}
 	}
-	if c := x.takeAnswer(); c != nil {
+	c, abandoned := x.takeAnswer()
+	if c != nil {
 		x.pass(w, c)
 		return true
 	}
-	return false
+	return abandoned
 }
 
-// start sends an attempt on a goroutine of its own.
-func (x *exchange) start(d core.Directive) {
-	left := d.Deadline - x.entry.engine.clock()
-	ctx, cancel := context.WithTimeout(context.Background(), max(left, time.Nanosecond))
-	x.cancels[d.Attempt] = cancel
+// run makes an attempt on the handler's goroutine, which saves two changes of
+// goroutine for a request that is sent once.
+func (x *exchange) run(d core.Directive) {
+	x.mu.Lock()
+	x.inline = true
+	ctx, cancel := x.prepareLocked(d)
+	x.mu.Unlock()
+	x.attempt(ctx, cancel, d)
+	x.mu.Lock()
+	x.inline = false
+	x.mu.Unlock()
+}
+
+// startLocked makes an attempt on a goroutine of its own. x.mu is held.
+func (x *exchange) startLocked(d core.Directive) {
+	ctx, cancel := x.prepareLocked(d)
 	x.attempts.Add(1)
 	go func() {
 		defer x.attempts.Done()
@@ -152,29 +189,40 @@
 	}()
 }
 
-func (x *exchange) cancel(n core.Attempt) {
+// prepareLocked makes the context of an attempt. x.mu is held.
+func (x *exchange) prepareLocked(d core.Directive) (context.Context, context.CancelFunc) {
+	left := d.Deadline - x.entry.engine.clock()
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, time.Nanosecond))
+	x.cancels[d.Attempt] = cancel
+	return ctx, cancel
+}
+
+func (x *exchange) cancelLocked(n core.Attempt) {
 	if cancel := x.cancels[n]; cancel != nil {
 		cancel()
 	}
 }
 
+func (x *exchange) cancelAllLocked() {
+	for n := range x.cancels {
+		x.cancelLocked(core.Attempt(n))
+	}
+}
+
 // close ends the exchange: no directive or answer reaches it any more and its
-// attempts are cancelled. An attempt that still reads the caller's connection
-// must have ended before the handler returns.
+// attempts are cancelled, which ends their reading of the body. One that reads
+// the caller's connection must have ended before the handler returns.
 func (x *exchange) close() {
 	x.entry.engine.forget(x.id)
 	x.mu.Lock()
 	x.closed = true
 	late := x.answer
+	x.cancelAllLocked()
 	x.mu.Unlock()
 	if late != nil {
 		x.abandon(late)
 	}
-	for n := range x.cancels {
-		x.cancel(core.Attempt(n))
-	}
 	if !x.body.Whole() {
-		x.body.Interrupt()
 		x.attempts.Wait()
 	}
 }
