Core: divide probes once per change of members; find entries by an index

Every 50 ms each entry hashed every endpoint against every entry to see which it probes, and each message of a peer walked all rows of the member table twice. In a profile of 60 idle entries with 560 endpoints in one process these were 19 % and 4 % of the samples. Both are now worked out once after a change of members.

Tests of internal/core pass.

--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -95,6 +95,9 @@
 	fresh    []message.Evidence
 	list     listState
 	version  uint64
+	// entries finds entries by incarnation, as of version entriesVersion.
+	entries        map[uint64]*row
+	entriesVersion uint64
 }
 
 // New returns a table without any VM.
@@ -185,14 +188,24 @@
 	return nil
 }
 
-// entry returns the row of an entry by its incarnation.
+// entry returns the row of an entry by its incarnation. It is asked with every
+// message of a peer.
 func (t *Table) entry(incarnation uint64) *row {
+	if t.entries == nil || t.entriesVersion != t.version {
+		t.indexEntries()
+	}
+	return t.entries[incarnation]
+}
+
+func (t *Table) indexEntries() {
+	t.entries = make(map[uint64]*row)
+	t.entriesVersion = t.version
 	for _, name := range t.names {
-		if r := t.rows[name]; r.vm.Incarnation == incarnation && isEntry(r.vm) {
-			return r
+		r := t.rows[name]
+		if _, taken := t.entries[r.vm.Incarnation]; isEntry(r.vm) && !taken {
+			t.entries[r.vm.Incarnation] = r
 		}
 	}
-	return nil
 }
 
 // rowOf returns the row of one incarnation, or nil.
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -59,6 +59,10 @@
 	// the order in which the picker knows them; serving says that this is one.
 	deciders []uint64
 	serving  bool
+	// probed says for each endpoint whether this entry probes it, as of
+	// probedVersion of the member table.
+	probed        []bool
+	probedVersion uint64
 	// serviceNanos is a smoothed time that a request holds a slot.
 	serviceNanos float64
 	// panicked is set while most endpoints look bad and none is ejected.
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -25,12 +25,13 @@
 	started := 0
 	for _, p := range c.poolRows {
 		slots := p.Slots()
+		c.assignProbes(p)
 		for i := range p.Endpoints {
 			e := &p.Endpoints[i]
 			if started >= probesPerRound {
 				return
 			}
-			if !c.wantsProbe(now, e) {
+			if !p.probed[i] || !wantsProbe(now, e) {
 				continue
 			}
 			if !p.watch.TrySpend(now, slots) {
@@ -45,15 +46,26 @@
 	}
 }
 
-func (c *Core) wantsProbe(now time.Duration, e *table.Endpoint) bool {
+// assignProbes works out which endpoints of a pool this entry probes, once after
+// each change of members: it takes a hash for each pair of entry and endpoint.
+func (c *Core) assignProbes(p *pool) {
+	if p.probedVersion == c.fleet.version && len(p.probed) == len(p.Endpoints) {
+		return
+	}
+	p.probedVersion = c.fleet.version
+	p.probed = p.probed[:0]
+	for i := range p.Endpoints {
+		owner := duty.ProbeOwner(c.fleet.dutyMembers, p.Endpoints[i].Name)
+		p.probed = append(p.probed, owner == c.fleet.selfID)
+	}
+}
+
+func wantsProbe(now time.Duration, e *table.Endpoint) bool {
 	if e.State != table.EndpointLive || e.Outstanding > 0 {
 		return false
 	}
 	last := max(e.Sighting.At, e.ProbedAt, e.AdmittedAt-probeAfter)
-	if now-last < probeAfter {
-		return false
-	}
-	return duty.ProbeOwner(c.fleet.dutyMembers, e.Name) == c.fleet.selfID
+	return now-last >= probeAfter
 }
 
 // ProbeEnd feeds the result of a probe.
