Core: bulk keeps within its share over all entries; a straggler's time is forgotten

Now the share is divided among the entries of the service, what nobody holds may be used beyond the part, and the free slots for work of low priority leave out what peers say they hold. A time that nothing has confirmed for a minute is dropped. Unused fields removed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -161,10 +161,14 @@
 	if now >= c.nextMember {
 		c.nextMember = now + memberPeriod
 		c.tickFleet(now, out)
+		c.expireHoldings(now)
 	}
 	if now >= c.nextHealth {
 		c.nextHealth = now + healthPeriod
 		c.sweepHealth(now, out)
+		for _, p := range c.poolRows {
+			p.forgetOldTimes(now)
+		}
 	}
 	if now >= c.nextProbe {
 		c.nextProbe = now + probePeriod
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -85,7 +85,8 @@
 	if me < 0 {
 		return true
 	}
-	return queue.MayTake(p.holders, me, p.capacity(now))
+	capacity := p.capacity(now)
+	return p.withinShare(p.holders, me, &capacity) && queue.MayTake(p.holders, me, capacity)
 }
 
 // capacity counts the pool's slots and those that look idle: not taken by this
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -37,7 +37,9 @@
 func (c *Core) decidersOf(p *pool) map[uint64]bool {
 	chosen := make(map[uint64]bool)
 	for _, sv := range p.services {
-		for _, incarnation := range c.serviceEntries(sv) {
+		entries := c.serviceEntries(sv)
+		sv.entries = len(entries)
+		for _, incarnation := range entries {
 			chosen[incarnation] = true
 		}
 	}
@@ -179,6 +181,7 @@
 	if e == nil {
 		return
 	}
+	ref.pool.holdings.told(from, ref.index, int32(s.Own))
 	at := now - time.Duration(s.AgeMillis)*time.Millisecond
 	decider := c.deciderIndex(ref.pool, from)
 	ref.pool.picker.PeerTold(now, &ref.pool.Pool, ref.index, balance.PeerLoad{From: decider, Own: int32(s.Own), At: at})
--- /dev/null
+++ b/internal/core/queue_test.go
@@ -0,0 +1,133 @@
+package core
+
+import (
+	"testing"
+	"time"
+)
+
+// slots gives every endpoint two slots and a queue of its own; work returns how
+// long a request takes.
+func (r *rig) slots(work func(a Arrival) time.Duration) {
+	free := map[string]*[2]time.Duration{}
+	r.endpoint = func(name string, a Arrival) reaction {
+		f := free[name]
+		if f == nil {
+			f = new([2]time.Duration)
+			free[name] = f
+		}
+		busy := 0
+		for _, at := range f {
+			if at > r.now {
+				busy++
+			}
+		}
+		slot := 0
+		if f[1] < f[0] {
+			slot = 1
+		}
+		f[slot] = max(f[slot], r.now) + work(a)
+		return reaction{after: f[slot] - r.now, head: Head{Load: Load{Known: true, InFlight: busy, Slots: 2}}}
+	}
+}
+
+// At month-end one auditor pulls two hundred summaries at once, and nobody else
+// would get a place in the queue. What can't wait is refused in the same
+// moment, as not run and with a time to come back; the other auditors are all
+// served, also while one of the two endpoints drains.
+func TestOneCallerCannotTakeTheQueue(t *testing.T) {
+	for _, drains := range []bool{false, true} {
+		r := settled(t, 1, "counts/c1", "counts/c2")
+		n := r.nodes[0]
+		r.slots(func(Arrival) time.Duration { return 25 * ms })
+		r.traffic(Arrival{Service: "counts"}, 50*ms, sec)
+		if drains {
+			r.list(2, "counts/c1", "counts/c2,leaving")
+			r.run(200 * ms)
+		}
+		refused := map[Reason]int{}
+		for range 200 {
+			id := r.ask(n, Arrival{Service: "counts", Caller: 7})
+			got, at := n.told[id]
+			if !at {
+				continue
+			}
+			refused[got.Reason]++
+			if got.Outcome != OutcomeNotRun || got.after < minRetryAfter || got.Reason.Status()/100 == 2 {
+				t.Fatalf("refused with %+v", got)
+			}
+		}
+		if refused[ReasonCallerShare] < 150 {
+			t.Errorf("one caller: refused %v of 200", refused)
+		}
+		var others []RequestID
+		for caller := range uint64(8) {
+			others = append(others, r.ask(n, Arrival{Service: "counts", Caller: 100 + caller}))
+		}
+		hasty := r.ask(n, Arrival{Service: "counts", Caller: 200, Timeout: 30 * ms})
+		if got := n.told[hasty]; got.Reason != ReasonTooLate || got.Outcome != OutcomeNotRun {
+			t.Errorf("a request that can't be answered in time was told %+v", got)
+		}
+		r.run(sec)
+		for _, id := range others {
+			if got := n.told[id]; got.Outcome != OutcomeDone {
+				t.Errorf("another auditor was told %+v", got)
+			}
+		}
+		for text, times := range r.ran {
+			if times != 1 {
+				t.Errorf("%s ran %d times", text, times)
+			}
+		}
+	}
+}
+
+// At night scales push photo batches of a second each through every entry, and
+// contractors in unfinished halls see their urgent checks wait for whole
+// batches. Bulk must leave slots to urgent traffic, as measured by the time of
+// the checks, and yet every batch must arrive. Alone, and while two endpoints
+// of six are gone.
+func TestBulkLeavesSlotsToUrgentChecks(t *testing.T) {
+	for _, endpoints := range [][]string{
+		{"shared/s1", "shared/s2", "shared/s3", "shared/s4", "shared/s5", "shared/s6"},
+		{"shared/s1", "shared/s2", "shared/s3", "shared/s4"},
+	} {
+		r := settled(t, 3, endpoints...)
+		r.tick = 5 * ms
+		r.slots(func(a Arrival) time.Duration {
+			if a.Service == "photos" {
+				return sec
+			}
+			return 10 * ms
+		})
+		var batches []RequestID
+		late, checks := 0, 0
+		for i := range 1500 {
+			if i%10 == 0 && i < 500 {
+				for _, n := range r.nodes {
+					batches = append(batches, r.ask(n, Arrival{Service: "photos", Caller: uint64(i)}))
+				}
+			}
+			n := r.nodes[i%3]
+			id, began := r.ask(n, Arrival{Service: "checks", Caller: uint64(i)}), r.now
+			r.run(10 * ms)
+			if i > 200 && i < 1400 {
+				checks++
+				r.post(300*ms, n, func() {
+					if got := n.told[id]; got.Outcome != OutcomeDone || got.at-began > 200*ms {
+						late++
+					}
+				})
+			}
+		}
+		r.run(60 * sec)
+		done := 0
+		for i, id := range batches {
+			if r.nodes[i%3].told[id].Outcome == OutcomeDone {
+				done++
+			}
+		}
+		if late > checks*3/100 || done != len(batches) {
+			t.Errorf("%d endpoints: %d of %d checks were late, %d of %d batches arrived", len(endpoints), late, checks, done, len(batches))
+		}
+	}
+}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -36,6 +36,8 @@
 	idle *budget.Retry
 	// held counts this entry's attempts in flight for the service.
 	held int
+	// entries is how many entries callers of the service are sent to.
+	entries int
 	// demand is how many slots the service's traffic keeps busy.
 	demand queue.Demand
 	// typical is how long its answers commonly take on the pool.
@@ -44,7 +46,6 @@
 	hedges []hedgeDue
 	// arrived counts requests since the last rate sample.
 	arrived uint64
-	rate    float64
 }
 
 // pool is a group of endpoints with the queue that waits for them.
@@ -55,6 +56,7 @@
 	watch    *budget.Watch
 	services []*service
 	holders  []queue.Holder
+	holdings holdings
 	// deciders are the entries to which callers of the services are sent, in
 	// the order in which the picker knows them; serving says that this is one.
 	deciders []uint64
@@ -65,8 +67,6 @@
 	probedVersion uint64
 	// serviceNanos is a smoothed time that a request holds a slot.
 	serviceNanos float64
-	// panicked is set while most endpoints look bad and none is ejected.
-	panicked bool
 }
 
 // expectedWork is how long a request of the service is taken to hold a slot.
@@ -82,6 +82,7 @@
 	for i := range p.Endpoints {
 		p.Endpoints[i].Sighting = table.Sighting{}
 	}
+	p.holdings = holdings{}
 	health.Pause(now, gap, &p.Pool)
 }
 
@@ -129,6 +130,7 @@
 		e := &p.Endpoints[i]
 		if e.State == table.EndpointGone && e.Outstanding == 0 {
 			*e = row
+			p.holdings.forgetRow(i)
 			return i
 		}
 	}
