--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -124,26 +124,34 @@
 	return p
 }
 
+// acquired is a connection for one exchange.
+type acquired struct {
+	pool *pool
+	conn *conn
+	// fresh is set if the connection is new; dial is what its set-up took.
+	fresh bool
+	dial  time.Duration
+}
+
 // acquire returns a connection on which the request can be written: an idle one
-// that the endpoint has not closed, or a new one. dialTime is zero for the former.
-func (c *Connections) acquire(ctx context.Context, address string, once bool) (p *pool, used *conn, dialTime time.Duration, err error) {
+// that the endpoint has not closed, or a new one.
+func (c *Connections) acquire(ctx context.Context, address string, once bool) (acquired, error) {
 	for {
-		p = c.pool(address)
+		p := c.pool(address)
 		if p == nil {
-			return nil, nil, 0, &Error{Failure: Closed, Address: address}
+			return acquired{}, &Error{Failure: Closed, Address: address}
 		}
-		if used = c.reuse(p, once); used != nil {
-			return p, used, 0, nil
+		if idle := c.reuse(p, once); idle != nil {
+			return acquired{pool: p, conn: idle}, nil
 		}
 		ok, retired := p.reserve(c.cfg.MaxConnsPerEndpoint, c.cfg.Clock())
 		if retired {
 			continue
 		}
 		if !ok {
-			return nil, nil, 0, &Error{Failure: NoConnection, Address: address}
+			return acquired{}, &Error{Failure: NoConnection, Address: address}
 		}
-		used, dialTime, err = c.dial(ctx, p)
-		return p, used, dialTime, err
+		return c.dial(ctx, p)
 	}
 }
 
@@ -169,19 +177,19 @@
 }
 
 // dial sets up a connection for which room was reserved.
-func (c *Connections) dial(ctx context.Context, p *pool) (*conn, time.Duration, error) {
+func (c *Connections) dial(ctx context.Context, p *pool) (acquired, error) {
 	started := c.cfg.Clock()
 	fresh, err := c.connect(ctx, p.address)
 	p.dialed(fresh)
-	took := c.cfg.Clock() - started
+	got := acquired{pool: p, conn: fresh, fresh: true, dial: c.cfg.Clock() - started}
 	if err == nil {
-		return fresh, took, nil
+		return got, nil
 	}
 	failure := dialFailure(err)
 	if ctx.Err() != nil {
 		failure = contextFailure(ctx)
 	}
-	return nil, took, &Error{Failure: failure, Address: p.address, Cause: err}
+	return got, &Error{Failure: failure, Address: p.address, Cause: err}
 }
 
 func (c *Connections) connect(ctx context.Context, address string) (*conn, error) {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -41,7 +41,7 @@
 	// Wrote is set when at least one byte of the request was handed to the
 	// kernel. If it is not set, the endpoint can't have seen the request.
 	Wrote bool
-	// NewConn is set when the request went on a new connection.
+	// NewConn is set when a new connection was set up, or tried, for it.
 	NewConn bool
 	// Dial is how long the set-up of the connection took.
 	Dial time.Duration
@@ -60,13 +60,13 @@
 	if ctx.Err() != nil {
 		return nil, delivery, &Error{Failure: contextFailure(ctx), Address: out.Address, Cause: ctx.Err()}
 	}
-	p, used, dialTime, err := c.acquire(ctx, out.Address, out.Once)
-	delivery.Dial = dialTime
+	got, err := c.acquire(ctx, out.Address, out.Once)
+	delivery.Dial, delivery.NewConn = got.dial, got.fresh
 	if err != nil {
 		return nil, delivery, err
 	}
-	delivery.NewConn = dialTime > 0
-	x := &exchange{connections: c, pool: p, conn: used, ctx: ctx, out: out, before: used.written.Load()}
+	used := got.conn
+	x := &exchange{connections: c, pool: got.pool, conn: used, ctx: ctx, out: out, before: used.written.Load()}
 	x.watchContext()
 	resp, err := x.run(&delivery)
 	delivery.Wrote = used.written.Load() > x.before
--- a/internal/front/copy_test.go
+++ b/internal/front/copy_test.go
@@ -153,6 +153,7 @@
 		{"large in chunks", inChunks("/", large), large, 200, ""},
 		{"too large, announced", withLength("/", tooLarge), "", 413, "not-run"},
 		{"too large in chunks, sent on in part", inChunks("/", tooLarge), "", 413, "unknown"},
+		{"bare line feed in the chunked coding", lines("POST / HTTP/1.1", "Host: a", "Transfer-Encoding: chunked", "", "1\na", "0", "", ""), "", 502, ""},
 		{"answer before the upload ends", "POST /early HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" + small + small, "", 429, ""},
 	}
 	for _, test := range tests {
--- a/internal/front/shape_test.go
+++ b/internal/front/shape_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -17,38 +18,45 @@
 	tests := []struct {
 		name, request string
 		status        int
+		// plain is the status by which net/http alone refuses; 200 if it doesn't.
+		plain int
 	}{
-		{"both lengths", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 5", "Transfer-Encoding: chunked", "", "0", "", "G"), 400},
-		{"both lengths, other order and case", lines("POST / HTTP/1.1", "Host: a", "transfer-encoding: chunked", "content-length: 5", "", "0", "", "G"), 400},
-		{"differing lengths", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 1", "Content-Length: 2", "", "ab"), 400},
-		{"equal lengths twice", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 1", "Content-Length: 1", "", "a"), 400},
-		{"list of lengths", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 1, 1", "", "a"), 400},
-		{"signed length", lines("POST / HTTP/1.1", "Host: a", "Content-Length: +1", "", "a"), 400},
-		{"length beyond reason", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 99999999999999999999", "", "a"), 400},
-		{"unknown coding", lines("POST / HTTP/1.1", "Host: a", "Transfer-Encoding: gzip, chunked", "", ""), 501},
-		{"coding twice", lines("POST / HTTP/1.1", "Host: a", "Transfer-Encoding: chunked", "Transfer-Encoding: chunked", "", ""), 501},
-		{"coding in HTTP/1.0", lines("POST / HTTP/1.0", "Host: a", "Transfer-Encoding: chunked", "", "0", "", ""), 501},
-		{"bare line feed", "GET / HTTP/1.1\r\nHost: a\nX: b\r\n\r\n", 400},
-		{"head ended by bare line feeds", "GET / HTTP/1.1\nHost: a\n\n", 400},
-		{"bare carriage return", "GET / HTTP/1.1\r\nHost: a\rX: b\r\n\r\n", 400},
-		{"folded header", lines("GET / HTTP/1.1", "Host: a", "X: b", " c", "", ""), 400},
-		{"space before colon", lines("POST / HTTP/1.1", "Host: a", "Content-Length : 1", "", "a"), 400},
-		{"zero byte", lines("GET / HTTP/1.1", "Host: a", "X: a\x00b", "", ""), 400},
-		{"no name", lines("GET / HTTP/1.1", "Host: a", ": b", "", ""), 400},
-		{"absolute target", lines("GET http://b/ HTTP/1.1", "Host: a", "", ""), 400},
-		{"no slash", lines("GET a HTTP/1.1", "Host: a", "", ""), 400},
-		{"asterisk", lines("OPTIONS * HTTP/1.1", "Host: a", "", ""), 400},
-		{"fragment", lines("GET /#a HTTP/1.1", "Host: a", "", ""), 400},
-		{"two spaces", lines("GET  / HTTP/1.1", "Host: a", "", ""), 400},
-		{"other version", lines("GET / HTTP/3.0", "Host: a", "", ""), 400},
-		{"tunnel", lines("CONNECT a:1 HTTP/1.1", "Host: a", "", ""), 405},
-		{"large head", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 5000) + "\r\n\r\n", 431},
-		{"endless line", strings.Repeat("x", 9000), 431},
+		{"both lengths", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 5", "Transfer-Encoding: chunked", "", "0", "", "G"), 400, 200},
+		{"both lengths, other order and case", lines("POST / HTTP/1.1", "Host: a", "transfer-encoding: chunked", "content-length: 5", "", "0", "", "G"), 400, 200},
+		{"differing lengths", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 1", "Content-Length: 2", "", "ab"), 400, 400},
+		{"equal lengths twice", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 1", "Content-Length: 1", "", "a"), 400, 200},
+		{"list of lengths", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 1, 1", "", "a"), 400, 400},
+		{"signed length", lines("POST / HTTP/1.1", "Host: a", "Content-Length: +1", "", "a"), 400, 400},
+		{"length beyond reason", lines("POST / HTTP/1.1", "Host: a", "Content-Length: 99999999999999999999", "", "a"), 400, 400},
+		{"unknown coding", lines("POST / HTTP/1.1", "Host: a", "Transfer-Encoding: gzip, chunked", "", ""), 501, 501},
+		{"coding twice", lines("POST / HTTP/1.1", "Host: a", "Transfer-Encoding: chunked", "Transfer-Encoding: chunked", "", ""), 501, 501},
+		{"coding in HTTP/1.0", lines("POST / HTTP/1.0", "Host: a", "Transfer-Encoding: chunked", "", "0", "", ""), 501, 200},
+		{"bare line feed", "GET / HTTP/1.1\r\nHost: a\nX: b\r\n\r\n", 400, 200},
+		{"head ended by bare line feeds", "GET / HTTP/1.1\nHost: a\n\n", 400, 200},
+		{"bare carriage return", "GET / HTTP/1.1\r\nHost: a\rX: b\r\n\r\n", 400, 400},
+		{"folded header", lines("GET / HTTP/1.1", "Host: a", "X: b", " c", "", ""), 400, 200},
+		{"space before colon", lines("POST / HTTP/1.1", "Host: a", "Content-Length : 1", "", "a"), 400, 400},
+		{"zero byte", lines("GET / HTTP/1.1", "Host: a", "X: a\x00b", "", ""), 400, 400},
+		{"no name", lines("GET / HTTP/1.1", "Host: a", ": b", "", ""), 400, 400},
+		{"absolute target", lines("GET http://b/ HTTP/1.1", "Host: a", "", ""), 400, 200},
+		{"no slash", lines("GET a HTTP/1.1", "Host: a", "", ""), 400, 400},
+		{"asterisk", lines("OPTIONS * HTTP/1.1", "Host: a", "", ""), 400, 200},
+		{"fragment", lines("GET /#a HTTP/1.1", "Host: a", "", ""), 400, 200},
+		{"two spaces", lines("GET  / HTTP/1.1", "Host: a", "", ""), 400, 400},
+		{"other version", lines("GET / HTTP/3.0", "Host: a", "", ""), 400, 505},
+		{"tunnel", lines("CONNECT a:1 HTTP/1.1", "Host: a", "", ""), 405, 200},
+		{"large head", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 5000) + "\r\n\r\n", 431, 200},
+		{"endless line", strings.Repeat("x", 9000), 431, 400},
 	}
 	ran := make(chan string, 1)
 	_, address := serve(t, ServerConfig{MaxHeaderBytes: 4096}, func(_ http.ResponseWriter, r *http.Request) { ran <- r.RequestURI })
+	plain := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer plain.Close()
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			if got := plainStatus(t, plain.Listener.Addr().String(), test.request); got != test.plain {
+				t.Errorf("net/http alone answers %d, want %d", got, test.plain)
+			}
 			c := dial(t, address)
 			c.say(test.request)
 			resp, _, err := c.answer(http.MethodGet)
@@ -63,7 +71,7 @@
 			}
 		})
 	}
-	// These two net/http refuses by itself, without an outcome.
+	// These two are left to net/http, which refuses them without an outcome.
 	for _, request := range []string{lines("GET / HTTP/1.1", "", ""), lines("GET / HTTP/1.1", "Host: a", "Host: b", "", "")} {
 		c := dial(t, address)
 		c.say(request)
@@ -123,3 +131,15 @@
 		}
 	}
 }
+
+// plainStatus returns the status with which a plain server answers.
+func plainStatus(t *testing.T, address, request string) int {
+	c := dial(t, address)
+	c.say(request)
+	c.CloseWrite()
+	resp, _, err := c.answer(http.MethodGet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode
+}
