Core: probes take turns; a test of the watching budget over a fleet's life

Cause: probes went to the first rows of the table that were due; with a budget below the demand the last endpoints were never probed (of nine, two in two minutes with a single entry). Now the endpoint seen longest ago goes first. Probes of eight entries that start at once, split, are replaced and meet slow probes stay within the budget in every window of 10 s.

--- a/internal/core/rig_test.go
+++ b/internal/core/rig_test.go
@@ -43,6 +43,9 @@
 	// lose says that a link takes a message and loses it.
 	lose func(from, to *node, u *message.Update) bool
 	down func(n *node) bool
+	// probeTime is how long a probe takes, probed when each one began.
+	probeTime time.Duration
+	probed    []time.Duration
 	// dial is the time from a decision to the first byte.
 	dial func() time.Duration
 	// endpoint says what becomes of a request at an endpoint.
@@ -98,7 +101,7 @@
 }
 
 func newRig(t testing.TB, entries int) *rig {
-	r := &rig{TB: t, wall: time.Date(2027, 1, 31, 12, 0, 0, 0, time.UTC), tick: 10 * ms, docs: map[string]platform.Value{},
+	r := &rig{TB: t, wall: time.Date(2027, 1, 31, 12, 0, 0, 0, time.UTC), tick: 10 * ms, probeTime: 6 * ms, docs: map[string]platform.Value{},
 		written: map[string]int{}, ran: map[string]int{}}
 	r.config = func(cfg *Config) { cfg.LargestFleet = 8 }
 	r.cut = func(_, _ *node) bool { return false }
@@ -188,7 +191,13 @@
 	}
 	n.notes = append(n.notes, out.Notes...)
 	n.suspects = append(n.suspects, out.SuspectAddresses...)
-	n.probes = append(n.probes, out.Probes...)
+	for _, p := range out.Probes {
+		n.probes, r.probed = append(n.probes, p), append(r.probed, r.now)
+		end := ProbeEnd{Probe: p, OK: true, Latency: r.probeTime, Load: Load{Known: true, Slots: 2}}
+		r.post(r.probeTime, n, func() {
+			r.do(n, func(now time.Duration, out *Actions) { n.ProbeEnd(now, end, out) })
+		})
+	}
 	return out
 }
 
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -24,17 +24,13 @@
 func (c *Core) probeDue(now time.Duration, out *Actions) {
 	started := 0
 	for _, p := range c.poolRows {
-		slots := p.Slots()
 		c.assignProbes(p)
-		for i := range p.Endpoints {
-			e := &p.Endpoints[i]
-			if started >= probesPerRound {
-				return
-			}
-			if !p.probed[i] || !wantsProbe(now, e) {
-				continue
+		for started < probesPerRound {
+			e := p.longestUnseen(now)
+			if e == nil {
+				break
 			}
-			if !p.watch.TrySpend(now, slots) {
+			if !p.watch.TrySpend(now, p.Slots()) {
 				c.counters.ProbesDenied++
 				break
 			}
@@ -46,6 +42,20 @@
 	}
 }
 
+// longestUnseen returns the endpoint to probe of which nothing was seen for the
+// longest time, or nil. Guards against a budget that is spent on the first rows
+// of the table again and again, so that nothing is ever known of the last ones.
+func (p *pool) longestUnseen(now time.Duration) *table.Endpoint {
+	var found *table.Endpoint
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if p.probed[i] && wantsProbe(now, e) && (found == nil || lastSeen(e) < lastSeen(found)) {
+			found = e
+		}
+	}
+	return found
+}
+
 // assignProbes works out which endpoints of a pool this entry probes, once after
 // each change of members: it takes a hash for each pair of entry and endpoint.
 func (c *Core) assignProbes(p *pool) {
@@ -64,8 +74,12 @@
 	if e.State != table.EndpointLive || e.Outstanding > 0 {
 		return false
 	}
-	last := max(e.Sighting.At, e.ProbedAt, e.AdmittedAt-probeAfter)
-	return now-last >= probeAfter
+	return now-lastSeen(e) >= probeAfter
+}
+
+// lastSeen is when something was last learned of the endpoint's load, or asked.
+func lastSeen(e *table.Endpoint) time.Duration {
+	return max(e.Sighting.At, e.ProbedAt, e.AdmittedAt-probeAfter)
 }
 
 // ProbeEnd feeds the result of a probe.
--- /dev/null
+++ b/internal/core/watch_test.go
@@ -0,0 +1,71 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// All entries start at once with empty views, each believes for a while that it
+// is alone and that every endpoint is its own to probe, the fleet splits, an
+// entry is replaced and endpoints answer probes slowly. Callers would see
+// endpoints that are busy being watched. Over a minute of that, all entries
+// together spend at most the budgeted share of slot time in every window of
+// 10 s, because each spends its fixed part of a budget for the largest fleet.
+func TestProbesStayWithinTheBudget(t *testing.T) {
+	const entries, share, slots = 8, 0.04, 12
+	for _, slow := range []time.Duration{0, 50 * ms} {
+		r := newRig(t, entries)
+		r.probeTime = r.probeTime + slow
+		r.list(1, sixCounts...)
+		r.cut = func(from, to *node) bool { return r.now < 10*sec || r.now > 30*sec && halves(from, to) }
+		for range 6 {
+			r.run(5 * sec)
+		}
+		r.start(3)
+		r.run(30 * sec)
+		total := 0
+		for first := range r.probed {
+			spent := time.Duration(0)
+			for _, at := range r.probed[first:] {
+				if at-r.probed[first] >= 10*sec {
+					break
+				}
+				spent += r.probeTime
+			}
+			if limit := time.Duration(share * slots * float64(10*sec)); spent > limit {
+				t.Fatalf("%v of slot time in 10 s from %v on, the budget is %v", spent, r.probed[first], limit)
+			}
+			total++
+		}
+		if total < 60 {
+			t.Errorf("only %d probes in a minute", total)
+		}
+	}
+}
+
+// At night one entry is left and the budget allows fewer probes than there are
+// idle endpoints. Those that come first in the table would be probed again and
+// again, and nothing would be known of the last ones in the morning. The one
+// seen longest ago goes first, so each has its turn.
+func TestEveryEndpointIsProbedInTurn(t *testing.T) {
+	r := newRig(t, 1)
+	var names []string
+	for i := range 9 {
+		names = append(names, fmt.Sprintf("waste/w%d", i+1))
+	}
+	r.list(1, names...)
+	r.run(2 * time.Minute)
+	seen := map[string]int{}
+	for _, p := range r.nodes[0].probes {
+		seen[p.Endpoint]++
+	}
+	least, most := 1000, 0
+	for _, name := range names {
+		n := seen[name[len("waste/"):]]
+		least, most = min(least, n), max(most, n)
+	}
+	if most > least+1 {
+		t.Errorf("probes: %v", seen)
+	}
+}
