Core: a read-only view of its tables for operators

What the core believes and decides could only be read from the audit trail. View copies pools, endpoints, entries, keys and published values; the reason of each ejection, what is wrong with a refused document and when an older revision was offered are kept for it. Budgets count what they denied. Health events name what clears an ejection apart from why it happened; the trail still says both.

--- a/internal/core/budget/retry.go
+++ b/internal/core/budget/retry.go
@@ -30,6 +30,8 @@
 type Retry struct {
 	config RetryConfig
 	bucket bucket
+	// spent and denied count attempts since the process started.
+	spent, denied uint64
 }
 
 // NewRetry returns an empty budget.
@@ -49,9 +51,18 @@
 // TrySpend takes one attempt if it is there.
 func (r *Retry) TrySpend(now time.Duration) bool {
 	r.bucket.earn(now, r.config.MinPerSecond/float64(r.config.LargestFleet))
-	return r.bucket.take(1)
+	if !r.bucket.take(1) {
+		r.denied++
+		return false
+	}
+	r.spent++
+	return true
 }
 
+// Spent returns how many attempts were taken and denied since the process
+// started.
+func (r *Retry) Spent() (spent, denied uint64) { return r.spent, r.denied }
+
 // Level returns how many attempts are saved up.
 func (r *Retry) Level() float64 { return r.bucket.tokens }
 
--- a/internal/core/budget/watch.go
+++ b/internal/core/budget/watch.go
@@ -46,6 +46,8 @@
 type Spending struct {
 	Probes   uint64
 	SlotTime time.Duration
+	// Denied counts the times at which the budget did not allow a probe.
+	Denied uint64
 }
 
 // NewWatch returns an empty budget.
@@ -77,6 +79,7 @@
 func (w *Watch) TrySpend(now time.Duration, slots int) bool {
 	w.bucket.earn(now, w.Rate(slots))
 	if !w.bucket.take(w.config.ProbeCost.Seconds()) {
+		w.spent.Denied++
 		return false
 	}
 	w.spent.Probes++
@@ -100,5 +103,12 @@
 // probe that the bucket holds.
 func (w *Watch) SetShare(share float64) { w.config.Share = share }
 
+// Share returns the share of the pool's slot time that all entries may spend.
+func (w *Watch) Share() float64 { return w.config.Share }
+
+// Left returns how many probes were saved up when a probe was last asked for;
+// below zero while the excess of a slow one is paid off.
+func (w *Watch) Left() float64 { return w.bucket.tokens / w.config.ProbeCost.Seconds() }
+
 // Spent returns what was spent since the process started.
 func (w *Watch) Spent() Spending { return w.spent }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -110,6 +110,7 @@
 	lastStale Note
 	// healthEvents is scratch memory of the health sweep.
 	healthEvents []health.Event
+	explained    explanations
 }
 
 // Counters count what the core did since its start.
@@ -136,6 +137,8 @@
 		keys:     idem.NewTable(cfg.Keys),
 		waiters:  make(map[idem.Key][]RequestID),
 		state:    message.EntryStarting,
+
+		explained: newExplanations(),
 	}
 	c.initFleet()
 	return c
--- a/internal/core/health/eject.go
+++ b/internal/core/health/eject.go
@@ -75,7 +75,7 @@
 	mostDoublings = 20
 )
 
-var cleared = fmt.Sprintf("cleared by %d good trial requests after the ejection", trials)
+var clears = fmt.Sprintf("%d good trial requests, or %s without one that is suited", trials, trialPatience)
 
 // Ejected reports whether the endpoint gets no ordinary work.
 func Ejected(now time.Duration, e *table.Endpoint) bool {
@@ -137,7 +137,7 @@
 	h.JudgeFrom = s.now
 	// From the limit, the trials alone decide to which side it goes.
 	h.Slowness = s.limits.SlowFactor * s.medianSlowness
-	s.out = append(s.out, Event{Endpoint: i, Kind: Ejection, Why: why, Until: h.TrialAt})
+	s.out = append(s.out, Event{Endpoint: i, Kind: Ejection, Why: why, Clears: clears, Until: h.TrialAt})
 }
 
 // duration returns the time of the ejection after so many others in a row.
--- a/internal/core/health/sweep.go
+++ b/internal/core/health/sweep.go
@@ -61,8 +61,10 @@
 	// Endpoint is the index in the pool, or -1 for the whole pool.
 	Endpoint int
 	Kind     EventKind
-	// Why says what was measured and what will clear it.
+	// Why says what was measured.
 	Why string
+	// Clears says what ends an ejection.
+	Clears string
 	// Until is when the trials of an ejected endpoint begin.
 	Until time.Duration
 }
@@ -197,9 +199,9 @@
 		}
 		switch {
 		case h.FailureRate > trialFailures:
-			s.eject(i, fmt.Sprintf("trial requests failed; %s", cleared))
+			s.eject(i, "trial requests failed")
 		case s.trialSlow(h):
-			s.eject(i, fmt.Sprintf("trial requests took %.1f times the pool's median; %s", h.Slowness/s.medianSlowness, cleared))
+			s.eject(i, fmt.Sprintf("trial requests took %.1f times the pool's median", h.Slowness/s.medianSlowness))
 		case h.Samples >= trials:
 			s.readmit(i, fmt.Sprintf("%d trial requests went well", h.Samples))
 		case s.now >= h.EjectedUntil:
@@ -283,9 +285,8 @@
 
 func (s *sweep) why(h *table.Health) string {
 	if s.failing(h) {
-		return fmt.Sprintf("failed %.0f %% of its latest requests while the pool's median is %.0f %%; %s",
-			100*h.FailureRate, 100*s.medianFailure, cleared)
+		return fmt.Sprintf("failed %.0f %% of its latest requests while the pool's median is %.0f %%",
+			100*h.FailureRate, 100*s.medianFailure)
 	}
-	return fmt.Sprintf("took %.1f times the pool's median over %d answers; %s",
-		h.Slowness/s.medianSlowness, h.SlowSamples, cleared)
+	return fmt.Sprintf("took %.1f times the pool's median over %d answers", h.Slowness/s.medianSlowness, h.SlowSamples)
 }
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -50,6 +50,7 @@
 		c.adopt(now, t, o, note, out)
 	case duty.Stale:
 		c.counters.StaleProfiles++
+		c.explained.staleAt[o.Name] = now
 		note.Action, note.Why = "ignored", "an older revision than the one in force, from a replica that lags"
 		c.noteOnce(&c.lastStale, note, out)
 	case duty.Conflict:
@@ -71,6 +72,7 @@
 	if o.Problem != nil {
 		t.Settle(o.Mark, false)
 		c.counters.RefusedDocuments++
+		c.explained.refused[o.Name] = o.Problem.Error()
 		note.Action, note.Why = "refused", o.Problem.Error()
 		out.note(note)
 		return
--- /dev/null
+++ b/internal/core/view.go
@@ -0,0 +1,319 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/health"
+	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/core/member"
+	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/profile"
+)
+
+// View is a copy of what operators may want to know of a core. It shares no
+// memory with the core but for what never changes, such as the snapshot.
+type View struct {
+	State message.EntryState
+	// Ready and NotReadyWhy are those of ReadyReason.
+	Ready       bool
+	NotReadyWhy string
+	// Policy is the balance policy in use.
+	Policy   string
+	Counters Counters
+	// InFlight counts the requests held, and Rate the arrivals per second.
+	InFlight int
+	Rate     uint32
+	// Reader says that this entry watches the platform itself.
+	Reader bool
+	// Snapshot is the document in force, nil before the first.
+	Snapshot *profile.Snapshot
+	// Closing says that a close is on.
+	Closing       bool
+	Profiles, VMs PublishedView
+	// ListHeld says that the losses of the latest VM list do not count yet.
+	ListHeld   bool
+	Keys       idem.Stats
+	KeysSealed bool
+	// Pools, Entries and Endpoints are sorted by name, endpoints by pool first.
+	Pools     []PoolView
+	Entries   []EntryView
+	Endpoints []EndpointView
+}
+
+// PublishedView is what is known of a published value.
+type PublishedView struct {
+	InForce message.Mark
+	// Wanted is a later revision that is known to exist, or 0.
+	Wanted uint64
+	// Refused is the latest revision that was found invalid, or 0, and
+	// RefusedWhy what is wrong with it.
+	Refused    uint64
+	RefusedWhy string
+	// ConfirmedAt is when the platform last said that the revision in force is
+	// its latest; valid if Confirmed.
+	ConfirmedAt time.Duration
+	Confirmed   bool
+	// StaleAt is when an older revision than the one in force was last offered;
+	// valid if Stale.
+	StaleAt time.Duration
+	Stale   bool
+}
+
+// PoolView is a pool with its queue and budgets.
+type PoolView struct {
+	Name string
+	// Services are those in force that use the pool, by name.
+	Services []ServiceView
+	// Slots counts those of live endpoints, Outstanding this entry's attempts.
+	Slots, Outstanding int
+	// Waiting is the length of this entry's queue.
+	Waiting int
+	// Live, Leaving and Ejected count endpoints; ejected ones are live too.
+	Live, Leaving, Ejected int
+	// ViewWrong: most endpoints look bad, so none is ejected.
+	ViewWrong bool
+	// WatchShare is the share of slot time that all entries may spend on probes.
+	WatchShare float64
+	// ProbesLeft is how many probes could be sent at once.
+	ProbesLeft float64
+	// Probes and ProbeTime are what was spent, ProbesDenied the times at which a
+	// probe had to be put off.
+	Probes, ProbesDenied uint64
+	ProbeTime            time.Duration
+}
+
+// ServiceView is a service with its treatment in the mode in force.
+type ServiceView struct {
+	Name string
+	// Policy must not be changed.
+	Policy *profile.Policy
+	// Held counts attempts in flight, Waiting requests in the queue.
+	Held, Waiting int
+	// RetriesLeft is the retry budget saved up, in attempts. Retries counts what
+	// was spent of it, and RetriesDenied the attempts that it did not allow.
+	RetriesLeft            float64
+	Retries, RetriesDenied uint64
+}
+
+// EndpointView is an endpoint with what is believed of it.
+type EndpointView struct {
+	table.Endpoint
+	Pool string
+	// Missing says that the platform's list has lost the endpoint.
+	Missing bool
+	// Ejection is nil unless the endpoint is ejected.
+	Ejection *EjectionView
+}
+
+// EjectionView says why an endpoint is ejected and what ends that.
+type EjectionView struct {
+	Why, Clears string
+	// For is how much longer no ordinary work is sent, TrialIn how long until the
+	// next trial request may be.
+	For, TrialIn time.Duration
+	// InARow counts ejections in a row.
+	InARow int
+}
+
+// EntryView is an entry with what it said last.
+type EntryView struct {
+	member.Entry
+	Self   bool
+	Reader bool
+	// Profiles and VMs are the revisions in force there, Rate its calls per
+	// second, as it said last. HeardAt is when; valid if Heard.
+	Profiles, VMs uint64
+	Rate          uint32
+	HeardAt       time.Duration
+	Heard         bool
+}
+
+// explanations are kept for views only; no decision depends on them.
+type explanations struct {
+	// ejected says why the endpoint in a row was ejected last.
+	ejected map[poolRow]health.Event
+	// refused says what is wrong with the latest invalid text of a value, and
+	// staleAt when an older revision of it was last offered.
+	refused map[string]string
+	staleAt map[string]time.Duration
+}
+
+type poolRow struct {
+	pool  *pool
+	index int
+}
+
+func newExplanations() explanations {
+	return explanations{
+		ejected: make(map[poolRow]health.Event),
+		refused: make(map[string]string),
+		staleAt: make(map[string]time.Duration),
+	}
+}
+
+// View returns a copy of the core's tables. It takes time in proportion to the
+// endpoints and entries; no request path may call it.
+func (c *Core) View(now time.Duration) View {
+	v := View{
+		State:      c.state,
+		Policy:     c.cfg.Policy,
+		Counters:   c.counters,
+		InFlight:   len(c.requests),
+		Rate:       c.fleet.rate,
+		Reader:     c.fleet.reader,
+		Snapshot:   c.snapshot,
+		Closing:    c.closing,
+		Profiles:   c.viewPublished(platform.ProfilesValue),
+		VMs:        c.viewPublished(platform.VMsValue),
+		Keys:       c.keys.Stats(),
+		KeysSealed: c.keys.Sealed(),
+		Entries:    c.viewEntries(),
+	}
+	v.Ready, v.NotReadyWhy = c.ReadyReason(now)
+	_, _, v.ListHeld, _ = c.fleet.members.ListRevision()
+	v.Endpoints = c.viewEndpoints(now)
+	for _, p := range c.poolRows {
+		if len(p.services)+len(p.Endpoints) > 0 {
+			v.Pools = append(v.Pools, c.viewPool(p))
+		}
+	}
+	slices.SortFunc(v.Pools, func(a, b PoolView) int { return strings.Compare(a.Name, b.Name) })
+	return v
+}
+
+func (c *Core) viewPublished(name string) PublishedView {
+	t := c.tracker(name)
+	v := PublishedView{
+		InForce:    t.InForce(),
+		Wanted:     t.Wanted(),
+		Refused:    t.LastRefused().Revision,
+		RefusedWhy: c.explained.refused[name],
+	}
+	v.ConfirmedAt, v.Confirmed = t.ConfirmedAt()
+	v.StaleAt, v.Stale = c.explained.staleAt[name]
+	return v
+}
+
+func (c *Core) viewPool(p *pool) PoolView {
+	spent := p.watch.Spent()
+	v := PoolView{
+		Name:         p.Name,
+		Slots:        p.Slots(),
+		Outstanding:  p.Outstanding(),
+		Waiting:      p.queue.Len(),
+		WatchShare:   p.watch.Share(),
+		ProbesLeft:   p.watch.Left(),
+		Probes:       spent.Probes,
+		ProbesDenied: spent.Denied,
+		ProbeTime:    spent.SlotTime,
+	}
+	for i := range p.Endpoints {
+		v.count(&p.Endpoints[i])
+	}
+	for _, sv := range p.services {
+		v.Services = append(v.Services, viewService(sv))
+	}
+	slices.SortFunc(v.Services, func(a, b ServiceView) int { return strings.Compare(a.Name, b.Name) })
+	return v
+}
+
+func (v *PoolView) count(e *table.Endpoint) {
+	switch e.State {
+	case table.EndpointLive:
+		v.Live++
+		v.ViewWrong = v.ViewWrong || e.Health.ViewWrong
+		if e.Health.EjectedUntil != 0 {
+			v.Ejected++
+		}
+	case table.EndpointLeaving:
+		v.Leaving++
+	}
+}
+
+func viewService(sv *service) ServiceView {
+	spent, denied := sv.retry.Spent()
+	return ServiceView{
+		Name:          sv.name,
+		Policy:        sv.policy,
+		Held:          sv.held,
+		Waiting:       sv.pool.queue.LenOf(sv.index),
+		RetriesLeft:   sv.retry.Level(),
+		Retries:       spent,
+		RetriesDenied: denied,
+	}
+}
+
+func (c *Core) viewEndpoints(now time.Duration) []EndpointView {
+	missing := make(map[string]bool)
+	for _, e := range c.fleet.members.Endpoints(nil) {
+		missing[e.VM.Name] = e.Missing
+	}
+	var views []EndpointView
+	for _, p := range c.poolRows {
+		for i := range p.Endpoints {
+			e := &p.Endpoints[i]
+			if e.State == table.EndpointGone && e.Outstanding == 0 {
+				continue // the row is free
+			}
+			views = append(views, EndpointView{
+				Endpoint: *e,
+				Pool:     p.Name,
+				Missing:  missing[e.Name],
+				Ejection: c.viewEjection(now, p, i),
+			})
+		}
+	}
+	slices.SortFunc(views, func(a, b EndpointView) int {
+		if byPool := strings.Compare(a.Pool, b.Pool); byPool != 0 {
+			return byPool
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return views
+}
+
+func (c *Core) viewEjection(now time.Duration, p *pool, index int) *EjectionView {
+	e := &p.Endpoints[index]
+	if e.State != table.EndpointLive || e.Health.EjectedUntil == 0 {
+		return nil
+	}
+	why := c.explained.ejected[poolRow{p, index}]
+	return &EjectionView{
+		Why:     why.Why,
+		Clears:  why.Clears,
+		For:     max(0, e.Health.EjectedUntil-now),
+		TrialIn: max(0, e.Health.TrialAt-now),
+		InARow:  max(1, int(e.Health.Ejections)),
+	}
+}
+
+// explainEjection keeps why an endpoint is ejected for as long as it is.
+func (c *Core) explainEjection(p *pool, ev health.Event) {
+	switch ev.Kind {
+	case health.Ejection:
+		c.explained.ejected[poolRow{p, ev.Endpoint}] = ev
+	case health.Readmission:
+		delete(c.explained.ejected, poolRow{p, ev.Endpoint})
+	}
+}
+
+func (c *Core) viewEntries() []EntryView {
+	views := make([]EntryView, 0, len(c.fleet.entries))
+	for _, e := range c.fleet.entries {
+		v := EntryView{Entry: e}
+		if e.VM.Incarnation == c.cfg.Self.Incarnation {
+			v.Self, v.State, v.Reader, v.Rate = true, c.state, c.fleet.reader, c.fleet.rate
+			v.Profiles, v.VMs = c.fleet.profiles.InForce().Revision, c.fleet.vms.InForce().Revision
+		} else if p, ok := c.fleet.peers[e.VM.Incarnation]; ok {
+			v.Heard, v.HeardAt = true, p.heard
+			v.Reader, v.Rate = p.update.Reader, p.update.Rate
+			v.Profiles, v.VMs = p.update.Profiles.Revision, p.update.VMs.Revision
+		}
+		views = append(views, v)
+	}
+	return views
+}
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -121,6 +121,7 @@
 func (c *Core) sweepPool(now time.Duration, p *pool, out *Actions) {
 	c.healthEvents = health.Sweep(now, &p.Pool, c.healthLimits(now, p), c.rng, c.healthEvents[:0])
 	for _, ev := range c.healthEvents {
+		c.explainEjection(p, ev)
 		out.note(c.healthNote(now, p, ev))
 	}
 	if len(c.healthEvents) > 0 {
@@ -151,6 +152,7 @@
 	case health.Ejection:
 		c.counters.Ejections++
 		n.Action, n.From, n.To = "ejected", "in use", "trials from "+(ev.Until-now).Round(time.Millisecond).String()+" on"
+		n.Why += "; cleared by " + ev.Clears
 	case health.Readmission:
 		c.counters.Readmissions++
 		n.Action, n.From, n.To = "readmitted", "ejected", "in use"
