Core: golden sessions of whole fleets

A profile change with a bad document and a lagging replica; an endpoint that drains and is replaced; a planned stop with hand-over of keys; a partition that heals; a close without the configuration service.

--- /dev/null
+++ b/internal/core/session_test.go
@@ -0,0 +1,216 @@
+package core
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+// session is a rig that a golden file drives.
+type session struct {
+	*rig
+	keys map[string]idem.Key
+	// asked is the latest request.
+	asked RequestID
+	// shown is how many notes of each entry were printed.
+	shown map[*node]int
+}
+
+// The golden files hold whole sessions of a fleet: what happens from outside,
+// and after each step what the entries note in their audit trails.
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
+		var s *session
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "fleet" {
+				var entries int
+				d.ScanArgs(t, "entries", &entries)
+				s = &session{rig: newRig(t, entries), keys: map[string]idem.Key{}, shown: map[*node]int{}}
+				s.list(1, strings.Fields(d.Input)...)
+				s.run(2 * sec)
+				return s.serving()
+			}
+			s.TB = t
+			return s.step(t, d) + s.notes()
+		})
+	})
+}
+
+// step does what a line of a file says and returns what a person would see.
+func (s *session) step(t *testing.T, d *datadriven.TestData) string {
+	arg := func(name string) (value string) {
+		if d.HasArg(name) {
+			d.ScanArgs(t, name, &value)
+		}
+		return value
+	}
+	n := s.find(arg("entry"))
+	switch d.Cmd {
+	case "run":
+		d, err := time.ParseDuration(arg("for"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.run(d)
+	case "clock":
+		at, err := time.Parse("2006-01-02 15:04", strings.TrimSpace(d.Input))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.wall = at.Add(-s.now)
+		s.run(100 * ms)
+	case "list":
+		var revision uint64
+		d.ScanArgs(t, "rev", &revision)
+		s.list(revision, strings.Fields(d.Input)...)
+	case "publish":
+		var revision uint64
+		d.ScanArgs(t, "rev", &revision)
+		before, after, _ := strings.Cut(d.Input, " => ")
+		s.republish(revision, before, after)
+	case "service":
+		down := d.HasArg("down")
+		s.down = func(*node) bool { return down }
+	case "network":
+		split := d.HasArg("split")
+		s.cut = func(from, to *node) bool { return split && halves(from, to) }
+	case "endpoint":
+		s.behave(t, d)
+	case "ask":
+		s.asks(n, arg("service"), arg("key"), arg("home"))
+		s.run(200 * ms)
+		return s.answers(n)
+	case "key":
+		s.keys[arg("name")] = s.key(n)
+	case "leave":
+		s.do(n, func(now time.Duration, out *Actions) { n.Leave(now, "a new release", out) })
+	case "stop":
+		return s.stops(n)
+	case "start":
+		s.start(int(arg("vm")[0] - '0'))
+	case "status":
+		return s.serving()
+	default:
+		t.Fatalf("unknown command %q", d.Cmd)
+	}
+	return ""
+}
+
+// find returns the process that runs on an entry's VM.
+func (s *session) find(vm string) (found *node) {
+	for _, n := range s.nodes {
+		if !n.dead && n.hello.Name == "entry-"+vm {
+			found = n
+		}
+	}
+	return found
+}
+
+// behave lets one endpoint answer in one way, and all others as before.
+func (s *session) behave(t *testing.T, d *datadriven.TestData) {
+	var name, does string
+	d.ScanArgs(t, "name", &name)
+	d.ScanArgs(t, "does", &does)
+	re := reactions["answers"]
+	switch does {
+	case "drain":
+		re.head.Draining = true
+	case "lose":
+		re = reactions["lost"]
+	case "refuse":
+		re = reactions["refuses"]
+	}
+	before := s.rig.endpoint
+	s.rig.endpoint = func(at string, a Arrival) reaction {
+		if at == name {
+			return re
+		}
+		return before(at, a)
+	}
+}
+
+// asks sends a request, under a key that was named before or a new one.
+func (s *session) asks(n *node, service, key, home string) {
+	a := Arrival{Service: service, Caller: 1, HasKey: key != ""}
+	if a.HasKey {
+		if _, known := s.keys[key]; !known {
+			s.keys[key] = s.key(s.find(home))
+		}
+		a.Key = s.keys[key]
+	}
+	s.asked = s.ask(n, a)
+}
+
+// answers returns what the latest caller of an entry was told.
+func (s *session) answers(n *node) string {
+	got := n.told[s.asked]
+	switch got.body {
+	case "":
+		return fmt.Sprintf("told %v (%v): %s\n", got.Outcome, got.Reason, got.Reason.Remedy())
+	case body(n.arrivals[s.asked]):
+		return fmt.Sprintf("told %v with its own answer\n", got.Outcome)
+	}
+	return "told another request's answer: " + got.body + "\n"
+}
+
+// stops ends a planned stop: the keys are sealed and handed over.
+func (s *session) stops(n *node) string {
+	n.SealKeys(s.now - n.started)
+	s.run(200 * ms)
+	taken := 0
+	for _, part := range n.Handover(10) {
+		for _, address := range n.SuccessorAddresses(part.Home)[:1] {
+			to := s.at(address)
+			s.do(to, func(now time.Duration, out *Actions) { to.Adopt(now, &part, out) })
+			taken += len(part.Records)
+		}
+	}
+	s.do(n, func(now time.Duration, out *Actions) { n.Stopped(now, out) })
+	s.run(500 * ms)
+	n.dead = true
+	return fmt.Sprintf("handed over %d keys with %d requests in flight\n", taken, n.InFlight())
+}
+
+// serving describes each entry in a line.
+func (s *session) serving() string {
+	var b strings.Builder
+	for _, n := range s.nodes {
+		s.shown[n] = len(n.notes)
+		if n.dead {
+			continue
+		}
+		state := [...]string{"starting", "serving", "leaving", "stopped"}[n.State()]
+		if n.State() == message.EntryServing && n.closing {
+			state += " a close"
+		}
+		fmt.Fprintf(&b, "%s %s, profiles %d, list %d, names %q\n", n.hello.Name, state,
+			n.InForce(platform.ProfilesValue).Revision, n.InForce(platform.VMsValue).Revision, n.givenTo("counts"))
+	}
+	return b.String()
+}
+
+// notes prints the new notes of all audit trails.
+func (s *session) notes() string {
+	var b strings.Builder
+	for _, n := range s.nodes {
+		for _, x := range n.notes[s.shown[n]:] {
+			fmt.Fprintf(&b, "%s: %s", n.hello.Name, x.Subject+" "+x.Action)
+			if x.From+x.To != "" {
+				fmt.Fprintf(&b, " (%s -> %s)", x.From, x.To)
+			}
+			if x.Why != "" {
+				fmt.Fprintf(&b, ": %s", x.Why)
+			}
+			b.WriteByte('\n')
+		}
+		s.shown[n] = len(n.notes)
+	}
+	return b.String()
+}
