Entry: acks from peers, probes that keep connections, links looked at after changes

Deliver reports what the peer said. - A probe left the body of its answer unread, which closed the connection: each probe made a new one. - The list of peer addresses was built, sorted and compared 200 times a second; now after a change of members.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -157,6 +157,9 @@
 // Reader reports whether this entry should watch the platform itself.
 func (c *Core) Reader() bool { return c.fleet.reader }
 
+// MembersVersion grows with each change of the entries and endpoints known.
+func (c *Core) MembersVersion() uint64 { return c.fleet.version }
+
 // PeerAddresses appends the addresses of the entries to hold links with.
 func (c *Core) PeerAddresses(out []string) []string {
 	for i := range c.fleet.entries {
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -18,6 +19,8 @@
 const (
 	probeTimeout = 2 * time.Second
 	fetchTimeout = 3 * time.Second
+	// probeBody is how many bytes of the answer to a probe are read.
+	probeBody = 16 << 10
 )
 
 // carryOut does what the core asked for beside single requests.
@@ -26,9 +29,7 @@
 		e.trail.Add(e.recordOf(&a.Notes[i]))
 	}
 	for i := range a.Updates {
-		u := &a.Updates[i]
-		sent := e.links.Send(u.Address, u.Update)
-		e.updateDone(u.To, u.Update.Sequence, sent)
+		e.deliver(a.Updates[i])
 	}
 	for _, address := range a.DropAddresses {
 		e.connections.Drop(address)
@@ -56,6 +57,12 @@
 	}
 }
 
+// deliver sends an update and tells the core whether the peer accepted it: what
+// was lost on the way is owed still.
+func (e *Entry) deliver(u core.Outgoing) {
+	e.links.Deliver(u.Address, u.Update, func(acked bool) { e.updateDone(u.To, u.Update.Sequence, acked) })
+}
+
 func (e *Entry) updateDone(to, sequence uint64, acked bool) {
 	e.engine.event(func(now time.Duration, c *core.Core, _ *core.Actions) {
 		c.UpdateDone(now, to, sequence, acked)
@@ -78,10 +85,14 @@
 
 func (e *Entry) sendProbe(ctx context.Context, request *http.Request, end *core.ProbeEnd) {
 	request.Host = end.Probe.Address
-	response, _, err := e.connections.Send(ctx, forward.Outgoing{Address: end.Probe.Address, Request: request})
+	response, delivery, err := e.connections.Send(ctx, forward.Outgoing{Address: end.Probe.Address, Request: request})
+	e.instruments.sent(delivery)
 	if err != nil {
 		return
 	}
+	// A body that is left unread costs the connection, and the endpoint a new one
+	// for each probe.
+	_, _ = io.CopyN(io.Discard, response.Body, probeBody)
 	_ = response.Body.Close()
 	head := headOf(core.Directive{}, response)
 	end.OK = response.StatusCode < http.StatusInternalServerError || head.NotRun
@@ -100,7 +111,7 @@
 
 func (e *Entry) fetchFrom(ctx context.Context, f core.FetchFrom) bool {
 	if f.Source == duty.Platform {
-		value, err := e.options.Platform.Read(ctx, f.Name)
+		value, err := e.platform.Read(ctx, f.Name)
 		if err != nil {
 			klog.V(1).InfoS("the platform did not answer", "value", f.Name, "err", err)
 			return false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,6 +62,9 @@
 	links       *peer.Links
 	trail       *audit.Trail
 	documents   documents
+	platform    *countedPlatform
+	instruments *instruments
+	recent      recent
 
 	// revision of the profiles in force, for answers.
 	revision atomic.Uint64
@@ -106,6 +109,8 @@
 		},
 	}
 	clock := monotonic()
+	e.platform = newCountedPlatform(opts.Platform, clock)
+	e.instruments = newInstruments()
 	e.connections = forward.New(forward.Config{
 		MaxConnsPerEndpoint: s.Limits.ConnectionsPerEndpoint,
 		DialTimeout:         s.Timeouts.Connect.Duration,
@@ -235,14 +240,15 @@
 func (e *Entry) tickLoop(ctx context.Context) {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
-	var peers []string
+	var links wantedLinks
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			e.engine.tick()
-			peers = e.updateLinks(peers)
+			e.updateLinks(&links)
+			e.recent.sample(e.engine.clock(), e.counters)
 		}
 	}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -40,24 +40,40 @@
 	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { c.Introduce(now, h, out) })
 }
 
+// wantedLinks are the addresses that links are held with, as of one version of
+// the core's members.
+type wantedLinks struct {
+	version   uint64
+	addresses []string
+}
+
 // updateLinks holds links with the entries that the core knows and with the
-// seeds. It returns the addresses that are set.
+// seeds.
 //
 // The seeds stay when others are known. Without the platform's list entries learn
 // of each other only by links; if the first seed that answered ended the dialling
 // of the others, two entries could miss each other for good, and callers of one
 // would never be sent to the other.
-func (e *Entry) updateLinks(current []string) []string {
-	wanted := slices.Clone(e.settings.Peers.Seeds)
-	e.engine.view(func(_ time.Duration, c *core.Core) { wanted = c.PeerAddresses(wanted) })
+func (e *Entry) updateLinks(set *wantedLinks) {
+	var wanted []string
+	unchanged := false
+	e.engine.view(func(_ time.Duration, c *core.Core) {
+		version := c.MembersVersion()
+		if unchanged = set.addresses != nil && version == set.version; !unchanged {
+			set.version, wanted = version, c.PeerAddresses(nil)
+		}
+	})
+	if unchanged {
+		return
+	}
+	wanted = append(wanted, e.settings.Peers.Seeds...)
 	wanted = slices.DeleteFunc(wanted, func(address string) bool { return address == e.hello.PeerAddress })
 	slices.Sort(wanted)
 	wanted = slices.Compact(wanted)
-	if slices.Equal(wanted, current) {
-		return current
+	if set.addresses == nil || !slices.Equal(wanted, set.addresses) {
+		e.links.Set(wanted)
 	}
-	e.links.Set(wanted)
-	return wanted
+	set.addresses = append([]string{}, wanted...)
 }
 
 // peerHandler answers peers.
