Whole-fleet tests of faults; silent connections of callers end

Tests of real entries, endpoints and the platform's stand-in over loopback, with promises checked at the caller and at the endpoint: entries killed under load, keys through successors, callers that leave, endpoints that drain with a stale list, connections that go silent on each side, answers cut off, bookings over dying connections, the configuration service down, stale and wrong.

Fault found: the callers' package had no bound on a connection that went silent: 10 reads and 10 bookings sent on lost connections, 3 of them unknown after 15 s.

Fault found by reading: a request with a key that was refused before the key was looked up ("starting", "unknown service", a body that broke) was told "not run" although an earlier try may have run.

The fleet of the demo can put something between entries and endpoints, and reaches the platform by the address in the settings.

--- a/client/client.go
+++ b/client/client.go
@@ -11,7 +11,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -146,7 +145,7 @@
 func newHTTP() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: idleConns,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		DisableCompression:  true,
 	}}
 }
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +44,9 @@
 	// ServiceTime, if not nil, makes the service times of the i-th endpoint.
 	// Endpoints can't share one that is random.
 	ServiceTime func(i int) standin.ServiceTime
+	// Path, if not nil, returns the address in the platform's list for the
+	// address at which an endpoint listens: that of something in between.
+	Path func(listens string) string
 }
 
 // Fleet is a running fleet.
@@ -114,6 +118,9 @@
 			return err
 		}
 		vm := e.VM(p.Name, region, f.domain(i))
+		if p.Path != nil {
+			vm.Address = p.Path(vm.Address)
+		}
 		f.Endpoints = append(f.Endpoints, &Endpoint{Endpoint: e, VM: vm})
 		f.vms = append(f.vms, vm)
 	}
@@ -133,7 +140,7 @@
 	}
 	s := f.settings(name, place, callers, peers)
 	e, err := entry.New(s, entry.Options{
-		Platform:       platform.NewClient(platform.ClientConfig{BaseURL: f.Server.URL()}),
+		Platform:       platform.NewClient(platform.ClientConfig{BaseURL: s.Platform.URL}),
 		Audit:          f.trail(name, s.Audit.Records),
 		CallerListener: callers,
 		PeerListener:   peers,
@@ -243,6 +250,9 @@
 	f.Platform.SetVMs(f.vms...)
 }
 
+// VMs returns the platform's list.
+func (f *Fleet) VMs() []platform.VM { return slices.Clone(f.vms) }
+
 // Forget takes a stopped entry out of the fleet.
 func (f *Fleet) Forget(gone *entry.Entry) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/entry/keys_test.go
@@ -0,0 +1,221 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/client"
+	"github.com/tealhall/tealhall/internal/contract"
+	"github.com/tealhall/tealhall/internal/demo"
+	"github.com/tealhall/tealhall/internal/entry"
+	"github.com/tealhall/tealhall/internal/standin"
+)
+
+// answer is what an entry answered to one try.
+type answer struct {
+	outcome, reason, replayed, body string
+	err                             error
+}
+
+// booking is a request that must run once, as a caller without package client
+// sends it.
+type booking struct{ key, id string }
+
+// send makes one try through an entry.
+func (b booking) send(ctx context.Context, e *entry.Entry) answer {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.CallerAddress()+"/bookings?id="+b.id, strings.NewReader(b.id))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header.Set(contract.HeaderService, "bookings")
+	request.Header.Set(contract.HeaderCaller, "raw")
+	request.Header.Set(contract.HeaderRequest, b.id)
+	request.Header.Set(contract.HeaderIdempotencyKey, b.key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	h := response.Header
+	return answer{h.Get(contract.HeaderOutcome), h.Get(contract.HeaderReason), h.Get(contract.HeaderReplayed), string(body), err}
+}
+
+// expect makes one try and compares what the caller is told.
+func (b booking) expect(t *testing.T, e *entry.Entry, outcome, reason string) {
+	t.Helper()
+	got := b.send(t.Context(), e)
+	if got.err != nil || got.outcome != outcome || got.reason != reason {
+		t.Errorf("%s at %s: told %q %q %v, not %q %q", b.id, e.Name(), got.outcome, got.reason, got.err, outcome, reason)
+	}
+}
+
+// expectReplay makes one try that has to bring the answer of the run that was.
+func (b booking) expectReplay(t *testing.T, e *entry.Entry) {
+	t.Helper()
+	got := b.send(t.Context(), e)
+	if got.outcome != string(contract.OutcomeDone) || got.replayed != contract.ReplayedValue || got.body != b.id+"\n" {
+		t.Errorf("%s at %s: %+v is no replay", b.id, e.Name(), got)
+	}
+}
+
+// homeOf returns an entry that serves bookings and a maker of keys for it.
+func homeOf(t *testing.T, f *fleet) (home *entry.Entry, newKey func(id string) booking) {
+	t.Helper()
+	response, err := http.Get("http://" + f.Entries[0].CallerAddress() + contract.EntriesPath + "?service=bookings")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var list contract.EntriesAnswer
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil || len(list.Entries) == 0 {
+		t.Fatalf("%+v, %v", list, err)
+	}
+	first := list.Entries[0]
+	at := slices.IndexFunc(f.Entries, func(e *entry.Entry) bool { return e.Name() == first.Name })
+	return f.Entries[at], func(id string) booking {
+		key, err := client.NewKey(first.KeyPrefix)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return booking{key: key, id: id}
+	}
+}
+
+func otherThan(f *fleet, e *entry.Entry) []*entry.Entry {
+	return slices.DeleteFunc(slices.Clone(f.Entries), func(o *entry.Entry) bool { return o == e })
+}
+
+func (f *fleet) runs(t *testing.T, b booking, want int) {
+	t.Helper()
+	if got := f.Ledger.Key(b.key).Runs; got != want {
+		t.Errorf("%s ran %d times, not %d", b.id, got, want)
+	}
+}
+
+// A tablet closes its connection: a read that it does not wait for any more must
+// free its slot, a waste entry must go on. The steward sends the entry again
+// through both the same and another entry, while it runs and after it: each time
+// he gets the answer of the one run.
+func TestCallerGoesAndAsksElsewhere(t *testing.T) {
+	clock := standin.NewManualClock()
+	f := newFleet(t, 4, func(cfg *demo.FleetConfig) { cfg.Pools[1].Endpoint.Clock = clock })
+	home, newKey := homeOf(t, f)
+	b := newKey("left")
+	leaving, leave := context.WithCancel(t.Context())
+	gone := make(chan answer)
+	go func() { gone <- b.send(leaving, home) }()
+	clock.AwaitTimers(2) // the run and its deadline
+	leave()
+	<-gone
+
+	read, cancel := context.WithCancel(t.Context())
+	go abandonedRead(read, home)
+	working := func(s standin.EndpointStats) bool { return s.Runs > 0 }
+	await(t, "the read is worked on", func() bool { return f.anyEndpoint("counts", working) })
+	cancel()
+	cancelled := func(s standin.EndpointStats) bool { return s.CancelledRunning > 0 }
+	await(t, "the read is cancelled", func() bool { return f.anyEndpoint("counts", cancelled) })
+	if f.anyEndpoint("bookings", cancelled) {
+		t.Error("the booking was cancelled with its caller")
+	}
+
+	other := otherThan(f, home)[0]
+	joined := make(chan answer)
+	go func() { joined <- b.send(t.Context(), other) }()
+	for _, again := range []*entry.Entry{home, other} {
+		go func() { joined <- b.send(t.Context(), again) }()
+	}
+	clock.Advance(time.Second)
+	for range 3 {
+		if got := <-joined; got.outcome != string(contract.OutcomeDone) || got.body != b.id+"\n" {
+			t.Errorf("a try beside the running one: %+v", got)
+		}
+	}
+	for _, e := range f.Entries {
+		b.expectReplay(t, e)
+	}
+	f.runs(t, b, 1)
+}
+
+func abandonedRead(ctx context.Context, e *entry.Entry) {
+	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.CallerAddress()+"/slow?work=1h", nil)
+	request.Header.Set(contract.HeaderService, "counts")
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		response.Body.Close()
+	}
+}
+
+func (f *fleet) anyEndpoint(pool string, is func(standin.EndpointStats) bool) bool {
+	return slices.ContainsFunc(f.Endpoints, func(e *demo.Endpoint) bool { return e.VM.Pool == pool && is(e.Stats()) })
+}
+
+// Entries are replaced one after the other while a booking's caller still asks
+// what became of it. The home's keys move to successors, from them to others,
+// and processes join that rank before those that hold the keys. Each entry has
+// to find the answer, and to tell that a key which was never sent was not run.
+func TestKeysOutliveTheirHome(t *testing.T) {
+	f := newFleet(t, 5)
+	home, newKey := homeOf(t, f)
+	ran, unused, other := newKey("ran"), newKey("unused"), newKey("other")
+	ran.expect(t, home, "done", "")
+	for i, e := range append([]*entry.Entry{home}, otherThan(f, home)...) {
+		f.stop(t, e)
+		f.replace(t, e.Name(), i)
+		for _, asked := range f.Entries {
+			ran.expectReplay(t, asked)
+			unused.expect(t, asked, "not-run", "home-stopped")
+			booking{key: ran.key, id: other.id}.expect(t, asked, "not-run", "key-mismatch")
+		}
+	}
+	f.runs(t, ran, 1)
+	f.runs(t, unused, 0)
+}
+
+// The home of a booking dies without a word. Nobody can know whether it ran the
+// booking, so nobody may say that it was not run, nor run it; that holds for a
+// key that never arrived as well.
+func TestKeysOfKilledHome(t *testing.T) {
+	f := newFleet(t, 3)
+	home, newKey := homeOf(t, f)
+	ran, unused := newKey("ran"), newKey("unused")
+	ran.expect(t, home, "done", "")
+	f.Forget(home)
+	home.Kill()
+	for _, e := range f.Entries {
+		ran.expect(t, e, "unknown", "home-unreachable")
+		unused.expect(t, e, "unknown", "home-unreachable")
+	}
+	f.runs(t, ran, 1)
+	f.runs(t, unused, 0)
+}
+
+// An entry's VM dies in the middle of traffic, with bookings in flight at it.
+// Callers turn to the others, reads are answered, and what callers are told of
+// bookings is true, if only that nobody knows.
+func TestEntryKilledUnderLoad(t *testing.T) {
+	f := newFleet(t, 5, func(cfg *demo.FleetConfig) {
+		cfg.Pools[0].Endpoint.ServiceTime = standin.Constant(20 * time.Millisecond)
+		cfg.Pools[1].Endpoint.ServiceTime = standin.Constant(80 * time.Millisecond)
+	})
+	l := startTraffic(t, f)
+	for i := range 2 {
+		l.awaitMore(t, 200)
+		home, _ := homeOf(t, f)
+		f.Forget(home)
+		home.Kill()
+		l.awaitMore(t, 200)
+		f.replace(t, home.Name(), i)
+	}
+	l.awaitMore(t, 200)
+	reads, bookings := l.finish(t, f)
+	if reads.notRun+reads.unknown+bookings.notRun > 0 || bookings.done == 0 {
+		t.Errorf("reads %+v, bookings %+v", reads, bookings)
+	}
+}
--- /dev/null
+++ b/internal/entry/profile_test.go
@@ -0,0 +1,138 @@
+package entry_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/demo"
+	"github.com/tealhall/tealhall/internal/entry"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/settings"
+	"github.com/tealhall/tealhall/internal/standin"
+)
+
+// inForce returns the revision of the profiles in force at an entry and when it
+// came into force.
+func (f *fleet) inForce(name string) (revision uint64, since time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.records[name] {
+		if r.Subject == "profiles" && r.Action == "in-force" {
+			revision, since = r.Revision, r.Wall
+		}
+	}
+	return revision, since
+}
+
+func (f *fleet) awaitInForce(t *testing.T, revision uint64) {
+	t.Helper()
+	await(t, fmt.Sprintf("revision %d is in force everywhere", revision), func() bool {
+		return !slices.ContainsFunc(f.Entries, func(e *entry.Entry) bool {
+			at, _ := f.inForce(e.Name())
+			return at != revision
+		})
+	})
+}
+
+// accepted reports whether every entry has accepted a revision of a value.
+func (f *fleet) accepted(value string, revision uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !slices.ContainsFunc(f.Entries, func(e *entry.Entry) bool {
+		for _, r := range f.records[e.Name()] {
+			if r.Subject == value && r.Action == "accepted" && r.Revision == revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// awaitAudited waits until every entry has a record of an action on profiles.
+func (f *fleet) awaitAudited(t *testing.T, action string) {
+	t.Helper()
+	await(t, "every entry has "+action, func() bool {
+		return !slices.ContainsFunc(f.Entries, func(e *entry.Entry) bool {
+			return f.audited(e.Name(), platform.ProfilesValue, action) == 0
+		})
+	})
+}
+
+// The configuration service goes down and stays down. Entries go on with what is
+// in force, and one that starts meanwhile gets it from its peers and serves. The
+// service comes back: what was published meanwhile comes into force everywhere,
+// a replica that lags changes nothing, and a document with a mistake is refused
+// everywhere alike.
+func TestConfigurationServiceDownStaleAndWrong(t *testing.T) {
+	f := newFleet(t, 4)
+	l := startTraffic(t, f)
+	f.Platform.SetFaults(standin.PlatformFaults{Down: true})
+	f.Server.Kill()
+	f.replace(t, "entry-5", 1)
+	newcomer := f.Entries[len(f.Entries)-1]
+	if got := (booking{key: "none", id: "x"}).send(t.Context(), newcomer); got.reason != "key-bad" {
+		t.Errorf("the newcomer does not serve: %+v", got)
+	}
+	l.awaitMore(t, 100)
+
+	newer := f.Publish([]byte(fleetProfiles + "# as changed while the service was down\n"))
+	f.Platform.SetFaults(standin.PlatformFaults{})
+	if err := f.Server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	f.awaitInForce(t, newer)
+
+	f.Platform.SetFaults(standin.PlatformFaults{OlderReplica: true})
+	await(t, "an entry met the older replica", func() bool {
+		return slices.ContainsFunc(f.Entries, func(e *entry.Entry) bool {
+			return f.audited(e.Name(), platform.ProfilesValue, "ignored") > 0
+		})
+	})
+	f.awaitInForce(t, newer)
+	f.Platform.SetFaults(standin.PlatformFaults{})
+
+	f.Publish([]byte(strings.Replace(fleetProfiles, `deadline = "3s"`, `deadline = "soon"`, 1)))
+	f.awaitAudited(t, "refused")
+	f.awaitInForce(t, newer)
+	l.awaitMore(t, 100)
+	l.calm(t, f)
+}
+
+// Operators publish profiles with the service up, and when only one entry of
+// fifteen still reaches it, whichever that is. Each revision comes into force on
+// all of them; the times are printed.
+func TestProfileChangeReachesFifteenEntries(t *testing.T) {
+	toPlatform := &paths{t: t}
+	f := newFleet(t, 15, func(cfg *demo.FleetConfig) {
+		adjust := cfg.Adjust
+		cfg.Adjust = func(s *settings.Settings) {
+			adjust(s)
+			s.Platform.URL = "http://" + toPlatform.through(strings.TrimPrefix(s.Platform.URL, "http://"))
+		}
+	})
+	for range 5 {
+		f.measureChange(t, "service up")
+	}
+	for i, only := range toPlatform.all[:6] {
+		for _, one := range toPlatform.all {
+			one.block(one != only)
+		}
+		f.measureChange(t, "only "+f.Entries[i].Name()+" reaches the service")
+	}
+}
+
+func (f *fleet) measureChange(t *testing.T, when string) {
+	t.Helper()
+	published := time.Now()
+	f.awaitInForce(t, f.Publish([]byte(fleetProfiles)))
+	var took []time.Duration
+	for _, e := range f.Entries {
+		_, since := f.inForce(e.Name())
+		took = append(took, since.Sub(published).Round(time.Millisecond))
+	}
+	slices.Sort(took)
+	t.Logf("%s: in force on %d entries, median %v, last %v", when, len(took), took[len(took)/2], took[len(took)-1])
+}
--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -82,7 +82,7 @@
 // bookings in flight at it, and one sends a long scan that ends only after the
 // entry refuses new connections. None of them may notice.
 func TestRollingRestartOfEveryEntry(t *testing.T) {
-	f := newFleet(t, 6, "a", "b", "c")
+	f := newFleet(t, 6)
 	l := startTraffic(t, f)
 	for i, e := range slices.Clone(f.Entries) {
 		l.awaitMore(t, 50)
@@ -102,7 +102,7 @@
 // time, each handing its keys to entries elsewhere, and new ones take their
 // place. Callers may not notice.
 func TestFailureDomainReplaced(t *testing.T) {
-	f := newFleet(t, 9, "a", "b", "c")
+	f := newFleet(t, 9)
 	l := startTraffic(t, f)
 	l.awaitMore(t, 100)
 	var leaving []*entry.Entry
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"testing"
 	"time"
@@ -62,14 +62,13 @@
 
 // newFleet starts entries before two pools of endpoints and waits until all
 // entries are ready and know each other.
-func newFleet(t *testing.T, entries int, domains ...string) *fleet {
+func newFleet(t *testing.T, entries int, adjust ...func(*demo.FleetConfig)) *fleet {
 	t.Helper()
 	f := &fleet{records: make(map[string][]audit.Record)}
 	endpoint := standin.EndpointConfig{ServiceTime: standin.Constant(2 * time.Millisecond)}
-	var err error
-	f.Fleet, err = demo.NewFleet(demo.FleetConfig{
+	cfg := demo.FleetConfig{
 		Profiles: []byte(fleetProfiles),
-		Domains:  domains,
+		Domains:  []string{"a", "b", "c"},
 		Entries:  entries,
 		Pools: []demo.PoolConfig{
 			{Name: "counts", Endpoints: 4, Endpoint: endpoint},
@@ -82,7 +81,12 @@
 			defer f.mu.Unlock()
 			f.records[name] = append(f.records[name], r)
 		},
-	})
+	}
+	for _, change := range adjust {
+		change(&cfg)
+	}
+	var err error
+	f.Fleet, err = demo.NewFleet(cfg)
 	t.Cleanup(f.Close)
 	if err != nil {
 		t.Fatal(err)
@@ -160,11 +164,16 @@
 	return &wire{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. net/http sends a request again on its
+// own when a kept connection breaks under it; that counts as well.
 func (w *wire) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := w.Transport.RoundTrip(r)
+	sent := 0
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent++ }}
+	response, err := w.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if sent > 1 || sent == 1 && err != nil {
+		w.note(r, fmt.Errorf("sent %d times: %v", sent, err))
+	}
 	if err != nil {
-		w.note(r, err)
 		return nil, err
 	}
 	response.Body = &wireBody{response.Body, w, r}
@@ -172,7 +181,7 @@
 }
 
 func (w *wire) note(r *http.Request, err error) {
-	if op, ok := err.(*net.OpError); ok && op.Op == "dial" || r.Context().Err() != nil {
+	if r.Context().Err() != nil {
 		return
 	}
 	w.mu.Lock()
@@ -321,6 +330,10 @@
 			count = &bookings
 		}
 		count.add(about.result.Outcome)
+		if about.result.Outcome != client.Done {
+			t.Logf("%s: %s %q by %s after %d tries: %v", about.id, about.result.Outcome, about.result.Reason,
+				about.result.Entry, about.result.Tries, about.result.Err)
+		}
 		if problem := about.problem(f.Ledger.Request(about.id)); problem != "" {
 			t.Errorf("%s: %s; told %s %q by %s after %d tries (%v)", about.id, problem, about.result.Outcome,
 				about.result.Reason, about.result.Entry, about.result.Tries, about.result.Err)
@@ -371,11 +384,6 @@
 	if reads.notRun+reads.unknown+bookings.notRun+bookings.unknown > 0 {
 		t.Errorf("requests were lost: reads %+v, bookings %+v", reads, bookings)
 	}
-	for _, about := range l.told {
-		if about.result.Outcome != client.Done {
-			t.Logf("%s: %s %q by %s: %v", about.id, about.result.Outcome, about.result.Reason, about.result.Entry, about.result.Err)
-		}
-	}
 	for _, broken := range l.wire.broken {
 		t.Errorf("cut off: %s", broken)
 	}
