--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -56,7 +56,9 @@
 // claimFromAnswer turns what an endpoint says of itself into evidence.
 func (c *Core) claimFromAnswer(now time.Duration, e *table.Endpoint, draining bool, incarnation uint64, out *Actions) {
 	name, known := e.Name, e.Incarnation
-	c.applyChanges(now, c.fleet.members.Answered(now, name, incarnation), "endpoint "+name, out)
+	if changes := c.fleet.members.Answered(now, name, incarnation); len(changes) > 0 {
+		c.applyChanges(now, changes, "endpoint "+name, out)
+	}
 	if draining && (incarnation == 0 || incarnation == known) && e.State == table.EndpointLive {
 		c.claim(now, message.Evidence{VM: name, Incarnation: known, Kind: message.EvidenceLeaving}, out)
 	}
