Entry: what operators see, and metrics

Entry implements the source of the admin interface from one copy of the core's tables: status with concerns and what clears each, entries, endpoints with why they are ejected, profiles. Metrics by go-metrics: what the core counts is read when somebody asks; measured as requests pass are only the latency per service, the outcomes per service, the latency added by the entry and the connections opened. Calls of the configuration service are counted around the client. Front counts open connections, links the bytes of links that are gone. go test -race of entry, peer and front passes.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/tealhall/tealhall/internal/contract"
 	"github.com/tealhall/tealhall/internal/core"
@@ -29,12 +30,13 @@
 		Extra:         x.extraHeader(d),
 		Once:          d.Once,
 	})
+	x.entry.instruments.sent(delivery)
 	if err != nil {
 		done()
 		x.entry.engine.end(x.failedEnd(d, delivery, err))
 		return
 	}
-	x.answered(d, response, done)
+	x.answered(d, response, delivery.FirstByte-delivery.Started, done)
 }
 
 // extraHeader holds the headers that tealhall adds for the endpoint. The values
@@ -67,13 +69,13 @@
 	return h
 }
 
-// answered feeds the head of an answer and either passes the answer to the
-// exchange or drops it.
-func (x *exchange) answered(d core.Directive, response *http.Response, done context.CancelFunc) {
+// answered feeds the head of an answer, which was waited for, and either passes
+// the answer to the exchange or drops it.
+func (x *exchange) answered(d core.Directive, response *http.Response, waited time.Duration, done context.CancelFunc) {
 	head := headOf(d, response)
 	commit, outcome := x.entry.engine.head(head)
 	if commit {
-		c := &committed{response: response, attempt: d.Attempt, outcome: outcome, forwarded: d.Step == core.StepForward}
+		c := &committed{response: response, attempt: d.Attempt, outcome: outcome, forwarded: d.Step == core.StepForward, waited: waited}
 		if !x.offer(c) {
 			x.abandon(c)
 		}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -24,6 +24,9 @@
 	depth         int
 	callerAttempt int
 	keyed         bool
+	// began is when the request had arrived, and ending how it ended.
+	began  time.Duration
+	ending ending
 
 	// mu guards the fields below; it may be taken under the engine's lock.
 	mu         sync.Mutex
@@ -48,6 +51,8 @@
 	outcome  core.Outcome
 	// forwarded says that the answer comes from another entry.
 	forwarded bool
+	// waited is how long the endpoint took to the head of its answer.
+	waited time.Duration
 }
 
 // push gives the exchange a directive. It never blocks. While the handler is
@@ -151,9 +156,11 @@
 		case core.StepDispatch, core.StepForward:
 			x.run(d)
 		case core.StepReply:
+			x.ending = endingOf(d.Outcome)
 			x.entry.reply(w, x.request, d)
 			return true
 		case core.StepReplay:
+			x.ending = endingOf(d.Outcome)
 			x.entry.replay(w, d)
 			return true
 		}
--- a/internal/entry/pass.go
+++ b/internal/entry/pass.go
@@ -29,6 +29,8 @@
 
 // pass gives the caller the answer that the core committed to.
 func (x *exchange) pass(w http.ResponseWriter, c *committed) {
+	x.ending = c.ending()
+	x.entry.instruments.passed(x.entry.engine.clock()-x.began, c.waited)
 	if !c.forwarded {
 		for _, name := range ownHeaders {
 			delete(c.response.Header, name)
@@ -42,10 +44,31 @@
 	x.stream(w, c, nil)
 }
 
+// ending is how the exchange ends if the whole answer is passed on.
+func (c *committed) ending() ending {
+	if !c.forwarded {
+		return endingOf(c.outcome)
+	}
+	switch contract.Outcome(c.response.Header.Get(contract.HeaderOutcome)) {
+	case contract.OutcomeDone:
+		return toldDone
+	case contract.OutcomeNotRun:
+		return toldNotRun
+	}
+	return toldUnknown
+}
+
 // stream copies the answer to the caller and then reports its end.
 func (x *exchange) stream(w http.ResponseWriter, c *committed, answer *idem.Answer) {
 	_, err := front.CopyAnswer(w, c.response)
-	x.end(c.attempt, endOfCopy(err), answer)
+	end := endOfCopy(err)
+	switch end {
+	case core.EndTruncated:
+		x.ending = cutOff
+	case core.EndCallerGone:
+		x.ending = goneCaller
+	}
+	x.end(c.attempt, end, answer)
 }
 
 // endOfCopy tells an answer that broke off from a caller that went away: only
@@ -72,6 +95,7 @@
 	if err != nil {
 		_ = body.Close()
 		x.end(c.attempt, core.EndTruncated, nil)
+		x.ending = toldUnknown
 		x.entry.reply(w, x.request, core.Directive{Outcome: core.OutcomeUnknown, Reason: core.ReasonAnswerBroken})
 		return
 	}
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -74,14 +74,14 @@
 		OnError: func(err error) { e.platformFailed(name, err) },
 	}
 	// A watch may be held for long before it shows that the platform answers.
-	if v, err := e.options.Platform.Read(ctx, name); err == nil {
+	if v, err := e.platform.Read(ctx, name); err == nil {
 		e.platformAnswered(v)
 	} else if ctx.Err() == nil {
 		e.platformFailed(name, err)
 	}
 	var after uint64
 	e.engine.view(func(_ time.Duration, c *core.Core) { after = c.InForce(name).Revision })
-	platform.Follow(ctx, e.options.Platform, name, after, options, e.platformAnswered)
+	platform.Follow(ctx, e.platform, name, after, options, e.platformAnswered)
 }
 
 func (e *Entry) platformAnswered(v platform.Value) {
@@ -128,6 +128,7 @@
 	}
 	offered := parse(v)
 	offered.Source = source
+	var published *profile.Snapshot
 	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) {
 		c.Offer(now, offered, out)
 		if c.InForce(v.Name) != offered.Mark {
@@ -136,8 +137,12 @@
 		e.documents.put(v)
 		if v.Name == platform.ProfilesValue {
 			e.revision.Store(v.Revision)
+			published = offered.Profiles
 		}
 	})
+	if published != nil {
+		e.instruments.forgetServices(func(name string) bool { _, ok := published.Service(name); return ok })
+	}
 }
 
 // parse reads a value's text. It takes no lock: a document may be large.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -38,7 +38,9 @@
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
 	x, arrival, refusal := e.admit(w, r)
 	if refusal != core.ReasonNone {
-		e.reply(w, r, core.Directive{Outcome: core.OutcomeNotRun, Reason: refusal})
+		outcome := outcomeAtDoor(r, refusal)
+		e.instruments.refused(refusal, outcome)
+		e.reply(w, r, core.Directive{Outcome: outcome, Reason: refusal})
 		return
 	}
 	if x == nil {
@@ -47,8 +49,22 @@
 	defer x.close()
 	e.engine.arrive(x, arrival)
 	x.serve(w)
+	e.instruments.ended(x.service, x.ending, e.engine.clock()-x.began)
 }
 
+// outcomeAtDoor is what is known of a request that is refused before its key was
+// looked up. With a key it may be a later try of a request that has run: then
+// "not run" would be false, and its caller would send it again under a new key.
+// Only a key that is malformed can't have run.
+func outcomeAtDoor(r *http.Request, refusal core.Reason) core.Outcome {
+	if hasKey(r) && refusal != core.ReasonKeyBad {
+		return core.OutcomeUnknown
+	}
+	return core.OutcomeNotRun
+}
+
+func hasKey(r *http.Request) bool { return len(r.Header[contract.HeaderIdempotencyKey]) > 0 }
+
 // admit reads a request. Without an exchange and a reason the caller was
 // answered already.
 func (e *Entry) admit(w http.ResponseWriter, r *http.Request) (*exchange, *core.Arrival, core.Reason) {
@@ -61,7 +77,8 @@
 	}
 	body, err := front.NewReplayBody(w, r, front.BodyLimits{Buffer: int64(e.settings.Limits.ReplayBodyBytes), Max: limit})
 	if tooLarge := (*front.TooLarge)(nil); errors.As(err, &tooLarge) {
-		front.RefuseTooLarge(w, tooLarge.Limit, false)
+		e.instruments.refused(core.ReasonBodyTooLarge, outcomeAtDoor(r, core.ReasonBodyTooLarge))
+		front.RefuseTooLarge(w, tooLarge.Limit, hasKey(r))
 		return nil, nil, core.ReasonNone
 	}
 	if err != nil {
@@ -74,6 +91,7 @@
 		body:    body,
 		service: service,
 		caller:  callerOf(r),
+		began:   e.engine.clock(),
 		wake:    make(chan struct{}, 1),
 	}
 	arrival, reason := x.arrival()
--- /dev/null
+++ b/internal/entry/views.go
@@ -0,0 +1,290 @@
+package entry
+
+import (
+	"net/http"
+	"runtime"
+	"runtime/metrics"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/admin"
+	"github.com/tealhall/tealhall/internal/core"
+	tables "github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/peer"
+	"github.com/tealhall/tealhall/internal/settings"
+)
+
+var _ admin.Source = (*Entry)(nil)
+
+// facts are a copy of all that views and metrics are made from, as of one
+// moment. Nothing in it may be changed.
+type facts struct {
+	now      time.Duration
+	wall     time.Time
+	settings *settings.Settings
+	hello    *message.Hello
+	// view is what the core knows; its counters include what was refused before
+	// the core saw it.
+	view     core.View
+	recent   recentCounts
+	platform platformCounts
+	callers  int
+	// connections counts the open connections to each endpoint by address.
+	connections map[string]int
+	links       []peer.LinkStats
+	peerServer  peer.ServerStats
+	// peerBytesIn and peerBytesOut count the bytes of all peer links so far.
+	peerBytesIn, peerBytesOut uint64
+	process                   process
+}
+
+// process is what the operating system and the runtime say of the process.
+type process struct {
+	heap       uint64
+	goroutines int
+	cpu        time.Duration
+}
+
+// facts gathers what is known now.
+func (e *Entry) facts() *facts {
+	f := &facts{
+		wall:        e.options.Wall(),
+		settings:    e.settings,
+		hello:       &e.hello,
+		platform:    e.platform.snapshot(),
+		callers:     e.front.Connections(),
+		connections: make(map[string]int),
+		links:       e.links.Stats(),
+		peerServer:  e.peerServer.Stats(),
+		process:     readProcess(),
+	}
+	e.engine.view(func(now time.Duration, c *core.Core) { f.now, f.view = now, c.View(now) })
+	e.instruments.include(&f.view.Counters)
+	f.recent = e.recent.since(&f.view.Counters)
+	in, out := e.links.Traffic()
+	f.peerBytesIn, f.peerBytesOut = in+f.peerServer.BytesIn, out+f.peerServer.BytesOut
+	for i := range f.view.Endpoints {
+		address := f.view.Endpoints[i].Address
+		open := e.connections.Stats(address)
+		f.connections[address] = open.Idle + open.Busy + open.Dialing
+	}
+	return f
+}
+
+// heapMetric is the memory of live and not yet swept objects.
+const heapMetric = "/memory/classes/heap/objects:bytes"
+
+func readProcess() process {
+	sample := []metrics.Sample{{Name: heapMetric}}
+	metrics.Read(sample)
+	p := process{goroutines: runtime.NumGoroutine()}
+	if sample[0].Value.Kind() == metrics.KindUint64 {
+		p.heap = sample[0].Value.Uint64()
+	}
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) == nil {
+		p.cpu = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	}
+	return p
+}
+
+// counters are the core's counters with what was refused before it.
+func (e *Entry) counters() (c core.Counters) {
+	e.engine.view(func(_ time.Duration, known *core.Core) { c = known.Counters() })
+	e.instruments.include(&c)
+	return c
+}
+
+func (f *facts) endpointConnections() (n int) {
+	for _, open := range f.connections {
+		n += open
+	}
+	return n
+}
+
+func (f *facts) openLinks() (n int) {
+	for i := range f.links {
+		if f.links[i].State == peer.LinkOpen {
+			n++
+		}
+	}
+	return n
+}
+
+// AdminHandler returns the interface towards operators. It may be served from
+// Start on.
+func (e *Entry) AdminHandler() http.Handler {
+	return admin.NewHandler(e, e.trail, liveRegistry{Registry: e.instruments.registry, refresh: e.refresh})
+}
+
+// Entries implements admin.Source.
+func (e *Entry) Entries() []admin.EntryView {
+	f := e.facts()
+	views := make([]admin.EntryView, 0, len(f.view.Entries))
+	for i := range f.view.Entries {
+		views = append(views, f.entryView(&f.view.Entries[i]))
+	}
+	return views
+}
+
+func (f *facts) entryView(e *core.EntryView) admin.EntryView {
+	v := admin.EntryView{
+		Name:          e.VM.Name,
+		Incarnation:   e.VM.Incarnation,
+		Region:        e.VM.Region,
+		FailureDomain: e.VM.Domain,
+		CallerAddress: e.VM.Address,
+		PeerAddress:   e.VM.PeerAddress,
+		Self:          e.Self,
+		State:         stateName(e.State),
+		Suspected:     e.Suspected,
+		Missing:       e.Missing,
+		Reader:        e.Reader,
+		Profiles:      e.Profiles,
+		VMs:           e.VMs,
+		Rate:          e.Rate,
+		HeardAge:      -1,
+	}
+	switch {
+	case e.Self:
+		v.HeardAge = 0
+	case e.Heard:
+		v.HeardAge = (f.now - e.HeardAt).Seconds()
+	}
+	return v
+}
+
+// stateName is the state of an entry as operators see it.
+func stateName(s message.EntryState) string {
+	switch s {
+	case message.EntryStarting:
+		return "starting"
+	case message.EntryServing:
+		return "serving"
+	case message.EntryLeaving:
+		return "leaving"
+	}
+	return "stopped"
+}
+
+// Endpoints implements admin.Source.
+func (e *Entry) Endpoints() []admin.EndpointView {
+	f := e.facts()
+	views := make([]admin.EndpointView, 0, len(f.view.Endpoints))
+	for i := range f.view.Endpoints {
+		views = append(views, f.endpointView(&f.view.Endpoints[i]))
+	}
+	return views
+}
+
+func (f *facts) endpointView(e *core.EndpointView) admin.EndpointView {
+	v := admin.EndpointView{
+		Name:          e.Name,
+		Pool:          e.Pool,
+		Incarnation:   e.Incarnation,
+		Address:       e.Address,
+		Region:        e.Region,
+		FailureDomain: e.Domain,
+		State:         endpointState(e.State),
+		Missing:       e.Missing,
+		Slots:         int(e.Slots),
+		Outstanding:   int(e.Outstanding),
+		SightingAge:   -1,
+		Connections:   f.connections[e.Address],
+		Latency:       time.Duration(e.Health.LatencyNanos).Seconds(),
+		Slowness:      e.Health.Slowness,
+		FailureRate:   e.Health.FailureRate,
+		SlowStart:     1,
+	}
+	if e.Sighting.Seen {
+		v.Foreign, v.SightingAge = int(e.Sighting.Foreign), (f.now - e.Sighting.At).Seconds()
+	}
+	if why := e.Ejection; why != nil {
+		v.Ejection = &admin.EjectionView{
+			Why:     why.Why,
+			For:     why.For.Seconds(),
+			TrialIn: why.TrialIn.Seconds(),
+			InARow:  why.InARow,
+			Clears:  why.Clears,
+		}
+	}
+	return v
+}
+
+func endpointState(s tables.EndpointState) string {
+	switch s {
+	case tables.EndpointLive:
+		return "live"
+	case tables.EndpointLeaving:
+		return "leaving"
+	}
+	return "gone"
+}
+
+// Profiles implements admin.Source.
+func (e *Entry) Profiles() admin.ProfilesView {
+	f := e.facts()
+	v := admin.ProfilesView{
+		Published: f.publishedView(&f.view.Profiles),
+		Mode:      f.modeView(),
+		Services:  []admin.ServiceView{},
+		Closes:    []admin.CloseView{},
+	}
+	s := f.view.Snapshot
+	if s == nil {
+		return v
+	}
+	v.TimeZone, v.Text = s.TimeZone(), string(s.Data())
+	for _, spec := range s.Services() {
+		p := spec.Policy(f.view.Closing)
+		v.Services = append(v.Services, admin.ServiceView{
+			Service:     spec.Name,
+			Profile:     spec.Profile,
+			Pool:        spec.Pool,
+			Kind:        string(p.Kind),
+			Deadline:    p.Deadline.Seconds(),
+			QueueLimit:  p.QueueLimit,
+			Priority:    p.Priority,
+			SlotShare:   p.SlotShare,
+			RetryBudget: p.RetryBudget,
+			WatchBudget: p.WatchBudget,
+			HedgeAfter:  p.HedgeAfter.Seconds(),
+			KeyRequired: p.RequireKey,
+		})
+	}
+	for _, c := range s.Closes() {
+		v.Closes = append(v.Closes, admin.CloseView{Name: c.Name, From: c.Start, To: c.End})
+	}
+	for _, warning := range s.Warnings() {
+		v.Warnings = append(v.Warnings, warning.String())
+	}
+	return v
+}
+
+// entriesBehind are the entries that hold an older revision of the profiles than
+// this one. Those that were not heard yet hold none that is known.
+func (f *facts) entriesBehind() []*core.EntryView {
+	var behind []*core.EntryView
+	for i := range f.view.Entries {
+		e := &f.view.Entries[i]
+		if e.Heard && e.State == message.EntryServing && !e.Suspected && e.Profiles < f.view.Profiles.InForce.Revision {
+			behind = append(behind, e)
+		}
+	}
+	return behind
+}
+
+// failingValues are the published values for which the configuration service
+// failed more than once since it last answered, by name.
+func (f *facts) failingValues() []string {
+	var names []string
+	for name, value := range f.platform.values {
+		if value.failing > 1 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/entry/views_concerns.go
@@ -0,0 +1,289 @@
+package entry
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/admin"
+	"github.com/tealhall/tealhall/internal/core"
+	tables "github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/peer"
+)
+
+const (
+	// concernLimit is how many things of one kind are named one by one.
+	concernLimit = 5
+	// refusalShare and refusalLeast are the share and the number of refusals in
+	// the last minute that are a concern.
+	refusalShare = 0.01
+	refusalLeast = 10
+	// nearlyFull is the share of a bound from which on it is a concern.
+	nearlyFull = 0.9
+	// staleShown is how long an offer of an older revision is a concern.
+	staleShown = time.Minute
+	// holdTime is how long a list that loses many VMs is held back.
+	holdTime = "a minute"
+)
+
+// concernList collects what an operator may want to look at.
+type concernList []admin.Concern
+
+func (l *concernList) add(clears, format string, args ...any) {
+	*l = append(*l, admin.Concern{What: fmt.Sprintf(format, args...), Clears: clears})
+}
+
+// addEach adds one concern for each of n things, and one for those above the limit.
+func (l *concernList) addEach(n int, what string, add func(i int)) {
+	for i := range min(n, concernLimit) {
+		add(i)
+	}
+	if n > concernLimit {
+		l.add("see tealhallctl "+what, "%d more %s with the same concern", n-concernLimit, what)
+	}
+}
+
+// concerns are all things that are not as they should be, with what ends each.
+// The fleet is calm when there are none.
+func (f *facts) concerns() []admin.Concern {
+	l := concernList{}
+	f.selfConcerns(&l)
+	f.publishedConcerns(&l, "profiles", &f.view.Profiles)
+	f.publishedConcerns(&l, "VM list", &f.view.VMs)
+	f.platformConcerns(&l)
+	f.entryConcerns(&l)
+	f.linkConcerns(&l)
+	f.endpointConcerns(&l)
+	f.poolConcerns(&l)
+	f.requestConcerns(&l)
+	f.boundConcerns(&l)
+	return l
+}
+
+func (f *facts) selfConcerns(l *concernList) {
+	switch {
+	case f.view.State >= message.EntryLeaving:
+		l.add("by itself: the process ends when its requests have ended; a second signal cuts them off",
+			"this entry is %s; callers are no longer sent to it", stateName(f.view.State))
+	case !f.view.Ready:
+		l.add("by itself, once the platform or a peer gives what is missing; check platform.url and peers.seeds if it lasts",
+			"this entry is not ready: %s", f.view.NotReadyWhy)
+	}
+	if f.recent.pauses > 0 {
+		l.add("by itself after a minute; look for what stops the VM if it comes again",
+			"the process did not run %d time(s) in the last minute, and took what it knew of others as stale", f.recent.pauses)
+	}
+}
+
+func (f *facts) publishedConcerns(l *concernList, name string, p *core.PublishedView) {
+	if p.Wanted > 0 {
+		l.add("by itself within seconds; check the links below if it lasts",
+			"%s: revision %d exists, %d is in force here", name, p.Wanted, p.InForce.Revision)
+	}
+	if p.Refused > p.InForce.Revision {
+		l.add("publish a corrected one; until then the revision in force stays",
+			"%s: revision %d was refused: %s", name, p.Refused, firstLine(p.RefusedWhy))
+	}
+	if p.Stale && f.now-p.StaleAt < staleShown {
+		l.add("by itself when the replica has caught up; what is in force never goes back",
+			"%s: an older revision than %d, which is in force, was offered %s ago", name, p.InForce.Revision, since(f.now, p.StaleAt))
+	}
+}
+
+func (f *facts) platformConcerns(l *concernList) {
+	for _, name := range f.failingValues() {
+		v := f.platform.values[name]
+		last := "it has never answered"
+		if v.answered {
+			last = "the last answer came " + since(f.now, v.answeredAt) + " ago"
+		}
+		l.add("by itself when the service answers again; entries go on with what is in force, and closes begin and end by the calendar",
+			"the configuration service failed %d times in a row for %s, %s: %s", v.failing, name, last, firstLine(v.lastError))
+	}
+	if f.view.ListHeld {
+		l.add("by itself, when the list has them again or after "+holdTime+"; correct the list if it is wrong",
+			"the VM list loses many VMs at once, so that its losses do not count yet")
+	}
+}
+
+func (f *facts) entryConcerns(l *concernList) {
+	var suspected, leaving []*core.EntryView
+	for i := range f.view.Entries {
+		switch e := &f.view.Entries[i]; {
+		case e.Self:
+		case e.State >= message.EntryLeaving:
+			leaving = append(leaving, e)
+		case e.Suspected:
+			suspected = append(suspected, e)
+		}
+	}
+	l.addEach(len(suspected), "entries", func(i int) {
+		e := suspected[i]
+		l.add("by itself when it is heard again, or when the platform's list drops it; check the VM and the network between",
+			"entry %s has not been heard for %s; callers are not sent there from here", e.VM.Name, since(f.now, e.SeenAt))
+	})
+	l.addEach(len(leaving), "entries", func(i int) {
+		l.add("by itself when it has stopped", "entry %s is leaving", leaving[i].VM.Name)
+	})
+	behind := f.entriesBehind()
+	l.addEach(len(behind), "entries", func(i int) {
+		l.add("by itself within seconds; look at status on that entry if it lasts",
+			"entry %s has revision %d of the profiles, %d is in force here", behind[i].VM.Name, behind[i].Profiles, f.view.Profiles.InForce.Revision)
+	})
+}
+
+// linkConcerns are about links to entries that are known. A seed where nobody
+// is any more is none.
+func (f *facts) linkConcerns(l *concernList) {
+	names := make(map[string]string)
+	for i := range f.view.Entries {
+		e := &f.view.Entries[i]
+		if !e.Self && e.State == message.EntryServing && !e.Suspected {
+			names[e.VM.PeerAddress] = e.VM.Name
+		}
+	}
+	var down []*peer.LinkStats
+	for i := range f.links {
+		s := &f.links[i]
+		failed := s.State == peer.LinkWaiting || s.State == peer.LinkDialing && s.LastError != ""
+		if failed && names[s.Address] != "" {
+			down = append(down, s)
+		}
+	}
+	l.addEach(len(down), "links", func(i int) {
+		l.add("by itself when it can be opened again; check the network from here to there",
+			"the link to entry %s at %s is down: %s", names[down[i].Address], down[i].Address, firstLine(down[i].LastError))
+	})
+}
+
+func (f *facts) endpointConcerns(l *concernList) {
+	var ejected, leaving, missing []*core.EndpointView
+	for i := range f.view.Endpoints {
+		e := &f.view.Endpoints[i]
+		if e.Ejection != nil {
+			ejected = append(ejected, e)
+		}
+		if e.State == tables.EndpointLeaving && e.Outstanding > 0 {
+			leaving = append(leaving, e)
+		}
+		if e.State == tables.EndpointLive && e.Missing {
+			missing = append(missing, e)
+		}
+	}
+	l.addEach(len(ejected), "endpoints", func(i int) {
+		e := ejected[i]
+		l.add("by itself: "+e.Ejection.Clears, "endpoint %s of pool %s is ejected: it %s", e.Name, e.Pool, e.Ejection.Why)
+	})
+	l.addEach(len(leaving), "endpoints", func(i int) {
+		e := leaving[i]
+		l.add("by itself when they have ended; nothing new is sent there",
+			"endpoint %s of pool %s is leaving with %d request(s) in flight from here", e.Name, e.Pool, e.Outstanding)
+	})
+	l.addEach(len(missing), "endpoints", func(i int) {
+		l.add("by itself, when the list has it again or it no longer answers; correct the list if it is wrong",
+			"endpoint %s of pool %s is missing from the platform's list and still used", missing[i].Name, missing[i].Pool)
+	})
+}
+
+func (f *facts) poolConcerns(l *concernList) {
+	for i := range f.view.Pools {
+		p := &f.view.Pools[i]
+		if p.ViewWrong {
+			l.add("by itself when most look good; check the paths from this entry to them, and the service itself",
+				"most endpoints of pool %s look bad, so that none is ejected", p.Name)
+		}
+		if len(p.Services) > 0 && p.Live == 0 {
+			l.add("start endpoints, or correct the pool's name in the profiles or in the VM list",
+				"pool %s of %s has no live endpoint", p.Name, p.Services[0].Name)
+		}
+	}
+}
+
+func (f *facts) requestConcerns(l *concernList) {
+	r := &f.recent
+	total, most := uint64(0), core.ReasonNone
+	for i, n := range r.refused {
+		if reason := core.Reason(i); ours(reason) {
+			total += n
+			if n > r.refused[most] {
+				most = reason
+			}
+		}
+	}
+	if total >= refusalLeast && float64(total) >= refusalShare*float64(r.arrived) {
+		l.add(operatorRemedy(most), "%d of %d requests were refused in the last minute, %d of them for %s",
+			total, r.arrived, r.refused[most], most)
+	}
+	if r.unknown > 0 {
+		l.add("by itself after a minute; their callers have to check in the application whether they ran",
+			"%d request(s) ended with an unknown outcome in the last minute", r.unknown)
+	}
+	if r.retriesDenied > 0 {
+		l.add("by itself when requests succeed, which earns retries; look for what makes them fail",
+			"%d retries were not allowed by the retry budget in the last minute", r.retriesDenied)
+	}
+}
+
+// ours reports whether a reason is about this entry or the endpoints rather than
+// about what a caller sent.
+func ours(reason core.Reason) bool {
+	return reason != core.ReasonNone && (reason.Status() >= http.StatusInternalServerError && reason != core.ReasonTooDeep ||
+		reason == core.ReasonCallerShare)
+}
+
+// operatorRemedy is what an operator may do about refusals.
+func operatorRemedy(reason core.Reason) string {
+	switch reason {
+	case core.ReasonQueueFull, core.ReasonTooLate, core.ReasonDeadline:
+		return "add endpoints, or publish a longer queue or deadline; by itself when the load falls"
+	case core.ReasonCallerShare:
+		return "by itself when that caller slows down, or publish a larger caller_share"
+	case core.ReasonNoEndpoint:
+		return "start endpoints, or correct the pool in the profiles or the VM list"
+	case core.ReasonOverload:
+		return "add entries, or raise limits.in_flight_requests"
+	case core.ReasonEndpointsRefuse, core.ReasonEndpointLost, core.ReasonAnswerBroken:
+		return "look at the endpoints of the service; by itself when they work again"
+	case core.ReasonKeyTableFull:
+		return "by itself as keys grow old, or raise limits.keys"
+	case core.ReasonHomeUnreachable:
+		return "look at the links between the entries"
+	}
+	return "by itself; see the reasons below"
+}
+
+func (f *facts) boundConcerns(l *concernList) {
+	near := func(n, limit int, what, setting string) {
+		if limit > 0 && float64(n) >= nearlyFull*float64(limit) {
+			l.add("by itself when the load falls; add entries or raise "+setting, "%d of %d %s", n, limit, what)
+		}
+	}
+	near(f.view.InFlight, f.settings.Limits.InFlightRequests, "requests that may be in flight are", "limits.in_flight_requests")
+	near(f.view.Keys.Keys, f.settings.Limits.Keys, "idempotency keys that may be held are", "limits.keys")
+	for i := range f.view.Pools {
+		for _, s := range f.view.Pools[i].Services {
+			near(s.Waiting, s.Policy.QueueLimit, "requests to "+s.Name+" that may wait do", "queue_limit in its profile")
+		}
+	}
+}
+
+// firstLine shortens an error to its first line.
+func firstLine(text string) string {
+	line, rest, more := strings.Cut(text, "\n")
+	if more {
+		line += fmt.Sprintf(" (and %d more, see tealhallctl audit)", 1+strings.Count(rest, "\n"))
+	}
+	return cmp.Or(line, "no error is known")
+}
+
+// since renders the time since a moment.
+func since(now, at time.Duration) string {
+	d := max(0, now-at)
+	if d < time.Minute {
+		return d.Round(100 * time.Millisecond).String()
+	}
+	return d.Round(time.Second).String()
+}
--- /dev/null
+++ b/internal/entry/views_platform.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+// countedPlatform counts the calls of the configuration service and remembers
+// how they went, for operators. It is safe for concurrent use.
+type countedPlatform struct {
+	service platform.Service
+	clock   func() time.Duration
+
+	mu     sync.Mutex
+	counts platformCounts
+}
+
+// platformCounts is what became of calls so far.
+type platformCounts struct {
+	calls, failures uint64
+	// values are the published values that were asked for, by name.
+	values map[string]valueCalls
+	// lastError is the latest failure, "" when there was none.
+	lastError string
+}
+
+// valueCalls is how the calls for one value went.
+type valueCalls struct {
+	// failing counts failures since the last answer.
+	failing int
+	// answeredAt is when the last answer came; valid if answered.
+	answeredAt time.Duration
+	answered   bool
+	lastError  string
+}
+
+func newCountedPlatform(service platform.Service, clock func() time.Duration) *countedPlatform {
+	return &countedPlatform{service: service, clock: clock, counts: platformCounts{values: make(map[string]valueCalls)}}
+}
+
+// Read implements platform.Service.
+func (p *countedPlatform) Read(ctx context.Context, name string) (platform.Value, error) {
+	v, err := p.service.Read(ctx, name)
+	p.note(ctx, name, err)
+	return v, err
+}
+
+// Watch implements platform.Service.
+func (p *countedPlatform) Watch(ctx context.Context, name string, after uint64) (platform.Value, error) {
+	v, err := p.service.Watch(ctx, name, after)
+	p.note(ctx, name, err)
+	return v, err
+}
+
+// note counts a call. One that the entry's own bound stopped was none, and one
+// that the entry gave up says nothing about the service.
+func (p *countedPlatform) note(ctx context.Context, name string, err error) {
+	if fault.KindOf(err) == fault.RateLimited {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.calls++
+	value := p.counts.values[name]
+	switch {
+	case err == nil:
+		value = valueCalls{answered: true, answeredAt: p.clock()}
+	case errors.Is(ctx.Err(), context.Canceled):
+		return
+	default:
+		p.counts.failures++
+		value.failing++
+		value.lastError = err.Error()
+		p.counts.lastError = value.lastError
+	}
+	p.counts.values[name] = value
+}
+
+// snapshot returns a copy of the counts.
+func (p *countedPlatform) snapshot() platformCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := p.counts
+	counts.values = make(map[string]valueCalls, len(p.counts.values))
+	for name, value := range p.counts.values {
+		counts.values[name] = value
+	}
+	return counts
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -144,6 +144,13 @@
 	return err
 }
 
+// Connections returns how many connections of callers are open.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // InFlight returns how many requests are being worked on.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -25,6 +25,8 @@
 	mu     sync.Mutex
 	closed bool
 	links  map[string]*link
+	// pastIn and pastOut are the bytes of links that are no longer wanted.
+	pastIn, pastOut uint64
 }
 
 // NewLinks returns links to nobody yet. Self describes this entry in each
@@ -46,6 +48,8 @@
 		if !slices.Contains(addresses, address) {
 			open.stop()
 			delete(l.links, address)
+			l.pastIn += open.meter.in.Load()
+			l.pastOut += open.meter.out.Load()
 		}
 	}
 	for _, address := range addresses {
@@ -123,6 +127,19 @@
 	}
 }
 
+// Traffic returns the bytes of the TCP streams of all links so far, those that
+// are no longer wanted included.
+func (l *Links) Traffic() (in, out uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	in, out = l.pastIn, l.pastOut
+	for _, open := range l.links {
+		in += open.meter.in.Load()
+		out += open.meter.out.Load()
+	}
+	return in, out
+}
+
 // LinkState is the state of a link.
 type LinkState string
 
