--- a/internal/demo/command.go
+++ b/internal/demo/command.go
@@ -11,7 +11,7 @@
 		Long: `Run the platform's stand-in, three entries and ten endpoints in this process on
 loopback, send them a bounded mix of reads, once-only writes and uploads while
 profiles change and VMs leave, and print a table. It takes about 16 seconds and
-ends with an error if a promise was broken.`,
+exits with 5 if a promise was broken.`,
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			opts.Out = command.OutOrStdout()
