Core: nothing is sent to an endpoint that began to leave meanwhile

Causes, each found by a test that failed before and passes now: - MaySend let an attempt go out that was decided before its endpoint began to drain; while a connection hangs that may be long after the three seconds. Now it is withdrawn and placed again, without spending the retry budget, since no endpoint has seen it. - A revision that a caller made up kept a starting entry from getting ready for as long as the platform was down. An entry that starts takes no hints from callers.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -284,6 +284,10 @@
 		c.placeAgain(now, r, out)
 		return
 	}
+	if withdrawn(r, a, e) {
+		c.placeAgain(now, r, out)
+		return
+	}
 	if !a.paid && !c.mayRetry(now, r, provablyNotRun) {
 		c.fail(now, r, r.lastReason, out)
 		return
@@ -292,6 +296,13 @@
 	c.placeAgain(now, r, out)
 }
 
+// withdrawn says that an attempt was not sent because its endpoint left
+// meanwhile. Another one needs no budget: no endpoint has seen the first.
+func withdrawn(r *request, a *attempt, e End) bool {
+	return e.Kind == EndNotWritten && !e.DialFailed && r.replayable &&
+		int(r.dispatches) < MaxAttempts && !r.pool.takesWork(a)
+}
+
 // placeAgain dispatches a request anew or lets it wait.
 func (c *Core) placeAgain(now time.Duration, r *request, out *Actions) {
 	if c.tryDispatch(now, r, false, out) {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -146,7 +146,8 @@
 // written. It is false for a request that was answered, cancelled or whose
 // deadline passed meanwhile: a process that slept between the decision and the
 // write must not send what its caller no longer waits for or was told is not
-// run. After false the driver reports EndNotWritten.
+// run. It is false as well when the endpoint leaves by now. After false the
+// driver reports EndNotWritten.
 func (c *Core) MaySend(now time.Duration, id RequestID, n Attempt) bool {
 	r, ok := c.requests[id]
 	if !ok || r.phase == phaseFinished || now >= r.deadline {
@@ -158,9 +159,18 @@
 	if r.committed != 0 && r.committed != n {
 		return false
 	}
+	if a := &r.attempts[n]; !a.forward && !r.pool.takesWork(a) {
+		return false
+	}
 	return !r.keyed || c.keys.MayDispatch(r.arrival.Key)
 }
 
+// takesWork reports whether the endpoint of an attempt still gets new work.
+func (p *pool) takesWork(a *attempt) bool {
+	e := p.endpointAt(a.index, a.incarnation)
+	return e != nil && e.State == table.EndpointLive
+}
+
 // drainQueues dispatches what waits in any pool.
 func (c *Core) drainQueues(now time.Duration, out *Actions) {
 	for _, p := range c.poolRows {
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -121,6 +121,31 @@
 	}
 }
 
+// A booking is given to an endpoint while the way there hangs; the endpoint
+// begins to drain, and four seconds later the connection opens. The booking
+// would be new work for an endpoint that may stop at any moment. It is sent to
+// the other one, although no success has paid for a second try: the first sent
+// nothing.
+func TestWorkIsNotSentToAnEndpointThatDrainsMeanwhile(t *testing.T) {
+	r := settled(t, 1, "waste/w1", "waste/w2")
+	n := r.nodes[0]
+	r.dial = func() time.Duration { return 4 * sec }
+	id := r.ask(n, Arrival{Service: "waste", HasKey: true, Key: r.key(n)})
+	for _, d := range n.open {
+		drains, stays := "w1", "w2"
+		if d.Address == addressOf("w2") {
+			drains, stays = stays, drains
+		}
+		r.list(2, "waste/"+drains+",leaving", "waste/"+stays)
+		r.run(sec)
+		r.dial = func() time.Duration { return hop }
+		r.run(4 * sec)
+		if got := n.told[id]; got.Outcome != OutcomeDone || r.written[drains] != 0 {
+			t.Errorf("told %+v, sent to %v", got, r.written)
+		}
+	}
+}
+
 // An operator publishes a profile; some entries would use the old one for
 // minutes, because only one entry per failure domain reads the service, or only
 // one of all can reach it, whichever that is. 15 entries must have it within 2 s,
@@ -196,8 +221,8 @@
 }
 
 // The network splits the fleet and both halves serve their callers. A profile
-// reaches one half only, an entry of each half is replaced, and the service
-// goes down before the network heals. Nobody is on call. The halves name only
+// reaches one half only, half of the entries are replaced, and the service goes
+// down before the network heals. Nobody is on call. The halves name only
 // entries that they hear; 4 s after the network heals (a back-off of 2 s, a
 // heartbeat, a fetch) all entries have the profile, hear each other and name
 // all of them to callers.
@@ -209,8 +234,9 @@
 	r.republish(2, `deadline = "800ms"`, `deadline = "700ms"`)
 	r.run(10 * sec)
 	r.down = func(*node) bool { return true }
-	r.start(2)
-	r.start(3)
+	for _, vm := range []int{2, 3, 5} {
+		r.start(vm)
+	}
 	r.run(10 * sec)
 	for _, n := range r.nodes {
 		if n.dead {
@@ -314,6 +340,12 @@
 	if took := r.until(5*sec, func(x *node) bool { return x != n || atRevision(3)(x) }); took > sec {
 		t.Errorf("from a peer after %v", took)
 	}
+	fresh := r.start(1) // a revision made up must not keep an entry from starting
+	r.ask(fresh, Arrival{Service: "counts", Revision: 99})
+	r.down = func(*node) bool { return true }
+	if took := r.until(20*sec, func(x *node) bool { ready, _ := x.ReadyReason(r.now); return ready }); took > 6*sec {
+		t.Errorf("a fresh entry is ready after %v", took)
+	}
 	r.down = func(*node) bool { return false }
 	fetches := 0
 	for i := range uint64(1000) {
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -105,9 +105,11 @@
 }
 
 // callerSaw notes the revision that a caller carries: when it is later than
-// the one in force here, this entry is behind and fetches at once.
+// the one in force here, this entry is behind and fetches at once. An entry that
+// starts asks the platform and its peers anyway; a revision that a caller made
+// up would keep it from getting ready for as long as the platform is down.
 func (c *Core) callerSaw(now time.Duration, revision uint64, out *Actions) {
-	if revision == 0 || revision <= c.fleet.profiles.InForce().Revision {
+	if c.state == message.EntryStarting || revision <= c.fleet.profiles.InForce().Revision {
 		return
 	}
 	c.fleet.profiles.SeenByCaller(now, revision)
