Entry: links between entries and callers' connections inside TLS

Options.TLS is passed to the server for peers, the links to them and the server for callers. Front speaks HTTP/1.1 only, also where the certificate store chooses the configuration at each handshake and offers HTTP/2. Both servers are built in New, so that the admin interface may be read before Start. Tests of front and peer pass under -race.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	cryptorand "crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"math/rand/v2"
 	"net"
@@ -45,6 +46,19 @@
 	// addresses in the settings. The entry closes them.
 	CallerListener *net.TCPListener
 	PeerListener   net.Listener
+	// TLS encrypts the sides of the entry; the zero value leaves them plain.
+	TLS TLS
+}
+
+// TLS is how the sides of an entry are encrypted. Configurations that read
+// their certificates at each handshake let files be replaced while it runs.
+type TLS struct {
+	// Callers is for connections of callers; nil for plain HTTP.
+	Callers *tls.Config
+	// PeerServer and PeerClient are for the two ends of links between entries;
+	// both or none are set. PeerClient is called for each dial.
+	PeerServer *tls.Config
+	PeerClient func() *tls.Config
 }
 
 // Entry is one running entry.
@@ -120,6 +134,13 @@
 	rng := rand.New(rand.NewPCG(incarnation, uint64(opts.Wall().UnixNano())))
 	e.engine = newEngine(core.New(e.coreConfig(), rng), clock, opts.Wall)
 	e.engine.carry = e.carryOut
+	e.buildPeers()
+	e.front = front.NewServer(front.ServerConfig{
+		ReadHeaderTimeout: s.Timeouts.Header.Duration,
+		IdleTimeout:       s.Timeouts.Idle.Duration,
+		MaxHeaderBytes:    s.Limits.HeaderBytes,
+		TLS:               opts.TLS.Callers,
+	}, e.callerHandler())
 	return e, nil
 }
 
@@ -174,12 +195,7 @@
 		return err
 	}
 	e.life, e.cancel = context.WithCancel(context.Background())
-	e.startPeers()
-	e.front = front.NewServer(front.ServerConfig{
-		ReadHeaderTimeout: e.settings.Timeouts.Header.Duration,
-		IdleTimeout:       e.settings.Timeouts.Idle.Duration,
-		MaxHeaderBytes:    e.settings.Limits.HeaderBytes,
-	}, e.callerHandler())
+	e.links.Set(e.settings.Peers.Seeds)
 	e.run(func() { _ = e.front.Serve(e.callerListener) })
 	e.run(func() { _ = e.peerServer.Serve(e.peerListener) })
 	e.run(func() { e.tickLoop(e.life) })
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -18,18 +18,19 @@
 // whose coding adds to its size.
 const handoverBytes = 256 << 10
 
-// startPeers builds the server for peers and the links to them.
-func (e *Entry) startPeers() {
+// buildPeers builds the server for peers and the links to them.
+func (e *Entry) buildPeers() {
 	cfg := peer.Config{
 		Heartbeat:      e.settings.Peers.Heartbeat.Duration,
 		CallTimeout:    e.settings.Peers.CallTimeout.Duration,
 		BytesPerSecond: e.settings.Peers.BytesPerSecond,
 		Connections:    e.settings.Peers.Connections,
 		HandoverBytes:  handoverBytes + 2*e.settings.Limits.KeyAnswerBytes,
+		ServerTLS:      e.options.TLS.PeerServer,
+		ClientTLS:      e.options.TLS.PeerClient,
 	}
 	e.peerServer = peer.NewServer(cfg, (*peerHandler)(e))
 	e.links = peer.NewLinks(cfg, func() message.Hello { return e.hello }, func(_ string, h message.Hello) { e.introduce(h) })
-	e.links.Set(e.settings.Peers.Seeds)
 }
 
 // introduce tells the core who is at the other end of a link.
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -113,8 +113,7 @@
 	return n
 }
 
-// AdminHandler returns the interface towards operators. It may be served from
-// Start on.
+// AdminHandler returns the interface towards operators.
 func (e *Entry) AdminHandler() http.Handler {
 	return admin.NewHandler(e, e.trail, liveRegistry{Registry: e.instruments.registry, refresh: e.refresh})
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -73,8 +73,7 @@
 func NewServer(cfg ServerConfig, handler http.Handler) *Server {
 	cfg = cfg.withDefaults()
 	if cfg.TLS != nil {
-		cfg.TLS = cfg.TLS.Clone()
-		cfg.TLS.NextProtos = []string{"http/1.1"}
+		cfg.TLS = http1Only(cfg.TLS)
 	}
 	s := &Server{cfg: cfg, handler: handler, conns: make(map[*guard]struct{})}
 	s.http = &http.Server{
@@ -91,6 +90,26 @@
 	return s
 }
 
+// http1Only returns a configuration that agrees on nothing but HTTP/1.1, which
+// is all that this server speaks. A caller that was let choose HTTP/2 would find
+// each of its connections broken.
+func http1Only(c *tls.Config) *tls.Config {
+	c = c.Clone()
+	c.NextProtos = []string{"http/1.1"}
+	choose := c.GetConfigForClient
+	if choose == nil {
+		return c
+	}
+	c.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+		chosen, err := choose(hello)
+		if chosen == nil || err != nil {
+			return chosen, err
+		}
+		return http1Only(chosen), nil
+	}
+	return c
+}
+
 // guardKey finds the connection of a request in its context.
 type guardKey struct{}
 
