Daemon: TLS towards callers and peers from the settings

The certificates of tls.caller and tls.peer were read but refused, since the entry took none. They now encrypt the servers and the links, and are read again when the files change.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -32,8 +32,9 @@
 	return stop(e, first, signals)
 }
 
-func entryOptions(s *settings.Settings, _ *tlsSides) entry.Options {
+func entryOptions(s *settings.Settings, sides *tlsSides) entry.Options {
 	return entry.Options{
+		TLS: sides.entry(s.TLS.Peer.ServerName),
 		Platform: platform.NewClient(platform.ClientConfig{
 			BaseURL:        s.Platform.URL,
 			Timeout:        s.Platform.Timeout.Duration,
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -8,7 +8,7 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/entry"
 	"github.com/tealhall/tealhall/internal/settings"
 	"github.com/tealhall/tealhall/internal/settings/certs"
 )
@@ -40,20 +40,17 @@
 		}
 		*side.store = store
 	}
-	if err := sides.unusable(); err != nil {
-		return nil, err
-	}
 	return &sides, nil
 }
 
-// unusable refuses what the entry can't encrypt, so that nobody believes in
-// encryption that is not there.
-func (s *tlsSides) unusable() error {
-	if s.callers == nil && s.peers == nil {
-		return nil
+// entry is what the entry is given. serverName is what peers' certificates must
+// bear; when empty, they must bear the IP number that was dialled.
+func (s *tlsSides) entry(serverName string) entry.TLS {
+	sides := entry.TLS{Callers: server(s.callers), PeerServer: server(s.peers)}
+	if s.peers != nil {
+		sides.PeerClient = func() *tls.Config { return s.peers.Client(serverName) }
 	}
-	return fault.New(fault.BadSettings, "remove tls.caller and tls.peer, and keep callers and peers on a network of their own",
-		"this release encrypts the admin interface only")
+	return sides
 }
 
 // server returns the configuration of a server, nil for plain text.
