Core: an endpoint's report can't raise its slots above the platform's list

Cause: a report was taken as it came. An endpoint that says it has 1,000 slots drew requests and raised the watching budget of its pool, which is a share of the slots (1,010 instead of 12 in the test, which failed before and passes now).

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -137,7 +137,7 @@
 		return
 	}
 	e.Outstanding--
-	p.picker.Answered(now, &p.Pool, a.index, observationOf(now, a, end))
+	p.picker.Answered(now, &p.Pool, a.index, observationOf(now, a, e, end))
 	if end.BodyFailed || end.Kind == EndNotWritten && !end.DialFailed {
 		return
 	}
@@ -159,14 +159,17 @@
 	}
 }
 
-// observationOf is what the choice policy learns from an attempt.
-func observationOf(now time.Duration, a *attempt, end End) balance.Observation {
+// observationOf is what the choice policy learns from an attempt. An endpoint may
+// report fewer slots than the platform lists and never more: a wrong report
+// would draw the pool's traffic, and raise the watching budget, which is a share
+// of the slots.
+func observationOf(now time.Duration, a *attempt, e *table.Endpoint, end End) balance.Observation {
 	return balance.Observation{
 		Latency:  a.latency(now),
 		HasLoad:  a.load.Known,
 		InFlight: a.load.InFlight,
 		Queued:   a.load.Queued,
-		Slots:    a.load.Slots,
+		Slots:    min(a.load.Slots, int(e.Listed)),
 		Refused:  end.Kind == EndNotRun,
 		Failed:   end.Kind == EndLost || end.Kind == EndTruncated || end.Kind == EndNotWritten || a.status >= http.StatusInternalServerError,
 	}
--- a/internal/core/endpoint_test.go
+++ b/internal/core/endpoint_test.go
@@ -41,6 +41,7 @@
 		"breaks off":      {after: ms, end: End{Kind: EndLost}},
 		"takes no dials":  {after: ms, end: End{Kind: EndNotWritten, DialFailed: true}, ignores: true},
 		"says it is idle": {after: 400 * ms, head: Head{Load: Load{Known: true, Slots: 2}}},
+		"says it is huge": {after: 400 * ms, head: Head{Load: Load{Known: true, Slots: 1000}}},
 	} {
 		for _, drains := range []bool{false, true} {
 			if drains && name != "straggler" && name != "fails fast" {
@@ -60,6 +61,9 @@
 			if share := float64(r.written["c2"]) / float64(len(all)); share > 0.05 {
 				t.Errorf("%s, another drains %v: gets %.0f %% of the requests", name, drains, 100*share)
 			}
+			if slots := r.nodes[0].pools["counts"].Slots(); slots > 12 {
+				t.Errorf("%s: the watching budget is a share of %d slots, there are 12", name, slots)
+			}
 			if done := count(all, OutcomeDone); done < len(all)*99/100 {
 				t.Errorf("%s, another drains %v: only %d of %d reads were answered", name, drains, done, len(all))
 			}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -124,6 +124,7 @@
 		Region:      vm.Region,
 		Domain:      vm.Domain,
 		Slots:       int32(vm.Slots),
+		Listed:      int32(vm.Slots),
 		AdmittedAt:  now,
 	}
 	for i := range p.Endpoints {
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -65,8 +65,11 @@
 	Region      string
 	Domain      string
 	State       EndpointState
-	// Slots is how many requests the endpoint works on at a time.
+	// Slots is how many requests the endpoint works on at a time, by its own
+	// report if it is lower than what the platform lists.
 	Slots int32
+	// Listed is the number of slots in the platform's list.
+	Listed int32
 	// Outstanding counts this entry's own attempts in flight; exact.
 	Outstanding int32
 	// Sighting is what others are known to have placed there.
