Callers' package over TLS; a quiet demo

Cause: with tls.caller set, the package could not reach an entry; the demo's table was mixed with log lines. Change: Options.TLS; the demo lets only errors into the log; daemon tests with TLS on every side. Tested: go test -race -count=3 of client, daemon, demo passes.

--- a/client/client.go
+++ b/client/client.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"io"
 	"net/http"
@@ -43,6 +44,9 @@
 	// 64 connections to each entry. Redirects are never followed: they are the
 	// endpoint's answer.
 	HTTP *http.Client
+	// TLS, if not nil, says that entries serve callers over TLS, and how their
+	// certificates are checked. An HTTP of the caller's own needs the same.
+	TLS *tls.Config
 	// MaxAnswer is the largest answer in bytes; 0 means 64 MiB. Of a larger one
 	// the outcome is Unknown and the Err says so.
 	MaxAnswer int64
@@ -124,7 +128,7 @@
 		return nil, fault.New(fault.BadSettings, "name the caller", "no caller")
 	}
 	if opts.HTTP == nil {
-		opts.HTTP = newHTTP()
+		opts.HTTP = newHTTP(opts.TLS)
 	}
 	if opts.MaxAnswer <= 0 {
 		opts.MaxAnswer = maxAnswer
@@ -142,14 +146,23 @@
 
 // newHTTP returns the client that is used where Options name none. Answers are
 // given as they come, so that their length and digest headers fit.
-func newHTTP() *http.Client {
+func newHTTP(secure *tls.Config) *http.Client {
 	return &http.Client{Transport: &http.Transport{
+		TLSClientConfig:     secure,
 		MaxIdleConnsPerHost: idleConns,
 		DialContext:         dial,
 		DisableCompression:  true,
 	}}
 }
 
+// url returns the URL of a path at an entry.
+func (o *Options) url(address, path string) string {
+	if o.TLS != nil {
+		return "https://" + address + path
+	}
+	return "http://" + address + path
+}
+
 func wait(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync"
 	"syscall"
@@ -188,6 +191,27 @@
 	}
 }
 
+func TestEntriesBehindTLS(t *testing.T) {
+	f, _ := startFleet(t, []string{"done"})
+	server := httptest.NewTLSServer(f.handler("A"))
+	t.Cleanup(server.Close)
+	f.list.Entries[0].Address = server.Listener.Addr().String()
+	authorities := x509.NewCertPool()
+	authorities.AddCert(server.Certificate())
+	for _, c := range []struct {
+		trusted *x509.CertPool
+		want    Outcome
+	}{{authorities, Done}, {x509.NewCertPool(), NotRun}} {
+		client, err := New(Options{Seeds: []string{f.list.Entries[0].Address}, Caller: "me", TLS: &tls.Config{RootCAs: c.trusted}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r, err := client.Do(t.Context(), Request{Service: "s", Method: http.MethodGet, Path: "/"}); r.Outcome != c.want {
+			t.Errorf("outcome %q, %v, want %q", r.Outcome, err, c.want)
+		}
+	}
+}
+
 func TestNoEntryKnown(t *testing.T) {
 	c, err := New(Options{Seeds: []string{closedAddress(0)}, Caller: "me"})
 	if err != nil {
--- a/client/directory.go
+++ b/client/directory.go
@@ -166,7 +166,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	query := url.Values{"service": {service}, "domain": {d.opts.Domain}, "caller": {d.opts.Caller}}
-	target := "http://" + address + contract.EntriesPath + "?" + query.Encode()
+	target := d.opts.url(address, contract.EntriesPath+"?"+query.Encode())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return answer, fault.Wrap(err, fault.BadSettings, "give entries' addresses as IP:port", "bad address %q", address)
--- a/client/session.go
+++ b/client/session.go
@@ -183,7 +183,7 @@
 }
 
 func (s *session) build(ctx context.Context, entry contract.EntryAddress) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, s.request.Method, "http://"+entry.Address+s.request.Path, s.request.body())
+	req, err := http.NewRequestWithContext(ctx, s.request.Method, s.client.opts.url(entry.Address, s.request.Path), s.request.body())
 	if err != nil {
 		return nil, fault.Wrap(err, fault.BadRequest, "give a method and a path that starts with a slash", "cannot build the request")
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/entry"
+	"github.com/tealhall/tealhall/internal/settings/certs/certstest"
 )
 
 // output is a buffer for a log that several goroutines write.
@@ -57,6 +58,27 @@
 	return path
 }
 
+// tlsSettings returns settings with certificates for every side.
+func tlsSettings(t *testing.T) string {
+	t.Helper()
+	authority := certstest.NewAuthority(t)
+	certificate, key := authority.Issue(t, "entry-1", "127.0.0.1")
+	dir := t.TempDir()
+	for name, content := range map[string][]byte{"cert.pem": certificate, "key.pem": key, "ca.pem": authority.PEM} {
+		if err := os.WriteFile(filepath.Join(dir, name), content, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text := "[tls.peer]\nauthorities = \"DIR/ca.pem\"\n"
+	for _, side := range []string{"tls.peer", "tls.caller", "tls.admin"} {
+		if side != "tls.peer" {
+			text += "[" + side + "]\n"
+		}
+		text += "certificate = \"DIR/cert.pem\"\nkey = \"DIR/key.pem\"\n"
+	}
+	return strings.ReplaceAll(text, "DIR", dir)
+}
+
 func TestMainExits(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -66,6 +88,8 @@
 	const free = "127.0.0.1:0"
 	valid := writeSettings(t, validSettings, free)
 	wrong := writeSettings(t, strings.Replace(validSettings, "region", "regoin", 1), free)
+	secure := writeSettings(t, validSettings+tlsSettings(t), free)
+	noKey := writeSettings(t, validSettings+"[tls.caller]\ncertificate = \"/none.pem\"\nkey = \"/none.pem\"\n", free)
 	cases := []struct {
 		name string
 		args []string
@@ -79,6 +103,8 @@
 		{"checked", []string{"--config", valid, "--check"}, ExitOK, "the settings of entry-1 are valid"},
 		{"misspelt setting", []string{"--config", wrong, "--check"}, ExitSettings, "regoin: there is no such setting"},
 		{"misspelt setting, not only checked", []string{"--config", wrong}, ExitSettings, "region: it is required"},
+		{"TLS file missing", []string{"--config", noKey, "--check"}, ExitSettings, "/none.pem"},
+		{"TLS on every side", []string{"--config", secure}, ExitOK, `"stopped" entry="entry-1"`},
 		{"port in use", []string{"--config", writeSettings(t, validSettings, taken.Addr().String())}, ExitFailure, "free the port"},
 		{"stopped by a signal", []string{"--config", valid}, ExitOK, `"stopped" entry="entry-1"`},
 		{"TLS is off", []string{"--config", valid}, ExitOK, `side="callers"`},
@@ -91,6 +117,9 @@
 			if code := run(c.args, &out, &out, signals); code != c.code {
 				t.Errorf("exit code %d, want %d", code, c.code)
 			}
+			if c.name == "TLS on every side" && strings.Contains(out.String(), "TLS is off") {
+				t.Errorf("plain text on some side:\n%s", out.String())
+			}
 			if !strings.Contains(out.String(), c.says) {
 				t.Errorf("%q is missing in:\n%s", c.says, out.String())
 			}
--- a/internal/demo/command.go
+++ b/internal/demo/command.go
@@ -1,6 +1,12 @@
 package demo
 
-import "github.com/spf13/cobra"
+import (
+	"flag"
+	"io"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+)
 
 // NewCommand returns the command "demo".
 func NewCommand() *cobra.Command {
@@ -14,6 +20,7 @@
 exits with 5 if a promise was broken.`,
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
+			quietLog()
 			opts.Out = command.OutOrStdout()
 			return Run(command.Context(), opts)
 		},
@@ -22,3 +29,13 @@
 	command.Flags().Uint64Var(&opts.Seed, "seed", 1, "varies the service times")
 	return command
 }
+
+// quietLog lets only errors of the entries through to standard error.
+func quietLog() {
+	set := flag.NewFlagSet("log", flag.ContinueOnError)
+	klog.InitFlags(set)
+	// These names and values are klog's own; they are always accepted.
+	_ = set.Set("logtostderr", "false")
+	_ = set.Set("stderrthreshold", "ERROR")
+	klog.SetOutput(io.Discard)
+}
--- a/internal/demo/session.go
+++ b/internal/demo/session.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -181,12 +182,12 @@
 }
 
 func (s *session) progressLine() string {
-	line := ""
+	var parts []string
 	for _, t := range s.tallies {
 		sent, done := t.progress()
-		line += fmt.Sprintf("%s %d/%d done  ", t.service, done, sent)
+		parts = append(parts, fmt.Sprintf("%s %d of %d done", t.service, done, sent))
 	}
-	return line
+	return strings.Join(parts, ", ")
 }
 
 // cutCounter is a transport that counts answers that broke off.
