--- a/internal/core/rig_test.go
+++ b/internal/core/rig_test.go
@@ -145,6 +145,12 @@
 // addressOf turns an endpoint's name, a letter and a number, into an address.
 func addressOf(name string) string { return fmt.Sprintf("10.0.%d.%s:80", name[0], name[1:]) }
 
+func nameOf(address string) (name string) {
+	var letter, number int
+	_, _ = fmt.Sscanf(address, "10.0.%d.%d:80", &letter, &number)
+	return fmt.Sprintf("%c%d", letter, number)
+}
+
 // list publishes the VMs: all entries, and endpoints given as "pool/name" with
 // "#incarnation" or ",leaving" behind.
 func (r *rig) list(revision uint64, endpoints ...string) {
--- a/internal/core/traffic_test.go
+++ b/internal/core/traffic_test.go
@@ -71,12 +71,7 @@
 		r.end(n, t, End{Kind: EndNotWritten})
 		return
 	}
-	var letter string
-	var host [4]int
-	_, _ = fmt.Sscanf(d.Address, "%d.%d.%d.%d", &host[0], &host[1], &host[2], &host[3])
-	letter = string(rune(host[2]))
-	name := letter + fmt.Sprint(host[3])
-	a := n.arrivals[d.ID]
+	name, a := nameOf(d.Address), n.arrivals[d.ID]
 	re := r.endpoint(name, a)
 	r.written[name]++
 	if !re.ignores && !re.head.NotRun && re.end.Kind != EndNotWritten {
