Core: refusals that an endpoint's own report contradicts count against it

An endpoint that turned everything away was never ejected in light traffic: its refusals of requests that ask for an idle slot only were excused as busy, each request asked it first, and no page could say why. A refusal now counts when the endpoint reports an idle slot with it.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -144,7 +144,7 @@
 	if end.ConnSilent {
 		out.SuspectAddresses = append(out.SuspectAddresses, e.Address)
 	}
-	if o, ok := healthOutcome(a, end); ok && !refusedIdle(a, end) {
+	if o, ok := healthOutcome(a, end); ok && !(refusedIdle(a, end) && a.load.busy()) {
 		health.Observe(now, e, health.Observation{
 			Outcome:  o,
 			Sent:     a.at,
@@ -181,6 +181,12 @@
 	return a.idleOnly && end.Kind == EndNotRun
 }
 
+// busy says that no slot is idle by an endpoint's own report, or that there is
+// none. An endpoint that turns everything away reports idle slots: its refusals
+// must count although it was asked for an idle slot only, or it would never be
+// ejected and each request would ask it first.
+func (l Load) busy() bool { return !l.Known || l.InFlight+l.Queued >= l.Slots }
+
 // latency is the time to the head of the answer, or to the failure. The time
 // that a caller takes to receive an answer must not count: a slow caller would
 // make its endpoint look slow.
--- a/internal/entry/views_concerns.go
+++ b/internal/entry/views_concerns.go
@@ -175,7 +175,7 @@
 	}
 	l.addEach(len(ejected), "endpoints", func(i int) {
 		e := ejected[i]
-		l.add("by itself: "+e.Ejection.Clears, "endpoint %s of pool %s is ejected: it %s", e.Name, e.Pool, e.Ejection.Why)
+		l.add("by itself: "+e.Ejection.Clears, "endpoint %s of pool %s is ejected: %s", e.Name, e.Pool, e.Ejection.Why)
 	})
 	l.addEach(len(leaving), "endpoints", func(i int) {
 		e := leaving[i]
