--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -73,13 +73,6 @@
 	}
 }
 
-// Send is Deliver for senders that need not know whether the peer accepted the
-// update. It reports whether the link has taken it.
-func (l *Links) Send(address string, u message.Update) bool {
-	open := l.find(address)
-	return open != nil && open.send(u, func(bool) {})
-}
-
 // Fetch asks a peer for a published value.
 func (l *Links) Fetch(ctx context.Context, address string, f message.Fetch) (message.Document, error) {
 	reply := new(wire.FetchReply)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,10 +25,12 @@
 		second := first // the same marks and endpoint again, which are not repeated on the wire
 		second.Sequence, second.Evidence = 2, nil
 		for _, u := range []message.Update{first, second} {
-			if !p.links.Send(peerAddress, u) {
-				t.Errorf("update %d: dropped", u.Sequence)
-			}
+			var acked atomic.Bool
+			p.links.Deliver(peerAddress, u, acked.Store)
 			elapse(time.Second)
+			if !acked.Load() {
+				t.Errorf("update %d: not accepted", u.Sequence)
+			}
 		}
 		if diff := cmp.Diff([]message.Update{first, second}, n.received()); diff != "" {
 			t.Errorf("received (-sent +received):\n%s", diff)
@@ -228,8 +231,10 @@
 		if open := p.server.Stats().Connections; open != 0 || len(p.links.Stats()) != 0 {
 			t.Errorf("%d connections, %d links", open, len(p.links.Stats()))
 		}
-		if p.links.Send(peerAddress, message.Update{}) {
-			t.Error("an update for an address that is not wanted was taken")
+		var told []bool // before Deliver returns
+		p.links.Deliver(peerAddress, message.Update{}, func(acked bool) { told = append(told, acked) })
+		if len(told) != 1 || told[0] {
+			t.Errorf("an update for an address that is not wanted: told %v", told)
 		}
 	})
 }
