Claims: a view of full endpoints does not last; bounded service samples; slow endpoints retried sooner

Change: the limit on queueing at endpoints falls after a long wait and when nothing is in flight; samples of service time are bounded; a slow endpoint is measured again after 0.1 s, doubling; an attempt that runs far too long is taken for a long one; order among equal endpoints by a hash of the entry.

--- a/internal/bench/config.go
+++ b/internal/bench/config.go
@@ -27,6 +27,10 @@
 	// ProbeShare is the share of the pool's slot time that the deciders
 	// together may spend on probes; 0 for none.
 	ProbeShare float64
+	// IdleShare bounds the refusals of requests that asked for an idle slot to
+	// a share of the requests, and each request's to idleRefusals; 0 leaves
+	// both unbounded. Beyond the bound a request queues.
+	IdleShare float64
 	// Perfect tells the decider which endpoints are faulty. Only the yardsticks
 	// are told: ratios are to the lowest figure among them.
 	Perfect bool
--- a/internal/bench/decider.go
+++ b/internal/bench/decider.go
@@ -41,9 +41,12 @@
 	typical health.Typical
 	rng     *rand.Rand
 	events  []health.Event
-	refused int64
-	tries   int64
-	failed  int64
+	// idleShare and idleTokens bound the refused tries.
+	idleShare  float64
+	idleTokens float64
+	refused    int64
+	tries      int64
+	failed     int64
 }
 
 const (
@@ -53,6 +56,12 @@
 	mostEjected = 0.3
 )
 
+// idleRefusals and idleBurst bound refused tries where Variant.IdleShare does.
+const (
+	idleRefusals = 3
+	idleBurst    = 10
+)
+
 func deciderName(i int) string { return fmt.Sprintf("entry-%d", i) }
 
 func newDecider(cfg Config, variant Variant, faults Faults, index, count int, endpoints []*endpoint, epoch time.Time) (*decider, error) {
@@ -65,6 +74,7 @@
 	}
 	d := &decider{
 		cfg: cfg, epoch: epoch, index: index, name: tuning.Self, picker: picker, rng: rng, deciders: count,
+		idleShare: variant.IdleShare, idleTokens: idleBurst,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}},
 	}
 	d.pool.Name = "pool"
@@ -125,14 +135,14 @@
 
 // choose returns an endpoint, after waiting in the queue if need be. A request
 // that was tried before goes to the head of the queue.
-func (d *decider) choose(since time.Time, tried balance.Set) balance.Choice {
+func (d *decider) choose(ctx context.Context, since time.Time, tried balance.Set) (balance.Choice, bool) {
 	d.mu.Lock()
 	if tried != 0 || len(d.queue) == 0 {
 		ask := balance.Ask{Tried: tried, Trial: true}
 		if c := d.picker.Pick(d.now(), &d.pool, ask, time.Since(since)); c.OK {
 			d.dispatched(c)
 			d.mu.Unlock()
-			return c
+			return c, true
 		}
 	}
 	w := &waiter{since: since, ask: balance.Ask{Trial: true}, choice: make(chan balance.Choice, 1)}
@@ -143,21 +153,33 @@
 	}
 	d.pump()
 	d.mu.Unlock()
-	return <-w.choice
+	select {
+	case c := <-w.choice:
+		return c, true
+	case <-ctx.Done():
+		return balance.Choice{}, false
+	}
 }
 
 // serve carries one request through and reports whether it was answered.
 func (d *decider) serve(ctx context.Context, a arrival) bool {
 	since := time.Now()
 	var tried balance.Set
-	failures := 0
+	failures, refusals := 0, 0
 	for ctx.Err() == nil && failures < d.cfg.Attempts {
-		c := d.choose(since, tried)
+		c, ok := d.choose(ctx, since, tried)
+		if !ok {
+			return false
+		}
+		c.IdleOnly = c.IdleOnly && d.mayAskIdle(refusals)
 		obs := d.send(ctx, c, a.demand)
 		d.answered(c.Index, obs)
 		if obs.Failed {
 			failures++
 		}
+		if obs.Refused {
+			refusals++
+		}
 		if !obs.Refused && !obs.Failed {
 			return true
 		}
@@ -166,6 +188,16 @@
 	return false
 }
 
+// mayAskIdle reports whether one more refused try is within bounds.
+func (d *decider) mayAskIdle(refusals int) bool {
+	if d.idleShare <= 0 {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return refusals < idleRefusals && d.idleTokens >= 1
+}
+
 // answered passes on what an attempt told, and frees the queue.
 func (d *decider) answered(i int, obs balance.Observation) {
 	d.mu.Lock()
@@ -177,12 +209,14 @@
 	switch {
 	case obs.Refused:
 		outcome = health.RefusedNotRun
+		d.idleTokens--
 		d.refused++
 	case obs.Failed:
 		outcome = health.AnsweredError
 		d.failed++
 	default:
 		d.typical.Observe(obs.Latency)
+		d.idleTokens = min(idleBurst, d.idleTokens+d.idleShare)
 	}
 	// A refusal that was asked for tells nothing about the endpoint's health.
 	if !obs.Refused {
--- a/internal/bench/variants.go
+++ b/internal/bench/variants.go
@@ -16,6 +16,10 @@
 // defaultProbeShare is the watching budget that probing variants may spend.
 const defaultProbeShare = 0.01
 
+// defaultIdleShare bounds refused tries to this share of the requests, as the
+// entries do.
+const defaultIdleShare = 0.3
+
 // allVariants are the ways to decide that the design note compares. Those whose
 // name ends in "@3" are steered: callers are told of three entries only.
 func allVariants() []Variant {
@@ -39,6 +43,14 @@
 			Deciders: steered, PeerInterval: every * time.Millisecond,
 		})
 	}
+	for _, deciders := range []int{steered, 0} {
+		bounded := Variant{Name: "bounded", Policy: balance.Claims, Deciders: deciders, IdleShare: defaultIdleShare}
+		if deciders != 0 {
+			bounded.Name = "bounded@3+10ms"
+			bounded.PeerInterval = 10 * time.Millisecond
+		}
+		all = append(all, bounded)
+	}
 	return all
 }
 
--- a/internal/core/balance/attempts.go
+++ b/internal/core/balance/attempts.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // trackedAttempts is how many own attempts in flight are tracked at one
 // endpoint; more than its slots and a short queue tell nothing new.
@@ -43,17 +46,22 @@
 // nextEnd estimates when the first of the attempts in service ends, given a
 // service time.
 func (a *attempts) nextEnd(now time.Duration, service float64) float64 {
-	end := service
+	end := math.Inf(1)
 	for k := range a.count {
 		if a.queued[k] {
 			continue
 		}
-		left := max(leastLeft*service, service-float64(now-a.begun[k]))
-		end = min(end, left)
+		ran := float64(now - a.begun[k])
+		// One that runs far too long is taken to be a long one.
+		end = min(end, max(leastLeft*service, service-ran, ran-overdue*service))
 	}
 	return end
 }
 
+// overdue is after how many service times an attempt is taken to need long
+// still.
+const overdue = 2
+
 // leastLeft is the share of a service time that an attempt is taken to need
 // still, however long it has run.
 const leastLeft = 0.15
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -72,6 +72,26 @@
 	}
 }
 
+// Nobody answers any more, and all that was last heard is that every endpoint
+// has a long queue. A request that waits must go out in the end: only an answer
+// could tell that the queues are gone.
+func TestAViewOfFullEndpointsDoesNotLast(t *testing.T) {
+	for _, policy := range Policies() {
+		picker, p := newPicker(t, policy), benchPool(6)
+		picker.Changed(testNow, p, []string{"a", "b", "c"})
+		for i := range p.Endpoints {
+			p.Endpoints[i].Outstanding = 0
+			for range 100 {
+				picker.Told(testNow, p, i, table.Sighting{Seen: true, Foreign: 50, At: testNow})
+			}
+			picker.PeerTold(testNow, p, i, PeerLoad{From: 0, Own: 20, At: testNow})
+		}
+		if c := picker.Pick(testNow+time.Second, p, Ask{}, time.Second); !c.OK {
+			t.Errorf("%s: still waits after a second without news", policy)
+		}
+	}
+}
+
 // benchPool is a pool of the largest size that one service is expected to have.
 func benchPool(n int) *table.Pool {
 	p := &table.Pool{Endpoints: make([]table.Endpoint, n)}
--- a/internal/core/balance/claims.go
+++ b/internal/core/balance/claims.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/table"
@@ -19,7 +20,10 @@
 	// homeBonus puts an idle slot of the own share before all others, and
 	// rankCost decides between equals.
 	homeBonus = 10
-	rankCost  = 1e-3
+	// longWait is after how many times its patience a request queues at an
+	// endpoint however full that looks.
+	longWait = 20
+	rankCost = 1e-3
 )
 
 // claims keeps a request in the entry's queue until a slot looks idle, by the
@@ -76,8 +80,8 @@
 	}
 	r.failures, r.avoidUntil = 0, 0
 	if served {
-		r.measured = now
 		c.measure(e, obs.Latency)
+		r.measured(now, c.slow(e))
 	}
 	c.answers++
 	if c.answers%medianEvery == 0 {
@@ -113,7 +117,7 @@
 	if patience := c.patience(); waited < patience {
 		return Choice{Wait: min(askAgain, patience-waited)}
 	}
-	if i, ok := c.queueAt(now, p, ask, s); ok {
+	if i, ok := c.queueAt(now, p, ask, s, waited); ok {
 		c.lastIdleOnly = false
 		return Choice{Index: i, OK: true}
 	}
@@ -163,7 +167,7 @@
 	if !c.slow(e) {
 		return false
 	}
-	if ask.Trial && e.Outstanding == 0 && now-r.measured > slowRetry {
+	if ask.Trial && e.Outstanding == 0 && now >= r.retryAt {
 		return false
 	}
 	return float64(waited) < e.ServiceNanos-c.reference
@@ -173,8 +177,14 @@
 	return c.reference > 0 && e.ServiceNanos > slowFactor*c.reference
 }
 
-// queueAt returns the endpoint where a queued request is served soonest.
-func (c *claims) queueAt(now time.Duration, p *table.Pool, ask Ask, s standing) (int, bool) {
+// queueAt returns the endpoint where a queued request is served soonest. The
+// limit on the queue falls after a long wait and when this entry has nothing in
+// flight: then no answer will correct a view that shows every queue as full.
+func (c *claims) queueAt(now time.Duration, p *table.Pool, ask Ask, s standing, waited time.Duration) (int, bool) {
+	limit := float64(c.cfg.QueueAtEndpoint) - idleShare
+	if waited > longWait*c.patience() || p.Outstanding() == 0 {
+		limit = math.Inf(1)
+	}
 	best, bestTime := -1, 0.0
 	for i := range p.Endpoints {
 		if !eligible(now, p, i, ask.Tried, s) {
@@ -183,11 +193,11 @@
 		e, r := &p.Endpoints[i], &c.records[i]
 		service, slots := c.service(e), float64(max(1, e.Slots))
 		load := float64(e.Outstanding) + c.peers.foreign(now, i, service)
-		if now < r.avoidUntil || load >= slots+float64(c.cfg.QueueAtEndpoint)-idleShare {
+		ahead := max(0, load-slots)
+		if now < r.avoidUntil || ahead >= limit {
 			continue
 		}
-		ahead := max(0, load-slots)
-		end := min(r.attempts.nextEnd(now, service), service/2)
+		end := min(r.attempts.nextEnd(now, service), service)
 		ready := end + ahead*service/slots + service
 		if best < 0 || ready < bestTime {
 			best, bestTime = i, ready
--- a/internal/core/balance/order.go
+++ b/internal/core/balance/order.go
@@ -10,10 +10,10 @@
 )
 
 // order divides a pool among the deciders without a message: each has first
-// claim on an equal share of the endpoints, and takes others' endpoints in the
-// reverse of the order in which their holders fill them, so that a holder and a
-// borrower meet as late as possible. Deciders that disagree about the
-// membership get different shares; that costs collisions only.
+// claim on an equal share of the endpoints and an order of its own among those
+// that are otherwise equal, so that two deciders seldom pick the same slot.
+// Deciders that disagree about the membership get different shares; that costs
+// collisions only.
 type order struct {
 	// rank of each endpoint: low is taken first.
 	rank []int32
@@ -26,21 +26,25 @@
 	o.rank = make([]int32, n)
 	o.home = make([]bool, n)
 	holders, own := holderOrder(p.Name, deciders, self)
-	dealt := make([]int, n)
-	for i := range dealt {
-		dealt[i] = i
-	}
-	key := func(i int) uint64 { return xxhash.Sum64String(p.Name + "\x00" + p.Endpoints[i].Name) }
-	slices.SortFunc(dealt, func(a, b int) int { return cmp.Compare(key(a), key(b)) })
-	for position, i := range dealt {
+	for position, i := range sortedBy(p, p.Name) {
 		o.home[i] = position%holders == own
+	}
+	for position, i := range sortedBy(p, self) {
 		o.rank[i] = int32(position)
-		if !o.home[i] {
-			o.rank[i] = int32(2*n - position)
-		}
 	}
 }
 
+// sortedBy returns the indexes of the endpoints in an order that salt gives.
+func sortedBy(p *table.Pool, salt string) []int {
+	sorted := make([]int, len(p.Endpoints))
+	for i := range sorted {
+		sorted[i] = i
+	}
+	key := func(i int) uint64 { return xxhash.Sum64String(salt + "\x00" + p.Endpoints[i].Name) }
+	slices.SortFunc(sorted, func(a, b int) int { return cmp.Compare(key(a), key(b)) })
+	return sorted
+}
+
 // holderOrder returns the number of deciders and this one's place among them,
 // in an order that differs from pool to pool.
 func holderOrder(pool string, deciders []string, self string) (holders, own int) {
--- a/internal/core/balance/peerloads.go
+++ b/internal/core/balance/peerloads.go
@@ -76,10 +76,12 @@
 	}
 }
 
-// foreign estimates the foreign load at endpoint i. What only a report showed
-// fades with the service time.
+// foreign estimates the foreign load at endpoint i. Peers' counts hold until
+// the peer is heard again or falls silent; what only a report showed fades with
+// the service time, so that an entry that hears nothing more does not take the
+// pool for full for ever.
 func (l *peerLoads) foreign(now time.Duration, i int, service float64) float64 {
 	row := &l.rows[i]
-	age := float64(max(0, now-row.extraAt))
-	return max(0, float64(row.sum)+float64(row.extra)*service/(service+age))
+	left := service / (service + float64(max(0, now-row.extraAt)))
+	return max(0, float64(row.sum)+float64(row.extra)*left)
 }
--- a/internal/core/balance/standings.go
+++ b/internal/core/balance/standings.go
@@ -10,9 +10,11 @@
 	// slowFactor is how much slower than the pool's median an endpoint must be
 	// to be avoided.
 	slowFactor = 2
-	// slowRetry is how often a slow endpoint is measured again by a request
-	// that may be spent on a trial.
-	slowRetry = 5 * time.Second
+	// slowRetryFirst and slowRetryMost bound the time after which a slow
+	// endpoint is measured again by a request that may be spent on a trial; it
+	// doubles while the endpoint stays slow.
+	slowRetryFirst = 100 * time.Millisecond
+	slowRetryMost  = 10 * time.Second
 	// medianEvery is the number of answers between two looks at the median.
 	medianEvery = 32
 	// avoidFirst and avoidMost bound the time for which an endpoint that
@@ -24,8 +26,10 @@
 // record is what the claims policy remembers of one endpoint beside its row.
 type record struct {
 	attempts attempts
-	// measured is when an answer last told a service time.
-	measured time.Duration
+	// retryAt is when a slow endpoint may be measured again, after a pause
+	// that has doubled so many times.
+	retryAt   time.Duration
+	doublings int
 	// avoidUntil and failures pass over an endpoint that turns requests away.
 	avoidUntil time.Duration
 	failures   int
@@ -36,14 +40,24 @@
 // growing pause keeps it from drawing the pool's traffic until the health
 // system has ejected it.
 func (r *record) failed(now time.Duration) {
-	pause := avoidMost
-	if r.failures < 6 {
-		pause = min(avoidMost, avoidFirst<<r.failures)
+	r.avoidUntil = now + min(avoidMost, avoidFirst<<r.failures)
+	r.failures = min(r.failures+1, mostDoublings)
+}
+
+// measured plans the next measurement after one that found the endpoint slow or
+// not.
+func (r *record) measured(now time.Duration, slow bool) {
+	if !slow {
+		r.doublings = 0
+		return
 	}
-	r.failures++
-	r.avoidUntil = now + pause
+	r.retryAt = now + min(slowRetryMost, slowRetryFirst<<r.doublings)
+	r.doublings = min(r.doublings+1, mostDoublings)
 }
 
+// mostDoublings keeps the growth within the range of a duration.
+const mostDoublings = 10
+
 // median returns the median service time of the pool's measured live
 // endpoints, or 0. It looks at the first MaxRemembered endpoints.
 func median(p *table.Pool) float64 {
--- a/internal/core/balance/view.go
+++ b/internal/core/balance/view.go
@@ -10,6 +10,9 @@
 const (
 	// serviceWeight is the weight of a new measurement in ServiceNanos.
 	serviceWeight = 0.1
+	// largestSample bounds a measurement by a multiple of the present value, so
+	// that a few very long requests don't make a slow endpoint.
+	largestSample = 4
 	// idleWait is how long to wait when no endpoint may be used at all.
 	idleWait = 5 * time.Millisecond
 )
@@ -63,7 +66,8 @@
 		e.ServiceNanos = float64(latency)
 		return
 	}
-	e.ServiceNanos += serviceWeight * (float64(latency) - e.ServiceNanos)
+	sample := min(float64(latency), largestSample*e.ServiceNanos)
+	e.ServiceNanos += serviceWeight * (sample - e.ServiceNanos)
 }
 
 // service is the endpoint's service time in nanoseconds, or an assumed one.
