TLS from entry to entry for requests passed on to their key's home

With tls.caller set, an entry that got a request whose key is at home elsewhere dialled the home's callers' side in plain text, and the caller was told unknown. Such connections are now inside TLS: the home's certificate must be signed by tls.caller.authorities, or by one of the system's, and bear its IP number or tls.caller.server_name. They carry one request each, since inside TLS unasked bytes can't be seen. A test runs two entries with all sides encrypted: a booking sent to both runs once, a caller that offers HTTP/2 is served. go test -race of entry's test, forward, front, daemon and settings passes.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -34,7 +34,7 @@
 
 func entryOptions(s *settings.Settings, sides *tlsSides) entry.Options {
 	return entry.Options{
-		TLS: sides.entry(s.TLS.Peer.ServerName),
+		TLS: sides.entry(&s.TLS),
 		Platform: platform.NewClient(platform.ClientConfig{
 			BaseURL:        s.Platform.URL,
 			Timeout:        s.Platform.Timeout.Duration,
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -17,6 +17,8 @@
 // is off.
 type tlsSides struct {
 	callers, peers, admin *certs.Store
+	// homes is for requests that are passed on to other entries.
+	homes *certs.Store
 }
 
 // openTLS reads the TLS files. It is also what a check of the settings does, so
@@ -28,6 +30,7 @@
 		files certs.Files
 	}{
 		{&sides.callers, certs.Files{Certificate: t.Caller.Certificate, Key: t.Caller.Key}},
+		{&sides.homes, certs.Files{Certificate: t.Caller.Certificate, Key: t.Caller.Key, Authorities: t.Caller.Authorities}},
 		{&sides.peers, certs.Files{Certificate: t.Peer.Certificate, Key: t.Peer.Key, Authorities: t.Peer.Authorities}},
 		{&sides.admin, certs.Files{Certificate: t.Admin.Certificate, Key: t.Admin.Key}},
 	} {
@@ -43,14 +46,24 @@
 	return &sides, nil
 }
 
-// entry is what the entry is given. serverName is what peers' certificates must
-// bear; when empty, they must bear the IP number that was dialled.
-func (s *tlsSides) entry(serverName string) entry.TLS {
-	sides := entry.TLS{Callers: server(s.callers), PeerServer: server(s.peers)}
-	if s.peers != nil {
-		sides.PeerClient = func() *tls.Config { return s.peers.Client(serverName) }
+// entry is what the entry is given.
+func (s *tlsSides) entry(t *settings.TLS) entry.TLS {
+	return entry.TLS{
+		Callers:    server(s.callers),
+		Homes:      client(s.homes, t.Caller.ServerName),
+		PeerServer: server(s.peers),
+		PeerClient: client(s.peers, t.Peer.ServerName),
 	}
-	return sides
+}
+
+// client returns what gives the configuration of a dial, nil for plain text.
+// serverName is what the other end's certificate must bear; when empty, it must
+// bear the IP number that is dialled.
+func client(store *certs.Store, serverName string) func() *tls.Config {
+	if store == nil {
+		return nil
+	}
+	return func() *tls.Config { return store.Client(serverName) }
 }
 
 // server returns the configuration of a server, nil for plain text.
@@ -76,7 +89,7 @@
 func (s *tlsSides) watch(interval time.Duration) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var watching sync.WaitGroup
-	for _, store := range []*certs.Store{s.callers, s.peers, s.admin} {
+	for _, store := range []*certs.Store{s.callers, s.homes, s.peers, s.admin} {
 		if store != nil {
 			watching.Go(func() { store.Watch(ctx, interval) })
 		}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -21,7 +21,11 @@
 		x.end(d.Attempt, core.EndNotWritten, nil)
 		return
 	}
-	response, delivery, err := x.entry.connections.Send(ctx, forward.Outgoing{
+	connections := x.entry.connections
+	if d.Step == core.StepForward {
+		connections = x.entry.homes
+	}
+	response, delivery, err := connections.Send(ctx, forward.Outgoing{
 		Address:       d.Address,
 		Request:       x.request,
 		Body:          body,
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -33,6 +33,7 @@
 	}
 	for _, address := range a.DropAddresses {
 		e.connections.Drop(address)
+		e.homes.Drop(address)
 	}
 	for _, address := range a.SuspectAddresses {
 		e.connections.Suspect(address)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,8 +58,11 @@
 // TLS is how the sides of an entry are encrypted. Configurations that read
 // their certificates at each handshake let files be replaced while it runs.
 type TLS struct {
-	// Callers is for connections of callers; nil for plain HTTP.
+	// Callers is for connections of callers; nil for plain HTTP. Homes is then
+	// called for each connection on which a request is passed on to another
+	// entry, the home of its key. All entries of a fleet are alike in this.
 	Callers *tls.Config
+	Homes   func() *tls.Config
 	// PeerServer and PeerClient are for the two ends of links between entries;
 	// both or none are set. PeerClient is called for each dial.
 	PeerServer *tls.Config
@@ -76,6 +79,9 @@
 
 	engine      *engine
 	connections *forward.Connections
+	// homes are the connections to other entries' callers' side; the same as
+	// connections where that is plain HTTP.
+	homes       *forward.Connections
 	front       *front.Server
 	peerServer  *peer.Server
 	links       *peer.Links
@@ -130,12 +136,7 @@
 	clock := monotonic()
 	e.platform = newCountedPlatform(opts.Platform, clock)
 	e.instruments = newInstruments()
-	e.connections = forward.New(forward.Config{
-		MaxConnsPerEndpoint: s.Limits.ConnectionsPerEndpoint,
-		DialTimeout:         s.Timeouts.Connect.Duration,
-		UserTimeout:         s.Timeouts.Silence.Duration,
-		Clock:               clock,
-	})
+	e.buildConnections(clock)
 	rng := rand.New(rand.NewPCG(incarnation, uint64(opts.Wall().UnixNano())))
 	e.engine = newEngine(core.New(e.coreConfig(), rng), clock, opts.Wall)
 	e.engine.carry = e.carryOut
@@ -149,6 +150,21 @@
 	return e, nil
 }
 
+func (e *Entry) buildConnections(clock func() time.Duration) {
+	cfg := forward.Config{
+		MaxConnsPerEndpoint: e.settings.Limits.ConnectionsPerEndpoint,
+		DialTimeout:         e.settings.Timeouts.Connect.Duration,
+		UserTimeout:         e.settings.Timeouts.Silence.Duration,
+		Clock:               clock,
+	}
+	e.connections = forward.New(cfg)
+	e.homes = e.connections
+	if e.options.TLS.Callers != nil {
+		cfg.TLS = e.options.TLS.Homes
+		e.homes = forward.New(cfg)
+	}
+}
+
 func orElse(value, otherwise string) string {
 	if value == "" {
 		return otherwise
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -136,5 +136,6 @@
 	e.links.Close()
 	e.peerServer.Close()
 	e.connections.Close()
+	e.homes.Close()
 	e.endRunning()
 }
--- /dev/null
+++ b/internal/entry/tls_test.go
@@ -0,0 +1,160 @@
+package entry_test
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/tealhall/tealhall/internal/contract"
+	"github.com/tealhall/tealhall/internal/entry"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/settings"
+	"github.com/tealhall/tealhall/internal/settings/certs"
+	"github.com/tealhall/tealhall/internal/settings/certs/certstest"
+	"github.com/tealhall/tealhall/internal/standin"
+)
+
+// secureEntry starts an entry with TLS on all sides. Its certificate bears its
+// IP number.
+func secureEntry(t *testing.T, name string, authority *certstest.Authority, published values, seeds ...string) *entry.Entry {
+	t.Helper()
+	folder := t.TempDir()
+	files := certs.Files{Certificate: filepath.Join(folder, "cert"), Key: filepath.Join(folder, "key"), Authorities: filepath.Join(folder, "ca")}
+	writeCertificate(t, files, authority)
+	mutual, err := certs.Open(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	callers, err := certs.Open(certs.Files{Certificate: files.Certificate, Key: files.Key})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := func() *tls.Config { return mutual.Client("") }
+	s := settings.Default()
+	s.Name, s.Region, s.FailureDomain, s.Peers.Seeds = name, "r", "a", seeds
+	callerSide, peerSide := loopback(t), loopback(t)
+	s.Addresses.Caller, s.Addresses.Peer = callerSide.Addr().String(), peerSide.Addr().String()
+	e, err := entry.New(s, entry.Options{
+		Platform:       published,
+		CallerListener: callerSide,
+		PeerListener:   peerSide,
+		TLS:            entry.TLS{Callers: callers.Server(), Homes: client, PeerServer: mutual.Server(), PeerClient: client},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Kill)
+	return e
+}
+
+func loopback(t *testing.T) *net.TCPListener {
+	t.Helper()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func writeCertificate(t *testing.T, files certs.Files, authority *certstest.Authority) {
+	t.Helper()
+	certificate, key := authority.Issue(t, "entry", "127.0.0.1")
+	for name, text := range map[string][]byte{files.Certificate: certificate, files.Key: key, files.Authorities: authority.PEM} {
+		if err := os.WriteFile(name, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// All sides are encrypted. Entries find each other, a caller that would speak
+// HTTP/2 is served, and a booking that reaches an entry which is not its key's
+// home is passed on to it, also when it comes again: it runs once. Who trusts
+// another authority, or speaks plain HTTP, gets nothing.
+func TestEverySideInsideTLS(t *testing.T) {
+	endpoint, err := standin.NewEndpoint(standin.EndpointConfig{Name: "bookings-1", Incarnation: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(endpoint.Server().Kill)
+	published := values{
+		platform.ProfilesValue: {Name: platform.ProfilesValue, Revision: 1, Data: []byte(fleetProfiles)},
+		platform.VMsValue: {Name: platform.VMsValue, Revision: 1,
+			Data: platform.EncodeVMs(platform.VMList{VMs: []platform.VM{endpoint.VM("bookings", "r", "a")}})},
+	}
+	authority := certstest.NewAuthority(t)
+	first := secureEntry(t, "entry-1", authority, published)
+	second := secureEntry(t, "entry-2", authority, published, first.PeerAddress())
+	await(t, "the entries know each other", func() bool { return first.KnownEntries() == 2 && second.KnownEntries() == 2 })
+
+	trusted := x509.NewCertPool()
+	trusted.AppendCertsFromPEM(authority.PEM)
+	secure := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: trusted}, ForceAttemptHTTP2: true}}
+	key := keyPrefix(t, secure, second) + strings.Repeat("0a", 16)
+	for _, e := range []*entry.Entry{first, second, first} {
+		response, err := secure.Do(bookingRequest(t, "https://"+e.CallerAddress(), key))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if outcome := response.Header.Get(contract.HeaderOutcome); outcome != string(contract.OutcomeDone) {
+			t.Errorf("by %s: %s %s", e.Name(), outcome, response.Header.Get(contract.HeaderReason))
+		}
+	}
+	if runs := endpoint.Ledger().Request("b1").Runs; runs != 1 {
+		t.Errorf("the booking ran %d times", runs)
+	}
+	if _, err := http.DefaultClient.Do(bookingRequest(t, "https://"+first.CallerAddress(), key)); err == nil {
+		t.Error("a caller that does not trust the authority was served")
+	}
+	if response, err := http.DefaultClient.Do(bookingRequest(t, "http://"+first.CallerAddress(), key)); err == nil {
+		response.Body.Close()
+		if response.StatusCode < http.StatusBadRequest {
+			t.Errorf("plain HTTP: %s", response.Status)
+		}
+	}
+}
+
+// keyPrefix asks an entry for the prefix of keys whose home it is.
+func keyPrefix(t *testing.T, c *http.Client, e *entry.Entry) string {
+	t.Helper()
+	response, err := c.Get("https://" + e.CallerAddress() + contract.EntriesPath + "?service=bookings")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var list contract.EntriesAnswer
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+		t.Fatal(err)
+	}
+	for _, known := range list.Entries {
+		if known.Name == e.Name() {
+			return known.KeyPrefix
+		}
+	}
+	t.Fatalf("%s does not name itself: %+v", e.Name(), list)
+	return ""
+}
+
+func bookingRequest(t *testing.T, address, key string) *http.Request {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, address+"/bookings?id=b1", strings.NewReader("hall 7"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header = http.Header{
+		contract.HeaderService:        {"bookings"},
+		contract.HeaderCaller:         {"raw"},
+		contract.HeaderRequest:        {"b1"},
+		contract.HeaderIdempotencyKey: {key},
+	}
+	return request
+}
--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/tls"
 	"net"
 	"syscall"
 	"time"
@@ -49,6 +50,10 @@
 	// the chunked coding. Their end can't be told from a lost connection, so
 	// they are refused by default.
 	AllowUnframed bool
+	// TLS, if not nil, encrypts connections; it is called for each new one. A
+	// configuration without a server name makes the other end's certificate bear
+	// the IP number of its address. Such a connection carries one request.
+	TLS func() *tls.Config
 	// Clock is the monotonic time since the process started. Required.
 	Clock func() time.Duration
 }
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"crypto/tls"
 	"errors"
 	"math"
 	"net"
@@ -22,9 +24,12 @@
 // time, or to its pool; only abort and silent may be called by others.
 type conn struct {
 	net.Conn
-	probe  *socket.Probe
-	reader *bufio.Reader
-	writer *bufio.Writer
+	// tcp is Conn, or what it is on top of; encrypted tells the two apart.
+	tcp       *net.TCPConn
+	encrypted bool
+	probe     *socket.Probe
+	reader    *bufio.Reader
+	writer    *bufio.Writer
 
 	// written counts the bytes that the kernel took over, for "no byte of this
 	// request was written"; the uploading goroutine writes too.
@@ -50,12 +55,22 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: tcp, probe: socket.NewProbe(raw), headLeft: math.MaxInt64, aliveAt: now}
+	c := &conn{Conn: tcp, tcp: tcp, probe: socket.NewProbe(raw), headLeft: math.MaxInt64, aliveAt: now}
 	c.reader = bufio.NewReaderSize(c, bufferSize)
 	c.writer = bufio.NewWriterSize(c, bufferSize)
 	return c, nil
 }
 
+// encrypt puts the connection inside TLS.
+func (c *conn) encrypt(ctx context.Context, config *tls.Config) error {
+	secure := tls.Client(c.tcp, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return err
+	}
+	c.Conn, c.encrypted = secure, true
+	return nil
+}
+
 // Read reads from the connection within the bound on the answer's head.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headLeft <= 0 {
@@ -88,9 +103,10 @@
 
 // reusable reports whether the idle connection can carry another request. Bytes
 // that came unasked would be taken for the answer to the next request, which
-// may be another caller's.
+// may be another caller's. Inside TLS that can't be seen: it sends bytes of its
+// own, and keeps some that it has read.
 func (c *conn) reusable() bool {
-	return c.reader.Buffered() == 0 && c.probe.Arrival() == socket.Nothing
+	return !c.encrypted && c.reader.Buffered() == 0 && c.probe.Arrival() == socket.Nothing
 }
 
 // abort closes the connection for the given reason; the first reason counts.
@@ -98,7 +114,7 @@
 func (c *conn) abort(reason Failure) {
 	c.abortOnce.Do(func() {
 		c.aborted.Store(uint32(reason))
-		c.Conn.Close()
+		c.tcp.Close() // TLS would wait to say goodbye
 	})
 }
 
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -197,7 +198,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(netConn.(*net.TCPConn), c.cfg.Clock())
+	fresh, err := newConn(netConn.(*net.TCPConn), c.cfg.Clock())
+	if err != nil || c.cfg.TLS == nil {
+		return fresh, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
+	defer cancel()
+	if err := fresh.encrypt(ctx, c.tlsConfig(address)); err != nil {
+		netConn.Close()
+		return nil, err
+	}
+	return fresh, nil
+}
+
+// tlsConfig names the other end by its IP number unless the configuration does.
+func (c *Connections) tlsConfig(address string) *tls.Config {
+	config := c.cfg.TLS().Clone()
+	if host, _, err := net.SplitHostPort(address); err == nil && config.ServerName == "" {
+		config.ServerName = host
+	}
+	return config
 }
 
 // sweepLoop closes idle connections in time, also to addresses that get no
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -157,7 +157,7 @@
 // release ends the exchange after a whole answer: the connection is reused if
 // the answer allows it and both sides are done with their messages.
 func (x *exchange) release(reusable bool) {
-	reusable = reusable && !x.bodyDue && (x.upload == nil || x.upload.finished())
+	reusable = reusable && !x.conn.encrypted && !x.bodyDue && (x.upload == nil || x.upload.finished())
 	watched := x.unwatch()
 	if reusable && watched && x.conn.reader.Buffered() == 0 {
 		x.pool.put(x.conn, x.connections.cfg.Clock())
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -148,6 +148,9 @@
 	if t.Peer.Certificate == "" && (t.Peer.Authorities != "" || t.Peer.ServerName != "") {
 		c.add("tls.peer.certificate", "name the certificate file, or remove all of tls.peer", "it is missing while other files of tls.peer are set")
 	}
+	if t.Caller.Certificate == "" && (t.Caller.Authorities != "" || t.Caller.ServerName != "") {
+		c.add("tls.caller.certificate", "name the certificate file, or remove all of tls.caller", "it is missing while other files of tls.caller are set")
+	}
 	c.span("tls.poll", t.Poll, 100*time.Millisecond, time.Hour)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,7 +74,7 @@
 // The files are read again when they change.
 type TLS struct {
 	// Caller is the side towards callers.
-	Caller ServerTLS `toml:"caller"`
+	Caller CallerTLS `toml:"caller"`
 	// Peer is the side towards other entries; both ends show a certificate.
 	Peer MutualTLS `toml:"peer"`
 	// Admin is the side towards operators.
@@ -83,6 +83,21 @@
 	Poll Duration `toml:"poll" unit:"duration"`
 }
 
+// CallerTLS names the files of the side towards callers, which is also where other
+// entries send requests whose key is at home here.
+type CallerTLS struct {
+	// Certificate is a PEM file with the certificate chain; off by default.
+	Certificate string `toml:"certificate"`
+	// Key is the PEM file of the certificate's private key.
+	Key string `toml:"key"`
+	// Authorities is a PEM file with the authorities that sign the certificates
+	// of entries; those of the system by default.
+	Authorities string `toml:"authorities"`
+	// ServerName is the DNS name that the certificate of every entry must bear to
+	// other entries; when empty, it must bear the entry's IP number.
+	ServerName string `toml:"server_name"`
+}
+
 // ServerTLS names the files of a server that asks for no client certificate.
 type ServerTLS struct {
 	// Certificate is a PEM file with the certificate chain; off by default.
