Concerns in fewer words

On a fleet of separate processes with its configuration service stopped, status repeated the same failure for each value with all that it led to. It now names the values once with the innermost cause, and a refused document with its first problem.

--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"errors"
 	"strconv"
 	"time"
 
@@ -72,7 +73,7 @@
 	if o.Problem != nil {
 		t.Settle(o.Mark, false)
 		c.counters.RefusedDocuments++
-		c.explained.refused[o.Name] = o.Problem.Error()
+		c.explained.refused[o.Name] = problemText(o.Problem)
 		note.Action, note.Why = "refused", o.Problem.Error()
 		out.note(note)
 		return
@@ -91,6 +92,16 @@
 	c.drainQueues(now, out)
 }
 
+// problemText lists what is wrong with a document, without the remedy that goes
+// with every one.
+func problemText(problem error) string {
+	var list *profile.DocumentError
+	if errors.As(problem, &list) {
+		return list.Error()
+	}
+	return problem.Error()
+}
+
 // Confirm says that the platform holds no later revision than the one in force.
 func (c *Core) Confirm(now time.Duration, name string) {
 	c.tracker(name).Confirm(now)
--- a/internal/entry/views_concerns.go
+++ b/internal/entry/views_concerns.go
@@ -94,14 +94,14 @@
 }
 
 func (f *facts) platformConcerns(l *concernList) {
-	for _, name := range f.failingValues() {
-		v := f.platform.values[name]
+	if names := f.failingValues(); len(names) > 0 {
+		v := f.platform.values[names[0]]
 		last := "it has never answered"
 		if v.answered {
 			last = "the last answer came " + since(f.now, v.answeredAt) + " ago"
 		}
 		l.add("by itself when the service answers again; entries go on with what is in force, and closes begin and end by the calendar",
-			"the configuration service failed %d times in a row for %s, %s: %s", v.failing, name, last, firstLine(v.lastError))
+			"the configuration service failed %d times in a row for %s, %s: %s", v.failing, strings.Join(names, " and "), last, firstLine(v.cause))
 	}
 	if f.view.ListHeld {
 		l.add("by itself, when the list has them again or after "+holdTime+"; correct the list if it is wrong",
--- a/internal/entry/views_concerns_test.go
+++ b/internal/entry/views_concerns_test.go
@@ -55,7 +55,7 @@
 		{"an entry that starts has no revision yet", func(f *facts) { f.view.Entries[1].State, f.view.Entries[1].Profiles = message.EntryStarting, 0 }, [2]string{}},
 		{"a stale replica long ago", func(f *facts) { f.view.Profiles.Stale = true }, [2]string{}},
 		{"one failed call", func(f *facts) {
-			f.platform.values = map[string]valueCalls{platform.VMsValue: {failing: 1, lastError: "reset"}}
+			f.platform.values = map[string]valueCalls{platform.VMsValue: {failing: 1, cause: "reset"}}
 		}, [2]string{}},
 		{"not ready", func(f *facts) { f.view.Ready, f.view.NotReadyWhy = false, "profiles: none" }, [2]string{"not ready: profiles: none", "peers.seeds"}},
 		{"leaving", func(f *facts) { f.view.State = message.EntryLeaving }, [2]string{"this entry is leaving", "when its requests have ended"}},
@@ -66,7 +66,7 @@
 		{"a stale replica", func(f *facts) { f.view.VMs.Stale, f.view.VMs.StaleAt = true, time.Hour-time.Second },
 			[2]string{"VM list: an older revision than 0, which is in force, was offered 1s ago", "never goes back"}},
 		{"the service is down", func(f *facts) {
-			f.platform.values = map[string]valueCalls{platform.ProfilesValue: {failing: 12, answered: true, answeredAt: 50 * time.Minute, lastError: "timed out"}}
+			f.platform.values = map[string]valueCalls{platform.ProfilesValue: {failing: 12, answered: true, answeredAt: 50 * time.Minute, cause: "timed out"}}
 		}, [2]string{"failed 12 times in a row for tealhall/profiles, the last answer came 10m0s ago: timed out", "go on with what is in force"}},
 		{"the list is held", func(f *facts) { f.view.ListHeld = true }, [2]string{"loses many VMs", "correct the list"}},
 		{"suspected", func(f *facts) { f.view.Entries[1].Suspected, f.view.Entries[1].SeenAt = true, 59*time.Minute },
--- a/internal/entry/views_platform.go
+++ b/internal/entry/views_platform.go
@@ -36,7 +36,8 @@
 	// answeredAt is when the last answer came; valid if answered.
 	answeredAt time.Duration
 	answered   bool
-	lastError  string
+	// cause is what made the last call fail, without what it led to.
+	cause string
 }
 
 func newCountedPlatform(service platform.Service, clock func() time.Duration) *countedPlatform {
@@ -75,12 +76,20 @@
 	default:
 		p.counts.failures++
 		value.failing++
-		value.lastError = err.Error()
-		p.counts.lastError = value.lastError
+		value.cause = rootCause(err)
+		p.counts.lastError = err.Error()
 	}
 	p.counts.values[name] = value
 }
 
+// rootCause returns the text of the innermost error.
+func rootCause(err error) string {
+	for next := err; next != nil; next = errors.Unwrap(next) {
+		err = next
+	}
+	return err.Error()
+}
+
 // snapshot returns a copy of the counts.
 func (p *countedPlatform) snapshot() platformCounts {
 	p.mu.Lock()
