--- a/internal/entry/endpoint_test.go
+++ b/internal/entry/endpoint_test.go
@@ -188,6 +188,12 @@
 	return l.Addr().String()
 }
 
+func (d *dyingEndpoint) arrived(id string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.arrivals[id]
+}
+
 // ServeHTTP implements http.Handler.
 func (d *dyingEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.URL.Query().Get(standin.IDParameter)
@@ -224,7 +230,7 @@
 	}
 	unknown := 0
 	for _, about := range l.told {
-		arrivals := dying.arrivals[about.id]
+		arrivals := dying.arrived(about.id)
 		if arrivals > 1 || arrivals > 0 && about.result.Outcome == client.NotRun {
 			t.Errorf("%s arrived %d times, told %s", about.id, arrivals, about.result.Outcome)
 		}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -24,7 +24,7 @@
 	carry func(*core.Actions)
 
 	// resting says that ticks are rare since nothing is in flight; busy wakes
-	// the one who ticks when a request arrives then.
+	// the one who ticks when a request arrives or a belief changes then.
 	resting bool
 	busy    chan struct{}
 
@@ -56,6 +56,9 @@
 // dispatchLocked hands the directives to their requests and returns the other
 // actions, or nil if there are none. The lock is held.
 func (e *engine) dispatchLocked() *core.Actions {
+	if len(e.actions.Notes) > 0 {
+		e.wakeLocked() // what changed here may be news to peers
+	}
 	for i := range e.actions.Requests {
 		d := &e.actions.Requests[i]
 		if x, ok := e.exchanges[d.ID]; ok {
@@ -102,6 +105,15 @@
 	e.mu.Unlock()
 }
 
+// cancelAll cancels the attempts of all requests.
+func (e *engine) cancelAll() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, x := range e.exchanges {
+		x.cancelAll()
+	}
+}
+
 // head feeds the head of an answer and reports whether the answer is to be
 // passed on and with which outcome.
 func (e *engine) head(h core.Head) (commit bool, outcome core.Outcome) {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -210,6 +210,12 @@
 	}
 }
 
+func (x *exchange) cancelAll() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cancelAllLocked()
+}
+
 func (x *exchange) cancelAllLocked() {
 	for n := range x.cancels {
 		x.cancelLocked(core.Attempt(n))
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -137,5 +137,7 @@
 	e.peerServer.Close()
 	e.connections.Close()
 	e.homes.Close()
+	// Requests that were cut off don't outlive the entry at an endpoint.
+	e.engine.cancelAll()
 	e.endRunning()
 }
