--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -251,9 +250,6 @@
 	f.Platform.SetVMs(f.vms...)
 }
 
-// VMs returns the platform's list.
-func (f *Fleet) VMs() []platform.VM { return slices.Clone(f.vms) }
-
 // Forget takes a stopped entry out of the fleet.
 func (f *Fleet) Forget(gone *entry.Entry) {
 	f.mu.Lock()
--- a/internal/entry/endpoint_test.go
+++ b/internal/entry/endpoint_test.go
@@ -13,7 +13,6 @@
 	"github.com/tealhall/tealhall/client"
 	"github.com/tealhall/tealhall/internal/contract"
 	"github.com/tealhall/tealhall/internal/demo"
-	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/settings"
 	"github.com/tealhall/tealhall/internal/standin"
 )
@@ -28,13 +27,8 @@
 	for _, leaver := range []*demo.Endpoint{f.Endpoints[0], f.Endpoints[4]} {
 		leaver.Drain()
 		announced := time.Now()
-		await(t, "every entry knows", func() bool {
-			for _, e := range f.Entries {
-				if f.audited(e.Name(), "endpoint "+leaver.VM.Name, "endpoint-leaving") == 0 {
-					return false
-				}
-			}
-			return true
+		f.awaitAll(t, "knows that the endpoint leaves", func(name string) bool {
+			return f.audited(name, "endpoint "+leaver.VM.Name, "endpoint-leaving") > 0
 		})
 		t.Logf("%s: known everywhere after %v", leaver.VM.Name, time.Since(announced).Round(time.Millisecond))
 		l.awaitMore(t, 20) // what was on its way has arrived
@@ -78,10 +72,8 @@
 		t.Errorf("reads %+v, bookings %+v", reads, bookings)
 	}
 	for _, e := range f.Endpoints {
-		for _, entry := range f.Entries {
-			if f.audited(entry.Name(), "endpoint "+e.VM.Name, "ejected") > 0 {
-				t.Errorf("%s ejected %s", entry.Name(), e.VM.Name)
-			}
+		if f.any(func(name string) bool { return f.audited(name, "endpoint "+e.VM.Name, "ejected") > 0 }) {
+			t.Errorf("%s was ejected", e.VM.Name)
 		}
 	}
 }
@@ -214,16 +206,9 @@
 // once at most, and never after "not run".
 func TestBookingsOnDyingConnectionsArriveOnce(t *testing.T) {
 	dying := &dyingEndpoint{arrivals: make(map[string]int)}
-	f := newFleet(t, 3)
-	vms := f.VMs()
-	for i := range vms {
-		if vms[i].Pool == "bookings" {
-			vms[i].Address = dying.start(t)
-			vms[i].Incarnation += 100
-		}
-	}
-	revision := f.Platform.SetVMs(vms...)
-	await(t, "the list is in force", func() bool { return f.accepted(platform.VMsValue, revision) })
+	f := newFleet(t, 3, func(cfg *demo.FleetConfig) {
+		cfg.Pools[1].Path = func(string) string { return dying.start(t) }
+	})
 	l := &traffic{callers: []*client.Client{newCaller(t, f, newWire(), "tablet")}}
 	for n := range 60 {
 		l.book(n)
--- a/internal/entry/keys_test.go
+++ b/internal/entry/keys_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -24,12 +25,23 @@
 }
 
 // booking is a request that must run once, as a caller without package client
-// sends it.
-type booking struct{ key, id string }
+// sends it. Its answer has size bytes, or one line if that is 0.
+type booking struct {
+	key, id string
+	size    int64
+}
+
+func (b booking) answerSize() int64 {
+	if b.size > 0 {
+		return b.size
+	}
+	return standin.AnswerSize(b.id)
+}
 
 // send makes one try through an entry.
 func (b booking) send(ctx context.Context, e *entry.Entry) answer {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.CallerAddress()+"/bookings?id="+b.id, strings.NewReader(b.id))
+	target := fmt.Sprintf("http://%s/bookings?id=%s&bytes=%d", e.CallerAddress(), b.id, b.answerSize())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(b.id))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -62,8 +74,10 @@
 func (b booking) expectReplay(t *testing.T, e *entry.Entry) {
 	t.Helper()
 	got := b.send(t.Context(), e)
-	if got.outcome != string(contract.OutcomeDone) || got.replayed != contract.ReplayedValue || got.body != b.id+"\n" {
-		t.Errorf("%s at %s: %+v is no replay", b.id, e.Name(), got)
+	if got.outcome != string(contract.OutcomeDone) || got.replayed != contract.ReplayedValue {
+		t.Errorf("%s at %s: %s %s is no replay", b.id, e.Name(), got.outcome, got.reason)
+	} else if err := standin.CheckAnswer([]byte(got.body), b.id, b.answerSize()); err != nil {
+		t.Error(err)
 	}
 }
 
@@ -158,6 +172,12 @@
 	return slices.ContainsFunc(f.Endpoints, func(e *demo.Endpoint) bool { return e.VM.Pool == pool && is(e.Stats()) })
 }
 
+// The kept answers of these bookings take more than one message of a hand-over.
+const (
+	largeAnswers = 40
+	largeAnswer  = 12_000
+)
+
 // Entries are replaced one after the other while a booking's caller still asks
 // what became of it. The home's keys move to successors, from them to others,
 // and processes join that rank before those that hold the keys. Each entry has
@@ -167,6 +187,13 @@
 	home, newKey := homeOf(t, f)
 	ran, unused, other := newKey("ran"), newKey("unused"), newKey("other")
 	ran.expect(t, home, "done", "")
+	var large []booking
+	for i := range largeAnswers {
+		b := newKey(fmt.Sprintf("large-%d", i))
+		b.size = largeAnswer
+		b.expect(t, home, "done", "")
+		large = append(large, b)
+	}
 	for i, e := range append([]*entry.Entry{home}, otherThan(f, home)...) {
 		f.stop(t, e)
 		f.replace(t, e.Name(), i)
@@ -175,6 +202,9 @@
 			unused.expect(t, asked, "not-run", "home-stopped")
 			booking{key: ran.key, id: other.id}.expect(t, asked, "not-run", "key-mismatch")
 		}
+		for _, b := range large {
+			b.expectReplay(t, f.Entries[i])
+		}
 	}
 	f.runs(t, ran, 1)
 	f.runs(t, unused, 0)
--- a/internal/entry/profile_test.go
+++ b/internal/entry/profile_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/demo"
-	"github.com/tealhall/tealhall/internal/entry"
 	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/settings"
 	"github.com/tealhall/tealhall/internal/standin"
@@ -29,35 +28,9 @@
 
 func (f *fleet) awaitInForce(t *testing.T, revision uint64) {
 	t.Helper()
-	await(t, fmt.Sprintf("revision %d is in force everywhere", revision), func() bool {
-		return !slices.ContainsFunc(f.Entries, func(e *entry.Entry) bool {
-			at, _ := f.inForce(e.Name())
-			return at != revision
-		})
-	})
-}
-
-// accepted reports whether every entry has accepted a revision of a value.
-func (f *fleet) accepted(value string, revision uint64) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !slices.ContainsFunc(f.Entries, func(e *entry.Entry) bool {
-		for _, r := range f.records[e.Name()] {
-			if r.Subject == value && r.Action == "accepted" && r.Revision == revision {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-// awaitAudited waits until every entry has a record of an action on profiles.
-func (f *fleet) awaitAudited(t *testing.T, action string) {
-	t.Helper()
-	await(t, "every entry has "+action, func() bool {
-		return !slices.ContainsFunc(f.Entries, func(e *entry.Entry) bool {
-			return f.audited(e.Name(), platform.ProfilesValue, action) == 0
-		})
+	f.awaitAll(t, fmt.Sprintf("revision %d is in force", revision), func(name string) bool {
+		at, _ := f.inForce(name)
+		return at == revision
 	})
 }
 
@@ -87,15 +60,15 @@
 
 	f.Platform.SetFaults(standin.PlatformFaults{OlderReplica: true})
 	await(t, "an entry met the older replica", func() bool {
-		return slices.ContainsFunc(f.Entries, func(e *entry.Entry) bool {
-			return f.audited(e.Name(), platform.ProfilesValue, "ignored") > 0
-		})
+		return f.any(func(name string) bool { return f.audited(name, platform.ProfilesValue, "ignored") > 0 })
 	})
 	f.awaitInForce(t, newer)
 	f.Platform.SetFaults(standin.PlatformFaults{})
 
 	f.Publish([]byte(strings.Replace(fleetProfiles, `deadline = "3s"`, `deadline = "soon"`, 1)))
-	f.awaitAudited(t, "refused")
+	f.awaitAll(t, "refused the mistake", func(name string) bool {
+		return f.audited(name, platform.ProfilesValue, "refused") > 0
+	})
 	f.awaitInForce(t, newer)
 	l.awaitMore(t, 100)
 	l.calm(t, f)
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -152,6 +153,17 @@
 	}
 }
 
+// any reports whether something holds of any running entry, by name.
+func (f *fleet) any(holds func(name string) bool) bool {
+	return slices.ContainsFunc(f.Entries, func(e *entry.Entry) bool { return holds(e.Name()) })
+}
+
+// awaitAll waits until something holds of every running entry, by name.
+func (f *fleet) awaitAll(t *testing.T, what string, holds func(name string) bool) {
+	t.Helper()
+	await(t, what, func() bool { return !f.any(func(name string) bool { return !holds(name) }) })
+}
+
 // wire is the connections of all callers. It counts what a planned change must
 // not cause: exchanges that break after a connection was there.
 type wire struct {
