Entry tests: a failure domain replaced while other things fail

The failure domain is replaced while the service is down and an endpoint drains: two more faults at once.

--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -117,13 +117,16 @@
 	l.calm(t, f)
 }
 
-// A failure domain is emptied for maintenance: all its entries stop at the same
-// time, each handing its keys to entries elsewhere, and new ones take their
-// place. Callers may not notice.
-func TestFailureDomainReplaced(t *testing.T) {
+// A failure domain is emptied for maintenance while the configuration service is
+// down: an endpoint drains and all entries stop at the same time, each handing
+// its keys to entries elsewhere, and new ones, which have only peers to ask, take
+// their place. Callers may not notice.
+func TestFailureDomainReplacedWhileServiceIsDown(t *testing.T) {
 	f := newFleet(t, 9)
 	l := startTraffic(t, f)
 	l.awaitMore(t, 100)
+	f.Platform.SetFaults(standin.PlatformFaults{Down: true})
+	f.Endpoints[0].Drain()
 	var leaving []*entry.Entry
 	for i, e := range slices.Clone(f.Entries) {
 		if i%3 == 0 {
