--- a/internal/entry/admin_test.go
+++ b/internal/entry/admin_test.go
@@ -196,6 +196,25 @@
 	}
 }
 
+// The page for operators tells on which metrics to ring. A name that does not
+// exist would leave an alert silent for good.
+func TestOperatorsPageNamesWhatExists(t *testing.T) {
+	read := func(name string) string {
+		text, err := os.ReadFile("../../docs/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	}
+	known := read("METRICS.md") + read("SETTINGS.md")
+	groups := "entry|process|connections|requests|service|pool|profiles|vms|published|platform|fleet|peers|keys|limits|timeouts|addresses|tls|audit"
+	for _, name := range regexp.MustCompile("`((?:"+groups+")\\.[^` ]+)`").FindAllStringSubmatch(read("OPERATORS.md"), -1) {
+		if !strings.Contains(known, "`"+name[1]+"`") && !strings.Contains(known, "`"+name[1]+".") {
+			t.Errorf("docs/OPERATORS.md names %s, which is neither a metric nor a setting", name[1])
+		}
+	}
+}
+
 func kindOf(m admin.MetricView) string {
 	switch _, isGauge := m.Values["value"]; {
 	case isGauge:
