Claims: queue where the first of own and foreign attempts is due

Cause: an endpoint with only foreign attempts was taken to need a whole service time before its next free slot, so requests queued behind own, longer ones. Change: the first of n foreign attempts is expected after 1/(n+1) of a service time.

--- a/internal/core/balance/claims.go
+++ b/internal/core/balance/claims.go
@@ -192,12 +192,15 @@
 		}
 		e, r := &p.Endpoints[i], &c.records[i]
 		service, slots := c.service(e), float64(max(1, e.Slots))
-		load := float64(e.Outstanding) + c.peers.foreign(now, i, service)
+		foreign := c.peers.foreign(now, i, service)
+		load := float64(e.Outstanding) + foreign
 		ahead := max(0, load-slots)
 		if now < r.avoidUntil || ahead >= limit {
 			continue
 		}
-		end := min(r.attempts.nextEnd(now, service), service)
+		// Of the foreign attempts only the number is known: the first of them
+		// ends in the mean after this part of a service time.
+		end := min(r.attempts.nextEnd(now, service), service/(min(foreign, slots)+1))
 		ready := end + ahead*service/slots + service
 		if best < 0 || ready < bestTime {
 			best, bestTime = i, ready
