--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -38,7 +39,8 @@
 	ListHeld   bool
 	Keys       idem.Stats
 	KeysSealed bool
-	// Pools, Entries and Endpoints are sorted by name, endpoints by pool first.
+	// Entries are in the order of their names, Pools and Endpoints in no order
+	// that means anything before Sort.
 	Pools     []PoolView
 	Entries   []EntryView
 	Endpoints []EndpointView
@@ -181,10 +183,18 @@
 			v.Pools = append(v.Pools, c.viewPool(p))
 		}
 	}
-	slices.SortFunc(v.Pools, func(a, b PoolView) int { return strings.Compare(a.Name, b.Name) })
 	return v
 }
 
+// Sort orders pools by name and endpoints by pool and name. It is apart from
+// Core.View so that a driver's lock on the core need not be held meanwhile.
+func (v *View) Sort() {
+	slices.SortFunc(v.Pools, func(a, b PoolView) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(v.Endpoints, func(a, b EndpointView) int {
+		return cmp.Or(strings.Compare(a.Pool, b.Pool), strings.Compare(a.Name, b.Name))
+	})
+}
+
 func (c *Core) viewPublished(name string) PublishedView {
 	t := c.tracker(name)
 	v := PublishedView{
@@ -249,10 +259,13 @@
 
 func (c *Core) viewEndpoints(now time.Duration) []EndpointView {
 	missing := make(map[string]bool)
-	for _, e := range c.fleet.members.Endpoints(nil) {
-		missing[e.VM.Name] = e.Missing
+	rows := len(c.fleet.rows)
+	for _, e := range c.fleet.members.Endpoints(make([]member.Endpoint, 0, rows)) {
+		if e.Missing {
+			missing[e.VM.Name] = true
+		}
 	}
-	var views []EndpointView
+	views := make([]EndpointView, 0, rows)
 	for _, p := range c.poolRows {
 		for i := range p.Endpoints {
 			e := &p.Endpoints[i]
@@ -267,12 +280,6 @@
 			})
 		}
 	}
-	slices.SortFunc(views, func(a, b EndpointView) int {
-		if byPool := strings.Compare(a.Pool, b.Pool); byPool != 0 {
-			return byPool
-		}
-		return strings.Compare(a.Name, b.Name)
-	})
 	return views
 }
 
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -61,6 +61,7 @@
 		process:     readProcess(),
 	}
 	e.engine.view(func(now time.Duration, c *core.Core) { f.now, f.view = now, c.View(now) })
+	f.view.Sort()
 	e.instruments.include(&f.view.Counters)
 	f.recent = e.recent.since(&f.view.Counters)
 	in, out := e.links.Traffic()
