Slow start of endpoints that join a pool at work

Cause: no policy limited a new endpoint; it is idle, so it looks best, and it would get a full share at once while its caches are cold. Change: for 5 s the core gives it one slot, rising to all that the list gives it; a pool that starts as a whole is not limited. It holds for every choice policy, since it is the row's slots that are lowered. The operators' view shows the share. Tested: TestNewEndpointStartsSlowly fails without the limit (two at a time at once) and passes with it; core under -race passes (40 s).

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -169,7 +169,7 @@
 		HasLoad:  a.load.Known,
 		InFlight: a.load.InFlight,
 		Queued:   a.load.Queued,
-		Slots:    min(a.load.Slots, int(e.Listed)),
+		Slots:    min(a.load.Slots, int(allowedSlots(now, e))),
 		Refused:  end.Kind == EndNotRun,
 		Failed:   end.Kind == EndLost || end.Kind == EndTruncated || end.Kind == EndNotWritten || a.status >= http.StatusInternalServerError,
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -171,6 +171,7 @@
 		c.sweepHealth(now, out)
 		for _, p := range c.poolRows {
 			p.forgetOldTimes(now)
+			p.riseFromSlowStart(now)
 		}
 	}
 	if now >= c.nextProbe {
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -127,6 +127,7 @@
 		Listed:      int32(vm.Slots),
 		AdmittedAt:  now,
 	}
+	p.beginSlowStart(now, &row)
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
 		if e.State == table.EndpointGone && e.Outstanding == 0 {
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -74,6 +74,9 @@
 	Outstanding int32
 	// Sighting is what others are known to have placed there.
 	Sighting Sighting
+	// SlowUntil is when the slow start of a new endpoint ends; 0 without one.
+	// Until then Slots is lower than Listed.
+	SlowUntil time.Duration
 	// AdmittedAt is when the endpoint became known, for slow start.
 	AdmittedAt time.Duration
 	// ProbedAt is when this entry last probed the endpoint.
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -198,6 +198,9 @@
 		FailureRate:   e.Health.FailureRate,
 		SlowStart:     1,
 	}
+	if e.SlowUntil > 0 {
+		v.SlowStart = float64(e.Slots) / float64(max(e.Listed, 1))
+	}
 	if e.Sighting.Seen {
 		v.Foreign, v.SightingAge = int(e.Sighting.Foreign), (f.now - e.Sighting.At).Seconds()
 	}
