Claims: knowledge fades towards the mean where a request must queue; the probe pool is used up

Change: peers' counts fade with the square of their age; Ask.MustQueue makes a choice without idle-only judge by the expected load; prequal uses each report once, within 200 ms, least load first.

--- a/internal/bench/decider.go
+++ b/internal/bench/decider.go
@@ -20,6 +20,8 @@
 	since  time.Time
 	ask    balance.Ask
 	choice chan balance.Choice
+	// refusals counts the tries that endpoints refused so far.
+	refusals int
 }
 
 // decider stands for one entry: a picker, its view of the pool, a
@@ -112,6 +114,7 @@
 func (d *decider) pump() {
 	for len(d.queue) > 0 {
 		head := d.queue[0]
+		head.ask.MustQueue = !d.mayAskIdle(head.refusals)
 		c := d.picker.Pick(d.now(), &d.pool, head.ask, time.Since(head.since))
 		if !c.OK {
 			d.timer.Reset(max(c.Wait, 100*time.Microsecond))
@@ -135,17 +138,17 @@
 
 // choose returns an endpoint, after waiting in the queue if need be. A request
 // that was tried before goes to the head of the queue.
-func (d *decider) choose(ctx context.Context, since time.Time, tried balance.Set) (balance.Choice, bool) {
+func (d *decider) choose(ctx context.Context, since time.Time, tried balance.Set, refusals int) (balance.Choice, bool) {
 	d.mu.Lock()
 	if tried != 0 || len(d.queue) == 0 {
-		ask := balance.Ask{Tried: tried, Trial: true}
+		ask := balance.Ask{Tried: tried, Trial: true, MustQueue: !d.mayAskIdle(refusals)}
 		if c := d.picker.Pick(d.now(), &d.pool, ask, time.Since(since)); c.OK {
 			d.dispatched(c)
 			d.mu.Unlock()
 			return c, true
 		}
 	}
-	w := &waiter{since: since, ask: balance.Ask{Trial: true}, choice: make(chan balance.Choice, 1)}
+	w := &waiter{since: since, ask: balance.Ask{Trial: true}, refusals: refusals, choice: make(chan balance.Choice, 1)}
 	if tried != 0 {
 		d.queue = append([]*waiter{w}, d.queue...)
 	} else {
@@ -167,11 +170,10 @@
 	var tried balance.Set
 	failures, refusals := 0, 0
 	for ctx.Err() == nil && failures < d.cfg.Attempts {
-		c, ok := d.choose(ctx, since, tried)
+		c, ok := d.choose(ctx, since, tried, refusals)
 		if !ok {
 			return false
 		}
-		c.IdleOnly = c.IdleOnly && d.mayAskIdle(refusals)
 		obs := d.send(ctx, c, a.demand)
 		d.answered(c.Index, obs)
 		if obs.Failed {
@@ -188,14 +190,10 @@
 	return false
 }
 
-// mayAskIdle reports whether one more refused try is within bounds.
+// mayAskIdle reports whether one more refused try is within bounds. The lock is
+// held.
 func (d *decider) mayAskIdle(refusals int) bool {
-	if d.idleShare <= 0 {
-		return true
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return refusals < idleRefusals && d.idleTokens >= 1
+	return d.idleShare <= 0 || refusals < idleRefusals && d.idleTokens >= 1
 }
 
 // answered passes on what an attempt told, and frees the queue.
--- a/internal/bench/variants.go
+++ b/internal/bench/variants.go
@@ -43,12 +43,20 @@
 			Deciders: steered, PeerInterval: every * time.Millisecond,
 		})
 	}
-	for _, deciders := range []int{steered, 0} {
-		bounded := Variant{Name: "bounded", Policy: balance.Claims, Deciders: deciders, IdleShare: defaultIdleShare}
-		if deciders != 0 {
-			bounded.Name = "bounded@3+10ms"
-			bounded.PeerInterval = 10 * time.Millisecond
-		}
+	bounded := Variant{Policy: balance.Claims, IdleShare: defaultIdleShare}
+	for _, b := range []struct {
+		name     string
+		deciders int
+		interval time.Duration
+	}{
+		{"bounded", 0, 0},
+		{"bounded+50ms", 0, 50 * time.Millisecond},
+		{"bounded@3", steered, 0},
+		{"bounded@3+5ms", steered, 5 * time.Millisecond},
+		{"bounded@3+10ms", steered, 10 * time.Millisecond},
+		{"bounded@3+20ms", steered, 20 * time.Millisecond},
+	} {
+		bounded.Name, bounded.Deciders, bounded.PeerInterval = b.name, b.deciders, b.interval
 		all = append(all, bounded)
 	}
 	return all
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -43,6 +43,9 @@
 	// Trial says that the request may be spent on an ejected endpoint whose
 	// next trial is due: it is idempotent and not urgent.
 	Trial bool
+	// MustQueue says that the request may not ask an endpoint to refuse it, so
+	// that a choice of a busy endpoint costs a wait there.
+	MustQueue bool
 	// LocalDomain breaks ties towards endpoints of the entry's own failure
 	// domain; empty for no preference.
 	LocalDomain string
--- a/internal/core/balance/claims.go
+++ b/internal/core/balance/claims.go
@@ -112,7 +112,7 @@
 	c.peers.expire(now)
 	if i, ok := c.idle(now, p, ask, s, waited); ok {
 		c.lastIdleOnly = true
-		return Choice{Index: i, OK: true, IdleOnly: true}
+		return Choice{Index: i, OK: true, IdleOnly: !ask.MustQueue}
 	}
 	if patience := c.patience(); waited < patience {
 		return Choice{Wait: min(askAgain, patience-waited)}
@@ -142,7 +142,7 @@
 		if e.Outstanding >= slots || !eligible(now, p, i, ask.Tried, s) {
 			continue
 		}
-		free := float64(slots-e.Outstanding) - c.peers.foreign(now, i, c.service(e))
+		free := float64(slots-e.Outstanding) - c.foreign(now, i, e, ask)
 		if free < idleShare || c.passOver(now, e, i, ask, waited) {
 			continue
 		}
@@ -157,6 +157,14 @@
 	return best, best >= 0
 }
 
+// foreign is the estimate of foreign load that fits what a wrong one costs.
+func (c *claims) foreign(now time.Duration, i int, e *table.Endpoint, ask Ask) float64 {
+	if ask.MustQueue {
+		return c.peers.expected(now, i, c.service(e))
+	}
+	return c.peers.foreign(now, i, c.service(e))
+}
+
 // passOver reports whether an endpoint is better left alone: it failed a
 // moment ago, or is so slow that the request would end earlier by waiting on.
 func (c *claims) passOver(now time.Duration, e *table.Endpoint, i int, ask Ask, waited time.Duration) bool {
@@ -192,7 +200,7 @@
 		}
 		e, r := &p.Endpoints[i], &c.records[i]
 		service, slots := c.service(e), float64(max(1, e.Slots))
-		foreign := c.peers.foreign(now, i, service)
+		foreign := c.peers.expected(now, i, service)
 		load := float64(e.Outstanding) + foreign
 		ahead := max(0, load-slots)
 		if now < r.avoidUntil || ahead >= limit {
--- a/internal/core/balance/peerloads.go
+++ b/internal/core/balance/peerloads.go
@@ -6,6 +6,8 @@
 // of its own attempts, exact but some milliseconds old, and the endpoint's
 // report on an answer, which counts everybody.
 type peerLoads struct {
+	// mean is the smoothed foreign load of an endpoint as reported.
+	mean  float64
 	rows  []peerRow
 	peers []peerState
 	// own[i*len(peers)+j] is peer j's count at endpoint i.
@@ -18,6 +20,8 @@
 	// extra is what a report showed beyond sum, negative if less.
 	extra   int32
 	extraAt time.Duration
+	// toldAt is when the latest of the counts was true.
+	toldAt time.Duration
 }
 
 type peerState struct {
@@ -45,6 +49,7 @@
 	l.own[at] = load.Own
 	row := &l.rows[i]
 	row.sum += change
+	row.toldAt = max(row.toldAt, load.At)
 	switch {
 	case row.extra > 0 && change > 0:
 		row.extra -= min(row.extra, change)
@@ -58,6 +63,7 @@
 	row := &l.rows[i]
 	row.extra = foreign - row.sum
 	row.extraAt = at
+	l.mean += meanWeight * (float64(foreign) - l.mean)
 }
 
 // expire forgets the counts of peers that fell silent.
@@ -76,12 +82,34 @@
 	}
 }
 
-// foreign estimates the foreign load at endpoint i. Peers' counts hold until
-// the peer is heard again or falls silent; what only a report showed fades with
+// foreign estimates the foreign load at endpoint i. What is known fades with
 // the service time, so that an entry that hears nothing more does not take the
-// pool for full for ever.
+// pool for full for ever. For a request that is refused at the cost of a round
+// trip if the endpoint is not idle, this hopeful view is right.
 func (l *peerLoads) foreign(now time.Duration, i int, service float64) float64 {
-	row := &l.rows[i]
-	left := service / (service + float64(max(0, now-row.extraAt)))
-	return max(0, float64(row.sum)+float64(row.extra)*left)
+	load, _ := l.rows[i].known(now, service)
+	return load
+}
+
+// expected estimates the foreign load as well, but what is known fades towards
+// the mean. For a request that would have to queue, an endpoint of which nothing
+// is known must not look better than one seen with little load.
+func (l *peerLoads) expected(now time.Duration, i int, service float64) float64 {
+	load, left := l.rows[i].known(now, service)
+	return load + l.mean*(1-left)
 }
+
+// known returns what is left of the known foreign load and the share of the
+// knowledge that is left. Peers' counts hold for a part of the service time, as
+// an attempt does, and then fade fast; a report, which says nothing of the
+// attempts' ages, fades from the start.
+func (r *peerRow) known(now time.Duration, service float64) (load, left float64) {
+	reported := service / (service + float64(max(0, now-r.extraAt)))
+	age := float64(max(0, now-r.toldAt)) / service
+	told := 1 / (1 + age*age)
+	load = max(0, float64(r.sum)*told+float64(r.extra)*reported)
+	return load, max(told, reported)
+}
+
+// meanWeight is the weight of a report in the mean.
+const meanWeight = 0.05
--- a/internal/core/balance/prequal.go
+++ b/internal/core/balance/prequal.go
@@ -9,10 +9,10 @@
 // Parameters of the probe pool.
 const (
 	probePoolSize = 16
-	probeMaxAge   = time.Second
-	// probeUses is how often one result may be used. Results are scarce here
-	// because probes are budgeted.
-	probeUses = 2
+	probeMaxAge   = 200 * time.Millisecond
+	// probeUses is how often one result may be used. More draws the load to the
+	// endpoints that answered last.
+	probeUses = 1
 	// hotQuantile separates the endpoints with many requests in flight.
 	hotQuantile = 0.84
 )
@@ -136,7 +136,7 @@
 	switch {
 	case aHot != bHot:
 		return bHot
-	case aHot:
+	case a.load != b.load:
 		return a.load < b.load
 	}
 	return a.latency < b.latency
