Claims: an unchanged count of a peer stays true while the peer is heard

Cause: peers tell changes only; a count that did not change faded as if nothing were known, and was dropped after 100 ms without a change. Change: Picker.PeerHeard marks each update of a peer; counts age by the peer that was silent for longest and are dropped after the longer of 100 ms and four service times. Config.SlowStart, which nothing read, is gone: the core limits a new endpoint's slots. The bench sends changes only. The plot can be limited to some variants.

--- a/internal/bench/loadbench/main.go
+++ b/internal/bench/loadbench/main.go
@@ -22,7 +22,7 @@
 
 func command() *cobra.Command {
 	cfg := bench.DefaultConfig()
-	var variants, scenarios []string
+	var variants, scenarios, plotted []string
 	var plot string
 	cmd := &cobra.Command{
 		Use:          "loadbench",
@@ -49,7 +49,7 @@
 			if plot == "" {
 				return nil
 			}
-			return report.Plot(plot)
+			return report.Plot(plot, plotted)
 		},
 	}
 	flags := cmd.Flags()
@@ -66,5 +66,6 @@
 	flags.DurationVar(&cfg.Service, "service", cfg.Service, "mean service time")
 	flags.Uint64Var(&cfg.Seed, "seed", cfg.Seed, "seed of the traces")
 	flags.StringVar(&plot, "plot", "", "SVG file to draw the p99 ratios into")
+	flags.StringSliceVar(&plotted, "plotted", nil, "variants to draw; all by default")
 	return cmd
 }
--- a/internal/bench/peers.go
+++ b/internal/bench/peers.go
@@ -47,17 +47,18 @@
 				continue
 			}
 			sent.Add(int64(updateBytes + changeBytes*len(changed)))
-			time.AfterFunc(d.cfg.PeerDelay, func() { other.told(d.index, counts, now) })
+			time.AfterFunc(d.cfg.PeerDelay, func() { other.told(d.index, changed, counts, now) })
 		}
 	}
 }
 
-// told takes in an update. An unchanged count is news too: it is still true.
-func (d *decider) told(from int, counts []int32, at time.Duration) {
+// told takes in an update.
+func (d *decider) told(from int, changed []int, counts []int32, at time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for i, own := range counts {
-		d.picker.PeerTold(d.now(), &d.pool, i, balance.PeerLoad{From: from, Own: own, At: at})
+	d.picker.PeerHeard(from, at)
+	for _, i := range changed {
+		d.picker.PeerTold(d.now(), &d.pool, i, balance.PeerLoad{From: from, Own: counts[i], At: at})
 	}
 	d.pump()
 }
--- a/internal/bench/plot.go
+++ b/internal/bench/plot.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"image/color"
+	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -14,8 +15,8 @@
 const plotCeiling = 4
 
 // Plot draws the p99 ratios of the first scenario over the load into an SVG
-// file.
-func (r *Report) Plot(path string) error {
+// file, for the named variants or for all.
+func (r *Report) Plot(path string, names []string) error {
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("p99 as a ratio to one queue with perfect knowledge (%s, %d endpoints)",
 		r.Config.Scenarios[0].Name, r.Config.Endpoints)
@@ -24,7 +25,10 @@
 	p.Y.Min, p.Y.Max = 0.9, plotCeiling
 	p.Legend.Top = true
 	p.Legend.Left = true
-	for v := range r.Config.Variants {
+	for v, variant := range r.Config.Variants {
+		if len(names) > 0 && !slices.Contains(names, variant.Name) {
+			continue
+		}
 		points := make(plotter.XYs, len(r.Config.Loads))
 		for l, load := range r.Config.Loads {
 			c := r.at(cellKey{0, l, v})
@@ -38,7 +42,7 @@
 		marks.Shape = plotutil.Shape(v)
 		line.Dashes = plotutil.Dashes(v / len(plotutil.DefaultColors))
 		p.Add(line, marks)
-		p.Legend.Add(r.Config.Variants[v].Name, line, marks)
+		p.Legend.Add(variant.Name, line, marks)
 	}
 	goal, err := plotter.NewLine(plotter.XYs{{X: 100 * r.Config.Loads[0], Y: 1.1}, {X: 100 * r.Config.Loads[len(r.Config.Loads)-1], Y: 1.1}})
 	if err != nil {
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -110,6 +110,9 @@
 	Answered(now time.Duration, p *table.Pool, i int, obs Observation)
 	// Told passes on another entry's sighting of the whole foreign load.
 	Told(now time.Duration, p *table.Pool, i int, s table.Sighting)
+	// PeerHeard follows an update of another entry, the index From of a
+	// PeerLoad: counts that it did not change were still true at that time.
+	PeerHeard(from int, at time.Duration)
 	// PeerTold passes on another entry's count of its own attempts.
 	PeerTold(now time.Duration, p *table.Pool, i int, load PeerLoad)
 }
@@ -120,8 +123,6 @@
 	Self string
 	// Service is the time of a request assumed before any was measured.
 	Service time.Duration
-	// SlowStart is how long a new endpoint gets fewer requests.
-	SlowStart time.Duration
 	// QueueAtEndpoint is how many requests beyond its slots the claims policy
 	// lets an endpoint hold; negative for none.
 	QueueAtEndpoint int
@@ -133,9 +134,7 @@
 
 // Defaults of Config.
 const (
-	DefaultService   = 15 * time.Millisecond
-	DefaultSlowStart = 2 * time.Second
-
+	DefaultService         = 15 * time.Millisecond
 	DefaultQueueAtEndpoint = 4
 	DefaultPatience        = 0.25
 )
@@ -144,9 +143,6 @@
 	if c.Service <= 0 {
 		c.Service = DefaultService
 	}
-	if c.SlowStart <= 0 {
-		c.SlowStart = DefaultSlowStart
-	}
 	if c.QueueAtEndpoint == 0 {
 		c.QueueAtEndpoint = DefaultQueueAtEndpoint
 	}
--- a/internal/core/balance/claims.go
+++ b/internal/core/balance/claims.go
@@ -8,10 +8,12 @@
 )
 
 const (
-	// peerSilence is how long a peer's counts are believed without news. It
-	// spans several updates; a peer that is partitioned away or has paused
-	// then stops holding slots in this entry's view.
-	peerSilence = 100 * time.Millisecond
+	// leastSilence and silenceTimes bound how long a peer's counts are believed
+	// without news: several updates, and several service times, since a peer
+	// tells changes only. One that is partitioned away or has paused then stops
+	// holding slots in this entry's view.
+	leastSilence = 100 * time.Millisecond
+	silenceTimes = 4
 	// idleShare is how much of a slot must look idle to try it.
 	idleShare = 0.5
 	// askAgain is how soon a waiting request asks again without news, as the
@@ -102,6 +104,9 @@
 	c.peers.told(i, load)
 }
 
+// PeerHeard implements Picker.
+func (c *claims) PeerHeard(from int, at time.Duration) { c.peers.hear(from, at) }
+
 // Pick implements Picker.
 func (c *claims) Pick(now time.Duration, p *table.Pool, ask Ask, waited time.Duration) Choice {
 	s, choice, done := c.begin(now, p, ask)
@@ -109,7 +114,7 @@
 		c.lastIdleOnly = false
 		return choice
 	}
-	c.peers.expire(now)
+	c.peers.expire(now, max(leastSilence, time.Duration(silenceTimes*c.typical())))
 	if i, ok := c.idle(now, p, ask, s, waited); ok {
 		c.lastIdleOnly = true
 		return Choice{Index: i, OK: true, IdleOnly: !ask.MustQueue}
@@ -126,11 +131,15 @@
 
 // patience is how long a request waits for an idle slot only.
 func (c *claims) patience() time.Duration {
-	service := c.reference
-	if service <= 0 {
-		service = float64(c.cfg.Service)
+	return time.Duration(c.cfg.Patience * c.typical())
+}
+
+// typical is the pool's service time in nanoseconds, measured or assumed.
+func (c *claims) typical() float64 {
+	if c.reference > 0 {
+		return c.reference
 	}
-	return time.Duration(c.cfg.Patience * service)
+	return float64(c.cfg.Service)
 }
 
 // idle returns the best endpoint that seems to have an idle slot.
--- a/internal/core/balance/peerloads.go
+++ b/internal/core/balance/peerloads.go
@@ -7,9 +7,12 @@
 // report on an answer, which counts everybody.
 type peerLoads struct {
 	// mean is the smoothed foreign load of an endpoint as reported.
-	mean  float64
-	rows  []peerRow
-	peers []peerState
+	mean float64
+	// oldest is when the believed peer that has been silent for longest was
+	// last heard, as of the latest call of expire.
+	oldest time.Duration
+	rows   []peerRow
+	peers  []peerState
 	// own[i*len(peers)+j] is peer j's count at endpoint i.
 	own []int32
 }
@@ -20,8 +23,6 @@
 	// extra is what a report showed beyond sum, negative if less.
 	extra   int32
 	extraAt time.Duration
-	// toldAt is when the latest of the counts was true.
-	toldAt time.Duration
 }
 
 type peerState struct {
@@ -41,15 +42,12 @@
 	if load.From < 0 || load.From >= len(l.peers) {
 		return
 	}
-	peer := &l.peers[load.From]
-	peer.believed = true
-	peer.heard = max(peer.heard, load.At)
+	l.hear(load.From, load.At)
 	at := i*len(l.peers) + load.From
 	change := load.Own - l.own[at]
 	l.own[at] = load.Own
 	row := &l.rows[i]
 	row.sum += change
-	row.toldAt = max(row.toldAt, load.At)
 	switch {
 	case row.extra > 0 && change > 0:
 		row.extra -= min(row.extra, change)
@@ -58,6 +56,16 @@
 	}
 }
 
+// hear notes that a peer's counts were true at the given time, changed or not.
+func (l *peerLoads) hear(from int, at time.Duration) {
+	if from < 0 || from >= len(l.peers) {
+		return
+	}
+	peer := &l.peers[from]
+	peer.believed = true
+	peer.heard = max(peer.heard, at)
+}
+
 // sighted takes in the whole foreign load as an endpoint reported it.
 func (l *peerLoads) sighted(at time.Duration, i int, foreign int32) {
 	row := &l.rows[i]
@@ -66,19 +74,28 @@
 	l.mean += meanWeight * (float64(foreign) - l.mean)
 }
 
-// expire forgets the counts of peers that fell silent.
-func (l *peerLoads) expire(now time.Duration) {
+// expire forgets the counts of peers that fell silent for longer than silence.
+func (l *peerLoads) expire(now, silence time.Duration) {
+	l.oldest = now
 	for j := range l.peers {
 		peer := &l.peers[j]
-		if !peer.believed || now-peer.heard <= peerSilence {
+		if !peer.believed {
 			continue
 		}
-		peer.believed = false
-		for i := range l.rows {
-			at := i*len(l.peers) + j
-			l.rows[i].sum -= l.own[at]
-			l.own[at] = 0
+		if now-peer.heard > silence {
+			l.forget(j)
+			continue
 		}
+		l.oldest = min(l.oldest, peer.heard)
+	}
+}
+
+func (l *peerLoads) forget(j int) {
+	l.peers[j].believed = false
+	for i := range l.rows {
+		at := i*len(l.peers) + j
+		l.rows[i].sum -= l.own[at]
+		l.own[at] = 0
 	}
 }
 
@@ -87,7 +104,7 @@
 // pool for full for ever. For a request that is refused at the cost of a round
 // trip if the endpoint is not idle, this hopeful view is right.
 func (l *peerLoads) foreign(now time.Duration, i int, service float64) float64 {
-	load, _ := l.rows[i].known(now, service)
+	load, _ := l.known(now, i, service)
 	return load
 }
 
@@ -95,7 +112,7 @@
 // the mean. For a request that would have to queue, an endpoint of which nothing
 // is known must not look better than one seen with little load.
 func (l *peerLoads) expected(now time.Duration, i int, service float64) float64 {
-	load, left := l.rows[i].known(now, service)
+	load, left := l.known(now, i, service)
 	return load + l.mean*(1-left)
 }
 
@@ -103,11 +120,15 @@
 // knowledge that is left. Peers' counts hold for a part of the service time, as
 // an attempt does, and then fade fast; a report, which says nothing of the
 // attempts' ages, fades from the start.
-func (r *peerRow) known(now time.Duration, service float64) (load, left float64) {
-	reported := service / (service + float64(max(0, now-r.extraAt)))
-	age := float64(max(0, now-r.toldAt)) / service
+func (l *peerLoads) known(now time.Duration, i int, service float64) (load, left float64) {
+	row := &l.rows[i]
+	reported := service / (service + float64(max(0, now-row.extraAt)))
+	age := float64(max(0, now-l.oldest)) / service
 	told := 1 / (1 + age*age)
-	load = max(0, float64(r.sum)*told+float64(r.extra)*reported)
+	load = max(0, float64(row.sum)*told+float64(row.extra)*reported)
+	if row.sum == 0 {
+		return load, reported
+	}
 	return load, max(told, reported)
 }
 
--- a/internal/core/balance/view.go
+++ b/internal/core/balance/view.go
@@ -25,6 +25,7 @@
 }
 
 func (v *view) Changed(time.Duration, *table.Pool, []string)       {}
+func (v *view) PeerHeard(int, time.Duration)                       {}
 func (v *view) Dispatched(time.Duration, *table.Pool, int)         {}
 func (v *view) PeerTold(time.Duration, *table.Pool, int, PeerLoad) {}
 
