Claims: tests of misleading endpoints, silent peers and patience

Cause: the guards of the policy had no test of the failures they are for. Change: a table of endpoints that look better than they are, a peer that falls silent, a starving request, and a property that the own count is respected. Tested: each fails when its guard is taken out on a scratch copy (failures, refusals, slowness, peers' counts, PeerHeard); package green under -race. Conclusion: the guards are held by tests.

--- /dev/null
+++ b/internal/core/balance/claims_test.go
@@ -0,0 +1,133 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+const testService = 20 * time.Millisecond
+
+// pair is a pool of two idle endpoints that answered in the same time, and a
+// picker of three deciders for it that prefers endpoint 0.
+func pair(t *testing.T) (Picker, *table.Pool) {
+	p := benchPool(2)
+	for i := range p.Endpoints {
+		p.Endpoints[i].Name = []string{"second", "first"}[i]
+		p.Endpoints[i].Outstanding = 0
+		p.Endpoints[i].Sighting = table.Sighting{}
+	}
+	picker := newPicker(t, Claims)
+	picker.Changed(testNow, p, []string{"a", "b", "c"})
+	return picker, p
+}
+
+// send dispatches one request to endpoint i and answers it.
+func send(picker Picker, p *table.Pool, at time.Duration, i int, obs Observation) {
+	p.Endpoints[i].Outstanding++
+	picker.Dispatched(at, p, i)
+	p.Endpoints[i].Outstanding--
+	picker.Answered(at+obs.Latency, p, i, obs)
+}
+
+// Endpoint 0 misbehaves; each case is one way to look better than it is. A user
+// would see errors or slow answers while endpoint 1 idles, because everything
+// that is reported speaks for endpoint 0. The choice must go to endpoint 1.
+func TestMisleadingEndpointIsPassedOver(t *testing.T) {
+	idle := Observation{Latency: testService, HasLoad: true, Slots: 2}
+	cases := []struct {
+		name string
+		tell func(picker Picker, p *table.Pool)
+	}{
+		{"turns everything away at once", func(picker Picker, p *table.Pool) {
+			send(picker, p, testNow, 0, Observation{Latency: time.Millisecond, HasLoad: true, Slots: 2, Failed: true})
+		}},
+		{"refuses although it reports idle slots", func(picker Picker, p *table.Pool) {
+			send(picker, p, testNow, 0, Observation{Latency: time.Millisecond, HasLoad: true, Slots: 2, Refused: true})
+		}},
+		{"reports idle slots and is slow", func(picker Picker, p *table.Pool) {
+			for range 2 * medianEvery {
+				send(picker, p, testNow-time.Second, 1, idle)
+				send(picker, p, testNow-time.Second, 0, Observation{Latency: 10 * testService, HasLoad: true, Slots: 2})
+			}
+		}},
+		{"is filled by a peer", func(picker Picker, p *table.Pool) {
+			picker.PeerTold(testNow, p, 0, PeerLoad{From: 0, Own: 2, At: testNow})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			picker, p := pair(t)
+			if got := picker.Pick(testNow-2*time.Second, p, Ask{}, 0); got.Index != 0 {
+				t.Fatalf("chose %+v though nothing speaks against endpoint 0", got)
+			}
+			c.tell(picker, p)
+			for range 2 {
+				got := picker.Pick(testNow+time.Millisecond, p, Ask{}, 0)
+				if !got.OK || got.Index != 1 {
+					t.Fatalf("chose %+v", got)
+				}
+				p.Endpoints[1].Outstanding++
+				picker.Dispatched(testNow+time.Millisecond, p, 1)
+			}
+		})
+	}
+}
+
+// A peer holds all slots in this entry's view, then is cut off by a partition
+// or sleeps, and can't say that they are free again. Requests would wait or
+// queue for as long as the peer is away. An update without changes keeps the
+// counts; silence ends them.
+func TestSilentPeerHoldsNoSlots(t *testing.T) {
+	picker, p := pair(t)
+	for i := range p.Endpoints {
+		picker.PeerTold(testNow, p, i, PeerLoad{From: 0, Own: 2, At: testNow})
+	}
+	heard := testNow + 90*time.Millisecond
+	picker.PeerHeard(0, heard)
+	if c := picker.Pick(heard, p, Ask{}, 0); c.OK {
+		t.Fatalf("chose %+v though the peer still holds all slots", c)
+	}
+	if c := picker.Pick(heard+leastSilence+1, p, Ask{}, 0); !c.OK || !c.IdleOnly {
+		t.Fatalf("got %+v, want a slot: the peer is silent", c)
+	}
+}
+
+// All slots look busy for good because two other entries hand theirs on to
+// their own requests. A request of this entry would starve; past its patience it
+// queues at an endpoint, the one whose own attempt ends first.
+func TestPatienceEndsInAQueue(t *testing.T) {
+	picker, p := pair(t)
+	for i := range p.Endpoints {
+		p.Endpoints[i].Outstanding = 2
+	}
+	picker.Dispatched(testNow-testService/2, p, 0)
+	picker.Dispatched(testNow, p, 1)
+	if c := picker.Pick(testNow, p, Ask{}, 0); c.OK || c.Wait <= 0 {
+		t.Fatalf("got %+v, want to wait first", c)
+	}
+	if c := picker.Pick(testNow, p, Ask{}, testService); !c.OK || c.IdleOnly || c.Index != 0 {
+		t.Fatalf("got %+v, want endpoint 0 with a queue", c)
+	}
+}
+
+// The entry's own count is exact: a slot that it fills itself is never asked
+// for as idle, whatever reports and peers say.
+func TestOwnCountIsRespected(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawPool(t)
+		picker := newPicker(t, Claims)
+		picker.Changed(testNow, p, []string{"a", "b", "c"})
+		for i := range p.Endpoints {
+			picker.Told(testNow, p, i, table.Sighting{Seen: true, At: testNow, Foreign: int32(rapid.IntRange(-2, 2).Draw(t, "told"))})
+			picker.PeerTold(testNow, p, i, PeerLoad{From: rapid.IntRange(-1, 3).Draw(t, "from"), Own: 1, At: testNow})
+		}
+		c := picker.Pick(testNow, p, Ask{}, time.Duration(rapid.IntRange(0, 100).Draw(t, "waited"))*time.Millisecond)
+		if c.OK && c.IdleOnly && p.Endpoints[c.Index].Outstanding >= p.Endpoints[c.Index].Slots {
+			t.Fatalf("asked endpoint %d for an idle slot that this entry fills", c.Index)
+		}
+	})
+}
