Steer a service to one entry of a region; spares get nothing while there is room

Cause: p99 against one queue with perfect knowledge is lost to entries that choose without knowing of each other. And where fewer entries serve a service than an answer names, callers drew the spares by weight as well, which put more such entries on the pool. Change: entries_per_domain = 0 sends callers of a service to one entry of each region; entries that are named for a failure get weight only as far as the serving ones are full. Tests: spares with room and full; one entry of a region and what moves when one goes. The profile's property held entries_per_domain to at least 1; it now holds the field's new range, from 0.

--- a/internal/choicebench/config.go
+++ b/internal/choicebench/config.go
@@ -100,6 +100,7 @@
 	return append(all,
 		Variant{Name: balance.P2CReports + " steered", Policy: balance.P2CReports, Entries: manyEntries, Steered: true, PerDomain: 1},
 		Variant{Name: balance.Default + " steered", Policy: balance.Default, Entries: manyEntries, Steered: true, PerDomain: 1},
+		Variant{Name: balance.Default + " steered to one", Policy: balance.Default, Entries: manyEntries, Steered: true, PerDomain: 0},
 	)
 }
 
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -60,7 +60,7 @@
 	Domain      string
 	Epoch       uint32
 	// Weight is the share of requests for this entry against the other
-	// choices; between 1 and MaxWeight.
+	// choices, up to MaxWeight; 0 means only when the others fail.
 	Weight uint32
 }
 
@@ -118,6 +118,7 @@
 // the answer and a scratch list of the entries known.
 func (v *View) Answer(req Request) Answer {
 	found := v.candidates(req)
+	v.holdBack(found)
 	slices.SortFunc(found, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.place, b.place), cmp.Compare(a.entry.Incarnation, b.entry.Incarnation))
 	})
@@ -129,6 +130,24 @@
 	}
 }
 
+// holdBack takes the weight from entries that do not serve the service as far
+// as those that do have room. Without it callers would spread over the entries
+// that are named for the case of a failure, and each pool would have more
+// entries that choose among its endpoints without knowing of each other.
+func (v *View) holdBack(found []candidate) {
+	room := 0.0
+	for i := range found {
+		if found[i].serving {
+			room = max(room, roomShare(found[i].entry.Load))
+		}
+	}
+	for i := range found {
+		if !found[i].serving {
+			found[i].weight *= 1 - room
+		}
+	}
+}
+
 // candidates returns all entries that may be in the answer, unordered.
 func (v *View) candidates(req Request) []candidate {
 	found := make([]candidate, 0, len(v.Entries))
--- a/internal/core/directory/directory_test.go
+++ b/internal/core/directory/directory_test.go
@@ -174,3 +174,33 @@
 		v.Answer(Request{Service: "s", Caller: uint64(i), Domain: "d1"})
 	}
 }
+
+// Callers of a service with fewer entries than an answer holds would send a part
+// of their requests to entries that are named for the case of a failure, which
+// choose endpoints without knowing of the others. Those get weight only as far
+// as the serving ones are full.
+func TestSparesGetNothingWhileThereIsRoom(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		load  float64
+		spare bool
+	}{
+		{"room", 0.2, false},
+		{"full", 1.0, true},
+	} {
+		v := View{Region: "r", Serving: []uint64{1}}
+		for i := range uint64(4) {
+			v.Entries = append(v.Entries, Entry{Incarnation: i + 1, Region: "r", Domain: string(rune('a' + i%2))})
+		}
+		v.Entries[0].Load = c.load
+		answer := v.Answer(Request{Service: "s", Caller: 7, Domain: "b"})
+		for _, e := range answer.Entries {
+			if serving := e.Incarnation == 1; serving && e.Weight == 0 || !serving && e.Weight > 0 != c.spare {
+				t.Errorf("%s: entry %d has weight %d", c.name, e.Incarnation, e.Weight)
+			}
+		}
+		if len(answer.Entries) < MinChoices || answer.Entries[0].Incarnation != 1 {
+			t.Errorf("%s: %+v", c.name, answer.Entries)
+		}
+	}
+}
--- a/internal/core/directory/pick.go
+++ b/internal/core/directory/pick.go
@@ -47,6 +47,16 @@
 	return min(len(list), 1)
 }
 
+// shownWeight keeps a serving entry above 0: without requests it could not show
+// that it has room again.
+func shownWeight(c candidate) uint32 {
+	weight := uint32(math.Round(c.weight * MaxWeight))
+	if c.serving {
+		return max(weight, 1)
+	}
+	return weight
+}
+
 // choices turns candidates into the caller's list.
 func choices(picked []candidate) []Choice {
 	out := make([]Choice, 0, len(picked))
@@ -56,7 +66,7 @@
 			Address:     c.entry.Address,
 			Domain:      c.entry.Domain,
 			Epoch:       c.entry.Epoch,
-			Weight:      uint32(max(math.Round(c.weight*MaxWeight), 1)),
+			Weight:      shownWeight(c),
 		})
 	}
 	return out
--- a/internal/core/duty/assign.go
+++ b/internal/core/duty/assign.go
@@ -1,7 +1,6 @@
 package duty
 
 import (
-	"cmp"
 	"slices"
 )
 
@@ -15,7 +14,7 @@
 // Readers returns the incarnations of the entries of a failure domain that
 // watch the platform for all others, best first; at most perDomain.
 func Readers(entries []Member, domain string, perDomain int) []uint64 {
-	return first(inDomain(entries, domain), Key(scopeReader, domain), perDomain)
+	return first(where(entries, domainOf, domain), Key(scopeReader, domain), perDomain)
 }
 
 // IsReader reports whether the entry self is among the readers of its own
@@ -47,11 +46,21 @@
 // service are steered to: perDomain of each failure domain, ordered by domain
 // and then by score. An entry that comes or goes changes the answer only in
 // its own failure domain and only by itself and one other.
+//
+// With perDomain 0 one entry of each region serves the service: a single place
+// that sees all its requests, for the price of a longer way for callers of the
+// other failure domains.
 func ServiceEntries(service string, entries []Member, perDomain int) []uint64 {
 	key := Key(scopeService, service)
 	var chosen []uint64
-	for _, domain := range domains(entries) {
-		chosen = append(chosen, first(inDomain(entries, domain), key, perDomain)...)
+	if perDomain == 0 {
+		for _, region := range places(entries, regionOf) {
+			chosen = append(chosen, first(where(entries, regionOf, region), key, 1)...)
+		}
+		return chosen
+	}
+	for _, domain := range places(entries, domainOf) {
+		chosen = append(chosen, first(where(entries, domainOf, domain), key, perDomain)...)
 	}
 	return chosen
 }
@@ -82,27 +91,31 @@
 	return width
 }
 
-// inDomain returns a copy of the members of one failure domain.
-func inDomain(entries []Member, domain string) []Member {
+// where returns a copy of the members whose place is the given one.
+func where(entries []Member, place func(Member) string, name string) []Member {
 	var found []Member
 	for _, m := range entries {
-		if m.Domain == domain {
+		if place(m) == name {
 			found = append(found, m)
 		}
 	}
 	return found
 }
 
-// domains returns the failure domains of entries in order, each once.
-func domains(entries []Member) []string {
+// places returns the places of the members in order, each once.
+func places(entries []Member, place func(Member) string) []string {
 	names := make([]string, 0, len(entries))
 	for _, m := range entries {
-		names = append(names, m.Domain)
+		names = append(names, place(m))
 	}
-	slices.SortFunc(names, cmp.Compare)
+	slices.Sort(names)
 	return slices.Compact(names)
 }
 
+func domainOf(m Member) string { return m.Domain }
+
+func regionOf(m Member) string { return m.Region }
+
 // first returns the incarnations of the n members with the highest scores. It
 // reorders members.
 func first(members []Member, key uint64, n int) []uint64 {
--- a/internal/core/duty/assign_test.go
+++ b/internal/core/duty/assign_test.go
@@ -131,3 +131,23 @@
 		}
 	}
 }
+
+// With perDomain 0 each region has one entry for a service, and an entry that
+// goes moves the services that it had and no others.
+func TestOneEntryOfARegion(t *testing.T) {
+	var all []Member
+	for i := range uint64(12) {
+		all = append(all, Member{Incarnation: i + 1, Region: fmt.Sprint("r", i%2), Domain: fmt.Sprint("d", i%6)})
+	}
+	left := all[1:]
+	for i := range 40 {
+		service := fmt.Sprint("service-", i)
+		was, is := ServiceEntries(service, all, 0), ServiceEntries(service, left, 0)
+		if len(was) != 2 || len(is) != 2 {
+			t.Fatalf("%s is served by %v, then by %v", service, was, is)
+		}
+		if was[0] != all[0].Incarnation && was[0] != is[0] || was[1] != is[1] {
+			t.Errorf("%s moved from %v to %v although its entries stayed", service, was, is)
+		}
+	}
+}
--- a/internal/profile/field.go
+++ b/internal/profile/field.go
@@ -96,8 +96,8 @@
 		effect: "Whether a request without an idempotency key is refused as not run.",
 	},
 	{
-		name: "entries_per_domain", ref: func(p *Policy) any { return &p.EntriesPerDomain }, min: 1, max: 16,
-		effect: "Entries of each failure domain that callers of the service are sent to.",
+		name: "entries_per_domain", ref: func(p *Policy) any { return &p.EntriesPerDomain }, min: 0, max: 16,
+		effect: "Entries of each failure domain that callers of the service are sent to. `0`: one entry in each region, which then sees every request and every slot; callers of other failure domains have a longer way.",
 	},
 }
 
--- a/internal/profile/policy.go
+++ b/internal/profile/policy.go
@@ -74,7 +74,7 @@
 	// RequireKey refuses requests that carry no idempotency key.
 	RequireKey bool
 	// EntriesPerDomain is how many entries of each failure domain the callers
-	// of the service are sent to.
+	// of the service are sent to; 0 means one entry in each region.
 	EntriesPerDomain int
 }
 
