Duties: the unused width goes

Cause: duty.Width worked out how many entries a service needs from its rate over the fleet, which no entry knows; nothing called it. Change: removed with its test. Full entries lose weight and spares take over; entries_per_domain is the lever for a service that always needs more. Tested: duty passes. Conclusion: one way less to decide the same.

--- a/internal/core/duty/assign.go
+++ b/internal/core/duty/assign.go
@@ -65,32 +65,6 @@
 	return chosen
 }
 
-// Limits of how full the entries of a service may get before more of them, or
-// fewer, serve it. They are far apart so that a rate that varies by less than
-// a factor of two never moves callers back and forth.
-const (
-	widenAbove  = 0.8
-	narrowBelow = 0.35
-)
-
-// Width returns how many entries of each failure domain should serve a service
-// of rate calls per second, given how many do now. perEntry is what one entry
-// can serve, domains the number of failure domains.
-func Width(current int, rate, perEntry float64, domains int) int {
-	width := max(current, 1)
-	each := perEntry * float64(max(domains, 1))
-	if each <= 0 {
-		return width
-	}
-	for rate > widenAbove*each*float64(width) {
-		width++
-	}
-	for width > 1 && rate < narrowBelow*each*float64(width) {
-		width--
-	}
-	return width
-}
-
 // where returns a copy of the members whose place is the given one.
 func where(entries []Member, place func(Member) string, name string) []Member {
 	var found []Member
--- a/internal/core/duty/assign_test.go
+++ b/internal/core/duty/assign_test.go
@@ -113,25 +113,6 @@
 	}
 }
 
-func TestWidth(t *testing.T) {
-	for _, c := range []struct {
-		name    string
-		current int
-		rate    float64
-		want    int
-	}{
-		{"idle", 1, 0, 1},
-		{"full", 1, 13000, 2},
-		{"varies by less than half", 2, 13000, 2},
-		{"far more", 1, 40000, 4},
-		{"idle again", 4, 1000, 1},
-	} {
-		if got := Width(c.current, c.rate, 5000, 3); got != c.want {
-			t.Errorf("%s: %d, want %d", c.name, got, c.want)
-		}
-	}
-}
-
 // With perDomain 0 each region has one entry for a service, and an entry that
 // goes moves the services that it had and no others.
 func TestOneEntryOfARegion(t *testing.T) {
