--- a/cmd/tealhallbench/choice.go
+++ b/cmd/tealhallbench/choice.go
@@ -19,6 +19,7 @@
 type choiceFlags struct {
 	variants  []string
 	scenarios []string
+	plot      string
 	limit     time.Duration
 }
 
@@ -43,6 +44,7 @@
 	f.Uint64Var(&config.Seed, "seed", config.Seed, "seed of arrivals and service times")
 	f.StringSliceVar(&flags.variants, "variants", nil, "variants by name, besides the oracles; all if none is named")
 	f.StringSliceVar(&flags.scenarios, "scenarios", flags.scenarios, "healthy, noisy, straggler, fail-fast or all")
+	f.StringVar(&flags.plot, "plot", "", "SVG file to draw the p99 ratios into")
 	f.DurationVar(&flags.limit, "limit", flags.limit, "end the run after this time")
 	return c
 }
@@ -60,6 +62,11 @@
 	if err != nil {
 		return err
 	}
+	if flags.plot != "" {
+		if err := report.Plot(flags.plot); err != nil {
+			return err
+		}
+	}
 	return report.WriteTable(c.OutOrStdout())
 }
 
