Daemon: end with a failure when a server of the entry ends

Errors of the servers for callers and peers were dropped, so a process that nobody could reach ran on. Tested: go test -race ./internal/daemon (TestFailedServerEndsTheDaemon).

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"os"
 	"path/filepath"
@@ -128,10 +129,19 @@
 }
 
 // slowEntry stops once its context ends, and then cuts requests off.
-type slowEntry struct{ stopping chan struct{} }
+type slowEntry struct {
+	stopping chan struct{}
+	failed   chan error
+}
+
+func newSlowEntry() *slowEntry {
+	return &slowEntry{stopping: make(chan struct{}), failed: make(chan error, 1)}
+}
 
 func (*slowEntry) Name() string { return "entry-1" }
 
+func (e *slowEntry) Failed() <-chan error { return e.failed }
+
 func (e *slowEntry) Stop(ctx context.Context) entry.StopSummary {
 	close(e.stopping)
 	<-ctx.Done()
@@ -141,13 +151,30 @@
 // An operator who can't wait for a long upload sends a second signal. The stop
 // must end at once then, and the exit code must tell that requests were cut.
 func TestSecondSignalMakesTheStopQuick(t *testing.T) {
-	e := &slowEntry{stopping: make(chan struct{})}
+	e := newSlowEntry()
 	signals := make(chan os.Signal, pendingSignals)
+	signals <- syscall.SIGTERM
 	go func() {
 		<-e.stopping
 		signals <- syscall.SIGINT
 	}()
-	if code := exitCode(stop(e, syscall.SIGTERM, signals)); code != ExitCut {
+	if code := exitCode(attend(e, signals)); code != ExitCut {
 		t.Errorf("exit code %d, want %d", code, ExitCut)
 	}
 }
+
+// Callers find an entry's port closed while its process runs on for days, and
+// whoever restarts processes that end sees nothing. Its server had failed, which
+// nobody was told. The daemon stops then, with the exit code of a failure.
+func TestFailedServerEndsTheDaemon(t *testing.T) {
+	e := newSlowEntry()
+	e.failed <- errors.New("accept: too many open files")
+	signals := make(chan os.Signal, pendingSignals)
+	go func() {
+		<-e.stopping
+		signals <- syscall.SIGTERM
+	}()
+	if code := exitCode(attend(e, signals)); code != ExitFailure {
+		t.Errorf("exit code %d, want %d", code, ExitFailure)
+	}
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -11,7 +11,7 @@
 	"github.com/tealhall/tealhall/internal/settings"
 )
 
-// serve runs an entry until a signal comes, then stops it.
+// serve runs an entry until a signal comes or a server of it ends, then stops it.
 func serve(s *settings.Settings, sides *tlsSides, signals <-chan os.Signal) error {
 	sides.logPlainText()
 	defer sides.watch(s.TLS.Poll.Duration)()
@@ -28,8 +28,21 @@
 		return err
 	}
 	klog.InfoS("serving", "entry", s.Name, "failureDomain", s.FailureDomain, "callers", e.CallerAddress(), "peers", e.PeerAddress())
-	first := <-signals
-	return stop(e, first, signals)
+	return attend(e, signals)
+}
+
+// attend waits for a reason to stop and stops. A server that ended can't be had
+// back without a new process; the planned stop still saves what is in flight.
+func attend(e stopper, signals <-chan os.Signal) error {
+	select {
+	case first := <-signals:
+		return stop(e, first.String(), signals)
+	case failure := <-e.Failed():
+		klog.ErrorS(failure, "the entry can't go on")
+		// That requests were cut is in the log; the failure is the graver news.
+		_ = stop(e, "failure", signals)
+		return failure
+	}
 }
 
 func entryOptions(s *settings.Settings, sides *tlsSides) entry.Options {
@@ -47,12 +60,13 @@
 // stopper is what stop needs of an entry.
 type stopper interface {
 	Name() string
+	Failed() <-chan error
 	Stop(ctx context.Context) entry.StopSummary
 }
 
-// stop makes a planned stop, which ends early at a second signal.
-func stop(e stopper, first os.Signal, signals <-chan os.Signal) error {
-	klog.InfoS("a planned stop begins; a second signal makes it quick", "entry", e.Name(), "signal", first.String())
+// stop makes a planned stop, which ends early at the next signal.
+func stop(e stopper, cause string, signals <-chan os.Signal) error {
+	klog.InfoS("a planned stop begins; the next signal makes it quick", "entry", e.Name(), "cause", cause)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -101,6 +101,9 @@
 	life   context.Context
 	cancel context.CancelFunc
 
+	// failed has room for the end of each server, so that none waits to tell.
+	failed chan error
+
 	runMu   sync.Mutex // guards ended and the start of goroutines
 	ended   bool
 	running sync.WaitGroup
@@ -122,6 +125,7 @@
 		settings:      s,
 		options:       opts,
 		trail:         opts.Audit,
+		failed:        make(chan error, servers),
 		requestPrefix: s.Name + "-" + strconv.FormatUint(incarnation, 36) + "-",
 		hello: message.Hello{
 			Version:       message.Version,
@@ -219,14 +223,28 @@
 	}
 	e.life, e.cancel = context.WithCancel(context.Background())
 	e.links.Set(e.settings.Peers.Seeds)
-	e.run(func() { _ = e.front.Serve(e.callerListener) })
-	e.run(func() { _ = e.peerServer.Serve(e.peerListener) })
+	e.run(func() { e.noteEnd("callers", e.front.Serve(e.callerListener)) })
+	e.run(func() { e.noteEnd("peers", e.peerServer.Serve(e.peerListener)) })
 	e.run(func() { e.tickLoop(e.life) })
 	e.run(func() { e.followLoop(e.life, platform.ProfilesValue) })
 	e.run(func() { e.followLoop(e.life, platform.VMsValue) })
 	return nil
 }
 
+// servers is how many servers an entry runs, one for callers and one for peers.
+const servers = 2
+
+// Failed gives an error for each server that ends before a stop. The entry goes
+// on with what is left; nobody can reach it on that side any more.
+func (e *Entry) Failed() <-chan error { return e.failed }
+
+// noteEnd reports the end of a server, which is nil after a stop.
+func (e *Entry) noteEnd(side string, err error) {
+	if err != nil {
+		e.failed <- fault.Wrap(err, fault.Unavailable, "start the entry again and look into the system's log", "the server for %s ended", side)
+	}
+}
+
 func (e *Entry) listen() (err error) {
 	e.callerListener, e.peerListener = e.options.CallerListener, e.options.PeerListener
 	if e.callerListener == nil {
