Forward: ask once more before the first byte

An attempt was approved before its connection was set up, which can take a second, or longer in a process that sleeps; its caller could be told meanwhile that it was not run. Outgoing.MaySend is asked when the connection is there; refused is the failure Withdrawn, with nothing written. Tested: go test -race ./internal/forward, and the entry tests of bookings on dying connections and cut answers.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -17,8 +17,10 @@
 // attempt sends the request once and reports to the core what came of it. The
 // answer that the core commits to goes to the exchange.
 func (x *exchange) attempt(ctx context.Context, done context.CancelFunc, d core.Directive) {
+	maySend := func() bool { return x.entry.engine.maySend(d.ID, d.Attempt) }
 	body, ok := x.body.Reader()
-	if !ok || !x.entry.engine.maySend(d.ID, d.Attempt) {
+	// Asked now as well, since a connection costs the endpoint something too.
+	if !ok || !maySend() {
 		done()
 		x.end(d.Attempt, core.EndNotWritten, nil)
 		return
@@ -35,6 +37,7 @@
 		Trailer:       x.request.Trailer,
 		Extra:         x.extraHeader(d),
 		Once:          d.Once,
+		MaySend:       maySend,
 	})
 	x.entry.instruments.sent(delivery)
 	if err != nil {
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -48,6 +48,8 @@
 	Deadline
 	// Closed: Connections.Close was called.
 	Closed
+	// Withdrawn: Outgoing.MaySend was false before the first byte.
+	Withdrawn
 )
 
 // failureText describes a failure for people and for programs.
@@ -73,6 +75,7 @@
 	Cancelled:    {"request was cancelled", fault.Unavailable, "ask again if the answer is still wanted"},
 	Deadline:     {"deadline passed", fault.Unavailable, "allow more time or lower the load"},
 	Closed:       {"connections are closed", fault.Unavailable, "ask another entry"},
+	Withdrawn:    {"request was withdrawn before it was sent", fault.Unavailable, "ask again if the answer is still wanted"},
 }
 
 // String returns a short name.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -31,6 +31,11 @@
 	// Once is set when the request must run at most once: it goes only on a new
 	// connection or one that brought an answer within Config.FreshWithin.
 	Once bool
+	// MaySend, if not nil, is asked once the connection is there, right before the
+	// first byte is written. If it is false, nothing is, and Send fails with
+	// Withdrawn. To set up a connection may take long, and the process may sleep
+	// meanwhile; whoever waited may have been told that nothing was sent.
+	MaySend func() bool
 	// Informational, if not nil, gets the endpoint's 1xx answers but 100. It is
 	// called before Send returns.
 	Informational func(status int, header http.Header)
@@ -66,6 +71,10 @@
 		return nil, delivery, err
 	}
 	used := got.conn
+	if out.MaySend != nil && !out.MaySend() {
+		got.pool.discard(used) // put would take it for one that brought an answer
+		return nil, delivery, &Error{Failure: Withdrawn, Address: out.Address}
+	}
 	x := &exchange{connections: c, pool: got.pool, conn: used, ctx: ctx, out: out, before: used.written.Load()}
 	x.watchContext()
 	resp, err := x.run(&delivery)
