Members: one false report does not end an endpoint

An endpoint that once gave a wrong incarnation was judged replaced on every entry until the platform's list changed, which at night it does not. Two answers in a row must claim the other incarnation now; the right one in between clears the claim.

--- a/internal/core/member/claim.go
+++ b/internal/core/member/claim.go
@@ -30,18 +30,27 @@
 
 // Answered notes that an endpoint answered and which incarnation it said it
 // is; 0 if it did not say.
+//
+// Another incarnation is believed when two answers in a row claim it. Guards
+// against a single false report, which would take a sound endpoint from the whole
+// fleet until the list changes, since the end of an incarnation is final. The
+// price is one more request to what took its place.
 func (t *Table) Answered(now time.Duration, name string, incarnation uint64) []Change {
 	r := t.rows[name]
 	if r == nil || isEntry(r.vm) {
 		return nil
 	}
 	if incarnation == 0 || incarnation == r.vm.Incarnation {
-		r.seenAt, r.answered = now, true
+		r.seenAt, r.answered, r.rival = now, true, 0
 		return nil
 	}
 	if t.verdicts.isGone(name, incarnation) {
 		return nil // a late answer of the process that was there before
 	}
+	if r.rival != incarnation {
+		r.rival = incarnation
+		return nil
+	}
 	return t.Claim(now, message.Evidence{VM: name, Incarnation: r.vm.Incarnation, Kind: message.EvidenceReplaced})
 }
 
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -72,6 +72,8 @@
 	seenAt time.Duration
 	// answered is false until an endpoint answers, and again after a pause.
 	answered bool
+	// rival is the other incarnation that the latest answer claimed, or 0.
+	rival uint64
 
 	// For entries only. The list numbers VMs, while an entry draws a number of
 	// its own at each start of its process; vm.Incarnation is the latter from
