Core: tell the policy that a peer was heard

Cause: peers' counts fade with the age of the peer's last update, and updates hold only what changed; the core told the changed counts and not that the rest still holds. Change: each update is announced to the pools that its sender serves. Tested: core passes.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -171,6 +171,16 @@
 	return s
 }
 
+// peerHeard tells the choice policies that what an entry last told of its own
+// attempts still holds but for what follows.
+func (c *Core) peerHeard(now time.Duration, from uint64) {
+	for _, p := range c.poolRows {
+		if i := c.deciderIndex(p, from); i >= 0 {
+			p.picker.PeerHeard(i, now)
+		}
+	}
+}
+
 // peerSighting takes in what a peer says of one endpoint.
 func (c *Core) peerSighting(now time.Duration, from uint64, s *message.Sighting) {
 	ref, ok := c.fleet.rows[s.Endpoint]
@@ -220,6 +230,7 @@
 	for _, ev := range u.Evidence {
 		c.claim(now, ev, out)
 	}
+	c.peerHeard(now, u.From)
 	for i := range u.Sightings {
 		c.peerSighting(now, u.From, &u.Sightings[i])
 	}
