Entry tests: those that mostly wait run side by side

The tests of internal/entry took 78 s under the race detector, at less than one core, most of it in waits for answers to run out and ejections to end.

--- a/internal/entry/admin_test.go
+++ b/internal/entry/admin_test.go
@@ -89,6 +89,7 @@
 // entry and without a log, what is wrong, why tealhall did what it did and what
 // ends it; and that it is over when it is over.
 func TestOperatorSeesWhy(t *testing.T) {
+	t.Parallel() // it mostly waits
 	f := newFleet(t, 3)
 	l := startTraffic(t, f)
 	l.awaitMore(t, 200) // which earns retries
--- a/internal/entry/endpoint_test.go
+++ b/internal/entry/endpoint_test.go
@@ -21,6 +21,7 @@
 // on showing it live. Whichever entry hears it first tells the others, and once
 // all know, the endpoint gets nothing new. No caller notices.
 func TestEndpointDrainsWhileListIsStale(t *testing.T) {
+	t.Parallel() // it mostly waits
 	f := newFleet(t, 6)
 	l := startTraffic(t, f)
 	l.awaitMore(t, 100)
--- a/internal/entry/keys_test.go
+++ b/internal/entry/keys_test.go
@@ -183,6 +183,7 @@
 // and processes join that rank before those that hold the keys. Each entry has
 // to find the answer, and to tell that a key which was never sent was not run.
 func TestKeysOutliveTheirHome(t *testing.T) {
+	t.Parallel() // it mostly waits
 	f := newFleet(t, 5)
 	home, newKey := homeOf(t, f)
 	ran, unused, other := newKey("ran"), newKey("unused"), newKey("other")
@@ -232,6 +233,7 @@
 // Callers turn to the others, reads are answered, and what callers are told of
 // bookings is true, if only that nobody knows.
 func TestEntryKilledUnderLoad(t *testing.T) {
+	t.Parallel() // it mostly waits
 	f := newFleet(t, 5, func(cfg *demo.FleetConfig) {
 		cfg.Pools[0].Endpoint.ServiceTime = standin.Constant(20 * time.Millisecond)
 		cfg.Pools[1].Endpoint.ServiceTime = standin.Constant(80 * time.Millisecond)
--- a/internal/entry/profile_test.go
+++ b/internal/entry/profile_test.go
@@ -40,6 +40,7 @@
 // a replica that lags changes nothing, and a document with a mistake is refused
 // everywhere alike.
 func TestConfigurationServiceDownStaleAndWrong(t *testing.T) {
+	t.Parallel() // it mostly waits
 	f := newFleet(t, 4)
 	l := startTraffic(t, f)
 	f.Platform.SetFaults(standin.PlatformFaults{Down: true})
--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -101,6 +101,7 @@
 // bookings in flight at it, and one sends a long scan that ends only after the
 // entry refuses new connections. None of them may notice.
 func TestRollingRestartOfEveryEntry(t *testing.T) {
+	t.Parallel() // it mostly waits
 	f := newFleet(t, 6)
 	l := startTraffic(t, f)
 	for i, e := range slices.Clone(f.Entries) {
@@ -122,6 +123,7 @@
 // its keys to entries elsewhere, and new ones, which have only peers to ask, take
 // their place. Callers may not notice.
 func TestFailureDomainReplacedWhileServiceIsDown(t *testing.T) {
+	t.Parallel() // it mostly waits
 	f := newFleet(t, 9)
 	l := startTraffic(t, f)
 	l.awaitMore(t, 100)
