Pages: links, paths and header names are checked

A link to the page of measurements led nowhere, and CALLERS.md had named a header that does not exist. Tested: go test ./internal/docs.

--- /dev/null
+++ b/internal/docs/docs_test.go
@@ -0,0 +1,120 @@
+// Package docs_test checks what the pages of this repository refer to.
+package docs_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const root = "../.."
+
+var (
+	// link finds the targets of links; those into the web are left out.
+	link = regexp.MustCompile(`\]\(([^)\s:]+)\)`)
+	// path finds names of files and folders of this repository in code spans.
+	path = regexp.MustCompile("`((?:internal|client|cmd|docs|examples)/[\\w./-]+)`")
+	// header finds the names of tealhall's own headers.
+	header  = regexp.MustCompile(`Tealhall-[A-Z][A-Za-z]*(?:-[A-Z][A-Za-z]*)*`)
+	heading = regexp.MustCompile(`(?m)^#+ +(.+)$`)
+	dropped = regexp.MustCompile(`[^\w -]`)
+)
+
+// pages returns the text of every page by its path.
+func pages(t *testing.T) map[string]string {
+	t.Helper()
+	found := make(map[string]string)
+	err := filepath.WalkDir(root, func(name string, d fs.DirEntry, err error) error {
+		if err != nil || filepath.Ext(name) != ".md" {
+			return err
+		}
+		text, err := os.ReadFile(name)
+		found[name] = string(text)
+		return err
+	})
+	if err != nil || len(found) == 0 {
+		t.Fatalf("%d pages, %v", len(found), err)
+	}
+	return found
+}
+
+// An operator follows a link at night and finds nothing, because the page was
+// renamed and the one that links to it was not.
+func TestLinksResolve(t *testing.T) {
+	all := pages(t)
+	for name, text := range all {
+		for _, match := range link.FindAllStringSubmatch(text, -1) {
+			file, fragment, _ := strings.Cut(match[1], "#")
+			target := name
+			if file != "" {
+				target = filepath.Join(filepath.Dir(name), file)
+			}
+			if _, err := os.Stat(target); err != nil {
+				t.Errorf("%s: the link %s leads nowhere", name, match[1])
+			} else if fragment != "" && !hasHeading(all[target], fragment) {
+				t.Errorf("%s: the link %s names no heading", name, match[1])
+			}
+		}
+		for _, match := range path.FindAllStringSubmatch(text, -1) {
+			if _, err := os.Stat(filepath.Join(root, match[1])); err != nil {
+				t.Errorf("%s names %s, which does not exist", name, match[1])
+			}
+		}
+	}
+}
+
+// hasHeading reports whether a fragment is made from a heading of the text.
+func hasHeading(text, fragment string) bool {
+	for _, match := range heading.FindAllStringSubmatch(text, -1) {
+		plain := dropped.ReplaceAllString(strings.ToLower(match[1]), "")
+		if strings.ReplaceAll(plain, " ", "-") == fragment {
+			return true
+		}
+	}
+	return false
+}
+
+// A caller's program sends a header that a page names, and an entry knows the
+// header by another name: the deadline was then passed over without a word.
+func TestHeadersAreThoseOfTheContract(t *testing.T) {
+	known := contractTexts(t)
+	for name, text := range pages(t) {
+		for _, used := range header.FindAllString(text, -1) {
+			if !known[used] {
+				t.Errorf("%s names the header %s, which internal/contract does not", name, used)
+			}
+		}
+	}
+}
+
+// contractTexts returns the strings in the code of the contract.
+func contractTexts(t *testing.T) map[string]bool {
+	t.Helper()
+	files, err := filepath.Glob(root + "/internal/contract/*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	texts := make(map[string]bool)
+	for _, name := range files {
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			if literal, ok := n.(*ast.BasicLit); ok && literal.Kind == token.STRING {
+				if text, err := strconv.Unquote(literal.Value); err == nil {
+					texts[text] = true
+				}
+			}
+			return true
+		})
+	}
+	return texts
+}
