--- a/internal/choicebench/run.go
+++ b/internal/choicebench/run.go
@@ -64,10 +64,10 @@
 // measure runs one fleet for one window and adds to the cell.
 func measure(ctx context.Context, cfg Config, cell *Cell, round uint64) error {
 	f, err := startFleet(ctx, cfg, cell)
-	defer f.Close()
 	if err != nil {
 		return err
 	}
+	defer f.Close()
 	f.Endpoints[0].SetFaults(cell.Scenario.Faults)
 	t, err := newTraffic(ctx, f, cfg, cell)
 	if err != nil {
@@ -95,12 +95,20 @@
 			s.Limits.ConnectionsPerEndpoint = max(s.Limits.ConnectionsPerEndpoint, connections/cell.Variant.Entries)
 		},
 	})
+	if err == nil {
+		err = awaitReady(ctx, f)
+	}
 	if err != nil {
-		return f, err
+		f.Close() // what it has started so far
+		return nil, err
 	}
+	return f, nil
+}
+
+func awaitReady(ctx context.Context, f *demo.Fleet) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	return f, f.Ready(ctx)
+	return f.Ready(ctx)
 }
 
 // connections is how many connections an endpoint takes from all entries.
