--- a/internal/demo/session.go
+++ b/internal/demo/session.go
@@ -12,6 +12,7 @@
 	"github.com/tealhall/tealhall/client"
 	"github.com/tealhall/tealhall/internal/contract"
 	"github.com/tealhall/tealhall/internal/settings"
+	"github.com/tealhall/tealhall/internal/wait"
 )
 
 // When things happen, counted from the first request. A planned stop of an
@@ -126,16 +127,7 @@
 
 // at waits until d after the first request.
 func (s *session) at(ctx context.Context, d time.Duration) {
-	sleep(ctx, time.Until(s.began.Add(d)))
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	wait.For(ctx, time.Until(s.began.Add(d)))
 }
 
 // say prints a line of progress.
@@ -162,7 +154,7 @@
 	s.leaving = append(s.leaving, w)
 	told := time.Now()
 	go func() {
-		sleep(ctx, time.Until(told.Add(leavingGrace)))
+		wait.For(ctx, time.Until(told.Add(leavingGrace)))
 		w.startCounting()
 	}()
 }
--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -12,6 +12,7 @@
 
 	"github.com/tealhall/tealhall/client"
 	"github.com/tealhall/tealhall/internal/standin"
+	"github.com/tealhall/tealhall/internal/wait"
 )
 
 // The rates and sizes of the traffic.
@@ -78,7 +79,7 @@
 
 // run sends until ctx ends and waits for the answers.
 func (s *stream) run(ctx context.Context) {
-	sleep(ctx, time.Until(s.from))
+	wait.For(ctx, time.Until(s.from))
 	ticker := time.NewTicker(s.every)
 	defer ticker.Stop()
 	var sent sync.WaitGroup
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -15,6 +15,7 @@
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/wait"
 )
 
 // readerCheck is how often an entry looks whether it reads the platform.
@@ -54,7 +55,7 @@
 		if e.isReader() {
 			e.follow(ctx, name)
 		}
-		sleep(ctx, readerCheck)
+		wait.For(ctx, readerCheck)
 	}
 }
 
@@ -99,22 +100,13 @@
 // endFollowing cancels once others read for this entry.
 func (e *Entry) endFollowing(ctx context.Context, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
-		sleep(ctx, readerCheck)
+		wait.For(ctx, readerCheck)
 		if !e.isReader() {
 			cancel()
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // offer parses a value and gives it to the core. A value without a text says
 // that there is no later revision.
 func (e *Entry) offer(v platform.Value, source uint64) {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -10,6 +10,7 @@
 	"github.com/tealhall/tealhall/internal/audit"
 	"github.com/tealhall/tealhall/internal/core"
 	"github.com/tealhall/tealhall/internal/core/directory"
+	"github.com/tealhall/tealhall/internal/wait"
 )
 
 const (
@@ -38,12 +39,12 @@
 func (e *Entry) Stop(ctx context.Context) StopSummary {
 	began := e.engine.clock()
 	e.leave("a planned stop")
-	sleep(ctx, e.answersTTL())
+	wait.For(ctx, e.answersTTL())
 	// From here on only callers with late answers come. Each answer asks its
 	// caller to close the connection, so that the close of an idle one, which
 	// could meet a request on its way, is the exception.
 	e.front.Leave()
-	sleep(ctx, min(lateAnswers, e.answersTTL()))
+	wait.For(ctx, min(lateAnswers, e.answersTTL()))
 	var running int
 	e.engine.view(func(now time.Duration, c *core.Core) { running = c.SealKeys(now) })
 	// The keys are handed over at once: from now on this entry refuses
@@ -114,7 +115,7 @@
 // finish says goodbye and ends all goroutines.
 func (e *Entry) finish() {
 	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { c.Stopped(now, out) })
-	sleep(context.Background(), farewell)
+	wait.For(context.Background(), farewell)
 	e.shutDown()
 }
 
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/tealhall/tealhall/internal/wait"
 )
 
 // minHold is how long an unchanged watch lasts at least at a service that holds
@@ -34,7 +36,7 @@
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
 	if o.Sleep == nil {
-		o.Sleep = sleep
+		o.Sleep = wait.For
 	}
 	if o.OnError == nil {
 		o.OnError = func(error) {}
@@ -74,13 +76,3 @@
 		after = max(after, value.Revision)
 	}
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
