Entry: a depth that can't be read is refused

A malformed Tealhall-Depth was taken for none, which would let a cycle of calls go on; the contract's own parser was not used. Comments of the core's settings name their units. Tested: go test -race -run Refusals ./internal/entry.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,7 +41,7 @@
 	Policy string
 	// MaxInFlight bounds the requests that this entry holds at a time.
 	MaxInFlight int
-	// CallsPerSecond is what one entry is taken to carry, for its weight in the
+	// CallsPerSecond, in requests of callers, is what one entry is taken to carry, for its weight in the
 	// answers to callers.
 	CallsPerSecond float64
 	// LargestFleet is the number of entries that the watching budget is
@@ -54,15 +54,15 @@
 	AnswersTTL time.Duration
 	// ReadersPerDomain is how many entries of a failure domain read the platform.
 	ReadersPerDomain int
-	// PeerBytesPerSecond and PeerMessagesPerSecond bound what is sent to peers;
-	// 0 stands for the defaults of package gossip.
+	// PeerBytesPerSecond and PeerMessagesPerSecond bound what is sent to all peers
+	// together; 0 stands for the defaults of package gossip.
 	PeerBytesPerSecond    float64
 	PeerMessagesPerSecond float64
 	// ProbeCost is the slot time that a probe takes at an endpoint.
 	ProbeCost time.Duration
 }
 
-// DefaultConfig returns the configuration of an entry of 15 at most 60.
+// DefaultConfig returns the configuration of an entry in a fleet of at most 60.
 func DefaultConfig(self message.Hello) Config {
 	return Config{
 		Self:             self,
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -41,6 +41,7 @@
 		{"expectation", "GET / HTTP/1.1\r\nHost: counts\r\nExpect: gold\r\n\r\n", 417, "bad-request", contract.OutcomeNotRun},
 		{"own path", "GET /.tealhall/none HTTP/1.1\r\nHost: counts\r\n\r\n", 404, "bad-request", contract.OutcomeNotRun},
 		{"own path, method", "POST /.tealhall/entries HTTP/1.1\r\nHost: counts\r\nContent-Length: 0\r\n\r\n", 405, "bad-request", contract.OutcomeNotRun},
+		{"depth", "GET / HTTP/1.1\r\nHost: counts\r\nTealhall-Depth: many\r\n\r\n", 508, "too-deep", contract.OutcomeNotRun},
 		{"service", "GET / HTTP/1.1\r\nHost: none\r\n\r\n", 404, "unknown-service", contract.OutcomeNotRun},
 		{"announced body", scan + "Content-Length: 6000\r\n\r\n", 413, "body-too-large", contract.OutcomeNotRun},
 		{"streamed body", scan + "Transfer-Encoding: chunked\r\n\r\n" + chunk + chunk, 413, "body-too-large", contract.OutcomeUnknown},
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -145,7 +145,10 @@
 		a.CallerAttempt = attempt
 	}
 	if depth := h.Get(contract.HeaderDepth); depth != "" {
-		if a.Depth, _ = strconv.Atoi(depth); a.Depth < 0 || a.Depth > contract.MaxDepth {
+		var ok bool
+		// One that can't be read is refused as well: taken for none, it would let
+		// a cycle of calls go on for ever.
+		if a.Depth, ok = contract.ParseDepth(depth); !ok {
 			return nil, core.ReasonTooDeep
 		}
 	}
