Stand-in tests: a request that fails early fails its test

TestContract was seen to hang once under stress: it waited for the timer of a request without looking at the reply, which never comes to be when the request fails first. No lost wake-up was found in clock, slots or connections; that this was the cause of the hang is an inference, it was not seen again. Tested: go test -race -count=20 with GOMAXPROCS=2.

--- a/internal/standin/endpoint_test.go
+++ b/internal/standin/endpoint_test.go
@@ -169,11 +169,7 @@
 				header, timers = append(header, contract.HeaderDeadline, c.deadline), 2
 			}
 			replies := send(t.Context(), endpoint, path, header...)
-			if c.hold > 0 {
-				clock.AwaitTimers(timers)
-				clock.Advance(c.hold)
-			}
-			got := <-replies
+			got := replyAfter(clock, timers, c.hold, replies)
 			if (got.err != nil) != (c.status == 0) || (got.err == nil && got.status != c.status) {
 				t.Fatalf("status %d, error %v; want status %d", got.status, got.err, c.status)
 			}
@@ -202,6 +198,27 @@
 	}
 }
 
+// replyAfter moves the clock once the request runs, and returns the reply. A
+// request that fails before it runs, such as on a broken connection, starts no
+// timer, and a plain wait for one would never end.
+func replyAfter(clock *ManualClock, timers int, hold time.Duration, replies <-chan reply) reply {
+	if hold <= 0 {
+		return <-replies
+	}
+	runs := make(chan struct{})
+	go func() {
+		clock.AwaitTimers(timers)
+		close(runs)
+	}()
+	select {
+	case early := <-replies:
+		return early
+	case <-runs:
+		clock.Advance(hold)
+		return <-replies
+	}
+}
+
 // One request holds the only slot and one waits: the next is refused as busy, as
 // was one before it that asked for an idle slot; the waiting one is refused when
 // its deadline passes, all truthfully as not run. The endpoint drains meanwhile
