Claims: an attempt that may queue is not taken for service time

Cause: a choice of a seemingly idle endpoint for a request that must queue was noted as one that asked for an idle slot, so its waiting at the endpoint counted as service time. Change: the note follows what the request really asks. Tested: balance and core pass. Conclusion: found in review; not measured on its own.

--- a/internal/core/balance/claims.go
+++ b/internal/core/balance/claims.go
@@ -116,7 +116,7 @@
 	}
 	c.peers.expire(now, max(leastSilence, time.Duration(silenceTimes*c.typical())))
 	if i, ok := c.idle(now, p, ask, s, waited); ok {
-		c.lastIdleOnly = true
+		c.lastIdleOnly = !ask.MustQueue
 		return Choice{Index: i, OK: true, IdleOnly: !ask.MustQueue}
 	}
 	if patience := c.patience(); waited < patience {
