Daemon: collect the heap less eagerly

The live heap is about 5 MB, so at the usual 100 % growth it was collected many times a second. Change: the daemon lets the heap grow by 400 % and collects more often from 256 MiB on; GOGC and GOMEMLIMIT in the environment go first.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
 
+	"github.com/tealhall/tealhall/internal/entry"
 	"github.com/tealhall/tealhall/internal/fault"
 	"github.com/tealhall/tealhall/internal/settings"
 )
@@ -43,6 +44,7 @@
 	signals := make(chan os.Signal, pendingSignals)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	entry.TuneMemory()
 	return run(args, out, errOut, signals)
 }
 
