--- /dev/null
+++ b/cmd/tealhallbench/fleet.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"runtime/pprof"
+	"time"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"github.com/tealhall/tealhall/internal/fleetbench"
+)
+
+// defaultProcs leaves half of a 12-core machine to others.
+const defaultProcs = 6
+
+// fleetFlags are the flags that are no part of the configuration.
+type fleetFlags struct {
+	procs    int
+	json     bool
+	markdown bool
+	profile  string
+	limit    time.Duration
+}
+
+func fleetCommand() *cobra.Command {
+	config := fleetbench.DefaultConfig()
+	flags := fleetFlags{procs: defaultProcs, limit: 10 * time.Minute}
+	c := &cobra.Command{
+		Use:   "fleet",
+		Short: "What a fleet costs and how fast news spreads in it, against its size",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return runFleet(c, config, flags)
+		},
+	}
+	f := c.Flags()
+	f.IntSliceVar(&config.Entries, "entries", config.Entries, "numbers of entries of the series over entries")
+	f.IntVar(&config.EntriesEndpoints, "entries-endpoints", config.EntriesEndpoints, "endpoints in that series")
+	f.IntSliceVar(&config.Endpoints, "endpoints", config.Endpoints, "numbers of endpoints of the series over endpoints")
+	f.IntVar(&config.EndpointsEntries, "endpoints-entries", config.EndpointsEntries, "entries in that series")
+	f.IntVar(&config.Target.Entries, "target-entries", config.Target.Entries, "entries of the largest fleet; 0 leaves it out")
+	f.IntVar(&config.Target.Endpoints, "target-endpoints", config.Target.Endpoints, "endpoints of the largest fleet")
+	f.IntVar(&config.Target.Regions, "target-regions", config.Target.Regions, "regions of the largest fleet")
+	f.IntVar(&config.Target.Domains, "target-domains", config.Target.Domains, "failure domains of the largest fleet")
+	f.IntVar(&config.Rounds, "rounds", config.Rounds, "rounds in which an idle fleet is watched")
+	f.DurationVar(&config.Window, "window", config.Window, "time of each round")
+	f.IntVar(&config.Publications, "publications", config.Publications, "documents published in each state of the service")
+	f.IntVar(&config.OtherPublications, "other-publications", config.OtherPublications, "documents that only an entry that does not watch can read")
+	f.IntVar(&config.Leavings, "leavings", config.Leavings, "endpoints that leave")
+	f.IntSliceVar(&config.Rates, "rates", config.Rates, "calls a second")
+	f.IntVar(&config.CallRounds, "call-rounds", config.CallRounds, "rounds over all rates; 0 leaves calls out")
+	f.IntVar(&flags.procs, "procs", flags.procs, "cores to use at most")
+	f.BoolVar(&flags.json, "json", false, "print JSON")
+	f.BoolVar(&flags.markdown, "markdown", false, "print the tables of docs/measurements/fleet.md")
+	f.StringVar(&flags.profile, "cpu-profile", "", "write a processor profile of the whole run to this file")
+	f.DurationVar(&flags.limit, "limit", flags.limit, "end the run after this time")
+	c.MarkFlagsMutuallyExclusive("json", "markdown")
+	return c
+}
+
+func runFleet(c *cobra.Command, config fleetbench.Config, flags fleetFlags) error {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	runtime.GOMAXPROCS(flags.procs)
+	config.Log = func(format string, args ...any) { fmt.Fprintf(c.ErrOrStderr(), format+"\n", args...) }
+	stop, err := startProfile(flags.profile)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	ctx, cancel := context.WithTimeout(c.Context(), flags.limit)
+	defer cancel()
+	result, err := fleetbench.Run(ctx, config)
+	if err != nil {
+		return err
+	}
+	switch {
+	case flags.json:
+		encoder := json.NewEncoder(c.OutOrStdout())
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(result)
+	case flags.markdown:
+		result.Markdown(c.OutOrStdout())
+	default:
+		result.Print(c.OutOrStdout())
+	}
+	return nil
+}
+
+// startProfile begins a profile if a file is named; stop ends it.
+func startProfile(name string) (stop func(), err error) {
+	if name == "" {
+		return func() {}, nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		_ = file.Close()
+		return nil, err
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = file.Close()
+	}, nil
+}
--- /dev/null
+++ b/internal/fleetbench/document.go
@@ -0,0 +1,59 @@
+package fleetbench
+
+import (
+	"fmt"
+	"math"
+	"strings"
+)
+
+// The size that the project is designed for, see docs/CAPACITY.md.
+const (
+	targetEndpoints = 560
+	targetServices  = 46
+	leastServices   = 3
+)
+
+// servicesFor returns how many services share so many endpoints: as many
+// endpoints to a service as at the target size, and at least leastServices.
+func servicesFor(endpoints int) int {
+	share := float64(endpoints) * targetServices / targetEndpoints
+	return max(leastServices, int(math.Round(share)))
+}
+
+func serviceName(i int) string { return fmt.Sprintf("service-%02d", i+1) }
+
+// kinds of the services, in turn. The first is a read, the second runs once.
+var kinds = []string{"read", "once", "read", "bulk", "urgent"}
+
+const profileText = `
+[profile.%[1]s]
+kind = "%[2]s"
+deadline = "%[3]s"
+priority = %[4]d
+queue_limit = 96
+caller_share = 0.5
+retry_budget = 0.05
+watch_budget = 0.02
+eject_max_share = 0.25
+eject_base = "3s"
+max_body = "256KB"
+
+[profile.%[1]s.close]
+queue_limit = 192
+retry_budget = 0.02
+
+[service.%[1]s]
+profile = "%[1]s"
+`
+
+// document returns a profile document with a profile of its own for each
+// service. Documents of different rounds differ.
+func document(services, round int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# round %d\nformat = 1\n", round)
+	for i := range services {
+		kind := kinds[i%len(kinds)]
+		fmt.Fprintf(&b, profileText, serviceName(i), kind, fmt.Sprintf("%ds", 5+round%5), i%9)
+	}
+	return []byte(b.String())
+}
--- /dev/null
+++ b/internal/fleetbench/endpoint.go
@@ -0,0 +1,74 @@
+package fleetbench
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/contract"
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+const (
+	// endpointSlots is what the brief gives each instance.
+	endpointSlots = 2
+	// endpointIncarnation is the one incarnation of every endpoint.
+	endpointIncarnation = 1
+	answerBytes         = 200
+)
+
+// endpoint is an instance that answers every request at once, so that next to
+// nothing of the measured processor time is its own.
+type endpoint struct {
+	vm     platform.VM
+	server *http.Server
+	// hold, if not nil, is closed when held requests may be answered.
+	hold     atomic.Pointer[chan struct{}]
+	draining atomic.Bool
+	// served is when the last request came, as toldAt.
+	served atomic.Int64
+	// toldAt is when the first answer said that the endpoint drains, in
+	// nanoseconds since the epoch.
+	toldAt atomic.Int64
+}
+
+// The headers of all answers; read only.
+var (
+	idleLoad    = []string{contract.Load{Slots: endpointSlots}.String()}
+	incarnation = []string{contract.FormatIncarnation(endpointIncarnation)}
+	draining    = []string{contract.DrainingValue}
+	answerBody  = make([]byte, answerBytes)
+)
+
+// newEndpoint starts an endpoint on a free port of an address.
+func newEndpoint(vm platform.VM, address net.IP) (*endpoint, error) {
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: address})
+	if err != nil {
+		return nil, err
+	}
+	vm.Incarnation, vm.Role, vm.State = endpointIncarnation, platform.EndpointRole, platform.Live
+	vm.Address, vm.Slots = listener.Addr().String(), endpointSlots
+	e := &endpoint{vm: vm}
+	e.server = &http.Server{Handler: e}
+	go func() { _ = e.server.Serve(listener) }()
+	return e, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != contract.ProbePath {
+		e.served.Store(time.Now().UnixNano())
+		if held := e.hold.Load(); held != nil {
+			<-*held
+		}
+	}
+	h := w.Header()
+	h[contract.HeaderLoad] = idleLoad
+	h[contract.HeaderIncarnation] = incarnation
+	if e.draining.Load() {
+		h[contract.HeaderDraining] = draining
+		e.toldAt.CompareAndSwap(0, time.Now().UnixNano())
+	}
+	_, _ = w.Write(answerBody)
+}
--- /dev/null
+++ b/internal/fleetbench/fleet.go
@@ -0,0 +1,268 @@
+package fleetbench
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/audit"
+	"github.com/tealhall/tealhall/internal/entry"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/settings"
+	"github.com/tealhall/tealhall/internal/standin"
+)
+
+// Size is the size of a fleet.
+type Size struct {
+	Entries   int `json:"entries"`
+	Endpoints int `json:"endpoints"`
+	Regions   int `json:"regions"`
+	Domains   int `json:"domains"`
+}
+
+// String describes the size in a few words.
+func (s Size) String() string {
+	return fmt.Sprintf("%d entries, %d endpoints, %d regions, %d failure domains", s.Entries, s.Endpoints, s.Regions, s.Domains)
+}
+
+// place returns the region and failure domain of the i-th VM.
+func (s Size) place(i int) (region, domain string) {
+	d := i % s.Domains
+	return fmt.Sprintf("region-%d", d*s.Regions/s.Domains+1), fmt.Sprintf("domain-%d", d+1)
+}
+
+// inRegionOf returns how many entries the region of the i-th entry has.
+func (s Size) inRegionOf(i int) int {
+	region, _ := s.place(i)
+	n := 0
+	for j := range s.Entries {
+		if other, _ := s.place(j); other == region {
+			n++
+		}
+	}
+	return n
+}
+
+// fleet is a running fleet with its stand-ins.
+type fleet struct {
+	size     Size
+	services int
+	platform *standin.Platform
+	server   *standin.Server
+	news     *arrivals
+
+	endpoints []*endpoint
+	entries   []*entry.Entry
+	gates     []*gate
+	// round numbers the published documents.
+	round int
+}
+
+// newStandIns starts all of a fleet but its entries. Close it also after an
+// error.
+func newStandIns(size Size) (*fleet, error) {
+	f := &fleet{
+		size:     size,
+		services: servicesFor(size.Endpoints),
+		platform: standin.NewPlatform(standin.RealClock()),
+		news:     newArrivals(),
+	}
+	server, err := standin.NewServer(standin.DefaultListen, f.platform, standin.RealClock(), 0)
+	if err != nil {
+		return f, err
+	}
+	f.server = server
+	for i := range size.Endpoints {
+		region, domain := size.place(i / f.services)
+		e, err := newEndpoint(platform.VM{
+			Name:   fmt.Sprintf("endpoint-%03d", i+1),
+			Region: region, Domain: domain,
+			Pool: serviceName(i % f.services),
+		}, loopback(endpointKind, i))
+		if err != nil {
+			return f, err
+		}
+		f.endpoints = append(f.endpoints, e)
+	}
+	f.publish()
+	return f, nil
+}
+
+// publish puts the next document into the configuration service.
+func (f *fleet) publish() (revision uint64) {
+	f.round++
+	return f.platform.Put(platform.ProfilesValue, document(f.services, f.round))
+}
+
+// sockets are the listeners of one entry.
+type sockets struct{ callers, peers *net.TCPListener }
+
+// loopback returns the i-th loopback address of a kind of VM. Each VM has an
+// address of its own, as it would on a network, and with it all port numbers.
+func loopback(kind byte, i int) net.IP {
+	return net.IPv4(127, kind, byte(i/perSubnet), byte(i%perSubnet+1))
+}
+
+// perSubnet is how many addresses differ in the last number only.
+const perSubnet = 200
+
+// The kinds of VMs in loopback addresses.
+const (
+	entryKind    = 10
+	endpointKind = 20
+)
+
+func openSockets(i int) (sockets, error) {
+	loopback := &net.TCPAddr{IP: loopback(entryKind, i)}
+	callers, err := net.ListenTCP("tcp", loopback)
+	if err != nil {
+		return sockets{}, err
+	}
+	peers, err := net.ListenTCP("tcp", loopback)
+	return sockets{callers, peers}, err
+}
+
+// startEntries starts the entries. All are in the list of VMs from the start,
+// as in a fleet that has run for long.
+func (f *fleet) startEntries() error {
+	var vms []platform.VM
+	for _, e := range f.endpoints {
+		vms = append(vms, e.vm)
+	}
+	all := make([]sockets, f.size.Entries)
+	for i := range all {
+		opened, err := openSockets(i)
+		if err != nil {
+			return err
+		}
+		all[i] = opened
+		vms = append(vms, f.entryVM(i, opened))
+	}
+	f.platform.SetVMs(vms...)
+	for i := range all {
+		if err := f.startEntry(i, all[i], vms[len(f.endpoints)+i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) entryVM(i int, s sockets) platform.VM {
+	region, domain := f.size.place(i)
+	return platform.VM{
+		Name:        fmt.Sprintf("entry-%02d", i+1),
+		Incarnation: uint64(time.Now().Unix())<<32 | uint64(i+1),
+		Role:        platform.EntryRole,
+		State:       platform.Live,
+		Region:      region,
+		Domain:      domain,
+		Address:     s.callers.Addr().String(),
+		PeerAddress: s.peers.Addr().String(),
+	}
+}
+
+func (f *fleet) startEntry(i int, opened sockets, vm platform.VM) error {
+	s := settings.Default()
+	s.Name, s.Region, s.FailureDomain = vm.Name, vm.Region, vm.Domain
+	s.Addresses.Caller, s.Addresses.Peer = vm.Address, vm.PeerAddress
+	s.Platform.URL = f.server.URL()
+	g := newGate(platform.NewClient(platform.ClientConfig{
+		BaseURL:        s.Platform.URL,
+		Timeout:        s.Platform.Timeout.Duration,
+		WatchWait:      s.Platform.Watch.Duration,
+		CallsPerSecond: s.Platform.CallsPerSecond,
+	}))
+	e, err := entry.New(s, entry.Options{
+		Platform:       g,
+		Audit:          audit.New(s.Audit.Records, time.Now, func(r audit.Record) { f.news.add(vm.Name, r) }),
+		Incarnation:    vm.Incarnation,
+		CallerListener: opened.callers,
+		PeerListener:   opened.peers,
+	})
+	if err != nil {
+		return err
+	}
+	f.entries, f.gates = append(f.entries, e), append(f.gates, g)
+	return e.Start()
+}
+
+// poll is how often the bench looks at states that nothing announces.
+const poll = 20 * time.Millisecond
+
+// ready waits until each entry is ready and has heard all others of its region,
+// and returns how long that took.
+func (f *fleet) ready(ctx context.Context) (time.Duration, error) {
+	began := time.Now()
+	for i, e := range f.entries {
+		for {
+			ready, why := e.Ready()
+			if ready && e.KnownEntries() >= f.size.inRegionOf(i) {
+				break
+			}
+			if !wait(ctx, poll) {
+				return 0, fmt.Errorf("%s of %s is not ready: %q; it knows %d entries", e.Name(), f.size, why, e.KnownEntries())
+			}
+		}
+	}
+	return time.Since(began), nil
+}
+
+// wait sleeps for d; it is false if ctx ended before.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// readers returns the numbers of the entries that watch the service.
+func (f *fleet) readers() []int {
+	var found []int
+	for i, g := range f.gates {
+		if g.reads() {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+// onlyReachableBy cuts all entries but one from the configuration service; a
+// negative number opens all ways again.
+func (f *fleet) onlyReachableBy(only int) {
+	for i, g := range f.gates {
+		g.set(only >= 0 && i != only)
+	}
+}
+
+// endpointsOf returns the endpoints of the i-th service.
+func (f *fleet) endpointsOf(service int) []*endpoint {
+	return slices.Collect(func(yield func(*endpoint) bool) {
+		for i := service; i < len(f.endpoints); i += f.services {
+			if !yield(f.endpoints[i]) {
+				return
+			}
+		}
+	})
+}
+
+// close ends everything at once.
+func (f *fleet) close() {
+	var ending sync.WaitGroup
+	for _, e := range f.entries {
+		ending.Go(e.Kill)
+	}
+	ending.Wait()
+	for _, e := range f.endpoints {
+		_ = e.server.Close()
+	}
+	if f.server != nil {
+		f.server.Kill()
+	}
+}
--- /dev/null
+++ b/internal/fleetbench/report.go
@@ -0,0 +1,199 @@
+package fleetbench
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// The target for control at each entry, from the project's owners.
+const (
+	targetProcessor = 0.013
+	targetMemory    = 64 << 20
+	targetBytes     = 20_000
+	targetInForce   = 13.0
+)
+
+// segmentHeader is what the headers of one TCP segment take, in bytes.
+const segmentHeader = 52
+
+// table is a table of texts with a heading.
+type table struct {
+	title string
+	head  []string
+	rows  [][]string
+}
+
+func (t *table) add(cells ...string) { t.rows = append(t.rows, cells) }
+
+// tables returns everything as tables, the same for people and for pages.
+func (r *Result) tables() []table {
+	return []table{r.costTable(), r.platformTable(), r.spreadTable(), r.callTable(), r.slopeTable()}
+}
+
+func (r *Result) costTable() table {
+	t := table{
+		title: "Control of an idle fleet, per entry",
+		head: []string{"entries", "endpoints", "regions", "services", "% of a core", "heap KB", "stacks KB",
+			"updates/s", "stream B/s out", "in", "most out", "segments/s"},
+	}
+	for _, f := range r.Fleets {
+		i := f.Idle
+		t.add(sizeCells(f, number(100*i.Processor, 2), number(i.Heap/1024, 0), number(i.Stacks/1024, 0),
+			number(i.Updates, 1), number(i.BytesOut, 0), number(i.BytesIn, 0), number(i.MostOut, 0), number(i.Segments, 0))...)
+	}
+	return t
+}
+
+func (r *Result) platformTable() table {
+	t := table{
+		title: "The configuration service, all entries together",
+		head:  []string{"entries", "endpoints", "regions", "services", "calls/s", "watches waiting", "readers", "ready after s"},
+	}
+	for _, f := range r.Fleets {
+		t.add(sizeCells(f, number(f.Idle.Calls, 1), fmt.Sprint(f.Idle.Watches), fmt.Sprint(f.Idle.Readers), number(f.Ready, 1))...)
+	}
+	return t
+}
+
+// sizeCells starts a row with the size of a fleet.
+func sizeCells(f Fleet, more ...string) []string {
+	return append([]string{fmt.Sprint(f.Size.Entries), fmt.Sprint(f.Size.Endpoints), fmt.Sprint(f.Size.Regions), fmt.Sprint(f.Services)}, more...)
+}
+
+func (r *Result) spreadTable() table {
+	t := table{
+		title: "Seconds until news is known at every entry: median of the last entry (longest)",
+		head:  []string{"entries", "endpoints", "regions", "services", "published", "service slow", "one reader reaches it", "one other reaches it", "endpoint leaves"},
+	}
+	for _, f := range r.Fleets {
+		s := f.Spreads
+		t.add(sizeCells(f, s.Published.cell(), s.Slow.cell(), s.OneReader.cell(), s.OneOther.cell(), s.Leaving.cell())...)
+	}
+	return t
+}
+
+func (s Spread) cell() string {
+	switch {
+	case s.Times == 0:
+		return "–"
+	case s.Missing > 0:
+		return fmt.Sprintf("%d missing after %s", s.Missing, spreadLimit)
+	}
+	return fmt.Sprintf("%.2f (%.2f)", s.Last, s.Worst)
+}
+
+func (r *Result) callTable() table {
+	t := table{
+		title: "Calls: processor time of the entry for one call, and time added at the highest rate",
+		head: []string{"entries", "endpoints", "keys", "through us/call", "direct us/call", "entry us/call", "R2",
+			"calls/s", "direct p50/p99 us", "added p50/p99 us"},
+	}
+	for _, c := range r.Calls {
+		last, direct := c.Through[len(c.Through)-1], c.Direct[len(c.Direct)-1]
+		t.add(fmt.Sprint(c.Size.Entries), fmt.Sprint(c.Size.Endpoints), yes(c.Keyed),
+			number(1e6*c.ThroughLine.Slope, 0), number(1e6*c.DirectLine.Slope, 0), number(c.PerCall, 0), number(c.ThroughLine.R2, 3),
+			number(last.Rate, 0), fmt.Sprintf("%.0f / %.0f", direct.P50, direct.P99), fmt.Sprintf("%.0f / %.0f", c.AddedP50, c.AddedP99))
+	}
+	return t
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+func (r *Result) slopeTable() table {
+	t := table{title: "Slopes, per entry", head: []string{"what", "over", "at 0", "slope", "R2"}}
+	line := func(what, over string, l Line, scale float64, digits int) {
+		t.add(what, over, number(l.At0*scale, digits), number(l.Slope*scale, digits), number(l.R2, 2))
+	}
+	for _, s := range []struct {
+		over   string
+		series Series
+	}{
+		{fmt.Sprintf("entries, with %d endpoints", r.EntriesEndpoints), r.Slopes.ByEntry},
+		{fmt.Sprintf("endpoints, with %d entries", r.EndpointsEntries), r.Slopes.ByEndpoint},
+	} {
+		line("% of a core", s.over, s.series.Processor, 100, 4)
+		line("memory KB", s.over, s.series.Memory, 1.0/1024, 2)
+		line("stream B/s out", s.over, s.series.Out, 1, 2)
+		line("in force s", s.over, s.series.InForce, 1, 4)
+		line("fleet's calls/s at the service", s.over, s.series.Calls, 1, 3)
+	}
+	line("memory KB", "idle callers' connections", r.Held.Connection, 1.0/1024, 2)
+	line("memory KB", "waiting requests, connection included", r.Held.Request, 1.0/1024, 2)
+	return t
+}
+
+func number(v float64, digits int) string { return fmt.Sprintf("%.*f", digits, v) }
+
+// verdicts compares the largest fleet with the target.
+func (r *Result) verdicts() []string {
+	if len(r.Fleets) == 0 {
+		return nil
+	}
+	f := r.Fleets[len(r.Fleets)-1]
+	i := f.Idle
+	segments := i.BytesOut + i.BytesIn + 2*segmentHeader*i.Segments
+	return []string{
+		verdict("processor, % of a core", 100*i.Processor, 100*targetProcessor),
+		verdict("heap and stacks, MB", (i.Heap+i.Stacks)/(1<<20), targetMemory>>20),
+		verdict("streams to and from peers, B/s", i.BytesOut+i.BytesIn, targetBytes),
+		verdict("the same with the headers of all segments, B/s", segments, targetBytes),
+		verdict("in force everywhere, s (longest)", f.Spreads.Published.Worst, targetInForce),
+	}
+}
+
+func verdict(what string, measured, target float64) string {
+	word := "within"
+	if measured > target {
+		word = "BREAKS"
+	}
+	return fmt.Sprintf("%s: %.2f, target %.2f: %s", what, measured, target, word)
+}
+
+// header says where and how the run was made.
+func (r *Result) header() string {
+	m := r.Machine
+	return fmt.Sprintf("%s, %d cores, %d of them used, %s; load average %s before and %s after; took %s",
+		m.Processor, m.Cores, m.Procs, m.Go, m.LoadBefore, m.LoadAfter, r.Took.Round(time.Second))
+}
+
+// Print writes the tables for people.
+func (r *Result) Print(w io.Writer) {
+	fmt.Fprintln(w, r.header())
+	for _, t := range r.tables() {
+		fmt.Fprintf(w, "\n%s\n", t.title)
+		columns := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+		for _, row := range append([][]string{t.head}, t.rows...) {
+			fmt.Fprintln(columns, strings.Join(row, "\t")+"\t")
+		}
+		_ = columns.Flush()
+	}
+	fmt.Fprintln(w, "\nThe last fleet against the target")
+	for _, v := range r.verdicts() {
+		fmt.Fprintln(w, "  "+v)
+	}
+}
+
+// Markdown writes the tables for a page.
+func (r *Result) Markdown(w io.Writer) {
+	fmt.Fprintf(w, "%s.\n", r.header())
+	for _, t := range r.tables() {
+		fmt.Fprintf(w, "\n### %s\n\n%s%s", t.title, markdownRow(t.head), strings.Repeat("| --- ", len(t.head))+"|\n")
+		for _, row := range t.rows {
+			fmt.Fprint(w, markdownRow(row))
+		}
+	}
+	fmt.Fprint(w, "\n### The last fleet against the target\n\n")
+	for _, v := range r.verdicts() {
+		fmt.Fprintf(w, "- %s\n", v)
+	}
+}
+
+func markdownRow(cells []string) string { return "| " + strings.Join(cells, " | ") + " |\n" }
--- /dev/null
+++ b/internal/fleetbench/slopes.go
@@ -0,0 +1,57 @@
+package fleetbench
+
+// Slopes are how an entry's costs grow, over the fleets in one region.
+type Slopes struct {
+	// ByEntry are over the number of entries, ByEndpoint over endpoints.
+	ByEntry    Series `json:"by_entry"`
+	ByEndpoint Series `json:"by_endpoint"`
+}
+
+// Series are the lines of one series, all per entry.
+type Series struct {
+	// Processor is the share of a core, Memory bytes of heap and stacks, Out
+	// bytes a second of the streams to peers, InForce seconds until a document
+	// is in force everywhere.
+	Processor Line `json:"processor"`
+	Memory    Line `json:"memory"`
+	Out       Line `json:"bytes_out"`
+	InForce   Line `json:"in_force"`
+	// Calls are calls a second of the fleet at the configuration service.
+	Calls Line `json:"platform_calls"`
+}
+
+func (r *Result) slopes() Slopes {
+	return Slopes{
+		ByEntry: r.series(func(s Size) (float64, bool) {
+			return float64(s.Entries), s == inOneRegion(s.Entries, r.EntriesEndpoints)
+		}),
+		ByEndpoint: r.series(func(s Size) (float64, bool) {
+			return float64(s.Endpoints), s == inOneRegion(r.EndpointsEntries, s.Endpoints)
+		}),
+	}
+}
+
+// series fits lines over the fleets that belong to a series, given the number
+// that varies in it.
+func (r *Result) series(varies func(Size) (float64, bool)) Series {
+	var xs, processor, memory, out, inForce, calls []float64
+	for _, f := range r.Fleets {
+		x, belongs := varies(f.Size)
+		if !belongs {
+			continue
+		}
+		xs = append(xs, x)
+		processor = append(processor, f.Idle.Processor)
+		memory = append(memory, f.Idle.Heap+f.Idle.Stacks)
+		out = append(out, f.Idle.BytesOut)
+		inForce = append(inForce, f.Spreads.Published.Last)
+		calls = append(calls, f.Idle.Calls)
+	}
+	return Series{
+		Processor: Fit(xs, processor),
+		Memory:    Fit(xs, memory),
+		Out:       Fit(xs, out),
+		InForce:   Fit(xs, inForce),
+		Calls:     Fit(xs, calls),
+	}
+}
--- /dev/null
+++ b/internal/fleetbench/traffic.go
@@ -0,0 +1,24 @@
+package fleetbench
+
+// traffic is what one entry exchanged with its peers, as bytes of the TCP
+// streams without packet headers.
+type traffic struct{ out, in, updates uint64 }
+
+func (t traffic) sub(earlier traffic) traffic {
+	return traffic{out: t.out - earlier.out, in: t.in - earlier.in, updates: t.updates - earlier.updates}
+}
+
+// traffic returns what each entry exchanged so far.
+func (f *fleet) traffic() []traffic {
+	all := make([]traffic, len(f.entries))
+	for i, e := range f.entries {
+		links, server := e.PeerTraffic()
+		all[i].out, all[i].in = server.BytesOut, server.BytesIn
+		for _, l := range links {
+			all[i].out += l.BytesOut
+			all[i].in += l.BytesIn
+			all[i].updates += l.Messages
+		}
+	}
+	return all
+}
