--- a/cmd/tealhallbench/main.go
+++ b/cmd/tealhallbench/main.go
@@ -21,7 +21,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(fleetCommand())
+	root.AddCommand(fleetCommand(), choiceCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "tealhallbench:", err)
 		stop()
--- /dev/null
+++ b/internal/fleetbench/core_test.go
@@ -0,0 +1,135 @@
+package fleetbench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core"
+	"github.com/tealhall/tealhall/internal/core/duty"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/profile"
+)
+
+// benchSizes are today's size and the one that is designed for.
+var benchSizes = []Size{
+	{Entries: 15, Endpoints: 33, Regions: 1, Domains: 3},
+	{Entries: targetEntries, Endpoints: targetEndpoints, Regions: 3, Domains: 8},
+}
+
+func coreVMs(size Size) []platform.VM {
+	var vms []platform.VM
+	services := servicesFor(size.Endpoints)
+	for i := range size.Endpoints {
+		region, domain := size.place(i / services)
+		vms = append(vms, platform.VM{
+			Name: fmt.Sprintf("endpoint-%03d", i+1), Incarnation: 1, Role: platform.EndpointRole, State: platform.Live,
+			Region: region, Domain: domain, Pool: serviceName(i % services), Slots: endpointSlots,
+			Address: fmt.Sprintf("127.20.0.1:%d", 1000+i),
+		})
+	}
+	for i := range size.Entries {
+		region, domain := size.place(i)
+		vms = append(vms, platform.VM{
+			Name: fmt.Sprintf("entry-%02d", i+1), Incarnation: uint64(i + 1), Role: platform.EntryRole, State: platform.Live,
+			Region: region, Domain: domain,
+			Address: fmt.Sprintf("127.10.0.1:%d", 1000+i), PeerAddress: fmt.Sprintf("127.10.0.1:%d", 2000+i),
+		})
+	}
+	return vms
+}
+
+// newCore returns the core of the first entry, which knows all VMs and has
+// profiles in force.
+func newCore(tb testing.TB, size Size, vms []platform.VM) *core.Core {
+	tb.Helper()
+	hello := func(vm platform.VM) message.Hello {
+		return message.Hello{Version: message.Version, MinVersion: message.MinVersion, Name: vm.Name, Incarnation: vm.Incarnation,
+			Region: vm.Region, Domain: vm.Domain, CallerAddress: vm.Address, PeerAddress: vm.PeerAddress}
+	}
+	self := vms[size.Endpoints]
+	c := core.New(core.DefaultConfig(hello(self)), rand.New(rand.NewPCG(1, 2)))
+	var out core.Actions
+	snapshot, err := profile.Parse(document(servicesFor(size.Endpoints), 1), 1)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	c.Offer(0, core.Offered{Name: platform.ProfilesValue, Mark: message.Mark{Revision: 1, Digest: 1}, Source: duty.Platform, Profiles: snapshot}, &out)
+	c.Offer(0, core.Offered{Name: platform.VMsValue, Mark: message.Mark{Revision: 1, Digest: 1}, Source: duty.Platform,
+		VMs: platform.VMList{Revision: 1, VMs: vms}}, &out)
+	for _, vm := range vms[size.Endpoints+1:] {
+		c.Introduce(0, hello(vm), &out)
+	}
+	return c
+}
+
+// BenchmarkTick is one tick of a calm entry, peers' heartbeats included.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("%d entries, %d endpoints", size.Entries, size.Endpoints), func(b *testing.B) {
+			vms := coreVMs(size)
+			c := newCore(b, size, vms)
+			const step = 5 * time.Millisecond
+			var out core.Actions
+			now, sequence := time.Duration(0), uint64(0)
+			wall := time.Unix(1, 0)
+			for b.Loop() {
+				now += step
+				sequence++
+				heard := vms[size.Endpoints+1+int(sequence)%(size.Entries-1)]
+				c.PeerUpdate(now, &message.Update{From: heard.Incarnation, Sequence: sequence, State: message.EntryServing}, &out)
+				c.Tick(now, wall, &out)
+				for i := range out.Updates {
+					c.UpdateDone(now, out.Updates[i].To, out.Updates[i].Update.Sequence, true)
+				}
+				out.Reset()
+			}
+			b.ReportMetric(100*b.Elapsed().Seconds()/float64(b.N)/step.Seconds(), "%-of-a-core")
+		})
+	}
+}
+
+// BenchmarkMemory is the heap that a core holds for what it knows.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("%d entries, %d endpoints", size.Entries, size.Endpoints), func(b *testing.B) {
+			vms := coreVMs(size)
+			var held float64
+			for b.Loop() {
+				before, _ := heldMemory()
+				c := newCore(b, size, vms)
+				after, _ := heldMemory()
+				held = float64(after) - float64(before)
+				c.InFlight() // keeps c alive until here
+			}
+			b.ReportMetric(held/1024, "KB")
+			b.ReportMetric(held/float64(len(vms)), "B/VM")
+		})
+	}
+}
+
+// BenchmarkParse reads a document, which each entry does once for a change.
+func BenchmarkParse(b *testing.B) {
+	for _, services := range []int{leastServices, targetServices} {
+		b.Run(fmt.Sprintf("%d services", services), func(b *testing.B) {
+			text := document(services, 1)
+			b.SetBytes(int64(len(text)))
+			for b.Loop() {
+				if _, err := profile.Parse(text, 1); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+	b.Run("list of 620 VMs", func(b *testing.B) {
+		text := platform.EncodeVMs(platform.VMList{VMs: coreVMs(benchSizes[1])})
+		b.SetBytes(int64(len(text)))
+		for b.Loop() {
+			if _, err := platform.ParseVMs(platform.Value{Data: text, Revision: 1}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/fleetbench/document.go
+++ b/internal/fleetbench/document.go
@@ -8,6 +8,7 @@
 
 // The size that the project is designed for, see docs/CAPACITY.md.
 const (
+	targetEntries   = 60
 	targetEndpoints = 560
 	targetServices  = 46
 	leastServices   = 3
--- a/internal/fleetbench/idle.go
+++ b/internal/fleetbench/idle.go
@@ -43,14 +43,18 @@
 		calls = append(calls, r.Calls)
 	}
 	heldHeap, heldStacks := heldMemory()
+	// Checks are rare and bunched, so that the mean says more than the median.
+	callsRate := mean(calls)
+	if c.PlatformWindow > 0 {
+		callsRate = f.idleRound(ctx, c.PlatformWindow).Calls
+	}
 	return Idle{
 		Processor: Median(processor),
 		BytesOut:  Median(out), BytesIn: Median(in), MostOut: largest(most),
 		Updates: Median(updates), Segments: Median(segments),
-		Heap:   (float64(heldHeap) - float64(heap)) / n,
-		Stacks: (float64(heldStacks) - float64(stacks)) / n,
-		// Checks are rare and bunched, so that the mean says more.
-		Calls:   mean(calls),
+		Heap:    (float64(heldHeap) - float64(heap)) / n,
+		Stacks:  (float64(heldStacks) - float64(stacks)) / n,
+		Calls:   callsRate,
 		Watches: f.platform.Stats().Watches,
 		Readers: len(f.readers()),
 	}
--- /dev/null
+++ b/internal/fleetbench/slope_test.go
@@ -0,0 +1,53 @@
+package fleetbench
+
+import (
+	"math"
+	"testing"
+)
+
+func TestFit(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		xs, ys []float64
+		want   Line
+	}{
+		{"exact", []float64{1, 2, 4}, []float64{5, 7, 11}, Line{At0: 3, Slope: 2, R2: 1}},
+		{"noise", []float64{0, 1, 2, 3}, []float64{0, 2, 2, 4}, Line{At0: 0.2, Slope: 1.2, R2: 0.9}},
+		{"flat", []float64{1, 2}, []float64{3, 3}, Line{At0: 3, R2: 1}},
+		{"one size", []float64{7, 7}, []float64{2, 4}, Line{At0: 3}},
+		{"nothing", nil, nil, Line{}},
+	} {
+		got := Fit(c.xs, c.ys)
+		for _, pair := range [][2]float64{{got.At0, c.want.At0}, {got.Slope, c.want.Slope}, {got.R2, c.want.R2}} {
+			if math.Abs(pair[0]-pair[1]) > 1e-9 {
+				t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
+				break
+			}
+		}
+	}
+}
+
+func TestMedian(t *testing.T) {
+	for _, c := range []struct {
+		values []float64
+		want   float64
+	}{{nil, 0}, {[]float64{4}, 4}, {[]float64{9, 1, 2}, 2}, {[]float64{4, 1, 3, 2}, 2.5}} {
+		if got := Median(c.values); got != c.want {
+			t.Errorf("%v: %g, want %g", c.values, got, c.want)
+		}
+	}
+}
+
+// The difference of the slopes is what a call costs at the entry; the time of
+// the callers and endpoints, and of the idle fleet, must not show in it.
+func TestPerCallIsTheDifference(t *testing.T) {
+	c := Calls{}
+	for _, rate := range []float64{100, 200, 300} {
+		c.Through = append(c.Through, CallRound{Rate: rate, Cores: 0.5 + rate*250e-6, P50: 300, P99: 900})
+		c.Direct = append(c.Direct, CallRound{Rate: rate, Cores: 0.1 + rate*100e-6, P50: 100, P99: 400})
+	}
+	c.conclude()
+	if math.Abs(c.PerCall-150) > 1e-6 || c.AddedP50 != 200 || c.AddedP99 != 500 {
+		t.Errorf("%+v", c)
+	}
+}
