--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -95,9 +95,24 @@
 	fresh    []message.Evidence
 	list     listState
 	version  uint64
-	// entries finds entries by incarnation, as of version entriesVersion.
-	entries        map[uint64]*row
-	entriesVersion uint64
+	index    index
+}
+
+// index finds rows other than by name. It is built anew when it is asked after a
+// change: rows are asked for far more often than they change.
+type index struct {
+	built   bool
+	version uint64
+	// entries are by incarnation, addresses all VMs by role and address. Of
+	// several rows the first by name comes first.
+	entries   map[uint64]*row
+	addresses map[place][]*row
+}
+
+// place is where VMs of a role are served.
+type place struct {
+	role    platform.Role
+	address string
 }
 
 // New returns a table without any VM.
@@ -179,33 +194,40 @@
 
 // byAddress returns the row of another VM of the same role at the address of vm.
 func (t *Table) byAddress(vm platform.VM) *row {
-	for _, name := range t.names {
-		r := t.rows[name]
-		if name != vm.Name && r.vm.Role == vm.Role && r.vm.Address == vm.Address {
+	for _, r := range t.indexed().addresses[place{vm.Role, vm.Address}] {
+		if r.vm.Name != vm.Name {
 			return r
 		}
 	}
 	return nil
 }
 
-// entry returns the row of an entry by its incarnation. It is asked with every
-// message of a peer.
+// entry returns the row of an entry by its incarnation.
 func (t *Table) entry(incarnation uint64) *row {
-	if t.entries == nil || t.entriesVersion != t.version {
-		t.indexEntries()
-	}
-	return t.entries[incarnation]
+	return t.indexed().entries[incarnation]
 }
 
-func (t *Table) indexEntries() {
-	t.entries = make(map[uint64]*row)
-	t.entriesVersion = t.version
+// indexed returns an index of the rows as they are.
+func (t *Table) indexed() *index {
+	x := &t.index
+	if x.built && x.version == t.version {
+		return x
+	}
+	*x = index{
+		built:     true,
+		version:   t.version,
+		entries:   make(map[uint64]*row),
+		addresses: make(map[place][]*row, len(t.names)),
+	}
 	for _, name := range t.names {
 		r := t.rows[name]
-		if _, taken := t.entries[r.vm.Incarnation]; isEntry(r.vm) && !taken {
-			t.entries[r.vm.Incarnation] = r
+		at := place{r.vm.Role, r.vm.Address}
+		x.addresses[at] = append(x.addresses[at], r)
+		if _, taken := x.entries[r.vm.Incarnation]; isEntry(r.vm) && !taken {
+			x.entries[r.vm.Incarnation] = r
 		}
 	}
+	return x
 }
 
 // rowOf returns the row of one incarnation, or nil.
--- a/internal/fleetbench/core_test.go
+++ b/internal/fleetbench/core_test.go
@@ -133,3 +133,33 @@
 		}
 	})
 }
+
+// BenchmarkApply puts a list in which one VM was replaced, or a document, in
+// force. The entry decides nothing else meanwhile.
+func BenchmarkApply(b *testing.B) {
+	size := benchSizes[1]
+	vms := coreVMs(size)
+	b.Run("list of 620 VMs", func(b *testing.B) {
+		c := newCore(b, size, vms)
+		var out core.Actions
+		for i := uint64(2); b.Loop(); i++ {
+			vms[0].Incarnation = i
+			c.Offer(time.Duration(i)*time.Second, core.Offered{Name: platform.VMsValue, Mark: message.Mark{Revision: i, Digest: i},
+				Source: duty.Platform, VMs: platform.VMList{Revision: i, VMs: vms}}, &out)
+			out.Reset()
+		}
+	})
+	b.Run("46 services", func(b *testing.B) {
+		c := newCore(b, size, vms)
+		snapshot, err := profile.Parse(document(targetServices, 2), 2)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var out core.Actions
+		for i := uint64(2); b.Loop(); i++ {
+			c.Offer(time.Duration(i)*time.Second, core.Offered{Name: platform.ProfilesValue, Mark: message.Mark{Revision: i, Digest: i},
+				Source: duty.Platform, Profiles: snapshot}, &out)
+			out.Reset()
+		}
+	})
+}
