Front: requests behind one another are begun at once; settings read again on SIGHUP

Cause: Sabra's reads come two and more behind one another on a connection, and the server worked on one after the other: 9 % of them were late.

Ruled out: looks and endpoints; the late ones had waited in the entry before they were sent.

Change: while a request is worked on, the guard reads on and begins those behind it that may repeat; answers keep their order, a close of the connection reaches all, a planned stop closes only behind the last. SIGHUP and a silent change of the file reload seeds and the log's level.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -14,7 +14,7 @@
 	if !ok {
 		return Admission{Service: service, Reason: c.unknown()}
 	}
-	return admissionOf(sv, true)
+	return admissionOf(sv)
 }
 
 // AdmitRoute is Admit for a request that names its service by host and path.
@@ -30,14 +30,25 @@
 	if s := c.splits[r.Name]; s != nil {
 		name = s.next()
 	}
-	return admissionOf(c.services[name], r.Kind == route.Idempotent)
+	return admissionOf(c.services[name])
+}
+
+// MayRepeat reports whether a request may run twice by the kind of its route, or of
+// the service that it names where there are no routes.
+func (c *Core) MayRepeat(service, host, path string) bool {
+	if !c.Routed() {
+		sv, ok := c.services[service]
+		return ok && (sv.policy.Kind == profile.Read || sv.policy.Kind == profile.Urgent)
+	}
+	r, ok := c.snapshot.Routes().Find(host, path)
+	return ok && r.Kind == route.Idempotent
 }
 
 // Routed reports whether the services in force are those of routes.
 func (c *Core) Routed() bool { return c.snapshot != nil && c.snapshot.Routes() != nil }
 
-func admissionOf(sv *service, repeatable bool) Admission {
-	return Admission{Service: sv.name, MaxBody: sv.policy.MaxBodyBytes, Repeatable: repeatable, row: sv.index + 1}
+func admissionOf(sv *service) Admission {
+	return Admission{Service: sv.name, MaxBody: sv.policy.MaxBodyBytes, row: sv.index + 1}
 }
 
 // unknown tells a service that isn't published from an entry that knows no
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -54,8 +54,6 @@
 	Service string
 	// MaxBody is its largest request body in bytes.
 	MaxBody int64
-	// Repeatable says that the route's requests may run more than once.
-	Repeatable bool
 	// Reason is why the request is refused, ReasonNone if it is not.
 	Reason Reason
 	// row is the index of the service's row plus one, 0 for none.
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -161,7 +161,7 @@
 		phase:      phaseActive,
 		arrived:    now,
 		deadline:   now + limit,
-		harmless:   runsHarmlesslyTwice(policy.Kind, a.Safe && (a.Admission.row == 0 || a.Admission.Repeatable)),
+		harmless:   runsHarmlesslyTwice(policy.Kind, a.Safe && !c.Routed()),
 		replayable: a.Replayable,
 		weakest:    OutcomeNotRun,
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,15 +35,15 @@
 )
 
 // pendingSignals is how many signals may wait: one for a planned stop, one that
-// makes it quick.
-const pendingSignals = 2
+// makes it quick, and some that ask for the settings to be read again.
+const pendingSignals = 16
 
 // Main runs the daemon with the arguments after the program's name and returns
 // the exit code. The first SIGTERM or SIGINT begins a planned stop, the second
-// makes it quick.
+// makes it quick; SIGHUP asks for the settings to be read again.
 func Main(args []string, out, errOut io.Writer) int {
 	signals := make(chan os.Signal, pendingSignals)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	entry.TuneMemory()
 	return run(args, out, errOut, signals)
@@ -126,7 +126,7 @@
 	}
 	logTo(command.ErrOrStderr(), s.Log.Verbosity)
 	defer klog.Flush()
-	return serve(s, sides, signals)
+	return serve(f.config, s, sides, signals)
 }
 
 func readSettings(path string) (*settings.Settings, error) {
@@ -165,3 +165,10 @@
 	}
 	klog.SetOutput(w)
 }
+
+// setVerbosity changes the level of the log.
+func setVerbosity(level int) {
+	var v klog.Level
+	// A number is always accepted.
+	_ = v.Set(strconv.Itoa(level))
+}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -158,7 +158,7 @@
 		<-e.stopping
 		signals <- syscall.SIGINT
 	}()
-	if code := exitCode(attend(e, signals)); code != ExitCut {
+	if code := exitCode(attend(e, unchanged(t), signals)); code != ExitCut {
 		t.Errorf("exit code %d, want %d", code, ExitCut)
 	}
 }
@@ -174,7 +174,7 @@
 		<-e.stopping
 		signals <- syscall.SIGTERM
 	}()
-	if code := exitCode(attend(e, signals)); code != ExitFailure {
+	if code := exitCode(attend(e, unchanged(t), signals)); code != ExitFailure {
 		t.Errorf("exit code %d, want %d", code, ExitFailure)
 	}
 }
--- /dev/null
+++ b/internal/daemon/reload_test.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/settings"
+)
+
+// seeded notes the seeds that it is given.
+type seeded struct{ seeds []string }
+
+func (s *seeded) SetSeeds(seeds []string) { s.seeds = seeds }
+
+// unchanged returns a reloader whose file stays as it is.
+func unchanged(t *testing.T) *reloader {
+	path := writeSettings(t, validSettings, "127.0.0.1:0")
+	inForce, err := readSettings(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newReloader(path, &seeded{}, inForce)
+}
+
+func rewrite(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// An operator changes the seeds in the settings of a running entry, by mistake
+// with an error at first. The entry must go on with what it had, and take over the
+// new seeds once the file is right; a signal about the file must not end it.
+func TestSettingsChangeWhileRunning(t *testing.T) {
+	r := unchanged(t)
+	e := r.entry.(*seeded)
+	good := strings.ReplaceAll(validSettings, "CALLER", "127.0.0.1:0")
+	steps := []struct {
+		name, text string
+		seeds      []string
+	}{
+		{"refused", good + "[peers]\nseeds = [\"nowhere\"]\n", nil},
+		{"taken over", good + "[peers]\nseeds = [\"10.0.0.9:7070\"]\n", []string{"10.0.0.9:7070"}},
+		{"cut short", good[:40], []string{"10.0.0.9:7070"}},
+	}
+	for _, step := range steps {
+		rewrite(t, r.path, step.text)
+		r.poll()
+		if !slices.Equal(e.seeds, step.seeds) {
+			t.Errorf("%s: seeds %v, want %v", step.name, e.seeds, step.seeds)
+		}
+	}
+	rewrite(t, r.path, good+"[peers]\nseeds = [\"10.0.0.8:7070\"]\n")
+	signals := make(chan os.Signal, pendingSignals)
+	signals <- syscall.SIGHUP
+	signals <- syscall.SIGTERM
+	stopped := newSlowEntry()
+	signals <- syscall.SIGINT // ends the stop of a slow entry
+	if code := exitCode(attend(stopped, r, signals)); code != ExitCut {
+		t.Errorf("exit code %d after SIGHUP and SIGTERM", code)
+	}
+	if !slices.Equal(e.seeds, []string{"10.0.0.8:7070"}) {
+		t.Errorf("seeds %v after SIGHUP", e.seeds)
+	}
+}
+
+func TestBadTermsAreRefused(t *testing.T) {
+	path := writeSettings(t, strings.Replace(validSettings, "[platform]", "[platform]\nterms = [\"drain_ms=soon\", \"unknown=7\"]", 1), "127.0.0.1:0")
+	_, err := readSettings(path)
+	if fault.KindOf(err) != fault.BadSettings || !strings.Contains(err.Error(), "drain_ms=soon") || strings.Contains(err.Error(), "unknown") {
+		t.Errorf("got %v", err)
+	}
+	if _, err := settings.Load(nil); fault.KindOf(err) != fault.BadSettings {
+		t.Errorf("empty settings: %v", err)
+	}
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"syscall"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -15,7 +17,7 @@
 )
 
 // serve runs an entry until a signal comes or a server of it ends, then stops it.
-func serve(s *settings.Settings, sides *tlsSides, signals <-chan os.Signal) error {
+func serve(path string, s *settings.Settings, sides *tlsSides, signals <-chan os.Signal) error {
 	sides.logPlainText()
 	defer sides.watch(s.TLS.Poll.Duration)()
 	options, err := entryOptions(s, sides)
@@ -40,20 +42,31 @@
 		return err
 	}
 	klog.InfoS("serving", "entry", s.Name, "failureDomain", s.FailureDomain, "callers", e.CallerAddress(), "peers", e.PeerAddress())
-	return attend(e, signals)
+	return attend(e, newReloader(path, e, s), signals)
 }
 
-// attend waits for a reason to stop and stops. A server that ended can't be had
-// back without a new process; the planned stop still saves what is in flight.
-func attend(e stopper, signals <-chan os.Signal) error {
-	select {
-	case first := <-signals:
-		return stop(e, first.String(), signals)
-	case failure := <-e.Failed():
-		klog.ErrorS(failure, "the entry can't go on")
-		// That requests were cut is in the log; the failure is the graver news.
-		_ = stop(e, "failure", signals)
-		return failure
+// attend waits for a reason to stop and stops, and reads the settings again when
+// they change. A server that ended can't be had back without a new process; the
+// planned stop still saves what is in flight.
+func attend(e stopper, settings *reloader, signals <-chan os.Signal) error {
+	poll := time.NewTicker(settingsPoll)
+	defer poll.Stop()
+	for {
+		select {
+		case first := <-signals:
+			if first == syscall.SIGHUP {
+				settings.reload(first.String())
+				continue
+			}
+			return stop(e, first.String(), signals)
+		case <-poll.C:
+			settings.poll()
+		case failure := <-e.Failed():
+			klog.ErrorS(failure, "the entry can't go on")
+			// That requests were cut is in the log; the failure is the graver news.
+			_ = stop(e, "failure", signals)
+			return failure
+		}
 	}
 }
 
@@ -111,11 +124,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		select {
-		case second := <-signals:
-			klog.InfoS("the stop is quick from now on", "entry", e.Name(), "signal", second.String())
-			cancel()
-		case <-ctx.Done():
+		for {
+			select {
+			case second := <-signals:
+				if second == syscall.SIGHUP {
+					continue // settings no longer matter
+				}
+				klog.InfoS("the stop is quick from now on", "entry", e.Name(), "signal", second.String())
+				cancel()
+			case <-ctx.Done():
+			}
+			return
 		}
 	}()
 	summary := e.Stop(ctx)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -165,6 +165,7 @@
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
 		TLS:               opts.TLS.Callers,
 		Refuse:            e.refuseShape,
+		Ahead:             e.mayBeginAhead,
 	}, e.callerHandler())
 	return e, nil
 }
@@ -243,7 +244,7 @@
 		return err
 	}
 	e.life, e.cancel = context.WithCancel(context.Background())
-	e.links.Set(e.settings.Peers.Seeds)
+	e.told.add(e.settings.Peers.Seeds)
 	e.run(func() { e.noteEnd("callers", e.front.Serve(e.callerListener)) })
 	e.run(func() { e.noteEnd("peers", e.peerServer.Serve(e.peerListener)) })
 	e.run(func() { e.tickLoop(e.life) })
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -44,6 +44,10 @@
 	return h
 }
 
+// SetSeeds replaces the peer addresses to try first. Links to entries that are
+// known stay.
+func (e *Entry) SetSeeds(seeds []string) { e.told.add(seeds) }
+
 // hearsay are addresses of entries that peers told of. They are dialled on and on,
 // since an entry that was killed comes back at its address.
 type hearsay struct {
@@ -114,7 +118,6 @@
 	if unchanged {
 		return
 	}
-	wanted = append(wanted, e.settings.Peers.Seeds...)
 	wanted = slices.DeleteFunc(wanted, func(address string) bool { return address == e.hello.PeerAddress })
 	slices.Sort(wanted)
 	wanted = slices.Compact(wanted)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -104,6 +104,17 @@
 	return a
 }
 
+// mayBeginAhead reports whether a request may be worked on before those in front of
+// it on its connection are answered.
+func (e *Entry) mayBeginAhead(r *http.Request) bool {
+	if strings.HasPrefix(r.URL.Path, contract.ReservedPrefix) || hasKey(r) {
+		return false
+	}
+	may := false
+	e.engine.view(func(_ time.Duration, c *core.Core) { may = c.MayRepeat(serviceOf(r), r.Host, r.URL.Path) })
+	return may
+}
+
 // unknownService tells a service that isn't published from an entry that knows
 // no profiles yet.
 func (e *Entry) unknownService() core.Reason {
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -40,6 +40,8 @@
 	ready  int    // bytes at the start of head that may be given out
 	body   bodyTracker
 	broken bool // the body broke the rules; net/http refuses it too
+	// ahead begins requests before the server comes to them.
+	ahead aheadQueue
 
 	// shape is set when a head was refused.
 	shape atomic.Uint32
@@ -61,6 +63,7 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
+	g.stopAhead()
 	if g.refused() != ShapeNone && g.ready == 0 {
 		return g.discard()
 	}
@@ -68,15 +71,35 @@
 		if err := g.readHead(); err != nil {
 			return 0, err
 		}
+		return g.giveHead(p), nil
 	}
 	if g.ready > 0 {
-		n := copy(p, g.head[:g.ready])
-		g.consume(n)
-		return n, nil
+		return g.give(p), nil
 	}
 	return g.readBody(p)
 }
 
+// give gives out bytes of a head that is ready.
+func (g *guard) give(p []byte) int {
+	n := copy(p, g.head[:g.ready])
+	g.consume(n)
+	return n
+}
+
+// giveHead gives out the first bytes of a head. If they were asked for while a
+// request is worked on, which is how the server watches the connection, the request
+// is begun ahead of its turn.
+func (g *guard) giveHead(p []byte) int {
+	number := g.ahead.nextHead()
+	if g.idle.Load() || g.refused() != ShapeNone || !g.body.ended() || g.ahead.server == nil {
+		return g.give(p)
+	}
+	first := bytes.Clone(g.head[:g.ready])
+	n := g.give(p)
+	g.readAhead(first, number)
+	return n
+}
+
 // readHead reads until a whole head is there, then checks it.
 func (g *guard) readHead() error {
 	for {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -37,6 +37,9 @@
 	// after that. The request that it gets stands in for the refused one and says
 	// nothing of it. Nil answers with the status alone.
 	Refuse func(w http.ResponseWriter, r *http.Request, shape Shape)
+	// Ahead reports whether a request may be begun before those in front of it on its
+	// connection are answered: one that may run twice. Nil begins none.
+	Ahead func(r *http.Request) bool
 	// ErrorLog gets the server's errors; nil for the standard logger.
 	ErrorLog *log.Logger
 }
@@ -139,6 +142,7 @@
 	case http.StateIdle:
 		g.idle.Store(true)
 	case http.StateClosed, http.StateHijacked:
+		g.ahead.callerGone()
 		s.track(g, false)
 	}
 }
@@ -186,14 +190,25 @@
 
 // ServeHTTP is called by the http.Server for each request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g, _ := r.Context().Value(guardKey{}).(*guard)
+	var number uint64
+	if g != nil {
+		ctx, begun := r.Context(), (*aheadRequest)(nil)
+		number, begun, ctx = g.ahead.enter(ctx)
+		defer g.ahead.leave(number)
+		if begun != nil {
+			s.passAhead(w, r, g, begun)
+			return
+		}
+		r = r.WithContext(ctx)
+	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	g, _ := r.Context().Value(guardKey{}).(*guard)
 	if g != nil && r.URL.Path == refusedPath && g.refused() != ShapeNone {
 		s.refuse(w, r, g.refused())
 		return
 	}
-	tracked := &answerWriter{ResponseWriter: w, server: s}
+	tracked := &answerWriter{ResponseWriter: w, server: s, guard: g, number: number}
 	s.handler.ServeHTTP(tracked, r)
 	tracked.end()
 	if tracked.cutOff {
@@ -201,6 +216,14 @@
 	}
 }
 
+// passAhead passes the answer of a request that was begun ahead.
+func (s *Server) passAhead(w http.ResponseWriter, r *http.Request, g *guard, begun *aheadRequest) {
+	tracked := &answerWriter{ResponseWriter: w, server: s, guard: g, number: begun.number}
+	if begun.pass(tracked) {
+		abort(g, r)
+	}
+}
+
 // refuse answers a request whose head was refused.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, shape Shape) {
 	w.Header().Set("Connection", "close")
@@ -230,6 +253,12 @@
 	body *ReplayBody
 	// cutOff is set when the answer that was begun can't be completed.
 	cutOff bool
+	// ahead is set for an answer that is kept until its turn. The writer that it goes
+	// to then decides on the connection.
+	ahead bool
+	// guard is the connection, number that of the request on it.
+	guard  *guard
+	number uint64
 }
 
 // WriteHeader asks the caller to go elsewhere while the server leaves. An
@@ -239,13 +268,23 @@
 func (w *answerWriter) WriteHeader(status int) {
 	if status >= http.StatusOK && !w.wrote {
 		w.wrote = true
-		if w.server.leaving.Load() || w.body != nil && !w.body.finished() {
+		if w.closes() || w.body != nil && !w.body.finished() {
 			w.Header().Set("Connection", "close")
 		}
 	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// closes reports whether the answer asks its caller to go elsewhere. One that has
+// others behind it does not: they may be at work at endpoints already, and their
+// answers would be lost.
+func (w *answerWriter) closes() bool {
+	if w.ahead || !w.server.leaving.Load() {
+		return false
+	}
+	return w.guard == nil || !w.guard.ahead.behind(w.number)
+}
+
 // Write writes a part of the body, after the head if that is missing.
 func (w *answerWriter) Write(p []byte) (int, error) {
 	if !w.wrote {
