Core: hold instead of choosing blindly while endpoints are full

Change: while most endpoints are known to be full nothing is sent blindly; work is measured at idle endpoints only; whoever can be in time goes first; no queue at endpoints; a second attempt only to an idle one.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -144,6 +144,7 @@
 		return
 	}
 	e.Outstanding--
+	p.lookAgain = now // a slot may be free
 	if o, ok := healthOutcome(a, end); ok {
 		c.noteEnd(now, r, e, o, end)
 	}
@@ -165,6 +166,9 @@
 	}
 	if end.Kind == EndComplete && a.status < http.StatusInternalServerError {
 		r.service.typical.Observe(a.latency(now))
+		if a.alone {
+			r.service.work.Observe(a.latency(now))
+		}
 		p.noteServiceTime(now - a.at)
 	}
 }
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -137,6 +137,7 @@
 		live:        true,
 		hedge:       hedge,
 		idleOnly:    choice.IdleOnly,
+		alone:       e.Look.Seen && now-e.Look.At < lookRemembered && e.Look.Load() == 0,
 		index:       index,
 		incarnation: e.Incarnation,
 		at:          now,
--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -6,25 +6,61 @@
 	"github.com/tealhall/tealhall/internal/core/table"
 )
 
+// looksEarned is how many times its looks a request earns: those for the first
+// choice, and as many for a second look when there was no room, or after it.
+const looksEarned = 2
+
+// The load that this answers: more requests than endpoints can answer within the
+// latency objective, for seconds. Whoever can still be answered in time goes first;
+// one that can't any more waits behind all of those for a while, since a late answer
+// is worth something, and is then told when to come back. Without the two ranks the
+// late ones, which are the oldest, take the slots, and everybody is late.
 const (
-	// holdShare is the part of its latency objective that a request may wait in the
-	// entry for an endpoint with room.
-	holdShare = 0.6
-	// holdLeast is the shortest such wait, and holdMost the longest as a share of
-	// the request's deadline.
-	holdLeast = 60 * time.Millisecond
-	holdMost  = 0.3
+	// lateWait is how long a request that is late by now waits for a slot that nobody
+	// else wants, as a share of its latency objective.
+	lateWait = 0.5
+	// lateMost bounds that wait as a share of the time that the request has left.
+	lateMost = 0.2
+	// inTimeRank is what lifts those who can be in time above all others.
+	inTimeRank = 100
+	// plainHold is the share of its time for which a request without an objective
+	// waits.
+	plainHold = 0.3
 )
 
-// holdUntil is until when a request waits for room. Who can't be sent by then is
-// told at once when to come back: the wait would end as late as the refusal, and a
-// request that is held until its deadline keeps its caller from trying elsewhere.
-func (c *Core) holdUntil(now time.Duration, r *request) time.Duration {
-	hold := time.Duration(holdShare * float64(r.policy.Objective))
-	hold = max(hold, holdLeast)
-	hold = min(hold, time.Duration(holdMost*float64(r.deadline-r.arrived)))
+// hold returns until when a request waits in the entry for an endpoint with room,
+// and with which rank. A wait that ended as late as the request's deadline would keep
+// its caller from trying elsewhere.
+func (c *Core) hold(now time.Duration, r *request) (until time.Duration, rank int) {
 	r.queuedOnce = true
-	return max(r.arrived+hold, now+time.Millisecond)
+	if r.policy.Objective == 0 {
+		return max(r.arrived+time.Duration(plainHold*float64(r.deadline-r.arrived)), now+time.Millisecond), r.policy.Priority
+	}
+	if until = r.latestInTime(); now < until {
+		return until, inTimeRank + r.policy.Priority
+	}
+	if !r.late {
+		r.late = true
+		wait := time.Duration(lateWait * float64(r.policy.Objective))
+		r.lateUntil = now + min(wait, time.Duration(lateMost*float64(r.deadline-now)))
+	}
+	return max(r.lateUntil, now+time.Millisecond), r.policy.Priority
+}
+
+// latestInTime is the latest start at which r would commonly be answered within its
+// latency objective, counted from its caller's first try.
+func (r *request) latestInTime() time.Duration {
+	return r.arrived - r.age + r.policy.Objective - r.typicalWork()
+}
+
+// ageOf estimates how long ago the caller first tried: callers of a service begin
+// with the same patience, and a later try has less of it left.
+func (sv *service) ageOf(left time.Duration) time.Duration {
+	if left <= 0 {
+		return 0
+	}
+	sv.patience = max(sv.patience, left)
+	return sv.patience - left
 }
 
 // Retry-After of a refusal under load: a random time within these bounds, so that
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -25,6 +25,9 @@
 	lookRemembered = 150 * time.Millisecond
 	// lookGap is the time between two rounds for requests that wait.
 	lookGap = 30 * time.Millisecond
+	// fullLasts is for how long an endpoint without room is taken to have none: some
+	// times what a request takes there.
+	fullLasts = 1500 * time.Millisecond
 	// muteLooks is after how many answers without a load a pool's endpoints are
 	// taken to report none.
 	muteLooks = 6
@@ -76,6 +79,12 @@
 	}
 	r.look = lookRound{round: r.look.round, asked: r.look.asked[:0], began: now, second: second, active: true}
 	c.looking = append(c.looking, r.arrival.ID)
+	if r.queuedOnce && !second {
+		// An answer that has just come in told of a slot that is free by now.
+		if i, _ := c.bestLooked(now, r); i >= 0 && c.dispatchLooked(now, r, i, out) {
+			return true
+		}
+	}
 	c.lookOn(now, r, out)
 	return true
 }
@@ -244,7 +253,7 @@
 		c.decideSecond(now, r, best, expected, out)
 		return
 	}
-	if best < 0 && len(r.look.asked) == 0 || best < 0 && !c.anyAnswered(r) {
+	if best < 0 && !c.anyAnswered(r) && !c.crowded(now, r.pool) {
 		best = c.blindChoice(now, r)
 	}
 	if best >= 0 && c.dispatchLooked(now, r, best, out) {
@@ -314,6 +323,24 @@
 	return best, bestTime
 }
 
+// crowded reports whether most endpoints of which something is known had no room when
+// last heard of. What is sent to them blindly queues up there, and all later requests,
+// which could have waited here for the first free slot, find them full.
+func (c *Core) crowded(now time.Duration, p *pool) bool {
+	known, full := 0, 0
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if e.State != table.EndpointLive || !e.Look.Seen || now-e.Look.At > fullLasts {
+			continue
+		}
+		known++
+		if !e.HasRoom() {
+			full++
+		}
+	}
+	return known > 0 && full*2 >= known
+}
+
 // blindChoice returns an endpoint when none told its load: the budget is spent, or
 // nobody answers. The one with the fewest own requests is the best guess.
 func (c *Core) blindChoice(now time.Duration, r *request) int {
@@ -321,7 +348,8 @@
 	best, bestRank := -1, 0.0
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
-		if e.State != table.EndpointLive || r.tried.Has(i) || e.Outstanding >= max(1, e.Slots) {
+		full := e.Look.Seen && now-e.Look.At < fullLasts && !e.HasRoom()
+		if e.State != table.EndpointLive || r.tried.Has(i) || e.Outstanding >= max(1, e.Slots) || full {
 			continue
 		}
 		if rank := c.askRank(now, p, e); best < 0 || rank < bestRank {
@@ -331,9 +359,11 @@
 	return best
 }
 
-// typicalWork is how long a request of the service commonly takes.
+// typicalWork is how long a request of the service commonly takes at an endpoint
+// that has nothing else to do. Latencies at busy ones must not count: under load they
+// grow, and everything would be taken to be late already.
 func (r *request) typicalWork() time.Duration {
-	if t := r.service.typical.Latency(); t > 0 {
+	if t := r.service.work.Latency(); t > 0 {
 		return t
 	}
 	if r.policy.Objective > 0 {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -44,10 +44,12 @@
 
 // attempt is one dispatch of a request.
 type attempt struct {
-	live        bool
-	hedge       bool
-	forward     bool
-	idleOnly    bool
+	live     bool
+	hedge    bool
+	forward  bool
+	idleOnly bool
+	// alone says that the endpoint held no other request by its last look.
+	alone       bool
 	index       int
 	incarnation uint64
 	at          time.Duration
@@ -91,6 +93,11 @@
 	lastReason Reason
 	// look is the round of looks that is under way, or was last.
 	look lookRound
+	// age is how long before its arrival the caller first tried, as far as known.
+	age time.Duration
+	// late says that it can't be answered in time any more; it waits until lateUntil.
+	late      bool
+	lateUntil time.Duration
 	// queuedOnce says that the request has waited in the pool's queue.
 	queuedOnce bool
 }
@@ -119,7 +126,7 @@
 	sv.demand.Add(now, sv.expectedWork())
 	r := c.newRequest(now, a, sv)
 	r.pool.repeats.Request(now)
-	r.pool.looks.Request(r.policy.Looks)
+	r.pool.looks.Request(looksEarned * r.policy.Looks)
 	if !c.admitKey(now, r, out) {
 		return
 	}
@@ -165,6 +172,7 @@
 		replayable: a.Replayable,
 		weakest:    OutcomeNotRun,
 	}
+	r.age = sv.ageOf(a.Timeout)
 	c.requests[a.ID] = r
 	return r
 }
@@ -243,7 +251,8 @@
 	}
 	wait := p.expectedWait(now, item)
 	if c.looksFor(r) {
-		item.Deadline, item.Work, wait = c.holdUntil(now, r), 0, 0
+		item.Deadline, item.Priority = c.hold(now, r)
+		item.Work, wait = 0, 0
 	}
 	switch p.queue.Push(now, item, limits, wait) {
 	case queue.Full:
@@ -274,19 +283,23 @@
 		expired = p.queue.Expire(now, expired[:0])
 		for _, item := range expired {
 			if r, ok := c.requests[RequestID(item.ID)]; ok {
-				c.fail(now, r, lateReason(now, r), out)
+				c.lapsed(now, r, out)
 			}
 		}
 	}
 }
 
-// lateReason tells a request whose deadline passed from one that is given up
-// early because it would not be answered in time.
-func lateReason(now time.Duration, r *request) Reason {
-	if now < r.deadline {
-		return ReasonTooLate
+// lapsed handles a request that has waited for as long as it may. One that is late
+// by now waits on behind the others.
+func (c *Core) lapsed(now time.Duration, r *request, out *Actions) {
+	switch {
+	case now >= r.deadline:
+		c.fail(now, r, ReasonDeadline, out)
+	case c.looksFor(r) && r.policy.Objective > 0 && !r.late:
+		c.enqueue(now, r, out)
+	default:
+		c.fail(now, r, ReasonTooLate, out)
 	}
-	return ReasonDeadline
 }
 
 // CallerGone says that the caller of a request closed its connection. Work
--- a/internal/core/secondtry.go
+++ b/internal/core/secondtry.go
@@ -80,14 +80,16 @@
 	c.startLooks(now, r, true, out)
 }
 
-// decideSecond sends a second attempt if the first looks lost or slow and another
-// endpoint would answer earlier.
+// decideSecond sends a second attempt if the first looks lost or slow and an idle
+// endpoint would answer earlier. One that is at work is left alone: where all are,
+// second attempts would take the slots of first ones.
 func (c *Core) decideSecond(now time.Duration, r *request, best int, expected time.Duration, out *Actions) {
 	if best < 0 || r.phase != phaseActive || r.committed != 0 || r.live() != 1 || r.dispatches != 1 {
 		c.endLook(r)
 		return
 	}
-	if !c.overdue(now, r, expected) || !c.dispatchLooked(now, r, best, out) {
+	e := &r.pool.Endpoints[best]
+	if e.Look.Load() > 0 || pace(&e.Look) > 1 || !c.overdue(now, r, expected) || !c.dispatchLooked(now, r, best, out) {
 		c.endLook(r)
 	}
 }
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -44,6 +44,10 @@
 	typical health.Typical
 	// hedges are the requests that may still be hedged, oldest first.
 	hedges []hedgeDue
+	// work is how long its requests take at endpoints that were idle.
+	work health.Typical
+	// patience is the longest that a caller said it would wait.
+	patience time.Duration
 	// arrived counts requests since the last rate sample.
 	arrived uint64
 }
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -129,15 +129,10 @@
 	return e.Doubt * math.Exp2(-float64(now-e.DoubtAt)/float64(doubtHalves))
 }
 
-// queueAtEndpoint is how many requests beyond its slots an endpoint may hold when
-// one more is sent to it. Endpoints queue a few; one that is full may hang.
-const queueAtEndpoint = 1
-
-// HasRoom reports whether by its last look the endpoint takes one more request at
-// once or after a short wait.
-func (e *Endpoint) HasRoom() bool {
-	return e.Look.Load() < max(1, e.Look.Slots)+queueAtEndpoint
-}
+// HasRoom reports whether by its last look the endpoint has a slot for one more
+// request. A request that queued there would be bound to it, while others may have a
+// slot sooner; endpoints queue a few only, and one that is full may hang.
+func (e *Endpoint) HasRoom() bool { return e.Look.Load() < max(1, e.Look.Slots) }
 
 // Pool is a group of endpoints that share their work. Services of the same
 // pool compete for its slots.
