Core: a slot beside another request only where both can bear it

Change: the pool learns by how much longer work takes at endpoints that are nearly full; a request that can be in time waits for a slot in which it will be, and one that is late takes no slot beside another.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -169,6 +169,9 @@
 		if a.alone {
 			r.service.work.Observe(a.latency(now))
 		}
+		if a.fills {
+			p.noteSharing(a.latency(now), r.service.work.Latency())
+		}
 		p.noteServiceTime(now - a.at)
 	}
 }
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -138,6 +138,7 @@
 		hedge:       hedge,
 		idleOnly:    choice.IdleOnly,
 		alone:       e.Look.Seen && now-e.Look.At < lookRemembered && e.Look.Load() == 0,
+		fills:       e.Look.Seen && now-e.Look.At < lookRemembered && fills(e.Look.Load(), max(1, e.Look.Slots)) && e.HasRoom(),
 		index:       index,
 		incarnation: e.Incarnation,
 		at:          now,
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -81,7 +81,7 @@
 	c.looking = append(c.looking, r.arrival.ID)
 	if r.queuedOnce && !second {
 		// An answer that has just come in told of a slot that is free by now.
-		if i, _ := c.bestLooked(now, r); i >= 0 && c.dispatchLooked(now, r, i, out) {
+		if i, t := c.bestLooked(now, r); i >= 0 && c.worthwhile(now, r, &r.pool.Endpoints[i], t) && c.dispatchLooked(now, r, i, out) {
 			return true
 		}
 	}
@@ -254,9 +254,11 @@
 		return
 	}
 	if best < 0 && !c.anyAnswered(r) && !c.crowded(now, r.pool) {
-		best = c.blindChoice(now, r)
+		if i := c.blindChoice(now, r); i >= 0 && c.dispatchLooked(now, r, i, out) {
+			return
+		}
 	}
-	if best >= 0 && c.dispatchLooked(now, r, best, out) {
+	if best >= 0 && c.worthwhile(now, r, &r.pool.Endpoints[best], expected) && c.dispatchLooked(now, r, best, out) {
 		return
 	}
 	c.endLook(r)
@@ -378,20 +380,28 @@
 	paceLasts = 100 * time.Millisecond
 	// meanPace is the pace over longer times.
 	meanPace = 1.3
-	// sharedSlots is by how much longer work takes beside another request.
-	sharedSlots = 1.4
+	// nearlyFull is the occupancy from which on some endpoints work more slowly.
+	nearlyFull = 0.8
+	// firstSharing is by how much longer work is taken to take there before it was
+	// measured, and sharingMost bounds what is measured.
+	firstSharing = 1.4
+	sharingMost  = 4.0
 	// perKilobyte is the wait that a kilobyte between failure domains is worth.
 	perKilobyte = 2 * time.Millisecond
 )
 
-// expected estimates when an endpoint would answer r, as a duration from now.
+// expected estimates when an endpoint would answer r, as a duration from now. What r
+// would cost the request beside it counts as well: a slot that slows both down is
+// worth its use only where both can bear it.
 func (c *Core) expected(now time.Duration, r *request, e *table.Endpoint) time.Duration {
 	work := float64(r.typicalWork())
-	own := paced(work, pace(&e.Look))
 	load, slots := e.Look.Load(), max(1, e.Look.Slots)
-	if load > 0 {
-		own *= sharedSlots
+	own, harm := work, 0.0
+	if fills(load, slots) {
+		own *= r.pool.sharing
+		harm = (r.pool.sharing - 1) * work
 	}
+	own = paced(own, pace(&e.Look)) + harm
 	if ahead := load - slots + 1; ahead > 0 {
 		own += paced(work, pace(&e.Look)) * (float64(ahead) - 0.5) / float64(slots)
 	}
@@ -405,6 +415,33 @@
 	return time.Duration(own)
 }
 
+// fills reports whether one more request makes an endpoint nearly full.
+func fills(load, slots int32) bool {
+	return load > 0 && float64(load+1) >= nearlyFull*float64(slots)
+}
+
+// noteSharing learns by how much longer work takes at endpoints that are nearly full.
+func (p *pool) noteSharing(latency, work time.Duration) {
+	if work <= 0 {
+		return
+	}
+	times := min(max(float64(latency)/float64(work), 1), sharingMost)
+	p.sharing += serviceWeight * (times - p.sharing)
+}
+
+// worthwhile reports whether r should go to an endpoint that would answer after the
+// expected time. A request that can be in time elsewhere waits for that; one that is
+// late by now takes no slot beside another request, which would be late as well then.
+func (c *Core) worthwhile(now time.Duration, r *request, e *table.Endpoint, expected time.Duration) bool {
+	switch {
+	case r.policy.Objective == 0:
+		return true
+	case r.late:
+		return e.Look.Load() == 0
+	}
+	return now+expected <= r.arrived-r.age+r.policy.Objective
+}
+
 // avoidedCost is how many times its work a request may take elsewhere before an
 // avoided endpoint is tried.
 const avoidedCost = 10
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -48,11 +48,12 @@
 	hedge    bool
 	forward  bool
 	idleOnly bool
-	// alone says that the endpoint held no other request by its last look.
-	alone       bool
-	index       int
-	incarnation uint64
-	at          time.Duration
+	// alone says that the endpoint held no other request by its last look, and fills
+	// that it was nearly full with this one.
+	alone, fills bool
+	index        int
+	incarnation  uint64
+	at           time.Duration
 	// status, load and headAfter are what the head of the answer said.
 	status    int
 	load      Load
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -82,6 +82,8 @@
 	mute int
 	// probePath is where the endpoints tell their load, "" for the contract's.
 	probePath string
+	// sharing is by how much longer work takes at endpoints that are nearly full.
+	sharing float64
 	// kilobytes is a smoothed size of a request with its answer.
 	kilobytes float64
 }
@@ -178,6 +180,7 @@
 		serviceNanos: float64(firstService),
 		repeats:      budget.NewRepeats(c.cfg.Repeats, c.cfg.LargestFleet),
 		looks:        budget.NewLooks(c.cfg.LooksPerEndpoint),
+		sharing:      firstSharing,
 	}
 	c.pools[name] = p
 	c.poolRows = append(c.poolRows, p)
