Looks: an entry's part follows its part of the requests; one may wait at an endpoint

Change: the bound on looks is divided by the rates that entries tell each other, capped against partitions; one request may wait at an endpoint where it will still be in time; late ones share endpoints where sharing costs little.

--- a/internal/core/budget/window.go
+++ b/internal/core/budget/window.go
@@ -128,8 +128,8 @@
 
 // Looks keeps the looks at endpoints within two bounds. One follows the requests,
 // so that a fleet that is partitioned, or restarted as a whole, looks no more than
-// its requests warrant. The other is the pool's bound per endpoint, divided among
-// the entries that are known to run.
+// its requests warrant. The other is the pool's bound per endpoint, of which an
+// entry takes the part that it has of the fleet's requests.
 type Looks struct {
 	// perEndpoint is how many looks a second all entries may spend on an endpoint;
 	// 0 for no bound.
@@ -149,10 +149,10 @@
 func (b *Looks) Request(looks int) { b.saved = min(savedLooks, b.saved+float64(looks)) }
 
 // TrySpend takes one look if it is there. endpoints is the number of endpoints of
-// the pool, entries the largest number of entries known to have run at a time.
-func (b *Looks) TrySpend(now time.Duration, endpoints, entries int) bool {
+// the pool, part this entry's part of the fleet's requests.
+func (b *Looks) TrySpend(now time.Duration, endpoints int, part float64) bool {
 	b.spent.advance(now)
-	limit := lookReserve * b.perEndpoint * lookWindow.Seconds() * float64(endpoints) / float64(max(1, entries))
+	limit := lookReserve * b.perEndpoint * lookWindow.Seconds() * float64(endpoints) * part
 	if b.saved < 1 || b.perEndpoint > 0 && b.spent.total+1 > limit {
 		b.denied++
 		return false
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -33,6 +33,8 @@
 	// mostEntries is the largest number of entries known at a time so far, this one
 	// included.
 	mostEntries int
+	// part is this entry's part of the fleet's requests.
+	part float64
 	// due, fresh and sightings are scratch memory of composeUpdates.
 	due       []uint64
 	fresh     []message.Evidence
@@ -134,6 +136,7 @@
 		})
 	}
 	f.mostEntries = max(f.mostEntries, len(f.entries))
+	f.part = c.partOfRequests()
 	f.reader = duty.IsReader(f.selfID, f.dutyMembers, c.cfg.ReadersPerDomain)
 	c.assignReaders()
 }
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -101,7 +101,7 @@
 	r.look.until = now + lookWait
 	for range min(lookBatch, most) {
 		i := c.nextToAsk(now, r)
-		if i < 0 || !p.looks.TrySpend(now, len(p.Endpoints), c.fleet.mostEntries) {
+		if i < 0 || !p.looks.TrySpend(now, len(p.Endpoints), c.fleet.part) {
 			break
 		}
 		e := &p.Endpoints[i]
@@ -315,7 +315,7 @@
 	best, bestTime := -1, time.Duration(0)
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
-		if e.State != table.EndpointLive || r.tried.Has(i) || !e.Look.Seen || e.Look.At < r.look.began-lookFresh || !e.HasRoom() {
+		if e.State != table.EndpointLive || r.tried.Has(i) || !e.Look.Seen || e.Look.At < r.look.began-lookFresh || !e.MayQueue() {
 			continue
 		}
 		if t := c.expected(now, r, e); best < 0 || t < bestTime {
@@ -386,6 +386,8 @@
 	// measured, and sharingMost bounds what is measured.
 	firstSharing = 1.4
 	sharingMost  = 4.0
+	// littleSharing is up to where nearly full endpoints work about as fast as others.
+	littleSharing = 1.2
 	// perKilobyte is the wait that a kilobyte between failure domains is worth.
 	perKilobyte = 2 * time.Millisecond
 )
@@ -437,7 +439,7 @@
 	case r.policy.Objective == 0:
 		return true
 	case r.late:
-		return e.Look.Load() == 0
+		return e.HasRoom() && (!fills(e.Look.Load(), max(1, e.Look.Slots)) || r.pool.sharing < littleSharing)
 	}
 	return now+expected <= r.arrived-r.age+r.policy.Objective
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -138,6 +138,25 @@
 	calls := c.counters.Arrived - f.rateFrom
 	f.rate = uint32(math.Round(float64(calls) / (now - f.rateAt).Seconds()))
 	f.rateAt, f.rateFrom = now, c.counters.Arrived
+	f.part = c.partOfRequests()
+}
+
+// partMost bounds an entry's part of the fleet's requests as a multiple of an equal
+// part, by the largest fleet that was seen: in a partition each side knows of its own
+// requests only, and would take the whole for its part.
+const partMost = 4.0
+
+// partOfRequests returns this entry's part of what all entries tell of their rates.
+// One request a second is added to each, so that an idle entry has a part as well.
+func (c *Core) partOfRequests() float64 {
+	f := &c.fleet
+	own, all := float64(f.rate)+1, 0.0
+	for i := range f.entries {
+		if p, heard := f.peers[f.entries[i].VM.Incarnation]; heard {
+			all += float64(p.update.Rate) + 1
+		}
+	}
+	return min(own/(own+all), partMost/float64(max(1, f.mostEntries)))
 }
 
 // collectSightings lists what this entry knows of the endpoints of the pools
--- a/internal/core/secondtry.go
+++ b/internal/core/secondtry.go
@@ -72,7 +72,7 @@
 	if e == nil {
 		return
 	}
-	if r.pool.looks.TrySpend(now, len(r.pool.Endpoints), c.fleet.mostEntries) {
+	if r.pool.looks.TrySpend(now, len(r.pool.Endpoints), c.fleet.part) {
 		c.counters.Looks++
 		out.Probes = append(out.Probes, Probe{Pool: r.pool.Name, Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address,
 			Path: r.pool.probePath, Wait: 4 * lookWait})
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -130,10 +130,17 @@
 }
 
 // HasRoom reports whether by its last look the endpoint has a slot for one more
-// request. A request that queued there would be bound to it, while others may have a
-// slot sooner; endpoints queue a few only, and one that is full may hang.
+// request.
 func (e *Endpoint) HasRoom() bool { return e.Look.Load() < max(1, e.Look.Slots) }
 
+// queueAtEndpoint is how many requests may wait at an endpoint when they are sent
+// there: one, so that a slot that comes free is not idle until an entry sees it.
+// Endpoints queue a few only, and one that is full may hang.
+const queueAtEndpoint = 1
+
+// MayQueue reports whether one more request would have a slot or be the next.
+func (e *Endpoint) MayQueue() bool { return e.Look.Load() < max(1, e.Look.Slots)+queueAtEndpoint }
+
 // Pool is a group of endpoints that share their work. Services of the same
 // pool compete for its slots.
 type Pool struct {
