Core: work is a running median; looks are paced and go to other domains in time

Entries of domain b asked only its own four library endpoints, known to be full, again and again; once the budget of looks was spent, none was left for seconds; and the mean work at idle endpoints, 281 ms beside 120 ms, held every booking to be late when it arrived.

Ruled out: capacity (40 to 50 % of the slots were busy).

Change: remote endpoints are asked before local ones known to be full; looks are paced by a bucket; fewer for requests that waited; work is a running median at idle endpoints of usual pace.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -167,10 +167,10 @@
 	if end.Kind == EndComplete && a.status < http.StatusInternalServerError {
 		r.service.typical.Observe(a.latency(now))
 		if a.alone {
-			r.service.work.Observe(a.latency(now))
+			r.service.work.observe(a.latency(now))
 		}
 		if a.fills {
-			p.noteSharing(a.latency(now), r.service.work.Latency())
+			p.noteSharing(a.latency(now), r.service.work.typical())
 		}
 		p.noteServiceTime(now - a.at)
 	}
--- a/internal/core/budget/window.go
+++ b/internal/core/budget/window.go
@@ -116,12 +116,13 @@
 	return b.denied
 }
 
-// lookWindow is the window in which the bound on looks holds.
-const lookWindow = 2 * time.Second
+// lookBurst is how much of the bound on looks may be saved up. Together with
+// lookReserve it keeps the looks of any ten seconds within the bound.
+const lookBurst = time.Second
 
 // lookReserve is the part of the bound on looks that is used, since entries may
 // know of each other late.
-const lookReserve = 0.8
+const lookReserve = 0.9
 
 // savedLooks bounds how many looks may be saved up from requests.
 const savedLooks = 64
@@ -135,15 +136,13 @@
 	// 0 for no bound.
 	perEndpoint float64
 	saved       float64
-	spent       window
+	paced       bucket
 	total       uint64
 	denied      uint64
 }
 
 // NewLooks returns a budget for one pool.
-func NewLooks(perEndpoint float64) *Looks {
-	return &Looks{perEndpoint: perEndpoint, spent: window{span: lookWindow}}
-}
+func NewLooks(perEndpoint float64) *Looks { return &Looks{perEndpoint: perEndpoint} }
 
 // Request earns the looks of one request.
 func (b *Looks) Request(looks int) { b.saved = min(savedLooks, b.saved+float64(looks)) }
@@ -151,15 +150,15 @@
 // TrySpend takes one look if it is there. endpoints is the number of endpoints of
 // the pool, part this entry's part of the fleet's requests.
 func (b *Looks) TrySpend(now time.Duration, endpoints int, part float64) bool {
-	b.spent.advance(now)
-	limit := lookReserve * b.perEndpoint * lookWindow.Seconds() * float64(endpoints) * part
-	if b.saved < 1 || b.perEndpoint > 0 && b.spent.total+1 > limit {
+	rate := lookReserve * b.perEndpoint * float64(endpoints) * part
+	b.paced.capacity = max(1, rate*lookBurst.Seconds())
+	b.paced.earn(now, rate)
+	if b.saved < 1 || b.perEndpoint > 0 && !b.paced.take(1) {
 		b.denied++
 		return false
 	}
 	b.saved--
 	b.total++
-	b.spent.add(now, 1)
 	return true
 }
 
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -137,7 +137,7 @@
 		live:        true,
 		hedge:       hedge,
 		idleOnly:    choice.IdleOnly,
-		alone:       e.Look.Seen && now-e.Look.At < lookRemembered && e.Look.Load() == 0,
+		alone:       e.Look.Seen && now-e.Look.At < lookRemembered && e.Look.Load() == 0 && pace(&e.Look) <= 1,
 		fills:       e.Look.Seen && now-e.Look.At < lookRemembered && fills(e.Look.Load(), max(1, e.Look.Slots)) && e.HasRoom(),
 		index:       index,
 		incarnation: e.Incarnation,
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -15,6 +15,10 @@
 	// lookBatch is how many endpoints are asked at a time. The first one that is
 	// idle and as fast as usual ends the round.
 	lookBatch = 3
+	// crowdedLooks is how many endpoints are asked for a request that has waited, or
+	// right after another one found no room: more would spend the budget on endpoints
+	// that are busy.
+	crowdedLooks = 4
 	// lookWait bounds the wait for a batch: several round trips between failure
 	// domains. An endpoint that says nothing for so long is no good choice.
 	lookWait = 12 * time.Millisecond
@@ -93,8 +97,8 @@
 func (c *Core) lookOn(now time.Duration, r *request, out *Actions) {
 	p := r.pool
 	most := r.policy.Looks - len(r.look.asked)
-	if r.queuedOnce {
-		most = min(most, lookBatch+1-len(r.look.asked))
+	if r.queuedOnce || now < p.lookAgain {
+		most = min(most, crowdedLooks-len(r.look.asked))
 	}
 	r.look.round++
 	r.look.pending = 0
@@ -138,7 +142,9 @@
 // between endpoints that differ by less than 1.
 const (
 	rankAvoided = 1000
-	rankRemote  = 100
+	// rankRemote puts endpoints of other failure domains behind those of the own one
+	// that may be idle, and before those that were full a moment ago.
+	rankRemote  = 12
 	rankMissing = 5000
 	rankHeld    = 10
 	rankDoubt   = 50
@@ -149,7 +155,7 @@
 func (c *Core) askRank(now time.Duration, p *pool, e *table.Endpoint) float64 {
 	rank := c.rng.Float64() + rankHeld*float64(e.Outstanding) + rankDoubt*e.DoubtAfter(now)
 	if e.Domain != c.cfg.Self.Domain {
-		rank += rankRemote
+		rank += rankRemote + min(p.kilobytes, rankRemote)
 	}
 	if now < e.AvoidUntil {
 		rank += rankAvoided
@@ -365,7 +371,7 @@
 // that has nothing else to do. Latencies at busy ones must not count: under load they
 // grow, and everything would be taken to be late already.
 func (r *request) typicalWork() time.Duration {
-	if t := r.service.work.Latency(); t > 0 {
+	if t := r.service.work.typical(); t > 0 {
 		return t
 	}
 	if r.policy.Objective > 0 {
@@ -384,8 +390,10 @@
 	nearlyFull = 0.8
 	// firstSharing is by how much longer work is taken to take there before it was
 	// measured, and sharingMost bounds what is measured.
-	firstSharing = 1.4
+	firstSharing = 1.3
 	sharingMost  = 4.0
+	// sharingWeight is the weight of a new measurement.
+	sharingWeight = 0.08
 	// littleSharing is up to where nearly full endpoints work about as fast as others.
 	littleSharing = 1.2
 	// perKilobyte is the wait that a kilobyte between failure domains is worth.
@@ -428,7 +436,7 @@
 		return
 	}
 	times := min(max(float64(latency)/float64(work), 1), sharingMost)
-	p.sharing += serviceWeight * (times - p.sharing)
+	p.sharing += sharingWeight * (times - p.sharing)
 }
 
 // worthwhile reports whether r should go to an endpoint that would answer after the
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -48,7 +48,7 @@
 	hedge    bool
 	forward  bool
 	idleOnly bool
-	// alone says that the endpoint held no other request by its last look, and fills
+	// alone says that the endpoint was idle and as fast as usual by its last look, fills
 	// that it was nearly full with this one.
 	alone, fills bool
 	index        int
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -45,7 +45,7 @@
 	// hedges are the requests that may still be hedged, oldest first.
 	hedges []hedgeDue
 	// work is how long its requests take at endpoints that were idle.
-	work health.Typical
+	work workTime
 	// patience is the longest that a caller said it would wait.
 	patience time.Duration
 	// arrived counts requests since the last rate sample.
