--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -184,7 +184,7 @@
 		e.AvoidUntil = max(e.AvoidUntil, now+unwellPause)
 	}
 	if end.Kind == EndComplete {
-		r.pool.noteSize(end.Bytes)
+		r.service.noteSize(end.Bytes)
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -66,6 +66,9 @@
 	// LooksPerEndpoint bounds how often a second all entries together look at an
 	// endpoint; 0 for no bound.
 	LooksPerEndpoint float64
+	// CheckEvery is the shortest time between two reads of the platform by an entry
+	// that others read for; 0 stands for the default of package duty.
+	CheckEvery time.Duration
 	// ListIsFinal, MissingAfter and KeepLast are those of package member.
 	ListIsFinal            bool
 	MissingAfter, KeepLast time.Duration
--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -53,14 +53,15 @@
 	return r.arrived - r.age + r.policy.Objective - r.typicalWork()
 }
 
-// ageOf estimates how long ago the caller first tried: callers of a service begin
-// with the same patience, and a later try has less of it left.
+// ageOf estimates how long ago the caller first tried: most callers of a service
+// begin with the same patience, and a later try has less of it left. The patience is
+// a running median, since a few callers wait for far longer than the others.
 func (sv *service) ageOf(left time.Duration) time.Duration {
 	if left <= 0 {
 		return 0
 	}
-	sv.patience = max(sv.patience, left)
-	return sv.patience - left
+	sv.patience.observe(left)
+	return max(0, sv.patience.typical()-left)
 }
 
 // Retry-After of a refusal under load: a random time within these bounds, so that
@@ -94,11 +95,11 @@
 }
 
 // noteSize takes in the size of a request and its answer in bytes.
-func (p *pool) noteSize(bytes int64) {
+func (sv *service) noteSize(bytes int64) {
 	kilobytes := float64(bytes) / 1024
-	if p.kilobytes == 0 {
-		p.kilobytes = kilobytes
+	if sv.kilobytes == 0 {
+		sv.kilobytes = kilobytes
 		return
 	}
-	p.kilobytes += serviceWeight * (kilobytes - p.kilobytes)
+	sv.kilobytes += serviceWeight * (kilobytes - sv.kilobytes)
 }
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -85,7 +85,7 @@
 	c.looking = append(c.looking, r.arrival.ID)
 	if r.queuedOnce && !second {
 		// An answer that has just come in told of a slot that is free by now.
-		if i, t := c.bestLooked(now, r); i >= 0 && c.worthwhile(now, r, &r.pool.Endpoints[i], t) && c.dispatchLooked(now, r, i, out) {
+		if best := c.bestLooked(now, r); best.worth && c.dispatchLooked(now, r, best.index, out) {
 			return true
 		}
 	}
@@ -130,7 +130,7 @@
 		if e.State != table.EndpointLive || r.tried.Has(i) || slices.Contains(r.look.asked, i) {
 			continue
 		}
-		rank := c.askRank(now, p, e)
+		rank := c.askRank(now, r, e)
 		if best < 0 || rank < bestRank {
 			best, bestRank = i, rank
 		}
@@ -152,10 +152,10 @@
 )
 
 // askRank orders the endpoints to ask: a lower one goes first.
-func (c *Core) askRank(now time.Duration, p *pool, e *table.Endpoint) float64 {
+func (c *Core) askRank(now time.Duration, r *request, e *table.Endpoint) float64 {
 	rank := c.rng.Float64() + rankHeld*float64(e.Outstanding) + rankDoubt*e.DoubtAfter(now)
 	if e.Domain != c.cfg.Self.Domain {
-		rank += rankRemote + min(p.kilobytes, rankRemote)
+		rank += rankRemote + min(r.service.kilobytes, rankRemote)
 	}
 	if now < e.AvoidUntil {
 		rank += rankAvoided
@@ -218,7 +218,7 @@
 // perfect reports whether no other endpoint could be a better choice.
 func (c *Core) perfect(now time.Duration, r *request, e *table.Endpoint) bool {
 	return e.State == table.EndpointLive && e.Look.Load() == 0 && pace(&e.Look) <= 1 && now >= e.AvoidUntil &&
-		e.DoubtAfter(now) < slightDoubt && (e.Domain == c.cfg.Self.Domain || r.pool.kilobytes < smallExchange) && !e.Missing
+		e.DoubtAfter(now) < slightDoubt && (e.Domain == c.cfg.Self.Domain || r.service.kilobytes < smallExchange) && !e.Missing
 }
 
 const (
@@ -254,17 +254,17 @@
 
 // decide chooses among the endpoints that were looked at, or lets r wait.
 func (c *Core) decide(now time.Duration, r *request, out *Actions) {
-	best, expected := c.bestLooked(now, r)
+	best := c.bestLooked(now, r)
 	if r.look.second {
-		c.decideSecond(now, r, best, expected, out)
+		c.decideSecond(now, r, best, out)
 		return
 	}
-	if best < 0 && !c.anyAnswered(r) && !c.crowded(now, r.pool) {
+	if best.index < 0 && !c.anyAnswered(r) && !c.crowded(now, r.pool) {
 		if i := c.blindChoice(now, r); i >= 0 && c.dispatchLooked(now, r, i, out) {
 			return
 		}
 	}
-	if best >= 0 && c.worthwhile(now, r, &r.pool.Endpoints[best], expected) && c.dispatchLooked(now, r, best, out) {
+	if best.worth && c.dispatchLooked(now, r, best.index, out) {
 		return
 	}
 	c.endLook(r)
@@ -314,21 +314,54 @@
 	return true
 }
 
-// bestLooked returns the endpoint with the earliest expected answer among those
-// with a fresh look and room, or -1.
-func (c *Core) bestLooked(now time.Duration, r *request) (int, time.Duration) {
+// looked is an endpoint with a fresh look as a choice for a request.
+type looked struct {
+	// index is the endpoint's, -1 for none.
+	index int
+	// after is when it is expected to answer, from now; cost is what the choice costs,
+	// in the same unit.
+	after, cost time.Duration
+	// worth says that the request should go there rather than wait.
+	worth bool
+}
+
+// bestLooked returns the best choice among the endpoints with a fresh look and room.
+func (c *Core) bestLooked(now time.Duration, r *request) looked {
 	p := r.pool
-	best, bestTime := -1, time.Duration(0)
+	best := looked{index: -1}
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
 		if e.State != table.EndpointLive || r.tried.Has(i) || !e.Look.Seen || e.Look.At < r.look.began-lookFresh || !e.MayQueue() {
 			continue
 		}
-		if t := c.expected(now, r, e); best < 0 || t < bestTime {
-			best, bestTime = i, t
+		choice := looked{index: i, after: c.expected(now, r, e)}
+		choice.cost = choice.after + c.wayCost(r, e)
+		choice.worth = c.worthwhile(now, r, e, choice.after)
+		if choice.before(best) {
+			best = choice
 		}
 	}
-	return best, bestTime
+	return best
+}
+
+// before reports whether l is a better choice than other.
+func (l looked) before(other looked) bool {
+	switch {
+	case other.index < 0:
+		return true
+	case l.worth != other.worth:
+		return l.worth
+	}
+	return l.cost < other.cost
+}
+
+// wayCost is what the bytes of a request and its answer cost on the way into another
+// failure domain, where an endpoint of the own one could be in time as well.
+func (c *Core) wayCost(r *request, e *table.Endpoint) time.Duration {
+	if e.Domain == c.cfg.Self.Domain {
+		return 0
+	}
+	return time.Duration(r.service.kilobytes * float64(perKilobyte))
 }
 
 // crowded reports whether most endpoints of which something is known had no room when
@@ -360,7 +393,7 @@
 		if e.State != table.EndpointLive || r.tried.Has(i) || e.Outstanding >= max(1, e.Slots) || full {
 			continue
 		}
-		if rank := c.askRank(now, p, e); best < 0 || rank < bestRank {
+		if rank := c.askRank(now, r, e); best < 0 || rank < bestRank {
 			best, bestRank = i, rank
 		}
 	}
@@ -383,7 +416,7 @@
 const (
 	// paceLasts is how long the pace of a VM commonly lasts from the moment at
 	// which it is seen; beyond it the usual mean pace holds.
-	paceLasts = 100 * time.Millisecond
+	paceLasts = 150 * time.Millisecond
 	// meanPace is the pace over longer times.
 	meanPace = 1.3
 	// nearlyFull is the occupancy from which on some endpoints work more slowly.
@@ -396,7 +429,8 @@
 	sharingWeight = 0.08
 	// littleSharing is up to where nearly full endpoints work about as fast as others.
 	littleSharing = 1.2
-	// perKilobyte is the wait that a kilobyte between failure domains is worth.
+	// perKilobyte is the later answer that a kilobyte between failure domains is worth.
+	// An upload of 60 KB goes to another domain only when it would be late in its own.
 	perKilobyte = 2 * time.Millisecond
 )
 
@@ -416,9 +450,6 @@
 		own += paced(work, pace(&e.Look)) * (float64(ahead) - 0.5) / float64(slots)
 	}
 	own += e.DoubtAfter(now) * 2 * work
-	if e.Domain != c.cfg.Self.Domain {
-		own += r.pool.kilobytes * float64(perKilobyte)
-	}
 	if now < e.AvoidUntil || e.Missing {
 		own += avoidedCost * work
 	}
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -155,7 +155,12 @@
 	if now < c.fleet.nextCheck {
 		return
 	}
-	period := duty.CheckPeriod(len(c.fleet.dutyMembers), duty.DefaultCheckLimits())
+	limits := duty.DefaultCheckLimits()
+	if c.cfg.CheckEvery > 0 {
+		limits.Shortest = c.cfg.CheckEvery
+		limits.Longest = max(limits.Longest, limits.Shortest)
+	}
+	period := duty.CheckPeriod(len(c.fleet.dutyMembers), limits)
 	first := c.fleet.nextCheck == 0
 	c.fleet.nextCheck = duty.NextCheck(now, period, c.rng)
 	if first || c.Reader() {
--- a/internal/core/secondtry.go
+++ b/internal/core/secondtry.go
@@ -83,13 +83,13 @@
 // decideSecond sends a second attempt if the first looks lost or slow and an idle
 // endpoint would answer earlier. One that is at work is left alone: where all are,
 // second attempts would take the slots of first ones.
-func (c *Core) decideSecond(now time.Duration, r *request, best int, expected time.Duration, out *Actions) {
-	if best < 0 || r.phase != phaseActive || r.committed != 0 || r.live() != 1 || r.dispatches != 1 {
+func (c *Core) decideSecond(now time.Duration, r *request, best looked, out *Actions) {
+	if best.index < 0 || r.phase != phaseActive || r.committed != 0 || r.live() != 1 || r.dispatches != 1 {
 		c.endLook(r)
 		return
 	}
-	e := &r.pool.Endpoints[best]
-	if e.Look.Load() > 0 || pace(&e.Look) > 1 || !c.overdue(now, r, expected) || !c.dispatchLooked(now, r, best, out) {
+	e := &r.pool.Endpoints[best.index]
+	if e.Look.Load() > 0 || pace(&e.Look) > 1 || !c.overdue(now, r, best.after) || !c.dispatchLooked(now, r, best.index, out) {
 		c.endLook(r)
 	}
 }
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -45,9 +45,11 @@
 	// hedges are the requests that may still be hedged, oldest first.
 	hedges []hedgeDue
 	// work is how long its requests take at endpoints that were idle.
-	work workTime
-	// patience is the longest that a caller said it would wait.
-	patience time.Duration
+	work median
+	// kilobytes is a smoothed size of a request with its answer.
+	kilobytes float64
+	// patience is for how long callers commonly say that they wait.
+	patience median
 	// arrived counts requests since the last rate sample.
 	arrived uint64
 }
@@ -84,8 +86,6 @@
 	probePath string
 	// sharing is by how much longer work takes at endpoints that are nearly full.
 	sharing float64
-	// kilobytes is a smoothed size of a request with its answer.
-	kilobytes float64
 }
 
 // expectedWork is how long a request of the service is taken to hold a slot.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,7 +45,6 @@
 	signals := make(chan os.Signal, pendingSignals)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	entry.TuneMemory()
 	return run(args, out, errOut, signals)
 }
 
@@ -124,6 +123,7 @@
 		fmt.Fprintf(command.OutOrStdout(), "%s: the settings of %s are valid\n", f.config, s.Name)
 		return nil
 	}
+	entry.TuneMemory(s.Limits.HeapGrowth)
 	logTo(command.ErrOrStderr(), s.Log.Verbosity)
 	defer klog.Flush()
 	return serve(f.config, s, sides, signals)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -225,6 +225,7 @@
 	c.AnswersTTL = e.settings.Timeouts.AnswersTTL.Duration
 	c.PeerBytesPerSecond = float64(e.settings.Peers.BytesPerSecond)
 	c.ReadersPerDomain = e.settings.Platform.ReadersPerDomain
+	c.CheckEvery = e.settings.Platform.CheckEvery.Duration
 	c.ListIsFinal = e.settings.Platform.ListIsFinal
 	c.MissingAfter = e.settings.Platform.MissingAfter.Duration
 	c.KeepLast = e.settings.Platform.KeepLast.Duration
--- a/internal/entry/overhead_test.go
+++ b/internal/entry/overhead_test.go
@@ -114,7 +114,7 @@
 // BenchmarkAddedLatency sends the same open-loop load to an endpoint directly
 // and through one entry, in alternating rounds, and reports both.
 func BenchmarkAddedLatency(b *testing.B) {
-	entry.TuneMemory()
+	entry.TuneMemory(settings.Default().Limits.HeapGrowth)
 	endpoint := startEcho(b)
 	e := startEntry(b, endpoint)
 	direct := newLoad(endpoint)
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -52,6 +52,7 @@
 // followLoop watches a value at the platform for as long as this entry is one
 // of those that read for all.
 func (e *Entry) followLoop(ctx context.Context, name string) {
+	e.awaitPeers(ctx)
 	for ctx.Err() == nil {
 		if e.isReader() {
 			e.follow(ctx, name)
@@ -60,6 +61,22 @@
 	}
 }
 
+// startPatience is for how long an entry that starts waits to learn of others before
+// it reads for all: each entry of a fleet that starts would otherwise read as if it
+// were alone.
+const startPatience = time.Second
+
+// awaitPeers waits until this entry knows others, if it has been told of any.
+func (e *Entry) awaitPeers(ctx context.Context) {
+	if _, told := e.told.appendTo(nil); told == 0 {
+		return
+	}
+	until := e.engine.clock() + startPatience
+	for ctx.Err() == nil && e.engine.clock() < until && e.KnownEntries() < 2 {
+		wait.For(ctx, readerCheck/4)
+	}
+}
+
 func (e *Entry) isReader() (reader bool) {
 	e.engine.view(func(_ time.Duration, c *core.Core) { reader = c.Reader() })
 	return reader
@@ -71,6 +88,7 @@
 	defer cancel()
 	e.run(func() { e.endFollowing(ctx, cancel) })
 	options := platform.FollowOptions{
+		Gap:     e.settings.Platform.NewsGap.Duration,
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Backoff: platform.NewBackoff(0, duty.CheckPeriod(e.KnownEntries(), readRetry)),
 		OnError: func(err error) { e.platformFailed(name, err) },
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -16,6 +16,8 @@
 type FollowOptions struct {
 	// Backoff spaces the tries after a failure; zero fields stand for defaults.
 	Backoff Backoff
+	// Gap is the shortest time between two watches that bring news.
+	Gap time.Duration
 	// Rand is used by the loop alone.
 	Rand *rand.Rand
 	// Now is a monotonic clock; nil stands for the process's own.
@@ -70,6 +72,9 @@
 		held := opts.Now()-asked >= minHold
 		if value.Revision > after || held {
 			opts.Backoff.Reset()
+			if rest := opts.Gap - (opts.Now() - asked); value.Revision > after && rest > 0 {
+				opts.Sleep(ctx, rest)
+			}
 		} else {
 			opts.Sleep(ctx, opts.Backoff.Next(opts.Rand))
 		}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -140,6 +140,8 @@
 		c.add("platform.protocol", `write "values" or "store"`, "there is no protocol %q", p.Protocol)
 	}
 	c.inside("platform.readers_per_domain", p.ReadersPerDomain, 1, 1000)
+	c.span("platform.check_every", p.CheckEvery, time.Second, time.Hour)
+	c.span("platform.news_gap", p.NewsGap, 0, 10*time.Second)
 	c.span("platform.missing_after", p.MissingAfter, time.Millisecond, 24*time.Hour)
 	c.span("platform.keep_last", p.KeepLast, time.Millisecond, 30*24*time.Hour)
 }
@@ -193,6 +195,7 @@
 	c.share("limits.repeat_share", l.RepeatShare, 1)
 	c.share("limits.repeat_slack", l.RepeatSlack, 1e6)
 	c.share("limits.looks_per_endpoint", l.LooksPerEndpoint, 1e6)
+	c.inside("limits.heap_growth", l.HeapGrowth, 10, 10_000)
 	c.span("limits.repeat_window", l.RepeatWindow, time.Second, time.Hour)
 	if l.KeyAnswerBytes > l.KeyTableBytes {
 		c.add("limits.key_answer_bytes", "lower it or raise limits.key_table_bytes",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,12 @@
 	// Terms are the figures of the platform's contract as it writes them,
 	// NAME=VALUE each; none by default.
 	Terms []string `toml:"terms"`
+	// CheckEvery is the shortest time between two reads of an entry that others read
+	// for; default 10s.
+	CheckEvery Duration `toml:"check_every" unit:"duration"`
+	// NewsGap is the shortest time between two watches of a value, so that changes
+	// that come together are read together; default 0s.
+	NewsGap Duration `toml:"news_gap" unit:"duration"`
 	// ReadersPerDomain is how many entries of each failure domain read the service
 	// for all; default 2.
 	ReadersPerDomain int `toml:"readers_per_domain" unit:"entries"`
@@ -177,6 +183,9 @@
 	// LooksPerEndpoint bounds how often a second all entries together ask an
 	// endpoint for its load before they choose; default 0, which sets no bound.
 	LooksPerEndpoint float64 `toml:"looks_per_endpoint" unit:"looks/s"`
+	// HeapGrowth is by how many percent the heap may grow before it is collected, if
+	// the environment's GOGC does not say; default 400.
+	HeapGrowth int `toml:"heap_growth" unit:"percent"`
 	// UnframedAnswers passes on answers of endpoints that end with their
 	// connection; default false.
 	UnframedAnswers bool `toml:"unframed_answers"`
@@ -250,7 +259,7 @@
 	return &Settings{
 		Addresses: Addresses{Admin: "127.0.0.1:9090"},
 		Platform: Platform{CallsPerSecond: 5, Timeout: Duration{5 * time.Second}, Watch: Duration{30 * time.Second},
-			Protocol: OwnProtocol, ReadersPerDomain: 2, MissingAfter: Duration{30 * time.Second}, KeepLast: Duration{24 * time.Hour}},
+			Protocol: OwnProtocol, ReadersPerDomain: 2, CheckEvery: Duration{10 * time.Second}, MissingAfter: Duration{30 * time.Second}, KeepLast: Duration{24 * time.Hour}},
 		Peers: Peers{
 			Heartbeat:      Duration{time.Second},
 			CallTimeout:    Duration{3 * time.Second},
@@ -268,6 +277,7 @@
 			KeyTableBytes:          16 << 20,
 			LargestFleet:           60,
 			RepeatWindow:           Duration{10 * time.Second},
+			HeapGrowth:             400,
 		},
 		Timeouts: Timeouts{
 			Header:       Duration{5 * time.Second},
