Duty: the platform is asked only after peers that hold a revision failed

Change: the turn counts fetches in a row that brought nothing; after a sleep the platform comes first.

--- a/internal/core/duty/fetch.go
+++ b/internal/core/duty/fetch.go
@@ -17,8 +17,8 @@
 // maxHolders bounds how many peers that hold a later revision are remembered.
 const maxHolders = 4
 
-// platformTurn: while peers hold a later revision, every third fetch asks the
-// platform instead, in case they cannot be reached.
+// platformTurn: while peers hold a later revision, every third fetch in a row that
+// brings nothing asks the platform instead, in case they cannot be reached.
 const platformTurn = 3
 
 // fetchPlan is when and whom to ask next.
@@ -74,7 +74,7 @@
 // source picks whom to ask in this attempt.
 func (p *fetchPlan) source(fresh bool, peers []uint64) uint64 {
 	if n := len(p.holders); n > 0 {
-		if p.attempt%platformTurn == platformTurn-1 {
+		if p.failures%platformTurn == platformTurn-1 {
 			return Platform
 		}
 		return p.holders[p.attempt%n]
@@ -132,6 +132,7 @@
 // against a late wake-up that takes its old revision for the latest.
 func (t *Tracker) Pause(now, gap time.Duration) {
 	t.plan.asking = false
+	t.plan.failures = max(t.plan.failures, platformTurn-1)
 	t.plan.retryAt = now
 	t.confirmed = false
 	t.started += gap
