Core: a second attempt at the last moment at which it helps; looks from the start

Change: looks are saved up from the start of the process; the last check comes right before the latest start that is in time, and decides.

--- a/internal/core/budget/window.go
+++ b/internal/core/budget/window.go
@@ -142,7 +142,13 @@
 }
 
 // NewLooks returns a budget for one pool.
-func NewLooks(perEndpoint float64) *Looks { return &Looks{perEndpoint: perEndpoint} }
+//
+// What an entry may spend is saved up from the start of its process, and not from its
+// first request on, which would otherwise be sent without a look. The bound on what may
+// be saved keeps a restart of the whole fleet within one second's worth.
+func NewLooks(perEndpoint float64) *Looks {
+	return &Looks{perEndpoint: perEndpoint, paced: bucket{started: true}}
+}
 
 // Request earns the looks of one request.
 func (b *Looks) Request(looks int) { b.saved = min(savedLooks, b.saved+float64(looks)) }
--- a/internal/core/secondtry.go
+++ b/internal/core/secondtry.go
@@ -11,8 +11,9 @@
 	// after, and overdueStep the time between two looks, in the same unit.
 	overdueAfter = 1.3
 	overdueStep  = 0.5
-	// overdueSurely is from when on it counts as overdue whatever its endpoint says.
-	overdueSurely = 2.5
+	// decisionTime is how long before the latest moment a second attempt is decided on:
+	// a look and a tick.
+	decisionTime = 10 * time.Millisecond
 	// watchChecks bounds the looks after one request.
 	watchChecks = 5
 	// slowPace is from when on a VM counts as slow.
@@ -31,8 +32,17 @@
 	if !r.harmless || !r.replayable || r.nested() || r.policy.MaxAttempts < 2 || r.policy.RetryBudget == 0 {
 		return
 	}
-	after := time.Duration(overdueAfter * float64(r.typicalWork()))
-	c.watched = append(c.watched, watchedAttempt{id: r.arrival.ID, at: now + after})
+	c.watched = append(c.watched, watchedAttempt{id: r.arrival.ID, at: r.nextCheck(now, overdueAfter)})
+}
+
+// nextCheck returns when to look after the attempt: after so many times the typical
+// work, and in any case right before a second attempt would be too late.
+func (r *request) nextCheck(now time.Duration, works float64) time.Duration {
+	next := now + time.Duration(works*float64(r.typicalWork()))
+	if last := r.latestInTime() - decisionTime; now < last && last < next {
+		return last
+	}
+	return next
 }
 
 // lookAfterAttempts looks after the attempts that are due.
@@ -50,7 +60,7 @@
 		}
 		due = append(due, w.id)
 		if w.checks++; w.checks < watchChecks {
-			w.at = now + time.Duration(overdueStep*float64(r.typicalWork()))
+			w.at = r.nextCheck(now, overdueStep)
 			kept = append(kept, w)
 		}
 	}
@@ -104,8 +114,8 @@
 	elapsed, work := now-a.at, r.typicalWork()
 	told := e.Look.Seen && e.Look.At >= r.look.began
 	switch {
-	case float64(elapsed) >= overdueSurely*float64(work):
-		return true
+	case now >= r.latestInTime()-decisionTime && now <= r.latestInTime()+decisionTime:
+		return true // the last moment at which a second attempt can be in time
 	case !told:
 		return true // it did not even answer a look
 	case e.Look.Load() == 0:
