Tests of routes, looks, budgets, the store, the dialect and the whole path

Every restart of a process brought a fresh part of the repeats' slack (59 repeats for no request in a model of 12 entries that restart); it is earned over the first window now. A request kept its service but not its pool while its body arrived. A doubt faded without the endpoint ever being tried first.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -48,7 +48,7 @@
 func (c *Core) Routed() bool { return c.snapshot != nil && c.snapshot.Routes() != nil }
 
 func admissionOf(sv *service) Admission {
-	return Admission{Service: sv.name, MaxBody: sv.policy.MaxBodyBytes, row: sv.index + 1}
+	return Admission{Service: sv.name, MaxBody: sv.policy.MaxBodyBytes, row: sv.index + 1, pool: sv.pool, policy: sv.policy}
 }
 
 // unknown tells a service that isn't published from an entry that knows no
--- a/internal/core/budget/window.go
+++ b/internal/core/budget/window.go
@@ -56,22 +56,26 @@
 // Repeats keeps the attempts beyond the first of each request within a bound that
 // holds for all entries together, without a message between them: each spends its
 // share of its own requests, and the sum of the shares is the share of the sum.
-// The slack is divided by the largest fleet that may run, so that neither a
-// partition nor a restart of all entries can add to it.
+// The slack is divided by the largest fleet that may run, and each process earns its
+// part in the course of its first window, so that neither a partition nor any number of
+// restarts can add to it.
 type Repeats struct {
 	bound             RepeatBound
 	slack             float64
+	started           time.Duration
 	requests, repeats window
 	denied            uint64
 }
 
-// NewRepeats returns a budget for one pool; nil where there is no bound.
-func NewRepeats(bound RepeatBound, largestFleet int) *Repeats {
+// NewRepeats returns a budget for one pool of a process that started at a time; nil
+// where there is no bound.
+func NewRepeats(bound RepeatBound, largestFleet int, started time.Duration) *Repeats {
 	if bound.Share <= 0 || bound.Window <= 0 {
 		return nil
 	}
 	return &Repeats{
 		bound:    bound,
+		started:  started,
 		slack:    bound.Slack / float64(max(1, largestFleet)),
 		requests: window{span: bound.Window},
 		repeats:  window{span: bound.Window},
@@ -89,7 +93,8 @@
 func (b *Repeats) Left(now time.Duration) float64 {
 	b.requests.advance(now)
 	b.repeats.advance(now)
-	return repeatReserve*(b.bound.Share*b.requests.total+b.slack) - b.repeats.total
+	earned := b.slack * min(1, float64(now-b.started)/float64(b.bound.Window))
+	return repeatReserve*(b.bound.Share*b.requests.total+earned) - b.repeats.total
 }
 
 // May reports whether one more attempt is allowed, without spending it.
--- /dev/null
+++ b/internal/core/budget/window_test.go
@@ -0,0 +1,106 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// sent is an attempt or a request of one entry.
+type sent struct {
+	at     time.Duration
+	repeat bool
+}
+
+// Endpoints slow down, every entry sends second attempts, and the extra load keeps the
+// endpoints slow. Entries don't see each other, some restart and some are cut off: still
+// all of them together must stay within the share of the requests plus the slack, in
+// every window, whenever it begins.
+func TestRepeatsOfAFleetStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		bound := RepeatBound{Share: rapid.Float64Range(0.05, 0.5).Draw(rt, "share"), Window: 10 * time.Second, Slack: 58}
+		const largest = 12
+		entries := rapid.IntRange(1, largest).Draw(rt, "entries")
+		var log []sent
+		fleet := make([]*Repeats, entries)
+		now := time.Duration(0)
+		for i := range fleet {
+			fleet[i] = NewRepeats(bound, largest, now)
+		}
+		for range rapid.IntRange(100, 500).Draw(rt, "events") {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(rt, "gap")) * time.Millisecond
+			i := rapid.IntRange(0, entries-1).Draw(rt, "entry")
+			if rapid.IntRange(0, 200).Draw(rt, "restart") == 0 {
+				fleet[i] = NewRepeats(bound, largest, now)
+			}
+			if rapid.Bool().Draw(rt, "request") {
+				fleet[i].Request(now)
+				log = append(log, sent{now, false})
+			}
+			for range rapid.IntRange(0, 3).Draw(rt, "wanted") {
+				if fleet[i].TrySpend(now) {
+					log = append(log, sent{now, true})
+				}
+			}
+		}
+		for _, last := range log {
+			repeats, requests := 0, 0
+			for _, s := range log {
+				if s.at <= last.at && s.at > last.at-bound.Window {
+					if s.repeat {
+						repeats++
+					} else {
+						requests++
+					}
+				}
+			}
+			if float64(repeats) > bound.Share*float64(requests)+bound.Slack {
+				rt.Fatalf("%d repeats for %d requests in the window that ends at %v", repeats, requests, last.at)
+			}
+		}
+	})
+}
+
+func TestNoBoundOnRepeats(t *testing.T) {
+	var none *Repeats
+	none.Request(0)
+	if NewRepeats(RepeatBound{}, 1, 0) != nil || !none.May(0) || !none.TrySpend(0) || none.Denied() != 0 {
+		t.Error("without a bound something is denied")
+	}
+}
+
+// A service's traffic doubles, and with it the looks that entries take before they
+// choose. The bound per endpoint holds over ten seconds for all entries together, also
+// when the whole fleet has just started anew, while each gets its part of it.
+func TestLooksOfAFleetStayWithinTheBound(t *testing.T) {
+	const perEndpoint, endpoints, window = 60.0, 8, 10 * time.Second
+	parts := []float64{0.4, 0.3, 0.2, 0.1}
+	fleet := make([]*Looks, len(parts))
+	for i := range fleet {
+		fleet[i] = NewLooks(perEndpoint)
+	}
+	spent := make([]int, len(parts))
+	for now := time.Duration(0); now < window; now += time.Millisecond {
+		for i, b := range fleet {
+			b.Request(18)
+			for b.TrySpend(now, endpoints, parts[i]) {
+				spent[i]++
+			}
+		}
+	}
+	all := 0
+	for i, n := range spent {
+		all += n
+		if want := parts[i] * perEndpoint * endpoints * window.Seconds() * lookReserve; float64(n) < 0.9*want {
+			t.Errorf("entry %d got %d looks, its part is %.0f", i, n, want)
+		}
+	}
+	if limit := perEndpoint * endpoints * window.Seconds(); float64(all) > limit {
+		t.Errorf("%d looks in %v, the bound is %.0f", all, window, limit)
+	}
+	idle := NewLooks(perEndpoint)
+	if idle.TrySpend(time.Hour, endpoints, 1) {
+		t.Error("a look without a request")
+	}
+}
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/profile"
 )
 
 // RequestID identifies a caller's request inside one entry incarnation. The
@@ -56,8 +57,11 @@
 	MaxBody int64
 	// Reason is why the request is refused, ReasonNone if it is not.
 	Reason Reason
-	// row is the index of the service's row plus one, 0 for none.
-	row int32
+	// row is the index of the service's row plus one, 0 for none; pool and policy are
+	// those that were in force.
+	row    int32
+	pool   *pool
+	policy *profile.Policy
 }
 
 // Head is the head of an endpoint's answer.
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -153,7 +153,7 @@
 
 // askRank orders the endpoints to ask: a lower one goes first.
 func (c *Core) askRank(now time.Duration, r *request, e *table.Endpoint) float64 {
-	rank := c.rng.Float64() + rankHeld*float64(e.Outstanding) + rankDoubt*e.DoubtAfter(now)
+	rank := c.rng.Float64() + rankHeld*float64(e.Outstanding) + rankDoubt*max(0, e.DoubtAfter(now)-slightDoubt)
 	if e.Domain != c.cfg.Self.Domain {
 		rank += rankRemote + min(r.service.kilobytes, rankRemote)
 	}
--- /dev/null
+++ b/internal/core/looks_test.go
@@ -0,0 +1,302 @@
+package core
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/route"
+	"pgregory.net/rapid"
+)
+
+// A read would wait beside others, or at a VM that neighbours have slowed down, while
+// an idle endpoint stands by. Reports with earlier answers are older than the state of
+// a VM lasts; only a look right before the request is sent tells.
+func TestChoiceByLook(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		boxes []*box
+		kind  route.Kind
+		want  string
+	}{
+		{"the idle one", []*box{{name: "a", domain: "d0", running: 2}, {name: "b", domain: "d0"}, {name: "c", domain: "d0", running: 1}}, route.Idempotent, "b"},
+		{"the one of usual pace", []*box{{name: "a", domain: "d0", pace: 500}, {name: "b", domain: "d0"}, {name: "c", domain: "d0", pace: 500}}, route.Idempotent, "b"},
+		{"one slot taken beats both", []*box{{name: "a", domain: "d0", running: 2}, {name: "b", domain: "d0", running: 1}}, route.Idempotent, "b"},
+		{"one that says nothing is left", []*box{{name: "a", domain: "d0", silent: true}, {name: "b", domain: "d0"}}, route.NonIdempotent, "b"},
+		{"another endpoint at the address", []*box{{name: "a", domain: "d0", misdirected: true}, {name: "b", domain: "d0", running: 1}}, route.Idempotent, "b"},
+		{"another domain when the own is full", []*box{{name: "a", domain: "d0", running: 2}, {name: "b", domain: "d0", running: 2},
+			{name: "c", domain: "d0", running: 2}, {name: "d", domain: "d1"}}, route.Idempotent, "d"},
+		{"nobody answers: somebody is tried", []*box{{name: "a", domain: "d0", silent: true}}, route.Idempotent, "a"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			y := newYard(t, c.boxes...)
+			y.ask(c.kind, 3*sec)
+			y.run(60 * ms)
+			if !slices.Equal(y.sent, []string{c.want}) {
+				t.Errorf("sent to %v, want %s", y.sent, c.want)
+			}
+		})
+	}
+}
+
+// All endpoints are full for a second. Whatever is sent there queues up, so that a
+// request that comes when a slot is free finds a queue in front of it, and everybody is
+// late for long after. Requests wait in the entry, and the first free slot is used at
+// once.
+func TestFullEndpointsGetNoQueue(t *testing.T) {
+	boxes := idle(3, "d0")
+	y := newYard(t, boxes...)
+	y.learn(8)
+	for _, b := range boxes {
+		b.running, b.waiting = 2, 1
+	}
+	var ids []RequestID
+	for range 6 {
+		ids = append(ids, y.ask(route.Idempotent, 3*sec))
+		y.run(10 * ms)
+	}
+	if len(y.sent) > 0 {
+		t.Fatalf("sent to full endpoints: %v", y.sent)
+	}
+	boxes[1].running, boxes[1].waiting = 0, 0
+	y.run(100 * ms)
+	if len(y.sent) == 0 || y.sent[0] != boxes[1].name {
+		t.Fatalf("a free slot was not used: %v", y.sent)
+	}
+	if y.told[ids[0]].Reason != ReasonNone {
+		t.Errorf("the first was refused: %v", y.told[ids[0]].Reason)
+	}
+}
+
+// Endpoints stay full. A caller that is kept until its deadline can't go elsewhere, and
+// one that comes back at once makes it worse: it is told early, that it has not run and
+// when to come back, and callers who were refused together come back apart.
+func TestWhatFindsNoRoomIsToldEarly(t *testing.T) {
+	boxes := idle(3, "d0")
+	y := newYard(t, boxes...)
+	y.learn(8)
+	for _, b := range boxes {
+		b.running, b.waiting = 2, 4
+	}
+	began := y.now
+	var ids []RequestID
+	for range 4 {
+		ids = append(ids, y.ask(route.Idempotent, 3*sec))
+	}
+	y.run(700 * ms)
+	again := map[time.Duration]bool{}
+	for _, id := range ids {
+		d, ok := y.told[id]
+		if !ok || d.Outcome != OutcomeNotRun || d.RetryAfter <= 0 || d.RetryAfter > sec {
+			t.Fatalf("request %d after %v: %+v", id, y.now-began, d)
+		}
+		again[d.RetryAfter] = true
+	}
+	if len(again) < 3 {
+		t.Errorf("callers are told the same times: %v", again)
+	}
+	if len(y.sent) != 0 {
+		t.Errorf("sent to %v", y.sent)
+	}
+}
+
+// A caller comes back after a refusal and can't be answered in time any more. While
+// others still can, its request takes no slot from them, though it is the oldest.
+func TestThoseInTimeGoFirst(t *testing.T) {
+	boxes := idle(2, "d0")
+	y := newYard(t, boxes...)
+	y.learn(12)
+	for _, b := range boxes {
+		b.running, b.waiting = 2, 1
+	}
+	late := y.ask(route.Idempotent, 3*sec-900*ms)
+	y.run(20 * ms)
+	inTime := y.ask(route.Idempotent, 3*sec)
+	y.run(20 * ms)
+	boxes[0].running, boxes[0].waiting = 1, 0
+	y.run(80 * ms)
+	if len(y.open[inTime]) == 0 {
+		t.Error("the one in time was not sent")
+	}
+	if len(y.open[late]) > 0 {
+		t.Error("the late one went first")
+	}
+}
+
+// An endpoint loses a read, or its VM turns slow under way. The caller would wait until
+// its deadline, while an idle endpoint could answer within the objective. A second
+// attempt goes out in time, never for a request that may run only once, and not to an
+// endpoint that is at work.
+func TestSecondAttempt(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		kind   route.Kind
+		happen func(first *box, others []*box)
+		want   int
+	}{
+		{"the VM turned slow", route.Idempotent, func(first *box, _ []*box) { first.pace = 500 }, 2},
+		{"the request was lost", route.Idempotent, func(first *box, _ []*box) { first.running = 0 }, 2},
+		{"the endpoint went silent", route.Idempotent, func(first *box, _ []*box) { first.silent = true }, 2},
+		{"a booking runs once", route.NonIdempotent, func(first *box, _ []*box) { first.pace = 500 }, 1},
+		{"nobody is idle", route.Idempotent, func(first *box, others []*box) {
+			first.pace = 500
+			for _, b := range others {
+				b.running = 1
+			}
+		}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			boxes := idle(4, "d0")
+			y := newYard(t, boxes...)
+			y.learn(12)
+			id := y.ask(c.kind, 3*sec)
+			y.run(20 * ms)
+			first := y.box(y.open[id][1].Endpoint)
+			others := slices.DeleteFunc(slices.Clone(boxes), func(b *box) bool { return b == first })
+			c.happen(first, others)
+			y.run(320 * ms)
+			if len(y.sent) != c.want || c.want == 2 && y.sent[1] == first.name {
+				t.Errorf("sent to %v, want %d attempts", y.sent, c.want)
+			}
+		})
+	}
+}
+
+// A slot beside another request costs both most of their objective at endpoints that
+// slow down when they are full. The pool learns that from its answers, and a request
+// that would be late there waits for an idle endpoint.
+func TestSharingIsLearned(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		took  time.Duration
+		wants bool
+	}{
+		{"sharing costs little", 100 * ms, true},
+		{"sharing costs much", 380 * ms, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			boxes := idle(1, "d0")
+			y := newYard(t, boxes...)
+			y.learn(8)
+			for range 40 {
+				boxes[0].running = 1
+				id := y.ask(route.Idempotent, 3*sec)
+				y.run(20 * ms)
+				if len(y.open[id]) == 0 {
+					break
+				}
+				y.run(c.took)
+				y.answer(id, 1, 200)
+			}
+			boxes[0].running = 1
+			id := y.ask(route.Idempotent, 3*sec)
+			y.run(20 * ms)
+			if got := len(y.open[id]) > 0; got != c.wants {
+				t.Errorf("sent beside another: %v, want %v (sharing %.2f)", got, c.wants, y.pools["p"].sharing)
+			}
+		})
+	}
+}
+
+// An endpoint that fails half its requests while it says that it is well, or answers for
+// another one at its address, is chosen last, and again soon after it is well.
+func TestOutcomesCountMoreThanStatements(t *testing.T) {
+	boxes := idle(2, "d0")
+	y := newYard(t, boxes...)
+	y.learn(8)
+	e := &y.pools["p"].Endpoints[y.pools["p"].find("d0-0", 1)]
+	for range 4 {
+		noteOutcome(y.now, e, true)
+	}
+	for range 8 {
+		id := y.ask(route.Idempotent, 3*sec)
+		y.run(50 * ms)
+		if got := y.open[id][1].Endpoint; got != "d0-1" {
+			t.Fatalf("sent to %s, which fails", got)
+		}
+		y.answer(id, 1, 200)
+	}
+	y.run(20 * sec)
+	seen := map[string]bool{}
+	for range 20 {
+		id := y.ask(route.Idempotent, 3*sec)
+		y.run(50 * ms)
+		seen[y.open[id][1].Endpoint] = true
+		y.answer(id, 1, 200)
+	}
+	if !seen["d0-0"] {
+		t.Error("it is never tried again")
+	}
+}
+
+// The endpoints of a service tell no load. Looks are worth nothing there and are given
+// up; requests are sent by what the entry itself has under way.
+func TestEndpointsThatTellNoLoad(t *testing.T) {
+	y := newYard(t, idle(3, "d0")...)
+	y.pools["p"].mute = muteLooks
+	id := y.ask(route.Idempotent, 3*sec)
+	y.run(10 * ms)
+	if len(y.open[id]) != 1 || len(y.looked) != 0 {
+		t.Errorf("attempts %v, looks %v", y.open[id], y.looked)
+	}
+}
+
+// Operators split a route to try a release. Over any 200 requests the parts must have
+// their shares, whatever the weights, and also when the split is published again.
+func TestSplitKeepsItsShares(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		y := newYard(t, idle(1, "d0")...)
+		a, b := rapid.IntRange(1, 99).Draw(rt, "a"), rapid.IntRange(1, 99).Draw(rt, "b")
+		d := yardRoutes(route.Part{Service: "p", Weight: a}, route.Part{Service: "q", Weight: b})
+		y.publish(2, d)
+		var got []string
+		for i := range 600 {
+			if i == 300 {
+				d.Limits.BodyBytes = 1 // another revision, the same split
+				y.publish(3, d)
+			}
+			got = append(got, y.AdmitRoute("a", "/idempotent/x").Service)
+		}
+		for from := 0; from+200 <= len(got); from += 50 {
+			n := 0
+			for _, name := range got[from : from+200] {
+				if name == "idempotent/p" {
+					n++
+				}
+			}
+			share, want := float64(n)/200, float64(a)/float64(a+b)
+			if share < want-0.02 || share > want+0.02 {
+				rt.Fatalf("share %.3f, want %.3f", share, want)
+			}
+		}
+	})
+}
+
+// A booking's body takes long to arrive, and meanwhile its route moves to another
+// service. The request stays with what was in force when its head arrived; a new one
+// follows the new routes, and one whose route is gone is told so.
+func TestRequestKeepsItsRoute(t *testing.T) {
+	y := newYard(t, idle(2, "d0")...)
+	before := y.AdmitRoute("a", "/non_idempotent/x")
+	d := yardRoutes(route.Part{Service: "q", Weight: 1})
+	d.Routes = d.Routes[:2]
+	y.publish(2, d)
+	y.nextID++
+	id := y.nextID
+	y.do(func(out *Actions) {
+		y.Arrive(y.now, Arrival{ID: id, Service: before.Service, Admission: before, Replayable: true, CallerAttempt: 1}, out)
+	})
+	y.run(20 * ms)
+	if len(y.open[id]) != 1 {
+		t.Errorf("the older request was not sent: %+v", y.told[id])
+	}
+	if after := y.AdmitRoute("a", "/non_idempotent/x"); after.Reason != ReasonNone {
+		t.Errorf("new request: %v", after.Reason)
+	}
+	if gone := y.AdmitRoute("a", "/upload/x"); gone.Reason != ReasonUnknownService {
+		t.Errorf("dropped route: %v", gone.Reason)
+	}
+	if none := New(DefaultConfig(y.cfg.Self), y.rng).AdmitRoute("a", "/"); none.Reason != ReasonStarting {
+		t.Errorf("before the first routes: %v", none.Reason)
+	}
+}
--- /dev/null
+++ b/internal/core/member/final_test.go
@@ -0,0 +1,54 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/platform"
+)
+
+// The platform's service was away and most endpoints' entries lapsed meanwhile. They
+// are back two seconds after its return. A reader that dropped them at once would send
+// everything to the first one that is back; one that kept them for good would send to
+// endpoints that have ended. They stay for a short time, marked as missing, and one
+// that is not listed again goes, whether it still answers or not.
+func TestListThatIsFinal(t *testing.T) {
+	const missing, last = 1400 * time.Millisecond, 1700 * time.Millisecond
+	table := New(Config{Self: 1, Region: "r1", ListIsFinal: true, MissingAfter: missing, KeepLast: last})
+	list := func(revision uint64, names ...string) platform.VMList {
+		l := platform.VMList{Revision: revision}
+		for _, name := range names {
+			l.VMs = append(l.VMs, parseVM(name+"/1"))
+		}
+		return l
+	}
+	kinds := func(changes []Change) string {
+		var out []string
+		for _, c := range changes {
+			out = append(out, c.Kind.String()+" "+c.VM.Name)
+		}
+		return fmt.Sprint(out)
+	}
+	table.ApplyList(0, list(1, "a", "b", "c", "d"))
+	if got := kinds(table.ApplyList(time.Second, list(2, "a"))); got != "[endpoint-missing b endpoint-missing c endpoint-missing d]" {
+		t.Errorf("lost: %s", got)
+	}
+	if got := kinds(table.ApplyList(1500*time.Millisecond, list(3, "a", "b"))); got != "[endpoint-listed b]" {
+		t.Errorf("listed again: %s", got)
+	}
+	table.Answered(2*time.Second, "c", 1)
+	if got := kinds(table.Tick(2300 * time.Millisecond)); got != "[]" {
+		t.Errorf("too early: %s", got)
+	}
+	if got := kinds(table.Tick(time.Second + missing)); got != "[endpoint-gone c endpoint-gone d]" {
+		t.Errorf("gone: %s", got)
+	}
+	table.ApplyList(10*time.Second, list(4))
+	if got := kinds(table.Tick(10*time.Second + missing)); got != "[]" {
+		t.Errorf("the last endpoints went early: %s", got)
+	}
+	if got := kinds(table.Tick(10*time.Second + last)); got != "[endpoint-gone a endpoint-gone b]" {
+		t.Errorf("the last endpoints: %s", got)
+	}
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -156,7 +156,10 @@
 
 func (c *Core) newRequest(now time.Duration, a Arrival, sv *service) *request {
 	r := c.takeRow()
-	policy := sv.policy
+	policy, pool := sv.policy, sv.pool
+	if a.Admission.row > 0 {
+		policy, pool = a.Admission.policy, a.Admission.pool
+	}
 	limit := policy.Deadline
 	if a.Timeout > 0 && a.Timeout < limit {
 		limit = a.Timeout
@@ -164,7 +167,7 @@
 	*r = request{
 		arrival:    a,
 		service:    sv,
-		pool:       sv.pool,
+		pool:       pool,
 		policy:     policy,
 		phase:      phaseActive,
 		arrived:    now,
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -178,7 +178,7 @@
 			LargestFleet: c.cfg.LargestFleet,
 		}),
 		serviceNanos: float64(firstService),
-		repeats:      budget.NewRepeats(c.cfg.Repeats, c.cfg.LargestFleet),
+		repeats:      budget.NewRepeats(c.cfg.Repeats, c.cfg.LargestFleet, 0),
 		looks:        budget.NewLooks(c.cfg.LooksPerEndpoint),
 		sharing:      firstSharing,
 	}
--- /dev/null
+++ b/internal/core/yard_test.go
@@ -0,0 +1,237 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/budget"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/route"
+)
+
+const yardProfiles = `
+format = 1
+[profile.reads]
+kind = "read"
+looks = 9
+queue_limit = 200
+caller_share = 1.0
+retry_budget = 0.5
+[profile.once]
+kind = "once"
+require_key = false
+max_attempts = 1
+looks = 9
+caller_share = 1.0
+retry_budget = 0.5
+[profile.uploads]
+kind = "bulk"
+looks = 9
+slot_share = 1.0
+caller_share = 1.0
+[traffic.reads]
+kind = "idempotent"
+profile = "reads"
+[traffic.once]
+kind = "non_idempotent"
+profile = "once"
+[traffic.uploads]
+kind = "upload"
+profile = "uploads"
+`
+
+// box is an endpoint of a yard as it tells its load.
+type box struct {
+	name, domain           string
+	running, waiting, pace int
+	silent, misdirected    bool
+}
+
+// yard is one core in failure domain d0 before endpoints with two slots each, whose
+// loads a test sets. Looks are answered after a millisecond.
+type yard struct {
+	testing.TB
+	*Core
+	now   time.Duration
+	boxes []*box
+	under []yardLetter
+	// sent lists the endpoints of attempts in order, told what callers got.
+	sent   []string
+	looked []string
+	told   map[RequestID]Directive
+	open   map[RequestID]map[Attempt]Directive
+	nextID RequestID
+}
+
+type yardLetter struct {
+	at   time.Duration
+	read func()
+}
+
+// yardRoutes are a route of each kind, all to pool "p".
+func yardRoutes(parts ...route.Part) route.Document {
+	if len(parts) == 0 {
+		parts = []route.Part{{Service: "p", Weight: 1}}
+	}
+	d := route.Document{Services: []route.Service{{Name: "p", ProbePath: "/h"}, {Name: "q", ProbePath: "/h"}}}
+	for _, kind := range route.Kinds() {
+		d.Routes = append(d.Routes, route.Route{Name: string(kind), Host: "a", Prefix: "/" + string(kind) + "/", Kind: kind,
+			Timeout: 1500, Objective: 400, MaxAttempts: 2, Parts: parts})
+	}
+	return d
+}
+
+func newYard(t testing.TB, boxes ...*box) *yard {
+	y := &yard{TB: t, now: sec, boxes: boxes, told: map[RequestID]Directive{}, open: map[RequestID]map[Attempt]Directive{}}
+	cfg := DefaultConfig(message.Hello{Name: "self", Incarnation: 1, Region: "r", Domain: "d0", CallerAddress: "10.0.0.1:80", PeerAddress: "10.0.0.1:81"})
+	cfg.LooksPerEndpoint = 1000
+	cfg.ListIsFinal = true
+	cfg.Repeats = budget.RepeatBound{Share: 1, Window: 10 * sec, Slack: 1000}
+	cfg.LargestFleet = 1
+	y.Core = New(cfg, rand.New(rand.NewPCG(1, 2)))
+	y.publish(1, yardRoutes())
+	list := platform.VMList{Revision: 1}
+	for _, b := range boxes {
+		list.VMs = append(list.VMs, platform.VM{Name: b.name, Incarnation: 1, Role: platform.EndpointRole, State: platform.Live,
+			Region: "r", Domain: b.domain, Address: b.name, Pool: "p", Slots: 2})
+	}
+	y.do(func(out *Actions) {
+		y.Offer(y.now, Offered{Name: platform.VMsValue, Mark: message.Mark{Revision: 1, Digest: 1}, VMs: list}, out)
+	})
+	y.Confirm(y.now, platform.VMsValue)
+	y.run(200 * ms)
+	return y
+}
+
+func (y *yard) publish(revision uint64, d route.Document) {
+	base, err := profile.Parse([]byte(yardProfiles), 1)
+	if err != nil {
+		y.Fatal(err)
+	}
+	table, err := route.Parse(route.Encode(d))
+	if err != nil {
+		y.Fatal(err)
+	}
+	bound, err := base.Bind(table, revision, revision)
+	if err != nil {
+		y.Fatal(err)
+	}
+	y.do(func(out *Actions) {
+		y.Offer(y.now, Offered{Name: platform.ProfilesValue, Mark: message.Mark{Revision: revision, Digest: revision}, Profiles: bound}, out)
+	})
+	y.Confirm(y.now, platform.ProfilesValue)
+}
+
+func (y *yard) box(name string) *box {
+	for _, b := range y.boxes {
+		if b.name == name {
+			return b
+		}
+	}
+	return nil
+}
+
+func (y *yard) do(event func(out *Actions)) {
+	var out Actions
+	event(&out)
+	for _, d := range out.Requests {
+		switch d.Step {
+		case StepDispatch:
+			y.sent = append(y.sent, d.Endpoint)
+			if y.open[d.ID] == nil {
+				y.open[d.ID] = map[Attempt]Directive{}
+			}
+			y.open[d.ID][d.Attempt] = d
+			y.box(d.Endpoint).running++
+		case StepReply:
+			if _, twice := y.told[d.ID]; twice {
+				y.Errorf("request %d got two answers", d.ID)
+			}
+			y.told[d.ID] = d
+		}
+	}
+	for _, p := range out.Probes {
+		y.looked = append(y.looked, p.Endpoint)
+		y.post(ms, func() { y.answerLook(p) })
+	}
+}
+
+func (y *yard) answerLook(p Probe) {
+	b := y.box(p.Endpoint)
+	end := ProbeEnd{Probe: p, OK: !b.silent, Misdirected: b.misdirected, Latency: ms,
+		Load: Load{Known: !b.silent, InFlight: b.running, Queued: b.waiting, Slots: 2, Pace: max(b.pace, 100)}}
+	y.do(func(out *Actions) { y.ProbeEnd(y.now, end, out) })
+}
+
+func (y *yard) post(after time.Duration, read func()) {
+	y.under = append(y.under, yardLetter{y.now + after, read})
+}
+
+// run lets time pass in steps of a millisecond, with a tick every five.
+func (y *yard) run(d time.Duration) {
+	for end := y.now + d; y.now < end; {
+		y.now += ms
+		due := y.under
+		y.under = nil
+		for _, l := range due {
+			if l.at <= y.now {
+				l.read()
+			} else {
+				y.under = append(y.under, l)
+			}
+		}
+		if y.now%(5*ms) == 0 {
+			y.do(func(out *Actions) { y.Tick(y.now, time.Unix(0, 0), out) })
+		}
+	}
+}
+
+// ask feeds a request of a kind and returns its number.
+func (y *yard) ask(kind route.Kind, left time.Duration) RequestID {
+	y.nextID++
+	a := y.AdmitRoute("a", "/"+string(kind)+"/x")
+	if a.Reason != ReasonNone {
+		y.Fatalf("not admitted: %v", a.Reason)
+	}
+	id := y.nextID
+	y.do(func(out *Actions) {
+		y.Arrive(y.now, Arrival{ID: id, Service: a.Service, Admission: a, Replayable: true, Timeout: left, CallerAttempt: 1}, out)
+	})
+	return id
+}
+
+// answer ends a request's attempt with a status.
+func (y *yard) answer(id RequestID, n Attempt, status int) {
+	d, ok := y.open[id][n]
+	if !ok {
+		y.Fatalf("request %d has no attempt %d", id, n)
+	}
+	delete(y.open[id], n)
+	b := y.box(d.Endpoint)
+	b.running--
+	y.do(func(out *Actions) {
+		y.Head(y.now, Head{ID: id, Attempt: n, Status: status, Load: Load{Known: true, InFlight: b.running, Queued: b.waiting, Slots: 2, Pace: max(b.pace, 100)}}, out)
+		y.End(y.now, End{ID: id, Attempt: n, Kind: EndComplete, Replayable: true}, out)
+	})
+}
+
+// learn makes the core know that reads take 100 ms, and leaves the boxes idle.
+func (y *yard) learn(requests int) {
+	for range requests {
+		id := y.ask(route.Idempotent, 3*sec)
+		y.run(100 * ms)
+		y.answer(id, 1, 200)
+	}
+	y.sent, y.looked = nil, nil
+}
+
+func idle(n int, domain string) (boxes []*box) {
+	for i := range n {
+		boxes = append(boxes, &box{name: fmt.Sprint(domain, "-", i), domain: domain})
+	}
+	return boxes
+}
--- /dev/null
+++ b/internal/profile/traffic_test.go
@@ -0,0 +1,130 @@
+package profile
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/route"
+)
+
+const trafficDocument = `
+format = 1
+[profile.reads]
+kind = "read"
+looks = 6
+[profile.urgent]
+kind = "urgent"
+[profile.once]
+kind = "once"
+require_key = false
+max_attempts = 1
+[profile.uploads]
+kind = "bulk"
+[traffic.reads]
+kind = "idempotent"
+profile = "reads"
+[traffic.first]
+kind = "idempotent"
+priority = 0
+profile = "urgent"
+[traffic.once]
+kind = "non_idempotent"
+profile = "once"
+[traffic.uploads]
+kind = "upload"
+profile = "uploads"
+`
+
+func trafficTable(t *testing.T, routes ...route.Route) *route.Table {
+	t.Helper()
+	for i := range routes {
+		r := &routes[i]
+		r.Host, r.Prefix = "a", "/"+r.Name+"/"
+		r.Timeout, r.Objective, r.MaxAttempts = 1500, 400, 2
+	}
+	d := route.Document{Routes: routes, Services: []route.Service{{Name: "s", ProbePath: "/h"}, {Name: "t"}}, Limits: route.Limits{BodyBytes: 77}}
+	table, err := route.Parse(route.Encode(d))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// Names of routes are new each day; what a route is treated by follows from its kind
+// and rank. What the route says itself goes before its profile.
+func TestBind(t *testing.T) {
+	base, err := Parse([]byte(trafficDocument), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	one := []route.Part{{Service: "s", Weight: 1}}
+	bound, err := base.Bind(trafficTable(t,
+		route.Route{Name: "r", Kind: route.Idempotent, Priority: 2, Parts: one},
+		route.Route{Name: "u", Kind: route.Idempotent, Priority: 0, Parts: one},
+		route.Route{Name: "b", Kind: route.NonIdempotent, Priority: 1, Parts: []route.Part{{Service: "s", Weight: 9}, {Service: "t", Weight: 1}}},
+		route.Route{Name: "l", Kind: route.Upload, Priority: 12, Parts: one},
+	), 7, 8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if bound.Revision() != 7 || bound.Digest() != 8 || len(base.Services()) != 0 || bound.Routes() == nil {
+		t.Errorf("revision %d, digest %d, services of the base %d", bound.Revision(), bound.Digest(), len(base.Services()))
+	}
+	for _, c := range []struct {
+		service, profile, pool, probe string
+		priority                      int
+	}{
+		{"r", "reads", "s", "/h", 7},
+		{"u", "urgent", "s", "/h", 9},
+		{"b/s", "once", "s", "/h", 8},
+		{"b/t", "once", "t", "", 8},
+		{"l", "uploads", "s", "/h", 0},
+	} {
+		s, ok := bound.Service(c.service)
+		if !ok {
+			t.Errorf("no service %s", c.service)
+			continue
+		}
+		p := s.Policy(false)
+		if s.Profile != c.profile || s.Pool != c.pool || s.ProbePath != c.probe || p.Priority != c.priority {
+			t.Errorf("%s: profile %s, pool %s, probe %q, priority %d", c.service, s.Profile, s.Pool, s.ProbePath, p.Priority)
+		}
+		if p.Deadline != 1500*time.Millisecond || p.Objective != 400*time.Millisecond || p.MaxAttempts != 2 || p.MaxBodyBytes != 77 || p.RequireKey {
+			t.Errorf("%s: %+v", c.service, p)
+		}
+	}
+}
+
+// A rule that treated bookings as reads would run them twice; one that forgets a kind
+// would leave routes without a profile on the day on which they come.
+func TestTrafficRulesAreChecked(t *testing.T) {
+	for _, c := range []struct{ name, old, new, says string }{
+		{"once treated as read", `profile = "once"`, `profile = "reads"`, "does not suit non_idempotent routes"},
+		{"no rule for a kind", "[traffic.uploads]\nkind = \"upload\"\nprofile = \"uploads\"\n", "", `no rule covers routes of kind "upload"`},
+		{"only a rule with a priority", "profile = \"uploads\"\n", "profile = \"uploads\"\npriority = 3\n", `no rule covers routes of kind "upload"`},
+		{"unknown profile", `profile = "urgent"`, `profile = "urgnt"`, "there is no profile"},
+		{"unknown kind", `kind = "upload"`, `kind = "safe"`, "no such kind of route"},
+		{"bad rank", "priority = 0", "priority = -1", "the value is not a rank"},
+		{"unknown field", "priority = 0", "rank = 0", "unknown field"},
+	} {
+		text := strings.Replace(trafficDocument, c.old, c.new, 1)
+		if text == trafficDocument {
+			t.Fatalf("%s: nothing replaced", c.name)
+		}
+		if _, err := Parse([]byte(text), 1); err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
+
+func TestNoRuleForARoute(t *testing.T) {
+	base, err := Parse([]byte("format = 1\n[profile.r]\nkind = \"read\"\n[service.s]\nprofile = \"r\"\n"), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := trafficTable(t, route.Route{Name: "r", Kind: route.Upload, Parts: []route.Part{{Service: "s", Weight: 1}}})
+	if _, err := base.Bind(table, 2, 2); err == nil || !strings.Contains(err.Error(), "add a [traffic] rule") {
+		t.Errorf("got %v", err)
+	}
+}
