Repeats: the fleet's bound counts alone; entries that come back are dialled sooner

Cause: an incident's log showed reads lost at a crashed endpoint by entries that had just been restarted: the service's budget is earned by successes, and a new process has none.

Peers are dialled again after 0.1 to 1.5 s.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -405,11 +405,34 @@
 	if r.nested() && !provablyNotRun {
 		return false
 	}
-	if !r.pool.repeats.May(now) || !r.service.retry.TrySpend(now) {
+	return c.payRepeat(now, r)
+}
+
+// payRepeat takes one more attempt from the budget that bounds repeats. Where the fleet
+// has a bound of its own, it counts alone: it follows the requests, while the service's
+// budget is earned by successes, of which a process that has just started has none, so
+// that its first requests to a failing endpoint would fail with it.
+func (c *Core) payRepeat(now time.Duration, r *request) bool {
+	paid := false
+	switch {
+	case r.policy.RetryBudget == 0:
+	case r.pool.repeats != nil:
+		paid = r.pool.repeats.TrySpend(now)
+	default:
+		paid = r.service.retry.TrySpend(now)
+	}
+	if !paid {
 		c.counters.RetriesDenied++
-		return false
 	}
-	return r.pool.repeats.TrySpend(now)
+	return paid
+}
+
+// mayPayRepeat reports whether payRepeat would, without spending anything.
+func (c *Core) mayPayRepeat(now time.Duration, r *request) bool {
+	if r.pool.repeats != nil {
+		return r.policy.RetryBudget > 0 && r.pool.repeats.May(now)
+	}
+	return r.service.retry.Level() >= 1
 }
 
 // nested says that the request is part of another one, which may itself be
--- a/internal/core/budget/window.go
+++ b/internal/core/budget/window.go
@@ -61,7 +61,8 @@
 // restarts can add to it.
 type Repeats struct {
 	bound             RepeatBound
-	slack             float64
+	largest           int
+	fleet             int
 	started           time.Duration
 	requests, repeats window
 	denied            uint64
@@ -76,7 +77,7 @@
 	return &Repeats{
 		bound:    bound,
 		started:  started,
-		slack:    bound.Slack / float64(max(1, largestFleet)),
+		largest:  max(1, largestFleet),
 		requests: window{span: bound.Window},
 		repeats:  window{span: bound.Window},
 	}
@@ -89,11 +90,20 @@
 	}
 }
 
+// SetFleet tells the largest number of entries known to have run at a time, for a fleet
+// that has grown beyond the setting.
+func (b *Repeats) SetFleet(entries int) {
+	if b != nil {
+		b.fleet = entries
+	}
+}
+
 // Left returns how many more attempts may be sent now.
 func (b *Repeats) Left(now time.Duration) float64 {
 	b.requests.advance(now)
 	b.repeats.advance(now)
-	earned := b.slack * min(1, float64(now-b.started)/float64(b.bound.Window))
+	slack := b.bound.Slack / float64(max(b.largest, b.fleet))
+	earned := slack * min(1, float64(now-b.started)/float64(b.bound.Window))
 	return repeatReserve*(b.bound.Share*b.requests.total+earned) - b.repeats.total
 }
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -137,6 +137,9 @@
 	}
 	f.mostEntries = max(f.mostEntries, len(f.entries))
 	f.part = c.partOfRequests()
+	for _, p := range c.poolRows {
+		p.repeats.SetFleet(f.mostEntries)
+	}
 	f.reader = duty.IsReader(f.selfID, f.dutyMembers, c.cfg.ReadersPerDomain)
 	c.assignReaders()
 }
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -304,7 +304,7 @@
 		return false
 	}
 	second := r.look.second
-	if second && !c.payForSecond(now, r) {
+	if second && !c.payRepeat(now, r) {
 		return false
 	}
 	c.endLook(r)
--- a/internal/core/looks_test.go
+++ b/internal/core/looks_test.go
@@ -300,3 +300,18 @@
 		t.Errorf("before the first routes: %v", none.Reason)
 	}
 }
+
+// An entry has just started, and the first endpoint that it sends a read to loses it.
+// A budget that successes earn is empty then; the read would fail although an idle
+// endpoint stands by and the fleet is far within its bound.
+func TestFirstRequestsOfAProcessAreRepeated(t *testing.T) {
+	y := newYard(t, idle(3, "d0")...)
+	id := y.ask(route.Idempotent, 3*sec)
+	y.run(20 * ms)
+	y.do(func(out *Actions) { y.End(y.now, End{ID: id, Attempt: 1, Kind: EndLost, Replayable: true}, out) })
+	delete(y.open[id], 1)
+	y.run(20 * ms)
+	if len(y.open[id]) != 1 {
+		t.Errorf("not repeated: %+v", y.told[id])
+	}
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -339,6 +339,9 @@
 		c.leaveWaiters(r)
 	}
 	c.now, r.gone, r.outcome = now, true, r.weakest
+	if r.live() > 0 {
+		r.outcome = OutcomeUnknown
+	}
 	c.settleKey(now, r, r.weakest, nil, out)
 	c.finish(r, out)
 	c.drainPool(now, p, out)
--- a/internal/core/secondtry.go
+++ b/internal/core/secondtry.go
@@ -74,7 +74,7 @@
 
 // lookAfter asks the endpoint at work, and others that could take over.
 func (c *Core) lookAfter(now time.Duration, r *request, out *Actions) {
-	if r.look.active || r.live() != 1 || !r.pool.repeats.May(now) || r.service.retry.Level() < 1 {
+	if r.look.active || r.live() != 1 || !c.mayPayRepeat(now, r) {
 		return
 	}
 	a := &r.attempts[1]
@@ -128,12 +128,3 @@
 	left := float64(work) - float64(elapsed)/pace(&e.Look)
 	return paced(max(left, 0.3*float64(work)), pace(&e.Look)) > float64(expected)
 }
-
-// payForSecond takes a second attempt from the budgets.
-func (c *Core) payForSecond(now time.Duration, r *request) bool {
-	if !r.pool.repeats.May(now) || !r.service.retry.TrySpend(now) {
-		c.counters.RetriesDenied++
-		return false
-	}
-	return r.pool.repeats.TrySpend(now)
-}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -182,6 +182,7 @@
 		looks:        budget.NewLooks(c.cfg.LooksPerEndpoint),
 		sharing:      firstSharing,
 	}
+	p.repeats.SetFleet(c.fleet.mostEntries)
 	c.pools[name] = p
 	c.poolRows = append(c.poolRows, p)
 	return p
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -19,11 +19,21 @@
 // whose coding adds to its size.
 const handoverBytes = 256 << 10
 
+// The waits before a peer is dialled again. Where the platform lists no entries, one
+// that comes back is found by dialling its address only, and until then it is named to
+// no caller; a dial to an address at which nobody listens costs two packets.
+const (
+	backoffMin = 100 * time.Millisecond
+	backoffMax = 1500 * time.Millisecond
+)
+
 // buildPeers builds the server for peers and the links to them.
 func (e *Entry) buildPeers() {
 	cfg := peer.Config{
 		Heartbeat:      e.settings.Peers.Heartbeat.Duration,
 		CallTimeout:    e.settings.Peers.CallTimeout.Duration,
+		BackoffMin:     backoffMin,
+		BackoffMax:     backoffMax,
 		BytesPerSecond: e.settings.Peers.BytesPerSecond,
 		Connections:    e.settings.Peers.Connections,
 		HandoverBytes:  handoverBytes + 2*e.settings.Limits.KeyAnswerBytes,
