Core: several looks tell a VM that stays slow; nothing goes where it is not answered

Change: an endpoint whose every look of the last seconds told a slow pace is taken to stay so; a request is not sent where it would be answered after its deadline; an entry that starts asks its callers back after a fraction of a second.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -56,7 +56,7 @@
 		return
 	}
 	if h.Load.Known {
-		e.Look = lookOf(now, h.Load)
+		e.See(lookOf(now, h.Load))
 	}
 	c.claimFromAnswer(now, e, h.Draining, h.Incarnation, out)
 }
--- a/internal/core/budget/window.go
+++ b/internal/core/budget/window.go
@@ -50,8 +50,9 @@
 }
 
 // repeatReserve is the part of the bound that is used. The rest covers requests
-// that one entry counts in a window and an observer counts in the next one.
-const repeatReserve = 0.8
+// that one entry counts in a window and an observer counts in the next one; the part of
+// the slack that no entry gets, since fewer run than may, covers them as well.
+const repeatReserve = 0.9
 
 // Repeats keeps the attempts beyond the first of each request within a bound that
 // holds for all entries together, without a message between them: each spends its
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -185,7 +185,7 @@
 		e.AvoidUntil = max(e.AvoidUntil, now+unwellPause)
 	case end.Load.Known:
 		p.mute = 0
-		e.Look = lookOf(now, end.Load)
+		e.See(lookOf(now, end.Load))
 	default:
 		p.mute++
 	}
@@ -440,16 +440,18 @@
 // would cost the request beside it counts as well: a slot that slows both down is
 // worth its use only where both can bear it.
 func (c *Core) expected(now time.Duration, r *request, e *table.Endpoint) time.Duration {
-	work := float64(r.typicalWork())
+	lasting := e.Paces.Lasting(now)
+	work := float64(r.typicalWork()) * lasting
+	pace := max(1, pace(&e.Look)/lasting)
 	load, slots := e.Look.Load(), max(1, e.Look.Slots)
 	own, harm := work, 0.0
 	if fills(load, slots) {
 		own *= r.pool.sharing
 		harm = (r.pool.sharing - 1) * work
 	}
-	own = paced(own, pace(&e.Look)) + harm
+	own = paced(own, pace) + harm
 	if ahead := load - slots + 1; ahead > 0 {
-		own += paced(work, pace(&e.Look)) * (float64(ahead) - 0.5) / float64(slots)
+		own += paced(work, pace) * (float64(ahead) - 0.5) / float64(slots)
 	}
 	own += e.DoubtAfter(now) * 2 * work
 	if now < e.AvoidUntil || e.Missing {
@@ -475,8 +477,11 @@
 // worthwhile reports whether r should go to an endpoint that would answer after the
 // expected time. A request that can be in time elsewhere waits for that; one that is
 // late by now takes no slot beside another request, which would be late as well then.
+// None goes where it would not be answered at all.
 func (c *Core) worthwhile(now time.Duration, r *request, e *table.Endpoint, expected time.Duration) bool {
 	switch {
+	case now+expected >= r.deadline:
+		return false
 	case r.policy.Objective == 0:
 		return true
 	case r.late:
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -363,7 +363,11 @@
 	}
 	c.countOutcome(outcome)
 	c.counters.Refused[reason]++
-	out.request(Directive{ID: a.ID, Step: StepReply, Outcome: outcome, Reason: reason, RetryAfter: refusedAtDoorRetry})
+	after := refusedAtDoorRetry
+	if reason == ReasonStarting {
+		after = c.comeBack() // it takes a fraction of a second to get ready
+	}
+	out.request(Directive{ID: a.ID, Step: StepReply, Outcome: outcome, Reason: reason, RetryAfter: after})
 }
 
 // fail ends a request with tealhall's own answer. The outcome is the weakest
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -46,6 +46,47 @@
 	Since int32
 }
 
+// paceWindow is half the time for which paces are remembered, and paceLooks how many it
+// takes to tell a VM that stays slow from one that neighbours slow down for a moment.
+const (
+	paceWindow = time.Second
+	paceLooks  = 3
+)
+
+// Paces remembers the best pace that an endpoint told in the last one to two windows.
+type Paces struct {
+	since          time.Duration
+	best, before   int32
+	looks, earlier int32
+}
+
+// note takes in a pace.
+func (p *Paces) note(now time.Duration, pace int32) {
+	switch age := now - p.since; {
+	case age >= 2*paceWindow:
+		*p = Paces{since: now}
+	case age >= paceWindow:
+		*p = Paces{since: now, before: p.best, earlier: p.looks}
+	}
+	if p.looks == 0 || pace < p.best {
+		p.best = pace
+	}
+	p.looks++
+}
+
+// Lasting returns by how many times work on the VM takes longer than usual for good, as
+// far as it shows: 1 unless every one of several looks told more.
+func (p *Paces) Lasting(now time.Duration) float64 {
+	if p.looks+p.earlier < paceLooks || now-p.since >= 2*paceWindow {
+		return 1
+	}
+	best := p.best
+	if p.earlier > 0 && (p.looks == 0 || p.before < best) {
+		best = p.before
+	}
+	return max(1, float64(best)/100)
+}
+
 // Load returns how many requests the endpoint holds as far as the look tells.
 func (l *Look) Load() int32 { return l.Running + l.Waiting + l.Since }
 
@@ -99,6 +140,8 @@
 	// Missing: the platform's list has lost the endpoint, and it is used only since
 	// no other is left.
 	Missing bool
+	// Paces are those of its latest looks.
+	Paces Paces
 	// AvoidUntil: work goes elsewhere before this time as long as it can.
 	AvoidUntil time.Duration
 	// Doubt is a smoothed share of attempts without an answer of use, as of
@@ -129,6 +172,14 @@
 	return e.Doubt * math.Exp2(-float64(now-e.DoubtAt)/float64(doubtHalves))
 }
 
+// See takes in what the endpoint told of its load.
+func (e *Endpoint) See(l Look) {
+	e.Look = l
+	if l.Pace > 0 {
+		e.Paces.note(l.At, l.Pace)
+	}
+}
+
 // HasRoom reports whether by its last look the endpoint has a slot for one more
 // request.
 func (e *Endpoint) HasRoom() bool { return e.Look.Load() < max(1, e.Look.Slots) }
