Glances: a reader that the platform answers no more says so at once

At 2.5 s the store fell silent towards five of the fourteen entries, and all three that read it for everyone were among them. Their watches waited in silence for 3 s and then 1 s for an answer; the others rely on what readers last said of themselves.

Ruled out: the news between entries (it took 10 ms once one had it), the watch's 200 ms gap, a lost event (the store sent none).

Change: a reader makes a cheap call (stale, a tenth of the price) every 400 ms beside its watch. Unanswered for 300 ms, it tells all peers directly; with no answer at all it leaves its watches and asks nothing else until a glance is answered. Others take over 400 ms after the last reader said so, 1.5 s as before only while starting. A watch that nobody awaits any more ends, and the next goes on from its revision.

TestCloseBeginsAndEndsWithoutTheService asserted that a fresh entry is ready in the very moment in which it knows the close, which only the phase of heartbeats made true; it now asserts readiness within 3 s of its start.

--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -196,9 +196,14 @@
 		t.Error("the close did not begin")
 	}
 	fresh := r.start(1)
-	if took := r.until(10*sec, limits(200)); took > 3*sec {
+	took := r.until(10*sec, limits(200))
+	if took > 3*sec {
 		t.Errorf("a fresh entry knew of the close after %v", took)
 	}
+	took += r.until(10*sec, func(n *node) bool { ready, _ := n.ReadyReason(r.now); return n != fresh || ready })
+	if _, why := fresh.ReadyReason(r.now); took > 3*sec {
+		t.Errorf("the fresh entry was ready after %v: %s", took, why)
+	}
 	old.Revision, old.Data = 1, []byte("format = 1")
 	for _, n := range r.nodes {
 		r.offer(n, old, duty.Platform)
@@ -211,15 +216,48 @@
 			t.Errorf("%s: revision %d, notes %v", n.hello.Name, n.InForce(old.Name).Revision, n.notes)
 		}
 	}
-	if ready, why := fresh.ReadyReason(r.now); !ready {
-		t.Errorf("the fresh entry is not ready: %s", why)
-	}
 	at(19, 0)
 	if took := r.until(5*sec, limits(64)); took >= 5*sec {
 		t.Error("the close did not end")
 	}
 }
 
+// The platform stops answering just those entries that read it for all, and an operator
+// publishes a profile in that moment: it would come into force only when their watches
+// time out. They notice by a glance within 0.7 s and say so at once; others take over.
+// The rest of 2 s is for that.
+func TestReadersFallSilent(t *testing.T) {
+	r := settled(t, 15, "counts/c1")
+	silent := map[*node]bool{}
+	for _, n := range r.nodes {
+		if n.Reader() {
+			silent[n] = true
+		}
+	}
+	if len(silent) == 0 || len(silent) > 8 {
+		t.Fatalf("%d entries read for all", len(silent))
+	}
+	r.mute = func(n *node) bool { return silent[n] }
+	r.republish(2, `deadline = "800ms"`, `deadline = "700ms"`)
+	r.run(700 * ms)
+	for n := range silent {
+		n.PlatformGlanced(false)
+	}
+	if took := r.until(20*sec, atRevision(2)); took > 1300*ms {
+		t.Errorf("in force %v after the readers noticed", took)
+	}
+	r.mute = func(*node) bool { return false }
+	for n := range silent {
+		n.PlatformGlanced(true)
+	}
+	r.run(2 * sec)
+	for _, n := range r.nodes {
+		if n.Reader() != silent[n] {
+			t.Errorf("%s reads: %v, though the readers are answered again", n.hello.Name, n.Reader())
+		}
+	}
+}
+
 // The network splits the fleet and both halves serve their callers. A profile
 // reaches one half only, half of the entries are replaced, and the service goes
 // down before the network heals. Nobody is on call. The halves name only
--- a/internal/core/gossip/compose.go
+++ b/internal/core/gossip/compose.go
@@ -91,7 +91,7 @@
 	s.allow.take(Size(u) + p.firstTime(u))
 	p.name(u)
 	p.inFlight, p.sentAt, p.sequence = true, now, u.Sequence
-	p.offered = told{state: u.State, profiles: u.Profiles.Revision, vms: u.VMs.Revision}
+	p.offered = told{state: u.State, profiles: u.Profiles.Revision, vms: u.VMs.Revision, reader: u.Reader}
 	p.heartbeatAt = s.nextHeartbeat(now, p)
 	p.urgentAt = now + s.cfg.UrgentGap
 }
@@ -127,6 +127,7 @@
 		state:    p.offered.state,
 		profiles: max(p.told.profiles, p.offered.profiles),
 		vms:      max(p.told.vms, p.offered.vms),
+		reader:   p.offered.reader,
 	}
 	for _, c := range p.underWay {
 		if s.log.index[keyOf(c.evidence)] == c {
--- a/internal/core/gossip/scheduler.go
+++ b/internal/core/gossip/scheduler.go
@@ -23,8 +23,13 @@
 type told struct {
 	state         message.EntryState
 	profiles, vms uint64
+	reader        bool
 }
 
+// reliesOn reports whether a peer that has t wrongly believes that this entry reads the
+// platform. Nobody else can tell it, so it is told whether or not it is a finger.
+func (t told) reliesOn(s State) bool { return t.reader && !s.Reader }
+
 // behind reports whether a peer that has t lacks news of s.
 func (t told) behind(s State) bool {
 	return t.state != s.State || t.profiles < s.Profiles.Revision || t.vms < s.VMs.Revision
@@ -224,7 +229,7 @@
 	switch {
 	case now-p.heartbeatAt >= s.period(p)/2:
 		return dueOverdue
-	case p.finger && now >= p.urgentAt && (p.owed > 0 || p.told.behind(s.state)):
+	case now >= p.urgentAt && (p.told.reliesOn(s.state) || p.finger && (p.owed > 0 || p.told.behind(s.state))):
 		return dueNews
 	case now >= p.heartbeatAt:
 		return dueHeartbeat
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -94,7 +94,7 @@
 		Epoch:    c.keys.Epoch(),
 		Profiles: c.InForce(platform.ProfilesValue),
 		VMs:      c.InForce(platform.VMsValue),
-		Reader:   c.Reader() && f.readers.reaches,
+		Reader:   c.reachesPlatform(),
 		Rate:     f.rate,
 	})
 	f.due = f.gossip.Due(now, f.due[:0])
--- a/internal/core/readers.go
+++ b/internal/core/readers.go
@@ -8,8 +8,14 @@
 )
 
 // readerPatience is how long no reader of this region may have reached the
-// platform before this entry tries for itself.
-const readerPatience = 1500 * time.Millisecond
+// platform before this entry tries for itself. It is short: a reader says at once
+// that it reaches it no more, and until another reads, published changes wait.
+// startPatience is the same for an entry that has just started and hears its
+// peers one by one.
+const (
+	readerPatience = 400 * time.Millisecond
+	startPatience  = 1500 * time.Millisecond
+)
 
 // readers is who reads the platform for all, and whether that works.
 //
@@ -22,8 +28,9 @@
 type readers struct {
 	// assigned are the incarnations of this region's readers.
 	assigned []uint64
-	// reaches says that the platform answered this entry's latest call.
-	reaches bool
+	// reaches says that the platform answered this entry's latest call, and silent
+	// that it did not answer the latest glance in time.
+	reaches, silent bool
 	// reachedAt is when a reader last was known to reach the platform.
 	reachedAt time.Duration
 	volunteer bool
@@ -47,6 +54,16 @@
 // PlatformAnswered notes whether the platform answered this entry's latest call.
 func (c *Core) PlatformAnswered(ok bool) { c.fleet.readers.reaches = ok }
 
+// PlatformGlanced notes whether the platform answered this entry's latest glance in
+// time.
+func (c *Core) PlatformGlanced(ok bool) { c.fleet.readers.silent = !ok }
+
+// reachesPlatform reports whether this entry reads the platform and is answered.
+func (c *Core) reachesPlatform() bool {
+	r := &c.fleet.readers
+	return c.Reader() && r.reaches && !r.silent
+}
+
 // checkReaders decides whether this entry has to read although others should.
 func (c *Core) checkReaders(now time.Duration) {
 	r := &c.fleet.readers
@@ -54,7 +71,7 @@
 		r.reachedAt, r.volunteer = now, false
 		return
 	}
-	r.volunteer = now-r.reachedAt >= readerPatience
+	r.volunteer = now >= max(r.reachedAt+readerPatience, startPatience)
 }
 
 // readerReaches reports whether an assigned reader reaches the platform.
@@ -66,7 +83,7 @@
 			continue
 		}
 		if e.VM.Incarnation == c.cfg.Self.Incarnation {
-			if f.readers.reaches {
+			if f.readers.reaches && !f.readers.silent {
 				return true
 			}
 			continue
--- a/internal/core/rig_test.go
+++ b/internal/core/rig_test.go
@@ -43,6 +43,8 @@
 	// lose says that a link takes a message and loses it.
 	lose func(from, to *node, u *message.Update) bool
 	down func(n *node) bool
+	// mute says that the service leaves an entry's calls without an answer.
+	mute func(n *node) bool
 	// probeTime is how long a probe takes, probed when each one began.
 	probeTime time.Duration
 	probed    []time.Duration
@@ -108,6 +110,7 @@
 	r.lose = func(_, _ *node, _ *message.Update) bool { return false }
 	r.dial = func() time.Duration { return hop }
 	r.down = func(*node) bool { return false }
+	r.mute = func(*node) bool { return false }
 	r.endpoint = func(string, Arrival) reaction { return reaction{after: 10 * ms} }
 	text, err := os.ReadFile("testdata/profiles.toml")
 	if err != nil {
@@ -217,7 +220,7 @@
 				continue
 			}
 			r.do(n, func(now time.Duration, out *Actions) { n.Tick(now, r.wall.Add(r.now), out) })
-			if !n.Reader() || r.now%(100*ms) != 0 {
+			if !n.Reader() || r.now%(100*ms) != 0 || r.mute(n) {
 				continue
 			}
 			n.PlatformAnswered(!r.down(n))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -98,6 +98,7 @@
 	trail       *audit.Trail
 	documents   documents
 	platform    *countedPlatform
+	glances     glances
 	instruments *instruments
 	recent      recent
 
@@ -153,6 +154,8 @@
 		e.dialect = ownDialect{}
 	}
 	e.platform = newCountedPlatform(opts.Platform, clock)
+	e.glances.platform, _ = opts.Platform.(platform.Glancer)
+	e.glances.every = e.settings.Platform.GlanceEvery.Duration
 	e.instruments = newInstruments()
 	e.buildConnections(clock)
 	rng := rand.New(rand.NewPCG(incarnation, uint64(opts.Wall().UnixNano())))
@@ -251,6 +254,9 @@
 	e.run(func() { e.tickLoop(e.life) })
 	e.run(func() { e.followLoop(e.life, platform.ProfilesValue) })
 	e.run(func() { e.followLoop(e.life, platform.VMsValue) })
+	if e.glances.every > 0 && e.glances.platform != nil {
+		e.run(func() { e.glanceLoop(e.life) })
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/entry/glance.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/tealhall/tealhall/internal/core"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/wait"
+)
+
+// glanceInTime is how long the platform may take to answer a glance before this entry
+// tells the others not to rely on it. A glance that is answered later than that shows
+// that the platform is slow, so this entry reads on.
+const glanceInTime = 300 * time.Millisecond
+
+// glances is what an entry that reads the platform learns from cheap calls beside its
+// watches. Guards against a platform that stops answering some entries, the readers
+// among them: their watches wait in silence, and published changes come into force
+// only when the watches time out.
+type glances struct {
+	platform platform.Glancer
+	every    time.Duration
+	// failed says that the latest glance had no answer at all. While it stays so,
+	// nothing is read: the next glance tells sooner, and for less.
+	failed atomic.Bool
+}
+
+// glanceLoop glances for as long as this entry reads the platform.
+func (e *Entry) glanceLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !e.isReader() {
+			e.glances.failed.Store(false)
+			wait.For(ctx, readerCheck)
+			continue
+		}
+		e.glance(ctx)
+		wait.For(ctx, e.glances.every)
+	}
+}
+
+// glance makes one call and notes whether it was answered, and whether in time.
+func (e *Entry) glance(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, e.settings.Platform.Timeout.Duration)
+	defer cancel()
+	late := time.AfterFunc(glanceInTime, func() { e.noteGlance(false) })
+	err := e.glances.platform.Glance(ctx)
+	inTime := late.Stop() && err == nil
+	e.noteGlance(inTime)
+	if failed := err != nil; e.glances.failed.Swap(failed) != failed {
+		klog.InfoS("the platform answers glances", "answers", !failed, "err", err)
+	}
+}
+
+func (e *Entry) noteGlance(inTime bool) {
+	e.engine.view(func(_ time.Duration, c *core.Core) { c.PlatformGlanced(inTime) })
+}
+
+// reads reports whether this entry should read the platform now.
+func (e *Entry) reads() bool { return e.isReader() && !e.glances.failed.Load() }
--- /dev/null
+++ b/internal/entry/glance_test.go
@@ -0,0 +1,86 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/entry"
+	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/settings"
+)
+
+// mutable is a configuration service that can fall silent towards this entry: watches
+// that wait then hear nothing, and nothing is answered.
+type mutable struct {
+	values
+	silent                 atomic.Bool
+	reads, glances, leaves atomic.Int64
+}
+
+func (m *mutable) Read(ctx context.Context, name string) (platform.Value, error) {
+	m.reads.Add(1)
+	if m.silent.Load() {
+		<-ctx.Done()
+		return platform.Value{}, ctx.Err()
+	}
+	return m.values.Read(ctx, name)
+}
+
+func (m *mutable) Watch(ctx context.Context, name string, after uint64) (platform.Value, error) {
+	v, err := m.values.Watch(ctx, name, after)
+	if err != nil {
+		m.leaves.Add(1)
+	}
+	return v, err
+}
+
+func (m *mutable) Glance(context.Context) error {
+	m.glances.Add(1)
+	if m.silent.Load() {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+// The service falls silent while watches wait at it, for longer than they would wait.
+// The entry leaves them at once, asks nothing but whether it answers, and reads anew as
+// soon as it does.
+func TestServiceFallsSilentDuringAWatch(t *testing.T) {
+	m := &mutable{values: values{
+		platform.ProfilesValue: {Name: platform.ProfilesValue, Revision: 1, Data: []byte(overheadProfiles)},
+		platform.VMsValue:      {Name: platform.VMsValue, Revision: 1, Data: platform.EncodeVMs(platform.VMList{})},
+	}}
+	s := settings.Default()
+	s.Name, s.Region, s.FailureDomain = "entry-1", "r", "a"
+	s.Addresses.Caller, s.Addresses.Peer = "127.0.0.1:0", "127.0.0.1:0"
+	s.Platform.GlanceEvery.Duration = 20 * time.Millisecond
+	e, err := entry.New(s, entry.Options{Platform: m})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Kill)
+	until := func(what string, holds func() bool) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("waited in vain: %s", what)
+			}
+		}
+	}
+	until("ready", func() bool { ok, _ := e.Ready(); return ok })
+	m.silent.Store(true)
+	until("both watches are left", func() bool { return m.leaves.Load() >= 2 })
+	reads, glances := m.reads.Load(), m.glances.Load()
+	until("ten more glances", func() bool { return m.glances.Load() >= glances+10 })
+	if more := m.reads.Load() - reads; more != 0 {
+		t.Errorf("%d reads of a silent service", more)
+	}
+	m.silent.Store(false)
+	until("read again", func() bool { return m.reads.Load() >= reads+2 })
+}
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -54,7 +54,7 @@
 func (e *Entry) followLoop(ctx context.Context, name string) {
 	e.awaitPeers(ctx)
 	for ctx.Err() == nil {
-		if e.isReader() {
+		if e.reads() {
 			e.follow(ctx, name)
 		}
 		wait.For(ctx, readerCheck)
@@ -116,11 +116,11 @@
 	}
 }
 
-// endFollowing cancels once others read for this entry.
+// endFollowing cancels once others read for this entry, or the platform is silent.
 func (e *Entry) endFollowing(ctx context.Context, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
 		wait.For(ctx, readerCheck)
-		if !e.isReader() {
+		if !e.reads() {
 			cancel()
 		}
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -36,6 +36,13 @@
 	Watch(ctx context.Context, name string, after uint64) (Value, error)
 }
 
+// Glancer is a service that can be asked cheaply whether it answers at all. A watch
+// that waits is silent, and so is a service that has stopped answering.
+type Glancer interface {
+	// Glance makes one cheap call; what it read is dropped, since it may be old.
+	Glance(ctx context.Context) error
+}
+
 // State is what the platform says of a VM.
 type State string
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -147,6 +147,7 @@
 	c.inside("platform.readers_per_domain", p.ReadersPerDomain, 1, 1000)
 	c.span("platform.check_every", p.CheckEvery, time.Second, time.Hour)
 	c.span("platform.news_gap", p.NewsGap, 0, 10*time.Second)
+	c.span("platform.glance_every", p.GlanceEvery, 0, 30*time.Second)
 	c.span("platform.missing_after", p.MissingAfter, time.Millisecond, 24*time.Hour)
 	c.span("platform.keep_last", p.KeepLast, time.Millisecond, 30*24*time.Hour)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,9 @@
 	// NewsGap is the shortest time between two watches of a value, so that changes
 	// that come together are read together; default 0s.
 	NewsGap Duration `toml:"news_gap" unit:"duration"`
+	// GlanceEvery is the time between two cheap calls of a reader, by which it notices
+	// that the service has stopped answering while a watch waits; default 0s: none.
+	GlanceEvery Duration `toml:"glance_every" unit:"duration"`
 	// ReadersPerDomain is how many entries of each failure domain read the service
 	// for all; default 2.
 	ReadersPerDomain int `toml:"readers_per_domain" unit:"entries"`
