Forward: a request waits for a connection when all to its endpoint are in use

All four connections to an endpoint were busy (17 of 30 cases 4 open and none being set up) while the endpoint told 0 running: answered requests and probes give their connections back late where processor time is short. The attempt failed at once, was charged as a repeat, and with no tokens left the caller was refused.

Ruled out: endpoints taken out (all were live), connections set up slowly (none or two under way), limits of the tests. It was a fault of the product, not of the tests.

Change: such a request waits for a connection, as long as setting one up may take.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -122,7 +122,7 @@
 	if r == nil {
 		return
 	}
-	a.live, a.end, a.took = false, e.Kind, now-a.at
+	a.live, a.end, a.cause, a.took = false, e.Kind, e.Cause, now-a.at
 	r.replayable = e.Replayable
 	if !a.forward {
 		c.settleAttempt(now, r, a, e, out)
@@ -345,7 +345,8 @@
 		c.placeAgain(now, r, out)
 		return
 	}
-	if withdrawn(r, a, e) {
+	if unsent(r, e) {
+		r.unsent++
 		c.placeAgain(now, r, out)
 		return
 	}
@@ -357,11 +358,12 @@
 	c.placeAgain(now, r, out)
 }
 
-// withdrawn says that an attempt was not sent because its endpoint left
-// meanwhile. Another one needs no budget: no endpoint has seen the first.
-func withdrawn(r *request, a *attempt, e End) bool {
-	return e.Kind == EndNotWritten && !e.DialFailed && r.replayable &&
-		int(r.dispatches) < MaxAttempts && !r.pool.takesWork(a)
+// unsent says that an attempt never left this entry: its endpoint left meanwhile, or all
+// connections to it were in use. Another one needs no budget, since no endpoint has seen
+// the first. Guards against an entry that is short of processor time, whose connections
+// come free late, and that would refuse requests while endpoints wait for work.
+func unsent(r *request, e End) bool {
+	return e.Kind == EndNotWritten && !e.DialFailed && !e.BodyFailed && r.replayable && int(r.dispatches) < MaxAttempts
 }
 
 // placeAgain dispatches a request anew or lets it wait.
@@ -395,7 +397,7 @@
 // outermost call, and not at all below a call that is itself a second try. The
 // same holds for hedges.
 func (c *Core) mayRetry(now time.Duration, r *request, provablyNotRun bool) bool {
-	tries := int(r.dispatches) - r.idleRefusals
+	tries := int(r.dispatches) - r.idleRefusals - r.unsent
 	if tries >= r.policy.MaxAttempts || int(r.dispatches) >= MaxAttempts {
 		return false
 	}
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -136,6 +136,8 @@
 	BodyFailed bool
 	// DialFailed says that no connection could be opened.
 	DialFailed bool
+	// Cause names what went wrong, for the log; "" if nothing did.
+	Cause string
 	// Bytes is the size of the request's body with that of the answer, where the
 	// answer was passed on whole.
 	Bytes int64
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -58,11 +58,12 @@
 	status    int
 	load      Load
 	headAfter time.Duration
-	// endpoint is its name, look what it had told; end and took are how the attempt
+	// endpoint is its name, look what it had told; end, cause and took are how the attempt
 	// ended, for the log.
 	endpoint string
 	look     table.Look
 	end      EndKind
+	cause    string
 	took     time.Duration
 	// paid is set when the retry after this attempt was already paid for.
 	paid bool
@@ -92,6 +93,8 @@
 	dispatches Attempt
 	// idleRefusals counts the dispatches that only an idle slot was to take.
 	idleRefusals int
+	// unsent counts the dispatches that never left this entry.
+	unsent int
 	// asked are the entries to which the request was sent on for its key.
 	asked []uint64
 	// tried are the endpoints that the request was dispatched to.
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -50,8 +50,9 @@
 	// Second says that it went out beside an earlier one.
 	Second bool `json:"second,omitempty"`
 	Status int  `json:"status,omitempty"`
-	// End is how it ended, "running" if it had not.
-	End string `json:"end"`
+	// End is how it ended, "running" if it had not; Cause names what went wrong.
+	End   string `json:"end"`
+	Cause string `json:"cause,omitempty"`
 }
 
 // endNames are the names of the ends of attempts in the log.
@@ -99,6 +100,6 @@
 	return StoryAttempt{
 		Endpoint: a.endpoint, AtMillis: (a.at - r.arrived).Milliseconds(), TookMillis: took.Milliseconds(),
 		Running: a.look.Running, Waiting: a.look.Waiting, Pace: a.look.Pace, AgeMillis: (a.at - a.look.At).Milliseconds(),
-		Second: a.hedge, Status: a.status, End: a.end.String(),
+		Second: a.hedge, Status: a.status, End: a.end.String(), Cause: a.cause,
 	}
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -113,8 +113,9 @@
 
 // failedEnd classifies an attempt that brought no head.
 func (x *exchange) failedEnd(d core.Directive, delivery forward.Delivery, err error) core.End {
-	end := core.End{ID: d.ID, Attempt: d.Attempt, Kind: core.EndLost, Replayable: !x.body.Streamed()}
-	switch forward.FailureOf(err) {
+	failure := forward.FailureOf(err)
+	end := core.End{ID: d.ID, Attempt: d.Attempt, Kind: core.EndLost, Replayable: !x.body.Streamed(), Cause: failure.String()}
+	switch failure {
 	case forward.RefusedDial, forward.DialTimeout, forward.DialFailed:
 		end.DialFailed = true
 	case forward.Silent:
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -135,8 +135,11 @@
 }
 
 // acquire returns a connection on which the request can be written: an idle one
-// that the endpoint has not closed, or a new one.
+// that the endpoint has not closed, or a new one. Where all that are allowed are in use
+// it waits for one, as long as setting one up may take. Guards against a process that is
+// short of processor time, whose answered requests give their connections back late.
 func (c *Connections) acquire(ctx context.Context, address string, once bool) (acquired, error) {
+	var waited <-chan time.Time
 	for {
 		p := c.pool(address)
 		if p == nil {
@@ -145,14 +148,22 @@
 		if idle := c.reuse(p, once); idle != nil {
 			return acquired{pool: p, conn: idle}, nil
 		}
-		ok, retired := p.reserve(c.cfg.MaxConnsPerEndpoint, c.cfg.Clock())
-		if retired {
-			continue
+		ok, freed := p.reserve(c.cfg.MaxConnsPerEndpoint, c.cfg.Clock())
+		if ok {
+			return c.dial(ctx, p)
 		}
-		if !ok {
+		if waited == nil {
+			patience := time.NewTimer(c.cfg.DialTimeout)
+			defer patience.Stop()
+			waited = patience.C
+		}
+		select {
+		case <-freed:
+		case <-waited:
 			return acquired{}, &Error{Failure: NoConnection, Address: address}
+		case <-ctx.Done():
+			return acquired{}, &Error{Failure: contextFailure(ctx), Address: address}
 		}
-		return c.dial(ctx, p)
 	}
 }
 
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -34,7 +34,10 @@
 	// retired is set when the pool left Connections; its connections are
 	// closed as they end.
 	retired bool
-	usedAt  time.Duration
+	// freed is closed when a connection comes free or room for one; nil while nobody
+	// waits for that.
+	freed  chan struct{}
+	usedAt time.Duration
 	stats   ConnStats
 }
 
@@ -54,17 +57,21 @@
 }
 
 // reserve makes room for one more connection. When only idle connections that
-// the caller must not use fill the bound, the oldest of them makes room.
-func (p *pool) reserve(limit int, now time.Duration) (ok, retired bool) {
+// the caller must not use fill the bound, the oldest of them makes room. Without room
+// it returns a channel that is closed when it is worth trying again.
+func (p *pool) reserve(limit int, now time.Duration) (ok bool, freed <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.usedAt = now
 	if p.retired {
-		return false, true
+		return false, closed
 	}
 	if len(p.all)+p.dialing >= limit {
 		if len(p.idle) == 0 {
-			return false, false
+			if p.freed == nil {
+				p.freed = make(chan struct{})
+			}
+			return false, p.freed
 		}
 		oldest := p.idle[0]
 		p.idle = append(p.idle[:0], p.idle[1:]...)
@@ -72,7 +79,18 @@
 		oldest.abort(Closed)
 	}
 	p.dialing++
-	return true, false
+	return true, nil
+}
+
+// closed is a channel on which nobody waits.
+var closed = func() chan struct{} { c := make(chan struct{}); close(c); return c }()
+
+// free wakes those who wait for a connection. The lock is held.
+func (p *pool) free() {
+	if p.freed != nil {
+		close(p.freed)
+		p.freed = nil
+	}
 }
 
 // dialed ends a reservation; c is nil if the dial failed.
@@ -81,6 +99,7 @@
 	defer p.mu.Unlock()
 	p.dialing--
 	if c == nil {
+		p.free()
 		p.stats.DialFailed++
 		return
 	}
@@ -101,6 +120,7 @@
 	c.aliveAt = now
 	p.usedAt = now
 	p.idle = append(p.idle, c)
+	p.free()
 }
 
 // discard closes a connection that no exchange uses any more.
@@ -119,6 +139,7 @@
 	moved.slot = c.slot
 	p.all[last] = nil
 	p.all = p.all[:last]
+	p.free()
 }
 
 // retire closes the idle connections and lets the busy ones end.
@@ -127,6 +148,7 @@
 	defer p.mu.Unlock()
 	p.retired = true
 	p.dropIdle()
+	p.free()
 }
 
 // dropIdle closes all idle connections. The lock is held.
