--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -38,7 +38,7 @@
 	// waits for that.
 	freed  chan struct{}
 	usedAt time.Duration
-	stats   ConnStats
+	stats  ConnStats
 }
 
 // takeIdle pops the connection that was alive last, provided that it was alive
