--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/tealhall/tealhall/internal/core/table"
 )
 
 // Story is what became of one request, for the log: the decisions that touched it with
@@ -28,8 +30,12 @@
 	// Looks counts the endpoints asked for it, Held how often it found no room.
 	Looks, Held int
 	// Late says that it could not be in time any more before it was sent.
-	Late     bool
-	Attempts []StoryAttempt
+	Late bool
+	// Endpoints counts the endpoints of its pool that take work, Full those of them
+	// that had no room when last heard of just before the end, and Queued the requests
+	// that wait in this entry for any of them.
+	Endpoints, Full, Queued int
+	Attempts                []StoryAttempt
 	// Ordinary says that it went well and is told as a sample.
 	Ordinary bool
 }
@@ -86,12 +92,30 @@
 		Outcome: r.outcome, Reason: r.reason, Status: r.status, RetryAfter: r.retryAfter, Gone: r.gone,
 		Age: r.age, Took: took, Objective: r.policy.Objective, Looks: r.looks, Held: r.held, Late: r.late, Ordinary: ordinary,
 	}
+	s.Endpoints, s.Full = r.pool.fullness(c.now)
+	s.Queued = r.pool.queue.Len()
 	for i := Attempt(1); i <= r.dispatches; i++ {
 		s.Attempts = append(s.Attempts, c.tellAttempt(r, &r.attempts[i]))
 	}
 	out.Stories = append(out.Stories, s)
 }
 
+// fullness counts the endpoints that take work, and those of them that told within the
+// last moment that they have no room.
+func (p *pool) fullness(now time.Duration) (live, full int) {
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if e.State != table.EndpointLive {
+			continue
+		}
+		live++
+		if e.Look.Seen && now-e.Look.At <= fullLasts && !e.HasRoom() {
+			full++
+		}
+	}
+	return live, full
+}
+
 func (c *Core) tellAttempt(r *request, a *attempt) StoryAttempt {
 	took := a.took
 	if a.live {
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -35,7 +35,8 @@
 		y.run(700 * ms)
 		got := storiesOf(y, id, "refused")
 		if len(got) != 1 || got[0].Outcome != OutcomeNotRun || got[0].Reason != ReasonTooLate || got[0].Held == 0 ||
-			got[0].Looks == 0 || len(got[0].Attempts) != 0 || got[0].RetryAfter == 0 || !got[0].Late {
+			got[0].Looks == 0 || len(got[0].Attempts) != 0 || got[0].RetryAfter == 0 || !got[0].Late ||
+			got[0].Endpoints != 3 || got[0].Full != 3 {
 			t.Errorf("%+v", got)
 		}
 	})
