--- /dev/null
+++ b/internal/core/reply.go
@@ -0,0 +1,111 @@
+package core
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/core/queue"
+)
+
+// refuseAtDoor answers a request that is not taken in. With an idempotency key
+// it may be a later try of a request that has run: then "not run" would be
+// false. Only a key that is new at its home is provably not run, and it is
+// spent so that this stays true.
+func (c *Core) refuseAtDoor(now time.Duration, a *Arrival, reason Reason, out *Actions) {
+	outcome := OutcomeNotRun
+	if a.HasKey {
+		outcome = OutcomeUnknown
+		if c.keys.Begin(now, a.Key, a.Caller, a.Digest).Kind == idem.Run {
+			c.keys.Release(a.Key)
+			outcome = OutcomeNotRun
+		}
+	}
+	c.countOutcome(outcome)
+	c.counters.Refused[reason]++
+	after := refusedAtDoorRetry
+	if reason == ReasonStarting {
+		after = c.comeBack() // it takes a fraction of a second to get ready
+	}
+	out.request(Directive{ID: a.ID, Step: StepReply, Outcome: outcome, Reason: reason, RetryAfter: after})
+}
+
+// fail ends a request with tealhall's own answer. The outcome is the weakest
+// statement of all its attempts: only if none may have run is it "not run".
+func (c *Core) fail(now time.Duration, r *request, reason Reason, out *Actions) {
+	outcome := r.weakest
+	if r.live() > 0 {
+		outcome = OutcomeUnknown
+	}
+	c.reply(r, outcome, reason, c.retryAfter(now, r, reason), out)
+	c.settleKey(now, r, outcome, nil, out)
+	c.finish(r, out)
+}
+
+func (c *Core) reply(r *request, outcome Outcome, reason Reason, after time.Duration, out *Actions) {
+	c.counters.Refused[reason]++
+	if outcome == OutcomeNotRun {
+		c.counters.NotRun++
+	} else {
+		c.counters.Unknown++
+	}
+	r.outcome, r.reason, r.retryAfter = outcome, reason, after
+	out.request(Directive{ID: r.arrival.ID, Step: StepReply, Outcome: outcome, Reason: reason, RetryAfter: after})
+}
+
+// The bounds of Retry-After.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+	// refusedAtDoorRetry goes with refusals of the entry as a whole.
+	refusedAtDoorRetry = time.Second
+)
+
+// retryAfter tells a caller when it makes sense to come back: after the queue
+// as it stands has been worked off.
+func (c *Core) retryAfter(now time.Duration, r *request, reason Reason) time.Duration {
+	switch reason.Status() {
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusTooManyRequests:
+	default:
+		return 0
+	}
+	if c.looksFor(r) {
+		return c.comeBack()
+	}
+	item := queue.Item{Service: r.service.index, Priority: r.policy.Priority, Enqueued: now, Deadline: r.deadline}
+	wait := r.pool.expectedWait(now, item)
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// finish marks a request as answered. Attempts that are still out are
+// cancelled; the row stays until they ended.
+func (c *Core) finish(r *request, out *Actions) {
+	if r.phase == phaseFinished {
+		return
+	}
+	if r.phase == phaseQueued {
+		r.pool.queue.Remove(uint64(r.arrival.ID))
+	}
+	c.endLook(r)
+	r.phase = phaseFinished
+	c.tell(r, out)
+	c.cancelOthers(r, 0, out)
+	c.forgetIfEnded(r)
+}
+
+// cancelOthers cancels every live attempt but keep.
+func (c *Core) cancelOthers(r *request, keep Attempt, out *Actions) {
+	for i := Attempt(1); i <= r.dispatches; i++ {
+		if i != keep && r.attempts[i].live {
+			out.request(Directive{ID: r.arrival.ID, Step: StepCancel, Attempt: i})
+		}
+	}
+}
+
+func (c *Core) forgetIfEnded(r *request) {
+	if r.phase != phaseFinished || r.live() > 0 {
+		return
+	}
+	delete(c.requests, r.arrival.ID)
+	c.free = append(c.free, r)
+}
--- a/internal/entry/glance_test.go
+++ b/internal/entry/glance_test.go
@@ -67,8 +67,13 @@
 	t.Cleanup(e.Kill)
 	until := func(what string, holds func() bool) {
 		t.Helper()
-		for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(time.Millisecond) {
-			if time.Now().After(end) {
+		ticker := time.NewTicker(time.Millisecond)
+		defer ticker.Stop()
+		late := time.After(20 * time.Second)
+		for !holds() {
+			select {
+			case <-ticker.C:
+			case <-late:
 				t.Fatalf("waited in vain: %s", what)
 			}
 		}
