--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -78,16 +78,6 @@
 	return heard && p.update.State == message.EntryServing && e.State == message.EntryServing && e.VM.State != platform.Leaving
 }
 
-// MaxBody returns the largest request body of a service in bytes, and whether
-// the service is published.
-func (c *Core) MaxBody(service string) (int64, bool) {
-	sv, ok := c.services[service]
-	if !ok {
-		return 0, false
-	}
-	return sv.policy.MaxBodyBytes, true
-}
-
 // directoryView lists the entries with what is known of their state and load.
 func (c *Core) directoryView(sv *service) directory.View {
 	f := &c.fleet
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -32,9 +32,9 @@
 	// fullLasts is for how long an endpoint without room is taken to have none: some
 	// times what a request takes there.
 	fullLasts = 1500 * time.Millisecond
-	// muteLooks is after how many answers without a load a pool's endpoints are
+	// loadlessLooks is after how many answers without a load a pool's endpoints are
 	// taken to report none.
-	muteLooks = 6
+	loadlessLooks = 6
 )
 
 // lookRound is the looks for one request.
@@ -53,7 +53,7 @@
 
 // usesLooks reports whether endpoints of the pool are looked at.
 func (p *pool) usesLooks() bool {
-	if p.mute >= muteLooks {
+	if p.loadless >= loadlessLooks {
 		return false
 	}
 	for _, sv := range p.services {
@@ -66,7 +66,7 @@
 
 // looksFor reports whether the endpoint of a request is chosen by looks.
 func (c *Core) looksFor(r *request) bool {
-	return r.policy.Looks > 0 && r.pool.mute < muteLooks
+	return r.policy.Looks > 0 && r.pool.loadless < loadlessLooks
 }
 
 // waitsForLook reports whether the requests that wait have to wait on for a round
@@ -184,10 +184,10 @@
 	case !end.OK || end.Unwell:
 		e.AvoidUntil = max(e.AvoidUntil, now+unwellPause)
 	case end.Load.Known:
-		p.mute = 0
+		p.loadless = 0
 		e.See(lookOf(now, end.Load))
 	default:
-		p.mute++
+		p.loadless++
 	}
 	r, ok := c.requests[end.Probe.Request]
 	if !ok || !r.look.active || r.look.round != end.Probe.Round {
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -80,8 +80,8 @@
 	looks      *budget.Looks
 	lookingFor RequestID
 	lookAgain  time.Duration
-	// mute counts looks in a row that were answered without a load.
-	mute int
+	// loadless counts looks in a row that were answered without a load.
+	loadless int
 	// probePath is where the endpoints tell their load, "" for the contract's.
 	probePath string
 	// sharing is by how much longer work takes at endpoints that are nearly full.
