--- a/internal/core/looks_test.go
+++ b/internal/core/looks_test.go
@@ -233,7 +233,7 @@
 // up; requests are sent by what the entry itself has under way.
 func TestEndpointsThatTellNoLoad(t *testing.T) {
 	y := newYard(t, idle(3, "d0")...)
-	y.pools["p"].mute = muteLooks
+	y.pools["p"].loadless = loadlessLooks
 	id := y.ask(route.Idempotent, 3*sec)
 	y.run(10 * ms)
 	if len(y.open[id]) != 1 || len(y.looked) != 0 {
