Metrics: glances and the late ones are counted; an entry that stops reports none

Cause: read as a newcomer, the glances were calls of the store that no figure showed (platform.calls counts reads and watches only), and a stop cancelled one, which the log then told as a platform that does not answer.

--- a/internal/entry/glance.go
+++ b/internal/entry/glance.go
@@ -24,6 +24,8 @@
 type glances struct {
 	platform platform.Glancer
 	every    time.Duration
+	// made and late count them, late those that were not answered in time.
+	made, late atomic.Uint64
 	// failed says that the latest glance had no answer at all. While it stays so,
 	// nothing is read: the next glance tells sooner, and for less.
 	failed atomic.Bool
@@ -43,13 +45,20 @@
 }
 
 // glance makes one call and notes whether it was answered, and whether in time.
-func (e *Entry) glance(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, e.settings.Platform.Timeout.Duration)
+func (e *Entry) glance(life context.Context) {
+	ctx, cancel := context.WithTimeout(life, e.settings.Platform.Timeout.Duration)
 	defer cancel()
 	late := time.AfterFunc(glanceInTime, func() { e.noteGlance(false) })
 	err := e.glances.platform.Glance(ctx)
 	inTime := late.Stop() && err == nil
+	if life.Err() != nil {
+		return // this entry stops
+	}
 	e.noteGlance(inTime)
+	e.glances.made.Add(1)
+	if !inTime {
+		e.glances.late.Add(1)
+	}
 	if failed := err != nil; e.glances.failed.Swap(failed) != failed {
 		klog.InfoS("the platform answers glances", "answers", !failed, "err", err)
 	}
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -131,6 +131,8 @@
 		flag("platform.reader", f.view.Reader),
 		total("platform.calls", p.calls),
 		total("platform.failures", p.failures),
+		total("platform.glances", f.glances),
+		total("platform.glances_late", f.lateGlances),
 		gauge("platform.failing", float64(len(f.failingValues()))),
 		total("published.stale", c.StaleProfiles),
 		total("published.refused", c.RefusedDocuments),
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -30,7 +30,10 @@
 	view     core.View
 	recent   recentCounts
 	platform platformCounts
-	callers  int
+	// glances are the cheap calls beside those, lateGlances the ones without an
+	// answer in time.
+	glances, lateGlances uint64
+	callers              int
 	// connections counts the open connections to each endpoint by address.
 	connections map[string]int
 	links       []peer.LinkStats
@@ -54,6 +57,8 @@
 		settings:    e.settings,
 		hello:       &e.hello,
 		platform:    e.platform.snapshot(),
+		glances:     e.glances.made.Load(),
+		lateGlances: e.glances.late.Load(),
 		callers:     e.front.Connections(),
 		connections: make(map[string]int),
 		links:       e.links.Stats(),
