--- a/internal/admin/admintest/sample.go
+++ b/internal/admin/admintest/sample.go
@@ -77,6 +77,16 @@
 	}
 }
 
+// Routes implements admin.Source.
+func (Sample) Routes() []admin.RouteView {
+	return []admin.RouteView{
+		{Route: "r-1", Host: "waste.example", Prefix: "/entries/", Kind: "non_idempotent", Priority: 1, Objective: 0.4, Timeout: 1.5, MaxAttempts: 2,
+			Parts: []admin.RoutePartView{{Service: "waste", Share: 0.9, Profile: "writes"}, {Service: "archive", Share: 0.1, Profile: "writes"}}},
+		{Route: "r-2", Host: "waste.example", Prefix: "/", Kind: "idempotent", Timeout: 1, MaxAttempts: 3,
+			Parts: []admin.RoutePartView{{Service: "waste", Share: 1, Profile: "reads"}}},
+	}
+}
+
 // Profiles implements admin.Source.
 func (s Sample) Profiles() admin.ProfilesView {
 	status := s.Status()
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -20,6 +20,7 @@
 	EntriesPath   = "/v1/entries"
 	EndpointsPath = "/v1/endpoints"
 	ProfilesPath  = "/v1/profiles"
+	RoutesPath    = "/v1/routes"
 	AuditPath     = "/v1/audit"
 	MetricsPath   = "/v1/metrics"
 	// MetricsTextPath shows the metrics in the text form that collectors read.
@@ -50,6 +51,7 @@
 	get(EntriesPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, source.Entries()) })
 	get(EndpointsPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, source.Endpoints()) })
 	get(ProfilesPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, source.Profiles()) })
+	get(RoutesPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, source.Routes()) })
 	get(MetricsPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, MetricViews(registry)) })
 	get(MetricsTextPath, func(w http.ResponseWriter, _ *http.Request) { writeText(w, MetricViews(registry)) })
 	get(AuditPath, h.audit)
--- a/internal/admin/views.go
+++ b/internal/admin/views.go
@@ -20,6 +20,32 @@
 	Endpoints() []EndpointView
 	// Profiles is the document in force.
 	Profiles() ProfilesView
+	// Routes are the routes in force, by host and prefix; none where services are
+	// published by themselves.
+	Routes() []RouteView
+}
+
+// RouteView is a route in force.
+type RouteView struct {
+	Route  string `json:"route"`
+	Host   string `json:"host"`
+	Prefix string `json:"prefix"`
+	Kind   string `json:"kind"`
+	// Priority is the rank among routes, 0 the highest.
+	Priority    int     `json:"priority"`
+	Objective   float64 `json:"objective_seconds"`
+	Timeout     float64 `json:"timeout_seconds"`
+	MaxAttempts int     `json:"max_attempts"`
+	// Parts are where its requests go.
+	Parts []RoutePartView `json:"parts"`
+}
+
+// RoutePartView is one service of a route and its share of the requests.
+type RoutePartView struct {
+	Service string  `json:"service"`
+	Share   float64 `json:"share"`
+	// Profile is how its requests are treated.
+	Profile string `json:"profile"`
 }
 
 // Status is one entry with its view of the fleet. Ages and times are in seconds.
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -57,6 +57,7 @@
 		entriesCommand(o),
 		endpointsCommand(o),
 		profilesCommand(o),
+		routesCommand(o),
 		auditCommand(o),
 		metricsCommand(o),
 	)
--- a/internal/ctl/lists.go
+++ b/internal/ctl/lists.go
@@ -34,6 +34,17 @@
 	}
 }
 
+func routesCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "routes",
+		Short: "List the routes in force on an entry, and how each is treated",
+		Args:  exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return list(cmd.Context(), o, admin.RoutesPath, routesPage)
+		},
+	}
+}
+
 func metricsCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:   "metrics",
@@ -69,6 +80,20 @@
 	p.table([]string{"ENTRY", "FAILURE DOMAIN", "CALLERS AT", "STATE", "PROFILES", "VM LIST", "RATE", "HEARD", "NOTES"}, rows)
 }
 
+func routesPage(p *page, routes []admin.RouteView) {
+	rows := make([][]string, len(routes))
+	for i := range routes {
+		v := &routes[i]
+		parts := make([]string, len(v.Parts))
+		for j, part := range v.Parts {
+			parts[j] = fmt.Sprintf("%s %s (%s)", percent(part.Share), part.Service, part.Profile)
+		}
+		rows[i] = []string{v.Route, v.Host, v.Prefix, v.Kind, number(v.Priority), span(v.Objective), span(v.Timeout),
+			number(v.MaxAttempts), strings.Join(parts, ", ")}
+	}
+	p.table([]string{"ROUTE", "HOST", "PREFIX", "KIND", "PRIORITY", "OBJECTIVE", "TIMEOUT", "ATTEMPTS", "TO"}, rows)
+}
+
 func endpointsPage(p *page, endpoints []admin.EndpointView) {
 	rows := make([][]string, len(endpoints))
 	for i := range endpoints {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -121,6 +121,9 @@
 		return err
 	}
 	if f.check {
+		if err := checkProfiles(s); err != nil {
+			return err
+		}
 		fmt.Fprintf(command.OutOrStdout(), "%s: the settings of %s are valid\n", f.config, s.Name)
 		return nil
 	}
@@ -150,12 +153,22 @@
 	}
 	terms, err := users.ParseTerms(s.Platform.Terms)
 	if err != nil {
-		return nil, err
+		// All that is wrong is told at once.
+		return nil, errors.Join(err, checkProfiles(s))
 	}
 	terms.Apply(s)
 	return s, nil
 }
 
+// checkProfiles reads the profiles that the settings name, if they name any.
+func checkProfiles(s *settings.Settings) error {
+	if s.Platform.Protocol != settings.StoreProtocol {
+		return nil
+	}
+	_, err := readProfiles(s.Routes.Profiles)
+	return err
+}
+
 // logTo sends the log to w, every line once.
 func logTo(w io.Writer, verbosity int) {
 	set := flag.NewFlagSet("log", flag.ContinueOnError)
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -75,6 +75,11 @@
 	if fault.KindOf(err) != fault.BadSettings || !strings.Contains(err.Error(), "drain_ms=soon") || strings.Contains(err.Error(), "unknown") {
 		t.Errorf("got %v", err)
 	}
+	path = writeSettings(t, strings.Replace(validSettings, "[platform]", "[routes]\nprofiles = \"absent.toml\"\n[platform]\nprotocol = \"store\"\nterms = [\"drain_ms=soon\"]", 1), "127.0.0.1:0")
+	_, err = readSettings(path)
+	if exitCode(err) != ExitSettings || !strings.Contains(err.Error(), "drain_ms=soon") || !strings.Contains(err.Error(), "absent.toml") {
+		t.Errorf("two problems: exit code %d, %v", exitCode(err), err)
+	}
 	if _, err := settings.Load(nil); fault.KindOf(err) != fault.BadSettings {
 		t.Errorf("empty settings: %v", err)
 	}
