--- a/cmd/tealhallbench/fleet.go
+++ b/cmd/tealhallbench/fleet.go
@@ -13,7 +13,7 @@
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
 
-	"github.com/tealhall/tealhall/internal/fleetbench"
+	"github.com/tealhall/tealhall/internal/fleetload"
 )
 
 // defaultProcs leaves half of a 12-core machine to others.
@@ -29,7 +29,7 @@
 }
 
 func fleetCommand() *cobra.Command {
-	config := fleetbench.DefaultConfig()
+	config := fleetload.DefaultConfig()
 	flags := fleetFlags{procs: defaultProcs, limit: 10 * time.Minute}
 	c := &cobra.Command{
 		Use:   "fleet",
@@ -67,7 +67,7 @@
 	return c
 }
 
-func runFleet(c *cobra.Command, config fleetbench.Config, flags fleetFlags) error {
+func runFleet(c *cobra.Command, config fleetload.Config, flags fleetFlags) error {
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
 	runtime.GOMAXPROCS(flags.procs)
@@ -79,7 +79,7 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(c.Context(), flags.limit)
 	defer cancel()
-	result, err := fleetbench.Run(ctx, config)
+	result, err := fleetload.Run(ctx, config)
 	if err != nil {
 		return err
 	}
--- a/cmd/tealhallctl/main.go
+++ b/cmd/tealhallctl/main.go
@@ -1,4 +1,4 @@
-// Command tealhallctl is the operators' tool. See docs/OPERATORS.md.
+// Command tealhallctl is the operators' tool. See docs/OPERATIONS.md.
 package main
 
 import (
--- a/cmd/tealhalld/main.go
+++ b/cmd/tealhalld/main.go
@@ -1,5 +1,5 @@
 // Command tealhalld is the daemon of an entry VM. See docs/SETTINGS.md and
-// docs/OPERATORS.md.
+// docs/OPERATIONS.md.
 package main
 
 import (
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -22,8 +22,10 @@
 	ProfilesPath  = "/v1/profiles"
 	AuditPath     = "/v1/audit"
 	MetricsPath   = "/v1/metrics"
-	HealthPath    = "/healthz"
-	ReadyPath     = "/readyz"
+	// MetricsTextPath shows the metrics in the text form that collectors read.
+	MetricsTextPath = "/metrics"
+	HealthPath      = "/healthz"
+	ReadyPath       = "/readyz"
 )
 
 // maxFollowers bounds the audit streams that stay open.
@@ -49,6 +51,7 @@
 	get(EndpointsPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, source.Endpoints()) })
 	get(ProfilesPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, source.Profiles()) })
 	get(MetricsPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, MetricViews(registry)) })
+	get(MetricsTextPath, func(w http.ResponseWriter, _ *http.Request) { writeText(w, MetricViews(registry)) })
 	get(AuditPath, h.audit)
 	get(HealthPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, "ok") })
 	get(ReadyPath, h.ready)
--- /dev/null
+++ b/internal/admin/text.go
@@ -0,0 +1,52 @@
+package admin
+
+import (
+	"bytes"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// textPrefix begins the names of all metrics in the text form.
+const textPrefix = "tealhall_"
+
+// writeText writes metrics in the exposition format that most collectors read: a line
+// for each value, "name value" or "name{quantile="0.99"} value".
+func writeText(w http.ResponseWriter, views []MetricView) {
+	var b bytes.Buffer
+	for _, view := range views {
+		name := textName(view.Name)
+		for _, key := range slices.Sorted(maps.Keys(view.Values)) {
+			b.WriteString(name)
+			b.WriteString(textSuffix(key))
+			b.WriteByte(' ')
+			b.Write(strconv.AppendFloat(nil, view.Values[key], 'g', -1, 64))
+			b.WriteByte('\n')
+		}
+	}
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	_, _ = w.Write(b.Bytes())
+}
+
+// textName replaces what names in the text form may not hold.
+func textName(name string) string {
+	return textPrefix + strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' {
+			return r
+		}
+		return '_'
+	}, name)
+}
+
+// textSuffix is how a value of a metric is told from its others.
+func textSuffix(key string) string {
+	if quantile, ok := quantiles[key]; ok {
+		return `{quantile="` + strconv.FormatFloat(quantile, 'g', -1, 64) + `"}`
+	}
+	if key == "value" {
+		return ""
+	}
+	return "_" + textName(key)[len(textPrefix):]
+}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -16,6 +16,7 @@
 // Head feeds the head of an endpoint's answer. The core answers with
 // StepCommit or StepDiscard for the attempt.
 func (c *Core) Head(now time.Duration, h Head, out *Actions) {
+	c.now = now
 	r, a := c.attemptOf(h.ID, h.Attempt)
 	if r == nil {
 		out.request(Directive{ID: h.ID, Step: StepDiscard, Attempt: h.Attempt})
@@ -116,11 +117,12 @@
 
 // End feeds the end of an attempt.
 func (c *Core) End(now time.Duration, e End, out *Actions) {
+	c.now = now
 	r, a := c.attemptOf(e.ID, e.Attempt)
 	if r == nil {
 		return
 	}
-	a.live = false
+	a.live, a.end, a.took = false, e.Kind, now-a.at
 	r.replayable = e.Replayable
 	if !a.forward {
 		c.settleAttempt(now, r, a, e, out)
@@ -306,8 +308,10 @@
 
 // afterCommitted ends a request whose answer was being passed on.
 func (c *Core) afterCommitted(now time.Duration, r *request, a *attempt, e End, out *Actions) {
+	r.status, r.outcome = a.status, OutcomeUnknown
 	if e.Kind == EndComplete && !(doubtful(a.status) && !r.harmless) {
 		c.counters.Done++
+		r.outcome = OutcomeDone
 		if a.status < http.StatusInternalServerError {
 			r.service.retry.Earn()
 			r.service.idle.Earn()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -120,6 +120,8 @@
 	fleet fleet
 	state message.EntryState
 
+	// now is the time of the latest event of a request.
+	now        time.Duration
 	lastTick   time.Duration
 	nextHealth time.Duration
 	nextProbe  time.Duration
@@ -174,7 +176,7 @@
 // Tick runs the systems that are due. The driver calls it every few
 // milliseconds; wall is used only for the calendar of closes.
 func (c *Core) Tick(now time.Duration, wall time.Time, out *Actions) {
-	c.wall = wall
+	c.wall, c.now = wall, now
 	c.notePause(now, out)
 	c.lastTick = now
 	c.keys.Tick(now)
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -142,6 +142,8 @@
 		index:       index,
 		incarnation: e.Incarnation,
 		at:          now,
+		endpoint:    e.Name,
+		look:        e.Look,
 	}
 	r.tried = r.tried.With(index)
 	e.Outstanding++
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -20,6 +20,8 @@
 type Arrival struct {
 	ID      RequestID
 	Service string
+	// Name is how the caller names the request, for the log.
+	Name string
 	// Caller is a hash of the caller's identity, for fairness and to bind keys.
 	Caller uint64
 	// CallerDomain is the failure domain that the caller names, or "".
@@ -282,6 +284,8 @@
 	Updates  []Outgoing
 	Fetches  []FetchFrom
 	Notes    []Note
+	// Stories are requests that ended and are worth a line in the log.
+	Stories []Story
 	// DropAddresses: connections to these addresses are no longer wanted.
 	DropAddresses []string
 	// SuspectAddresses: idle connections to these addresses may be dead.
@@ -296,6 +300,8 @@
 	a.Updates = a.Updates[:0]
 	a.Fetches = a.Fetches[:0]
 	a.Notes = a.Notes[:0]
+	clear(a.Stories)
+	a.Stories = a.Stories[:0]
 	a.DropAddresses = a.DropAddresses[:0]
 	a.SuspectAddresses = a.SuspectAddresses[:0]
 }
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -111,6 +111,7 @@
 		e := &p.Endpoints[i]
 		r.look.asked = append(r.look.asked, i)
 		r.look.pending++
+		r.looks++
 		c.counters.Looks++
 		out.Probes = append(out.Probes, Probe{Pool: p.Name, Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address,
 			Path: p.probePath, Request: r.arrival.ID, Round: r.look.round, Wait: 4 * lookWait})
@@ -272,6 +273,7 @@
 		c.fail(now, r, ReasonNoEndpoint, out)
 		return
 	}
+	r.held++
 	r.pool.lookAgain = now + lookGap
 	c.enqueue(now, r, out)
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -58,6 +58,12 @@
 	status    int
 	load      Load
 	headAfter time.Duration
+	// endpoint is its name, look what it had told; end and took are how the attempt
+	// ended, for the log.
+	endpoint string
+	look     table.Look
+	end      EndKind
+	took     time.Duration
 	// paid is set when the retry after this attempt was already paid for.
 	paid bool
 }
@@ -99,6 +105,14 @@
 	// late says that it can't be answered in time any more; it waits until lateUntil.
 	late      bool
 	lateUntil time.Duration
+	// looks counts the endpoints asked, held how often there was no room; the rest is
+	// how the request ended, for the log.
+	looks, held int
+	outcome     Outcome
+	reason      Reason
+	retryAfter  time.Duration
+	status      int
+	gone        bool
 	// queuedOnce says that the request has waited in the pool's queue.
 	queuedOnce bool
 }
@@ -116,6 +130,7 @@
 // Arrive feeds a caller's request. The core answers at once or later with
 // directives for it.
 func (c *Core) Arrive(now time.Duration, a Arrival, out *Actions) {
+	c.now = now
 	c.counters.Arrived++
 	c.callerSaw(now, a.Revision, out)
 	if reason := c.refusalAtDoor(&a); reason != ReasonNone {
@@ -323,6 +338,7 @@
 	if r.phase == phaseJoined {
 		c.leaveWaiters(r)
 	}
+	c.now, r.gone, r.outcome = now, true, r.weakest
 	c.settleKey(now, r, r.weakest, nil, out)
 	c.finish(r, out)
 	c.drainPool(now, p, out)
@@ -366,6 +382,7 @@
 	} else {
 		c.counters.Unknown++
 	}
+	r.outcome, r.reason, r.retryAfter = outcome, reason, after
 	out.request(Directive{ID: r.arrival.ID, Step: StepReply, Outcome: outcome, Reason: reason, RetryAfter: after})
 }
 
@@ -404,6 +421,7 @@
 	}
 	c.endLook(r)
 	r.phase = phaseFinished
+	c.tell(r, out)
 	c.cancelOthers(r, 0, out)
 	c.forgetIfEnded(r)
 }
--- /dev/null
+++ b/internal/core/story.go
@@ -0,0 +1,104 @@
+package core
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Story is what became of one request, for the log: the decisions that touched it with
+// what they went by. It is told once, when the request ends, so that a request that
+// failed can be explained without a line for each that went well.
+type Story struct {
+	// Name is the caller's name for the request, Service what it was for.
+	Name, Service string
+	// Revision is that of the routes or profiles in force.
+	Revision uint64
+	Outcome  Outcome
+	Reason   Reason
+	// Status is that of the endpoint's answer that was passed on, 0 for none.
+	Status     int
+	RetryAfter time.Duration
+	// Gone says that the caller left before its answer.
+	Gone bool
+	// Age is how long before its arrival the caller first tried, as far as known.
+	Age time.Duration
+	// Took is the time from its arrival, Objective what it should have been.
+	Took, Objective time.Duration
+	// Looks counts the endpoints asked for it, Held how often it found no room.
+	Looks, Held int
+	// Late says that it could not be in time any more before it was sent.
+	Late     bool
+	Attempts []StoryAttempt
+	// Ordinary says that it went well and is told as a sample.
+	Ordinary bool
+}
+
+// StoryAttempt is one attempt of a request.
+type StoryAttempt struct {
+	Endpoint string `json:"endpoint"`
+	// AtMillis is when it was sent, TookMillis how long it took, from the request's
+	// arrival and in milliseconds.
+	AtMillis   int64 `json:"at_ms"`
+	TookMillis int64 `json:"took_ms"`
+	// Running, Waiting and Pace are what the endpoint told before, AgeMillis how old
+	// that was.
+	Running   int32 `json:"running"`
+	Waiting   int32 `json:"waiting"`
+	Pace      int32 `json:"pace"`
+	AgeMillis int64 `json:"look_age_ms"`
+	// Second says that it went out beside an earlier one.
+	Second bool `json:"second,omitempty"`
+	Status int  `json:"status,omitempty"`
+	// End is how it ended, "running" if it had not.
+	End string `json:"end"`
+}
+
+// endNames are the names of the ends of attempts in the log.
+var endNames = [...]string{
+	0: "running", EndComplete: "complete", EndNotWritten: "not-written", EndNotRun: "not-run", EndDiscarded: "discarded",
+	EndLost: "lost", EndTruncated: "truncated", EndCancelled: "cancelled", EndCallerGone: "caller-gone",
+}
+
+// String returns the name of k in the log.
+func (k EndKind) String() string {
+	if int(k) < len(endNames) {
+		return endNames[k]
+	}
+	return "unknown"
+}
+
+// sampledIn is one in how many requests that went well is told. All entries tell the
+// same requests.
+const sampledIn = 64
+
+// tell appends the story of a request that ends, if it is worth a line.
+func (c *Core) tell(r *request, out *Actions) {
+	took := c.now - r.arrived
+	bad := r.outcome != OutcomeDone || r.status >= 500 || r.policy.Objective > 0 && took > r.policy.Objective
+	ordinary := !bad && xxhash.Sum64String(r.arrival.Name)%sampledIn == 0 && r.arrival.Name != ""
+	if !bad && !ordinary {
+		return
+	}
+	s := Story{
+		Name: r.arrival.Name, Service: r.service.name, Revision: c.fleet.profiles.InForce().Revision,
+		Outcome: r.outcome, Reason: r.reason, Status: r.status, RetryAfter: r.retryAfter, Gone: r.gone,
+		Age: r.age, Took: took, Objective: r.policy.Objective, Looks: r.looks, Held: r.held, Late: r.late, Ordinary: ordinary,
+	}
+	for i := Attempt(1); i <= r.dispatches; i++ {
+		s.Attempts = append(s.Attempts, c.tellAttempt(r, &r.attempts[i]))
+	}
+	out.Stories = append(out.Stories, s)
+}
+
+func (c *Core) tellAttempt(r *request, a *attempt) StoryAttempt {
+	took := a.took
+	if a.live {
+		took = c.now - a.at
+	}
+	return StoryAttempt{
+		Endpoint: a.endpoint, AtMillis: (a.at - r.arrived).Milliseconds(), TookMillis: took.Milliseconds(),
+		Running: a.look.Running, Waiting: a.look.Waiting, Pace: a.look.Pace, AgeMillis: (a.at - a.look.At).Milliseconds(),
+		Second: a.hedge, Status: a.status, End: a.end.String(),
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/tealhall/tealhall/internal/entry"
 	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/logging"
 	"github.com/tealhall/tealhall/internal/settings"
 	users "github.com/tealhall/tealhall/platform"
 )
@@ -126,6 +127,12 @@
 	entry.TuneMemory(s.Limits.HeapGrowth)
 	logTo(command.ErrOrStderr(), s.Log.Verbosity)
 	defer klog.Flush()
+	if s.Log.Format == settings.JSONLog {
+		w := logging.NewWriter(command.OutOrStdout(), logging.Config{LinesPerSecond: s.Log.LinesPerSecond, BytesPerSecond: s.Log.BytesPerSecond})
+		logging.Use(w, "entry", s.Name)
+		defer klog.ClearLogger()
+		defer w.Close()
+	}
 	return serve(f.config, s, sides, signals)
 }
 
--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -15,6 +15,8 @@
 type Dialect interface {
 	// TimeLeft returns how long a caller still waits, if it says so.
 	TimeLeft(h http.Header) (time.Duration, bool)
+	// Name returns the caller's name for its request, "" if it gave none.
+	Name(h http.Header) string
 	// AttemptHeader returns the headers that an attempt adds for its endpoint.
 	AttemptHeader(a *AttemptInfo) http.Header
 	// ReadHead reads what the head of an endpoint's answer says of the request, of
@@ -71,6 +73,9 @@
 	return contract.ParseDeadline(h.Get(contract.HeaderDeadline))
 }
 
+// Name implements Dialect.
+func (ownDialect) Name(h http.Header) string { return h.Get(contract.HeaderRequest) }
+
 // AttemptHeader implements Dialect. The values share one array, since this is
 // made for every attempt.
 func (ownDialect) AttemptHeader(a *AttemptInfo) http.Header {
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -6,9 +6,33 @@
 	"k8s.io/klog/v2"
 
 	"github.com/tealhall/tealhall/internal/core"
+	"github.com/tealhall/tealhall/internal/logging"
 )
 
 // logReply writes one line for an answer of the entry's own.
 func logReply(r *http.Request, d core.Directive) {
 	klog.InfoS("answered", "method", r.Method, "path", r.URL.Path, "outcome", d.Outcome.String(), "reason", d.Reason.String())
 }
+
+// storyFields are the fields of the line of a request, in their order.
+// docs/OPERATIONS.md explains each; a test compares the two.
+var storyFields = []string{
+	"request", "service", "revision", "outcome", "reason", "status", "retry_after_ms", "gone", "age_ms", "took_ms",
+	"objective_ms", "looks", "held", "late", "attempts",
+}
+
+// logStory writes the line of a request that failed, was late, or is a sample.
+func logStory(s *core.Story) {
+	values := []any{
+		s.Name, s.Service, s.Revision, s.Outcome.String(), s.Reason.String(), s.Status, s.RetryAfter.Milliseconds(), s.Gone,
+		s.Age.Milliseconds(), s.Took.Milliseconds(), s.Objective.Milliseconds(), s.Looks, s.Held, s.Late, s.Attempts,
+	}
+	pairs := make([]any, 0, 2*len(values)+2)
+	for i, value := range values {
+		pairs = append(pairs, storyFields[i], value)
+	}
+	if s.Ordinary {
+		pairs = append(pairs, logging.Ordinary, true)
+	}
+	klog.InfoS("request", pairs...)
+}
--- /dev/null
+++ b/internal/entry/log_test.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"encoding/json"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/tealhall/tealhall/internal/core"
+	"github.com/tealhall/tealhall/internal/logging"
+	"k8s.io/klog/v2"
+)
+
+const operationsPage = "../../docs/OPERATIONS.md"
+
+// An engineer reads a line of the log by the page. A field that the page does not
+// explain, or that is gone from the line, leaves a failure unexplained.
+func TestFieldsOfTheLogAreExplained(t *testing.T) {
+	page, err := os.ReadFile(operationsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, section, _ := strings.Cut(string(page), "| Field | Meaning |")
+	section, _, _ = strings.Cut(section, "\n## ")
+	var explained []string
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\|").FindAllStringSubmatch(section, -1) {
+		explained = append(explained, m[1])
+	}
+	if !slices.Equal(explained, storyFields) {
+		t.Errorf("the page explains %v, a line has %v", explained, storyFields)
+	}
+	var out strings.Builder
+	w := logging.NewWriter(&out, logging.Config{})
+	logging.Use(w)
+	defer klog.ClearLogger()
+	logStory(&core.Story{Name: "9c41", Attempts: []core.StoryAttempt{{Endpoint: "i-1", End: "lost"}}})
+	w.Close()
+	var line map[string]any
+	if err := json.Unmarshal([]byte(out.String()), &line); err != nil {
+		t.Fatalf("%q: %v", out.String(), err)
+	}
+	for _, field := range storyFields {
+		if _, there := line[field]; !there {
+			t.Errorf("the line has no %s", field)
+		}
+	}
+	attempt := line["attempts"].([]any)[0].(map[string]any)
+	for name := range attempt {
+		if !strings.Contains(section, "`"+name+"`") {
+			t.Errorf("the page does not explain attempts.%s", name)
+		}
+	}
+	for _, example := range regexp.MustCompile("(?m)^\\{.*$").FindAllString(string(page), -1) {
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(example), &fields); err != nil {
+			t.Errorf("an example is not JSON: %v", err)
+		}
+		for name := range fields {
+			if !slices.Contains(append([]string{"msg", "entry"}, storyFields...), name) {
+				t.Errorf("an example has a field %s that no line has", name)
+			}
+		}
+	}
+}
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -115,6 +115,7 @@
 		total("requests.forwarded", c.Forwarded),
 		total("requests.replayed", c.Replayed),
 		total("requests.endpoint_not_run", c.EndpointNotRun),
+		total("requests.looks", c.Looks),
 	}
 	for i, count := range c.Refused {
 		if reason := core.Reason(i); reason != core.ReasonNone {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -176,10 +176,11 @@
 	}
 	a.Revision, _ = strconv.ParseUint(h.Get(contract.HeaderRevision), 10, 64)
 	x.depth, x.callerAttempt = a.Depth, a.CallerAttempt
-	x.requestName = h.Get(contract.HeaderRequest)
+	x.requestName = x.entry.dialect.Name(h)
 	if x.requestName == "" {
 		x.requestName = x.entry.requestPrefix + strconv.FormatUint(uint64(x.id), 10)
 	}
+	a.Name = x.requestName
 	return a, x.readKey(a)
 }
 
--- a/internal/fleetbench/slope.go
+++ b/internal/fleetload/slope.go
@@ -1,4 +1,4 @@
-package fleetbench
+package fleetload
 
 import "slices"
 
--- a/internal/fleetbench/slopes.go
+++ b/internal/fleetload/slopes.go
@@ -1,4 +1,4 @@
-package fleetbench
+package fleetload
 
 // Slopes are how an entry's costs grow, over the fleets in one region.
 type Slopes struct {
--- a/internal/fleetbench/traffic.go
+++ b/internal/fleetload/traffic.go
@@ -1,4 +1,4 @@
-package fleetbench
+package fleetload
 
 // traffic is what one entry exchanged with its peers, as bytes of the TCP
 // streams without packet headers.
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,82 @@
+package logging
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"sync"
+
+	"k8s.io/klog/v2"
+)
+
+// Ordinary is the key of an attribute that marks a line as one of many alike, such as
+// that of a request that went well. It is not written.
+const Ordinary = "ordinary"
+
+// handler encodes records as JSON and gives the lines to a Writer.
+type handler struct {
+	inner slog.Handler
+	line  *lineBuffer
+	out   *Writer
+}
+
+// lineBuffer is where the encoder of all derived handlers writes to.
+type lineBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+// Write implements io.Writer; mu is held by Handle.
+func (b *lineBuffer) Write(p []byte) (int, error) { return b.data.Write(p) }
+
+// NewHandler returns a slog handler that writes one JSON object a line.
+func NewHandler(out *Writer) slog.Handler {
+	line := &lineBuffer{}
+	options := &slog.HandlerOptions{
+		Level: slog.Level(-100), // klog decides what is logged
+		ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+			if a.Key == Ordinary {
+				return slog.Attr{}
+			}
+			return a
+		},
+	}
+	return &handler{inner: slog.NewJSONHandler(line, options), line: line, out: out}
+}
+
+// Enabled implements slog.Handler.
+func (h *handler) Enabled(ctx context.Context, level slog.Level) bool {
+	return h.inner.Enabled(ctx, level)
+}
+
+// Handle implements slog.Handler.
+func (h *handler) Handle(ctx context.Context, r slog.Record) error {
+	ordinary := false
+	r.Attrs(func(a slog.Attr) bool {
+		ordinary = ordinary || a.Key == Ordinary
+		return !ordinary
+	})
+	h.line.mu.Lock()
+	defer h.line.mu.Unlock()
+	h.line.data.Reset()
+	if err := h.inner.Handle(ctx, r); err != nil {
+		return err
+	}
+	h.out.put(h.line.data.Bytes(), ordinary)
+	return nil
+}
+
+// WithAttrs implements slog.Handler.
+func (h *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &handler{inner: h.inner.WithAttrs(attrs), line: h.line, out: h.out}
+}
+
+// WithGroup implements slog.Handler.
+func (h *handler) WithGroup(name string) slog.Handler {
+	return &handler{inner: h.inner.WithGroup(name), line: h.line, out: h.out}
+}
+
+// Use makes klog write to w, every line as JSON. fields go with each line.
+func Use(w *Writer, fields ...any) {
+	klog.SetSlogLogger(slog.New(NewHandler(w)).With(fields...))
+}
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,89 @@
+package logging
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// manual is a clock that a test sets.
+type manual struct{ nanos atomic.Int64 }
+
+func (m *manual) now() time.Time          { return time.Unix(0, m.nanos.Load()) }
+func (m *manual) advance(d time.Duration) { m.nanos.Add(int64(d)) }
+
+// The collector of logs hangs and reads nothing. Requests must go on as if there were no
+// log: no line may wait, and what is lost must be counted and told once it reads again.
+func TestReaderThatNeverReads(t *testing.T) {
+	clock := &manual{}
+	reader, pipe := io.Pipe()
+	w := NewWriter(pipe, Config{Queue: 4, Now: clock.now, LinesPerSecond: 1000})
+	log := slog.New(NewHandler(w))
+	const lines = 500
+	for range lines {
+		log.Info("request", "status", 503) // would hang here
+	}
+	if w.Dropped() < lines-6 {
+		t.Errorf("%d lines dropped", w.Dropped())
+	}
+	told := make(chan string, 1)
+	go func() {
+		scan := bufio.NewScanner(reader)
+		for scan.Scan() {
+			if strings.Contains(scan.Text(), "left out") {
+				told <- scan.Text()
+				break
+			}
+		}
+		io.Copy(io.Discard, reader)
+	}()
+	if line := <-told; !strings.Contains(line, `"lines":49`) {
+		t.Errorf("told %s", line)
+	}
+	w.Close()
+}
+
+// Endpoints fail and every request writes a line. The volume stays within the bound, and
+// what tells of failures is not pushed out by ordinary successes.
+func TestVolumeUnderABurst(t *testing.T) {
+	clock := &manual{}
+	var out bytes.Buffer
+	const perSecond, seconds = 50, 10
+	w := NewWriter(&out, Config{LinesPerSecond: perSecond, Queue: 10_000, Now: clock.now})
+	log := slog.New(NewHandler(w))
+	for range seconds * 1000 {
+		log.Info("request", "status", 200, Ordinary, true)
+		if clock.nanos.Load()%int64(50*time.Millisecond) == 0 {
+			log.Error("request", "status", 502)
+		}
+		clock.advance(time.Millisecond)
+	}
+	w.Close()
+	all := strings.Count(out.String(), `"msg":"request"`)
+	failures := strings.Count(out.String(), `"level":"ERROR"`)
+	if all > perSecond*(seconds+burst) || failures != seconds*20 {
+		t.Errorf("%d lines, %d of %d failures", all, failures, seconds*20)
+	}
+	for line := range strings.Lines(out.String()) {
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(line), &fields); err != nil || fields["msg"] == nil || fields[Ordinary] != nil {
+			t.Fatalf("not one object: %q, %v", line, err)
+		}
+	}
+}
+
+func BenchmarkLine(b *testing.B) {
+	w := NewWriter(io.Discard, Config{LinesPerSecond: 1 << 30, BytesPerSecond: 1 << 30})
+	defer w.Close()
+	log := slog.New(NewHandler(w))
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Info("request", "request", "9c41d07be2a35f68", "service", "r-1", "status", 503, "took_ms", 12)
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -32,6 +32,11 @@
 	c.timeouts(&s.Timeouts)
 	c.inside("audit.records", s.Audit.Records, 16, 1_000_000)
 	c.inside("log.verbosity", s.Log.Verbosity, 0, 5)
+	if s.Log.Format != TextLog && s.Log.Format != JSONLog {
+		c.add("log.format", `write "text" or "json"`, "there is no format %q", s.Log.Format)
+	}
+	c.inside("log.lines_per_second", s.Log.LinesPerSecond, 1, 1_000_000)
+	c.inside("log.bytes_per_second", s.Log.BytesPerSecond, 1000, 1_000_000_000)
 	c.policy(s.Balance.Policy)
 	if s.Platform.Protocol == StoreProtocol && s.Routes.Profiles == "" {
 		c.add("routes.profiles", "name the file with profiles and traffic rules", `it is required with platform.protocol = "store"`)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -239,8 +239,15 @@
 	Records int `toml:"records" unit:"records"`
 }
 
-// Log says what is logged to standard error.
+// Log says what is logged, and how.
 type Log struct {
+	// Format is "text" for lines to standard error, or "json" for one object a line to
+	// standard output, within the bounds below; default "text".
+	Format string `toml:"format"`
+	// LinesPerSecond bounds the lines of format json; default 200.
+	LinesPerSecond int `toml:"lines_per_second" unit:"lines/s"`
+	// BytesPerSecond bounds their bytes; default 100000.
+	BytesPerSecond int `toml:"bytes_per_second" unit:"bytes/s"`
 	// Requests switches one line per request on; default false.
 	Requests bool `toml:"requests"`
 	// Verbosity is the level of detail, 0 to 5; default 0.
@@ -253,6 +260,12 @@
 	StoreProtocol = "store"
 )
 
+// The formats of Log.Format.
+const (
+	TextLog = "text"
+	JSONLog = "json"
+)
+
 // Default returns the settings that hold where a document says nothing. The
 // required fields are empty.
 func Default() *Settings {
@@ -291,5 +304,6 @@
 			StopUpload:   Duration{15 * time.Minute},
 		},
 		Audit: Audit{Records: 4096},
+		Log:   Log{Format: TextLog, LinesPerSecond: 200, BytesPerSecond: 100_000},
 	}
 }
