Entries serve on the word of a platform that is always current

That wait guards against replicas that lag; the store's answers are linearizable.

Ruled out: process start (33.24 s to 33.30 s), store calls (4 ms each).

Change: setting platform.always_current; readiness is looked at each tick.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,6 +69,8 @@
 	// CheckEvery is the shortest time between two reads of the platform by an entry
 	// that others read for; 0 stands for the default of package duty.
 	CheckEvery time.Duration
+	// AlwaysCurrent is that of package duty's Tracker.
+	AlwaysCurrent bool
 	// ListIsFinal, MissingAfter and KeepLast are those of package member.
 	ListIsFinal            bool
 	MissingAfter, KeepLast time.Duration
@@ -203,6 +205,7 @@
 		c.nextProbe = now + probePeriod
 		c.probeDue(now, out)
 	}
+	c.becomeReady(now, out)
 	c.composeUpdates(now, out)
 	c.drainQueues(now, out)
 }
--- a/internal/core/duty/tracker.go
+++ b/internal/core/duty/tracker.go
@@ -58,6 +58,9 @@
 	StartGrace time.Duration
 	// HintQuiet is how long callers' hints are ignored after one was false.
 	HintQuiet time.Duration
+	// AlwaysCurrent says that the platform never answers with an older revision than
+	// it gave anybody before. A fresh entry then needs no peers to confirm it.
+	AlwaysCurrent bool
 }
 
 // The defaults of TrackerConfig.
@@ -217,7 +220,8 @@
 
 // Ready reports whether this entry may serve: a revision is in force and
 // enough of the peers that can be reached have told theirs, none of them
-// later. Once true it stays true. The reason is for operators and empty when
+// later, or a platform that is always current has confirmed it. Once true it
+// stays true. The reason is for operators and empty when
 // ready.
 //
 // It guards against a fresh entry that asks a lagging replica and puts an older
@@ -234,6 +238,7 @@
 		return false, "neither the platform nor a peer has given a revision yet"
 	case t.Wanted() != 0:
 		return false, fmt.Sprintf("revision %d is in force but %d exists", t.inForce.Revision, t.Wanted())
+	case t.cfg.AlwaysCurrent && t.confirmed:
 	case len(t.heard) < need && now-t.started < t.cfg.StartGrace:
 		return false, fmt.Sprintf("%d of %d peers have told their revision", len(t.heard), need)
 	case len(t.heard) == 0 && !t.confirmed:
--- a/internal/core/duty/tracker_test.go
+++ b/internal/core/duty/tracker_test.go
@@ -73,6 +73,32 @@
 	})
 }
 
+// All entries start again after a loss of power. Each knows two peers that still start
+// and have told nothing. Where the platform never answers with an older revision, its
+// word is enough; where it may, or while a peer knows of a later one, the entry waits.
+func TestReadyOnThePlatformsWord(t *testing.T) {
+	for _, current := range []bool{false, true} {
+		tr := NewTracker(0, TrackerConfig{AlwaysCurrent: current})
+		m := message.Mark{Revision: 4, Digest: 1}
+		tr.Offer(0, m, 31)
+		tr.Settle(m, true)
+		if ready, _ := tr.Ready(0, 2); ready {
+			t.Errorf("always current %v: ready on a peer's word while another has told nothing", current)
+		}
+		tr.Seen(0, 5, 32)
+		tr.Offer(0, m, Platform)
+		if ready, _ := tr.Ready(0, 3); ready {
+			t.Errorf("always current %v: ready though a peer knows of a later revision", current)
+		}
+		m.Revision = 5
+		tr.Offer(0, m, Platform)
+		tr.Settle(m, true)
+		if ready, why := tr.Ready(0, 3); ready != current {
+			t.Errorf("always current %v: ready %v on the platform's word: %s", current, ready, why)
+		}
+	}
+}
+
 // A user would see a published setting change back. Whatever is offered, seen
 // and settled by whomever in whatever order, the revision in force only grows
 // and never changes its text.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -67,6 +67,7 @@
 		BytesPerSecond:    c.cfg.PeerBytesPerSecond,
 		MessagesPerSecond: c.cfg.PeerMessagesPerSecond,
 	}
+	tracked := duty.TrackerConfig{AlwaysCurrent: c.cfg.AlwaysCurrent}
 	c.fleet = fleet{
 		selfID: dutyID(c.cfg.Self.Name),
 		members: member.New(member.Config{
@@ -78,8 +79,8 @@
 			ListIsFinal:  c.cfg.ListIsFinal,
 		}),
 		peers:    make(map[uint64]*peer),
-		profiles: duty.NewTracker(0, duty.TrackerConfig{}),
-		vms:      duty.NewTracker(0, duty.TrackerConfig{}),
+		profiles: duty.NewTracker(0, tracked),
+		vms:      duty.NewTracker(0, tracked),
 		rows:     make(map[string]endpointRef),
 		gossip:   gossip.New(gossipConfig),
 		reader:   true,
@@ -259,5 +260,4 @@
 	c.applyChanges(now, c.fleet.members.Tick(now), "silence", out)
 	c.checkReaders(now)
 	c.fetchDue(now, out)
-	c.becomeReady(now, out)
 }
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -222,6 +223,36 @@
 	}
 }
 
+// All entries start again after a loss of power, and callers wait for the first one
+// that serves. The platform is always current, so its two answers make an entry ready
+// within the tick that follows them, not with the next round over the members.
+func TestReadyAtOnceAfterPowerLoss(t *testing.T) {
+	r := newRig(t, 0)
+	r.config = func(cfg *Config) { cfg.AlwaysCurrent = true }
+	r.list(1, "counts/c1")
+	for vm := range 3 {
+		n := r.start(vm)
+		for peer := range 3 {
+			h := message.Hello{Name: fmt.Sprintf("entry-%d", peer), Incarnation: uint64(peer + 1), Region: "r"}
+			if h.Incarnation != n.hello.Incarnation {
+				r.do(n, func(now time.Duration, out *Actions) { n.Introduce(now, h, out) })
+			}
+		}
+	}
+	r.run(r.tick)
+	for _, n := range r.nodes {
+		r.offer(n, r.docs[platform.ProfilesValue], duty.Platform)
+		r.offer(n, r.docs[platform.VMsValue], duty.Platform)
+	}
+	r.run(r.tick)
+	for _, n := range r.nodes {
+		if !n.noted("ready") {
+			_, why := n.ReadyReason(r.now)
+			t.Errorf("%s does not serve yet: %s", n.hello.Name, why)
+		}
+	}
+}
+
 // The platform stops answering just those entries that read it for all, and an operator
 // publishes a profile in that moment: it would come into force only when their watches
 // time out. They notice by a glance within 0.7 s and say so at once; others take over.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,10 @@
 	// ReadersPerDomain is how many entries of each failure domain read the service
 	// for all; default 2.
 	ReadersPerDomain int `toml:"readers_per_domain" unit:"entries"`
+	// AlwaysCurrent says that no answer of the service is older than one that it gave
+	// anybody before; an entry that starts then serves on its word alone, without
+	// waiting for peers to confirm it; default false.
+	AlwaysCurrent bool `toml:"always_current"`
 	// ListIsFinal says that an endpoint that the list of VMs has lost has ended;
 	// default false.
 	ListIsFinal bool `toml:"list_is_final"`
