Entries find each other within half a second of a common start

Until then each answered callers with itself alone, to be kept for seconds; entry c-2 got most requests of its domain.

Change: the first six dials are given up after 150 ms and follow each other quickly; a greeting tells the sender's state, so that an entry is named at once; answers in the first 1.5 s of serving are kept for 0.5 s.

Ruled out as cause of the poor window: what entries do with requests.

--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -41,6 +41,23 @@
 // to name others.
 const nearEnough = 2
 
+// settling is how long an entry that has begun to serve may not know all others yet, and
+// settlingTTL how long callers keep its answers meanwhile. Guards against callers that
+// ask right after all entries were started again: they would go to the one that answered,
+// which knew nobody else, for seconds. The links of a fleet open within half a second.
+const (
+	settling    = 1500 * time.Millisecond
+	settlingTTL = 500 * time.Millisecond
+)
+
+// AnswersTTL is how long callers may keep an answer which entries to use.
+func (c *Core) AnswersTTL(now time.Duration) time.Duration {
+	if c.state == message.EntryStarting || now < c.servesSince+settling {
+		return min(c.cfg.AnswersTTL, settlingTTL)
+	}
+	return c.cfg.AnswersTTL
+}
+
 // EntriesNear returns the addresses of up to most entries that live, are ready and
 // not leaving, for a caller of a failure domain. It names those of the caller's own
 // domain, and all others only where that has hardly any: an entry in another domain
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -121,6 +121,8 @@
 
 	fleet fleet
 	state message.EntryState
+	// servesSince is when this entry began to serve.
+	servesSince time.Duration
 
 	// now is the time of the latest event of a request.
 	now        time.Duration
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -184,9 +184,17 @@
 	return out
 }
 
-// Introduce feeds the first message on a peer link.
+// Introduce feeds the first message on a peer link. What a peer says of itself counts
+// until its first update; later on its updates are the newer word.
 func (c *Core) Introduce(now time.Duration, h message.Hello, out *Actions) {
 	c.applyChanges(now, c.fleet.members.Introduce(now, vmOf(h)), "peer "+h.Name, out)
+	_, heard := c.fleet.peers[h.Incarnation]
+	if heard || h.Says.From != h.Incarnation || !c.fleet.members.Knows(h.Incarnation) {
+		return
+	}
+	p := &peer{}
+	c.fleet.peers[h.Incarnation] = p
+	c.takeUpdate(now, p, &h.Says, out)
 }
 
 // claim feeds evidence about a VM.
--- a/internal/core/gossip/compose.go
+++ b/internal/core/gossip/compose.go
@@ -43,12 +43,11 @@
 	return int(s.allow.room(floor)) - heartbeatBytes
 }
 
-// base returns an update with what this entry tells of itself.
-func (s *Scheduler) base() message.Update {
-	s.sequence++
+// Says returns what this entry tells of itself, for the Hello of a link. It has no
+// place in the sequence, so that no update that is under way counts as older.
+func (s *Scheduler) Says() message.Update {
 	return message.Update{
 		From:     s.cfg.Self,
-		Sequence: s.sequence,
 		State:    s.state.State,
 		Epoch:    s.state.Epoch,
 		Profiles: s.state.Profiles,
@@ -59,6 +58,14 @@
 	}
 }
 
+// base returns the next update with what this entry tells of itself.
+func (s *Scheduler) base() message.Update {
+	s.sequence++
+	u := s.Says()
+	u.Sequence = s.sequence
+	return u
+}
+
 // changed returns the sightings that differ from what the peer was last told,
 // as many as fit into room bytes, and remembers them as told.
 func (p *peer) changed(now time.Duration, sightings []message.Sighting, room int) []message.Sighting {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -89,14 +89,7 @@
 	if len(f.fresh) > 0 {
 		f.gossip.Spread(now, f.fresh)
 	}
-	f.gossip.SetState(gossip.State{
-		State:    c.state,
-		Epoch:    c.keys.Epoch(),
-		Profiles: c.InForce(platform.ProfilesValue),
-		VMs:      c.InForce(platform.VMsValue),
-		Reader:   c.reachesPlatform(),
-		Rate:     f.rate,
-	})
+	f.gossip.SetState(c.ownState())
 	f.due = f.gossip.Due(now, f.due[:0])
 	if len(f.due) == 0 {
 		return
@@ -107,6 +100,24 @@
 	}
 }
 
+// ownState is what this entry tells of itself.
+func (c *Core) ownState() gossip.State {
+	return gossip.State{
+		State:    c.state,
+		Epoch:    c.keys.Epoch(),
+		Profiles: c.InForce(platform.ProfilesValue),
+		VMs:      c.InForce(platform.VMsValue),
+		Reader:   c.reachesPlatform(),
+		Rate:     c.fleet.rate,
+	}
+}
+
+// Says returns what this entry tells of itself to a peer that it meets.
+func (c *Core) Says() message.Update {
+	c.fleet.gossip.SetState(c.ownState())
+	return c.fleet.gossip.Says()
+}
+
 func (c *Core) composeFor(now time.Duration, to uint64, out *Actions) {
 	f := &c.fleet
 	u, ok := f.gossip.Compose(now, to, f.sightings)
@@ -238,9 +249,15 @@
 		p = &peer{}
 		f.peers[u.From] = p
 	}
-	if u.Sequence <= p.update.Sequence {
-		return true
+	if u.Sequence > p.update.Sequence {
+		c.takeUpdate(now, p, u, out)
 	}
+	return true
+}
+
+// takeUpdate takes in what a peer tells, which is the newest that it told.
+func (c *Core) takeUpdate(now time.Duration, p *peer, u *message.Update, out *Actions) {
+	f := &c.fleet
 	p.update, p.heard = *u, now
 	f.profiles.Seen(now, u.Profiles.Revision, u.From)
 	f.vms.Seen(now, u.VMs.Revision, u.From)
@@ -254,5 +271,4 @@
 		c.peerSighting(now, u.From, &u.Sightings[i])
 	}
 	c.fetchDue(now, out)
-	return true
 }
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -224,7 +224,7 @@
 	if !ready {
 		return
 	}
-	c.state = message.EntryServing
+	c.state, c.servesSince = message.EntryServing, now
 	out.note(Note{Subject: "entry " + c.cfg.Self.Name, Action: "ready", From: "starting", To: "serving",
 		Revision: c.InForce(platform.ProfilesValue).Revision})
 }
--- a/internal/core/rig_test.go
+++ b/internal/core/rig_test.go
@@ -282,6 +282,13 @@
 	return nil
 }
 
+// greeting is how an entry introduces itself on a link.
+func (n *node) greeting() message.Hello {
+	h := n.hello
+	h.Says = n.Says()
+	return h
+}
+
 func (r *rig) reaches(from, to *node) bool { return to != nil && !r.cut(from, to) }
 
 func (r *rig) update(from *node, u Outgoing) {
@@ -292,8 +299,8 @@
 			known := false
 			r.do(to, func(now time.Duration, out *Actions) { known = to.PeerUpdate(now, &u.Update, out) })
 			if !known && r.reaches(to, from) {
-				r.do(to, func(now time.Duration, out *Actions) { to.Introduce(now, from.hello, out) })
-				r.do(from, func(now time.Duration, out *Actions) { from.Introduce(now, to.hello, out) })
+				r.do(to, func(now time.Duration, out *Actions) { to.Introduce(now, from.greeting(), out) })
+				r.do(from, func(now time.Duration, out *Actions) { from.Introduce(now, to.greeting(), out) })
 			}
 		})
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -353,8 +353,10 @@
 // EntriesNear returns the addresses of up to most entries that a caller of a failure
 // domain may use, and how long it may keep them.
 func (e *Entry) EntriesNear(domain string, most int) (addresses []string, ttl time.Duration) {
-	e.engine.view(func(_ time.Duration, c *core.Core) { addresses = c.EntriesNear(domain, most) })
-	return addresses, e.settings.Timeouts.AnswersTTL.Duration
+	e.engine.view(func(now time.Duration, c *core.Core) {
+		addresses, ttl = c.EntriesNear(domain, most), c.AnswersTTL(now)
+	})
+	return addresses, ttl
 }
 
 // PeerAddress returns where peers are served.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -44,12 +44,12 @@
 	e.links = peer.NewLinks(cfg, e.ownHello, func(_ string, h message.Hello) { e.introduce(h) })
 }
 
-// ownHello is how this entry introduces itself, with the other entries that it
-// knows. Where the platform lists no entries, one that starts learns of all others
+// ownHello is how this entry introduces itself, with its state and the other entries
+// that it knows. Where the platform lists no entries, one that starts learns of all others
 // from the first one that answers, and by dialling them it makes itself known.
 func (e *Entry) ownHello() message.Hello {
 	h := e.hello
-	e.engine.view(func(_ time.Duration, c *core.Core) { h.Known = c.PeerAddresses(nil) })
+	e.engine.view(func(_ time.Duration, c *core.Core) { h.Known, h.Says = c.PeerAddresses(nil), c.Says() })
 	h.Known = h.Known[:min(len(h.Known), message.MaxKnown)]
 	return h
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -34,6 +34,9 @@
 	// Known are the peer addresses of other entries that the sender knows, at most
 	// MaxKnown. They are worth dialling; whether an entry runs there is not said.
 	Known []string
+	// Says is what the sender tells of itself, as in an Update without evidence,
+	// sightings and a place in the sequence; From is 0 if it tells nothing.
+	Says Update
 }
 
 // MaxKnown bounds Hello.Known: more entries than a fleet is expected to have.
--- a/internal/peer/helper_test.go
+++ b/internal/peer/helper_test.go
@@ -21,6 +21,7 @@
 
 	mu    sync.Mutex
 	down  bool
+	dark  bool
 	slow  time.Duration
 	dials []time.Time
 	conns []*pipeConn // the dialling ends
@@ -32,7 +33,7 @@
 
 func (p *pipes) Dial(ctx context.Context, _ string) (net.Conn, error) {
 	p.mu.Lock()
-	down, slow := p.down, p.slow
+	down, dark, slow := p.down, p.dark, p.slow
 	p.dials = append(p.dials, time.Now())
 	near, far := net.Pipe()
 	conn := &pipeConn{Conn: near}
@@ -41,6 +42,13 @@
 	if down {
 		return nil, net.ErrClosed
 	}
+	if dark {
+		select {
+		case <-time.After(repeatedAfter):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	<-time.After(slow)
 	select {
 	case p.accepted <- far:
@@ -56,6 +64,16 @@
 	p.down = down
 }
 
+// repeatedAfter is when a kernel repeats an opening packet that was lost.
+const repeatedAfter = time.Second
+
+// setDark makes the peer a VM without power: opening packets are lost.
+func (p *pipes) setDark(dark bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dark = dark
+}
+
 func (p *pipes) setSlow(dial time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -70,7 +70,7 @@
 	for ctx.Err() == nil {
 		before := l.snapshot().Messages
 		l.note(func(s *LinkStats) { s.State = LinkDialing })
-		err := l.session(ctx)
+		err := l.session(ctx, l.patience(failures))
 		l.note(func(s *LinkStats) { s.State, s.LastError = LinkWaiting, err.Error() })
 		l.giveUp()
 		if l.snapshot().Messages > before {
@@ -83,13 +83,31 @@
 	l.giveUp()
 }
 
+// The first dials after a failure follow each other quickly, and each one is given up
+// soon. Guards against entries that lose power together: a dial to one that starts a
+// little later is lost, and the kernel repeats it after a whole second, for which callers
+// are told of one entry only. quickDial is far above a round trip between regions.
+const (
+	quickDials = 6
+	quickDial  = 150 * time.Millisecond
+)
+
+// patience is how long a dial may take after so many failures in a row.
+func (l *link) patience(failures int) time.Duration {
+	if failures < quickDials {
+		return min(quickDial, l.cfg.DialTimeout)
+	}
+	return l.cfg.DialTimeout
+}
+
 // maxDoublings keeps the shift below from overflowing.
 const maxDoublings = 16
 
-// backoff doubles with each failure up to its bound. Half of it is random, so
-// that the peers of a restarted entry don't come back in step.
+// backoff doubles with each failure after the quick dials up to its bound. Half of it is
+// random, so that the peers of a restarted entry don't come back in step.
 func (l *link) backoff(failures int) time.Duration {
-	most := min(l.cfg.BackoffMin<<min(failures, maxDoublings), l.cfg.BackoffMax)
+	doublings := min(max(failures-quickDials, 0), maxDoublings)
+	most := min(l.cfg.BackoffMin<<doublings, l.cfg.BackoffMax)
 	return most/2 + time.Duration(l.cfg.Jitter()*float64(most/2))
 }
 
@@ -102,9 +120,10 @@
 	}
 }
 
-// session opens a connection and uses it until it breaks.
-func (l *link) session(ctx context.Context) error {
-	c, peer, err := l.connect(ctx)
+// session opens a connection, for which it waits as long as patience, and uses it until
+// it breaks.
+func (l *link) session(ctx context.Context, patience time.Duration) error {
+	c, peer, err := l.connect(ctx, patience)
 	if err != nil {
 		return err
 	}
@@ -120,10 +139,10 @@
 }
 
 // connect dials, and says Hello within the dial time-out.
-func (l *link) connect(ctx context.Context) (*connection, message.Hello, error) {
+func (l *link) connect(ctx context.Context, patience time.Duration) (*connection, message.Hello, error) {
 	dialing, cancel := context.WithTimeout(ctx, l.cfg.DialTimeout)
 	defer cancel()
-	conn, err := l.dial(dialing)
+	conn, err := l.dial(dialing, patience)
 	if err != nil {
 		return nil, message.Hello{}, l.down(err)
 	}
@@ -137,8 +156,10 @@
 	return c, peer, nil
 }
 
-func (l *link) dial(ctx context.Context) (net.Conn, error) {
-	conn, err := l.cfg.Dial(ctx, l.address)
+func (l *link) dial(ctx context.Context, patience time.Duration) (net.Conn, error) {
+	opening, cancel := context.WithTimeout(ctx, patience)
+	conn, err := l.cfg.Dial(opening, l.address)
+	cancel()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -42,7 +42,8 @@
 	CallTimeout time.Duration
 	// DialTimeout bounds connecting, TLS and Hello together; default 3 s.
 	DialTimeout time.Duration
-	// BackoffMin and BackoffMax bound the wait before a dial is tried again;
+	// BackoffMin and BackoffMax bound the wait before a dial is tried again. The first
+	// dials after a failure follow after BackoffMin each;
 	// defaults 200 ms and 5 s.
 	BackoffMin, BackoffMax time.Duration
 	// HandoverBytes bounds one Handover message; default 256 KiB. It must
