VMs that stay slow are asked rarely and get nothing blindly

Three looks within one slow moment of 150 ms counted as a VM that stays slow.

Change: such VMs are asked behind all that may be idle, and the blind choice leaves them out, as well as those slow a moment ago; looks count for that only when 150 ms apart.

Test, failing before: TestVMsThatStaySlowAreAskedRarely.

--- a/internal/core/lookchoice.go
+++ b/internal/core/lookchoice.go
@@ -82,7 +82,7 @@
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
 		full := e.Look.Seen && now-e.Look.At < fullLasts && !e.HasRoom()
-		if e.State != table.EndpointLive || r.tried.Has(i) || e.Outstanding >= max(1, e.Slots) || full {
+		if e.State != table.EndpointLive || r.tried.Has(i) || e.Outstanding >= max(1, e.Slots) || full || seemsSlow(now, e) {
 			continue
 		}
 		if rank := c.askRank(now, r, e); best < 0 || rank < bestRank {
@@ -92,6 +92,11 @@
 	return best
 }
 
+// seemsSlow reports whether an endpoint's VM stays slow, or was slow a moment ago.
+func seemsSlow(now time.Duration, e *table.Endpoint) bool {
+	return e.Paces.Lasting(now) >= slowPace || e.Look.Seen && now-e.Look.At < lookRemembered && pace(&e.Look) >= slowPace
+}
+
 // typicalWork is how long a request of the service commonly takes at an endpoint
 // that has nothing else to do. Latencies at busy ones must not count: under load they
 // grow, and everything would be taken to be late already.
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -158,6 +158,9 @@
 	rankHeld    = 10
 	rankDoubt   = 50
 	rankPace    = 5
+	// rankSlow puts VMs that stay slow behind all that may be idle, those of other
+	// failure domains included. They are asked again once that is forgotten.
+	rankSlow = 30
 )
 
 // askRank orders the endpoints to ask: a lower one goes first.
@@ -172,6 +175,9 @@
 	if e.Missing {
 		rank += rankMissing
 	}
+	if e.Paces.Lasting(now) >= slowPace {
+		rank += rankSlow
+	}
 	if age := now - e.Look.At; e.Look.Seen && age < lookRemembered {
 		part := 1 - float64(age)/float64(lookRemembered)
 		rank += part * (rankHeld*float64(e.Look.Running+e.Look.Waiting) + rankPace*float64(pace(&e.Look)-1))
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -48,14 +48,16 @@
 
 // paceWindow is half the time for which paces are remembered, and paceLooks how many it
 // takes to tell a VM that stays slow from one that neighbours slow down for a moment.
+// Looks count that are at least paceGap apart, the time for which such a moment lasts.
 const (
 	paceWindow = time.Second
 	paceLooks  = 3
+	paceGap    = 150 * time.Millisecond
 )
 
 // Paces remembers the best pace that an endpoint told in the last one to two windows.
 type Paces struct {
-	since          time.Duration
+	since, counted time.Duration
 	best, before   int32
 	looks, earlier int32
 }
@@ -64,14 +66,17 @@
 func (p *Paces) note(now time.Duration, pace int32) {
 	switch age := now - p.since; {
 	case age >= 2*paceWindow:
-		*p = Paces{since: now}
+		*p = Paces{since: now, counted: p.counted}
 	case age >= paceWindow:
-		*p = Paces{since: now, before: p.best, earlier: p.looks}
+		*p = Paces{since: now, counted: p.counted, before: p.best, earlier: p.looks}
 	}
 	if p.looks == 0 || pace < p.best {
 		p.best = pace
 	}
-	p.looks++
+	if p.looks == 0 || now-p.counted >= paceGap {
+		p.looks++
+		p.counted = now
+	}
 }
 
 // Lasting returns by how many times work on the VM takes longer than usual for good, as
