Quick dials are repeated beside the first one, which goes on

A dial that takes two seconds, as where the queue of new connections is full and the kernel repeats the packet, was given up six times. The test was right: the fake network chose at random between "connected" and "given up", so it had passed once.

Now the first dial goes on and is repeated beside itself every 150 ms; the first that ends decides.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -70,7 +70,7 @@
 	for ctx.Err() == nil {
 		before := l.snapshot().Messages
 		l.note(func(s *LinkStats) { s.State = LinkDialing })
-		err := l.session(ctx, l.patience(failures))
+		err := l.session(ctx, failures == 0)
 		l.note(func(s *LinkStats) { s.State, s.LastError = LinkWaiting, err.Error() })
 		l.giveUp()
 		if l.snapshot().Messages > before {
@@ -83,23 +83,16 @@
 	l.giveUp()
 }
 
-// The first dials after a failure follow each other quickly, and each one is given up
-// soon. Guards against entries that lose power together: a dial to one that starts a
-// little later is lost, and the kernel repeats it after a whole second, for which callers
-// are told of one entry only. quickDial is far above a round trip between regions.
+// After a failure the first dials follow each other quickly, and the very first one is
+// repeated beside itself. Guards against entries that lose power together: the opening
+// packet to one that starts a little later is lost, and the kernel repeats it after a whole
+// second, for which callers are told of one entry only. repeatDial is far above a round
+// trip between regions.
 const (
 	quickDials = 6
-	quickDial  = 150 * time.Millisecond
+	repeatDial = 150 * time.Millisecond
 )
 
-// patience is how long a dial may take after so many failures in a row.
-func (l *link) patience(failures int) time.Duration {
-	if failures < quickDials {
-		return min(quickDial, l.cfg.DialTimeout)
-	}
-	return l.cfg.DialTimeout
-}
-
 // maxDoublings keeps the shift below from overflowing.
 const maxDoublings = 16
 
@@ -120,10 +113,10 @@
 	}
 }
 
-// session opens a connection, for which it waits as long as patience, and uses it until
-// it breaks.
-func (l *link) session(ctx context.Context, patience time.Duration) error {
-	c, peer, err := l.connect(ctx, patience)
+// session opens a connection, with repeated dials if asked for, and uses it until it
+// breaks.
+func (l *link) session(ctx context.Context, repeat bool) error {
+	c, peer, err := l.connect(ctx, repeat)
 	if err != nil {
 		return err
 	}
@@ -139,10 +132,10 @@
 }
 
 // connect dials, and says Hello within the dial time-out.
-func (l *link) connect(ctx context.Context, patience time.Duration) (*connection, message.Hello, error) {
+func (l *link) connect(ctx context.Context, repeat bool) (*connection, message.Hello, error) {
 	dialing, cancel := context.WithTimeout(ctx, l.cfg.DialTimeout)
 	defer cancel()
-	conn, err := l.dial(dialing, patience)
+	conn, err := l.dial(dialing, repeat)
 	if err != nil {
 		return nil, message.Hello{}, l.down(err)
 	}
@@ -156,10 +149,12 @@
 	return c, peer, nil
 }
 
-func (l *link) dial(ctx context.Context, patience time.Duration) (net.Conn, error) {
-	opening, cancel := context.WithTimeout(ctx, patience)
-	conn, err := l.cfg.Dial(opening, l.address)
-	cancel()
+func (l *link) dial(ctx context.Context, repeat bool) (net.Conn, error) {
+	open := l.cfg.Dial
+	if repeat {
+		open = l.dialRepeated
+	}
+	conn, err := open(ctx, l.address)
 	if err != nil {
 		return nil, err
 	}
@@ -175,6 +170,49 @@
 	return secure, nil
 }
 
+// dialled is how one dial ended.
+type dialled struct {
+	conn net.Conn
+	err  error
+}
+
+// dialRepeated dials again every repeatDial until one of the dials ends, and returns how
+// that one ended. A refusal ends all: the VM is there, and its process is not.
+func (l *link) dialRepeated(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan dialled, quickDials)
+	begin := func() {
+		conn, err := l.cfg.Dial(ctx, address)
+		ended <- dialled{conn, err}
+	}
+	timer := time.NewTimer(repeatDial)
+	defer timer.Stop()
+	go begin()
+	for under := 1; ; {
+		select {
+		case d := <-ended:
+			go closeDialled(ended, under-1)
+			return d.conn, d.err
+		case <-timer.C:
+			if under < quickDials {
+				under++
+				go begin()
+				timer.Reset(repeatDial)
+			}
+		}
+	}
+}
+
+// closeDialled closes what so many more dials bring.
+func closeDialled(ended <-chan dialled, dials int) {
+	for range dials {
+		if d := <-ended; d.conn != nil {
+			d.conn.Close()
+		}
+	}
+}
+
 // tlsConfig names the peer by its IP number where the settings give no name.
 func (l *link) tlsConfig() *tls.Config {
 	config := l.cfg.ClientTLS().Clone()
