No sightings between entries where endpoints are looked at

Cause: entries told each other every 10 ms to 1 s what they had seen of each endpoint's load. On the users' platform a choice goes by a look that is a millisecond old; nothing reads the sightings.

Test, failing before: TestNoSightingsWhereEndpointsAreLookedAt.

--- a/internal/core/looks_test.go
+++ b/internal/core/looks_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/route"
 	"pgregory.net/rapid"
 )
@@ -416,6 +417,23 @@
 	}
 }
 
+// Entries that look before each choice have no use for what others saw. Told nevertheless,
+// it was half of all that entries sent each other.
+func TestNoSightingsWhereEndpointsAreLookedAt(t *testing.T) {
+	y := newYard(t, idle(3, "d0")...)
+	peer := message.Hello{Name: "other", Incarnation: 2, Region: "r", Domain: "d1", CallerAddress: "10.0.0.2:80", PeerAddress: "10.0.0.2:81"}
+	y.do(func(out *Actions) { y.Introduce(y.now, peer, out) })
+	y.learn(20)
+	if len(y.updates) == 0 {
+		t.Fatal("the peer was told nothing")
+	}
+	for _, u := range y.updates {
+		if len(u.Update.Sightings) > 0 {
+			t.Fatalf("told of %+v", u.Update.Sightings)
+		}
+	}
+}
+
 // Two of six VMs stay slow for minutes. An entry that goes on asking them spends a third of
 // its looks on them, and with the bound on looks the busy seconds are without any. They
 // are asked now and then only, and once they are well they get work again. A VM that is
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -171,12 +171,13 @@
 }
 
 // collectSightings lists what this entry knows of the endpoints of the pools
-// that it serves.
+// that it serves. Where endpoints are looked at right before each choice, what a peer
+// saw is older than any look, and nobody would use it.
 func (c *Core) collectSightings(now time.Duration) {
 	f := &c.fleet
 	f.sightings = f.sightings[:0]
 	for _, p := range c.poolRows {
-		if !p.serving {
+		if !p.serving || p.usesLooks() {
 			continue
 		}
 		for i := range p.Endpoints {
--- a/internal/core/yard_test.go
+++ b/internal/core/yard_test.go
@@ -65,6 +65,8 @@
 	told   map[RequestID]Directive
 	open   map[RequestID]map[Attempt]Directive
 	nextID RequestID
+	// updates are those to peers.
+	updates []Outgoing
 	// stories are the lines of requests that ended; name is that of the next request.
 	stories []Story
 	name    string
@@ -142,6 +144,7 @@
 	var out Actions
 	event(&out)
 	y.stories = append(y.stories, out.Stories...)
+	y.updates = append(y.updates, out.Updates...)
 	for _, d := range out.Requests {
 		switch d.Step {
 		case StepDispatch:
