Duties are divided when a fleet that starts has met, and by who serves

Change: an entry waits until nobody new greets it for 200 ms, at most a second as before; that it serves is told to every peer at once.

Tests, failing before: TestMeetingIsOverWhenNobodyComes, TestThatAnEntryServesIsToldAtOnce.

--- a/internal/core/gossip/gossip_test.go
+++ b/internal/core/gossip/gossip_test.go
@@ -170,6 +170,38 @@
 	}
 }
 
+// All entries start together after a loss of power, and callers who ask one of them are
+// told of those that it knows to serve. An entry that begins to serve tells all others at
+// once, not with its next heartbeats, and once only.
+func TestThatAnEntryServesIsToldAtOnce(t *testing.T) {
+	f := newFleet(15, 1)
+	starts := f.nodes[f.ids[3]]
+	starts.SetState(State{State: message.EntryStarting})
+	f.run(10 * time.Second)
+	starts.SetState(State{State: message.EntryServing})
+	before, late := f.now, 0
+	f.run(50 * time.Millisecond)
+	for _, id := range f.ids {
+		if id != f.ids[3] && f.told[[2]uint64{f.ids[3], id}] < before {
+			late++ // it has had a heartbeat right before
+		}
+	}
+	if late > 4 {
+		t.Errorf("%d of 14 are not told within 50 ms", late)
+	}
+	f.run(defaultUrgentGap)
+	for _, id := range f.ids {
+		if id != f.ids[3] && f.told[[2]uint64{f.ids[3], id}] < before {
+			t.Errorf("%d is not told within %v", id, f.now-before)
+		}
+	}
+	sent := f.sent[f.ids[3]]
+	f.run(200 * time.Millisecond)
+	if more := f.sent[f.ids[3]] - sent; more > 14*heartbeatBytes {
+		t.Errorf("%d bytes in the 200 ms after that", more)
+	}
+}
+
 // A user on the other side of a partition would see work go to an endpoint
 // that left while the halves could not talk. The partition lasts a minute;
 // when it heals, links in back-off are tried within 2 s, and what was missed
--- a/internal/core/gossip/scheduler.go
+++ b/internal/core/gossip/scheduler.go
@@ -26,9 +26,13 @@
 	reader        bool
 }
 
-// reliesOn reports whether a peer that has t wrongly believes that this entry reads the
-// platform. Nobody else can tell it, so it is told whether or not it is a finger.
-func (t told) reliesOn(s State) bool { return t.reader && !s.Reader }
+// misjudges reports whether a peer that has t wrongly believes that this entry reads the
+// platform, or doesn't know yet that it serves. Nobody else can tell it, so it is told
+// whether or not it is a finger: callers of a fleet that starts together would be told of
+// a part of it only, and duties divided among that part.
+func (t told) misjudges(s State) bool {
+	return t.reader && !s.Reader || t.state == message.EntryStarting && s.State == message.EntryServing
+}
 
 // behind reports whether a peer that has t lacks news of s.
 func (t told) behind(s State) bool {
@@ -229,7 +233,7 @@
 	switch {
 	case now-p.heartbeatAt >= s.period(p)/2:
 		return dueOverdue
-	case now >= p.urgentAt && (p.told.reliesOn(s.state) || p.finger && (p.owed > 0 || p.told.behind(s.state))):
+	case now >= p.urgentAt && (p.told.misjudges(s.state) || p.finger && (p.owed > 0 || p.told.behind(s.state))):
 		return dueNews
 	case now >= p.heartbeatAt:
 		return dueHeartbeat
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -66,13 +66,33 @@
 // were alone.
 const startPatience = time.Second
 
-// awaitPeers waits until this entry knows others, if it has been told of any.
+// meeting tells when an entry that starts has met the others. They greet each other one
+// by one within a moment; an entry that divided the duty to read among the first two would
+// begin to read, as most others would.
+type meeting struct {
+	known, unchanged int
+}
+
+// meetingChecks is for how many checks the number of entries has to stay the same.
+const meetingChecks = 4
+
+// over takes in how many entries are known by now.
+func (m *meeting) over(known int) bool {
+	if known != m.known {
+		m.known, m.unchanged = known, 0
+	}
+	m.unchanged++
+	return known >= 2 && m.unchanged > meetingChecks
+}
+
+// awaitPeers waits until this entry knows the others, if it has been told of any.
 func (e *Entry) awaitPeers(ctx context.Context) {
 	if _, told := e.told.appendTo(nil); told == 0 {
 		return
 	}
 	until := e.engine.clock() + startPatience
-	for ctx.Err() == nil && e.engine.clock() < until && e.KnownEntries() < 2 {
+	var m meeting
+	for ctx.Err() == nil && e.engine.clock() < until && !m.over(e.KnownEntries()) {
 		wait.For(ctx, readerCheck/4)
 	}
 }
--- /dev/null
+++ b/internal/entry/published_test.go
@@ -0,0 +1,18 @@
+package entry
+
+import "testing"
+
+// Fifteen entries start together and greet each other one after another. Each that took
+// the first two for the fleet would read the platform for all, with the calls of a reader,
+// until it knew better. The meeting is over when nobody has come for a while.
+func TestMeetingIsOverWhenNobodyComes(t *testing.T) {
+	var m meeting
+	for _, known := range []int{1, 1, 1, 1, 1, 1, 2, 3, 3, 3, 5, 9, 9, 14, 15, 15, 15, 15} {
+		if m.over(known) {
+			t.Fatalf("over with %d entries known", known)
+		}
+	}
+	if !m.over(15) {
+		t.Error("not over though nobody came for five checks")
+	}
+}
