--- a/internal/core/gossip/scheduler.go
+++ b/internal/core/gossip/scheduler.go
@@ -26,12 +26,12 @@
 	reader        bool
 }
 
-// misjudges reports whether a peer that has t wrongly believes that this entry reads the
-// platform, or doesn't know yet that it serves. Nobody else can tell it, so it is told
-// whether or not it is a finger: callers of a fleet that starts together would be told of
-// a part of it only, and duties divided among that part.
+// misjudges reports whether a peer that has t doesn't know yet whether this entry reads the
+// platform, or that it serves. Nobody else can tell it, so it is told whether or not it is
+// a finger: callers of a fleet that starts together would be told of a part of it only,
+// duties divided among that part, and others would read although this entry does.
 func (t told) misjudges(s State) bool {
-	return t.reader && !s.Reader || t.state == message.EntryStarting && s.State == message.EntryServing
+	return t.reader != s.Reader || t.state == message.EntryStarting && s.State == message.EntryServing
 }
 
 // behind reports whether a peer that has t lacks news of s.
