A freed slot goes to the request that is next in the queue, at once

Requests that wait look in rounds 30 ms apart, one round at a time for each pool; what an answer to another request had just told of free slots was not used, nor what a round found beyond the one slot it needed.

Test, failing before: TestFreedSlotIsUsedAtOnce.

--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -77,6 +77,28 @@
 	return p.usesLooks() && (p.lookingFor != 0 || now < p.lookAgain)
 }
 
+// useFreshLook sends the request that is next in the queue to an endpoint that has told
+// of a free slot just now, in an answer to another request or to a look for it. Guards
+// against slots that lie idle until the next round of looks, in which others find them.
+// It returns false when there is none for that request.
+func (c *Core) useFreshLook(now time.Duration, p *pool, out *Actions) bool {
+	item, ok := p.queue.Next(now, func(int32) bool { return true })
+	if !ok {
+		return false
+	}
+	r, ok := c.requests[RequestID(item.ID)]
+	if !ok || r.look.active || now >= r.deadline {
+		return false
+	}
+	r.look.began = now
+	best := c.bestLooked(now, r)
+	if !best.worth || int(r.dispatches) >= MaxAttempts {
+		return false
+	}
+	p.queue.Take(now, item.ID)
+	return c.dispatchLooked(now, r, best.index, out)
+}
+
 // startLooks begins to look for an endpoint for r. It returns false when there is
 // none to ask.
 func (c *Core) startLooks(now time.Duration, r *request, second bool, out *Actions) bool {
--- a/internal/core/looks_test.go
+++ b/internal/core/looks_test.go
@@ -478,6 +478,37 @@
 	}
 }
 
+// All slots are taken, several requests wait in the entry, and the next round of looks is
+// 30 ms away. An endpoint answers one of the entry's own requests: it has a free slot. Left
+// until the next round, it is found by another entry. The first that waits gets it at once.
+func TestFreedSlotIsUsedAtOnce(t *testing.T) {
+	boxes := idle(3, "d0")
+	y := newYard(t, boxes...)
+	y.learn(12)
+	id := y.ask(route.Idempotent, 3*sec)
+	y.run(10 * ms)
+	mine := y.box(y.open[id][1].Endpoint)
+	for _, b := range boxes {
+		b.running, b.waiting = 2, 1
+	}
+	waiting := y.ask(route.Idempotent, 3*sec)
+	for y.waiting() < 1 {
+		y.run(ms)
+	}
+	y.run(7 * ms) // right after a round that found nothing
+	if len(y.sent) != 1 {
+		t.Fatalf("sent to %v", y.sent)
+	}
+	mine.running, mine.waiting = 1, 0
+	y.answer(id, 1, 200)
+	if got := y.open[waiting][1].Endpoint; got != mine.name {
+		t.Errorf("the first that waits is at %q", got)
+	}
+}
+
+// waiting is how many requests wait for the only pool.
+func (y *yard) waiting() int { return y.poolRows[0].queue.Len() }
+
 // Two of six VMs stay slow for minutes. An entry that goes on asking them spends a third of
 // its looks on them, and with the bound on looks the busy seconds are without any. They
 // are asked now and then only, and once they are well they get work again. A VM that is
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -98,6 +98,7 @@
 	e := &p.Endpoints[i]
 	if end.Probe.Path != "" || end.Probe.Request != 0 {
 		c.lookEnd(now, p, e, end, out)
+		c.drainPool(now, p, out)
 		return
 	}
 	if over := end.Latency - c.cfg.ProbeCost; over > 0 {
