Test of freed slots replaced by one that fails without the change

What the change adds are slots that a look for another request found. TestFreeSlotThatALookFoundIsUsed shows that, and fails without it.

--- a/internal/core/looks_test.go
+++ b/internal/core/looks_test.go
@@ -478,31 +478,38 @@
 	}
 }
 
-// All slots are taken, several requests wait in the entry, and the next round of looks is
-// 30 ms away. An endpoint answers one of the entry's own requests: it has a free slot. Left
-// until the next round, it is found by another entry. The first that waits gets it at once.
-func TestFreedSlotIsUsedAtOnce(t *testing.T) {
-	boxes := idle(3, "d0")
+// All slots are taken, a request waits in the entry, and its next round of looks is 30 ms
+// away. Slots free up, and a look after a running request, which needs no second attempt,
+// tells of them. Left until the next round, they are found by another entry; the request
+// that waits gets one at once.
+func TestFreeSlotThatALookFoundIsUsed(t *testing.T) {
+	boxes := idle(4, "d0")
 	y := newYard(t, boxes...)
 	y.learn(12)
-	id := y.ask(route.Idempotent, 3*sec)
+	running := y.ask(route.Idempotent, 3*sec)
 	y.run(10 * ms)
-	mine := y.box(y.open[id][1].Endpoint)
 	for _, b := range boxes {
 		b.running, b.waiting = 2, 1
 	}
-	waiting := y.ask(route.Idempotent, 3*sec)
-	for y.waiting() < 1 {
-		y.run(ms)
+	y.run(104 * ms)
+	waits := y.ask(route.NonIdempotent, 3*sec)
+	for range 10 {
+		if y.run(ms); y.waiting() > 0 {
+			break
+		}
 	}
-	y.run(7 * ms) // right after a round that found nothing
-	if len(y.sent) != 1 {
-		t.Fatalf("sent to %v", y.sent)
+	for _, b := range boxes {
+		if b.name != y.open[running][1].Endpoint {
+			b.running, b.waiting = 0, 0
+		}
+	}
+	again := y.poolRows[0].lookAgain
+	y.run(again - 2*ms - y.now)
+	if len(y.open[running]) != 1 {
+		t.Fatalf("a second attempt: %v", y.sent)
 	}
-	mine.running, mine.waiting = 1, 0
-	y.answer(id, 1, 200)
-	if got := y.open[waiting][1].Endpoint; got != mine.name {
-		t.Errorf("the first that waits is at %q", got)
+	if y.open[waits][1].Endpoint == "" {
+		t.Errorf("it waits on %v after slots were seen free: looked at %v", y.now, y.looked)
 	}
 }
 
