--- /dev/null
+++ b/internal/core/hold_test.go
@@ -0,0 +1,130 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/route"
+)
+
+// All endpoints are full for a second. Whatever is sent there queues up, so that a
+// request that comes when a slot is free finds a queue in front of it, and everybody is
+// late for long after. Requests wait in the entry, and the first free slot is used at
+// once.
+func TestFullEndpointsGetNoQueue(t *testing.T) {
+	boxes := idle(3, "d0")
+	y := newYard(t, boxes...)
+	y.learn(8)
+	for _, b := range boxes {
+		b.running, b.waiting = 2, 1
+	}
+	var ids []RequestID
+	for range 6 {
+		ids = append(ids, y.ask(route.Idempotent, 3*sec))
+		y.run(10 * ms)
+	}
+	if len(y.sent) > 0 {
+		t.Fatalf("sent to full endpoints: %v", y.sent)
+	}
+	boxes[1].running, boxes[1].waiting = 0, 0
+	y.run(100 * ms)
+	if len(y.sent) == 0 || y.sent[0] != boxes[1].name {
+		t.Fatalf("a free slot was not used: %v", y.sent)
+	}
+	if y.told[ids[0]].Reason != ReasonNone {
+		t.Errorf("the first was refused: %v", y.told[ids[0]].Reason)
+	}
+}
+
+// Endpoints stay full. A caller that is kept until its deadline can't go elsewhere, and
+// one that comes back at once makes it worse: it is told early, that it has not run and
+// when to come back, and callers who were refused together come back apart.
+func TestWhatFindsNoRoomIsToldEarly(t *testing.T) {
+	boxes := idle(3, "d0")
+	y := newYard(t, boxes...)
+	y.learn(8)
+	for _, b := range boxes {
+		b.running, b.waiting = 2, 4
+	}
+	began := y.now
+	var ids []RequestID
+	for range 4 {
+		ids = append(ids, y.ask(route.Idempotent, 3*sec))
+	}
+	y.run(700 * ms)
+	again := map[time.Duration]bool{}
+	for _, id := range ids {
+		d, ok := y.told[id]
+		if !ok || d.Outcome != OutcomeNotRun || d.RetryAfter <= 0 || d.RetryAfter > sec {
+			t.Fatalf("request %d after %v: %+v", id, y.now-began, d)
+		}
+		again[d.RetryAfter] = true
+	}
+	if len(again) < 3 {
+		t.Errorf("callers are told the same times: %v", again)
+	}
+	if len(y.sent) != 0 {
+		t.Errorf("sent to %v", y.sent)
+	}
+}
+
+// A caller comes back after a refusal and can't be answered in time any more. While
+// others still can, its request takes no slot from them, though it is the oldest.
+func TestThoseInTimeGoFirst(t *testing.T) {
+	boxes := idle(2, "d0")
+	y := newYard(t, boxes...)
+	y.learn(12)
+	for _, b := range boxes {
+		b.running, b.waiting = 2, 1
+	}
+	late := y.ask(route.Idempotent, 3*sec-900*ms)
+	y.run(20 * ms)
+	inTime := y.ask(route.Idempotent, 3*sec)
+	y.run(20 * ms)
+	boxes[0].running, boxes[0].waiting = 1, 0
+	y.run(80 * ms)
+	if len(y.open[inTime]) == 0 {
+		t.Error("the one in time was not sent")
+	}
+	if len(y.open[late]) > 0 {
+		t.Error("the late one went first")
+	}
+}
+
+// All slots are taken, a request waits in the entry, and its next round of looks is 30 ms
+// away. Slots free up, and a look after a running request, which needs no second attempt,
+// tells of them. Left until the next round, they are found by another entry; the request
+// that waits gets one at once.
+func TestFreeSlotThatALookFoundIsUsed(t *testing.T) {
+	boxes := idle(4, "d0")
+	y := newYard(t, boxes...)
+	y.learn(12)
+	running := y.ask(route.Idempotent, 3*sec)
+	y.run(10 * ms)
+	for _, b := range boxes {
+		b.running, b.waiting = 2, 1
+	}
+	y.run(104 * ms)
+	waits := y.ask(route.NonIdempotent, 3*sec)
+	for range 10 {
+		if y.run(ms); y.waiting() > 0 {
+			break
+		}
+	}
+	for _, b := range boxes {
+		if b.name != y.open[running][1].Endpoint {
+			b.running, b.waiting = 0, 0
+		}
+	}
+	again := y.poolRows[0].lookAgain
+	y.run(again - 2*ms - y.now)
+	if len(y.open[running]) != 1 {
+		t.Fatalf("a second attempt: %v", y.sent)
+	}
+	if y.open[waits][1].Endpoint == "" {
+		t.Errorf("it waits on %v after slots were seen free: looked at %v", y.now, y.looked)
+	}
+}
+
+// waiting is how many requests wait for the only pool.
+func (y *yard) waiting() int { return y.poolRows[0].queue.Len() }
--- /dev/null
+++ b/internal/core/secondtry_test.go
@@ -0,0 +1,82 @@
+package core
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/tealhall/tealhall/internal/route"
+)
+
+// An endpoint loses a read, or its VM turns slow under way. The caller would wait until
+// its deadline, while an idle endpoint could answer within the objective. A second
+// attempt goes out in time, never for a request that may run only once, and not to an
+// endpoint that is at work.
+func TestSecondAttempt(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		kind   route.Kind
+		happen func(first *box, others []*box)
+		want   int
+	}{
+		{"the VM turned slow", route.Idempotent, func(first *box, _ []*box) { first.pace = 500 }, 2},
+		{"the request was lost", route.Idempotent, func(first *box, _ []*box) { first.running = 0 }, 2},
+		{"the endpoint went silent", route.Idempotent, func(first *box, _ []*box) { first.silent = true }, 2},
+		{"a booking runs once", route.NonIdempotent, func(first *box, _ []*box) { first.pace = 500 }, 1},
+		{"nobody is idle", route.Idempotent, func(first *box, others []*box) {
+			first.pace = 500
+			for _, b := range others {
+				b.running = 1
+			}
+		}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			boxes := idle(4, "d0")
+			y := newYard(t, boxes...)
+			y.learn(12)
+			id := y.ask(c.kind, 3*sec)
+			y.run(20 * ms)
+			first := y.box(y.open[id][1].Endpoint)
+			others := slices.DeleteFunc(slices.Clone(boxes), func(b *box) bool { return b == first })
+			c.happen(first, others)
+			y.run(320 * ms)
+			if len(y.sent) != c.want || c.want == 2 && y.sent[1] == first.name {
+				t.Errorf("sent to %v, want %d attempts", y.sent, c.want)
+			}
+		})
+	}
+}
+
+// An entry has just started, and the first endpoint that it sends a read to loses it.
+// A budget that successes earn is empty then; the read would fail although an idle
+// endpoint stands by and the fleet is far within its bound.
+func TestFirstRequestsOfAProcessAreRepeated(t *testing.T) {
+	y := newYard(t, idle(3, "d0")...)
+	id := y.ask(route.Idempotent, 3*sec)
+	y.run(20 * ms)
+	y.do(func(out *Actions) { y.End(y.now, End{ID: id, Attempt: 1, Kind: EndLost, Replayable: true}, out) })
+	delete(y.open[id], 1)
+	y.run(20 * ms)
+	if len(y.open[id]) != 1 {
+		t.Errorf("not repeated: %+v", y.told[id])
+	}
+}
+
+// The VM of an endpoint turns slow after a request has begun there. The request goes on
+// at the pace at which it began, so that a second attempt for it would only take a slot.
+// One that began at a slow pace, unseen, is overdue at twice its time.
+func TestRunningRequestKeepsItsPace(t *testing.T) {
+	boxes := idle(3, "d0")
+	y := newYard(t, boxes...)
+	y.learn(12)
+	y.ask(route.Idempotent, 3*sec)
+	y.run(20 * ms)
+	y.box(y.sent[0]).pace = 500
+	y.run(130 * ms)
+	if len(y.sent) != 1 {
+		t.Errorf("a second attempt at 1.5 times the usual work: %v", y.sent)
+	}
+	y.run(100 * ms)
+	if len(y.sent) != 2 {
+		t.Errorf("no second attempt at 2.5 times the usual work: %v", y.sent)
+	}
+}
