Second attempts: an endpoint that was not asked is not silent; names

Found while reading: where the bound on looks denied the question to the endpoint at work, its silence counted as a sign that the request was lost. Test, failing before: TestNotAskedIsNotSilent. Rare, since the looks for another endpoint are then denied as well; no figure.

ownway.go is owndomain.go, and says what it does.

--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -105,7 +105,7 @@
 		r.phase = phaseLooking
 	}
 	r.look = lookRound{round: r.look.round, asked: r.look.asked[:0], began: now, second: second, active: true,
-		ownOnly: !second && c.sparesTheWay(now, r)}
+		ownOnly: !second && c.prefersOwnDomain(now, r)}
 	c.looking = append(c.looking, r.arrival.ID)
 	if r.queuedOnce && !second {
 		// An answer that has just come in told of a slot that is free by now.
--- a/internal/core/ownway.go
+++ b/internal/core/owndomain.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"slices"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/table"
@@ -13,9 +12,9 @@
 // objective leaves time to wait for an endpoint nearby, and nine of ten bytes between
 // domains are such uploads.
 
-// ownWayLeast is the least wait for an endpoint of the own failure domain that is worth
+// ownDomainLeast is the least wait for an endpoint of the own failure domain that is worth
 // its looks: a request with its answer of ten kilobytes.
-const ownWayLeast = 20 * time.Millisecond
+const ownDomainLeast = 20 * time.Millisecond
 
 // laterLook is a request that waits for its next round of looks beside the queue.
 type laterLook struct {
@@ -23,15 +22,24 @@
 	at time.Duration
 }
 
-// sparesTheWay reports whether r should ask endpoints of the own failure domain only: its
+// prefersOwnDomain reports whether r should ask endpoints of the own failure domain only: its
 // bytes on the way into another one are worth the wait, and it can be in time after it.
-func (c *Core) sparesTheWay(now time.Duration, r *request) bool {
+func (c *Core) prefersOwnDomain(now time.Duration, r *request) bool {
 	patience := time.Duration(r.service.kilobytes * float64(perKilobyte))
-	if patience < ownWayLeast || r.late || r.queuedOnce || r.policy.Objective == 0 {
+	if patience < ownDomainLeast || r.late || r.queuedOnce || r.policy.Objective == 0 {
 		return false
 	}
 	latest := min(r.arrived+patience, r.latestInTime()-r.typicalWork()/2)
-	return now+lookGap <= latest && slices.ContainsFunc(r.pool.Endpoints, func(e table.Endpoint) bool { return c.nearAndWell(now, &e) })
+	return now+lookGap <= latest && c.anyNearAndWell(now, r.pool)
+}
+
+func (c *Core) anyNearAndWell(now time.Duration, p *pool) bool {
+	for i := range p.Endpoints {
+		if c.nearAndWell(now, &p.Endpoints[i]) {
+			return true
+		}
+	}
+	return false
 }
 
 // nearAndWell reports whether an endpoint of the own failure domain is worth waiting for.
--- a/internal/core/secondtry.go
+++ b/internal/core/secondtry.go
@@ -1,11 +1,14 @@
 package core
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// A request that may run twice is looked after once it has been sent: an endpoint
-// whose VM has turned slow, or that lost the request, shows in a look at it, and
-// an idle endpoint elsewhere can answer within the latency objective still. It is
-// paid from the same budgets as retries.
+// A request that may run twice is looked after once it has been sent: an endpoint that
+// lost it, or went silent, shows in a look at it, and an idle endpoint elsewhere can
+// answer within the latency objective still. It is paid from the same budgets as
+// retries.
 const (
 	// overdueAfter is after how many times the typical work an attempt is looked
 	// after, and overdueStep the time between two looks, in the same unit.
@@ -145,7 +148,8 @@
 	case now >= r.latestInTime()-decisionTime && now <= r.latestInTime()+decisionTime:
 		return true // the last moment at which a second attempt can be in time
 	case !told:
-		return true // it did not even answer a look
+		// Silence counts only where it was asked: the bound on looks may have denied that.
+		return slices.Contains(r.look.asked, a.index)
 	case e.Look.Load() == 0:
 		return true // it holds no request: this one was lost
 	}
--- a/internal/core/secondtry_test.go
+++ b/internal/core/secondtry_test.go
@@ -61,6 +61,25 @@
 	}
 }
 
+// Many requests take longer than usual, and the bound on looks is used up: the endpoint at
+// work on one of them is not asked. That it has told nothing is no sign that it is silent.
+func TestNotAskedIsNotSilent(t *testing.T) {
+	boxes := idle(3, "d0")
+	y := newYard(t, boxes...)
+	y.learn(12)
+	id := y.ask(route.Idempotent, 3*sec)
+	y.run(120 * ms)
+	r := y.requests[id]
+	r.look = lookRound{began: y.now, second: true, active: true}
+	if y.overdue(y.now, r, 100*ms) {
+		t.Error("overdue though it was not asked")
+	}
+	r.look.asked = append(r.look.asked, r.attempts[1].index)
+	if !y.overdue(y.now, r, 100*ms) {
+		t.Error("not overdue though it was asked and is silent")
+	}
+}
+
 // The VM of an endpoint turns slow after a request has begun there. The request goes on
 // at the pace at which it began, so that a second attempt for it would only take a slot.
 // One that began at a slow pace, unseen, is overdue at twice its time.
