Client: entries that the newest answers name are asked first

Cause of TestFailureDomainReplacedWhileServiceIsDown, red once beside busy loops: the three questions that broke off went to entries that had stopped 1.4 to 1.9 s before. A caller asked the entries of its old answer for the service first. Reads renew an answer every 300 ms, bookings of one caller pause for longer on a starved machine, and the answer for them then names a stopped entry first; net/http writes the question on a kept connection whose end it has not noticed, and repeats it into a closed port. Ruled out: quicker meeting of entries, since the stopped entries had said that they stop and no request was lost (402 of 402, 153 of 153).

Change: whom to ask comes from all answers, the newest first, then the seeds. Test: TestEntriesOfTheNewestAnswerAreAskedFirst (the order was stopped, a, seed).

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -153,6 +153,27 @@
 	}
 }
 
+// A caller books rarely and reads all the time. An entry stops in a planned way; the
+// answer for its bookings, long run out, still names it first, while the one for its reads
+// does not. It asked the stopped entry for a new answer on a connection that was being
+// closed, which showed as a question cut off by a planned stop.
+func TestEntriesOfTheNewestAnswerAreAskedFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newDirectory(Options{Seeds: []string{"seed", "stopped"}, Clock: func() time.Time { return now }}, nil)
+	rest := func(service string, until time.Duration, addresses ...string) {
+		k := d.keptFor(service)
+		k.until = now.Add(until)
+		for _, address := range addresses {
+			k.entries = append(k.entries, contract.EntryAddress{Address: address})
+		}
+	}
+	rest("bookings", -2*time.Second, "stopped", "a")
+	rest("reads", time.Second, "b", "a")
+	if diff := cmp.Diff([]string{"b", "a", "stopped", "seed"}, d.addresses()); diff != "" {
+		t.Errorf("asked in another order (-want +got):\n%s", diff)
+	}
+}
+
 func TestWeights(t *testing.T) {
 	d := newDirectory(Options{Clock: time.Now}, nil)
 	entries := []contract.EntryAddress{{Name: "A", Weight: 3}, {Name: "B", Weight: 1}, {Name: "C"}}
--- a/client/directory.go
+++ b/client/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -94,13 +95,12 @@
 // which is a safe failure.
 func (d *directory) renew(ctx context.Context, service string, k *kept) ([]contract.EntryAddress, error) {
 	began := d.opts.Clock()
-	known := d.known(k)
-	answer, err := d.ask(ctx, service, known)
-	if err != nil && len(known) == 0 {
-		return nil, err
-	}
+	answer, err := d.ask(ctx, service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err != nil && len(k.entries) == 0 {
+		return nil, err
+	}
 	if err != nil {
 		k.until = d.opts.Clock().Add(askAgain)
 		return d.ordered(k.entries), nil
@@ -113,10 +113,32 @@
 	return d.ordered(k.entries), nil
 }
 
-func (d *directory) known(k *kept) []contract.EntryAddress {
+// addresses returns whom to ask which entries to use: those that the newest answers name
+// first, whatever service they were for, then the seeds.
+//
+// Guards against a caller that rests for longer than its answer lasts, and then asks an
+// entry that has stopped meanwhile, on a connection whose end it has not noticed yet: the
+// question breaks off, although an answer for another service tells who serves.
+func (d *directory) addresses() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return k.entries
+	answers := slices.Collect(maps.Values(d.services))
+	slices.SortFunc(answers, func(a, b *kept) int { return b.until.Compare(a.until) })
+	var addresses []string
+	add := func(address string) {
+		if !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	for _, k := range answers {
+		for _, e := range k.entries {
+			add(e.Address)
+		}
+	}
+	for _, seed := range d.opts.Seeds {
+		add(seed)
+	}
+	return addresses
 }
 
 func (d *directory) revision() uint64 {
@@ -139,19 +161,10 @@
 	}
 }
 
-// ask gets an answer from the known entries or, failing them, the seeds.
-func (d *directory) ask(ctx context.Context, service string, known []contract.EntryAddress) (contract.EntriesAnswer, error) {
-	var addresses []string
-	for _, e := range known {
-		addresses = append(addresses, e.Address)
-	}
-	for _, seed := range d.opts.Seeds {
-		if !slices.Contains(addresses, seed) {
-			addresses = append(addresses, seed)
-		}
-	}
+// ask gets an answer from the first entry that gives one.
+func (d *directory) ask(ctx context.Context, service string) (contract.EntriesAnswer, error) {
 	var last error
-	for _, address := range addresses {
+	for _, address := range d.addresses() {
 		answer, err := d.askOne(ctx, address, service)
 		if err == nil {
 			return answer, nil
