Core: reads on connections that went silent are all sent again

Cause of TestOpenConnectionsToEndpointsGoSilent, red once beside busy loops: a network that forgets all connections takes one read with each idle connection, and a busy machine has opened more of them than the retry budget of a service pays for (five saved up). The sixth read and later ones were told endpoint-lost. Ruled out: refusals for another reason, as the two reads had one try each and cause 'connection went silent'.

Change: where no bound of the fleet counts, such an attempt is paid from a budget of its own, one for each success, 64 saved up. Bytes that nobody acknowledged add no load, which is what the retry budget guards against. Test: TestEveryReadOnSilentConnectionsIsSentAgain, 14 of 20 reads before, 20 after.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -87,7 +87,7 @@
 	if r.live() > 1 {
 		return false
 	}
-	a.paid = c.mayRetry(now, r, false)
+	a.paid = c.mayRetry(now, r, false, false)
 	return !a.paid
 }
 
@@ -163,6 +163,7 @@
 		if a.status < http.StatusInternalServerError {
 			r.service.retry.Earn()
 			r.service.idle.Earn()
+			r.service.silent.Earn()
 		}
 		c.settleKey(now, r, OutcomeDone, e.Answer, out)
 	} else {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -21,6 +21,14 @@
 	// succeed, so that a service whose endpoints refuse everything sees no
 	// more than its requests.
 	idleRefusalShare = 1.0
+	// silentShare and silentCap bound the attempts that follow one whose connection went
+	// silent: one for each request that succeeded before, and as many saved up as an entry
+	// commonly keeps idle connections for a service. Guards against a network that forgets
+	// all of them at once. Each takes a read with it before it is known to be dead, and the
+	// budget that keeps retries from adding load to an overload pays for five: the other
+	// reads would be told "endpoint-lost". What nobody has acknowledged adds no such load.
+	silentShare = 1.0
+	silentCap   = 64
 )
 
 // phase is where a request stands.
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -28,7 +28,7 @@
 		c.placeAgain(now, r, out)
 		return
 	}
-	if !a.paid && !c.mayRetry(now, r, provablyNotRun) {
+	if !a.paid && !c.mayRetry(now, r, provablyNotRun, e.ConnSilent) {
 		c.fail(now, r, r.lastReason, out)
 		return
 	}
@@ -74,7 +74,7 @@
 // multiplied. So a failure that may have run is tried again only for the
 // outermost call, and not at all below a call that is itself a second try. The
 // same holds for hedges.
-func (c *Core) mayRetry(now time.Duration, r *request, provablyNotRun bool) bool {
+func (c *Core) mayRetry(now time.Duration, r *request, provablyNotRun, connSilent bool) bool {
 	tries := int(r.dispatches) - r.idleRefusals - r.unsent
 	if tries >= r.policy.MaxAttempts || int(r.dispatches) >= MaxAttempts {
 		return false
@@ -85,6 +85,9 @@
 	if r.nested() && !provablyNotRun {
 		return false
 	}
+	if connSilent && r.pool.repeats == nil && r.service.silent.TrySpend(now) {
+		return true
+	}
 	return c.payRepeat(now, r)
 }
 
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -34,6 +34,8 @@
 	retry  *budget.Retry
 	// idle pays for refusals by endpoints that had no idle slot.
 	idle *budget.Retry
+	// silent pays for another attempt after one whose connection went silent.
+	silent *budget.Retry
 	// held counts this entry's attempts in flight for the service.
 	held int
 	// entries is how many entries callers of the service are sent to.
@@ -242,6 +244,7 @@
 	sv.policy = sv.spec.Policy(c.closing)
 	if sv.retry == nil {
 		sv.idle = budget.NewRetry(budget.RetryConfig{Share: idleRefusalShare, LargestFleet: 1})
+		sv.silent = budget.NewRetry(budget.RetryConfig{Share: silentShare, LargestFleet: 1, Cap: silentCap})
 		sv.retry = budget.NewRetry(budget.RetryConfig{
 			Share:        sv.policy.RetryBudget,
 			MinPerSecond: minRetriesPerSecond,
