Endpoints that start again under their id; items of other writers

An endpoint may start again under the id that it had: its entry tells the time of its start (born), which is its incarnation now. Everything that is remembered by incarnation follows: drains and evidence, late news of peers, load and doubt, slow start, attempts. Entries without born have a new id after each start, as before.

Items under the endpoints' prefix may come from another writer. One without a pool made the whole list invalid, so that entries went on with an older one; one without a state was taken for a live endpoint. Each item now needs all fields, typed, a state that is named, and what the list itself asks of a VM; what lacks one names no endpoint.

--- /dev/null
+++ b/internal/core/lifetime_test.go
@@ -0,0 +1,72 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/message"
+)
+
+// An endpoint drains, crashes and starts again under the name that it had, at the same
+// address, cold and empty. What was believed of the process before it must not count: it
+// gets work again although its name was known to leave, begins slowly, and neither the
+// doubt about its predecessor nor a peer's late news of it touches it.
+func TestEndpointStartsAgainUnderItsName(t *testing.T) {
+	r := settled(t, 2, "counts/c1#5", "counts/c2#5")
+	r.bad(reaction{})
+	r.traffic(Arrival{Service: "counts"}, 10*ms, 12*sec) // past the cold start
+	n := r.nodes[0]
+	p := n.pools["counts"]
+	before := &p.Endpoints[p.find("c1", 5)]
+	noteOutcome(r.now, before, true)
+	before.See(table.Look{Running: 2, Slots: 2, Pace: 500, At: r.now, Seen: true})
+	leaving := message.Evidence{VM: "c1", Incarnation: 5, Kind: message.EvidenceLeaving}
+	r.do(n, func(_ time.Duration, out *Actions) { n.claim(r.now, leaving, out) })
+	r.run(sec) // the other entry is told
+	clear(r.written)
+	r.traffic(Arrival{Service: "counts"}, 10*ms, 2*sec)
+	if r.written["c1"] > 0 {
+		t.Fatalf("the leaving one got %d requests", r.written["c1"])
+	}
+	r.list(2, "counts/c1#6", "counts/c2#5")
+	r.run(sec)
+	i := p.find("c1", 6)
+	if i < 0 {
+		t.Fatalf("not known: %+v", p.Endpoints)
+	}
+	e := &p.Endpoints[i]
+	if e.State != table.EndpointLive || e.Doubt != 0 || e.Look.Running != 0 || e.Paces != (table.Paces{}) || e.Slots >= e.Listed {
+		t.Errorf("the new one is taken for the old one: %+v", e)
+	}
+	for _, late := range []message.Evidence{leaving, {VM: "c1", Incarnation: 5, Kind: message.EvidenceStopped, AgeMillis: 3000}} {
+		r.do(n, func(_ time.Duration, out *Actions) { n.claim(r.now, late, out) })
+	}
+	clear(r.written)
+	r.traffic(Arrival{Service: "counts"}, 10*ms, 7*sec)
+	if r.written["c1"] == 0 {
+		t.Errorf("the new one gets nothing: %+v", *e)
+	}
+}
+
+// A request is at work at an endpoint that crashes and starts again under its name. The
+// list tells of the new process before the connection breaks; the attempt belongs to the
+// one before it, so the caller of a booking must not be told that it was not run, and the
+// new one holds nothing of it.
+func TestAttemptBelongsToTheLifetimeBeforeTheRestart(t *testing.T) {
+	r := settled(t, 1, "counts/c1#5")
+	n := r.nodes[0]
+	r.endpoint = func(string, Arrival) reaction { return reaction{after: 3 * sec, end: End{Kind: EndLost}} }
+	id := r.ask(n, Arrival{Service: "counts"})
+	r.run(200 * ms)
+	r.list(2, "counts/c1#6")
+	r.run(sec)
+	p := n.pools["counts"]
+	if i := p.find("c1", 6); i < 0 || p.Endpoints[i].Outstanding != 0 {
+		t.Errorf("the new one holds what the old one was sent: %+v", p.Endpoints)
+	}
+	r.run(5 * sec)
+	if got := n.told[id]; got.Outcome == OutcomeNotRun {
+		t.Errorf("told %+v", got)
+	}
+}
--- a/internal/platform/vms.go
+++ b/internal/platform/vms.go
@@ -63,6 +63,16 @@
 	return list, nil
 }
 
+// CheckVM returns what is wrong with one VM by itself, nil if it can be used.
+func CheckVM(vm VM) error {
+	var found problems
+	checkVM(&vm, &found)
+	if found.count == 0 {
+		return nil
+	}
+	return fault.New(fault.PlatformAnswer, remedyVMs, "%s", strings.Join(found.texts, "; "))
+}
+
 // EncodeVMs returns list in the form that ParseVMs reads, in the order given.
 func EncodeVMs(list VMList) []byte {
 	if list.VMs == nil {
