Placement: a package of its own

Whom to ask, which endpoint, how long it takes there, the own domain first, slow start, doubt and the running median were methods of the core over nine files. They are package placement now: a View of a pool with one request goes in, a choice comes out; it asks nobody and sends nothing. The core keeps the rounds of looks, waiting and second attempts.

Nothing was measured for it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	"github.com/tealhall/tealhall/internal/core/budget"
 	"github.com/tealhall/tealhall/internal/core/health"
 	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/profile"
 )
@@ -205,7 +206,7 @@
 		c.sweepHealth(now, out)
 		for _, p := range c.poolRows {
 			p.forgetOldTimes(now)
-			p.riseFromSlowStart(now)
+			placement.RiseFromSlowStart(now, p.Endpoints)
 		}
 	}
 	if now >= c.nextProbe {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -5,6 +5,7 @@
 
 	"github.com/tealhall/tealhall/internal/core/balance"
 	"github.com/tealhall/tealhall/internal/core/health"
+	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/queue"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/profile"
@@ -131,20 +132,21 @@
 	p := r.pool
 	index := choice.Index
 	e := &p.Endpoints[index]
+	view, told := c.see(now, r), e.Look.Seen && now-e.Look.At < placement.Remembered
 	r.phase = phaseActive
 	r.dispatches++
 	r.attempts[r.dispatches] = attempt{
 		live:        true,
 		hedge:       hedge,
 		idleOnly:    choice.IdleOnly,
-		alone:       e.Look.Seen && now-e.Look.At < lookRemembered && e.Look.Load() == 0 && pace(&e.Look) <= 1,
-		fills:       e.Look.Seen && now-e.Look.At < lookRemembered && fills(e.Look.Load(), max(1, e.Look.Slots)) && e.HasRoom() && pace(&e.Look) <= 1,
+		alone:       told && placement.IsIdle(e),
+		fills:       told && placement.Fills(e) && e.HasRoom() && placement.Pace(&e.Look) <= 1,
 		index:       index,
 		incarnation: e.Incarnation,
 		at:          now,
 		endpoint:    e.Name,
 		look:        e.Look,
-		due:         c.takes(now, r, e),
+		due:         view.Takes(e),
 	}
 	r.tried = r.tried.With(index)
 	e.Outstanding++
--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -1,10 +1,6 @@
 package core
 
-import (
-	"time"
-
-	"github.com/tealhall/tealhall/internal/core/table"
-)
+import "time"
 
 // looksEarned is how many times its looks a request earns: those for the first
 // choice, and as many for a second look when there was no room, or after it.
@@ -53,6 +49,34 @@
 	return r.arrived - r.age + r.policy.Objective - r.typicalWork()
 }
 
+// typicalWork is how long a request of the service commonly takes at an endpoint
+// that has nothing else to do. Latencies at busy ones must not count: under load they
+// grow, and everything would be taken to be late already.
+func (r *request) typicalWork() time.Duration {
+	if t := r.service.work.Typical(); t > 0 {
+		return t
+	}
+	if r.policy.Objective > 0 {
+		return r.policy.Objective / 3
+	}
+	return time.Duration(r.pool.serviceNanos)
+}
+
+// turn is what the requests that a full endpoint of the pool holds commonly take there,
+// those of all its services, in which long ones are met as often as they are long.
+func (p *pool) turn(now time.Duration) time.Duration {
+	sum, slots := 0.0, 0.0
+	for _, sv := range p.services {
+		busy := sv.demand.Slots(now)
+		sum += busy * float64(sv.work.Typical())
+		slots += busy
+	}
+	if slots <= 0 || sum <= 0 {
+		return time.Duration(p.serviceNanos)
+	}
+	return time.Duration(p.learned.Sharing() * sum / slots)
+}
+
 // ageOf estimates how long ago the caller first tried: most callers of a service
 // begin with the same patience, and a later try has less of it left. The patience is
 // a running median, since a few callers wait for far longer than the others.
@@ -60,8 +84,8 @@
 	if left <= 0 {
 		return 0
 	}
-	sv.patience.observe(left)
-	return max(0, sv.patience.typical()-left)
+	sv.patience.Observe(left)
+	return max(0, sv.patience.Typical()-left)
 }
 
 // Retry-After of a refusal under load: a random time within these bounds, so that
@@ -76,24 +100,6 @@
 	return returnLeast + time.Duration(c.rng.Int64N(int64(returnMost-returnLeast)))
 }
 
-// The doubt about an endpoint: each attempt without an answer of use raises it by
-// doubtStep of what is missing to 1, each good answer lowers it.
-const (
-	doubtStep = 0.35
-	trustStep = 0.25
-)
-
-// noteOutcome takes in how an attempt at an endpoint ended.
-func noteOutcome(now time.Duration, e *table.Endpoint, failed bool) {
-	doubt := e.DoubtAfter(now)
-	if failed {
-		doubt += doubtStep * (1 - doubt)
-	} else {
-		doubt -= trustStep * doubt
-	}
-	e.Doubt, e.DoubtAt = doubt, now
-}
-
 // noteSize takes in the size of a request and its answer in bytes.
 func (sv *service) noteSize(bytes int64) {
 	kilobytes := float64(bytes) / 1024
--- a/internal/core/lifetime_test.go
+++ b/internal/core/lifetime_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/message"
 )
@@ -19,7 +20,7 @@
 	n := r.nodes[0]
 	p := n.pools["counts"]
 	before := &p.Endpoints[p.find("c1", 5)]
-	noteOutcome(r.now, before, true)
+	placement.NoteOutcome(r.now, before, true)
 	before.See(table.Look{Running: 2, Slots: 2, Pace: 500, At: r.now, Seen: true})
 	leaving := message.Evidence{VM: "c1", Incarnation: 5, Kind: message.EvidenceLeaving}
 	r.do(n, func(_ time.Duration, out *Actions) { n.claim(r.now, leaving, out) })
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -3,13 +3,10 @@
 import (
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/table"
 )
 
-// The load that these looks answer: endpoints share their VMs with others, and how
-// long work takes there changes several times a second. Whatever was reported with
-// an earlier answer is then worth little, while a question right before the request
-// is sent costs a round trip of a millisecond and no slot.
 const (
 	// lookBatch is how many endpoints are asked at a time. The first one that is
 	// idle and as fast as usual ends the round.
@@ -21,16 +18,8 @@
 	// lookWait bounds the wait for a batch: several round trips between failure
 	// domains. An endpoint that says nothing for so long is no good choice.
 	lookWait = 12 * time.Millisecond
-	// lookFresh is how old a look may be to count for another request.
-	lookFresh = 2 * time.Millisecond
-	// lookRemembered is for how long an earlier look says whom to ask first: the
-	// time in which the pace of a VM commonly changes.
-	lookRemembered = 150 * time.Millisecond
 	// lookGap is the time between two rounds for requests that wait.
 	lookGap = 30 * time.Millisecond
-	// fullLasts is for how long an endpoint without room is taken to have none: some
-	// times what a request takes there.
-	fullLasts = 1500 * time.Millisecond
 	// loadlessLooks is after how many answers without a load a pool's endpoints are
 	// taken to report none.
 	loadlessLooks = 6
@@ -76,6 +65,29 @@
 	return p.usesLooks() && (p.lookingFor != 0 || now < p.lookAgain)
 }
 
+// see returns a request with its pool as package placement sees them.
+func (c *Core) see(now time.Duration, r *request) placement.View {
+	return placement.View{
+		Now:       now,
+		Domain:    c.cfg.Self.Domain,
+		Endpoints: r.pool.Endpoints,
+		Pool:      &r.pool.learned,
+		Turn:      r.pool.turn(now),
+		Rand:      c.rng,
+		Request: placement.Request{
+			Arrived: r.arrived, Deadline: r.deadline, FirstTry: r.arrived - r.age, Objective: r.policy.Objective,
+			Work: r.typicalWork(), Kilobytes: r.service.kilobytes, Late: r.late,
+			Tried: r.tried, Asked: r.look.asked, Began: r.look.began, OwnOnly: r.look.ownOnly,
+		},
+	}
+}
+
+// best returns the best choice for r among the endpoints that have just told their load.
+func (c *Core) best(now time.Duration, r *request) placement.Choice {
+	view := c.see(now, r)
+	return view.Best()
+}
+
 // useFreshLook sends the request that is next in the queue to an endpoint that has told
 // of a free slot just now, in an answer to another request or to a look for it. Guards
 // against slots that lie idle until the next round of looks, in which others find them.
@@ -92,12 +104,12 @@
 	// An earlier round may have been for a second attempt, which this is not: paid for as
 	// one, it could be denied after it has left the queue.
 	r.look = lookRound{round: r.look.round, asked: r.look.asked[:0], began: now}
-	best := c.bestLooked(now, r)
-	if !best.worth || int(r.dispatches) >= MaxAttempts {
+	best := c.best(now, r)
+	if !best.Worth || int(r.dispatches) >= MaxAttempts {
 		return false
 	}
 	p.queue.Take(now, item.ID)
-	return c.dispatchLooked(now, r, best.index, out)
+	return c.dispatchLooked(now, r, best.Index, out)
 }
 
 // startLooks begins to look for an endpoint for r. It returns false when there is
@@ -106,12 +118,13 @@
 	if !second {
 		r.phase = phaseLooking
 	}
+	view := c.see(now, r)
 	r.look = lookRound{round: r.look.round, asked: r.look.asked[:0], began: now, second: second, active: true,
-		ownOnly: !second && c.prefersOwnDomain(now, r)}
+		ownOnly: !second && !r.queuedOnce && view.PrefersOwnDomain(lookGap)}
 	c.looking = append(c.looking, r.arrival.ID)
 	if r.queuedOnce && !second {
 		// An answer that has just come in told of a slot that is free by now.
-		if best := c.bestLooked(now, r); best.worth && c.dispatchLooked(now, r, best.index, out) {
+		if best := c.best(now, r); best.Worth && c.dispatchLooked(now, r, best.Index, out) {
 			return true
 		}
 	}
@@ -132,8 +145,10 @@
 	if r.look.second && len(r.look.asked) == 0 {
 		c.askAtWork(now, r, out)
 	}
+	view := c.see(now, r)
 	for range min(lookBatch, most) {
-		i := c.nextToAsk(now, r)
+		view.Request.Asked = r.look.asked
+		i := view.NextToAsk()
 		if i < 0 || !p.looks.TrySpend(now, len(p.Endpoints), c.fleet.part) {
 			break
 		}
@@ -155,11 +170,6 @@
 		Path: r.pool.probePath, Request: r.arrival.ID, Round: r.look.round, Wait: 4 * lookWait})
 }
 
-// pace is how many times as long as usual work takes.
-func pace(l *table.Look) float64 {
-	return max(1, float64(l.Pace)/100)
-}
-
 // lookEnd takes in what an endpoint answered.
 func (c *Core) lookEnd(now time.Duration, p *pool, e *table.Endpoint, end ProbeEnd, out *Actions) {
 	switch {
@@ -183,7 +193,8 @@
 		return
 	}
 	i := p.find(end.Probe.Endpoint, end.Probe.Incarnation)
-	perfect := i >= 0 && end.OK && end.Load.Known && !end.Misdirected && !end.Unwell && c.perfect(now, r, e)
+	view := c.see(now, r)
+	perfect := i >= 0 && end.OK && end.Load.Known && !end.Misdirected && !end.Unwell && view.Perfect(e)
 	switch {
 	case perfect && c.dispatchLooked(now, r, i, out):
 	case r.look.pending == 0:
@@ -204,20 +215,6 @@
 	unwellPause = 500 * time.Millisecond
 )
 
-// perfect reports whether no other endpoint could be a better choice.
-func (c *Core) perfect(now time.Duration, r *request, e *table.Endpoint) bool {
-	return e.State == table.EndpointLive && isIdle(e) && now >= e.AvoidUntil &&
-		e.DoubtAfter(now) < slightDoubt && (e.Domain == c.cfg.Self.Domain || r.service.kilobytes < smallExchange) && !e.Missing
-}
-
-const (
-	// slightDoubt is the doubt that one failure leaves after some seconds.
-	slightDoubt = 0.1
-	// smallExchange is the size in kilobytes of a request with its answer from
-	// which on the way into another failure domain counts.
-	smallExchange = 1.0
-)
-
 // endLateLooks goes on without endpoints that did not answer in time.
 func (c *Core) endLateLooks(now time.Duration, out *Actions) {
 	kept := c.looking[:0]
@@ -243,17 +240,17 @@
 
 // decide chooses among the endpoints that were looked at, or lets r wait.
 func (c *Core) decide(now time.Duration, r *request, out *Actions) {
-	best := c.bestLooked(now, r)
+	best := c.best(now, r)
 	if r.look.second {
 		c.decideSecond(now, r, best, out)
 		return
 	}
-	if best.index < 0 && !r.look.ownOnly && !c.anyAnswered(r) && !c.crowded(now, r.pool) {
-		if i := c.blindChoice(now, r); i >= 0 && c.dispatchLooked(now, r, i, out) {
+	if view := c.see(now, r); best.Index < 0 && !r.look.ownOnly && !c.anyAnswered(r) && !view.Crowded() {
+		if i := view.Blind(); i >= 0 && c.dispatchLooked(now, r, i, out) {
 			return
 		}
 	}
-	if best.worth && c.dispatchLooked(now, r, best.index, out) {
+	if best.Worth && c.dispatchLooked(now, r, best.Index, out) {
 		return
 	}
 	c.endLook(r)
--- a/internal/core/looks_test.go
+++ b/internal/core/looks_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"testing"
 
+	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/route"
 	"pgregory.net/rapid"
@@ -47,7 +48,7 @@
 	y.learn(8)
 	e := &y.pools["p"].Endpoints[y.pools["p"].find("d0-0", 1)]
 	for range 4 {
-		noteOutcome(y.now, e, true)
+		placement.NoteOutcome(y.now, e, true)
 	}
 	for range 8 {
 		id := y.ask(route.Idempotent, 3*sec)
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -6,6 +6,7 @@
 
 	"github.com/tealhall/tealhall/internal/core/balance"
 	"github.com/tealhall/tealhall/internal/core/health"
+	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/table"
 )
 
@@ -41,10 +42,10 @@
 	if end.Kind == EndComplete && a.status < http.StatusInternalServerError {
 		r.service.typical.Observe(a.latency(now))
 		if a.alone {
-			r.service.work.observe(a.latency(now))
+			r.service.work.Observe(a.latency(now))
 		}
 		if a.fills {
-			p.noteSharing(a.latency(now), r.service.work.typical())
+			p.learned.NoteSharing(a.latency(now), r.service.work.Typical())
 		}
 		p.noteServiceTime(now - a.at)
 	}
@@ -53,7 +54,7 @@
 // noteEnd takes in for the choice by looks how an attempt ended.
 func (c *Core) noteEnd(now time.Duration, r *request, e *table.Endpoint, o health.Outcome, end End) {
 	failed := o != health.Answered && o != health.RefusedNotRun && o != health.ConnSilent
-	noteOutcome(now, e, failed)
+	placement.NoteOutcome(now, e, failed)
 	if o == health.ConnectFailed || o == health.RefusedNotRun {
 		e.AvoidUntil = max(e.AvoidUntil, now+unwellPause)
 	}
@@ -76,7 +77,7 @@
 		HasLoad:  a.load.Known,
 		InFlight: a.load.InFlight,
 		Queued:   a.load.Queued,
-		Slots:    min(a.load.Slots, int(allowedSlots(now, e))),
+		Slots:    min(a.load.Slots, int(placement.AllowedSlots(now, e))),
 		Refused:  end.Kind == EndNotRun,
 		Failed:   unusable(a, end) && !refusedBusy(a, end),
 	}
--- /dev/null
+++ b/internal/core/placement/choose.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+// Choice is an endpoint with a fresh look as a choice for a request.
+type Choice struct {
+	// Index is the endpoint's, -1 for none.
+	Index int
+	// After is when it is expected to answer, from now; cost is what the choice costs,
+	// in the same unit.
+	After, cost time.Duration
+	// Worth says that the request should go there rather than wait.
+	Worth bool
+}
+
+const (
+	// perKilobyte is the later answer that a kilobyte between failure domains is worth.
+	// An upload of 60 KB goes to another domain only when it would be late in its own.
+	perKilobyte = 2 * time.Millisecond
+	// smallExchange is the size in kilobytes of a request with its answer from
+	// which on the way into another failure domain counts.
+	smallExchange = 1.0
+)
+
+// Best returns the best choice among the endpoints with a fresh look and room.
+func (v *View) Best() Choice {
+	best := Choice{Index: -1}
+	for i := range v.Endpoints {
+		e := &v.Endpoints[i]
+		if !v.eligible(i) || !e.Look.Seen || e.Look.At < v.Request.Began-Fresh || !e.MayQueue() {
+			continue
+		}
+		choice := Choice{Index: i, After: v.Expected(e)}
+		choice.cost = choice.After + v.wayCost(e)
+		choice.Worth = v.worthwhile(e, choice.After)
+		if choice.before(best) {
+			best = choice
+		}
+	}
+	return best
+}
+
+// before reports whether c is a better choice than other.
+func (c Choice) before(other Choice) bool {
+	switch {
+	case other.Index < 0:
+		return true
+	case c.Worth != other.Worth:
+		return c.Worth
+	}
+	return c.cost < other.cost
+}
+
+// wayCost is what the bytes of a request and its answer cost on the way into another
+// failure domain, where an endpoint of the own one could be in time as well.
+func (v *View) wayCost(e *table.Endpoint) time.Duration {
+	if v.isNear(e) {
+		return 0
+	}
+	return time.Duration(v.Request.Kilobytes * float64(perKilobyte))
+}
+
+// worthwhile reports whether the request should go to an endpoint that would answer after
+// the expected time. A request that can be in time elsewhere waits for that; one that is
+// late by now takes no slot beside another request, which would be late as well then,
+// nor one on a slow VM, which it would hold for as long as several that are in time.
+// None goes where it would not be answered at all.
+func (v *View) worthwhile(e *table.Endpoint, expected time.Duration) bool {
+	r := &v.Request
+	switch {
+	case v.Now+expected >= r.Deadline:
+		return false
+	case r.Objective == 0:
+		return true
+	case r.Late:
+		return e.HasRoom() && (!Fills(e) || v.Pool.sharing < littleSharing) && Pace(&e.Look) < SlowPace*e.Paces.Lasting(v.Now)
+	}
+	return v.Now+expected <= r.FirstTry+r.Objective
+}
+
+// Perfect reports whether no other endpoint could be a better choice than e.
+func (v *View) Perfect(e *table.Endpoint) bool {
+	return e.State == table.EndpointLive && IsIdle(e) && v.Now >= e.AvoidUntil && !e.Missing &&
+		e.DoubtAfter(v.Now) < SlightDoubt && (v.isNear(e) || v.Request.Kilobytes < smallExchange)
+}
+
+// Blind returns the index of an endpoint to choose when none told its load, because the
+// budget is spent or nobody answers; -1 for none. The one with the fewest own requests is
+// the best guess.
+func (v *View) Blind() int {
+	best, bestRank := -1, 0.0
+	for i := range v.Endpoints {
+		e := &v.Endpoints[i]
+		full := e.Look.Seen && v.Now-e.Look.At < fullLasts && !e.HasRoom()
+		if e.State != table.EndpointLive || v.Request.Tried.Has(i) || e.Outstanding >= max(1, e.Slots) || full || v.seemsSlow(e) {
+			continue
+		}
+		if rank := v.rank(e); best < 0 || rank < bestRank {
+			best, bestRank = i, rank
+		}
+	}
+	return best
+}
+
+// seemsSlow reports whether an endpoint's VM stays slow, or was slow a moment ago.
+func (v *View) seemsSlow(e *table.Endpoint) bool {
+	return e.Paces.Lasting(v.Now) >= SlowPace || e.Look.Seen && v.Now-e.Look.At < Remembered && Pace(&e.Look) >= SlowPace
+}
--- a/internal/core/median.go
+++ b/internal/core/placement/median.go
@@ -1,11 +1,11 @@
-package core
+package placement
 
 import "time"
 
-// median is a running median of durations. A mean would follow the requests whose VM
+// Median is a running median of durations. A mean would follow the requests whose VM
 // turned slow under way, five times as long and up to a third of all, and every
 // request would seem to be late already when it arrives.
-type median struct {
+type Median struct {
 	nanos   float64
 	samples int
 }
@@ -17,9 +17,9 @@
 	medianSamples = 3
 )
 
-// observe takes in one sample. One that lies within a step moves nothing, so that
+// Observe takes in one sample. One that lies within a step moves nothing, so that
 // samples that are all alike give just their value.
-func (m *median) observe(sample time.Duration) {
+func (m *Median) Observe(sample time.Duration) {
 	m.samples++
 	step := m.step()
 	switch v := float64(sample); {
@@ -35,12 +35,12 @@
 }
 
 // step is larger at first, so that a first sample far off is soon forgotten.
-func (m *median) step() float64 {
+func (m *Median) step() float64 {
 	return max(medianStep, 1/float64(m.samples+1))
 }
 
-// typical returns the estimate, 0 while too little is known.
-func (m *median) typical() time.Duration {
+// Typical returns the estimate, 0 while too little is known.
+func (m *Median) Typical() time.Duration {
 	if m.samples < medianSamples {
 		return 0
 	}
--- /dev/null
+++ b/internal/core/placement/room.go
@@ -0,0 +1,87 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+const (
+	// nearlyFull is the occupancy from which on some endpoints work more slowly.
+	nearlyFull = 0.8
+	// firstSharing is by how much longer work is taken to take there before it was
+	// measured, and sharingMost bounds what is measured.
+	firstSharing = 1.3
+	sharingMost  = 4.0
+	// sharingWeight is the weight of a new measurement.
+	sharingWeight = 0.08
+	// littleSharing is up to where nearly full endpoints work about as fast as others.
+	littleSharing = 1.2
+)
+
+// Pool is what an entry learns of a pool's endpoints. Make it with NewPool.
+type Pool struct {
+	// sharing is by how much longer work takes at endpoints that are nearly full.
+	sharing float64
+}
+
+// NewPool returns what is known before anything was learned.
+func NewPool() Pool { return Pool{sharing: firstSharing} }
+
+// Sharing returns by how much longer work takes at endpoints that are nearly full.
+func (p *Pool) Sharing() float64 { return p.sharing }
+
+// NoteSharing learns from an answer of an endpoint that the request made nearly full; work
+// is what it commonly takes elsewhere.
+func (p *Pool) NoteSharing(latency, work time.Duration) {
+	if work <= 0 {
+		return
+	}
+	times := min(max(float64(latency)/float64(work), 1), sharingMost)
+	p.sharing += sharingWeight * (times - p.sharing)
+}
+
+// fills reports whether one more request makes an endpoint nearly full.
+func fills(load, slots int32) bool {
+	return load > 0 && float64(load+1) >= nearlyFull*float64(slots)
+}
+
+// Fills reports whether one more request makes the endpoint nearly full by what it told.
+func Fills(e *table.Endpoint) bool { return fills(e.Look.Load(), max(1, e.Look.Slots)) }
+
+// IsIdle reports whether an endpoint told that it has nothing to do, at the usual pace.
+func IsIdle(e *table.Endpoint) bool { return e.Look.Load() == 0 && Pace(&e.Look) <= 1 }
+
+// Crowded reports whether most endpoints of which something is known had no room when
+// last heard of. What is sent to them blindly queues up there, and all later requests,
+// which could have waited here for the first free slot, find them full.
+func (v *View) Crowded() bool {
+	known, full := 0, 0
+	for i := range v.Endpoints {
+		e := &v.Endpoints[i]
+		if e.State != table.EndpointLive || !e.Look.Seen || v.Now-e.Look.At > fullLasts {
+			continue
+		}
+		known++
+		if !e.HasRoom() {
+			full++
+		}
+	}
+	return known > 0 && full*2 >= known
+}
+
+// Fullness counts the endpoints that take work, and those of them that told within the
+// last moment that they have no room.
+func Fullness(now time.Duration, endpoints []table.Endpoint) (live, full int) {
+	for i := range endpoints {
+		e := &endpoints[i]
+		if e.State != table.EndpointLive {
+			continue
+		}
+		live++
+		if e.Look.Seen && now-e.Look.At <= fullLasts && !e.HasRoom() {
+			full++
+		}
+	}
+	return live, full
+}
--- a/internal/core/slowstart.go
+++ b/internal/core/placement/slowstart.go
@@ -1,4 +1,4 @@
-package core
+package placement
 
 import (
 	"time"
@@ -10,24 +10,24 @@
 // requests than it has slots for.
 const slowStart = 5 * time.Second
 
-// beginSlowStart limits a new endpoint if the others have been at work for
+// BeginSlowStart limits a new endpoint if the others of its pool have been at work for
 // longer. It guards against a cold endpoint that looks best because it is idle:
 // it would get a full share at once and answer all of it slowly. In a pool that
 // starts as a whole nobody is limited, since there is nobody else to turn to.
-func (p *pool) beginSlowStart(now time.Duration, row *table.Endpoint) {
-	for i := range p.Endpoints {
-		e := &p.Endpoints[i]
+func BeginSlowStart(now time.Duration, others []table.Endpoint, joins *table.Endpoint) {
+	for i := range others {
+		e := &others[i]
 		if e.State == table.EndpointLive && e.SlowUntil == 0 && now-e.AdmittedAt >= slowStart {
-			row.SlowUntil = now + slowStart
-			row.Slots = allowedSlots(now, row)
+			joins.SlowUntil = now + slowStart
+			joins.Slots = AllowedSlots(now, joins)
 			return
 		}
 	}
 }
 
-// allowedSlots is how many of its slots an endpoint may be given: at first one,
+// AllowedSlots is how many of its slots an endpoint may be given: at first one,
 // rising in a straight line to all that the platform's list gives it.
-func allowedSlots(now time.Duration, e *table.Endpoint) int32 {
+func AllowedSlots(now time.Duration, e *table.Endpoint) int32 {
 	left := e.SlowUntil - now
 	if e.SlowUntil == 0 || left <= 0 {
 		return e.Listed
@@ -36,14 +36,14 @@
 	return max(1, int32(part*float64(e.Listed)))
 }
 
-// riseFromSlowStart gives endpoints the slots that they may have by now.
-func (p *pool) riseFromSlowStart(now time.Duration) {
-	for i := range p.Endpoints {
-		e := &p.Endpoints[i]
+// RiseFromSlowStart gives endpoints the slots that they may have by now.
+func RiseFromSlowStart(now time.Duration, endpoints []table.Endpoint) {
+	for i := range endpoints {
+		e := &endpoints[i]
 		if e.SlowUntil == 0 {
 			continue
 		}
-		e.Slots = allowedSlots(now, e)
+		e.Slots = AllowedSlots(now, e)
 		if now >= e.SlowUntil {
 			e.SlowUntil = 0
 		}
--- /dev/null
+++ b/internal/core/placement/work.go
@@ -0,0 +1,57 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+const (
+	// queuedPace is the pace that a request is taken to start at which first waits at an
+	// endpoint: usual in three of four cases, five times as slow in the others, of
+	// which it would be late whatever is chosen.
+	queuedPace = 1.3
+	// turnPart is what a request that waits for the first of an endpoint's slots to
+	// free up has still to wait, as a part of what requests take there, times slots:
+	// those at work have done a part already, and the longer ones are met more often.
+	// Measured: 0.4 and 0.46 of the time of a request at two slots.
+	turnPart = 0.9
+	// avoidedCost is how many times its work a request may take elsewhere before an
+	// avoided endpoint is tried.
+	avoidedCost = 10
+)
+
+// Expected estimates when an endpoint would answer, as a duration from now. What the
+// request would cost the one beside it counts as well: a slot that slows both down is
+// worth its use only where both can bear it.
+func (v *View) Expected(e *table.Endpoint) time.Duration {
+	work := float64(v.Request.Work) * e.Paces.Lasting(v.Now)
+	after := float64(v.Takes(e))
+	if Fills(e) {
+		after += (v.Pool.sharing - 1) * work
+	}
+	after += e.DoubtAfter(v.Now) * 2 * work
+	if v.Now < e.AvoidUntil || e.Missing {
+		after += avoidedCost * work
+	}
+	return time.Duration(after)
+}
+
+// Takes estimates how long an endpoint would take, by its load and pace as it told them
+// last. The pace at the start of a request holds until its end: of those that began at
+// five times the usual pace half took 4.9 times as long as usual or longer, and of those
+// that began at the usual one 99 in 100 less than 2.9 times as long.
+func (v *View) Takes(e *table.Endpoint) time.Duration {
+	lasting := e.Paces.Lasting(v.Now)
+	pace := max(1, Pace(&e.Look)/lasting)
+	load, slots := e.Look.Load(), max(1, e.Look.Slots)
+	own, wait := float64(v.Request.Work)*lasting, 0.0
+	if fills(load, slots) {
+		own *= v.Pool.sharing
+	}
+	if ahead := load - slots + 1; ahead > 0 {
+		wait = float64(v.Turn) * lasting * pace * (float64(ahead-1) + turnPart) / float64(slots)
+		pace = queuedPace
+	}
+	return time.Duration(wait + own*pace)
+}
--- a/internal/core/secondtry.go
+++ b/internal/core/secondtry.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/tealhall/tealhall/internal/core/placement"
 )
 
 // A request that may run twice is looked after once it has been sent: an endpoint that
@@ -19,8 +21,6 @@
 	decisionTime = 10 * time.Millisecond
 	// watchChecks bounds the looks after one request.
 	watchChecks = 5
-	// slowPace is from when on a VM counts as slow.
-	slowPace = 2.0
 	// leastLeft is what an attempt that is due has left at least, and longOverdue after
 	// how many times what it was expected to take it is taken to need as long again.
 	leastLeft   = 0.3
@@ -115,22 +115,22 @@
 // secondSettled reports whether the looks so far decide on a second attempt: none is
 // needed, or an idle endpoint was found.
 func (c *Core) secondSettled(now time.Duration, r *request) bool {
-	best := c.bestLooked(now, r)
-	if best.index < 0 {
+	best := c.best(now, r)
+	if best.Index < 0 {
 		return !c.overdue(now, r, r.typicalWork())
 	}
-	return isIdle(&r.pool.Endpoints[best.index]) || !c.overdue(now, r, best.after)
+	return placement.IsIdle(&r.pool.Endpoints[best.Index]) || !c.overdue(now, r, best.After)
 }
 
 // decideSecond sends a second attempt if the first looks lost or slow and an idle
 // endpoint would answer earlier. One that is at work is left alone: where all are,
 // second attempts would take the slots of first ones.
-func (c *Core) decideSecond(now time.Duration, r *request, best looked, out *Actions) {
-	if best.index < 0 || r.phase != phaseActive || r.committed != 0 || r.live() != 1 || r.dispatches != 1 {
+func (c *Core) decideSecond(now time.Duration, r *request, best placement.Choice, out *Actions) {
+	if best.Index < 0 || r.phase != phaseActive || r.committed != 0 || r.live() != 1 || r.dispatches != 1 {
 		c.endLook(r)
 		return
 	}
-	if !isIdle(&r.pool.Endpoints[best.index]) || !c.overdue(now, r, best.after) || !c.dispatchLooked(now, r, best.index, out) {
+	if !placement.IsIdle(&r.pool.Endpoints[best.Index]) || !c.overdue(now, r, best.After) || !c.dispatchLooked(now, r, best.Index, out) {
 		c.endLook(r)
 	}
 }
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -7,6 +7,7 @@
 	"github.com/tealhall/tealhall/internal/core/balance"
 	"github.com/tealhall/tealhall/internal/core/budget"
 	"github.com/tealhall/tealhall/internal/core/health"
+	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/queue"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/platform"
@@ -47,11 +48,11 @@
 	// hedges are the requests that may still be hedged, oldest first.
 	hedges []hedgeDue
 	// work is how long its requests take at endpoints that were idle.
-	work median
+	work placement.Median
 	// kilobytes is a smoothed size of a request with its answer.
 	kilobytes float64
 	// patience is for how long callers commonly say that they wait.
-	patience median
+	patience placement.Median
 	// arrived counts requests since the last rate sample.
 	arrived uint64
 }
@@ -86,8 +87,8 @@
 	loadless int
 	// probePath is where the endpoints tell their load, "" for the contract's.
 	probePath string
-	// sharing is by how much longer work takes at endpoints that are nearly full.
-	sharing float64
+	// learned is what placement learned of the endpoints.
+	learned placement.Pool
 }
 
 // expectedWork is how long a request of the service is taken to hold a slot.
@@ -148,7 +149,7 @@
 		Listed:      int32(vm.Slots),
 		AdmittedAt:  now,
 	}
-	p.beginSlowStart(now, &row)
+	placement.BeginSlowStart(now, p.Endpoints, &row)
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
 		if e.State == table.EndpointGone && e.Outstanding == 0 {
@@ -182,7 +183,7 @@
 		serviceNanos: float64(firstService),
 		repeats:      budget.NewRepeats(c.cfg.Repeats, c.cfg.LargestFleet, 0),
 		looks:        budget.NewLooks(c.cfg.LooksPerEndpoint),
-		sharing:      firstSharing,
+		learned:      placement.NewPool(),
 	}
 	p.repeats.SetFleet(c.fleet.mostEntries)
 	c.pools[name] = p
--- a/internal/core/slowstart_test.go
+++ b/internal/core/slowstart_test.go
@@ -2,6 +2,9 @@
 
 import "testing"
 
+// slowStart is that of package placement.
+const slowStart = 5 * sec
+
 // A replaced endpoint joins a pool at work with cold caches. It is idle, so it
 // looks best and would get as many requests as any other at once, all of them
 // slow. It gets one at a time at first and its full share after the slow start;
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/core/placement"
 )
 
 // Story is what became of one request, for the log: the decisions that touched it with
@@ -92,7 +92,7 @@
 		Outcome: r.outcome, Reason: r.reason, Status: r.status, RetryAfter: r.retryAfter, Gone: r.gone,
 		Age: r.age, Took: took, Objective: r.policy.Objective, Looks: r.looks, Held: r.held, Late: r.late, Ordinary: ordinary,
 	}
-	s.Endpoints, s.Full = r.pool.fullness(c.now)
+	s.Endpoints, s.Full = placement.Fullness(c.now, r.pool.Endpoints)
 	s.Queued = r.pool.queue.Len()
 	for i := Attempt(1); i <= r.dispatches; i++ {
 		s.Attempts = append(s.Attempts, c.tellAttempt(r, &r.attempts[i]))
@@ -100,22 +100,6 @@
 	out.Stories = append(out.Stories, s)
 }
 
-// fullness counts the endpoints that take work, and those of them that told within the
-// last moment that they have no room.
-func (p *pool) fullness(now time.Duration) (live, full int) {
-	for i := range p.Endpoints {
-		e := &p.Endpoints[i]
-		if e.State != table.EndpointLive {
-			continue
-		}
-		live++
-		if e.Look.Seen && now-e.Look.At <= fullLasts && !e.HasRoom() {
-			full++
-		}
-	}
-	return live, full
-}
-
 func (c *Core) tellAttempt(r *request, a *attempt) StoryAttempt {
 	took := a.took
 	if a.live {
--- a/internal/core/worktime_test.go
+++ b/internal/core/worktime_test.go
@@ -38,7 +38,7 @@
 			id := y.ask(route.Idempotent, 3*sec)
 			y.run(20 * ms)
 			if got := len(y.open[id]) > 0; got != c.wants {
-				t.Errorf("sent beside another: %v, want %v (sharing %.2f)", got, c.wants, y.pools["p"].sharing)
+				t.Errorf("sent beside another: %v, want %v (sharing %.2f)", got, c.wants, y.pools["p"].learned.Sharing())
 			}
 		})
 	}
