Placement: the own failure domain first, and endpoints with room count as such

Cause: with six slots an endpoint is hardly ever idle.

Change: a look ends the round at an endpoint that would begin the request at once, at the usual pace and without being nearly full (as before with two slots). What is held counts by slots. All of the own domain are asked first but those that told a moment ago that they are full or slow; the others follow at once. Among those in time, one of the own domain that will be in time almost surely goes first. No price of a deployment enters. Ruled out: dearer kilobytes (40 ms instead of 2), which is the same rule by a constant.

Tests: TestOwnDomainFirst, TestEasyRoomEndsTheRound.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -139,7 +139,7 @@
 		live:        true,
 		hedge:       hedge,
 		idleOnly:    choice.IdleOnly,
-		alone:       told && placement.IsIdle(e),
+		alone:       told && placement.HasEasyRoom(e),
 		fills:       told && placement.Fills(e) && e.HasRoom() && placement.Pace(&e.Look) <= 1,
 		index:       index,
 		incarnation: e.Incarnation,
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -15,8 +15,14 @@
 	After, cost time.Duration
 	// Worth says that the request should go there rather than wait.
 	Worth bool
+	// near says that it lies in the own failure domain and will be in time almost surely.
+	near bool
 }
 
+// sureTimes is how many times the expected time an answer takes in the worst of about
+// twenty cases: how long requests of one service work differs that much.
+const sureTimes = 1.5
+
 const (
 	// perKilobyte is the later answer that a kilobyte between failure domains is worth.
 	// An upload of 60 KB goes to another domain only when it would be late in its own.
@@ -37,6 +43,7 @@
 		choice := Choice{Index: i, After: v.Expected(e)}
 		choice.cost = choice.After + v.wayCost(e)
 		choice.Worth = v.worthwhile(e, choice.After)
+		choice.near = choice.Worth && v.isNear(e) && v.surelyInTime(choice.After)
 		if choice.before(best) {
 			best = choice
 		}
@@ -44,6 +51,13 @@
 	return best
 }
 
+// surelyInTime reports whether an answer that is expected after a time will be in time,
+// also if it takes longer than most.
+func (v *View) surelyInTime(after time.Duration) bool {
+	r := &v.Request
+	return r.Objective > 0 && !r.Late && v.Now+time.Duration(sureTimes*float64(after)) <= r.FirstTry+r.Objective
+}
+
 // before reports whether c is a better choice than other.
 func (c Choice) before(other Choice) bool {
 	switch {
@@ -51,6 +65,8 @@
 		return true
 	case c.Worth != other.Worth:
 		return c.Worth
+	case c.near != other.near:
+		return c.near
 	}
 	return c.cost < other.cost
 }
@@ -84,7 +100,7 @@
 
 // Perfect reports whether no other endpoint could be a better choice than e.
 func (v *View) Perfect(e *table.Endpoint) bool {
-	return e.State == table.EndpointLive && IsIdle(e) && v.Now >= e.AvoidUntil && !e.Missing &&
+	return e.State == table.EndpointLive && HasEasyRoom(e) && v.Now >= e.AvoidUntil && !e.Missing &&
 		e.DoubtAfter(v.Now) < SlightDoubt && (v.isNear(e) || v.Request.Kilobytes < smallExchange)
 }
 
--- /dev/null
+++ b/internal/core/placement/placement_test.go
@@ -0,0 +1,89 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+const ms = time.Millisecond
+
+// see returns a view of endpoints from domain "a": a request of 130 ms with an objective
+// of 400, at time 10 s.
+func see(endpoints ...table.Endpoint) *View {
+	now := 10 * time.Second
+	pool := NewPool()
+	return &View{Now: now, Domain: "a", Endpoints: endpoints, Pool: &pool, Turn: 150 * ms, Rand: rand.New(rand.NewPCG(1, 2)),
+		Request: Request{Arrived: now, FirstTry: now, Deadline: now + 1500*ms, Objective: 400 * ms, Work: 130 * ms, Kilobytes: 0.8, Began: now}}
+}
+
+// endpoint is one that told its load a while ago; a negative time says that it never did.
+func endpoint(domain string, running, slots, pace int32, ago time.Duration) table.Endpoint {
+	e := table.Endpoint{Name: domain, Incarnation: 1, Domain: domain, Slots: slots, Listed: slots}
+	if ago >= 0 {
+		e.Look = table.Look{Running: running, Slots: slots, Pace: pace, At: 10*time.Second - ago, Seen: true}
+	}
+	return e
+}
+
+// Endpoints with six slots are never idle, and bytes between domains are dear. Six looks a
+// request were made, a fifth of them in other domains, and one request in nine went there,
+// while the own domain had room. The own domain is asked first and used as long as it can
+// answer in time; it is left as soon as it is short by what was seen, at once.
+func TestOwnDomainFirst(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		endpoints []table.Endpoint
+		ask       string
+		choose    string
+	}{
+		{"room at home, idle elsewhere", []table.Endpoint{endpoint("a", 3, 6, 100, 0), endpoint("b", 0, 6, 100, 0)}, "a", "a"},
+		{"nothing known", []table.Endpoint{endpoint("a", 0, 6, 0, -1), endpoint("b", 0, 6, 0, -1)}, "a", ""},
+		{"full at home a moment ago", []table.Endpoint{endpoint("a", 6, 6, 100, 10*ms), endpoint("b", 0, 6, 100, -1)}, "b", ""},
+		{"full at home a while ago", []table.Endpoint{endpoint("a", 6, 6, 100, 60*ms), endpoint("b", 0, 6, 100, -1)}, "a", ""},
+		{"one slot, full at home 60 ms ago", []table.Endpoint{endpoint("a", 1, 1, 100, 60*ms), endpoint("b", 0, 1, 100, -1)}, "b", ""},
+		{"slow at home", []table.Endpoint{endpoint("a", 0, 6, 500, 0), endpoint("b", 3, 6, 100, 0)}, "b", "b"},
+		{"home would be in time by luck", []table.Endpoint{endpoint("a", 0, 6, 250, 0), endpoint("b", 2, 6, 100, 0)}, "b", "b"},
+		{"nobody at home", []table.Endpoint{endpoint("b", 0, 6, 0, -1), endpoint("c", 6, 6, 100, 10*ms)}, "b", ""},
+		{"twelve slots, three quarters taken", []table.Endpoint{endpoint("a", 8, 12, 100, 0), endpoint("b", 0, 12, 100, 0)}, "a", "a"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := see(c.endpoints...)
+			if i := v.NextToAsk(); i < 0 || v.Endpoints[i].Name != c.ask {
+				t.Errorf("asks %d, want %s", i, c.ask)
+			}
+			got := ""
+			if best := v.Best(); best.Worth {
+				got = v.Endpoints[best.Index].Name
+			}
+			if got != c.choose {
+				t.Errorf("chooses %q, want %q", got, c.choose)
+			}
+		})
+	}
+}
+
+// A read meets endpoints that work on other requests but have room. Only an idle one ended
+// the round of looks, so that it asked nine; now one with easy room does, which is an idle
+// one where there are two slots.
+func TestEasyRoomEndsTheRound(t *testing.T) {
+	for _, c := range []struct {
+		running, slots, pace int32
+		easy                 bool
+	}{
+		{0, 1, 100, true}, {1, 1, 100, false},
+		{0, 2, 100, true}, {1, 2, 100, false}, {0, 2, 500, false},
+		{3, 6, 100, true}, {4, 6, 100, false}, {3, 6, 200, false},
+		{8, 12, 100, true}, {9, 12, 100, false},
+	} {
+		t.Run(fmt.Sprintf("%d of %d at %d", c.running, c.slots, c.pace), func(t *testing.T) {
+			e := endpoint("a", c.running, c.slots, c.pace, 0)
+			if got := see(e).Perfect(&e); got != c.easy {
+				t.Errorf("ends the round: %v", got)
+			}
+		})
+	}
+}
--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -2,28 +2,42 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/tealhall/tealhall/internal/core/table"
 )
 
+// The load that this answers: a look at an endpoint of another failure domain, and what is
+// then sent there, is dear, and the own domain has somebody with room almost always. So
+// all of the own domain are asked first but those that are known to be of no use now; the
+// others are asked as soon as these are all that is left, and at once where the domain has
+// nobody.
+//
 // The weights of what is known of an endpoint before it is asked; chance decides
 // between endpoints that differ by less than 1.
 const (
+	// rankFull is the rank of an endpoint whose slots are all taken.
+	rankFull  = 20
+	rankPace  = 5
+	rankDoubt = 100
+	// rankRemote puts endpoints of other failure domains behind those of the own one that
+	// may have room, and rankShort those of the own one behind them that have none, or are
+	// slow, by what they told a moment ago.
+	rankRemote = 60
+	rankShort  = 70
+	// rankSlow puts VMs that stay slow behind all that may have room, those of other
+	// failure domains included. They are asked again once that is forgotten.
+	rankSlow    = 80
 	rankAvoided = 1000
-	// rankRemote puts endpoints of other failure domains behind those of the own one
-	// that may be idle, and before those that were full a moment ago.
-	rankRemote  = 12
 	rankMissing = 5000
-	rankHeld    = 10
-	rankDoubt   = 50
-	rankPace    = 5
-	// rankSlow puts VMs that stay slow behind all that may be idle, those of other
-	// failure domains included. They are asked again once that is forgotten.
-	rankSlow = 30
 )
 
+// shortTurns is for how many times the time in which an endpoint commonly frees a slot it
+// is taken to stay full.
+const shortTurns = 2
+
 // NextToAsk returns the index of the endpoint to look at next, or -1: those of the own
-// failure domain first, and of these the ones that were idle when last heard of.
+// failure domain first, and of these the ones that had most room when last heard of.
 func (v *View) NextToAsk() int {
 	best, bestRank := -1, 0.0
 	for i := range v.Endpoints {
@@ -47,10 +61,8 @@
 
 // rank orders the endpoints to ask: a lower one goes first.
 func (v *View) rank(e *table.Endpoint) float64 {
-	rank := v.Rand.Float64() + rankHeld*float64(e.Outstanding) + rankDoubt*max(0, e.DoubtAfter(v.Now)-SlightDoubt)
-	if !v.isNear(e) {
-		rank += rankRemote + min(v.Request.Kilobytes, rankRemote)
-	}
+	slots := float64(max(1, e.Slots))
+	rank := v.Rand.Float64() + rankFull*float64(e.Outstanding)/slots + rankDoubt*max(0, e.DoubtAfter(v.Now)-SlightDoubt)
 	if v.Now < e.AvoidUntil {
 		rank += rankAvoided
 	}
@@ -62,7 +74,24 @@
 	}
 	if age := v.Now - e.Look.At; e.Look.Seen && age < Remembered {
 		part := 1 - float64(age)/float64(Remembered)
-		rank += part * (rankHeld*float64(e.Look.Running+e.Look.Waiting) + rankPace*(Pace(&e.Look)-1))
+		rank += part * (rankFull*float64(e.Look.Running+e.Look.Waiting)/slots + rankPace*(Pace(&e.Look)-1))
+	}
+	switch {
+	case !v.isNear(e):
+		rank += rankRemote
+	case v.isShort(e):
+		rank += rankShort
 	}
 	return rank
 }
+
+// isShort reports whether an endpoint told a moment ago that it would not answer in time:
+// its VM is slow, or its slots are all taken and none of them commonly frees up so soon.
+func (v *View) isShort(e *table.Endpoint) bool {
+	age := v.Now - e.Look.At
+	if !e.Look.Seen || age >= Remembered {
+		return false
+	}
+	freed := time.Duration(shortTurns * float64(v.Turn) / float64(max(1, e.Slots)))
+	return Pace(&e.Look) >= SlowPace || !e.HasRoom() && age < freed
+}
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -49,8 +49,13 @@
 // Fills reports whether one more request makes the endpoint nearly full by what it told.
 func Fills(e *table.Endpoint) bool { return fills(e.Look.Load(), max(1, e.Look.Slots)) }
 
-// IsIdle reports whether an endpoint told that it has nothing to do, at the usual pace.
-func IsIdle(e *table.Endpoint) bool { return e.Look.Load() == 0 && Pace(&e.Look) <= 1 }
+// HasEasyRoom reports whether an endpoint told that it would begin one more request at
+// once, at the usual pace, and without being nearly full then. With six slots one is
+// hardly ever idle and mostly has easy room: asked for an idle one, a request used up all
+// its looks, six on a quiet day.
+func HasEasyRoom(e *table.Endpoint) bool {
+	return e.HasRoom() && Pace(&e.Look) <= 1 && !Fills(e)
+}
 
 // Crowded reports whether most endpoints of which something is known had no room when
 // last heard of. What is sent to them blindly queues up there, and all later requests,
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -54,7 +54,7 @@
 	hedge    bool
 	forward  bool
 	idleOnly bool
-	// alone says that the endpoint was idle and as fast as usual by its last look, fills
+	// alone says that the endpoint had easy room by its last look, fills
 	// that it was nearly full with this one.
 	alone, fills bool
 	index        int
