Placement: as many looks at a time as it takes to find room

Change: how many follows the part of looks that found easy room of late, one to three. Test: TestLooksFollowWhatTheyFind.

--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// lookBatch is how many endpoints are asked at a time. The first one that is
-	// idle and as fast as usual ends the round.
-	lookBatch = 3
 	// crowdedLooks is how many endpoints are asked for a request that has waited, or
 	// right after another one found no room: more would spend the budget on endpoints
 	// that are busy.
@@ -146,7 +143,7 @@
 		c.askAtWork(now, r, out)
 	}
 	view := c.see(now, r)
-	for range min(lookBatch, most) {
+	for range min(p.learned.Batch(), most) {
 		view.Request.Asked = r.look.asked
 		i := view.NextToAsk()
 		if i < 0 || !p.looks.TrySpend(now, len(p.Endpoints), c.fleet.part) {
@@ -180,6 +177,7 @@
 	case end.Load.Known:
 		p.loadless = 0
 		e.See(lookOf(now, end.Load))
+		p.learned.NoteLook(e)
 	default:
 		p.loadless++
 	}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -87,3 +87,26 @@
 		})
 	}
 }
+
+// On a quiet day three of four endpoints have easy room, and asking three at a time made
+// three and a half looks a request, of which two were not needed. When most are busy, one
+// at a time would take many round trips. How many are asked follows what looks find.
+func TestLooksFollowWhatTheyFind(t *testing.T) {
+	p := NewPool()
+	free, full := endpoint("a", 1, 6, 100, 0), endpoint("a", 6, 6, 100, 0)
+	learn := func(found int) int {
+		for i := range 200 {
+			if i%10 < found {
+				p.NoteLook(&free)
+			} else {
+				p.NoteLook(&full)
+			}
+		}
+		return p.Batch()
+	}
+	for _, c := range []struct{ found, want int }{{10, 1}, {8, 1}, {5, 2}, {3, 3}, {0, 3}, {9, 1}} {
+		if got := learn(c.found); got != c.want {
+			t.Errorf("%d in ten looks find room: %d asked at a time, want %d", c.found, got, c.want)
+		}
+	}
+}
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/table"
@@ -23,10 +24,37 @@
 type Pool struct {
 	// sharing is by how much longer work takes at endpoints that are nearly full.
 	sharing float64
+	// easy is the smoothed part of looks that found easy room.
+	easy float64
 }
 
 // NewPool returns what is known before anything was learned.
-func NewPool() Pool { return Pool{sharing: firstSharing} }
+func NewPool() Pool { return Pool{sharing: firstSharing, easy: firstEasy} }
+
+const (
+	// mostAsked is how many endpoints are asked at a time at most.
+	mostAsked = 3
+	// firstEasy is the part of looks taken to find easy room before any was made, and
+	// easyWeight the weight of a new one.
+	firstEasy  = 0.5
+	easyWeight = 0.05
+)
+
+// NoteLook learns from a look at an endpoint.
+func (p *Pool) NoteLook(e *table.Endpoint) {
+	found := 0.0
+	if HasEasyRoom(e) {
+		found = 1
+	}
+	p.easy += easyWeight * (found - p.easy)
+}
+
+// Batch is how many endpoints to ask at a time: as many as it commonly takes to find one
+// with easy room. A further round of looks costs a round trip, a fraction of a millisecond
+// in the own domain, and a look that was not needed costs the endpoint one.
+func (p *Pool) Batch() int {
+	return int(min(max(math.Round(1/max(p.easy, 1.0/mostAsked)), 1), mostAsked))
+}
 
 // Sharing returns by how much longer work takes at endpoints that are nearly full.
 func (p *Pool) Sharing() float64 { return p.sharing }
