Placement: the last slot is kept for higher priorities while they are short

Change: while a request of a higher priority found no room within 200 ms, one of a lower priority does not take the last slot that an endpoint can use well. Endpoints with a single such slot (two slots) keep none. Test: TestLastSlotIsKeptForHigherPriorities.

--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -73,7 +73,7 @@
 		Rand:      c.rng,
 		Request: placement.Request{
 			Arrived: r.arrived, Deadline: r.deadline, FirstTry: r.arrived - r.age, Objective: r.policy.Objective,
-			Work: r.typicalWork(), Kilobytes: r.service.kilobytes, Late: r.late,
+			Work: r.typicalWork(), Kilobytes: r.service.kilobytes, Priority: r.policy.Priority, Late: r.late,
 			Tried: r.tried, Asked: r.look.asked, Began: r.look.began, OwnOnly: r.look.ownOnly,
 		},
 	}
@@ -261,6 +261,9 @@
 		return
 	}
 	r.held++
+	if !r.late {
+		r.pool.learned.NoteShort(now, r.policy.Priority)
+	}
 	r.pool.lookAgain = now + lookGap
 	c.enqueue(now, r, out)
 }
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -140,3 +140,32 @@
 		})
 	}
 }
+
+// More requests come than can be answered in time. Chart reads took the last slots, and
+// closures of routes, worth twice as much, found none. While those of a higher priority are
+// short, the last slot that an endpoint can use well is kept for them.
+func TestLastSlotIsKeptForHigherPriorities(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		running, slots  int32
+		priority, short int
+		ago             time.Duration
+		want            bool
+	}{
+		{"a higher one is short", 3, 6, 7, 8, 50 * ms, false},
+		{"it is short itself", 3, 6, 8, 8, 50 * ms, true},
+		{"a lower one is short", 3, 6, 8, 7, 50 * ms, true},
+		{"a higher one was short a while ago", 3, 6, 7, 8, 300 * ms, true},
+		{"another slot is left", 2, 6, 7, 8, 50 * ms, true},
+		{"the only slot", 0, 2, 7, 8, 50 * ms, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := see(endpoint("a", c.running, c.slots, 100, 0))
+			v.Pool.NoteShort(v.Now-c.ago, c.short)
+			v.Request.Priority = c.priority
+			if got := v.Best().Worth; got != c.want {
+				t.Errorf("sent there: %v", got)
+			}
+		})
+	}
+}
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -29,6 +29,9 @@
 	sharings int
 	// easy is the smoothed part of looks that found easy room.
 	easy float64
+	// shortAt is when a request of a priority that could be in time last found no room, 0
+	// for never.
+	shortAt [priorities]time.Duration
 }
 
 // NewPool returns what is known before anything was learned.
