Placement: late requests take no slot while others in time are short

Change: a request that can't be in time any more waits while one that could be found no room within 200 ms; it is told too-late after its wait as before. Test: TestLateRequestsLeaveSlotsToThoseInTime.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -82,8 +82,9 @@
 
 // worthwhile reports whether the request should go to an endpoint that would answer after
 // the expected time. A request that can be in time elsewhere waits for that; one that is
-// late by now takes no slot beside another request, which would be late as well then,
-// nor one on a slow VM, which it would hold for as long as several that are in time.
+// late by now takes no slot while others that could be in time find none, none beside
+// another request, which would be late as well then, nor one on a slow VM, which it would
+// hold for as long as several that are in time.
 // None goes where it would not be answered at all, nor where it takes more from the
 // others than it brings.
 func (v *View) worthwhile(e *table.Endpoint, expected time.Duration) bool {
@@ -94,7 +95,7 @@
 	case r.Objective == 0:
 		return true
 	case r.Late:
-		return e.HasRoom() && (!Fills(e) || v.Pool.sharing < littleSharing) && Pace(&e.Look) < SlowPace*e.Paces.Lasting(v.Now)
+		return !v.Pool.shortFrom(v.Now, 0) && e.HasRoom() && (!Fills(e) || v.Pool.sharing < littleSharing) && Pace(&e.Look) < SlowPace*e.Paces.Lasting(v.Now)
 	}
 	return v.Now+expected <= r.FirstTry+r.Objective
 }
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -169,3 +169,21 @@
 		})
 	}
 }
+
+// In a peak one request in ten got a slot when it was late already, and each of these slots
+// was missing to one that came a moment later and could have been in time. A late request
+// is served while nobody in time is short.
+func TestLateRequestsLeaveSlotsToThoseInTime(t *testing.T) {
+	for _, c := range []struct {
+		ago        time.Duration
+		late, want bool
+	}{{50 * ms, true, false}, {50 * ms, false, true}, {300 * ms, true, true}} {
+		v := see(endpoint("a", 1, 6, 100, 0))
+		v.Pool.NoteShort(v.Now-c.ago, 0)
+		v.Request.Priority = 9
+		v.Request.Late = c.late
+		if got := v.Best().Worth; got != c.want {
+			t.Errorf("short %v ago, late %v: sent there %v", c.ago, c.late, got)
+		}
+	}
+}
