When to come back depends on what refused a request

Change: 5 to 40 ms where endpoints refused and most are known to have room; as before where they are full, and for all other reasons. Test: TestReturnAfterRefusalByWhatRefused.

--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -88,16 +88,30 @@
 	return max(0, sv.patience.Typical()-left)
 }
 
-// Retry-After of a refusal under load: a random time within these bounds, so that
-// those who were refused together don't return together.
+// Retry-After of a refusal: a random time within bounds, so that those who were refused
+// together don't return together. After a refusal under load it is time for the peak to
+// ebb; where endpoints turned the request away although they have room, there is no queue
+// to wait for, and it is only time for others to come between.
 const (
 	returnLeast = 150 * time.Millisecond
 	returnMost  = 500 * time.Millisecond
+	soonLeast   = 5 * time.Millisecond
+	soonMost    = 40 * time.Millisecond
 )
 
 // comeBack is when a caller that found no room should try again.
-func (c *Core) comeBack() time.Duration {
-	return returnLeast + time.Duration(c.rng.Int64N(int64(returnMost-returnLeast)))
+func (c *Core) comeBack() time.Duration { return c.within(returnLeast, returnMost) }
+
+// comeBackAfter is when the caller of a refused request should try again.
+func (c *Core) comeBackAfter(now time.Duration, r *request, reason Reason) time.Duration {
+	if view := c.see(now, r); reason == ReasonEndpointsRefuse && !view.Crowded() {
+		return c.within(soonLeast, soonMost)
+	}
+	return c.comeBack()
+}
+
+func (c *Core) within(least, most time.Duration) time.Duration {
+	return least + time.Duration(c.rng.Int64N(int64(most-least)))
 }
 
 // noteSize takes in the size of a request and its answer in bytes.
--- a/internal/core/hold_test.go
+++ b/internal/core/hold_test.go
@@ -160,3 +160,45 @@
 
 // waiting is how many requests wait for the only pool.
 func (y *yard) waiting() int { return y.poolRows[0].queue.Len() }
+
+// Endpoints turn half of what they get away while they tell that they are idle. Callers
+// were told to come back after 150 to 500 ms, as if there were a queue to wait for, and most
+// of those that were answered then were late. They are told to come back at once, and apart;
+// where endpoints are full, the load has to ebb first.
+func TestReturnAfterRefusalByWhatRefused(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		running int
+		most    time.Duration
+	}{{"they have room", 0, soonMost}, {"they are full", 2, returnMost}} {
+		boxes := idle(4, "d0")
+		y := newYard(t, boxes...)
+		y.learn(12)
+		y.poolRows[0].repeats = budget.NewRepeats(budget.RepeatBound{Share: 1e-6, Window: 10 * sec}, 1, 0) // used up
+		again := map[time.Duration]bool{}
+		for range 8 {
+			id := y.ask(route.NonIdempotent, 3*sec)
+			y.run(5 * ms)
+			for _, b := range boxes {
+				b.running, b.waiting = c.running, c.running
+			}
+			p := y.poolRows[0]
+			for i := range p.Endpoints {
+				p.Endpoints[i].See(lookOf(y.now, Load{Known: true, InFlight: c.running, Queued: c.running, Slots: 2, Pace: 100}))
+			}
+			y.do(func(out *Actions) { y.End(y.now, End{ID: id, Attempt: 1, Kind: EndNotRun, Replayable: true}, out) })
+			d := y.told[id]
+			if d.Reason != ReasonEndpointsRefuse || d.RetryAfter <= 0 || d.RetryAfter > c.most || c.running > 0 && d.RetryAfter < returnLeast {
+				t.Fatalf("%s: %+v", c.name, d)
+			}
+			again[d.RetryAfter] = true
+			y.run(600 * ms)
+			for _, b := range boxes {
+				b.running, b.waiting = 0, 0
+			}
+		}
+		if len(again) < 4 {
+			t.Errorf("%s: told the same times %v", c.name, again)
+		}
+	}
+}
--- a/internal/core/reply.go
+++ b/internal/core/reply.go
@@ -70,7 +70,7 @@
 		return 0
 	}
 	if c.looksFor(r) {
-		return c.comeBack()
+		return c.comeBackAfter(now, r, reason)
 	}
 	item := queue.Item{Service: r.service.index, Priority: r.policy.Priority, Enqueued: now, Deadline: r.deadline}
 	wait := r.pool.expectedWait(now, item)
