Repeats of the fleet go to higher ranks first

Hypothesis: where repeats are scarce, first come first served gives two thirds of them to reads, and second attempts of requests that are late by now take slots in a peak. Change: what requests of a higher priority asked for in vain within the window is left to them; requests that can't be in time any more come last. The bound itself is as before. Test: TestRepeatsGoToHigherRanksFirst.

--- a/internal/core/budget/window.go
+++ b/internal/core/budget/window.go
@@ -66,22 +66,33 @@
 	fleet             int
 	started           time.Duration
 	requests, repeats window
-	denied            uint64
+	// wanted are the repeats that requests of each rank asked for, granted or not, and
+	// spent those granted.
+	wanted, spent [Ranks]window
+	denied        uint64
 }
 
+// Ranks is how many ranks of requests are told apart where repeats are scarce; 0 is the
+// highest.
+const Ranks = 11
+
 // NewRepeats returns a budget for one pool of a process that started at a time; nil
 // where there is no bound.
 func NewRepeats(bound RepeatBound, largestFleet int, started time.Duration) *Repeats {
 	if bound.Share <= 0 || bound.Window <= 0 {
 		return nil
 	}
-	return &Repeats{
+	b := &Repeats{
 		bound:    bound,
 		started:  started,
 		largest:  max(1, largestFleet),
 		requests: window{span: bound.Window},
 		repeats:  window{span: bound.Window},
 	}
+	for rank := range Ranks {
+		b.wanted[rank].span, b.spent[rank].span = bound.Window, bound.Window
+	}
+	return b
 }
 
 // Request counts a request of a caller for the pool.
@@ -108,19 +119,40 @@
 	return repeatReserve*(b.bound.Share*b.requests.total+earned) - b.repeats.total
 }
 
-// May reports whether one more attempt is allowed, without spending it.
-func (b *Repeats) May(now time.Duration) bool { return b == nil || b.Left(now) >= 1 }
+// leftFor returns how many more attempts requests of a rank may send now. What those of
+// higher ranks asked for within the window in vain is left to them.
+func (b *Repeats) leftFor(now time.Duration, rank int) float64 {
+	left := b.Left(now)
+	for higher := range rank {
+		wanted, spent := &b.wanted[higher], &b.spent[higher]
+		wanted.advance(now)
+		spent.advance(now)
+		left -= max(0, wanted.total-spent.total)
+	}
+	return left
+}
+
+func rankIn(rank int) int { return min(max(rank, 0), Ranks-1) }
+
+// May reports whether one more attempt is allowed for a request of a rank, without
+// spending it.
+func (b *Repeats) May(now time.Duration, rank int) bool {
+	return b == nil || b.leftFor(now, rankIn(rank)) >= 1
+}
 
-// TrySpend takes one attempt if it is there.
-func (b *Repeats) TrySpend(now time.Duration) bool {
+// TrySpend takes one attempt for a request of a rank if it is there.
+func (b *Repeats) TrySpend(now time.Duration, rank int) bool {
 	if b == nil {
 		return true
 	}
-	if b.Left(now) < 1 {
+	rank = rankIn(rank)
+	b.wanted[rank].add(now, 1)
+	if b.leftFor(now, rank) < 1 {
 		b.denied++
 		return false
 	}
 	b.repeats.add(now, 1)
+	b.spent[rank].add(now, 1)
 	return true
 }
 
--- a/internal/core/budget/window_test.go
+++ b/internal/core/budget/window_test.go
@@ -38,8 +38,8 @@
 				fleet[i].Request(now)
 				log = append(log, sent{now, false})
 			}
-			for range rapid.IntRange(0, 3).Draw(rt, "wanted") {
-				if fleet[i].TrySpend(now) {
+			for rank := range rapid.IntRange(0, 3).Draw(rt, "wanted") {
+				if fleet[i].TrySpend(now, rank) {
 					log = append(log, sent{now, true})
 				}
 			}
@@ -65,7 +65,7 @@
 func TestNoBoundOnRepeats(t *testing.T) {
 	var none *Repeats
 	none.Request(0)
-	if NewRepeats(RepeatBound{}, 1, 0) != nil || !none.May(0) || !none.TrySpend(0) || none.Denied() != 0 {
+	if NewRepeats(RepeatBound{}, 1, 0) != nil || !none.May(0, 0) || !none.TrySpend(0, 0) || none.Denied() != 0 {
 		t.Error("without a bound something is denied")
 	}
 }
@@ -104,3 +104,43 @@
 		t.Error("a look without a request")
 	}
 }
+
+// Endpoints shed half of what they get, and the bound pays for a part of the second
+// attempts only. Spent first come first served, most go to reads, of which there are most,
+// and bookings are refused. What those of a higher rank ask for is left to them; when they
+// ask for nothing, the others have it all.
+func TestRepeatsGoToHigherRanksFirst(t *testing.T) {
+	b := NewRepeats(RepeatBound{Share: 0.2, Window: 10 * time.Second}, 1, 0)
+	var granted, asked [2]int
+	try := func(now time.Duration, rank int) {
+		asked[rank]++
+		if b.TrySpend(now, rank) {
+			granted[rank]++
+		}
+	}
+	now := time.Duration(0)
+	step := func(bookings bool) {
+		now += 10 * time.Millisecond
+		for range 4 {
+			b.Request(now)
+		}
+		try(now, 1)
+		if bookings && now%(20*time.Millisecond) == 0 {
+			try(now, 0)
+		}
+		try(now, 1)
+	}
+	for range 4000 {
+		step(true)
+	}
+	if granted[0] < asked[0]*8/10 || granted[1] == 0 {
+		t.Errorf("granted %v of %v", granted, asked)
+	}
+	granted, asked = [2]int{}, [2]int{}
+	for range 4000 {
+		step(false)
+	}
+	if most := 4000 * 4 * 0.2 * repeatReserve; float64(granted[1]) < 0.8*most {
+		t.Errorf("alone the lower rank got %d of %v", granted[1], most)
+	}
+}
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/budget"
+)
 
 // retryOrFail tries again where that is allowed, else answers the caller.
 func (c *Core) retryOrFail(now time.Duration, r *request, a *attempt, e End, out *Actions) {
@@ -100,7 +104,7 @@
 	switch {
 	case r.policy.RetryBudget == 0:
 	case r.pool.repeats != nil:
-		paid = r.pool.repeats.TrySpend(now)
+		paid = r.pool.repeats.TrySpend(now, r.repeatRank(now))
 	default:
 		paid = r.service.retry.TrySpend(now)
 	}
@@ -110,10 +114,19 @@
 	return paid
 }
 
+// repeatRank is the rank of a request where the fleet's repeats are scarce: by its priority,
+// and behind all others what can't be in time any more.
+func (r *request) repeatRank(now time.Duration) int {
+	if r.policy.Objective > 0 && now > r.latestInTime() {
+		return budget.Ranks - 1
+	}
+	return budget.Ranks - 2 - r.policy.Priority
+}
+
 // mayPayRepeat reports whether payRepeat would, without spending anything.
 func (c *Core) mayPayRepeat(now time.Duration, r *request) bool {
 	if r.pool.repeats != nil {
-		return r.policy.RetryBudget > 0 && r.pool.repeats.May(now)
+		return r.policy.RetryBudget > 0 && r.pool.repeats.May(now, r.repeatRank(now))
 	}
 	return r.service.retry.Level() >= 1
 }
