Bound on looks by endpoints that live; shortage remembered for some requests

Changes: live endpoints count; a shortage lasts until some more requests have come. Tests: TestLooksAreBoundedByEndpointsThatLive (twice the bound before), TestShortageIsRememberedForSomeRequests.

--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -146,7 +146,7 @@
 	for range min(p.learned.Batch(), most) {
 		view.Request.Asked = r.look.asked
 		i := view.NextToAsk()
-		if i < 0 || !p.looks.TrySpend(now, len(p.Endpoints), c.fleet.part) {
+		if i < 0 || !p.looks.TrySpend(now, p.live(), c.fleet.part) {
 			break
 		}
 		c.ask(r, i, out)
--- a/internal/core/looks_test.go
+++ b/internal/core/looks_test.go
@@ -4,7 +4,9 @@
 	"slices"
 	"testing"
 
+	"github.com/tealhall/tealhall/internal/core/budget"
 	"github.com/tealhall/tealhall/internal/core/placement"
+	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/route"
 	"pgregory.net/rapid"
@@ -159,3 +161,29 @@
 		}
 	}
 }
+
+// A release replaces all endpoints of a pool. The bound on looks is so many a second for each
+// endpoint; counted with those that are gone, twice as many were made at those that are left
+// (3,000 a second at 21 endpoints where 60 each were allowed).
+func TestLooksAreBoundedByEndpointsThatLive(t *testing.T) {
+	y := newYard(t, idle(8, "d0")...)
+	p := y.poolRows[0]
+	for i := range p.Endpoints[2:] {
+		p.Endpoints[2+i].State = table.EndpointGone
+	}
+	y.cfg.LooksPerEndpoint = 10
+	p.looks = budget.NewLooks(10)
+	p.Endpoints[0].State, p.Endpoints[1].State = table.EndpointLive, table.EndpointLive
+	for _, b := range y.boxes {
+		b.running, b.waiting = 2, 1
+	}
+	y.looked = nil
+	const span = 4
+	for range span * 100 {
+		y.ask(route.Idempotent, 3*sec)
+		y.run(10 * ms)
+	}
+	if most := span * 10 * 2; len(y.looked) > most+2*10 {
+		t.Errorf("%d looks at two endpoints in %d s, %d allowed", len(y.looked), span, most)
+	}
+}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -187,3 +187,20 @@
 		}
 	}
 }
+
+// An entry sees three requests a second for a service that is short for seconds. After 200
+// ms it had forgotten that warnings found no room, and records, worth a third, took the slots.
+func TestShortageIsRememberedForSomeRequests(t *testing.T) {
+	for _, c := range []struct{ every, lasts time.Duration }{{10 * ms, 200 * ms}, {300 * ms, 1200 * ms}, {5 * time.Second, 2 * time.Second}} {
+		p := NewPool()
+		now := 10 * time.Second
+		for range 80 {
+			now += c.every
+			p.NoteArrival(now)
+		}
+		p.NoteShort(now, 9)
+		if !p.shortFrom(now+c.lasts*9/10, 9) || p.shortFrom(now+c.lasts*11/10, 9) {
+			t.Errorf("a request every %v: short for %v, want %v", c.every, p.shortFor(), c.lasts)
+		}
+	}
+}
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -32,6 +32,10 @@
 	// shortAt is when a request of a priority that could be in time last found no room, 0
 	// for never.
 	shortAt [priorities]time.Duration
+	// arrivedAt is when the latest request came, and gap the smoothed time between two, in
+	// nanoseconds.
+	arrivedAt time.Duration
+	gap       float64
 }
 
 // NewPool returns what is known before anything was learned.
--- a/internal/core/placement/shortage.go
+++ b/internal/core/placement/shortage.go
@@ -13,9 +13,29 @@
 // priorities is how many there are; a higher one goes first.
 const priorities = 10
 
-// shortLasts is for how long a pool counts as short of room after a request that could be
-// in time found none: about as long as endpoints keep a state.
-const shortLasts = 200 * time.Millisecond
+// A pool counts as short of room for a while after a request that could be in time found
+// none: about as long as endpoints keep a state, and until some more requests have come,
+// since an entry that sees a few requests a second hardly ever sees two within that time.
+const (
+	shortLasts    = 200 * time.Millisecond
+	shortArrivals = 4
+	shortMost     = 2 * time.Second
+	// gapWeight is the weight of a new time between two requests.
+	gapWeight = 0.1
+)
+
+// NoteArrival notes a request for the pool.
+func (p *Pool) NoteArrival(now time.Duration) {
+	if p.arrivedAt > 0 {
+		p.gap += gapWeight * (float64(min(now-p.arrivedAt, shortMost)) - p.gap)
+	}
+	p.arrivedAt = now
+}
+
+// shortFor is for how long the pool counts as short.
+func (p *Pool) shortFor() time.Duration {
+	return min(max(shortLasts, time.Duration(shortArrivals*p.gap)), shortMost)
+}
 
 // NoteShort notes that a request of a priority that could be in time found no room.
 func (p *Pool) NoteShort(now time.Duration, priority int) {
@@ -25,8 +45,9 @@
 // shortFrom reports whether requests of a priority or a higher one found no room a moment
 // ago.
 func (p *Pool) shortFrom(now time.Duration, priority int) bool {
+	lasts := p.shortFor()
 	for _, at := range p.shortAt[min(max(priority, 0), priorities):] {
-		if at > 0 && now-at < shortLasts {
+		if at > 0 && now-at < lasts {
 			return true
 		}
 	}
--- a/internal/core/secondtry.go
+++ b/internal/core/secondtry.go
@@ -94,7 +94,7 @@
 // askAtWork asks the endpoint at work on r, together with the first others.
 func (c *Core) askAtWork(now time.Duration, r *request, out *Actions) {
 	a := &r.attempts[1]
-	if r.pool.endpointAt(a.index, a.incarnation) != nil && r.pool.looks.TrySpend(now, len(r.pool.Endpoints), c.fleet.part) {
+	if r.pool.endpointAt(a.index, a.incarnation) != nil && r.pool.looks.TrySpend(now, r.pool.live(), c.fleet.part) {
 		c.ask(r, a.index, out)
 	}
 }
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -108,6 +108,17 @@
 	health.Pause(now, gap, &p.Pool)
 }
 
+// live counts the endpoints that take work. Rows of those that are gone stay for a while;
+// counted for the bound on looks, they let the others be asked more often than it allows.
+func (p *pool) live() (n int) {
+	for i := range p.Endpoints {
+		if p.Endpoints[i].State == table.EndpointLive {
+			n++
+		}
+	}
+	return n
+}
+
 // endpointAt returns the row at index if it still is the given incarnation.
 func (p *pool) endpointAt(index int, incarnation uint64) *table.Endpoint {
 	if index < 0 || index >= len(p.Endpoints) {
