First start of a fleet: the platform is left to those that read it for all

Each entry that starts asks for what it lacks until it is there, which the operator writes seconds after the first start. Change: where the platform says that the whole fleet starts for the first time, entries that do not read for all wait for the readers' word, up to 4 s; who reads is divided when nobody has come for 0.6 s. At every other start each entry asks at once as before, since callers wait. Test: TestFirstStartLeavesThePlatformToReaders (each entry asked before).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,6 +70,8 @@
 	// CheckEvery is the shortest time between two reads of the platform by an entry
 	// that others read for; 0 stands for the default of package duty.
 	CheckEvery time.Duration
+	// FirstStart says that the whole fleet starts, and no caller comes for seconds.
+	FirstStart bool
 	// AlwaysCurrent is that of package duty's Tracker.
 	AlwaysCurrent bool
 	// ListIsFinal, MissingAfter and KeepLast are those of package member.
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -137,6 +137,9 @@
 }
 
 func (c *Core) fetchNext(now time.Duration, name string, peers []uint64, out *Actions) {
+	if c.leavesToReaders(now, c.tracker(name)) {
+		return
+	}
 	f, ok := c.tracker(name).Next(now, peers)
 	if !ok {
 		return
--- a/internal/core/readers.go
+++ b/internal/core/readers.go
@@ -15,6 +15,9 @@
 const (
 	readerSilence = 400 * time.Millisecond
 	startPatience = 1500 * time.Millisecond
+	// firstPatience is the same where the whole fleet starts for the first time: enough for
+	// hundreds of entries to meet, and less than the seconds until callers come.
+	firstPatience = 4 * time.Second
 )
 
 // readers is who reads the platform for all, and whether that works.
@@ -71,7 +74,24 @@
 		r.reachedAt, r.volunteer = now, false
 		return
 	}
-	r.volunteer = now >= max(r.reachedAt+readerSilence, startPatience)
+	r.volunteer = now >= max(r.reachedAt+readerSilence, c.startPatience())
+}
+
+// startPatience is how long an entry that starts leaves the platform to those that read it
+// for all.
+func (c *Core) startPatience() time.Duration {
+	if c.cfg.FirstStart {
+		return firstPatience
+	}
+	return startPatience
+}
+
+// leavesToReaders reports whether an entry that knows no revision of a value yet waits for
+// the readers' word. Guards against a fleet that starts: each of its entries asked the
+// platform for what one in each failure domain reads and tells anyway, again and again
+// until the operator had published it.
+func (c *Core) leavesToReaders(now time.Duration, t *duty.Tracker) bool {
+	return c.cfg.FirstStart && t.InForce().Revision == 0 && t.Wanted() == 0 && (now < firstPatience || c.readerReaches())
 }
 
 // readerReaches reports whether an assigned reader reaches the platform.
--- a/internal/core/start_test.go
+++ b/internal/core/start_test.go
@@ -94,3 +94,53 @@
 		t.Errorf("%v later on", ttl)
 	}
 }
+
+// A fleet starts for the first time, and the operator publishes the profiles seconds later.
+// Each entry asked the platform again and again meanwhile: 92 of the 246 calls of a quiet
+// day with 19 entries, and 1,400 with 126. Now those ask that read for all, and the others
+// are told; if no reader is answered, everybody asks for itself in the end.
+func TestFirstStartLeavesThePlatformToReaders(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		mute bool
+	}{{"readers are answered", false}, {"no reader is answered", true}} {
+		r := newRig(t, 0)
+		published := r.docs
+		r.docs = map[string]platform.Value{}
+		r.config = func(cfg *Config) { cfg.FirstStart, cfg.AlwaysCurrent, cfg.ReadersPerDomain = true, true, 1 }
+		asked := map[string]int{}
+		for i := range 15 {
+			r.start(i)
+		}
+		readers := map[uint64]bool{}
+		r.mute = func(n *node) bool { return c.mute && readers[n.hello.Incarnation] }
+		r.down = func(n *node) bool {
+			if !n.Reader() {
+				asked[n.hello.Name]++
+			}
+			return false
+		}
+		for _, a := range r.nodes {
+			for _, b := range r.nodes {
+				if a != b {
+					r.do(a, func(now time.Duration, out *Actions) { a.Introduce(now, b.greeting(), out) })
+				}
+			}
+		}
+		for _, n := range r.nodes {
+			readers[n.hello.Incarnation] = n.Reader()
+		}
+		r.run(3 * sec)
+		r.docs = published
+		r.list(1, sixCounts...)
+		r.run(3 * sec)
+		for _, n := range r.nodes {
+			if n.InForce(platform.ProfilesValue).Revision == 0 || n.InForce(platform.VMsValue).Revision == 0 {
+				t.Fatalf("%s: %s knows nothing after 6 s", c.name, n.hello.Name)
+			}
+		}
+		if !c.mute && len(asked) > 0 {
+			t.Errorf("%s: asked the platform though others read: %v", c.name, asked)
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -229,6 +229,7 @@
 	c.PeerBytesPerSecond = float64(e.settings.Peers.BytesPerSecond)
 	c.ReadersPerDomain = e.settings.Platform.ReadersPerDomain
 	c.CheckEvery = e.settings.Platform.CheckEvery.Duration
+	c.FirstStart = e.settings.Platform.FirstStart
 	c.AlwaysCurrent = e.settings.Platform.AlwaysCurrent
 	c.ListIsFinal = e.settings.Platform.ListIsFinal
 	c.MissingAfter = e.settings.Platform.MissingAfter.Duration
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -97,18 +97,28 @@
 
 // startPatience is for how long an entry that starts waits to learn of others before
 // it reads for all: each entry of a fleet that starts would otherwise read as if it
-// were alone.
-const startPatience = time.Second
+// were alone. firstPatience is the same at the first start of a whole fleet, in which
+// hundreds of entries meet.
+const (
+	startPatience = time.Second
+	firstPatience = 3 * time.Second
+)
 
 // meeting tells when an entry that starts has met the others. They greet each other one
 // by one within a moment; an entry that divided the duty to read among the first two would
 // begin to read, as most others would.
 type meeting struct {
 	known, unchanged int
+	// checks is for how many of them the number has to stay the same.
+	checks int
 }
 
-// meetingChecks is for how many checks the number of entries has to stay the same.
-const meetingChecks = 4
+// meetingChecks is for how many checks the number of entries has to stay the same, and
+// firstChecks the same at the first start of a whole fleet.
+const (
+	meetingChecks = 4
+	firstChecks   = 12
+)
 
 // over takes in how many entries are known by now.
 func (m *meeting) over(known int) bool {
@@ -116,7 +126,7 @@
 		m.known, m.unchanged = known, 0
 	}
 	m.unchanged++
-	return known >= 2 && m.unchanged > meetingChecks
+	return known >= 2 && m.unchanged > m.checks
 }
 
 // awaitPeers waits until this entry knows the others, if it has been told of any.
@@ -124,8 +134,11 @@
 	if _, told := e.told.appendTo(nil); told == 0 {
 		return
 	}
-	until := e.engine.clock() + startPatience
-	var m meeting
+	patience, m := startPatience, meeting{checks: meetingChecks}
+	if e.settings.Platform.FirstStart {
+		patience, m.checks = firstPatience, firstChecks
+	}
+	until := e.engine.clock() + patience
 	for ctx.Err() == nil && e.engine.clock() < until && !m.over(e.KnownEntries()) {
 		wait.For(ctx, readerCheck/4)
 	}
--- a/internal/entry/published_test.go
+++ b/internal/entry/published_test.go
@@ -6,7 +6,7 @@
 // the first two for the fleet would read the platform for all, with the calls of a reader,
 // until it knew better. The meeting is over when nobody has come for a while.
 func TestMeetingIsOverWhenNobodyComes(t *testing.T) {
-	var m meeting
+	m := meeting{checks: meetingChecks}
 	for _, known := range []int{1, 1, 1, 1, 1, 1, 2, 3, 3, 3, 5, 9, 9, 14, 15, 15, 15, 15} {
 		if m.over(known) {
 			t.Fatalf("over with %d entries known", known)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,9 @@
 	// ReadersPerDomain is how many entries of each failure domain read the service
 	// for all; default 2.
 	ReadersPerDomain int `toml:"readers_per_domain" unit:"entries"`
+	// FirstStart says that the whole fleet starts for the first time, so that there are
+	// seconds until callers come: entries wait for those that read the service for all.
+	FirstStart bool `toml:"first_start"`
 	// AlwaysCurrent says that no answer of the service is older than one that it gave
 	// anybody before; an entry that starts then serves on its word alone, without
 	// waiting for peers to confirm it; default false.
