--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -209,10 +209,7 @@
 func (c *Core) drainPool(now time.Duration, p *pool, out *Actions) {
 	for p.queue.Len() > 0 {
 		if c.waitsForLook(now, p) {
-			if !c.useFreshLook(now, p, out) {
-				return
-			}
-			continue
+			return
 		}
 		item, ok := p.queue.Next(now, func(service int32) bool {
 			return p.usesLooks() || c.mayTakeSlot(now, p, c.serviceRows[service])
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -73,7 +73,7 @@
 		Rand:      c.rng,
 		Request: placement.Request{
 			Arrived: r.arrived, Deadline: r.deadline, FirstTry: r.arrived - r.age, Objective: r.policy.Objective,
-			Work: r.typicalWork(), Kilobytes: r.service.kilobytes, Priority: r.policy.Priority, Late: r.late,
+			Work: r.typicalWork(), Kilobytes: r.service.kilobytes, Late: r.late,
 			Tried: r.tried, Asked: r.look.asked, Began: r.look.began, OwnOnly: r.look.ownOnly,
 		},
 	}
@@ -85,30 +85,6 @@
 	return view.Best()
 }
 
-// useFreshLook sends the request that is next in the queue to an endpoint that has told
-// of a free slot just now, in an answer to another request or to a look for it. Guards
-// against slots that lie idle until the next round of looks, in which others find them.
-// It returns false when there is none for that request.
-func (c *Core) useFreshLook(now time.Duration, p *pool, out *Actions) bool {
-	item, ok := p.queue.Next(now, func(int32) bool { return true })
-	if !ok {
-		return false
-	}
-	r, ok := c.requests[RequestID(item.ID)]
-	if !ok || r.look.active || now >= r.deadline {
-		return false
-	}
-	// An earlier round may have been for a second attempt, which this is not: paid for as
-	// one, it could be denied after it has left the queue.
-	r.look = lookRound{round: r.look.round, asked: r.look.asked[:0], began: now}
-	best := c.best(now, r)
-	if !best.Worth || int(r.dispatches) >= MaxAttempts {
-		return false
-	}
-	p.queue.Take(now, item.ID)
-	return c.dispatchLooked(now, r, best.Index, out)
-}
-
 // startLooks begins to look for an endpoint for r. It returns false when there is
 // none to ask.
 func (c *Core) startLooks(now time.Duration, r *request, second bool, out *Actions) bool {
@@ -262,7 +238,7 @@
 	}
 	r.held++
 	if !r.late {
-		r.pool.learned.NoteShort(now, r.policy.Priority)
+		r.pool.learned.NoteShort(now)
 	}
 	r.pool.lookAgain = now + lookGap
 	c.enqueue(now, r, out)
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -42,7 +42,7 @@
 		}
 		choice := Choice{Index: i, After: v.Expected(e)}
 		choice.cost = choice.After + v.wayCost(e)
-		choice.Worth = v.worthwhile(e, choice.After)
+		choice.Worth = v.worthwhile(e, choice.After-v.besideCost(e))
 		choice.near = choice.Worth && v.isNear(e) && v.surelyInTime(choice.After)
 		if choice.before(best) {
 			best = choice
@@ -90,12 +90,12 @@
 func (v *View) worthwhile(e *table.Endpoint, expected time.Duration) bool {
 	r := &v.Request
 	switch {
-	case v.Now+expected >= r.Deadline, v.Pool.overfills(e), v.Pool.keeps(v.Now, r.Priority, e):
+	case v.Now+expected >= r.Deadline, v.Pool.overfills(e):
 		return false
 	case r.Objective == 0:
 		return true
 	case r.Late:
-		return !v.Pool.shortFrom(v.Now, 0) && e.HasRoom() && (!Fills(e) || v.Pool.sharing < littleSharing) && Pace(&e.Look) < SlowPace*e.Paces.Lasting(v.Now)
+		return !v.Pool.isShort(v.Now) && e.HasRoom() && (!Fills(e) || v.Pool.sharing < littleSharing) && Pace(&e.Look) < SlowPace
 	}
 	return v.Now+expected <= r.FirstTry+r.Objective
 }
@@ -124,7 +124,7 @@
 	return best
 }
 
-// seemsSlow reports whether an endpoint's VM stays slow, or was slow a moment ago.
+// seemsSlow reports whether an endpoint's VM was slow a moment ago.
 func (v *View) seemsSlow(e *table.Endpoint) bool {
-	return e.Paces.Lasting(v.Now) >= SlowPace || e.Look.Seen && v.Now-e.Look.At < Remembered && Pace(&e.Look) >= SlowPace
+	return e.Look.Seen && v.Now-e.Look.At < Remembered && Pace(&e.Look) >= SlowPace
 }
--- a/internal/core/placement/domain.go
+++ b/internal/core/placement/domain.go
@@ -41,5 +41,5 @@
 // nearAndWell reports whether an endpoint of the own failure domain is worth waiting for.
 func (v *View) nearAndWell(e *table.Endpoint) bool {
 	return v.isNear(e) && e.State == table.EndpointLive && !e.Missing && v.Now >= e.AvoidUntil &&
-		e.DoubtAfter(v.Now) < SlightDoubt && e.Paces.Lasting(v.Now) < SlowPace
+		e.DoubtAfter(v.Now) < SlightDoubt
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -49,8 +49,6 @@
 	// to do, and Kilobytes the size of one with its answer.
 	Work      time.Duration
 	Kilobytes float64
-	// Priority is 0 to 9; a higher one goes first.
-	Priority int
 	// Late says that it can't be in time any more.
 	Late bool
 	// Tried are the endpoints that it was sent to, Asked those looked at in the round of
--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -23,11 +23,8 @@
 	// rankRemote puts endpoints of other failure domains behind those of the own one that
 	// may have room, and rankShort those of the own one behind them that have none, or are
 	// slow, by what they told a moment ago.
-	rankRemote = 60
-	rankShort  = 70
-	// rankSlow puts VMs that stay slow behind all that may have room, those of other
-	// failure domains included. They are asked again once that is forgotten.
-	rankSlow    = 80
+	rankRemote  = 60
+	rankShort   = 70
 	rankAvoided = 1000
 	rankMissing = 5000
 )
@@ -69,9 +66,6 @@
 	if e.Missing {
 		rank += rankMissing
 	}
-	if e.Paces.Lasting(v.Now) >= SlowPace {
-		rank += rankSlow
-	}
 	if age := v.Now - e.Look.At; e.Look.Seen && age < Remembered {
 		part := 1 - float64(age)/float64(Remembered)
 		rank += part * (rankFull*float64(e.Look.Running+e.Look.Waiting)/slots + rankPace*(Pace(&e.Look)-1))
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -29,9 +29,8 @@
 	sharings int
 	// easy is the smoothed part of looks that found easy room.
 	easy float64
-	// shortAt is when a request of a priority that could be in time last found no room, 0
-	// for never.
-	shortAt [priorities]time.Duration
+	// shortAt is when a request that could be in time last found no room, 0 for never.
+	shortAt time.Duration
 	// arrivedAt is when the latest request came, and gap the smoothed time between two, in
 	// nanoseconds.
 	arrivedAt time.Duration
--- a/internal/core/placement/shortage.go
+++ b/internal/core/placement/shortage.go
@@ -1,17 +1,10 @@
 package placement
 
-import (
-	"time"
-
-	"github.com/tealhall/tealhall/internal/core/table"
-)
+import "time"
 
 // The load that this answers: for some seconds more requests come than endpoints can
-// answer in time. Each request that finds a slot takes it, whatever it is worth, and those
-// of a high priority find none as often as the others.
-
-// priorities is how many there are; a higher one goes first.
-const priorities = 10
+// answer in time. Each slot that a late one takes is missing to one that comes a moment
+// later and could be in time.
 
 // A pool counts as short of room for a while after a request that could be in time found
 // none: about as long as endpoints keep a state, and until some more requests have come,
@@ -37,27 +30,10 @@
 	return min(max(shortLasts, time.Duration(shortArrivals*p.gap)), shortMost)
 }
 
-// NoteShort notes that a request of a priority that could be in time found no room.
-func (p *Pool) NoteShort(now time.Duration, priority int) {
-	p.shortAt[min(max(priority, 0), priorities-1)] = now
-}
-
-// shortFrom reports whether requests of a priority or a higher one found no room a moment
-// ago.
-func (p *Pool) shortFrom(now time.Duration, priority int) bool {
-	lasts := p.shortFor()
-	for _, at := range p.shortAt[min(max(priority, 0), priorities):] {
-		if at > 0 && now-at < lasts {
-			return true
-		}
-	}
-	return false
-}
+// NoteShort notes that a request that could be in time found no room.
+func (p *Pool) NoteShort(now time.Duration) { p.shortAt = now }
 
-// keeps reports whether the last slot of an endpoint that can be used well is kept for
-// requests of a higher priority than the given one, which found none a moment ago. One
-// that has a single such slot keeps none: the lower ones would get nothing at all.
-func (p *Pool) keeps(now time.Duration, priority int, e *table.Endpoint) bool {
-	most := wellUsed(max(1, e.Look.Slots))
-	return most > 1 && e.Look.Load() >= most-1 && p.shortFrom(now, priority+1)
+// isShort reports whether a request that could be in time found no room a moment ago.
+func (p *Pool) isShort(now time.Duration) bool {
+	return p.shortAt > 0 && now-p.shortAt < p.shortFor()
 }
--- a/internal/core/placement/work.go
+++ b/internal/core/placement/work.go
@@ -21,15 +21,21 @@
 	avoidedCost = 10
 )
 
-// Expected estimates when an endpoint would answer, as a duration from now. What the
-// request would cost the one beside it counts as well: a slot that slows both down is
-// worth its use only where both can bear it.
-func (v *View) Expected(e *table.Endpoint) time.Duration {
-	work := float64(v.Request.Work) * e.Paces.Lasting(v.Now)
-	after := float64(v.Takes(e))
-	if Fills(e) {
-		after += (v.Pool.sharing - 1) * work
+// besideCost is what the request would cost the one beside it at an endpoint that it makes
+// nearly full. It counts where endpoints are compared, and not against the request's own
+// objective: judged by both, second slots stayed free of requests that could be in time.
+func (v *View) besideCost(e *table.Endpoint) time.Duration {
+	if !Fills(e) {
+		return 0
 	}
+	return time.Duration((v.Pool.sharing - 1) * float64(v.Request.Work))
+}
+
+// Expected estimates what the choice of an endpoint costs: when it would answer, as a
+// duration from now, with what the request costs others and the doubt about it.
+func (v *View) Expected(e *table.Endpoint) time.Duration {
+	work := float64(v.Request.Work)
+	after := float64(v.Takes(e) + v.besideCost(e))
 	after += e.DoubtAfter(v.Now) * 2 * work
 	if v.Now < e.AvoidUntil || e.Missing {
 		after += avoidedCost * work
@@ -42,15 +48,14 @@
 // five times the usual pace half took 4.9 times as long as usual or longer, and of those
 // that began at the usual one 99 in 100 less than 2.9 times as long.
 func (v *View) Takes(e *table.Endpoint) time.Duration {
-	lasting := e.Paces.Lasting(v.Now)
-	pace := max(1, Pace(&e.Look)/lasting)
+	pace := Pace(&e.Look)
 	load, slots := e.Look.Load(), max(1, e.Look.Slots)
-	own, wait := float64(v.Request.Work)*lasting, 0.0
+	own, wait := float64(v.Request.Work), 0.0
 	if fills(load, slots) {
 		own *= v.Pool.sharing
 	}
 	if ahead := load - slots + 1; ahead > 0 {
-		wait = float64(v.Turn) * lasting * pace * (float64(ahead-1) + turnPart) / float64(slots)
+		wait = float64(v.Turn) * pace * (float64(ahead-1) + turnPart) / float64(slots)
 		pace = queuedPace
 	}
 	return time.Duration(wait + own*pace)
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -46,52 +46,6 @@
 	Since int32
 }
 
-// paceWindow is half the time for which paces are remembered, and paceLooks how many it
-// takes to tell a VM that stays slow from one that neighbours slow down for a moment.
-// Looks count that are at least paceGap apart, the time for which such a moment lasts.
-const (
-	paceWindow = time.Second
-	paceLooks  = 3
-	paceGap    = 150 * time.Millisecond
-)
-
-// Paces remembers the best pace that an endpoint told in the last one to two windows.
-type Paces struct {
-	since, counted time.Duration
-	best, before   int32
-	looks, earlier int32
-}
-
-// note takes in a pace.
-func (p *Paces) note(now time.Duration, pace int32) {
-	switch age := now - p.since; {
-	case age >= 2*paceWindow:
-		*p = Paces{since: now, counted: p.counted}
-	case age >= paceWindow:
-		*p = Paces{since: now, counted: p.counted, before: p.best, earlier: p.looks}
-	}
-	if p.looks == 0 || pace < p.best {
-		p.best = pace
-	}
-	if p.looks == 0 || now-p.counted >= paceGap {
-		p.looks++
-		p.counted = now
-	}
-}
-
-// Lasting returns by how many times work on the VM takes longer than usual for good, as
-// far as it shows: 1 unless every one of several looks told more.
-func (p *Paces) Lasting(now time.Duration) float64 {
-	if p.looks+p.earlier < paceLooks || now-p.since >= 2*paceWindow {
-		return 1
-	}
-	best := p.best
-	if p.earlier > 0 && (p.looks == 0 || p.before < best) {
-		best = p.before
-	}
-	return max(1, float64(best)/100)
-}
-
 // Load returns how many requests the endpoint holds as far as the look tells.
 func (l *Look) Load() int32 { return l.Running + l.Waiting + l.Since }
 
@@ -145,8 +99,6 @@
 	// Missing: the platform's list has lost the endpoint, and it is used only since
 	// no other is left.
 	Missing bool
-	// Paces are those of its latest looks.
-	Paces Paces
 	// AvoidUntil: work goes elsewhere before this time as long as it can.
 	AvoidUntil time.Duration
 	// Doubt is a smoothed share of attempts without an answer of use, as of
@@ -178,12 +130,7 @@
 }
 
 // See takes in what the endpoint told of its load.
-func (e *Endpoint) See(l Look) {
-	e.Look = l
-	if l.Pace > 0 {
-		e.Paces.note(l.At, l.Pace)
-	}
-}
+func (e *Endpoint) See(l Look) { e.Look = l }
 
 // HasRoom reports whether by its last look the endpoint has a slot for one more
 // request.
