--- a/cmd/tealhallstandin/platform.go
+++ b/cmd/tealhallstandin/platform.go
@@ -10,7 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/tealhall/tealhall/internal/fault"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/standin"
 )
 
@@ -84,10 +84,10 @@
 func publishedFiles(flags platformFlags) []publishedFile {
 	var files []publishedFile
 	if flags.profiles != "" {
-		files = append(files, publishedFile{name: platform.ProfilesValue, path: flags.profiles})
+		files = append(files, publishedFile{name: published.ProfilesValue, path: flags.profiles})
 	}
 	if flags.vms != "" {
-		files = append(files, publishedFile{name: platform.VMsValue, path: flags.vms})
+		files = append(files, publishedFile{name: published.VMsValue, path: flags.vms})
 	}
 	return files
 }
@@ -104,10 +104,10 @@
 	f.last = data
 	revision := service.Put(f.name, data)
 	klog.InfoS("Published", "value", f.name, "revision", revision, "bytes", len(data))
-	if f.name != platform.VMsValue {
+	if f.name != published.VMsValue {
 		return nil
 	}
-	if _, err := platform.ParseVMs(platform.Value{Name: f.name, Revision: revision, Data: data}); err != nil {
+	if _, err := published.ParseVMs(published.Value{Name: f.name, Revision: revision, Data: data}); err != nil {
 		klog.ErrorS(err, "Entries will refuse this list")
 	}
 	return nil
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/tealhall/tealhall/internal/core/duty"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // The two-year size of one region as a benchmark uses it.
@@ -25,13 +25,13 @@
 func benchCore(b *testing.B) (*Core, *Actions) {
 	var text strings.Builder
 	text.WriteString("format = 1\n[profile.read]\nkind = \"read\"\n")
-	list := platform.VMList{Revision: 1}
+	list := published.VMList{Revision: 1}
 	for i := range benchServices {
 		fmt.Fprintf(&text, "[service.s%d]\nprofile = \"read\"\n", i)
 	}
 	for i := range benchEndpoints {
-		list.VMs = append(list.VMs, platform.VM{Name: fmt.Sprintf("endpoint-%d", i), Incarnation: 1, Role: platform.EndpointRole,
-			State: platform.Live, Region: "r", Domain: fmt.Sprint(i % 3), Address: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200),
+		list.VMs = append(list.VMs, published.VM{Name: fmt.Sprintf("endpoint-%d", i), Incarnation: 1, Role: published.EndpointRole,
+			State: published.Live, Region: "r", Domain: fmt.Sprint(i % 3), Address: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200),
 			Pool: fmt.Sprintf("s%d", i%benchServices), Slots: 2})
 	}
 	snapshot, err := profile.Parse([]byte(text.String()), 1)
@@ -46,8 +46,8 @@
 		c.Introduce(0, peer, out)
 	}
 	mark := message.Mark{Revision: 1, Digest: 1}
-	c.Offer(0, Offered{Name: platform.ProfilesValue, Mark: mark, Source: duty.Platform, Profiles: snapshot}, out)
-	c.Offer(0, Offered{Name: platform.VMsValue, Mark: mark, Source: duty.Platform, VMs: list}, out)
+	c.Offer(0, Offered{Name: published.ProfilesValue, Mark: mark, Source: duty.Platform, Profiles: snapshot}, out)
+	c.Offer(0, Offered{Name: published.VMsValue, Mark: mark, Source: duty.Platform, VMs: list}, out)
 	out.Reset()
 	return c, out
 }
--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -4,10 +4,10 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/directory"
-	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/core/member"
+	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // EntryChoice is one entry in the answer to a caller.
@@ -92,7 +92,7 @@
 		return c.state == message.EntryServing
 	}
 	p, heard := c.fleet.peers[e.VM.Incarnation]
-	return heard && p.update.State == message.EntryServing && e.State == message.EntryServing && e.VM.State != platform.Leaving
+	return heard && p.update.State == message.EntryServing && e.State == message.EntryServing && e.VM.State != published.Leaving
 }
 
 // directoryView lists the entries with what is known of their state and load.
@@ -111,7 +111,7 @@
 			Address:     e.VM.Address,
 			Region:      e.VM.Region,
 			Domain:      e.VM.Domain,
-			Leaving:     e.State != message.EntryServing || e.VM.State == platform.Leaving,
+			Leaving:     e.State != message.EntryServing || e.VM.State == published.Leaving,
 			Suspected:   e.Suspected,
 		}
 		if e.VM.Incarnation == c.cfg.Self.Incarnation {
--- a/internal/core/change_test.go
+++ b/internal/core/change_test.go
@@ -5,17 +5,17 @@
 	"testing"
 	"time"
 
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // republish publishes the profiles with some of their text replaced.
 func (r *rig) republish(revision uint64, oldNew ...string) {
-	text := string(r.docs[platform.ProfilesValue].Data)
+	text := string(r.docs[published.ProfilesValue].Data)
 	changed := strings.NewReplacer(oldNew...).Replace(text)
 	if changed == text {
 		r.Fatalf("nothing to replace: %q", oldNew)
 	}
-	r.publish(platform.ProfilesValue, revision, changed)
+	r.publish(published.ProfilesValue, revision, changed)
 }
 
 // A steward's entries wait for a slot when the operators move the service to
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,8 +15,8 @@
 
 	"github.com/tealhall/tealhall/internal/core/budget"
 	"github.com/tealhall/tealhall/internal/core/health"
-	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/core/placement"
+	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/profile"
 )
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/profile"
 )
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -10,7 +10,7 @@
 	"github.com/tealhall/tealhall/internal/core/member"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // fleet is what this entry knows of VMs and of the other entries.
@@ -90,12 +90,12 @@
 }
 
 // vmOf is an entry as it describes itself, in the form of the platform's list.
-func vmOf(h message.Hello) platform.VM {
-	return platform.VM{
+func vmOf(h message.Hello) published.VM {
+	return published.VM{
 		Name:        h.Name,
 		Incarnation: h.Incarnation,
-		Role:        platform.EntryRole,
-		State:       platform.Live,
+		Role:        published.EntryRole,
+		State:       published.Live,
 		Region:      h.Region,
 		Domain:      h.Domain,
 		Address:     h.CallerAddress,
@@ -255,7 +255,7 @@
 }
 
 // rowOfVM returns the row of one incarnation of an endpoint, or nil.
-func (c *Core) rowOfVM(vm *platform.VM) *table.Endpoint {
+func (c *Core) rowOfVM(vm *published.VM) *table.Endpoint {
 	ref, ok := c.fleet.rows[vm.Name]
 	if !ok {
 		return nil
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -10,7 +10,7 @@
 	"github.com/tealhall/tealhall/internal/core/duty"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // until runs the rig until all running entries fulfil ok, and returns how long
@@ -34,7 +34,7 @@
 }
 
 func atRevision(revision uint64) func(n *node) bool {
-	return func(n *node) bool { return n.InForce(platform.ProfilesValue).Revision == revision }
+	return func(n *node) bool { return n.InForce(published.ProfilesValue).Revision == revision }
 }
 
 // givenTo returns the entries that an entry names to callers, by name.
@@ -175,7 +175,7 @@
 	r := settled(t, 4, "counts/c1")
 	r.republish(2, "queue_limit = 96", "queue_limit = 200")
 	r.until(5*sec, atRevision(2))
-	old := r.docs[platform.ProfilesValue]
+	old := r.docs[published.ProfilesValue]
 	r.down = func(*node) bool { return true }
 	limits := func(want int) func(n *node) bool {
 		return func(n *node) bool {
@@ -207,8 +207,8 @@
 	old.Revision, old.Data = 1, []byte("format = 1")
 	for _, n := range r.nodes {
 		r.offer(n, old, duty.Platform)
-		r.offer(n, platform.Value{Name: old.Name, Revision: 2, Data: old.Data}, duty.Platform)
-		r.offer(n, platform.Value{Name: old.Name, Revision: 3, Data: []byte("format = 99")}, duty.Platform)
+		r.offer(n, published.Value{Name: old.Name, Revision: 2, Data: old.Data}, duty.Platform)
+		r.offer(n, published.Value{Name: old.Name, Revision: 3, Data: []byte("format = 99")}, duty.Platform)
 		if n.dead {
 			continue
 		}
@@ -281,7 +281,7 @@
 			continue
 		}
 		even := !halves(n, r.nodes[0])
-		if got := n.InForce(platform.ProfilesValue).Revision; (got == 2) != even {
+		if got := n.InForce(published.ProfilesValue).Revision; (got == 2) != even {
 			t.Errorf("%s has revision %d during the partition", n.hello.Name, got)
 		}
 		if got := n.givenTo("counts"); even && got != "0 2 4" || !even && got != "1 3 5" {
@@ -305,7 +305,7 @@
 	if took := r.until(20*sec, calm); took > 4*sec {
 		t.Errorf("calm %v after the network healed", took)
 		for _, n := range r.nodes {
-			t.Log(n.hello.Name, n.dead, n.InForce(platform.ProfilesValue).Revision, n.UsableEntries(), n.fleet.entries)
+			t.Log(n.hello.Name, n.dead, n.InForce(published.ProfilesValue).Revision, n.UsableEntries(), n.fleet.entries)
 		}
 	}
 }
@@ -367,7 +367,7 @@
 	out := r.do(n, func(now time.Duration, out *Actions) {
 		n.Arrive(now, Arrival{ID: 1 << 40, Service: "counts", Revision: 2}, out)
 	})
-	if len(out.Fetches) != 1 || out.Fetches[0].Name != platform.ProfilesValue || out.Fetches[0].After != 1 {
+	if len(out.Fetches) != 1 || out.Fetches[0].Name != published.ProfilesValue || out.Fetches[0].After != 1 {
 		t.Errorf("fetches %+v", out.Fetches)
 	}
 	r.until(5*sec, atRevision(2))
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/duty"
-	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/core/member"
+	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/message"
 )
 
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/profile"
 )
 
--- a/internal/core/keys_model_test.go
+++ b/internal/core/keys_model_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/idem"
 )
 
 // model drives three entries through faults that rapid draws.
--- a/internal/core/member/claim.go
+++ b/internal/core/member/claim.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // Claim takes in evidence from a peer, or from an endpoint's own answer. It is
@@ -57,7 +57,7 @@
 // Introduce takes in an entry that opened a link and said who it is. It may be
 // newer than the platform's list, which numbers VMs and not processes: whatever
 // the list says of its VM stays with it.
-func (t *Table) Introduce(now time.Duration, vm platform.VM) []Change {
+func (t *Table) Introduce(now time.Duration, vm published.VM) []Change {
 	if unusable(vm) != "" || !isEntry(vm) || t.verdicts.isGone(vm.Name, vm.Incarnation) {
 		return nil
 	}
@@ -81,7 +81,7 @@
 
 // makeRoomFor ends the rows whose place a VM takes that spoke for itself. A row
 // that only the list knew becomes the VM's own.
-func (t *Table) makeRoomFor(now time.Duration, r *row, vm platform.VM) []Change {
+func (t *Table) makeRoomFor(now time.Duration, r *row, vm published.VM) []Change {
 	var changes []Change
 	switch {
 	case r == nil:
--- a/internal/core/member/final_test.go
+++ b/internal/core/member/final_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // The platform's service was away and most endpoints' entries lapsed meanwhile. They
@@ -16,8 +16,8 @@
 func TestListThatIsFinal(t *testing.T) {
 	const missing, last = 1400 * time.Millisecond, 1700 * time.Millisecond
 	table := New(Config{Self: 1, Region: "r1", ListIsFinal: true, MissingAfter: missing, KeepLast: last})
-	list := func(revision uint64, names ...string) platform.VMList {
-		l := platform.VMList{Revision: revision}
+	list := func(revision uint64, names ...string) published.VMList {
+		l := published.VMList{Revision: revision}
 		for _, name := range names {
 			l.VMs = append(l.VMs, parseVM(name+"/1"))
 		}
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // listState is what is known of the platform's list.
@@ -15,7 +15,7 @@
 	// at is when a list was last applied or confirmed.
 	at time.Duration
 	// vms are the usable rows of the latest list by name.
-	vms map[string]platform.VM
+	vms map[string]published.VM
 	// held: the losses of the latest list do not count yet.
 	held   bool
 	heldAt time.Duration
@@ -38,7 +38,7 @@
 // later, and not at all when too much is missing at once. Guards against a
 // list that was cut short or made while the platform itself was failing, which
 // would show as a whole fleet without endpoints.
-func (t *Table) ApplyList(now time.Duration, l platform.VMList) []Change {
+func (t *Table) ApplyList(now time.Duration, l published.VMList) []Change {
 	if l.Revision < t.list.revision {
 		why := fmt.Sprintf("list revision %d is older than %d", l.Revision, t.list.revision)
 		return []Change{{Kind: ListRefused, Why: why}}
@@ -61,8 +61,8 @@
 // usable returns the rows that can be worked with by name, and the names of
 // those that cannot. Of two rows with one name or address the later
 // incarnation counts.
-func (t *Table) usable(l platform.VMList) (map[string]platform.VM, map[string]bool, []Change) {
-	vms := make(map[string]platform.VM, len(l.VMs))
+func (t *Table) usable(l published.VMList) (map[string]published.VM, map[string]bool, []Change) {
+	vms := make(map[string]published.VM, len(l.VMs))
 	skipped := make(map[string]bool)
 	var changes []Change
 	for _, vm := range l.VMs {
@@ -82,7 +82,7 @@
 }
 
 // listed takes in one row of a list.
-func (t *Table) listed(now time.Duration, vm platform.VM) []Change {
+func (t *Table) listed(now time.Duration, vm published.VM) []Change {
 	t.verdicts.mention(now, vm.Name, vm.Incarnation)
 	if t.verdicts.isGone(vm.Name, vm.Incarnation) {
 		return nil
@@ -104,7 +104,7 @@
 	}
 	r.listed, r.missing = true, false
 	t.refresh(r, vm)
-	if vm.State == platform.Leaving {
+	if vm.State == published.Leaving {
 		t.judge(now, message.Evidence{VM: vm.Name, Incarnation: vm.Incarnation, Kind: message.EvidenceLeaving})
 		changes = append(changes, t.leave(r, "the platform's list says so")...)
 	}
@@ -113,7 +113,7 @@
 
 // listedEntry takes in a list's row of an entry. The list tells where entries
 // are before they are heard, that a VM leaves, and that it was replaced.
-func (t *Table) listedEntry(now time.Duration, vm platform.VM) []Change {
+func (t *Table) listedEntry(now time.Duration, vm published.VM) []Change {
 	r := t.rows[vm.Name]
 	var changes []Change
 	if r != nil && r.listedAs != 0 && r.listedAs != vm.Incarnation && !t.heardLately(now, r) {
@@ -128,7 +128,7 @@
 	if !r.introduced {
 		t.refresh(r, vm)
 	}
-	if vm.State != platform.Leaving {
+	if vm.State != published.Leaving {
 		return changes
 	}
 	return append(changes, t.listedLeaving(now, r, vm)...)
@@ -143,7 +143,7 @@
 // listedLeaving applies a list that says that an entry's VM leaves. Guards
 // against a list that lags: a process that introduced itself after the list had
 // said so runs on the VM that took the place of the leaving one.
-func (t *Table) listedLeaving(now time.Duration, r *row, vm platform.VM) []Change {
+func (t *Table) listedLeaving(now time.Duration, r *row, vm published.VM) []Change {
 	t.verdicts.note(now, now, message.Evidence{VM: vm.Name, Incarnation: vm.Incarnation, Kind: message.EvidenceLeaving})
 	said := t.verdicts.known[vmKey{vm.Name, vm.Incarnation}]
 	if r.introduced && r.introducedAt > said.since {
@@ -155,7 +155,7 @@
 
 // makeRoom ends the incarnation whose place vm takes, by name or by address.
 // It reports whether vm is to be believed.
-func (t *Table) makeRoom(now time.Duration, vm platform.VM) (changes []Change, accepted bool) {
+func (t *Table) makeRoom(now time.Duration, vm published.VM) (changes []Change, accepted bool) {
 	if r := t.rows[vm.Name]; r != nil && r.vm.Incarnation != vm.Incarnation {
 		changes = t.replaced(now, r, vm)
 	}
@@ -170,13 +170,13 @@
 	return append(changes, t.replaced(now, r, vm)...), true
 }
 
-func (t *Table) replaced(now time.Duration, r *row, by platform.VM) []Change {
+func (t *Table) replaced(now time.Duration, r *row, by published.VM) []Change {
 	why := fmt.Sprintf("%s incarnation %d took its place", by.Name, by.Incarnation)
 	return t.end(now, r, message.EvidenceReplaced, why)
 }
 
 // refresh takes over what a list says of a VM but for its state.
-func (t *Table) refresh(r *row, vm platform.VM) {
+func (t *Table) refresh(r *row, vm published.VM) {
 	vm.State = r.vm.State
 	if r.vm != vm {
 		r.vm = vm
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -9,25 +9,25 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 	"pgregory.net/rapid"
 )
 
 // parseVM reads "name/incarnation,option": names that start with "entry" are
 // entries, the others endpoints of pool "p". "@x" is an address, which otherwise
 // is the name, "leaving" a state and "r2" a region.
-func parseVM(text string) platform.VM {
+func parseVM(text string) published.VM {
 	options := strings.Split(text, ",")
 	name, incarnation, _ := strings.Cut(options[0], "/")
-	vm := platform.VM{Name: name, Role: platform.EndpointRole, Pool: "p", Region: "r1", Address: name, State: platform.Live}
+	vm := published.VM{Name: name, Role: published.EndpointRole, Pool: "p", Region: "r1", Address: name, State: published.Live}
 	vm.Incarnation, _ = strconv.ParseUint(incarnation, 10, 64)
 	if strings.HasPrefix(name, "entry") {
-		vm.Role, vm.Pool = platform.EntryRole, ""
+		vm.Role, vm.Pool = published.EntryRole, ""
 	}
 	for _, option := range options[1:] {
 		switch {
 		case option == "leaving":
-			vm.State = platform.Leaving
+			vm.State = published.Leaving
 		case strings.HasPrefix(option, "@"):
 			vm.Address = option[1:]
 		default:
@@ -66,7 +66,7 @@
 // key=value pairs.
 func command(t *testing.T, table *Table, now time.Duration, fields []string) []string {
 	numbers := map[string]uint64{"state": uint64(message.EntryServing)}
-	var vms []platform.VM
+	var vms []published.VM
 	for _, field := range fields[1:] {
 		if key, value, pair := strings.Cut(field, "="); pair {
 			numbers[key], _ = strconv.ParseUint(value, 10, 64)
@@ -74,10 +74,10 @@
 			vms = append(vms, parseVM(field))
 		}
 	}
-	who := append(vms, platform.VM{})[0]
+	who := append(vms, published.VM{})[0]
 	switch fields[0] {
 	case "list":
-		return show(table.ApplyList(now, platform.VMList{Revision: numbers["rev"], VMs: vms}))
+		return show(table.ApplyList(now, published.VMList{Revision: numbers["rev"], VMs: vms}))
 	case "leaving", "replaced", "stopped":
 		return show(table.Claim(now, message.Evidence{VM: who.Name, Incarnation: who.Incarnation, Kind: kinds[fields[0]]}))
 	case "heard":
@@ -134,10 +134,10 @@
 		var now time.Duration
 		var revision uint64
 		names := []string{"a", "b", "c", "entry-x", "entry-y"}
-		drawVM := func() platform.VM {
+		drawVM := func() published.VM {
 			vm := parseVM(rapid.SampledFrom(names).Draw(rt, "name"))
 			vm.Incarnation = rapid.Uint64Range(1, 4).Draw(rt, "incarnation")*10 + uint64(len(vm.Name))
-			vm.State = rapid.SampledFrom([]platform.State{platform.Live, platform.Leaving}).Draw(rt, "state")
+			vm.State = rapid.SampledFrom([]published.State{published.Live, published.Leaving}).Draw(rt, "state")
 			return vm
 		}
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
@@ -146,7 +146,7 @@
 			switch rapid.IntRange(0, 6).Draw(rt, "step") {
 			case 0, 1:
 				revision += rapid.Uint64Range(0, 2).Draw(rt, "growth")
-				list := platform.VMList{Revision: revision}
+				list := published.VMList{Revision: revision}
 				for range rapid.IntRange(0, 5).Draw(rt, "size") {
 					list.VMs = append(list.VMs, drawVM())
 				}
@@ -173,7 +173,7 @@
 				}
 			}
 			for _, e := range table.Endpoints(nil) {
-				if final[fmt.Sprint(e.VM.Name, e.VM.Incarnation)] && e.VM.State == platform.Live {
+				if final[fmt.Sprint(e.VM.Name, e.VM.Incarnation)] && e.VM.State == published.Live {
 					rt.Fatalf("%s/%d is live again", e.VM.Name, e.VM.Incarnation)
 				}
 			}
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // ChangeKind is how a belief changed.
@@ -60,13 +60,13 @@
 // Change is one changed belief. VM is zero for changes that concern a list.
 type Change struct {
 	Kind ChangeKind
-	VM   platform.VM
+	VM   published.VM
 	Why  string
 }
 
 // row is what is believed of the one incarnation under a name that counts.
 type row struct {
-	vm      platform.VM
+	vm      published.VM
 	leaving bool
 	// listed: some applied list had this incarnation.
 	listed bool
@@ -118,7 +118,7 @@
 
 // place is where VMs of a role are served.
 type place struct {
-	role    platform.Role
+	role    published.Role
 	address string
 }
 
@@ -134,10 +134,10 @@
 // Version grows with each change of what Endpoints or Entries return.
 func (t *Table) Version() uint64 { return t.version }
 
-func isEntry(vm platform.VM) bool { return vm.Role == platform.EntryRole }
+func isEntry(vm published.VM) bool { return vm.Role == published.EntryRole }
 
 // kindFor picks the change kind by the role of the VM.
-func kindFor(vm platform.VM, endpoint, entry ChangeKind) ChangeKind {
+func kindFor(vm published.VM, endpoint, entry ChangeKind) ChangeKind {
 	if isEntry(vm) {
 		return entry
 	}
@@ -145,9 +145,9 @@
 }
 
 // add inserts a row for a VM that was not known.
-func (t *Table) add(now time.Duration, vm platform.VM, why string) []Change {
+func (t *Table) add(now time.Duration, vm published.VM, why string) []Change {
 	r := &row{vm: vm, seenAt: now}
-	r.vm.State = platform.Live
+	r.vm.State = published.Live
 	t.rows[vm.Name] = r
 	at, _ := slices.BinarySearch(t.names, vm.Name)
 	t.names = slices.Insert(t.names, at, vm.Name)
@@ -165,7 +165,7 @@
 		return nil
 	}
 	r.leaving = true
-	r.vm.State = platform.Leaving
+	r.vm.State = published.Leaving
 	if isEntry(r.vm) && r.state < message.EntryLeaving {
 		r.state = message.EntryLeaving
 	}
@@ -200,7 +200,7 @@
 }
 
 // byAddress returns the row of another VM of the same role at the address of vm.
-func (t *Table) byAddress(vm platform.VM) *row {
+func (t *Table) byAddress(vm published.VM) *row {
 	for _, r := range t.indexed().addresses[place{vm.Role, vm.Address}] {
 		if r.vm.Name != vm.Name {
 			return r
@@ -246,7 +246,7 @@
 }
 
 // unusable returns what is wrong with a VM's row, or "".
-func unusable(vm platform.VM) string {
+func unusable(vm published.VM) string {
 	var wrong []string
 	if vm.Name == "" {
 		wrong = append(wrong, "no name")
@@ -257,7 +257,7 @@
 	if vm.Address == "" {
 		wrong = append(wrong, "no address")
 	}
-	if vm.Role != platform.EntryRole && vm.Role != platform.EndpointRole {
+	if vm.Role != published.EntryRole && vm.Role != published.EndpointRole {
 		wrong = append(wrong, "unknown role "+string(vm.Role))
 	}
 	return strings.Join(wrong, ", ")
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -4,13 +4,13 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // Endpoint is what is believed of an endpoint.
 type Endpoint struct {
 	// VM.State is Leaving as soon as any evidence says so.
-	VM platform.VM
+	VM published.VM
 	// Missing: the platform's list has lost it.
 	Missing bool
 }
@@ -18,7 +18,7 @@
 // Entry is what is believed of an entry.
 type Entry struct {
 	// VM.State is Leaving as soon as any evidence says so.
-	VM platform.VM
+	VM published.VM
 	// State is what the entry last said of itself: starting while only the list
 	// names it, serving from its introduction until it says more.
 	State message.EntryState
@@ -33,7 +33,7 @@
 // Usable reports whether callers may be sent to the entry and duties be
 // counted on it.
 func (e Entry) Usable() bool {
-	return !e.Suspected && e.State == message.EntryServing && e.VM.State == platform.Live
+	return !e.Suspected && e.State == message.EntryServing && e.VM.State == published.Live
 }
 
 // Endpoints appends all endpoints to out, by name.
--- a/internal/core/pause_test.go
+++ b/internal/core/pause_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/tealhall/tealhall/internal/core/member"
 	"github.com/tealhall/tealhall/internal/core/table"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // sleep stops an entry's process and lets it run again after d, with its timers
@@ -79,8 +79,8 @@
 				t.Error("what was seen before the pause is still believed")
 			}
 			r.run(2 * sec)
-			if more && (n.state("c6") != table.EndpointLeaving || n.InForce(platform.ProfilesValue).Revision != 2) {
-				t.Errorf("c6 is %v, revision %d", n.state("c6"), n.InForce(platform.ProfilesValue).Revision)
+			if more && (n.state("c6") != table.EndpointLeaving || n.InForce(published.ProfilesValue).Revision != 2) {
+				t.Errorf("c6 is %v, revision %d", n.state("c6"), n.InForce(published.ProfilesValue).Revision)
 			}
 			r.traffic(Arrival{Service: "counts"}, 10*ms, 3*sec)
 			if n.counters.Ejections != 0 || n.UsableEntries() != 3 {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -9,7 +9,7 @@
 	"github.com/tealhall/tealhall/internal/core/gossip"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // ratePeriod is how often the call rate is sampled.
@@ -105,8 +105,8 @@
 	return gossip.State{
 		State:    c.state,
 		Epoch:    c.keys.Epoch(),
-		Profiles: c.InForce(platform.ProfilesValue),
-		VMs:      c.InForce(platform.VMsValue),
+		Profiles: c.InForce(published.ProfilesValue),
+		VMs:      c.InForce(published.VMsValue),
 		Reader:   c.reachesPlatform(),
 		Rate:     c.fleet.rate,
 	}
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -7,28 +7,28 @@
 
 	"github.com/tealhall/tealhall/internal/core/duty"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // Offered is a published value that the driver got from the platform or a
 // peer, already parsed. Parsing depends on the text alone, so that all entries
 // accept and refuse alike.
 type Offered struct {
-	// Name is platform.ProfilesValue or platform.VMsValue.
+	// Name is published.ProfilesValue or published.VMsValue.
 	Name string
 	Mark message.Mark
 	// Source is duty.Platform or the incarnation of a peer.
 	Source uint64
 	// Profiles or VMs is the parsed text, unless Problem says why it is refused.
 	Profiles *profile.Snapshot
-	VMs      platform.VMList
+	VMs      published.VMList
 	Problem  error
 }
 
 // tracker returns the tracker of a published value.
 func (c *Core) tracker(name string) *duty.Tracker {
-	if name == platform.VMsValue {
+	if name == published.VMsValue {
 		return c.fleet.vms
 	}
 	return c.fleet.profiles
@@ -83,7 +83,7 @@
 	}
 	note.Action = "accepted"
 	out.note(note)
-	if o.Name == platform.VMsValue {
+	if o.Name == published.VMsValue {
 		c.applyChanges(now, c.fleet.members.ApplyList(now, o.VMs), note.Actor, out)
 		return
 	}
@@ -131,8 +131,8 @@
 // slow rate of its own, for any that a wrong belief could hide.
 func (c *Core) fetchDue(now time.Duration, out *Actions) {
 	peers := c.reachablePeers()
-	c.fetchNext(now, platform.ProfilesValue, peers, out)
-	c.fetchNext(now, platform.VMsValue, peers, out)
+	c.fetchNext(now, published.ProfilesValue, peers, out)
+	c.fetchNext(now, published.VMsValue, peers, out)
 	c.slowCheck(now, out)
 }
 
@@ -169,7 +169,7 @@
 	if first || c.Reader() {
 		return
 	}
-	for _, name := range []string{platform.ProfilesValue, platform.VMsValue} {
+	for _, name := range []string{published.ProfilesValue, published.VMsValue} {
 		out.Fetches = append(out.Fetches, FetchFrom{Name: name, Source: duty.Platform, After: c.InForce(name).Revision})
 	}
 }
@@ -234,7 +234,7 @@
 	}
 	c.state, c.servesSince = message.EntryServing, now
 	out.note(Note{Subject: "entry " + c.cfg.Self.Name, Action: "ready", From: "starting", To: "serving",
-		Revision: c.InForce(platform.ProfilesValue).Revision})
+		Revision: c.InForce(published.ProfilesValue).Revision})
 }
 
 // ReadyReason reports whether this entry may be given to callers, and if not why.
--- a/internal/core/reply.go
+++ b/internal/core/reply.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"time"
 
-	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/core/queue"
+	"github.com/tealhall/tealhall/internal/idem"
 )
 
 // refuseAtDoor answers a request that is not taken in. With an idempotency key
--- a/internal/core/rig_test.go
+++ b/internal/core/rig_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/tealhall/tealhall/internal/core/duty"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 const (
@@ -34,7 +34,7 @@
 	tick     time.Duration
 	nodes    []*node
 	under    []letter
-	docs     map[string]platform.Value
+	docs     map[string]published.Value
 	nextID   RequestID
 	keysMade uint64
 	// cut says that nothing gets from one entry to another, down that an entry
@@ -86,7 +86,7 @@
 	open         map[tried]Directive
 	told         map[RequestID]told
 	relays       map[RequestID]func(told)
-	docs         map[string]platform.Value
+	docs         map[string]published.Value
 	notes        []Note
 	suspects     []string
 	probes       []Probe
@@ -103,7 +103,7 @@
 }
 
 func newRig(t testing.TB, entries int) *rig {
-	r := &rig{TB: t, wall: time.Date(2027, 1, 31, 12, 0, 0, 0, time.UTC), tick: 10 * ms, probeTime: 6 * ms, docs: map[string]platform.Value{},
+	r := &rig{TB: t, wall: time.Date(2027, 1, 31, 12, 0, 0, 0, time.UTC), tick: 10 * ms, probeTime: 6 * ms, docs: map[string]published.Value{},
 		written: map[string]int{}, ran: map[string]int{}}
 	r.config = func(cfg *Config) { cfg.LargestFleet = 8 }
 	r.cut = func(_, _ *node) bool { return false }
@@ -116,7 +116,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.publish(platform.ProfilesValue, 1, string(text))
+	r.publish(published.ProfilesValue, 1, string(text))
 	for i := range entries {
 		r.start(i)
 	}
@@ -132,7 +132,7 @@
 	r.config(&cfg)
 	n := &node{Core: New(cfg, rand.New(rand.NewPCG(1, incarnation))), hello: h, started: r.now,
 		arrivals: map[RequestID]Arrival{}, open: map[tried]Directive{}, told: map[RequestID]told{},
-		relays: map[RequestID]func(told){}, docs: map[string]platform.Value{}}
+		relays: map[RequestID]func(told){}, docs: map[string]published.Value{}}
 	for _, old := range r.nodes {
 		old.dead = old.dead || old.hello.Name == h.Name
 	}
@@ -142,7 +142,7 @@
 
 // publish puts a value into the platform's service.
 func (r *rig) publish(name string, revision uint64, text string) {
-	r.docs[name] = platform.Value{Name: name, Revision: revision, Data: []byte(text)}
+	r.docs[name] = published.Value{Name: name, Revision: revision, Data: []byte(text)}
 }
 
 // addressOf turns an endpoint's name, a letter and a number, into an address.
@@ -157,19 +157,19 @@
 // list publishes the VMs: all entries, and endpoints given as "pool/name" with
 // "#incarnation" or ",leaving" behind.
 func (r *rig) list(revision uint64, endpoints ...string) {
-	var l platform.VMList
+	var l published.VMList
 	for i, n := range r.nodes {
 		if n.dead {
 			continue
 		}
-		l.VMs = append(l.VMs, platform.VM{Name: n.hello.Name, Incarnation: uint64(100 + i), Role: platform.EntryRole, State: platform.Live,
+		l.VMs = append(l.VMs, published.VM{Name: n.hello.Name, Incarnation: uint64(100 + i), Role: published.EntryRole, State: published.Live,
 			Region: "r", Domain: n.hello.Domain, Address: n.hello.CallerAddress, PeerAddress: n.hello.PeerAddress})
 	}
 	for _, text := range endpoints {
-		vm := platform.VM{Incarnation: 1, Role: platform.EndpointRole, State: platform.Live, Region: "r", Domain: "d0", Slots: 2}
+		vm := published.VM{Incarnation: 1, Role: published.EndpointRole, State: published.Live, Region: "r", Domain: "d0", Slots: 2}
 		text, leaving := strings.CutSuffix(text, ",leaving")
 		if leaving {
-			vm.State = platform.Leaving
+			vm.State = published.Leaving
 		}
 		text, incarnation, _ := strings.Cut(text, "#")
 		_, _ = fmt.Sscan(incarnation, &vm.Incarnation)
@@ -177,7 +177,7 @@
 		vm.Address = addressOf(vm.Name)
 		l.VMs = append(l.VMs, vm)
 	}
-	r.publish(platform.VMsValue, revision, string(platform.EncodeVMs(l)))
+	r.publish(published.VMsValue, revision, string(published.EncodeVMs(l)))
 }
 
 // post puts something under way; an entry that sleeps gets it when it wakes.
@@ -225,8 +225,8 @@
 			}
 			n.PlatformAnswered(!r.down(n))
 			if !r.down(n) {
-				r.read(n, platform.ProfilesValue)
-				r.read(n, platform.VMsValue)
+				r.read(n, published.ProfilesValue)
+				r.read(n, published.VMsValue)
 			}
 		}
 	}
@@ -259,10 +259,10 @@
 	r.offer(n, v, duty.Platform)
 }
 
-func (r *rig) offer(n *node, v platform.Value, source uint64) {
+func (r *rig) offer(n *node, v published.Value, source uint64) {
 	o := Offered{Name: v.Name, Source: source, Mark: message.Mark{Revision: v.Revision, Digest: xxhash.Sum64(v.Data)}}
-	if v.Name == platform.VMsValue {
-		o.VMs, o.Problem = platform.ParseVMs(v)
+	if v.Name == published.VMsValue {
+		o.VMs, o.Problem = published.ParseVMs(v)
 	} else {
 		o.Profiles, o.Problem = profile.Parse(v.Data, v.Revision)
 	}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -10,8 +10,8 @@
 	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/queue"
 	"github.com/tealhall/tealhall/internal/core/table"
-	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 const (
@@ -149,7 +149,7 @@
 // add puts an endpoint into the pool. Rows of endpoints that are gone and have
 // no attempt left are used again, so that an index stays valid as long as an
 // attempt refers to it.
-func (p *pool) add(now time.Duration, vm platform.VM) (index int) {
+func (p *pool) add(now time.Duration, vm published.VM) (index int) {
 	row := table.Endpoint{
 		Name:        vm.Name,
 		Incarnation: vm.Incarnation,
--- a/internal/core/session_test.go
+++ b/internal/core/session_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // session is a rig that a golden file drives.
@@ -191,7 +191,7 @@
 			state += " a close"
 		}
 		fmt.Fprintf(&b, "%s %s, profiles %d, list %d, names %q\n", n.hello.Name, state,
-			n.InForce(platform.ProfilesValue).Revision, n.InForce(platform.VMsValue).Revision, n.givenTo("counts"))
+			n.InForce(published.ProfilesValue).Revision, n.InForce(published.VMsValue).Revision, n.givenTo("counts"))
 	}
 	return b.String()
 }
--- a/internal/core/start_test.go
+++ b/internal/core/start_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/tealhall/tealhall/internal/core/duty"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // All entries start again after a loss of power, and callers wait for the first one
@@ -28,8 +28,8 @@
 	}
 	r.run(r.tick)
 	for _, n := range r.nodes {
-		r.offer(n, r.docs[platform.ProfilesValue], duty.Platform)
-		r.offer(n, r.docs[platform.VMsValue], duty.Platform)
+		r.offer(n, r.docs[published.ProfilesValue], duty.Platform)
+		r.offer(n, r.docs[published.VMsValue], duty.Platform)
 	}
 	r.run(r.tick)
 	for _, n := range r.nodes {
@@ -49,8 +49,8 @@
 	r.list(1, "counts/c1")
 	a, b := r.nodes[0], r.nodes[1]
 	for _, n := range r.nodes {
-		r.offer(n, r.docs[platform.ProfilesValue], duty.Platform)
-		r.offer(n, r.docs[platform.VMsValue], duty.Platform)
+		r.offer(n, r.docs[published.ProfilesValue], duty.Platform)
+		r.offer(n, r.docs[published.VMsValue], duty.Platform)
 		r.do(n, func(now time.Duration, out *Actions) { n.Tick(now, r.wall, out) })
 	}
 	greeting := b.greeting()
@@ -105,8 +105,8 @@
 		mute bool
 	}{{"readers are answered", false}, {"no reader is answered", true}} {
 		r := newRig(t, 0)
-		published := r.docs
-		r.docs = map[string]platform.Value{}
+		later := r.docs
+		r.docs = map[string]published.Value{}
 		r.config = func(cfg *Config) { cfg.FirstStart, cfg.AlwaysCurrent, cfg.ReadersPerDomain = true, true, 1 }
 		asked := map[string]int{}
 		for i := range 15 {
@@ -131,11 +131,11 @@
 			readers[n.hello.Incarnation] = n.Reader()
 		}
 		r.run(3 * sec)
-		r.docs = published
+		r.docs = later
 		r.list(1, sixCounts...)
 		r.run(3 * sec)
 		for _, n := range r.nodes {
-			if n.InForce(platform.ProfilesValue).Revision == 0 || n.InForce(platform.VMsValue).Revision == 0 {
+			if n.InForce(published.ProfilesValue).Revision == 0 || n.InForce(published.VMsValue).Revision == 0 {
 				t.Fatalf("%s: %s knows nothing after 6 s", c.name, n.hello.Name)
 			}
 		}
--- a/internal/core/traffic_test.go
+++ b/internal/core/traffic_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/idem"
 )
 
 // ask sends a caller's request to an entry.
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/health"
-	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/core/member"
 	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // View is a copy of what operators may want to know of a core. It shares no
@@ -169,8 +169,8 @@
 		Reader:     c.Reader(),
 		Snapshot:   c.snapshot,
 		Closing:    c.closing,
-		Profiles:   c.viewPublished(platform.ProfilesValue),
-		VMs:        c.viewPublished(platform.VMsValue),
+		Profiles:   c.viewPublished(published.ProfilesValue),
+		VMs:        c.viewPublished(published.VMsValue),
 		Keys:       c.keys.Stats(),
 		KeysSealed: c.keys.Sealed(),
 		Entries:    c.viewEntries(),
--- a/internal/core/yard_test.go
+++ b/internal/core/yard_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/tealhall/tealhall/internal/core/budget"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/route"
 )
 
@@ -99,15 +99,15 @@
 	cfg.LargestFleet = 1
 	y.Core = New(cfg, rand.New(rand.NewPCG(1, 2)))
 	y.publish(1, yardRoutes())
-	list := platform.VMList{Revision: 1}
+	list := published.VMList{Revision: 1}
 	for _, b := range boxes {
-		list.VMs = append(list.VMs, platform.VM{Name: b.name, Incarnation: 1, Role: platform.EndpointRole, State: platform.Live,
+		list.VMs = append(list.VMs, published.VM{Name: b.name, Incarnation: 1, Role: published.EndpointRole, State: published.Live,
 			Region: "r", Domain: b.domain, Address: b.name, Pool: "p", Slots: 2})
 	}
 	y.do(func(out *Actions) {
-		y.Offer(y.now, Offered{Name: platform.VMsValue, Mark: message.Mark{Revision: 1, Digest: 1}, VMs: list}, out)
+		y.Offer(y.now, Offered{Name: published.VMsValue, Mark: message.Mark{Revision: 1, Digest: 1}, VMs: list}, out)
 	})
-	y.Confirm(y.now, platform.VMsValue)
+	y.Confirm(y.now, published.VMsValue)
 	y.run(200 * ms)
 	return y
 }
@@ -126,9 +126,9 @@
 		y.Fatal(err)
 	}
 	y.do(func(out *Actions) {
-		y.Offer(y.now, Offered{Name: platform.ProfilesValue, Mark: message.Mark{Revision: revision, Digest: revision}, Profiles: bound}, out)
+		y.Offer(y.now, Offered{Name: published.ProfilesValue, Mark: message.Mark{Revision: revision, Digest: revision}, Profiles: bound}, out)
 	})
-	y.Confirm(y.now, platform.ProfilesValue)
+	y.Confirm(y.now, published.ProfilesValue)
 }
 
 func (y *yard) box(name string) *box {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -10,8 +10,8 @@
 
 	"github.com/tealhall/tealhall/internal/entry"
 	"github.com/tealhall/tealhall/internal/fault"
-	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/settings"
 	users "github.com/tealhall/tealhall/platform"
 )
@@ -75,7 +75,7 @@
 func entryOptions(s *settings.Settings, sides *tlsSides) (entry.Options, error) {
 	options := entry.Options{TLS: sides.entry(&s.TLS)}
 	if s.Platform.Protocol != settings.StoreProtocol {
-		options.Platform = platform.NewClient(platform.ClientConfig{
+		options.Platform = published.NewClient(published.ClientConfig{
 			BaseURL:        s.Platform.URL,
 			Timeout:        s.Platform.Timeout.Duration,
 			WatchWait:      s.Platform.Watch.Duration,
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -13,7 +13,7 @@
 	"github.com/tealhall/tealhall/internal/audit"
 	"github.com/tealhall/tealhall/internal/entry"
 	"github.com/tealhall/tealhall/internal/forward/socket"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/settings"
 	"github.com/tealhall/tealhall/internal/standin"
 )
@@ -60,7 +60,7 @@
 	mu        sync.Mutex
 	Entries   []*entry.Entry
 	Endpoints []*Endpoint
-	vms       []platform.VM
+	vms       []published.VM
 	// names are all entries that ever ran.
 	names []string
 }
@@ -68,7 +68,7 @@
 // Endpoint is an endpoint of a fleet with its row in the platform's list.
 type Endpoint struct {
 	*standin.Endpoint
-	VM platform.VM
+	VM published.VM
 }
 
 // region is the only region of a fleet.
@@ -92,7 +92,7 @@
 			return f, err
 		}
 	}
-	f.Platform.Put(platform.ProfilesValue, cfg.Profiles)
+	f.Platform.Put(published.ProfilesValue, cfg.Profiles)
 	f.Platform.SetVMs(f.vms...)
 	for i := range cfg.Entries {
 		if _, err := f.AddEntry(fmt.Sprintf("entry-%d", i+1), i); err != nil {
@@ -140,7 +140,7 @@
 	}
 	s := f.settings(name, place, callers, peers)
 	e, err := entry.New(s, entry.Options{
-		Platform:       platform.NewClient(platform.ClientConfig{BaseURL: s.Platform.URL}),
+		Platform:       published.NewClient(published.ClientConfig{BaseURL: s.Platform.URL}),
 		Audit:          f.trail(name, s.Audit.Records),
 		CallerListener: callers,
 		PeerListener:   peers,
@@ -226,7 +226,7 @@
 
 // Publish puts a profile document into the platform.
 func (f *Fleet) Publish(document []byte) uint64 {
-	return f.Platform.Put(platform.ProfilesValue, document)
+	return f.Platform.Put(published.ProfilesValue, document)
 }
 
 // endpointsOf returns the endpoints of a pool.
@@ -244,7 +244,7 @@
 func (f *Fleet) MarkLeaving(name string) {
 	for i := range f.vms {
 		if f.vms[i].Name == name {
-			f.vms[i].State = platform.Leaving
+			f.vms[i].State = published.Leaving
 		}
 	}
 	f.Platform.SetVMs(f.vms...)
--- a/internal/entry/admin_test.go
+++ b/internal/entry/admin_test.go
@@ -14,7 +14,7 @@
 	"github.com/tealhall/tealhall/internal/ctl"
 	"github.com/tealhall/tealhall/internal/demo"
 	"github.com/tealhall/tealhall/internal/entry"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/standin"
 )
 
@@ -123,7 +123,7 @@
 	}
 	for _, want := range []struct{ subject, action, why string }{
 		{"endpoint " + name, "ejected", "cleared by " + clears},
-		{platform.ProfilesValue, "refused", `line 5: profile.counts.deadline: "soon"`},
+		{published.ProfilesValue, "refused", `line 5: profile.counts.deadline: "soon"`},
 	} {
 		if why := o.why(want.subject, want.action); !strings.Contains(why, want.why) {
 			t.Errorf("audit: %s %s: %q", want.subject, want.action, why)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -8,9 +8,9 @@
 
 	"github.com/tealhall/tealhall/internal/contract"
 	"github.com/tealhall/tealhall/internal/core"
-	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/forward"
 	"github.com/tealhall/tealhall/internal/front"
+	"github.com/tealhall/tealhall/internal/idem"
 )
 
 // attempt sends the request once and reports to the core what came of it. The
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,15 +19,15 @@
 	"github.com/tealhall/tealhall/internal/audit"
 	"github.com/tealhall/tealhall/internal/core"
 	"github.com/tealhall/tealhall/internal/core/budget"
-	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/fault"
 	"github.com/tealhall/tealhall/internal/forward"
 	"github.com/tealhall/tealhall/internal/forward/socket"
 	"github.com/tealhall/tealhall/internal/front"
+	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/peer"
-	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/settings"
 )
 
@@ -43,7 +43,7 @@
 // Options are what an Entry is built from besides its settings.
 type Options struct {
 	// Platform is the configuration service.
-	Platform platform.Service
+	Platform published.Service
 	// Audit gets every change; nil makes a trail that logs.
 	Audit *audit.Trail
 	// Wall is the wall clock; nil means time.Now.
@@ -154,7 +154,7 @@
 		e.dialect = ownDialect{}
 	}
 	e.platform = newCountedPlatform(opts.Platform, clock)
-	e.glances.platform, _ = opts.Platform.(platform.Glancer)
+	e.glances.platform, _ = opts.Platform.(published.Glancer)
 	e.glances.every = e.settings.Platform.GlanceEvery.Duration
 	e.instruments = newInstruments()
 	e.buildConnections(clock)
@@ -254,8 +254,8 @@
 	e.run(func() { e.noteEnd("callers", e.front.Serve(e.callerListener)) })
 	e.run(func() { e.noteEnd("peers", e.peerServer.Serve(e.peerListener)) })
 	e.run(func() { e.tickLoop(e.life) })
-	e.run(func() { e.followLoop(e.life, platform.ProfilesValue) })
-	e.run(func() { e.followLoop(e.life, platform.VMsValue) })
+	e.run(func() { e.followLoop(e.life, published.ProfilesValue) })
+	e.run(func() { e.followLoop(e.life, published.VMsValue) })
 	if e.glances.every > 0 && e.glances.platform != nil {
 		e.run(func() { e.glanceLoop(e.life) })
 	}
--- a/internal/entry/glance.go
+++ b/internal/entry/glance.go
@@ -8,7 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/tealhall/tealhall/internal/core"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/wait"
 )
 
@@ -22,7 +22,7 @@
 // among them: their watches wait in silence, and published changes come into force
 // only when the watches time out.
 type glances struct {
-	platform platform.Glancer
+	platform published.Glancer
 	every    time.Duration
 	// made and late count them, late those that were not answered in time.
 	made, late atomic.Uint64
--- a/internal/entry/glance_test.go
+++ b/internal/entry/glance_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/entry"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/settings"
 )
 
@@ -20,16 +20,16 @@
 	reads, glances, leaves atomic.Int64
 }
 
-func (m *mutable) Read(ctx context.Context, name string) (platform.Value, error) {
+func (m *mutable) Read(ctx context.Context, name string) (published.Value, error) {
 	m.reads.Add(1)
 	if m.silent.Load() {
 		<-ctx.Done()
-		return platform.Value{}, ctx.Err()
+		return published.Value{}, ctx.Err()
 	}
 	return m.values.Read(ctx, name)
 }
 
-func (m *mutable) Watch(ctx context.Context, name string, after uint64) (platform.Value, error) {
+func (m *mutable) Watch(ctx context.Context, name string, after uint64) (published.Value, error) {
 	v, err := m.values.Watch(ctx, name, after)
 	if err != nil {
 		m.leaves.Add(1)
@@ -50,8 +50,8 @@
 // soon as it does.
 func TestServiceFallsSilentDuringAWatch(t *testing.T) {
 	m := &mutable{values: values{
-		platform.ProfilesValue: {Name: platform.ProfilesValue, Revision: 1, Data: []byte(overheadProfiles)},
-		platform.VMsValue:      {Name: platform.VMsValue, Revision: 1, Data: platform.EncodeVMs(platform.VMList{})},
+		published.ProfilesValue: {Name: published.ProfilesValue, Revision: 1, Data: []byte(overheadProfiles)},
+		published.VMsValue:      {Name: published.VMsValue, Revision: 1, Data: published.EncodeVMs(published.VMList{})},
 	}}
 	s := settings.Default()
 	s.Name, s.Region, s.FailureDomain = "entry-1", "r", "a"
--- a/internal/entry/overhead_test.go
+++ b/internal/entry/overhead_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/tealhall/tealhall/internal/contract"
 	"github.com/tealhall/tealhall/internal/entry"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/settings"
 )
 
@@ -39,16 +39,16 @@
 `
 
 // values is a configuration service that holds fixed values.
-type values map[string]platform.Value
+type values map[string]published.Value
 
-func (v values) Read(_ context.Context, name string) (platform.Value, error) { return v[name], nil }
+func (v values) Read(_ context.Context, name string) (published.Value, error) { return v[name], nil }
 
-func (v values) Watch(ctx context.Context, name string, after uint64) (platform.Value, error) {
+func (v values) Watch(ctx context.Context, name string, after uint64) (published.Value, error) {
 	if value := v[name]; value.Revision > after {
 		return value, nil
 	}
 	<-ctx.Done()
-	return platform.Value{Name: name, Revision: after}, ctx.Err()
+	return published.Value{Name: name, Revision: after}, ctx.Err()
 }
 
 func listen(b *testing.B) *net.TCPListener {
@@ -77,8 +77,8 @@
 // startEntry starts one entry in front of the endpoint.
 func startEntry(b *testing.B, endpoint string) *entry.Entry {
 	b.Helper()
-	vms := platform.EncodeVMs(platform.VMList{VMs: []platform.VM{{
-		Name: "echo-1", Incarnation: 1, Role: platform.EndpointRole, State: platform.Live,
+	vms := published.EncodeVMs(published.VMList{VMs: []published.VM{{
+		Name: "echo-1", Incarnation: 1, Role: published.EndpointRole, State: published.Live,
 		Region: "r", Domain: "a", Address: endpoint, Pool: "echo", Slots: overheadConns,
 	}}})
 	s := settings.Default()
@@ -88,8 +88,8 @@
 	s.Addresses.Caller, s.Addresses.Peer = callers.Addr().String(), peers.Addr().String()
 	e, err := entry.New(s, entry.Options{
 		Platform: values{
-			platform.ProfilesValue: {Name: platform.ProfilesValue, Revision: 1, Data: []byte(overheadProfiles)},
-			platform.VMsValue:      {Name: platform.VMsValue, Revision: 1, Data: vms},
+			published.ProfilesValue: {Name: published.ProfilesValue, Revision: 1, Data: []byte(overheadProfiles)},
+			published.VMsValue:      {Name: published.VMsValue, Revision: 1, Data: vms},
 		},
 		CallerListener: callers,
 		PeerListener:   peers,
--- a/internal/entry/pass.go
+++ b/internal/entry/pass.go
@@ -7,9 +7,9 @@
 
 	"github.com/tealhall/tealhall/internal/contract"
 	"github.com/tealhall/tealhall/internal/core"
-	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/forward"
 	"github.com/tealhall/tealhall/internal/front"
+	"github.com/tealhall/tealhall/internal/idem"
 )
 
 // pass gives the caller the answer that the core committed to.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -14,7 +14,7 @@
 	"github.com/tealhall/tealhall/internal/fault"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/peer"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // handoverBytes bounds a message of a hand-over beside one largest kept answer,
@@ -215,7 +215,7 @@
 		return fault.KindOf(err) == fault.NotFound
 	}
 	if len(d.Data) > 0 {
-		e.offer(platform.Value{Name: d.Name, Revision: d.Revision, Data: d.Data}, f.Source)
+		e.offer(published.Value{Name: d.Name, Revision: d.Revision, Data: d.Data}, f.Source)
 	}
 	return true
 }
--- a/internal/entry/profile_test.go
+++ b/internal/entry/profile_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/demo"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/settings"
 	"github.com/tealhall/tealhall/internal/standin"
 )
@@ -61,14 +61,14 @@
 
 	f.Platform.SetFaults(standin.PlatformFaults{OlderReplica: true})
 	await(t, "an entry met the older replica", func() bool {
-		return f.any(func(name string) bool { return f.audited(name, platform.ProfilesValue, "ignored") > 0 })
+		return f.any(func(name string) bool { return f.audited(name, published.ProfilesValue, "ignored") > 0 })
 	})
 	f.awaitInForce(t, newer)
 	f.Platform.SetFaults(standin.PlatformFaults{})
 
 	f.Publish([]byte(strings.Replace(fleetProfiles, `deadline = "3s"`, `deadline = "soon"`, 1)))
 	f.awaitAll(t, "refused the mistake", func(name string) bool {
-		return f.audited(name, platform.ProfilesValue, "refused") > 0
+		return f.audited(name, published.ProfilesValue, "refused") > 0
 	})
 	f.awaitInForce(t, newer)
 	l.awaitMore(t, 100)
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -13,8 +13,8 @@
 	"github.com/tealhall/tealhall/internal/core/duty"
 	"github.com/tealhall/tealhall/internal/fault"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/route"
 	"github.com/tealhall/tealhall/internal/wait"
 )
@@ -30,22 +30,22 @@
 // of VMs lately.
 type documents struct {
 	mu     sync.Mutex
-	byName map[string]platform.Value
-	vms    platform.History
+	byName map[string]published.Value
+	vms    published.History
 }
 
 // put takes in a value that is in force; vms is its list if it is that of the VMs.
-func (d *documents) put(v platform.Value, vms platform.VMList) {
+func (d *documents) put(v published.Value, vms published.VMList) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.byName == nil {
-		d.byName = make(map[string]platform.Value)
+		d.byName = make(map[string]published.Value)
 	}
 	if v.Revision <= d.byName[v.Name].Revision {
 		return
 	}
 	d.byName[v.Name] = v
-	if v.Name == platform.VMsValue {
+	if v.Name == published.VMsValue {
 		d.vms.Add(vms, v.Data)
 	}
 }
@@ -61,7 +61,7 @@
 		return answer
 	}
 	answer.Data = v.Data
-	if f.Difference && f.Name == platform.VMsValue {
+	if f.Difference && f.Name == published.VMsValue {
 		if data, ok := d.vms.Since(f.After); ok {
 			answer.Data, answer.Difference = data, true
 		}
@@ -70,14 +70,14 @@
 }
 
 // patched returns the value that a difference makes of the list of VMs that is held.
-func (d *documents) patched(answer message.Document) (platform.Value, error) {
+func (d *documents) patched(answer message.Document) (published.Value, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	text, err := d.vms.Patched(answer.Data)
-	return platform.Value{Name: answer.Name, Revision: answer.Revision, Data: text}, err
+	return published.Value{Name: answer.Name, Revision: answer.Revision, Data: text}, err
 }
 
-func (d *documents) get(name string) platform.Value {
+func (d *documents) get(name string) published.Value {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.byName[name]
@@ -154,10 +154,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e.run(func() { e.endFollowing(ctx, cancel) })
-	options := platform.FollowOptions{
+	options := published.FollowOptions{
 		Gap:     e.settings.Platform.NewsGap.Duration,
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Backoff: platform.NewBackoff(0, duty.CheckPeriod(e.KnownEntries(), readRetry)),
+		Backoff: published.NewBackoff(0, duty.CheckPeriod(e.KnownEntries(), readRetry)),
 		OnError: func(err error) { e.platformFailed(name, err) },
 	}
 	// A watch may be held for long before it shows that the platform answers.
@@ -168,10 +168,10 @@
 	}
 	var after uint64
 	e.engine.view(func(_ time.Duration, c *core.Core) { after = c.InForce(name).Revision })
-	platform.Follow(ctx, e.platform, name, after, options, e.platformAnswered)
+	published.Follow(ctx, e.platform, name, after, options, e.platformAnswered)
 }
 
-func (e *Entry) platformAnswered(v platform.Value) {
+func (e *Entry) platformAnswered(v published.Value) {
 	e.engine.view(func(_ time.Duration, c *core.Core) { c.PlatformAnswered(true) })
 	e.offer(v, duty.Platform)
 }
@@ -195,7 +195,7 @@
 
 // offer parses a value and gives it to the core. A value without a text says
 // that there is no later revision.
-func (e *Entry) offer(v platform.Value, source uint64) {
+func (e *Entry) offer(v published.Value, source uint64) {
 	if v.Data == nil {
 		e.engine.event(func(now time.Duration, c *core.Core, _ *core.Actions) {
 			if c.InForce(v.Name).Revision == v.Revision {
@@ -206,31 +206,31 @@
 	}
 	offered := e.parse(v)
 	offered.Source = source
-	var published *profile.Snapshot
+	var adopted *profile.Snapshot
 	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) {
 		c.Offer(now, offered, out)
 		if c.InForce(v.Name) != offered.Mark {
 			return
 		}
 		e.documents.put(v, offered.VMs)
-		if v.Name == platform.ProfilesValue {
+		if v.Name == published.ProfilesValue {
 			e.revision.Store(v.Revision)
-			published = offered.Profiles
+			adopted = offered.Profiles
 		}
 	})
-	if published != nil {
-		e.instruments.forgetServices(func(name string) bool { _, ok := published.Service(name); return ok })
+	if adopted != nil {
+		e.instruments.forgetServices(func(name string) bool { _, ok := adopted.Service(name); return ok })
 	}
 }
 
 // parse reads a value's text. It takes no lock: a document may be large.
-func (e *Entry) parse(v platform.Value) core.Offered {
+func (e *Entry) parse(v published.Value) core.Offered {
 	o := core.Offered{
 		Name: v.Name,
 		Mark: message.Mark{Revision: v.Revision, Digest: xxhash.Sum64(v.Data)},
 	}
-	if v.Name == platform.VMsValue {
-		o.VMs, o.Problem = platform.ParseVMs(v)
+	if v.Name == published.VMsValue {
+		o.VMs, o.Problem = published.ParseVMs(v)
 		return o
 	}
 	if e.options.RouteProfiles == nil {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -14,8 +14,8 @@
 	"github.com/tealhall/tealhall/internal/contract"
 	"github.com/tealhall/tealhall/internal/core"
 	"github.com/tealhall/tealhall/internal/core/directory"
-	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/front"
+	"github.com/tealhall/tealhall/internal/idem"
 )
 
 // callerHandler routes what callers send: tealhall's own paths and, all else,
--- a/internal/entry/tls_test.go
+++ b/internal/entry/tls_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/tealhall/tealhall/internal/contract"
 	"github.com/tealhall/tealhall/internal/entry"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/settings"
 	"github.com/tealhall/tealhall/internal/settings/certs"
 	"github.com/tealhall/tealhall/internal/settings/certs/certstest"
@@ -86,9 +86,9 @@
 	}
 	t.Cleanup(endpoint.Server().Kill)
 	published := values{
-		platform.ProfilesValue: {Name: platform.ProfilesValue, Revision: 1, Data: []byte(fleetProfiles)},
-		platform.VMsValue: {Name: platform.VMsValue, Revision: 1,
-			Data: platform.EncodeVMs(platform.VMList{VMs: []platform.VM{endpoint.VM("bookings", "r", "a")}})},
+		published.ProfilesValue: {Name: published.ProfilesValue, Revision: 1, Data: []byte(fleetProfiles)},
+		published.VMsValue: {Name: published.VMsValue, Revision: 1,
+			Data: published.EncodeVMs(published.VMList{VMs: []published.VM{endpoint.VM("bookings", "r", "a")}})},
 	}
 	authority := certstest.NewAuthority(t)
 	first := secureEntry(t, "entry-1", authority, published)
--- a/internal/entry/views_concerns_test.go
+++ b/internal/entry/views_concerns_test.go
@@ -12,8 +12,8 @@
 	"github.com/tealhall/tealhall/internal/fault"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/peer"
-	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/settings"
 )
 
@@ -25,7 +25,7 @@
 	f.view.Entries = make([]core.EntryView, 2)
 	for i, name := range []string{"entry-1", "entry-2"} {
 		e := &f.view.Entries[i]
-		e.VM = platform.VM{Name: name, PeerAddress: name + ":7070"}
+		e.VM = published.VM{Name: name, PeerAddress: name + ":7070"}
 		e.State, e.Self, e.Heard, e.Profiles, e.SeenAt = message.EntryServing, i == 0, i > 0, 7, time.Hour
 	}
 	f.view.Endpoints = make([]core.EndpointView, 2)
@@ -55,7 +55,7 @@
 		{"an entry that starts has no revision yet", func(f *facts) { f.view.Entries[1].State, f.view.Entries[1].Profiles = message.EntryStarting, 0 }, [2]string{}},
 		{"a stale replica long ago", func(f *facts) { f.view.Profiles.Stale = true }, [2]string{}},
 		{"one failed call", func(f *facts) {
-			f.platform.values = map[string]valueCalls{platform.VMsValue: {failing: 1, cause: "reset"}}
+			f.platform.values = map[string]valueCalls{published.VMsValue: {failing: 1, cause: "reset"}}
 		}, [2]string{}},
 		{"not ready", func(f *facts) { f.view.Ready, f.view.NotReadyWhy = false, "profiles: none" }, [2]string{"not ready: profiles: none", "peers.seeds"}},
 		{"leaving", func(f *facts) { f.view.State = message.EntryLeaving }, [2]string{"this entry is leaving", "when its requests have ended"}},
@@ -66,7 +66,7 @@
 		{"a stale replica", func(f *facts) { f.view.VMs.Stale, f.view.VMs.StaleAt = true, time.Hour-time.Second },
 			[2]string{"VM list: an older revision than 0, which is in force, was offered 1s ago", "never goes back"}},
 		{"the service is down", func(f *facts) {
-			f.platform.values = map[string]valueCalls{platform.ProfilesValue: {failing: 12, answered: true, answeredAt: 50 * time.Minute, cause: "timed out"}}
+			f.platform.values = map[string]valueCalls{published.ProfilesValue: {failing: 12, answered: true, answeredAt: 50 * time.Minute, cause: "timed out"}}
 		}, [2]string{"failed 12 times in a row for tealhall/profiles, the last answer came 10m0s ago: timed out", "go on with what is in force"}},
 		{"the list is held", func(f *facts) { f.view.ListHeld = true }, [2]string{"loses many VMs", "correct the list"}},
 		{"suspected", func(f *facts) { f.view.Entries[1].Suspected, f.view.Entries[1].SeenAt = true, 59*time.Minute },
@@ -119,10 +119,12 @@
 // fails is a configuration service whose calls end with an error.
 type fails struct{ err error }
 
-func (s fails) Read(context.Context, string) (platform.Value, error) { return platform.Value{}, s.err }
+func (s fails) Read(context.Context, string) (published.Value, error) {
+	return published.Value{}, s.err
+}
 
-func (s fails) Watch(context.Context, string, uint64) (platform.Value, error) {
-	return platform.Value{}, s.err
+func (s fails) Watch(context.Context, string, uint64) (published.Value, error) {
+	return published.Value{}, s.err
 }
 
 // An operator judges the configuration service by the calls that failed. Those
--- a/internal/entry/views_platform.go
+++ b/internal/entry/views_platform.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/fault"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // countedPlatform counts the calls of the configuration service and remembers
 // how they went, for operators. It is safe for concurrent use.
 type countedPlatform struct {
-	service platform.Service
+	service published.Service
 	clock   func() time.Duration
 
 	mu     sync.Mutex
@@ -40,19 +40,19 @@
 	cause string
 }
 
-func newCountedPlatform(service platform.Service, clock func() time.Duration) *countedPlatform {
+func newCountedPlatform(service published.Service, clock func() time.Duration) *countedPlatform {
 	return &countedPlatform{service: service, clock: clock, counts: platformCounts{values: make(map[string]valueCalls)}}
 }
 
-// Read implements platform.Service.
-func (p *countedPlatform) Read(ctx context.Context, name string) (platform.Value, error) {
+// Read implements published.Service.
+func (p *countedPlatform) Read(ctx context.Context, name string) (published.Value, error) {
 	v, err := p.service.Read(ctx, name)
 	p.note(ctx, name, err)
 	return v, err
 }
 
-// Watch implements platform.Service.
-func (p *countedPlatform) Watch(ctx context.Context, name string, after uint64) (platform.Value, error) {
+// Watch implements published.Service.
+func (p *countedPlatform) Watch(ctx context.Context, name string, after uint64) (published.Value, error) {
 	v, err := p.service.Watch(ctx, name, after)
 	p.note(ctx, name, err)
 	return v, err
--- a/internal/fleetload/core_test.go
+++ b/internal/fleetload/core_test.go
@@ -9,8 +9,8 @@
 	"github.com/tealhall/tealhall/internal/core"
 	"github.com/tealhall/tealhall/internal/core/duty"
 	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/platform"
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // benchSizes are today's size and the one that is designed for.
@@ -19,21 +19,21 @@
 	{Entries: targetEntries, Endpoints: targetEndpoints, Regions: 3, Domains: 8},
 }
 
-func coreVMs(size Size) []platform.VM {
-	var vms []platform.VM
+func coreVMs(size Size) []published.VM {
+	var vms []published.VM
 	services := servicesFor(size.Endpoints)
 	for i := range size.Endpoints {
 		region, domain := size.place(i / services)
-		vms = append(vms, platform.VM{
-			Name: fmt.Sprintf("endpoint-%03d", i+1), Incarnation: 1, Role: platform.EndpointRole, State: platform.Live,
+		vms = append(vms, published.VM{
+			Name: fmt.Sprintf("endpoint-%03d", i+1), Incarnation: 1, Role: published.EndpointRole, State: published.Live,
 			Region: region, Domain: domain, Pool: serviceName(i % services), Slots: endpointSlots,
 			Address: fmt.Sprintf("127.20.0.1:%d", 1000+i),
 		})
 	}
 	for i := range size.Entries {
 		region, domain := size.place(i)
-		vms = append(vms, platform.VM{
-			Name: fmt.Sprintf("entry-%02d", i+1), Incarnation: uint64(i + 1), Role: platform.EntryRole, State: platform.Live,
+		vms = append(vms, published.VM{
+			Name: fmt.Sprintf("entry-%02d", i+1), Incarnation: uint64(i + 1), Role: published.EntryRole, State: published.Live,
 			Region: region, Domain: domain,
 			Address: fmt.Sprintf("127.10.0.1:%d", 1000+i), PeerAddress: fmt.Sprintf("127.10.0.1:%d", 2000+i),
 		})
@@ -43,9 +43,9 @@
 
 // newCore returns the core of the first entry, which knows all VMs and has
 // profiles in force.
-func newCore(tb testing.TB, size Size, vms []platform.VM) *core.Core {
+func newCore(tb testing.TB, size Size, vms []published.VM) *core.Core {
 	tb.Helper()
-	hello := func(vm platform.VM) message.Hello {
+	hello := func(vm published.VM) message.Hello {
 		return message.Hello{Version: message.Version, MinVersion: message.MinVersion, Name: vm.Name, Incarnation: vm.Incarnation,
 			Region: vm.Region, Domain: vm.Domain, CallerAddress: vm.Address, PeerAddress: vm.PeerAddress}
 	}
@@ -56,9 +56,9 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	c.Offer(0, core.Offered{Name: platform.ProfilesValue, Mark: message.Mark{Revision: 1, Digest: 1}, Source: duty.Platform, Profiles: snapshot}, &out)
-	c.Offer(0, core.Offered{Name: platform.VMsValue, Mark: message.Mark{Revision: 1, Digest: 1}, Source: duty.Platform,
-		VMs: platform.VMList{Revision: 1, VMs: vms}}, &out)
+	c.Offer(0, core.Offered{Name: published.ProfilesValue, Mark: message.Mark{Revision: 1, Digest: 1}, Source: duty.Platform, Profiles: snapshot}, &out)
+	c.Offer(0, core.Offered{Name: published.VMsValue, Mark: message.Mark{Revision: 1, Digest: 1}, Source: duty.Platform,
+		VMs: published.VMList{Revision: 1, VMs: vms}}, &out)
 	for _, vm := range vms[size.Endpoints+1:] {
 		c.Introduce(0, hello(vm), &out)
 	}
@@ -124,10 +124,10 @@
 		})
 	}
 	b.Run("list of 620 VMs", func(b *testing.B) {
-		text := platform.EncodeVMs(platform.VMList{VMs: coreVMs(benchSizes[1])})
+		text := published.EncodeVMs(published.VMList{VMs: coreVMs(benchSizes[1])})
 		b.SetBytes(int64(len(text)))
 		for b.Loop() {
-			if _, err := platform.ParseVMs(platform.Value{Data: text, Revision: 1}); err != nil {
+			if _, err := published.ParseVMs(published.Value{Data: text, Revision: 1}); err != nil {
 				b.Fatal(err)
 			}
 		}
@@ -144,8 +144,8 @@
 		var out core.Actions
 		for i := uint64(2); b.Loop(); i++ {
 			vms[0].Incarnation = i
-			c.Offer(time.Duration(i)*time.Second, core.Offered{Name: platform.VMsValue, Mark: message.Mark{Revision: i, Digest: i},
-				Source: duty.Platform, VMs: platform.VMList{Revision: i, VMs: vms}}, &out)
+			c.Offer(time.Duration(i)*time.Second, core.Offered{Name: published.VMsValue, Mark: message.Mark{Revision: i, Digest: i},
+				Source: duty.Platform, VMs: published.VMList{Revision: i, VMs: vms}}, &out)
 			out.Reset()
 		}
 	})
@@ -157,7 +157,7 @@
 		}
 		var out core.Actions
 		for i := uint64(2); b.Loop(); i++ {
-			c.Offer(time.Duration(i)*time.Second, core.Offered{Name: platform.ProfilesValue, Mark: message.Mark{Revision: i, Digest: i},
+			c.Offer(time.Duration(i)*time.Second, core.Offered{Name: published.ProfilesValue, Mark: message.Mark{Revision: i, Digest: i},
 				Source: duty.Platform, Profiles: snapshot}, &out)
 			out.Reset()
 		}
--- a/internal/fleetload/endpoint.go
+++ b/internal/fleetload/endpoint.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/contract"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 const (
@@ -21,7 +21,7 @@
 // endpoint is an instance that answers every request at once, so that next to
 // nothing of the measured processor time is its own.
 type endpoint struct {
-	vm     platform.VM
+	vm     published.VM
 	server *http.Server
 	// hold, if not nil, is closed when held requests may be answered.
 	hold     atomic.Pointer[chan struct{}]
@@ -40,12 +40,12 @@
 )
 
 // newEndpoint starts an endpoint on a free port of an address.
-func newEndpoint(vm platform.VM, address net.IP) (*endpoint, error) {
+func newEndpoint(vm published.VM, address net.IP) (*endpoint, error) {
 	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: address})
 	if err != nil {
 		return nil, err
 	}
-	vm.Incarnation, vm.Role, vm.State = endpointIncarnation, platform.EndpointRole, platform.Live
+	vm.Incarnation, vm.Role, vm.State = endpointIncarnation, published.EndpointRole, published.Live
 	vm.Address, vm.Slots = listener.Addr().String(), endpointSlots
 	e := &endpoint{vm: vm}
 	e.server = &http.Server{Handler: e}
--- a/internal/fleetload/fleet.go
+++ b/internal/fleetload/fleet.go
@@ -10,7 +10,7 @@
 
 	"github.com/tealhall/tealhall/internal/audit"
 	"github.com/tealhall/tealhall/internal/entry"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/settings"
 	"github.com/tealhall/tealhall/internal/standin"
 )
@@ -77,7 +77,7 @@
 	f.server = server
 	for i := range size.Endpoints {
 		region, domain := size.place(i / f.services)
-		e, err := newEndpoint(platform.VM{
+		e, err := newEndpoint(published.VM{
 			Name:   fmt.Sprintf("endpoint-%03d", i+1),
 			Region: region, Domain: domain,
 			Pool: serviceName(i % f.services),
@@ -94,7 +94,7 @@
 // publish puts the next document into the configuration service.
 func (f *fleet) publish() (revision uint64) {
 	f.round++
-	return f.platform.Put(platform.ProfilesValue, document(f.services, f.round))
+	return f.platform.Put(published.ProfilesValue, document(f.services, f.round))
 }
 
 // sockets are the listeners of one entry.
@@ -128,7 +128,7 @@
 // startEntries starts the entries. All are in the list of VMs from the start,
 // as in a fleet that has run for long.
 func (f *fleet) startEntries() error {
-	var vms []platform.VM
+	var vms []published.VM
 	for _, e := range f.endpoints {
 		vms = append(vms, e.vm)
 	}
@@ -150,13 +150,13 @@
 	return nil
 }
 
-func (f *fleet) entryVM(i int, s sockets) platform.VM {
+func (f *fleet) entryVM(i int, s sockets) published.VM {
 	region, domain := f.size.place(i)
-	return platform.VM{
+	return published.VM{
 		Name:        fmt.Sprintf("entry-%02d", i+1),
 		Incarnation: uint64(time.Now().Unix())<<32 | uint64(i+1),
-		Role:        platform.EntryRole,
-		State:       platform.Live,
+		Role:        published.EntryRole,
+		State:       published.Live,
 		Region:      region,
 		Domain:      domain,
 		Address:     s.callers.Addr().String(),
@@ -164,12 +164,12 @@
 	}
 }
 
-func (f *fleet) startEntry(i int, opened sockets, vm platform.VM) error {
+func (f *fleet) startEntry(i int, opened sockets, vm published.VM) error {
 	s := settings.Default()
 	s.Name, s.Region, s.FailureDomain = vm.Name, vm.Region, vm.Domain
 	s.Addresses.Caller, s.Addresses.Peer = vm.Address, vm.PeerAddress
 	s.Platform.URL = f.server.URL()
-	g := newGate(platform.NewClient(platform.ClientConfig{
+	g := newGate(published.NewClient(published.ClientConfig{
 		BaseURL:        s.Platform.URL,
 		Timeout:        s.Platform.Timeout.Duration,
 		WatchWait:      s.Platform.Watch.Duration,
--- a/internal/fleetload/gate.go
+++ b/internal/fleetload/gate.go
@@ -6,19 +6,19 @@
 	"sync/atomic"
 
 	"github.com/tealhall/tealhall/internal/fault"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // gate is an entry's way to the configuration service, which can be cut.
 type gate struct {
-	platform.Service
+	published.Service
 	waiting atomic.Int32
 
 	mu  sync.Mutex
 	cut chan struct{} // closed while the way is cut
 }
 
-func newGate(s platform.Service) *gate { return &gate{Service: s, cut: make(chan struct{})} }
+func newGate(s published.Service) *gate { return &gate{Service: s, cut: make(chan struct{})} }
 
 // set cuts the way, or opens it again. Calls under way end with the cut.
 func (g *gate) set(isCut bool) {
@@ -39,24 +39,24 @@
 // reads reports whether the entry watches the service now.
 func (g *gate) reads() bool { return g.waiting.Load() > 0 }
 
-// Read implements platform.Service.
-func (g *gate) Read(ctx context.Context, name string) (platform.Value, error) {
+// Read implements published.Service.
+func (g *gate) Read(ctx context.Context, name string) (published.Value, error) {
 	ctx, end := g.pass(ctx)
 	defer end()
 	if ctx.Err() != nil {
-		return platform.Value{}, errCut
+		return published.Value{}, errCut
 	}
 	return g.Service.Read(ctx, name)
 }
 
-// Watch implements platform.Service.
-func (g *gate) Watch(ctx context.Context, name string, after uint64) (platform.Value, error) {
+// Watch implements published.Service.
+func (g *gate) Watch(ctx context.Context, name string, after uint64) (published.Value, error) {
 	g.waiting.Add(1)
 	defer g.waiting.Add(-1)
 	ctx, end := g.pass(ctx)
 	defer end()
 	if ctx.Err() != nil {
-		return platform.Value{}, errCut
+		return published.Value{}, errCut
 	}
 	return g.Service.Watch(ctx, name, after)
 }
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -7,7 +7,7 @@
 	"io"
 	"net/http"
 
-	"github.com/tealhall/tealhall/internal/core/idem"
+	"github.com/tealhall/tealhall/internal/idem"
 )
 
 // Digest returns what binds an idempotency key to its request: a hash over
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -2,7 +2,7 @@
 // behaviour; package peer moves them and package core decides on them.
 package message
 
-import "github.com/tealhall/tealhall/internal/core/idem"
+import "github.com/tealhall/tealhall/internal/idem"
 
 // The versions of the peer protocol that this program speaks.
 const (
--- a/internal/peer/bounds_test.go
+++ b/internal/peer/bounds_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/tealhall/tealhall/internal/core/idem"
 	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/peer/wire"
 	"github.com/tealhall/tealhall/internal/settings/certs"
--- a/internal/platform/client.go
+++ b/internal/published/client.go
@@ -1,4 +1,4 @@
-package platform
+package published
 
 import (
 	"context"
--- a/internal/platform/client_test.go
+++ b/internal/published/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package published_test
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/fault"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/standin"
 )
 
@@ -36,8 +36,8 @@
 	t.Helper()
 	clock := standin.NewManualClock()
 	service := standin.NewPlatform(clock)
-	service.Put(platform.ProfilesValue, []byte("first"))
-	service.Put(platform.ProfilesValue, []byte("second"))
+	service.Put(published.ProfilesValue, []byte("first"))
+	service.Put(published.ProfilesValue, []byte("second"))
 	service.SetVMs(endpointVM("one"))
 	service.SetVMs(endpointVM("one"), endpointVM("two"))
 	server, err := standin.NewServer(standin.DefaultListen, service, standin.RealClock(), 0)
@@ -48,15 +48,15 @@
 	return fixture{clock, service, server}
 }
 
-func endpointVM(name string) platform.VM {
-	return platform.VM{
-		Name: name, Incarnation: 7, Role: platform.EndpointRole, State: platform.Live,
+func endpointVM(name string) published.VM {
+	return published.VM{
+		Name: name, Incarnation: 7, Role: published.EndpointRole, State: published.Live,
 		Region: "tunis", Domain: "a", Address: "127.0.0.1:9000", Pool: "library", Slots: 2,
 	}
 }
 
-func newClient(server *standin.Server, timeout time.Duration) *platform.Client {
-	return platform.NewClient(platform.ClientConfig{
+func newClient(server *standin.Server, timeout time.Duration) *published.Client {
+	return published.NewClient(published.ClientConfig{
 		BaseURL: server.URL(), Timeout: timeout, WatchWait: patient, CallsPerSecond: 1e6, Burst: 1e6,
 	})
 }
@@ -81,18 +81,18 @@
 		"cut, in chunks":   {faults: standin.PlatformFaults{Cut: standin.CutChunked}, kind: fault.PlatformAnswer},
 		"stale": {
 			faults:  standin.PlatformFaults{Stale: true},
-			prepare: func(f fixture) { f.service.Put(platform.ProfilesValue, []byte("third")) },
+			prepare: func(f fixture) { f.service.Put(published.ProfilesValue, []byte("third")) },
 			// The reader can't tell; that the answer is old shows in its revision.
 			revision: 2, data: "second",
 		},
 		"older replica": {faults: standin.PlatformFaults{OlderReplica: true}, revision: 1, data: "first"},
 		"largest value": {
-			prepare:  func(f fixture) { f.service.Put("large", make([]byte, platform.MaxValueBytes)) },
+			prepare:  func(f fixture) { f.service.Put("large", make([]byte, published.MaxValueBytes)) },
 			name:     "large",
-			revision: 1, data: string(make([]byte, platform.MaxValueBytes)),
+			revision: 1, data: string(make([]byte, published.MaxValueBytes)),
 		},
 		"value too large": {
-			prepare: func(f fixture) { f.service.Put("large", make([]byte, platform.MaxValueBytes+1)) },
+			prepare: func(f fixture) { f.service.Put("large", make([]byte, published.MaxValueBytes+1)) },
 			name:    "large",
 			kind:    fault.PlatformAnswer,
 		},
@@ -105,7 +105,7 @@
 				c.prepare(f)
 			}
 			if c.name == "" {
-				c.name = platform.ProfilesValue
+				c.name = published.ProfilesValue
 			}
 			if c.timeout == 0 {
 				c.timeout = patient
@@ -131,7 +131,7 @@
 		kind     fault.Kind
 	}{
 		"published": {
-			during:   func(f fixture) { f.service.Put(platform.ProfilesValue, []byte("third")) },
+			during:   func(f fixture) { f.service.Put(published.ProfilesValue, []byte("third")) },
 			revision: 3, data: "third",
 		},
 		"nothing new": {
@@ -152,12 +152,12 @@
 			f := startService(t)
 			client := newClient(f.server, patient)
 			type result struct {
-				value platform.Value
+				value published.Value
 				err   error
 			}
 			results := make(chan result)
 			go func() {
-				value, err := client.Watch(context.Background(), platform.ProfilesValue, 2)
+				value, err := client.Watch(context.Background(), published.ProfilesValue, 2)
 				results <- result{value, err}
 			}()
 			f.clock.AwaitTimers(1) // the service holds the watch
@@ -177,7 +177,7 @@
 	f := startService(t)
 	f.service.SetFaults(standin.PlatformFaults{OlderReplica: true})
 	client := newClient(f.server, patient)
-	value, err := client.Watch(context.Background(), platform.ProfilesValue, 2)
+	value, err := client.Watch(context.Background(), published.ProfilesValue, 2)
 	if err != nil || value.Revision != 1 || string(value.Data) != "first" {
 		t.Errorf("got %+v, error %v", value, err)
 	}
@@ -195,7 +195,7 @@
 		f.clock.AwaitTimers(1)
 		cancel()
 	}()
-	_, err := newClient(f.server, patient).Watch(ctx, platform.ProfilesValue, 2)
+	_, err := newClient(f.server, patient).Watch(ctx, published.ProfilesValue, 2)
 	if !errors.Is(err, context.Canceled) {
 		t.Errorf("error %v", err)
 	}
@@ -208,7 +208,7 @@
 func TestReadAfterConnectionWentSilent(t *testing.T) {
 	server := startService(t).server
 	client := newClient(server, patient)
-	if _, err := client.Read(context.Background(), platform.ProfilesValue); err != nil {
+	if _, err := client.Read(context.Background(), published.ProfilesValue); err != nil {
 		t.Fatal(err)
 	}
 	if silenced := server.BlackHole(); silenced != 1 {
@@ -216,10 +216,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), soon)
 	defer cancel()
-	if _, err := client.Read(ctx, platform.ProfilesValue); fault.KindOf(err) != fault.PlatformDown {
+	if _, err := client.Read(ctx, published.ProfilesValue); fault.KindOf(err) != fault.PlatformDown {
 		t.Fatalf("error on the silent connection: %v", err)
 	}
-	value, err := client.Read(context.Background(), platform.ProfilesValue)
+	value, err := client.Read(context.Background(), published.ProfilesValue)
 	if err != nil || value.Revision != 2 || server.AcceptedConnections() != 2 {
 		t.Errorf("got %+v over %d connections, error %v", value, server.AcceptedConnections(), err)
 	}
@@ -257,8 +257,8 @@
 				}
 			}))
 			defer server.Close()
-			client := platform.NewClient(platform.ClientConfig{BaseURL: server.URL, Timeout: patient})
-			value, err := client.Read(context.Background(), platform.ProfilesValue)
+			client := published.NewClient(published.ClientConfig{BaseURL: server.URL, Timeout: patient})
+			value, err := client.Read(context.Background(), published.ProfilesValue)
 			if fault.KindOf(err) != c.kind {
 				t.Fatalf("got %+v, error %v; want kind %q", value, err, c.kind)
 			}
@@ -278,17 +278,17 @@
 
 func TestReadStopsAtTheLargestValue(t *testing.T) {
 	body := &endless{}
-	client := platform.NewClient(platform.ClientConfig{
+	client := published.NewClient(published.ClientConfig{
 		BaseURL: "http://127.0.0.1:1",
 		Transport: transportFunc(func(*http.Request) (*http.Response, error) {
 			return &http.Response{
 				StatusCode: http.StatusOK, ContentLength: -1, TransferEncoding: []string{"chunked"},
-				Header: http.Header{platform.RevisionHeader: {"1"}}, Body: body,
+				Header: http.Header{published.RevisionHeader: {"1"}}, Body: body,
 			}, nil
 		}),
 	})
-	_, err := client.Read(context.Background(), platform.ProfilesValue)
-	if fault.KindOf(err) != fault.PlatformAnswer || body.read > platform.MaxValueBytes+1 {
+	_, err := client.Read(context.Background(), published.ProfilesValue)
+	if fault.KindOf(err) != fault.PlatformAnswer || body.read > published.MaxValueBytes+1 {
 		t.Errorf("error %v after %d bytes", err, body.read)
 	}
 }
@@ -296,7 +296,7 @@
 func TestCallsAreBounded(t *testing.T) {
 	now := time.Unix(0, 0)
 	calls := 0
-	client := platform.NewClient(platform.ClientConfig{
+	client := published.NewClient(published.ClientConfig{
 		BaseURL: "http://127.0.0.1:1", CallsPerSecond: 2, Burst: 3,
 		Now: func() time.Time { return now },
 		Transport: transportFunc(func(*http.Request) (*http.Response, error) {
@@ -305,7 +305,7 @@
 		}),
 	})
 	for range 100 { // a hundred tries in ten seconds
-		_, err := client.Read(context.Background(), platform.ProfilesValue)
+		_, err := client.Read(context.Background(), published.ProfilesValue)
 		if kind := fault.KindOf(err); kind != fault.RateLimited && kind != fault.PlatformDown {
 			t.Fatalf("error %v", err)
 		}
@@ -317,7 +317,7 @@
 }
 
 func TestUnusableAddress(t *testing.T) {
-	client := platform.NewClient(platform.ClientConfig{BaseURL: "http://[::1"})
+	client := published.NewClient(published.ClientConfig{BaseURL: "http://[::1"})
 	if _, err := client.Read(context.Background(), "name"); fault.KindOf(err) != fault.BadSettings {
 		t.Errorf("error %v", err)
 	}
--- a/internal/platform/follow_test.go
+++ b/internal/published/follow_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package published_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // scripted answers watches from a list and records from where each one asked.
@@ -27,20 +27,20 @@
 	err      error
 }
 
-func (s *scripted) Read(context.Context, string) (platform.Value, error) {
-	return platform.Value{}, errors.New("not read")
+func (s *scripted) Read(context.Context, string) (published.Value, error) {
+	return published.Value{}, errors.New("not read")
 }
 
-func (s *scripted) Watch(_ context.Context, name string, after uint64) (platform.Value, error) {
+func (s *scripted) Watch(_ context.Context, name string, after uint64) (published.Value, error) {
 	if len(s.steps) == 0 {
 		s.stop()
-		return platform.Value{}, context.Canceled
+		return published.Value{}, context.Canceled
 	}
 	next := s.steps[0]
 	s.steps = s.steps[1:]
 	s.asked = append(s.asked, after)
 	s.now += next.held
-	return platform.Value{Name: name, Revision: next.revision}, next.err
+	return published.Value{Name: name, Revision: next.revision}, next.err
 }
 
 // Through a close, the service fails, comes back on a replica that lags and
@@ -61,13 +61,13 @@
 	}}
 	var delivered []uint64
 	var pauses, failures int
-	platform.Follow(ctx, service, platform.ProfilesValue, 4, platform.FollowOptions{
-		Backoff: platform.NewBackoff(time.Second, time.Minute),
+	published.Follow(ctx, service, published.ProfilesValue, 4, published.FollowOptions{
+		Backoff: published.NewBackoff(time.Second, time.Minute),
 		Rand:    rand.New(rand.NewPCG(1, 2)),
 		Now:     func() time.Duration { return service.now },
 		Sleep:   func(context.Context, time.Duration) { pauses++ },
 		OnError: func(error) { failures++ },
-	}, func(v platform.Value) { delivered = append(delivered, v.Revision) })
+	}, func(v published.Value) { delivered = append(delivered, v.Revision) })
 	if diff := cmp.Diff([]uint64{5, 3, 5, 5, 6}, delivered); diff != "" {
 		t.Errorf("delivered (-want +got):\n%s", diff)
 	}
@@ -85,7 +85,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		low := time.Duration(rapid.Int64Range(1, int64(time.Hour)).Draw(t, "min"))
 		high := low + time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "more"))
-		backoff := platform.NewBackoff(low, high)
+		backoff := published.NewBackoff(low, high)
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		for round := range 2 {
 			ceiling := low
@@ -106,7 +106,7 @@
 	rng := rand.New(rand.NewPCG(3, 4))
 	var quarters [4]int
 	for range 400 {
-		backoff := platform.NewBackoff(time.Second, time.Minute)
+		backoff := published.NewBackoff(time.Second, time.Minute)
 		quarters[(backoff.Next(rng)-1)/(time.Second/4)]++
 	}
 	for i, count := range quarters {
--- a/internal/platform/platform.go
+++ b/internal/published/platform.go
@@ -1,7 +1,7 @@
-// Package platform reads the platform's configuration service: published
+// Package published reads the platform's configuration service: published
 // values with a revision, and the list of live and leaving VMs. The service is
 // only ever read and watched; nothing here writes to it.
-package platform
+package published
 
 import "context"
 
--- a/internal/platform/vms_test.go
+++ b/internal/published/vms_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package published_test
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/tealhall/tealhall/internal/fault"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 const entryJSON = `{"name":"entry-a1","incarnation":4,"role":"entry","state":"live","region":"mx","domain":"a",` +
@@ -18,21 +18,21 @@
 const endpointJSON = `{"name":"live-1","incarnation":18446744073709551615,"role":"endpoint","state":"leaving",` +
 	`"region":"mx","domain":"b","address":"[::1]:9000","pool":"live"}`
 
-func parse(vms ...string) (platform.VMList, error) {
+func parse(vms ...string) (published.VMList, error) {
 	text := `{"vms":[` + strings.Join(vms, ",") + `]}`
-	return platform.ParseVMs(platform.Value{Name: platform.VMsValue, Revision: 9, Data: []byte(text)})
+	return published.ParseVMs(published.Value{Name: published.VMsValue, Revision: 9, Data: []byte(text)})
 }
 
 func TestParseVMs(t *testing.T) {
 	list, err := parse(entryJSON, strings.Replace(endpointJSON, `"pool"`, `"rack":12,"pool"`, 1))
-	want := platform.VMList{Revision: 9, VMs: []platform.VM{
+	want := published.VMList{Revision: 9, VMs: []published.VM{
 		{
-			Name: "entry-a1", Incarnation: 4, Role: platform.EntryRole, State: platform.Live, Region: "mx",
+			Name: "entry-a1", Incarnation: 4, Role: published.EntryRole, State: published.Live, Region: "mx",
 			Domain: "a", Address: "127.0.0.1:8080", PeerAddress: "127.0.0.1:8081",
 		},
 		{
-			Name: "live-1", Incarnation: 1<<64 - 1, Role: platform.EndpointRole, State: platform.Leaving, Region: "mx",
-			Domain: "b", Address: "[::1]:9000", Pool: "live", Slots: platform.DefaultSlots,
+			Name: "live-1", Incarnation: 1<<64 - 1, Role: published.EndpointRole, State: published.Leaving, Region: "mx",
+			Domain: "b", Address: "[::1]:9000", Pool: "live", Slots: published.DefaultSlots,
 		},
 	}}
 	if diff := cmp.Diff(want, list); diff != "" || err != nil {
@@ -84,7 +84,7 @@
 		})
 	}
 	for _, text := range []string{"", "null", "{}", `{"vms":null}`, `{"vms":[]} {}`, `[]`} {
-		if _, err := platform.ParseVMs(platform.Value{Data: []byte(text)}); fault.KindOf(err) != fault.PlatformAnswer {
+		if _, err := published.ParseVMs(published.Value{Data: []byte(text)}); fault.KindOf(err) != fault.PlatformAnswer {
 			t.Errorf("%q: error %v", text, err)
 		}
 	}
@@ -92,15 +92,15 @@
 
 func TestEncodedVMsAreParsed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		list := platform.VMList{Revision: 3, VMs: []platform.VM{}}
+		list := published.VMList{Revision: 3, VMs: []published.VM{}}
 		for i := range rapid.IntRange(0, 20).Draw(t, "count") {
 			vm := endpointVM(fmt.Sprintf("vm-%d", i))
 			vm.Incarnation = rapid.Uint64Min(1).Draw(t, "incarnation")
-			vm.Slots = rapid.IntRange(1, platform.MaxSlots).Draw(t, "slots")
+			vm.Slots = rapid.IntRange(1, published.MaxSlots).Draw(t, "slots")
 			vm.Pool = rapid.StringMatching(`[\pL\pN<>&"'-]{1,20}`).Draw(t, "pool")
 			list.VMs = append(list.VMs, vm)
 		}
-		parsed, err := platform.ParseVMs(platform.Value{Revision: 3, Data: platform.EncodeVMs(list)})
+		parsed, err := published.ParseVMs(published.Value{Revision: 3, Data: published.EncodeVMs(list)})
 		if diff := cmp.Diff(list, parsed); diff != "" || err != nil {
 			t.Fatalf("error %v (-want +got):\n%s", err, diff)
 		}
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/contract"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // Endpoint plays one application endpoint that keeps the endpoint contract
@@ -81,12 +81,12 @@
 func (e *Endpoint) Ledger() *Ledger { return e.cfg.Ledger }
 
 // VM describes the endpoint as the platform's list would.
-func (e *Endpoint) VM(pool, region, domain string) platform.VM {
-	return platform.VM{
+func (e *Endpoint) VM(pool, region, domain string) published.VM {
+	return published.VM{
 		Name:        e.cfg.Name,
 		Incarnation: e.cfg.Incarnation,
-		Role:        platform.EndpointRole,
-		State:       platform.Live,
+		Role:        published.EndpointRole,
+		State:       published.Live,
 		Region:      region,
 		Domain:      domain,
 		Address:     e.server.Address(),
--- a/internal/standin/endpointconfig.go
+++ b/internal/standin/endpointconfig.go
@@ -4,12 +4,12 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/contract"
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // Defaults of EndpointConfig.
 const (
-	DefaultSlots       = platform.DefaultSlots
+	DefaultSlots       = published.DefaultSlots
 	DefaultQueueLimit  = 16
 	DefaultServiceTime = 5 * time.Millisecond
 	DefaultProbeTime   = 6 * time.Millisecond
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 const (
@@ -23,8 +23,8 @@
 	clock Clock
 
 	mu      sync.Mutex
-	first   uint64                      // the revision of each name's first value
-	values  map[string][]platform.Value // the last revisions, oldest first
+	first   uint64                       // the revision of each name's first value
+	values  map[string][]published.Value // the last revisions, oldest first
 	faults  PlatformFaults
 	frozen  map[string]uint64 // revisions served while Stale
 	changed chan struct{}     // closed at the next change of values or faults
@@ -37,7 +37,7 @@
 	return &Platform{
 		clock:   clock,
 		first:   1,
-		values:  make(map[string][]platform.Value),
+		values:  make(map[string][]published.Value),
 		changed: make(chan struct{}),
 	}
 }
@@ -60,7 +60,7 @@
 	if len(kept) > 0 {
 		revision = kept[len(kept)-1].Revision + 1
 	}
-	kept = append(kept, platform.Value{Name: name, Revision: revision, Data: data})
+	kept = append(kept, published.Value{Name: name, Revision: revision, Data: data})
 	if len(kept) > keptRevisions {
 		kept = kept[1:]
 	}
@@ -70,8 +70,8 @@
 }
 
 // SetVMs publishes the list of VMs and returns its revision.
-func (p *Platform) SetVMs(vms ...platform.VM) uint64 {
-	return p.Put(platform.VMsValue, platform.EncodeVMs(platform.VMList{VMs: vms}))
+func (p *Platform) SetVMs(vms ...published.VM) uint64 {
+	return p.Put(published.VMsValue, published.EncodeVMs(published.VMList{VMs: vms}))
 }
 
 // wake lets waiting watches look again.
@@ -82,7 +82,7 @@
 
 // ServeHTTP implements http.Handler.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	name, found := strings.CutPrefix(r.URL.Path, platform.ValuesPath)
+	name, found := strings.CutPrefix(r.URL.Path, published.ValuesPath)
 	if !found || name == "" {
 		http.NotFound(w, r)
 		return
@@ -115,14 +115,14 @@
 
 func parseWatch(r *http.Request) (watch, error) {
 	query := r.URL.Query()
-	if !query.Has(platform.AfterParameter) {
+	if !query.Has(published.AfterParameter) {
 		return watch{}, nil
 	}
-	after, err := strconv.ParseUint(query.Get(platform.AfterParameter), 10, 64)
+	after, err := strconv.ParseUint(query.Get(published.AfterParameter), 10, 64)
 	if err != nil {
 		return watch{}, err
 	}
-	wait, err := time.ParseDuration(query.Get(platform.WaitParameter))
+	wait, err := time.ParseDuration(query.Get(published.WaitParameter))
 	if err != nil {
 		return watch{}, err
 	}
@@ -179,7 +179,7 @@
 		case <-r.Context().Done():
 			return
 		case <-fired:
-			w.Header().Set(platform.RevisionHeader, strconv.FormatUint(answer.value.Revision, 10))
+			w.Header().Set(published.RevisionHeader, strconv.FormatUint(answer.value.Revision, 10))
 			w.WriteHeader(http.StatusNotModified)
 			return
 		}
--- a/internal/standin/platformfaults.go
+++ b/internal/standin/platformfaults.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"github.com/tealhall/tealhall/internal/platform"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // PlatformFaults are the faults of a Platform. The zero value is a healthy
@@ -55,7 +55,7 @@
 // answer is what one call gets.
 type answer struct {
 	status  int
-	value   platform.Value
+	value   published.Value
 	cut     Cut
 	changed <-chan struct{} // closed when looking again may give another answer
 }
@@ -76,14 +76,14 @@
 	default:
 		found.value = kept[len(kept)-1]
 	}
-	if p.faults.HalveLists && name == platform.VMsValue {
+	if p.faults.HalveLists && name == published.VMsValue {
 		found.value.Data = found.value.Data[:len(found.value.Data)/2]
 	}
 	return found
 }
 
 // visible returns the revisions of name that a stale service has heard of.
-func (p *Platform) visible(name string) []platform.Value {
+func (p *Platform) visible(name string) []published.Value {
 	kept := p.values[name]
 	if !p.faults.Stale {
 		return kept
@@ -102,7 +102,7 @@
 	}
 	data := a.value.Data
 	header := w.Header()
-	header.Set(platform.RevisionHeader, strconv.FormatUint(a.value.Revision, 10))
+	header.Set(published.RevisionHeader, strconv.FormatUint(a.value.Revision, 10))
 	header.Set("Content-Type", "application/octet-stream")
 	if a.cut != CutChunked {
 		header.Set("Content-Length", strconv.Itoa(len(data)))
