--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -42,7 +42,7 @@
 		}
 		choice := Choice{Index: i, After: v.Expected(e)}
 		choice.cost = choice.After + v.wayCost(e)
-		choice.Worth = v.worthwhile(e, choice.After-v.besideCost(e))
+		choice.Worth = v.worthwhile(e, choice.After)
 		choice.near = choice.Worth && v.isNear(e) && v.surelyInTime(choice.After)
 		if choice.before(best) {
 			best = choice
--- a/internal/core/placement/work.go
+++ b/internal/core/placement/work.go
@@ -21,21 +21,15 @@
 	avoidedCost = 10
 )
 
-// besideCost is what the request would cost the one beside it at an endpoint that it makes
-// nearly full. It counts where endpoints are compared, and not against the request's own
-// objective: judged by both, second slots stayed free of requests that could be in time.
-func (v *View) besideCost(e *table.Endpoint) time.Duration {
-	if !Fills(e) {
-		return 0
-	}
-	return time.Duration((v.Pool.sharing - 1) * float64(v.Request.Work))
-}
-
-// Expected estimates what the choice of an endpoint costs: when it would answer, as a
-// duration from now, with what the request costs others and the doubt about it.
+// Expected estimates when an endpoint would answer, as a duration from now. What the
+// request would cost the one beside it counts as well: a slot that slows both down is
+// worth its use only where both can bear it.
 func (v *View) Expected(e *table.Endpoint) time.Duration {
 	work := float64(v.Request.Work)
-	after := float64(v.Takes(e) + v.besideCost(e))
+	after := float64(v.Takes(e))
+	if Fills(e) {
+		after += (v.Pool.sharing - 1) * work
+	}
 	after += e.DoubtAfter(v.Now) * 2 * work
 	if v.Now < e.AvoidUntil || e.Missing {
 		after += avoidedCost * work
