--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -24,7 +24,8 @@
 
 // Pool is what an entry learns of a pool's endpoints. Make it with NewPool.
 type Pool struct {
-	// sharing is by how much longer work takes at endpoints that are nearly full.
+	// sharing is by how much longer work takes at endpoints that are nearly full, by so
+	// many measurements.
 	sharing  float64
 	sharings int
 	// easy is the smoothed part of looks that found easy room.
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -3,9 +3,10 @@
 // carry typed errors, and regular updates packed against what the connection
 // already carried.
 //
-// Compatibility: gob ignores fields that the receiver does not know and leaves
-// absent ones zero. So a release may add fields and methods within a protocol
-// version; it must not change the meaning or type of a field.
+// Compatibility: gob, and CBOR for the forms that every link carries, ignore fields
+// that the receiver does not know and leave absent ones zero. So a release may add
+// fields and methods within a protocol version; it must not change the meaning or
+// type of a field.
 package wire
 
 import (
--- a/internal/published/patch.go
+++ b/internal/published/patch.go
@@ -11,7 +11,7 @@
 	"github.com/tealhall/tealhall/internal/fault"
 )
 
-// A Patch is what changed between two lists of VMs. The list of a fleet with 228 endpoints
+// patch is what changed between two lists of VMs. The list of a fleet with 228 endpoints
 // has 34 KB, and each endpoint that comes or goes makes a new one: given whole to each
 // entry, lists were most of what entries told each other.
 type patch struct {
