Read over: one formula of the latest start, one notion of full, one look-up of an entry

Cause: the diff read as a newcomer. No decision changes: the log alone counts otherwise. Test: TestLogCountsFullAsPlacementDoes.

--- a/internal/core/budget/window.go
+++ b/internal/core/budget/window.go
@@ -73,7 +73,7 @@
 }
 
 // Ranks is how many ranks of requests are told apart where repeats are scarce; 0 is the
-// highest.
+// highest. There is one for each of ten priorities, and one behind them for what is late.
 const Ranks = 11
 
 // NewRepeats returns a budget for one pool of a process that started at a time; nil
--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -138,10 +138,8 @@
 }
 
 func (c *Core) entryName(incarnation uint64) string {
-	for i := range c.fleet.entries {
-		if e := &c.fleet.entries[i]; e.VM.Incarnation == incarnation {
-			return e.VM.Name
-		}
+	if e := c.fleet.entry(incarnation); e != nil {
+		return e.VM.Name
 	}
 	return ""
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -103,20 +103,27 @@
 	}
 }
 
-// callerAddressOf returns where the entry of an incarnation serves callers.
-func (f *fleet) callerAddressOf(incarnation uint64) (string, bool) {
+// entry returns the entry of an incarnation, or nil.
+func (f *fleet) entry(incarnation uint64) *member.Entry {
 	for i := range f.entries {
 		if f.entries[i].VM.Incarnation == incarnation {
-			return f.entries[i].VM.Address, true
+			return &f.entries[i]
 		}
 	}
+	return nil
+}
+
+// callerAddressOf returns where the entry of an incarnation serves callers.
+func (f *fleet) callerAddressOf(incarnation uint64) (string, bool) {
+	if e := f.entry(incarnation); e != nil {
+		return e.VM.Address, true
+	}
 	return "", false
 }
 
 // knows reports whether the entry of an incarnation may still run.
 func (f *fleet) knows(incarnation uint64) bool {
-	_, known := f.callerAddressOf(incarnation)
-	return known
+	return f.entry(incarnation) != nil
 }
 
 // refreshEntries makes the derived lists anew after a change of members.
--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -46,7 +46,8 @@
 // latestInTime is the latest start at which r would commonly be answered within its
 // latency objective, counted from its caller's first try.
 func (r *request) latestInTime() time.Duration {
-	return r.arrived - r.age + r.policy.Objective - r.typicalWork()
+	placed := r.toPlace()
+	return placed.LatestInTime()
 }
 
 // typicalWork is how long a request of the service commonly takes at an endpoint
--- a/internal/core/hold_test.go
+++ b/internal/core/hold_test.go
@@ -16,9 +16,7 @@
 	boxes := idle(3, "d0")
 	y := newYard(t, boxes...)
 	y.learn(8)
-	for _, b := range boxes {
-		b.running, b.waiting = 2, 1
-	}
+	setLoad(boxes, 2, 1)
 	var ids []RequestID
 	for range 6 {
 		ids = append(ids, y.ask(route.Idempotent, 3*sec))
@@ -44,9 +42,7 @@
 	boxes := idle(3, "d0")
 	y := newYard(t, boxes...)
 	y.learn(8)
-	for _, b := range boxes {
-		b.running, b.waiting = 2, 4
-	}
+	setLoad(boxes, 2, 4)
 	began := y.now
 	var ids []RequestID
 	for range 4 {
@@ -75,9 +71,7 @@
 	boxes := idle(2, "d0")
 	y := newYard(t, boxes...)
 	y.learn(12)
-	for _, b := range boxes {
-		b.running, b.waiting = 2, 1
-	}
+	setLoad(boxes, 2, 1)
 	late := y.ask(route.Idempotent, 3*sec-900*ms)
 	y.run(20 * ms)
 	inTime := y.ask(route.Idempotent, 3*sec)
@@ -124,12 +118,17 @@
 			}
 			again[d.RetryAfter] = true
 			y.run(600 * ms)
-			for _, b := range boxes {
-				b.running, b.waiting = 0, 0
-			}
+			setLoad(boxes, 0, 0)
 		}
 		if len(again) < 4 {
 			t.Errorf("%s: told the same times %v", c.name, again)
 		}
 	}
 }
+
+// setLoad lets all endpoints tell the same load.
+func setLoad(boxes []*box, running, waiting int) {
+	for _, b := range boxes {
+		b.running, b.waiting = running, waiting
+	}
+}
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -71,11 +71,16 @@
 		Pool:      &r.pool.learned,
 		Turn:      r.pool.turn(now),
 		Rand:      c.rng,
-		Request: placement.Request{
-			Arrived: r.arrived, Deadline: r.deadline, FirstTry: r.arrived - r.age, Objective: r.policy.Objective,
-			Work: r.typicalWork(), Kilobytes: r.service.kilobytes, Late: r.late,
-			Tried: r.tried, Asked: r.look.asked, Began: r.look.began, OwnOnly: r.look.ownOnly,
-		},
+		Request:   r.toPlace(),
+	}
+}
+
+// toPlace returns the request as package placement sees it.
+func (r *request) toPlace() placement.Request {
+	return placement.Request{
+		Arrived: r.arrived, Deadline: r.deadline, FirstTry: r.arrived - r.age, Objective: r.policy.Objective,
+		Work: r.typicalWork(), Kilobytes: r.service.kilobytes, Late: r.late,
+		Tried: r.tried, Asked: r.look.asked, Began: r.look.began, OwnOnly: r.look.ownOnly,
 	}
 }
 
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -298,10 +298,6 @@
 
 // isNear reports whether an entry lies in this one's failure domain.
 func (c *Core) isNear(incarnation uint64) bool {
-	for i := range c.fleet.entries {
-		if e := &c.fleet.entries[i]; e.VM.Incarnation == incarnation {
-			return e.VM.Domain == c.cfg.Self.Domain
-		}
-	}
-	return false
+	e := c.fleet.entry(incarnation)
+	return e != nil && e.VM.Domain == c.cfg.Self.Domain
 }
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -174,3 +174,17 @@
 		}
 	}
 }
+
+// An operator reads in the log why requests were refused: "full 0 of 26", while placement
+// took each of these endpoints for full, since one more request would have made it slower.
+// The log counts what placement counts.
+func TestLogCountsFullAsPlacementDoes(t *testing.T) {
+	v := see(endpoint("a", 4, 6, 100, ms), endpoint("a", 3, 6, 100, ms), endpoint("a", 6, 6, 100, ms), endpoint("a", 6, 6, 100, 2*time.Second))
+	for range 50 {
+		v.Pool.NoteSharing(2*v.Request.Work, v.Request.Work)
+	}
+	live, told, full := v.Pool.Fullness(v.Now, v.Endpoints)
+	if live != 4 || told != 3 || full != 2 || !v.Crowded() {
+		t.Errorf("%d live, %d told, %d full, crowded %v", live, told, full, v.Crowded())
+	}
+}
--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -21,17 +21,17 @@
 	rankPace  = 5
 	rankDoubt = 100
 	// rankRemote puts endpoints of other failure domains behind those of the own one that
-	// may have room, and rankShort those of the own one behind them that have none, or are
+	// may have room, and rankBusy those of the own one behind them that have none, or are
 	// slow, by what they told a moment ago.
 	rankRemote  = 60
-	rankShort   = 70
+	rankBusy    = 70
 	rankAvoided = 1000
 	rankMissing = 5000
 )
 
-// shortTurns is for how many times the time in which an endpoint commonly frees a slot it
+// busyTurns is for how many times the time in which an endpoint commonly frees a slot it
 // is taken to stay full.
-const shortTurns = 2
+const busyTurns = 2
 
 // NextToAsk returns the index of the endpoint to look at next, or -1: those of the own
 // failure domain first, and of these the ones that had most room when last heard of.
@@ -73,19 +73,19 @@
 	switch {
 	case !v.isNear(e):
 		rank += rankRemote
-	case v.isShort(e):
-		rank += rankShort
+	case v.toldBusy(e):
+		rank += rankBusy
 	}
 	return rank
 }
 
-// isShort reports whether an endpoint told a moment ago that it would not answer in time:
+// toldBusy reports whether an endpoint told a moment ago that it would not answer in time:
 // its VM is slow, or its slots are all taken and none of them commonly frees up so soon.
-func (v *View) isShort(e *table.Endpoint) bool {
+func (v *View) toldBusy(e *table.Endpoint) bool {
 	age := v.Now - e.Look.At
 	if !e.Look.Seen || age >= Remembered {
 		return false
 	}
-	freed := time.Duration(shortTurns * float64(v.Turn) / float64(max(1, e.Slots)))
+	freed := time.Duration(busyTurns * float64(v.Turn) / float64(max(1, e.Slots)))
 	return Pace(&e.Look) >= SlowPace || !e.HasRoom() && age < freed
 }
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -109,36 +109,33 @@
 	return e.HasRoom() && Pace(&e.Look) <= 1 && !Fills(e)
 }
 
-// Crowded reports whether most endpoints of which something is known had no room when
-// last heard of. What is sent to them blindly queues up there, and all later requests,
-// which could have waited here for the first free slot, find them full.
-func (v *View) Crowded() bool {
-	known, full := 0, 0
-	for i := range v.Endpoints {
-		e := &v.Endpoints[i]
-		if e.State != table.EndpointLive || !e.Look.Seen || v.Now-e.Look.At > fullLasts {
-			continue
-		}
-		known++
-		if !e.HasRoom() || v.Pool.overfills(e) {
-			full++
-		}
-	}
-	return known > 0 && full*2 >= known
-}
+// full reports whether an endpoint told that it has no room that is worth taking.
+func (p *Pool) full(e *table.Endpoint) bool { return !e.HasRoom() || p.overfills(e) }
 
-// Fullness counts the endpoints that take work, and those of them that told within the
-// last moment that they have no room.
-func Fullness(now time.Duration, endpoints []table.Endpoint) (live, full int) {
+// Fullness counts the endpoints that take work, those of them that told their load within
+// the last moment, and those that told then that they are full.
+func (p *Pool) Fullness(now time.Duration, endpoints []table.Endpoint) (live, told, full int) {
 	for i := range endpoints {
 		e := &endpoints[i]
 		if e.State != table.EndpointLive {
 			continue
 		}
 		live++
-		if e.Look.Seen && now-e.Look.At <= fullLasts && !e.HasRoom() {
+		if !e.Look.Seen || now-e.Look.At > fullLasts {
+			continue
+		}
+		told++
+		if p.full(e) {
 			full++
 		}
 	}
-	return live, full
+	return live, told, full
+}
+
+// Crowded reports whether most endpoints of which something is known had no room when
+// last heard of. What is sent to them blindly queues up there, and all later requests,
+// which could have waited here for the first free slot, find them full.
+func (v *View) Crowded() bool {
+	_, told, full := v.Pool.Fullness(v.Now, v.Endpoints)
+	return told > 0 && full*2 >= told
 }
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -195,10 +195,8 @@
 	if incarnation == duty.Platform {
 		return "", true
 	}
-	for i := range c.fleet.entries {
-		if e := &c.fleet.entries[i]; e.VM.Incarnation == incarnation {
-			return e.VM.PeerAddress, true
-		}
+	if e := c.fleet.entry(incarnation); e != nil {
+		return e.VM.PeerAddress, true
 	}
 	return "", false
 }
@@ -207,10 +205,8 @@
 	if source == duty.Platform {
 		return "platform"
 	}
-	for i := range c.fleet.entries {
-		if e := &c.fleet.entries[i]; e.VM.Incarnation == source {
-			return "peer " + e.VM.Name
-		}
+	if e := c.fleet.entry(source); e != nil {
+		return "peer " + e.VM.Name
 	}
 	return "peer " + strconv.FormatUint(source, 16)
 }
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/tealhall/tealhall/internal/core/placement"
 )
 
 // Story is what became of one request, for the log: the decisions that touched it with
@@ -92,7 +90,7 @@
 		Outcome: r.outcome, Reason: r.reason, Status: r.status, RetryAfter: r.retryAfter, Gone: r.gone,
 		Age: r.age, Took: took, Objective: r.policy.Objective, Looks: r.looks, Held: r.held, Late: r.late, Ordinary: ordinary,
 	}
-	s.Endpoints, s.Full = placement.Fullness(c.now, r.pool.Endpoints)
+	s.Endpoints, _, s.Full = r.pool.learned.Fullness(c.now, r.pool.Endpoints)
 	s.Queued = r.pool.queue.Len()
 	for i := Attempt(1); i <= r.dispatches; i++ {
 		s.Attempts = append(s.Attempts, c.tellAttempt(r, &r.attempts[i]))
