Metrics: how news gets through the fleet, and ticks that come late

Cause: neither log nor metrics told an entry whose news waits for its bound on bytes from one without processor time; both show only as an endpoint known late. No decision changes. Ruled out: a line for each piece, 20 lines a second are all an entry may write.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,6 +29,9 @@
 	// pauseGap is the time between two ticks from which on the process is taken
 	// to have slept: its beliefs about others are stale.
 	pauseGap = time.Second
+	// lateTick is the time between two ticks of a busy entry from which on a tick is late:
+	// ten times as long as they are apart.
+	lateTick = 150 * time.Millisecond
 	// defaultCallsPerSecond is what a small entry VM carries.
 	defaultCallsPerSecond = 5000
 	// maxDepth is how deep calls between services may be nested.
@@ -148,10 +151,13 @@
 
 // Counters count what the core did since its start.
 type Counters struct {
-	Arrived, Done, NotRun, Unknown  uint64
-	Dispatched, Retried, Hedged     uint64
-	Queued, Forwarded, Replayed     uint64
-	Probes, ProbesDenied, Pauses    uint64
+	Arrived, Done, NotRun, Unknown uint64
+	Dispatched, Retried, Hedged    uint64
+	Queued, Forwarded, Replayed    uint64
+	Probes, ProbesDenied, Pauses   uint64
+	// TicksLate counts ticks that came long after the one before: the process was short of
+	// processor time.
+	TicksLate                       uint64
 	Looks                           uint64
 	EndpointNotRun, RetriesDenied   uint64
 	Ejections, Readmissions         uint64
@@ -226,6 +232,9 @@
 // passed are answered by the expiry that follows, before anything is sent.
 func (c *Core) notePause(now time.Duration, out *Actions) {
 	gap := now - c.lastTick
+	if gap >= lateTick {
+		c.counters.TicksLate++
+	}
 	if c.lastTick == 0 || gap < pauseGap {
 		return
 	}
--- a/internal/core/gossip/compose.go
+++ b/internal/core/gossip/compose.go
@@ -153,6 +153,7 @@
 	p := s.peers[u.From]
 	held := len(s.log.claims)
 	for _, e := range u.Evidence {
+		s.stats.count(s.log.index[keyOf(e)] != nil, e.AgeMillis)
 		if c := s.hold(now, e); c != nil && p != nil {
 			s.markKnown(c, p)
 		}
--- a/internal/core/gossip/scheduler.go
+++ b/internal/core/gossip/scheduler.go
@@ -97,6 +97,7 @@
 	log      evidenceLog
 	sequence uint64
 	expireAt time.Duration
+	stats    Stats
 }
 
 // New returns a scheduler without peers.
--- /dev/null
+++ b/internal/core/gossip/stats.go
@@ -0,0 +1,42 @@
+package gossip
+
+import "time"
+
+// lateNews is the age from which on a piece of evidence counts as learned late: below it lies
+// what a sound fleet of hundreds of entries takes.
+const lateNews = time.Second
+
+// Stats tell how news gets through.
+type Stats struct {
+	// Pieces counts the evidence learned from peers, Copies what they told of it again, and
+	// Late the pieces that were learned more than a second after they were first told.
+	Pieces, Copies, Late uint64
+	// Owed is how much evidence this entry has yet to pass on to its fingers, and Room the
+	// share of the bound on bytes that is saved up.
+	Owed int
+	Room float64
+}
+
+// Stats returns what was counted so far.
+func (s *Scheduler) Stats() Stats {
+	stats := s.stats
+	stats.Room = max(0, s.allow.room(0)) / (burst * s.allow.bytesRate)
+	for _, id := range s.order {
+		if p := s.peers[id]; p.finger {
+			stats.Owed += p.owed
+		}
+	}
+	return stats
+}
+
+// count notes evidence that a peer told, of this age in milliseconds.
+func (s *Stats) count(known bool, ageMillis uint32) {
+	switch {
+	case known:
+		s.Copies++
+		return
+	case time.Duration(ageMillis)*time.Millisecond >= lateNews:
+		s.Late++
+	}
+	s.Pieces++
+}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/gossip"
 	"github.com/tealhall/tealhall/internal/core/health"
 	"github.com/tealhall/tealhall/internal/core/member"
 	"github.com/tealhall/tealhall/internal/core/table"
@@ -36,7 +37,9 @@
 	Closing       bool
 	Profiles, VMs PublishedView
 	// ListHeld says that the losses of the latest VM list do not count yet.
-	ListHeld   bool
+	ListHeld bool
+	// News tells how evidence gets through the fleet.
+	News       gossip.Stats
 	Keys       idem.Stats
 	KeysSealed bool
 	// Entries are in the order of their names, Pools and Endpoints in no order
@@ -171,6 +174,7 @@
 		Closing:    c.closing,
 		Profiles:   c.viewPublished(published.ProfilesValue),
 		VMs:        c.viewPublished(published.VMsValue),
+		News:       c.fleet.gossip.Stats(),
 		Keys:       c.keys.Stats(),
 		KeysSealed: c.keys.Sealed(),
 		Entries:    c.viewEntries(),
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -88,6 +88,7 @@
 		gauge("entry.concerns", float64(len(f.concerns()))),
 		flag("entry.closing", f.view.Closing),
 		total("entry.pauses", c.Pauses),
+		total("entry.ticks_late", c.TicksLate),
 		gauge("process.heap_bytes", float64(f.process.heap)),
 		gauge("process.goroutines", float64(f.process.goroutines)),
 		total("process.cpu_ms", f.process.cpu.Milliseconds()),
@@ -153,7 +154,7 @@
 }
 
 func (f *facts) fleetReadings() []reading {
-	c, fleet := &f.view.Counters, f.fleetView()
+	c, fleet, news := &f.view.Counters, f.fleetView(), &f.view.News
 	return []reading{
 		gauge("fleet.entries_usable", float64(fleet.EntriesUsable)),
 		gauge("fleet.entries_suspected", float64(fleet.EntriesSuspected)),
@@ -164,6 +165,11 @@
 		gauge("fleet.endpoints_ejected", float64(fleet.EndpointsEjected)),
 		total("fleet.ejections", c.Ejections),
 		total("fleet.readmissions", c.Readmissions),
+		total("news.pieces", news.Pieces),
+		total("news.copies", news.Copies),
+		total("news.late", news.Late),
+		gauge("news.owed", float64(news.Owed)),
+		gauge("news.room", news.Room),
 	}
 }
 
