News of VMs: told along a tree, asked after instead of repeated; a piece costs what it changes

Cause, two of one class (what a piece of news costs grows with the fleet, so what many pieces cost grows with its square): (1) each entry told evidence to all eight fingers and, with heartbeats, to all 140 peers that had not acked it to this entry itself, and when the bound on bytes was spent a message went out as soon as its header fitted: 34 empty ones a second, nothing ebbed away. Change: (1) an entry passes news on to the fingers that its teller leaves to it, once; others are asked (the ack of an update carries the digest of what the peer holds) and told only what they lack; a message waits until its news fits, first tellings go before copies. A list's evidence goes with the list. (2) The index follows rows; entries' lists only when entries change, services at most each 50 ms; pools only when rows are new; pieces of one message together. Ruled out: fingers asked only (a round trip more at each step), copies within 16 pieces (36 KB more), wider reach for known pieces (28,000 copies).

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -66,7 +66,7 @@
 		c.applyChanges(now, changes, "endpoint "+name, out)
 	}
 	if draining && (incarnation == 0 || incarnation == known) && e.State == table.EndpointLive {
-		c.claim(now, message.Evidence{VM: name, Incarnation: known, Kind: message.EvidenceLeaving}, out)
+		c.claim(now, out, message.Evidence{VM: name, Incarnation: known, Kind: message.EvidenceLeaving})
 	}
 }
 
--- a/internal/core/balance/order.go
+++ b/internal/core/balance/order.go
@@ -36,12 +36,11 @@
 
 // sortedBy returns the indexes of the endpoints in an order that salt gives.
 func sortedBy(p *table.Pool, salt string) []int {
-	sorted := make([]int, len(p.Endpoints))
+	sorted, keys := make([]int, len(p.Endpoints)), make([]uint64, len(p.Endpoints))
 	for i := range sorted {
-		sorted[i] = i
+		sorted[i], keys[i] = i, xxhash.Sum64String(salt+"\x00"+p.Endpoints[i].Name)
 	}
-	key := func(i int) uint64 { return xxhash.Sum64String(salt + "\x00" + p.Endpoints[i].Name) }
-	slices.SortFunc(sorted, func(a, b int) int { return cmp.Compare(key(a), key(b)) })
+	slices.SortFunc(sorted, func(a, b int) int { return cmp.Compare(keys[a], keys[b]) })
 	return sorted
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -221,6 +221,9 @@
 		c.nextProbe = now + probePeriod
 		c.probeDue(now, out)
 	}
+	if c.fleet.divided != c.fleet.version && now-c.fleet.dividedAt >= divideEvery {
+		c.announceDeciders(now)
+	}
 	c.becomeReady(now, out)
 	c.composeUpdates(now, out)
 	c.drainQueues(now, out)
--- a/internal/core/duty/hash.go
+++ b/internal/core/duty/hash.go
@@ -47,7 +47,16 @@
 // rank orders members by falling score for key. Equal scores, which only equal
 // incarnations can have, keep their order.
 func rank(members []Member, key uint64) {
-	slices.SortStableFunc(members, func(a, b Member) int {
-		return cmp.Compare(Score(key, b.Incarnation), Score(key, a.Incarnation))
-	})
+	type scored struct {
+		score  uint64
+		member Member
+	}
+	rows := make([]scored, len(members))
+	for i, m := range members {
+		rows[i] = scored{Score(key, m.Incarnation), m}
+	}
+	slices.SortStableFunc(rows, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	for i := range rows {
+		members[i] = rows[i].member
+	}
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -16,9 +16,14 @@
 // fleet is what this entry knows of VMs and of the other entries.
 type fleet struct {
 	members *member.Table
-	// version is the member table's version that the lists below were made at.
+	// version is the version of the member table's entries that the lists below were made at.
 	version uint64
 	entries []member.Entry
+	// byIncarnation and byDuty are the indexes in entries by incarnation and by dutyID.
+	byIncarnation, byDuty map[uint64]int
+	// divided is the version at which work was last divided among the entries, dividedAt when.
+	divided   uint64
+	dividedAt time.Duration
 	// dutyMembers are the entries that duties are divided among. They are
 	// known there by dutyID, so that a restart moves no duty.
 	dutyMembers []duty.Member
@@ -35,6 +40,10 @@
 	mostEntries int
 	// part is this entry's part of the fleet's requests.
 	part float64
+	// shares are the entries that serve a pool which this entry serves.
+	shares map[uint64]bool
+	// gossipPeers is scratch memory.
+	gossipPeers []gossip.Peer
 	// due, fresh and sightings are scratch memory of composeUpdates.
 	due       []uint64
 	fresh     []message.Evidence
@@ -79,6 +88,7 @@
 			ListIsFinal:  c.cfg.ListIsFinal,
 		}),
 		peers:    make(map[uint64]*peer),
+		shares:   make(map[uint64]bool),
 		profiles: duty.NewTracker(0, tracked),
 		vms:      duty.NewTracker(0, tracked),
 		rows:     make(map[string]endpointRef),
@@ -105,10 +115,8 @@
 
 // entry returns the entry of an incarnation, or nil.
 func (f *fleet) entry(incarnation uint64) *member.Entry {
-	for i := range f.entries {
-		if f.entries[i].VM.Incarnation == incarnation {
-			return &f.entries[i]
-		}
+	if i, known := f.byIncarnation[incarnation]; known {
+		return &f.entries[i]
 	}
 	return nil
 }
@@ -129,16 +137,22 @@
 // refreshEntries makes the derived lists anew after a change of members.
 func (c *Core) refreshEntries() {
 	f := &c.fleet
-	f.version = f.members.Version()
+	f.version = f.members.EntriesVersion()
 	f.entries = f.members.Entries(f.entries[:0])
 	f.dutyMembers = f.dutyMembers[:0]
+	f.byIncarnation, f.byDuty = make(map[uint64]int, len(f.entries)), make(map[uint64]int, len(f.entries))
+	for i := len(f.entries) - 1; i >= 0; i-- {
+		f.byIncarnation[f.entries[i].VM.Incarnation] = i
+	}
 	for i := range f.entries {
 		e := &f.entries[i]
+		id := dutyID(e.VM.Name)
+		f.byDuty[id] = i
 		if !e.Usable() && e.VM.Incarnation != c.cfg.Self.Incarnation {
 			continue
 		}
 		f.dutyMembers = append(f.dutyMembers, duty.Member{
-			Incarnation: dutyID(e.VM.Name),
+			Incarnation: id,
 			Region:      e.VM.Region,
 			Domain:      e.VM.Domain,
 		})
@@ -148,7 +162,6 @@
 	for _, p := range c.poolRows {
 		p.repeats.SetFleet(f.mostEntries)
 	}
-	f.reader = duty.IsReader(f.selfID, f.dutyMembers, c.cfg.ReadersPerDomain)
 	c.assignReaders()
 }
 
@@ -156,29 +169,19 @@
 // name and not from the incarnation.
 func dutyID(name string) uint64 { return xxhash.Sum64String(name) }
 
-// entryWithDuty returns the entry of a dutyID, or nil.
-func (c *Core) entryWithDuty(id uint64) *member.Entry {
-	for i := range c.fleet.entries {
-		if dutyID(c.fleet.entries[i].VM.Name) == id {
-			return &c.fleet.entries[i]
-		}
-	}
-	return nil
-}
-
 // incarnationsOf turns numbers of duties into incarnations.
 func (c *Core) incarnationsOf(ids []uint64) []uint64 {
 	var out []uint64
 	for _, id := range ids {
-		if e := c.entryWithDuty(id); e != nil {
-			out = append(out, e.VM.Incarnation)
+		if i, known := c.fleet.byDuty[id]; known {
+			out = append(out, c.fleet.entries[i].VM.Incarnation)
 		}
 	}
 	return out
 }
 
-// MembersVersion grows with each change of the entries and endpoints known.
-func (c *Core) MembersVersion() uint64 { return c.fleet.version }
+// EntriesVersion grows with each change of the entries known.
+func (c *Core) EntriesVersion() uint64 { return c.fleet.version }
 
 // PeerAddresses appends the addresses of the entries to hold links with.
 func (c *Core) PeerAddresses(out []string) []string {
@@ -204,26 +207,37 @@
 	c.takeUpdate(now, p, &h.Says, out)
 }
 
-// claim feeds evidence about a VM.
-func (c *Core) claim(now time.Duration, ev message.Evidence, out *Actions) {
-	c.applyChanges(now, c.fleet.members.Claim(now, ev), "evidence", out)
+// claim feeds evidence about VMs.
+func (c *Core) claim(now time.Duration, out *Actions, evidence ...message.Evidence) {
+	var changes []member.Change
+	for _, ev := range evidence {
+		changes = append(changes, c.fleet.members.Claim(now, ev)...)
+	}
+	c.applyChanges(now, changes, "evidence", out)
 }
 
+// divideEvery is the time between two divisions of services among the entries. A fleet that
+// starts or is replaced changes at each message, and a division walks over all entries for
+// each service; entries that divide differently for a moment only meet at some endpoints.
+const divideEvery = 50 * time.Millisecond
+
 // applyChanges carries changed beliefs into the pools and the audit trail. The
 // table may also have changed without a change that is worth a note, such as an
 // entry that has become ready.
 func (c *Core) applyChanges(now time.Duration, changes []member.Change, actor string, out *Actions) {
-	if len(changes) == 0 && c.fleet.members.Version() == c.fleet.version {
+	entriesChanged := c.fleet.members.EntriesVersion() != c.fleet.version
+	if len(changes) == 0 && !entriesChanged {
 		return
 	}
 	for i := range changes {
 		c.applyChange(now, &changes[i], out)
 		out.note(changeNote(&changes[i], actor))
 	}
-	if c.fleet.members.Version() != c.fleet.version {
+	if entriesChanged {
 		c.refreshEntries()
+		c.fleet.gossip.SetPeers(now, c.gossipPeers())
 	}
-	c.announceDeciders(now)
+	c.announceRows(now)
 	c.drainQueues(now, out)
 }
 
@@ -240,6 +254,7 @@
 	case member.EndpointAdded:
 		p := c.poolNamed(ch.VM.Pool)
 		index := p.add(now, ch.VM)
+		p.newRows = true
 		c.fleet.rows[ch.VM.Name] = endpointRef{pool: p, index: index}
 	case member.EndpointLeaving:
 		if e := c.rowOfVM(&ch.VM); e != nil {
--- a/internal/core/gossip/compose.go
+++ b/internal/core/gossip/compose.go
@@ -14,13 +14,14 @@
 // When the bounds are tight, sightings are dropped first, then heartbeats are
 // late, and with them the rate; news comes last.
 func (s *Scheduler) Compose(now time.Duration, to uint64, sightings []message.Sighting) (message.Update, bool) {
+	s.place()
 	s.allow.refill(now)
 	p := s.peers[to]
 	if p == nil {
 		return message.Update{}, false
 	}
 	why := s.due(now, p)
-	if why == notDue || !s.allow.covers(heartbeatBytes, why.floor()) {
+	if why == notDue || !s.allow.covers(s.needs(p, why), why.floor()) {
 		return message.Update{}, false
 	}
 	u := s.base()
@@ -34,7 +35,7 @@
 	if why == dueSightings && len(u.Sightings) == 0 {
 		return message.Update{}, false
 	}
-	s.send(now, p, &u)
+	s.send(now, p, &u, why)
 	return u, true
 }
 
@@ -94,25 +95,29 @@
 }
 
 // send charges a message and notes it as under way.
-func (s *Scheduler) send(now time.Duration, p *peer, u *message.Update) {
+func (s *Scheduler) send(now time.Duration, p *peer, u *message.Update, why urgency) {
 	s.allow.take(Size(u) + p.firstTime(u))
 	p.name(u)
 	p.inFlight, p.sentAt, p.sequence = true, now, u.Sequence
 	p.offered = told{state: u.State, profiles: u.Profiles.Revision, vms: u.VMs.Revision, reader: u.Reader}
 	p.heartbeatAt = s.nextHeartbeat(now, p)
-	p.urgentAt = now + s.cfg.UrgentGap
+	if why >= dueNews {
+		p.urgentAt = now + s.cfg.UrgentGap
+	}
 }
 
-// Done reports whether the message with this sequence reached its peer. A lost
-// one is told again: with the next message after a growing pause.
-func (s *Scheduler) Done(now time.Duration, to, sequence uint64, acked bool) {
+// Done reports whether the message with this sequence reached its peer, and the digest of
+// the evidence that the peer then had. A lost one is told again: with the next message after
+// a growing pause.
+func (s *Scheduler) Done(now time.Duration, to, sequence uint64, r message.Receipt) {
 	p := s.peers[to]
 	if p == nil || !p.inFlight || p.sequence != sequence {
 		return
 	}
 	p.inFlight = false
-	if acked {
+	if r.Acked {
 		s.acked(p)
+		s.compare(now, p, r.Known)
 		return
 	}
 	p.underWay = p.underWay[:0]
@@ -147,33 +152,53 @@
 	}
 }
 
+// compare takes in the digest of the evidence that a peer has after a message. Peers that
+// have it all are most often told nothing: the copies that entries told each other of what
+// both had from others used up their bounds, and later news waited for seconds. While news
+// comes in, two digests differ for that alone. An entry that is no finger is told what it
+// lacks only if two acks in a row say so, since those whose finger it is come first.
+func (s *Scheduler) compare(now time.Duration, p *peer, known uint64) {
+	if known == s.log.digest {
+		p.doubted = false
+		s.allKnown(p)
+		return
+	}
+	if p.owed == 0 {
+		s.noteDifference(now, p)
+		return
+	}
+	quiet := now-s.log.changedAt >= passedWithin
+	if quiet && (p.finger || p.doubted) {
+		p.lacks = true
+	}
+	p.doubted = quiet
+}
+
 // Received notes what a peer's message says about what the peer knows, and
 // takes in its evidence to pass on. Evidence that both have is not sent back.
 func (s *Scheduler) Received(now time.Duration, u *message.Update) {
+	s.place()
 	p := s.peers[u.From]
-	held := len(s.log.claims)
+	reach := everywhere
+	if p != nil && p.delegates() > 0 {
+		reach = p.delegates()
+	}
 	for _, e := range u.Evidence {
 		s.stats.count(s.log.index[keyOf(e)] != nil, e.AgeMillis)
-		if c := s.hold(now, e); c != nil && p != nil {
+		if c := s.hold(now, e, reach); c != nil && p != nil {
 			s.markKnown(c, p)
 		}
 	}
 	if p == nil {
 		return
 	}
-	if len(s.log.claims)-held >= bulk && p.behind > 0 {
-		s.leaveToSender(now, p)
-	}
 	p.told.profiles = max(p.told.profiles, u.Profiles.Revision)
 	p.told.vms = max(p.told.vms, u.VMs.Revision)
-	if u.Known != s.log.digest {
-		s.noteDifference(now, p)
+	if u.Known == s.log.digest {
+		s.allKnown(p)
 		return
 	}
-	p.differs, p.repairs = false, 0
-	for _, c := range s.log.claims {
-		s.markKnown(c, p)
-	}
+	s.noteDifference(now, p)
 }
 
 // noteDifference tells a peer everything again whose evidence has differed for
@@ -198,19 +223,6 @@
 	for _, c := range s.log.claims {
 		c.known.remove(p.slot)
 	}
-	p.owed = len(s.log.claims)
-}
-
-// leaveToSender lets fingers wait that the sender of bulky news reaches without
-// this entry. The sender's own fingers divide the ring into arcs; this entry
-// first serves the arc that begins with it. Guards against a bound that is spent
-// on second copies while others have none, which would show as seconds of delay
-// when a whole failure domain leaves. If a way is lost, the wait ends.
-func (s *Scheduler) leaveToSender(now time.Duration, sender *peer) {
-	for _, id := range s.order {
-		p := s.peers[id]
-		if p.finger && p.kind == linkMesh && p.distance >= sender.behind {
-			p.urgentAt = max(p.urgentAt, now+bulkWait)
-		}
-	}
+	p.owed, p.owedSince, p.lacks = len(s.log.claims), now, len(s.log.claims) > 0
+	s.recountAll()
 }
--- a/internal/core/gossip/config.go
+++ b/internal/core/gossip/config.go
@@ -61,11 +61,20 @@
 	MaxPeers = 256
 )
 
-// bulk is from how many pieces on news is bulky, and bulkWait how long a second
-// copy of it waits for the first copies.
+// News is told along a tree: each entry tells its fingers up to the one that its teller
+// tells next. passedWithin is how long it leaves the others to the rest of the tree before it
+// tells them of a revision, or asks whether they have the evidence: several times what the
+// tree takes in a sound fleet. passedAtMost is the same for evidence while more comes in.
 const (
-	bulk     = 16
-	bulkWait = 700 * time.Millisecond
+	passedWithin = 300 * time.Millisecond
+	passedAtMost = 1500 * time.Millisecond
+)
+
+// A message with news goes out when as many pieces fit as it has, or fewPieces. pieceBytes is
+// about what one takes.
+const (
+	fewPieces  = 16
+	pieceBytes = evidenceBytes + 24
 )
 
 // Shares of the bound.
@@ -73,8 +82,10 @@
 	// heartbeatShare is what heartbeats to all peers may take together.
 	heartbeatShare = 0.35
 	// sightingFloor is the share of a full bucket that sightings leave for what
-	// is worth more; heartbeatFloor is what heartbeats leave for news.
+	// is worth more; copyFloor is what copies of news leave for its first telling, and
+	// heartbeatFloor what heartbeats do.
 	sightingFloor  = 0.5
+	copyFloor      = 0.3
 	heartbeatFloor = 0.1
 )
 
--- a/internal/core/gossip/evidence.go
+++ b/internal/core/gossip/evidence.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +43,9 @@
 	since    time.Duration
 	// known holds the peers that have the evidence.
 	known peerSet
+	// reach: the fingers at a shorter distance are told at once.
+	reach     int
+	learnedAt time.Duration
 }
 
 // evidenceLog holds the evidence to pass on, oldest learned first.
@@ -50,21 +54,37 @@
 	index  map[claimKey]*claim
 	// digest is the XOR of the hashes of all claims held.
 	digest uint64
+	// changedAt is when the latest of them was learned.
+	changedAt time.Duration
 }
 
 func newEvidenceLog() evidenceLog { return evidenceLog{index: make(map[claimKey]*claim)} }
 
+// everywhere is the reach of what no other entry passes on.
+const everywhere = math.MaxInt
+
 // Spread takes in evidence to pass on.
 func (s *Scheduler) Spread(now time.Duration, evidence []message.Evidence) {
+	s.place()
+	for _, e := range evidence {
+		s.hold(now, e, everywhere)
+	}
+}
+
+// Learned takes in evidence that came with a list of VMs from a peer. The list is passed on
+// with the evidence in it, so others are only asked whether they have it.
+func (s *Scheduler) Learned(now time.Duration, evidence []message.Evidence) {
+	s.place()
 	for _, e := range evidence {
-		s.hold(now, e)
+		s.hold(now, e, 0)
 	}
 }
 
 // hold adds evidence to the log unless it is there or too old, and returns it.
-func (s *Scheduler) hold(now time.Duration, e message.Evidence) *claim {
+func (s *Scheduler) hold(now time.Duration, e message.Evidence, reach int) *claim {
 	key := keyOf(e)
 	if c := s.log.index[key]; c != nil {
+		s.extend(c, reach)
 		return c
 	}
 	since := now - time.Duration(e.AgeMillis)*time.Millisecond
@@ -74,16 +94,65 @@
 	if len(s.log.claims) >= maxClaims {
 		s.discard(0)
 	}
-	c := &claim{evidence: e, since: since}
+	c := &claim{evidence: e, since: since, reach: reach, learnedAt: now}
 	s.log.claims = append(s.log.claims, c)
 	s.log.index[key] = c
 	s.log.digest ^= key.hash()
+	s.log.changedAt = now
 	for _, id := range s.order {
-		s.peers[id].owed++
+		p := s.peers[id]
+		if p.owed == 0 {
+			p.owedSince = now
+		}
+		p.owed++
+		if c.eagerFor(p) {
+			p.eager++
+		}
 	}
 	return c
 }
 
+// eagerFor reports whether a peer that lacks the claim is told it without being asked.
+func (c *claim) eagerFor(p *peer) bool {
+	return p.kind == linkRegion || p.finger && p.distance < c.reach
+}
+
+// extend has this entry pass on a claim that it had from a list, since a peer relies on it
+// for that. One that was told before is on its way already.
+func (s *Scheduler) extend(c *claim, reach int) {
+	if c.reach > 0 || reach == everywhere {
+		return
+	}
+	s.recount(c, -1)
+	c.reach = reach
+	s.recount(c, 1)
+}
+
+// recount adds a claim to, or takes it from, what peers are to be told at once.
+func (s *Scheduler) recount(c *claim, by int) {
+	for _, id := range s.order {
+		if p := s.peers[id]; !c.known.has(p.slot) && c.eagerFor(p) {
+			p.eager += by
+		}
+	}
+}
+
+// recountAll works out anew what peers are to be told at once, after their places changed.
+func (s *Scheduler) recountAll() {
+	for _, id := range s.order {
+		p := s.peers[id]
+		p.eager = 0
+		if !p.finger || p.owed == 0 {
+			continue
+		}
+		for _, c := range s.log.claims {
+			if !c.known.has(p.slot) && c.eagerFor(p) {
+				p.eager++
+			}
+		}
+	}
+}
+
 // discard drops the claim at an index of the log.
 func (s *Scheduler) discard(at int) {
 	c := s.log.claims[at]
@@ -93,7 +162,7 @@
 	s.log.digest ^= key.hash()
 	for _, id := range s.order {
 		if p := s.peers[id]; !c.known.has(p.slot) {
-			p.owed--
+			s.paid(c, p)
 		}
 	}
 }
@@ -107,16 +176,38 @@
 	}
 }
 
+// Digest digests all evidence that is held.
+func (s *Scheduler) Digest() uint64 { return s.log.digest }
+
 // markKnown notes that a peer has a claim.
 func (s *Scheduler) markKnown(c *claim, p *peer) {
 	if !c.known.has(p.slot) {
 		c.known.add(p.slot)
-		p.owed--
+		s.paid(c, p)
+	}
+}
+
+// paid counts one claim less that a peer lacks.
+func (s *Scheduler) paid(c *claim, p *peer) {
+	p.owed--
+	if c.eagerFor(p) {
+		p.eager--
+	}
+	if p.owed == 0 {
+		p.lacks = false
 	}
 }
 
-// owedEvidence appends the evidence that a peer is not known to have, newest
-// first, as many as fit into budget bytes, and remembers it as under way.
+// allKnown notes that a peer has the same evidence as this entry.
+func (s *Scheduler) allKnown(p *peer) {
+	p.differs, p.repairs, p.lacks = false, 0, false
+	for _, c := range s.log.claims {
+		s.markKnown(c, p)
+	}
+}
+
+// owedEvidence returns the evidence to tell a peer now, newest first, as many pieces as fit
+// into budget bytes, and remembers it as under way.
 func (s *Scheduler) owedEvidence(now time.Duration, p *peer, budget int) []message.Evidence {
 	p.underWay = p.underWay[:0]
 	if p.owed == 0 {
@@ -125,7 +216,7 @@
 	var out []message.Evidence
 	for i := len(s.log.claims) - 1; i >= 0 && len(out) < maxEvidence; i-- {
 		c := s.log.claims[i]
-		if c.known.has(p.slot) {
+		if c.known.has(p.slot) || !s.tells(now, p, c) {
 			continue
 		}
 		budget -= evidenceBytes + len(c.evidence.VM)
@@ -140,6 +231,22 @@
 	return out
 }
 
+// tells reports whether a message tells a peer a claim that it is owed. It does if the peer
+// hears it first from this entry, or is known to lack some. A finger is also told what it may
+// have from others where that takes no more than the question whether it has; or what it has
+// been owed for long, while so much comes in that no digest can tell.
+func (s *Scheduler) tells(now time.Duration, p *peer, c *claim) bool {
+	switch {
+	case p.lacks || c.eagerFor(p):
+		return true
+	case !p.finger:
+		return false
+	case now-s.log.changedAt >= passedWithin:
+		return p.owed*pieceBytes <= heartbeatBytes
+	}
+	return now-c.learnedAt >= passedAtMost
+}
+
 func millis(d time.Duration) uint32 {
 	return uint32(min(max(d.Milliseconds(), 0), int64(^uint32(0))))
 }
--- a/internal/core/gossip/scheduler.go
+++ b/internal/core/gossip/scheduler.go
@@ -63,9 +63,15 @@
 	sightingAt  time.Duration
 	urgentAt    time.Duration
 
-	told      told
-	owed      int // claims that it is not known to have
-	sightings map[string]toldSighting
+	told told
+	// owed counts the claims that it is not known to have, eager those of them that it is
+	// to be told at once. owedSince is when owed was 0 last.
+	owed, eager int
+	owedSince   time.Duration
+	// lacks says that it is known not to have all that it is owed; doubted that its latest
+	// ack said so.
+	lacks, doubted bool
+	sightings      map[string]toldSighting
 	// named are the endpoints that the link has named, with their incarnations.
 	named map[string]uint64
 
@@ -87,17 +93,23 @@
 
 // Scheduler decides when to tell which peer what.
 type Scheduler struct {
-	cfg      Config
-	state    State
-	peers    map[uint64]*peer
-	order    []uint64 // incarnations of peers in order
-	slots    [MaxPeers]bool
-	mesh     int // peers in the same region
-	allow    allowance
-	log      evidenceLog
-	sequence uint64
-	expireAt time.Duration
-	stats    Stats
+	cfg   Config
+	state State
+	// reach: the fingers at a shorter distance are told of the revisions in force at once.
+	reach int
+	// changedAt is when the revisions in force changed last.
+	changedAt time.Duration
+	peers     map[uint64]*peer
+	order     []uint64 // incarnations of peers in order
+	slots     [MaxPeers]bool
+	mesh      int // peers in the same region
+	allow     allowance
+	log       evidenceLog
+	sequence  uint64
+	expireAt  time.Duration
+	stats     Stats
+	// moved says that peers changed since the topology was worked out.
+	moved bool
 }
 
 // New returns a scheduler without peers.
@@ -112,7 +124,38 @@
 }
 
 // SetState sets what this entry tells of itself from now on.
-func (s *Scheduler) SetState(state State) { s.state = state }
+func (s *Scheduler) SetState(state State) {
+	if state.VMs.Revision > s.state.VMs.Revision || state.Profiles.Revision > s.state.Profiles.Revision {
+		s.place()
+		s.reach, s.changedAt = s.reachOf(state), s.allow.at
+	}
+	s.state = state
+}
+
+// reachOf is how far this entry passes on revisions that have come into force here: as far as
+// those rely on it that told of them, or everywhere if nobody did.
+func (s *Scheduler) reachOf(state State) int {
+	reach := 0
+	for _, id := range s.order {
+		p := s.peers[id]
+		if p.told.vms >= state.VMs.Revision && p.told.profiles >= state.Profiles.Revision {
+			reach = max(reach, p.delegates())
+		}
+	}
+	if reach == 0 {
+		return everywhere
+	}
+	return reach
+}
+
+// delegates is how far a peer relies on this entry to pass on what it tells it: to the next
+// of its own fingers, or around to itself. It is 0 if this entry is none of them.
+func (p *peer) delegates() int {
+	if p.kind != linkMesh || p.behind == 0 || p.behind&(p.behind-1) != 0 {
+		return 0
+	}
+	return min(p.behind, p.distance)
+}
 
 // SetPeers sets the other entries that are known, this one excluded. Call it
 // when they or what is believed of them change.
@@ -139,7 +182,7 @@
 			s.mesh++
 		}
 	}
-	s.setTopology()
+	s.moved = true
 	s.scheduleNew(now)
 }
 
@@ -167,7 +210,7 @@
 	added := &peer{
 		incarnation: p.Incarnation, slot: slot, region: p.Region,
 		shares: p.Shares, suspected: p.Suspected,
-		owed:      len(s.log.claims),
+		owed: len(s.log.claims), owedSince: s.allow.at,
 		sightings: make(map[string]toldSighting), named: make(map[string]uint64),
 	}
 	s.peers[p.Incarnation] = added
@@ -208,8 +251,13 @@
 const (
 	notDue urgency = iota
 	dueSightings
+	// dueCopy: it should have heard from others what this entry has not told it.
+	dueCopy
 	dueHeartbeat
+	// dueNews: revisions or this entry's state, which it hears from nobody else first.
 	dueNews
+	// dueEvidence: the same with evidence.
+	dueEvidence
 	// dueOverdue: a heartbeat that is late by half a period goes before
 	// everything, so that a flood of news never looks like a dead entry.
 	dueOverdue
@@ -220,6 +268,8 @@
 	switch u {
 	case dueSightings:
 		return sightingFloor
+	case dueCopy:
+		return copyFloor
 	case dueHeartbeat:
 		return heartbeatFloor
 	}
@@ -234,16 +284,56 @@
 	switch {
 	case now-p.heartbeatAt >= s.period(p)/2:
 		return dueOverdue
-	case now >= p.urgentAt && (p.told.misjudges(s.state) || p.finger && (p.owed > 0 || p.told.behind(s.state))):
+	case now >= p.urgentAt && (p.lacks || p.eager > 0):
+		return dueEvidence
+	case now >= p.urgentAt && (p.told.misjudges(s.state) || p.finger && s.revisionsDue(p)):
 		return dueNews
 	case now >= p.heartbeatAt:
 		return dueHeartbeat
+	case p.finger && s.copyDue(now, p):
+		return dueCopy
 	case p.shares && p.kind == linkMesh && now >= p.sightingAt:
 		return dueSightings
 	}
 	return notDue
 }
 
+// revisionsDue reports whether a finger hears first from this entry what came into force.
+func (s *Scheduler) revisionsDue(p *peer) bool {
+	if !p.told.behind(s.state) {
+		return false
+	}
+	return p.told.state != s.state.State || p.kind == linkRegion || p.distance < s.reach
+}
+
+// copyDue reports whether a finger is to be told what it should have heard from others. What
+// it says to that tells whether it has, but only while nothing new comes in: so it waits for
+// that, up to a limit.
+func (s *Scheduler) copyDue(now time.Duration, p *peer) bool {
+	if p.told.behind(s.state) && now-max(s.changedAt, p.sentAt) >= passedWithin {
+		return true
+	}
+	if p.owed == 0 {
+		return false
+	}
+	quiet := s.log.changedAt + passedWithin
+	return now >= quiet && p.sentAt < quiet || now-max(p.owedSince, p.sentAt) >= passedAtMost
+}
+
+// needs is what the message that a peer is due to takes of the bound, its news included. A
+// message without them would leave the peer due, and the bound spent on headers.
+func (s *Scheduler) needs(p *peer, u urgency) int {
+	need := heartbeatBytes
+	if u == dueEvidence {
+		pieces := p.eager
+		if p.lacks {
+			pieces = p.owed
+		}
+		need += min(pieces, fewPieces) * pieceBytes
+	}
+	return need
+}
+
 // duePeer is a peer with why it is due.
 type duePeer struct {
 	peer    *peer
@@ -255,6 +345,7 @@
 // farthest on the ring comes first: most entries depend on it, and it is another
 // one for each entry. Messages without an ack for too long count as lost.
 func (s *Scheduler) Due(now time.Duration, out []uint64) []uint64 {
+	s.place()
 	s.allow.refill(now)
 	if now >= s.expireAt {
 		s.expire(now)
@@ -265,10 +356,9 @@
 	for _, id := range s.order {
 		p := s.peers[id]
 		if p.inFlight && now-p.sentAt >= inFlightLimit {
-			s.Done(now, id, p.sequence, false)
+			s.Done(now, id, p.sequence, message.Receipt{})
 		}
-		u := s.due(now, p)
-		if u != notDue && s.allow.covers(heartbeatBytes, u.floor()) {
+		if u := s.due(now, p); u != notDue {
 			found = append(found, duePeer{p, u})
 		}
 	}
@@ -276,7 +366,14 @@
 		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(a.peer.waiting(a.urgency), b.peer.waiting(b.urgency)),
 			cmp.Compare(b.peer.distance, a.peer.distance), cmp.Compare(a.peer.incarnation, b.peer.incarnation))
 	})
+	spent := 0
 	for _, d := range found {
+		need := s.needs(d.peer, d.urgency)
+		if !s.allow.covers(spent+need, d.urgency.floor()) {
+			// What is worth less and would fit waits too, or the bound never covers this.
+			break
+		}
+		spent += need
 		out = append(out, d.peer.incarnation)
 	}
 	return out
@@ -287,8 +384,10 @@
 	switch u {
 	case dueSightings:
 		return p.sightingAt
-	case dueNews:
+	case dueNews, dueEvidence:
 		return p.urgentAt
+	case dueCopy:
+		return p.sentAt
 	}
 	return p.heartbeatAt
 }
--- a/internal/core/gossip/topology.go
+++ b/internal/core/gossip/topology.go
@@ -50,8 +50,12 @@
 // on to its fingers, it reaches all n after at most ceil(log2 n) steps; several
 // ways lead to each entry, so one that is lost costs steps, not the news.
 func ringFrom(self uint64, members []uint64) []uint64 {
+	places := make(map[uint64]uint64, len(members))
+	for _, id := range members {
+		places[id] = ringPlace(id)
+	}
 	ring := slices.Clone(members)
-	slices.SortFunc(ring, func(a, b uint64) int { return cmp.Compare(ringPlace(a), ringPlace(b)) })
+	slices.SortFunc(ring, func(a, b uint64) int { return cmp.Compare(places[a], places[b]) })
 	own := slices.Index(ring, self)
 	return append(ring[own:], ring[:own]...)
 }
@@ -70,6 +74,14 @@
 	return duty.Key("link", min(a, b)+"\x00"+max(a, b))
 }
 
+// place brings the topology up to date, once for any number of changes of peers.
+func (s *Scheduler) place() {
+	if s.moved {
+		s.moved = false
+		s.setTopology()
+	}
+}
+
 // setTopology decides the kind of each link and which peers are fingers.
 func (s *Scheduler) setTopology() {
 	local := []uint64{s.cfg.Self}
@@ -101,6 +113,7 @@
 	for _, region := range regions {
 		s.linkRegion(region, local, remote[region])
 	}
+	s.recountAll()
 }
 
 // answering returns the first peers that have not failed too often.
--- a/internal/core/member/claim.go
+++ b/internal/core/member/claim.go
@@ -111,12 +111,12 @@
 	var changes []Change
 	if r.suspected {
 		r.suspected = false
-		t.version++
+		t.changed(r.vm)
 		changes = append(changes, Change{Kind: EntryReturned, VM: r.vm, Why: "it was heard again"})
 	}
 	if !r.leaving && (state > r.state || !r.spoke) && state != r.state {
 		r.state = state
-		t.version++
+		t.changed(r.vm)
 	}
 	r.spoke = true
 	switch {
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -179,8 +179,10 @@
 func (t *Table) refresh(r *row, vm published.VM) {
 	vm.State = r.vm.State
 	if r.vm != vm {
+		t.index.remove(r)
 		r.vm = vm
-		t.version++
+		t.index.add(r)
+		t.changed(vm)
 	}
 }
 
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -101,18 +101,17 @@
 	verdicts verdicts
 	fresh    []message.Evidence
 	list     listState
-	version  uint64
-	index    index
+	// entriesVersion grows with each change of what Entries returns.
+	entriesVersion uint64
+	index          index
 }
 
-// index finds rows other than by name. It is built anew when it is asked after a
-// change: rows are asked for far more often than they change.
+// index finds rows other than by name. It follows each change of a row: built anew after
+// each, it made a list cost the square of its rows.
 type index struct {
-	built   bool
-	version uint64
-	// entries are by incarnation, addresses all VMs by role and address. Of
-	// several rows the first by name comes first.
-	entries   map[uint64]*row
+	// entries are by incarnation, addresses all VMs by role and address. Of several rows the
+	// first by name comes first.
+	entries   map[uint64][]*row
 	addresses map[place][]*row
 }
 
@@ -122,17 +121,27 @@
 	address string
 }
 
+func placeOf(vm published.VM) place { return place{vm.Role, vm.Address} }
+
 // New returns a table without any VM.
 func New(cfg Config) *Table {
 	return &Table{
 		cfg:      cfg.withDefaults(),
 		rows:     make(map[string]*row),
 		verdicts: newVerdicts(),
+		index:    index{entries: make(map[uint64][]*row), addresses: make(map[place][]*row)},
 	}
 }
 
-// Version grows with each change of what Endpoints or Entries return.
-func (t *Table) Version() uint64 { return t.version }
+// EntriesVersion grows with each change of what Entries returns.
+func (t *Table) EntriesVersion() uint64 { return t.entriesVersion }
+
+// changed notes that what is believed of a VM changed.
+func (t *Table) changed(vm published.VM) {
+	if isEntry(vm) {
+		t.entriesVersion++
+	}
+}
 
 func isEntry(vm published.VM) bool { return vm.Role == published.EntryRole }
 
@@ -151,7 +160,8 @@
 	t.rows[vm.Name] = r
 	at, _ := slices.BinarySearch(t.names, vm.Name)
 	t.names = slices.Insert(t.names, at, vm.Name)
-	t.version++
+	t.index.add(r)
+	t.changed(vm)
 	changes := []Change{{Kind: kindFor(vm, EndpointAdded, EntryAdded), VM: r.vm, Why: why}}
 	if t.verdicts.isLeaving(vm.Name, vm.Incarnation) {
 		changes = append(changes, t.leave(r, "it was known to leave before it was listed")...)
@@ -169,7 +179,7 @@
 	if isEntry(r.vm) && r.state < message.EntryLeaving {
 		r.state = message.EntryLeaving
 	}
-	t.version++
+	t.changed(r.vm)
 	return []Change{{Kind: kindFor(r.vm, EndpointLeaving, EntryLeaving), VM: r.vm, Why: why}}
 }
 
@@ -179,7 +189,8 @@
 	if at, found := slices.BinarySearch(t.names, r.vm.Name); found {
 		t.names = slices.Delete(t.names, at, at+1)
 	}
-	t.version++
+	t.index.remove(r)
+	t.changed(r.vm)
 	return []Change{{Kind: kindFor(r.vm, EndpointGone, EntryGone), VM: r.vm, Why: why}}
 }
 
@@ -201,7 +212,7 @@
 
 // byAddress returns the row of another VM of the same role at the address of vm.
 func (t *Table) byAddress(vm published.VM) *row {
-	for _, r := range t.indexed().addresses[place{vm.Role, vm.Address}] {
+	for _, r := range t.index.addresses[placeOf(vm)] {
 		if r.vm.Name != vm.Name {
 			return r
 		}
@@ -211,30 +222,45 @@
 
 // entry returns the row of an entry by its incarnation.
 func (t *Table) entry(incarnation uint64) *row {
-	return t.indexed().entries[incarnation]
+	if rows := t.index.entries[incarnation]; len(rows) > 0 {
+		return rows[0]
+	}
+	return nil
 }
 
-// indexed returns an index of the rows as they are.
-func (t *Table) indexed() *index {
-	x := &t.index
-	if x.built && x.version == t.version {
-		return x
+// add takes in a row.
+func (x *index) add(r *row) {
+	insert(x.addresses, placeOf(r.vm), r)
+	if isEntry(r.vm) {
+		insert(x.entries, r.vm.Incarnation, r)
 	}
-	*x = index{
-		built:     true,
-		version:   t.version,
-		entries:   make(map[uint64]*row),
-		addresses: make(map[place][]*row, len(t.names)),
+}
+
+// remove takes out a row, which must be as it was when it was added.
+func (x *index) remove(r *row) {
+	take(x.addresses, placeOf(r.vm), r)
+	if isEntry(r.vm) {
+		take(x.entries, r.vm.Incarnation, r)
 	}
-	for _, name := range t.names {
-		r := t.rows[name]
-		at := place{r.vm.Role, r.vm.Address}
-		x.addresses[at] = append(x.addresses[at], r)
-		if _, taken := x.entries[r.vm.Incarnation]; isEntry(r.vm) && !taken {
-			x.entries[r.vm.Incarnation] = r
-		}
+}
+
+// insert adds a row under a key in the order of names.
+func insert[K comparable](rows map[K][]*row, key K, r *row) {
+	list := rows[key]
+	at, _ := slices.BinarySearchFunc(list, r.vm.Name, func(other *row, name string) int {
+		return strings.Compare(other.vm.Name, name)
+	})
+	rows[key] = slices.Insert(list, at, r)
+}
+
+// take takes a row out from under a key.
+func take[K comparable](rows map[K][]*row, key K, r *row) {
+	list := slices.DeleteFunc(rows[key], func(other *row) bool { return other == r })
+	if len(list) == 0 {
+		delete(rows, key)
+		return
 	}
-	return x
+	rows[key] = list
 }
 
 // rowOf returns the row of one incarnation, or nil.
--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -76,7 +76,7 @@
 		return nil
 	}
 	r.suspected = true
-	t.version++
+	t.changed(r.vm)
 	return []Change{{Kind: EntrySuspected, VM: r.vm, Why: describeSilence(now, r)}}
 }
 
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -15,10 +15,11 @@
 // ratePeriod is how often the call rate is sampled.
 const ratePeriod = time.Second
 
-// announceDeciders tells each pool's policy which endpoints and which entries
-// there are, and the scheduler which peers serve the same pools.
+// announceDeciders divides the services among the entries and tells each pool's policy, and
+// the scheduler which peers serve the same pools.
 func (c *Core) announceDeciders(now time.Duration) {
-	shares := make(map[uint64]bool)
+	c.fleet.divided, c.fleet.dividedAt = c.fleet.version, now
+	clear(c.fleet.shares)
 	for _, p := range c.poolRows {
 		deciders := c.decidersOf(p)
 		p.serving = deciders[c.cfg.Self.Incarnation]
@@ -27,10 +28,20 @@
 			continue
 		}
 		for incarnation := range deciders {
-			shares[incarnation] = true
+			c.fleet.shares[incarnation] = true
+		}
+	}
+	c.fleet.gossip.SetPeers(now, c.gossipPeers())
+}
+
+// announceRows tells the policies of pools that have new rows.
+func (c *Core) announceRows(now time.Duration) {
+	for _, p := range c.poolRows {
+		if p.newRows {
+			p.newRows = false
+			p.picker.Changed(now, &p.Pool, p.deciderNames)
 		}
 	}
-	c.fleet.gossip.SetPeers(now, c.gossipPeers(shares))
 }
 
 // decidersOf returns the entries to which callers of the pool's services are sent.
@@ -53,19 +64,18 @@
 
 // setDeciders lists the deciders in the order of the entries' names.
 func (c *Core) setDeciders(now time.Duration, p *pool, chosen map[uint64]bool) {
-	p.deciders = p.deciders[:0]
-	var names []string
+	p.deciders, p.deciderNames, p.newRows = p.deciders[:0], p.deciderNames[:0], false
 	for i := range c.fleet.entries {
 		if e := &c.fleet.entries[i]; chosen[e.VM.Incarnation] {
 			p.deciders = append(p.deciders, e.VM.Incarnation)
-			names = append(names, e.VM.Name)
+			p.deciderNames = append(p.deciderNames, e.VM.Name)
 		}
 	}
-	p.picker.Changed(now, &p.Pool, names)
+	p.picker.Changed(now, &p.Pool, p.deciderNames)
 }
 
-func (c *Core) gossipPeers(shares map[uint64]bool) []gossip.Peer {
-	var peers []gossip.Peer
+func (c *Core) gossipPeers() []gossip.Peer {
+	peers := c.fleet.gossipPeers[:0]
 	for i := range c.fleet.entries {
 		e := &c.fleet.entries[i]
 		if e.VM.Incarnation == c.cfg.Self.Incarnation {
@@ -74,10 +84,11 @@
 		peers = append(peers, gossip.Peer{
 			Incarnation: e.VM.Incarnation,
 			Region:      e.VM.Region,
-			Shares:      shares[e.VM.Incarnation],
+			Shares:      c.fleet.shares[e.VM.Incarnation],
 			Suspected:   e.Suspected,
 		})
 	}
+	c.fleet.gossipPeers = peers
 	return peers
 }
 
@@ -85,10 +96,7 @@
 func (c *Core) composeUpdates(now time.Duration, out *Actions) {
 	f := &c.fleet
 	c.sampleRate(now)
-	f.fresh = f.members.TakeEvidence(f.fresh[:0])
-	if len(f.fresh) > 0 {
-		f.gossip.Spread(now, f.fresh)
-	}
+	c.spreadFresh(now)
 	f.gossip.SetState(c.ownState())
 	f.due = f.gossip.Due(now, f.due[:0])
 	if len(f.due) == 0 {
@@ -100,6 +108,13 @@
 	}
 }
 
+// spreadFresh has evidence passed on that was learned here since the last time.
+func (c *Core) spreadFresh(now time.Duration) {
+	f := &c.fleet
+	f.fresh = f.members.TakeEvidence(f.fresh[:0])
+	f.gossip.Spread(now, f.fresh)
+}
+
 // ownState is what this entry tells of itself.
 func (c *Core) ownState() gossip.State {
 	return gossip.State{
@@ -112,6 +127,9 @@
 	}
 }
 
+// EvidenceDigest digests all evidence that is held to be passed on.
+func (c *Core) EvidenceDigest() uint64 { return c.fleet.gossip.Digest() }
+
 // Says returns what this entry tells of itself to a peer that it meets.
 func (c *Core) Says() message.Update {
 	c.fleet.gossip.SetState(c.ownState())
@@ -126,16 +144,16 @@
 	}
 	address, known := c.peerAddressOf(to)
 	if !known || address == "" {
-		f.gossip.Done(now, to, u.Sequence, false)
+		f.gossip.Done(now, to, u.Sequence, message.Receipt{})
 		return
 	}
 	out.Updates = append(out.Updates, Outgoing{To: to, Address: address, Update: u})
 }
 
-// UpdateDone says whether an update reached its peer.
-func (c *Core) UpdateDone(now time.Duration, to, sequence uint64, acked bool) {
-	c.fleet.gossip.Done(now, to, sequence, acked)
-	if !acked {
+// UpdateDone says how an update to a peer ended.
+func (c *Core) UpdateDone(now time.Duration, to, sequence uint64, r message.Receipt) {
+	c.fleet.gossip.Done(now, to, sequence, r)
+	if !r.Acked {
 		c.fleet.members.Unreachable(to)
 	}
 }
@@ -264,9 +282,7 @@
 	f.vms.Seen(now, u.VMs.Revision, c.holder(u.From, f.vms))
 	f.gossip.Received(now, u)
 	c.applyChanges(now, f.members.Heard(now, u.From, u.State), "peer", out)
-	for _, ev := range u.Evidence {
-		c.claim(now, ev, out)
-	}
+	c.claim(now, out, u.Evidence...)
 	c.peerHeard(now, u.From)
 	for i := range u.Sightings {
 		c.peerSighting(now, u.From, &u.Sightings[i])
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -84,7 +84,12 @@
 	note.Action = "accepted"
 	out.note(note)
 	if o.Name == published.VMsValue {
+		c.spreadFresh(now)
 		c.applyChanges(now, c.fleet.members.ApplyList(now, o.VMs), note.Actor, out)
+		if o.Source != duty.Platform {
+			c.fleet.fresh = c.fleet.members.TakeEvidence(c.fleet.fresh[:0])
+			c.fleet.gossip.Learned(now, c.fleet.fresh)
+		}
 		return
 	}
 	c.applySnapshot(o.Profiles, out)
--- a/internal/core/readers.go
+++ b/internal/core/readers.go
@@ -39,13 +39,15 @@
 	volunteer bool
 }
 
-// assignReaders divides the duty anew after a change of members.
+// assignReaders divides the duty to read anew after a change of entries. An entry that is
+// not among those that duties are divided among does not know enough to rely on others.
 func (c *Core) assignReaders() {
 	f := &c.fleet
+	f.reader = !slices.ContainsFunc(f.dutyMembers, func(m duty.Member) bool { return m.Incarnation == f.selfID })
 	f.readers.assigned = f.readers.assigned[:0]
-	for i := range f.entries {
-		e := &f.entries[i]
-		if e.VM.Region == c.cfg.Self.Region && duty.IsReader(dutyID(e.VM.Name), f.dutyMembers, c.cfg.ReadersPerDomain) {
+	for _, id := range duty.AllReaders(f.dutyMembers, c.cfg.ReadersPerDomain) {
+		f.reader = f.reader || id == f.selfID
+		if e := &f.entries[f.byDuty[id]]; e.VM.Region == c.cfg.Self.Region {
 			f.readers.assigned = append(f.readers.assigned, e.VM.Incarnation)
 		}
 	}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -68,8 +68,11 @@
 	holdings holdings
 	// deciders are the entries to which callers of the services are sent, in
 	// the order in which the picker knows them; serving says that this is one.
-	deciders []uint64
-	serving  bool
+	deciders     []uint64
+	deciderNames []string
+	// newRows says that the policy has not been told of endpoints that were added.
+	newRows bool
+	serving bool
 	// probed says for each endpoint whether this entry probes it, as of
 	// probedVersion of the member table.
 	probed        []bool
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -13,6 +13,7 @@
 	"github.com/tealhall/tealhall/internal/core"
 	"github.com/tealhall/tealhall/internal/core/duty"
 	"github.com/tealhall/tealhall/internal/forward"
+	"github.com/tealhall/tealhall/internal/message"
 )
 
 // The bounds of work that serves no caller.
@@ -64,12 +65,12 @@
 // deliver sends an update and tells the core whether the peer accepted it: what
 // was lost on the way is owed still.
 func (e *Entry) deliver(u core.Outgoing) {
-	e.links.Deliver(u.Address, u.Update, func(acked bool) { e.updateDone(u.To, u.Update.Sequence, acked) })
+	e.links.Deliver(u.Address, u.Update, func(r message.Receipt) { e.updateDone(u.To, u.Update.Sequence, r) })
 }
 
-func (e *Entry) updateDone(to, sequence uint64, acked bool) {
+func (e *Entry) updateDone(to, sequence uint64, r message.Receipt) {
 	e.engine.event(func(now time.Duration, c *core.Core, _ *core.Actions) {
-		c.UpdateDone(now, to, sequence, acked)
+		c.UpdateDone(now, to, sequence, r)
 	})
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -149,7 +149,7 @@
 	wanted, told := e.told.appendTo(nil)
 	unchanged := false
 	e.engine.view(func(_ time.Duration, c *core.Core) {
-		version := c.MembersVersion()
+		version := c.EntriesVersion()
 		if unchanged = set.addresses != nil && version == set.version && told == set.told; !unchanged {
 			set.version, set.told, wanted = version, told, c.PeerAddresses(wanted)
 		}
@@ -179,12 +179,15 @@
 // Update implements peer.Handler.
 func (h *peerHandler) Update(u message.Update) (message.Ack, error) {
 	e := (*Entry)(h)
-	known := false
-	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { known = c.PeerUpdate(now, &u, out) })
+	known, holds := false, uint64(0)
+	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) {
+		known = c.PeerUpdate(now, &u, out)
+		holds = c.EvidenceDigest()
+	})
 	if !known {
 		return message.Ack{Reason: "say hello first"}, nil
 	}
-	return message.Ack{Accepted: true}, nil
+	return message.Ack{Accepted: true, Known: holds}, nil
 }
 
 // Fetch implements peer.Handler.
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -146,4 +146,15 @@
 type Ack struct {
 	Accepted bool   `cbor:"1,keyasint,omitempty"`
 	Reason   string `cbor:"2,keyasint,omitempty"`
+	// Known digests all evidence that the receiver of an update holds after it, as
+	// Update.Known does for its sender.
+	Known uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Receipt tells the sender of an update how that ended.
+type Receipt struct {
+	// Acked: the peer has taken it in.
+	Acked bool
+	// Known is that of the peer's Ack.
+	Known uint64
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -268,36 +268,36 @@
 	if !ok {
 		return nil
 	}
-	err := l.sendUpdate(ctx, c, u)
-	l.settle(done, err == nil)
+	ack, err := l.sendUpdate(ctx, c, u)
+	l.settle(done, message.Receipt{Acked: err == nil, Known: ack.Known})
 	return err
 }
 
-func (l *link) sendUpdate(ctx context.Context, c *connection, u message.Update) error {
+func (l *link) sendUpdate(ctx context.Context, c *connection, u message.Update) (message.Ack, error) {
 	reply := new(wire.AckReply)
 	if err := l.exchange(ctx, c, wire.MethodUpdate, c.packer.Pack(u), reply); err != nil {
-		return err
+		return message.Ack{}, err
 	}
 	if err := reply.Refusal.Err(); err != nil {
-		return err
+		return message.Ack{}, err
 	}
 	if !reply.Ack.Accepted {
 		// Its reasons end with a new Hello, which a new connection begins with.
-		return fault.New(fault.PeerDown, "nothing: the link is opened again", "%s did not accept an update: %s", l.address, reply.Ack.Reason)
+		return message.Ack{}, fault.New(fault.PeerDown, "nothing: the link is opened again", "%s did not accept an update: %s", l.address, reply.Ack.Reason)
 	}
-	return nil
+	return reply.Ack, nil
 }
 
 // settle counts an update and tells its sender how it ended.
-func (l *link) settle(done func(acked bool), acked bool) {
+func (l *link) settle(done func(message.Receipt), r message.Receipt) {
 	l.note(func(s *LinkStats) {
-		if acked {
+		if r.Acked {
 			s.Messages++
 		} else {
 			s.Dropped++
 		}
 	})
-	done(acked)
+	done(r)
 }
 
 // giveUp fails the update that waits, if there is one.
@@ -306,13 +306,13 @@
 	_, done, ok := l.outbox.take(time.Now())
 	l.mu.Unlock()
 	if ok {
-		l.settle(done, false)
+		l.settle(done, message.Receipt{})
 	}
 }
 
 // send puts an update into the outbox unless the link is down. An update waits
 // for a link that is being dialled.
-func (l *link) send(u message.Update, done func(acked bool)) bool {
+func (l *link) send(u message.Update, done func(message.Receipt)) bool {
 	l.mu.Lock()
 	if l.stats.State == LinkWaiting || l.stats.State == linkStopped {
 		l.stats.Dropped++
@@ -322,7 +322,7 @@
 	replaced := l.outbox.put(time.Now(), u, done)
 	l.mu.Unlock()
 	if replaced != nil {
-		l.settle(replaced, false)
+		l.settle(replaced, message.Receipt{})
 	}
 	select {
 	case l.ready <- struct{}{}:
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -61,15 +61,15 @@
 }
 
 // Deliver hands an update to a link and never blocks. One update waits for each
-// peer, and a newer one takes its place. Done is called exactly once: with true
-// when the peer has accepted the update, with false when it was replaced, or
-// when the link is down or broke before the answer. It is called before Deliver
+// peer, and a newer one takes its place. Done is called exactly once: the update counts as
+// acked when the peer has accepted it, and not when it was replaced, or when the link is
+// down or broke before the answer. It is called before Deliver
 // returns if the link is known to be down, else on the link's goroutine, which
 // waits for it. The update's slices must not change before done is called.
-func (l *Links) Deliver(address string, u message.Update, done func(acked bool)) {
+func (l *Links) Deliver(address string, u message.Update, done func(message.Receipt)) {
 	open := l.find(address)
 	if open == nil || !open.send(u, done) {
-		done(false)
+		done(message.Receipt{})
 	}
 }
 
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -15,12 +15,12 @@
 	waiting bool
 	update  message.Update
 	at      time.Time
-	done    func(acked bool)
+	done    func(message.Receipt)
 }
 
 // put makes u the update that waits and returns what to call for the one that
 // it replaced, or nil.
-func (o *outbox) put(now time.Time, u message.Update, done func(acked bool)) (replaced func(acked bool)) {
+func (o *outbox) put(now time.Time, u message.Update, done func(message.Receipt)) (replaced func(message.Receipt)) {
 	replaced = o.done
 	*o = outbox{waiting: true, update: u, at: now, done: done}
 	return replaced
@@ -28,7 +28,7 @@
 
 // take empties the box. Ages are those at now: an update that waited while its
 // link was opened must not pass old knowledge off as new.
-func (o *outbox) take(now time.Time) (u message.Update, done func(acked bool), ok bool) {
+func (o *outbox) take(now time.Time) (u message.Update, done func(message.Receipt), ok bool) {
 	waited := now.Sub(o.at)
 	u, done, ok = o.update, o.done, o.waiting
 	*o = outbox{}
