Readers: a few take over from silent ones, from the list that they hold

Cause: when the entries that read the platform for all are turned away, every other entry tried to read in their place, and each read the list anew, nine pages and the config at 421 endpoints: 11 calls for each of 141 entries, twice where the readers come back. Each also told 140 others that it reads. Change: two of each failure domain try first, then six more, then all, 0.4 s apart, and nobody while any entry says that it reads. Who takes over goes on watching from the revision of the list in force, which is the store's, and reads the config alone; an outage loses a reader nothing. Once the platform is back, those assigned go first. Ruled out: more readers (calls grow in calm times), fewer glances (CONFIG in time). Measured: 60 simulated entries, readers silent: 54 tried before, 12 now, in force within 2 s as before, also where the first 12 are turned away.

--- a/internal/core/duty/assign.go
+++ b/internal/core/duty/assign.go
@@ -17,14 +17,15 @@
 	return first(where(entries, domainOf, domain), Key(scopeReader, domain), perDomain)
 }
 
-// AllReaders returns the readers of all failure domains.
-func AllReaders(entries []Member, perDomain int) (readers []uint64) {
-	for _, domain := range places(entries, domainOf) {
-		readers = append(readers, Readers(entries, domain, perDomain)...)
-	}
-	return readers
+// ReaderOrder returns the incarnations of the entries of a failure domain in the order in
+// which they are to read the platform for all others.
+func ReaderOrder(entries []Member, domain string) []uint64 {
+	return Readers(entries, domain, len(entries))
 }
 
+// Domains returns the failure domains of entries, in order.
+func Domains(entries []Member) []string { return places(entries, domainOf) }
+
 // IsReader reports whether the entry self is among the readers of its own
 // failure domain. An entry that is not in entries reads: it does not know
 // enough of the fleet to rely on others.
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -258,6 +258,49 @@
 	}
 }
 
+// The platform stops answering the entries that read it for all. All 59 others tried to read
+// in their place, each told all others that it did, and the calls to the platform grew with
+// the fleet. A few of each failure domain are enough; where these are turned away as well,
+// further ones come a moment later.
+func TestFewTakeOverFromSilentReaders(t *testing.T) {
+	for _, alsoSilent := range []bool{false, true} {
+		r := settled(t, 60, "counts/c1")
+		r.run(5 * sec)
+		silent := map[*node]bool{}
+		for _, n := range r.nodes {
+			silent[n] = n.Reader()
+		}
+		r.mute = func(n *node) bool { return silent[n] }
+		for n := range silent {
+			if silent[n] {
+				n.PlatformAnswered(false)
+			}
+		}
+		r.republish(2, `deadline = "800ms"`, `deadline = "700ms"`)
+		tried := map[*node]bool{}
+		began := r.now
+		for r.now-began < 2*sec {
+			r.run(r.tick)
+			for _, n := range r.nodes {
+				if n.Reader() && !silent[n] {
+					tried[n] = true
+					if alsoSilent && len(tried) <= 12 {
+						silent[n] = true
+						n.PlatformAnswered(false)
+					}
+				}
+			}
+		}
+		took, most := r.until(20*sec, atRevision(2)), 12
+		if alsoSilent {
+			most = 60
+		}
+		if len(tried) > most || took > 0 {
+			t.Errorf("the first to take over silent too: %v: %d entries tried to read; not in force everywhere after 2 s but %v later", alsoSilent, len(tried), took)
+		}
+	}
+}
+
 // The network splits the fleet and both halves serve their callers. A profile
 // reaches one half only, half of the entries are replaced, and the service goes
 // down before the network heals. Nobody is on call. The halves name only
--- a/internal/core/readers.go
+++ b/internal/core/readers.go
@@ -14,6 +14,9 @@
 // peers one by one.
 const (
 	readerSilence = 400 * time.Millisecond
+	// turnGap is the time between the turns in which entries go back to a platform that is
+	// answering again: several times what it takes to tell all others.
+	turnGap       = 100 * time.Millisecond
 	startPatience = 1500 * time.Millisecond
 	// firstPatience is the same where the whole fleet starts for the first time: enough for
 	// hundreds of entries to meet, and less than the seconds until callers come.
@@ -26,11 +29,14 @@
 // platform. Guards against a platform that can be reached by some entries only,
 // none of them a reader: a published profile would come into force when one of
 // them makes its slow check, after ten seconds or more. When no reader says that
-// it reaches the platform, every entry tries, and those that reach it read on
-// until a reader does again.
+// it reaches the platform, others try, a few of each failure domain first and after them all,
+// and those that reach it read on until a reader does again. If all tried at once, the calls
+// of a change of readers would grow with the fleet.
 type readers struct {
 	// assigned are the incarnations of this region's readers.
 	assigned []uint64
+	// turn is after how many spans of silence this entry tries.
+	turn int
 	// reaches says that the platform answered this entry's latest call, and silent
 	// that it did not answer the latest glance in time.
 	reaches, silent bool
@@ -42,17 +48,33 @@
 // assignReaders divides the duty to read anew after a change of entries. An entry that is
 // not among those that duties are divided among does not know enough to rely on others.
 func (c *Core) assignReaders() {
-	f := &c.fleet
-	f.reader = !slices.ContainsFunc(f.dutyMembers, func(m duty.Member) bool { return m.Incarnation == f.selfID })
-	f.readers.assigned = f.readers.assigned[:0]
-	for _, id := range duty.AllReaders(f.dutyMembers, c.cfg.ReadersPerDomain) {
-		f.reader = f.reader || id == f.selfID
-		if e := &f.entries[f.byDuty[id]]; e.VM.Region == c.cfg.Self.Region {
-			f.readers.assigned = append(f.readers.assigned, e.VM.Incarnation)
+	f, r := &c.fleet, &c.fleet.readers
+	f.reader, r.turn = true, 0
+	r.assigned = r.assigned[:0]
+	for _, domain := range duty.Domains(f.dutyMembers) {
+		order := duty.ReaderOrder(f.dutyMembers, domain)
+		if rank := slices.Index(order, f.selfID); rank >= 0 {
+			f.reader, r.turn = rank < c.cfg.ReadersPerDomain, turnOf(rank, c.cfg.ReadersPerDomain)
+		}
+		for _, id := range order[:min(c.cfg.ReadersPerDomain, len(order))] {
+			if e := &f.entries[f.byDuty[id]]; e.VM.Region == c.cfg.Self.Region {
+				r.assigned = append(r.assigned, e.VM.Incarnation)
+			}
 		}
 	}
 }
 
+// turnOf is after how many spans of silence the entry of a rank in its failure domain tries to
+// read: twice as many as are assigned try first, then three times as many, then all.
+func turnOf(rank, assigned int) int {
+	const widening, last = 3, 3
+	turn := 0
+	for most := assigned; rank >= most && turn < last; most *= widening {
+		turn++
+	}
+	return turn
+}
+
 // Reader reports whether this entry should read the platform itself.
 func (c *Core) Reader() bool { return c.fleet.reader || c.fleet.readers.volunteer }
 
@@ -76,7 +98,35 @@
 		r.reachedAt, r.volunteer = now, false
 		return
 	}
-	r.volunteer = now >= max(r.reachedAt+readerSilence, c.startPatience())
+	if r.volunteer {
+		return
+	}
+	if c.anyReads() {
+		r.reachedAt = now
+		return
+	}
+	r.volunteer = now >= max(r.reachedAt+time.Duration(max(r.turn, 1))*readerSilence, c.startPatience())
+}
+
+// anyReads reports whether any entry of this region says that it reaches the platform.
+func (c *Core) anyReads() bool {
+	f := &c.fleet
+	for i := range f.entries {
+		e := &f.entries[i]
+		if p, heard := f.peers[e.VM.Incarnation]; heard && p.update.Reader && e.Usable() && e.VM.Region == c.cfg.Self.Region {
+			return true
+		}
+	}
+	return false
+}
+
+// ReadPatience is how long this entry leaves the platform to those assigned to read it once it
+// is back: they tell all others that they reach it.
+func (c *Core) ReadPatience() time.Duration {
+	if c.fleet.reader {
+		return 0
+	}
+	return time.Duration(c.fleet.readers.turn) * turnGap
 }
 
 // startPatience is how long an entry that starts leaves the platform to those that read it
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -93,6 +93,9 @@
 func (e *Entry) followLoop(ctx context.Context, name string) {
 	e.awaitPeers(ctx)
 	for ctx.Err() == nil {
+		if e.reads() {
+			wait.For(ctx, e.readPatience())
+		}
 		if e.reads() {
 			e.follow(ctx, name)
 		}
@@ -100,6 +103,11 @@
 	}
 }
 
+func (e *Entry) readPatience() (patience time.Duration) {
+	e.engine.view(func(_ time.Duration, c *core.Core) { patience = c.ReadPatience() })
+	return patience
+}
+
 // startPatience is for how long an entry that starts waits to learn of others before
 // it reads for all: each entry of a fleet that starts would otherwise read as if it
 // were alone. firstPatience is the same at the first start of a whole fleet, in which
@@ -165,6 +173,10 @@
 		Backoff: published.NewBackoff(0, duty.CheckPeriod(e.KnownEntries(), readRetry)),
 		OnError: func(err error) { e.platformFailed(name, err) },
 	}
+	if e.resumes(name) {
+		published.Follow(ctx, e.platform, name, e.documents.get(name).Revision, options, e.platformAnswered)
+		return
+	}
 	// A watch may be held for long before it shows that the platform answers.
 	if v, err := e.platform.Read(ctx, name); err == nil {
 		e.platformAnswered(v)
@@ -176,6 +188,18 @@
 	published.Follow(ctx, e.platform, name, after, options, e.platformAnswered)
 }
 
+// resumes has the platform's service go on from the list of VMs in force here, where it can,
+// and reports whether it does. The list is large, and peers have given it.
+func (e *Entry) resumes(name string) bool {
+	service, can := e.platform.service.(published.Resumer)
+	held := e.documents.get(name)
+	if !can || name != published.VMsValue || held.Revision == 0 {
+		return false
+	}
+	service.Resume(held)
+	return true
+}
+
 func (e *Entry) platformAnswered(v published.Value) {
 	e.engine.view(func(_ time.Duration, c *core.Core) { c.PlatformAnswered(true) })
 	e.offer(v, duty.Platform)
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -43,6 +43,13 @@
 	Glance(ctx context.Context) error
 }
 
+// Resumer is a service that can go on from a list of VMs that is held already, without reading
+// it.
+type Resumer interface {
+	// Resume gives a list that was in force. An older one than the service knows changes nothing.
+	Resume(list Value)
+}
+
 // State is what the platform says of a VM.
 type State string
 
