Revisions reach all in a stream too

An entry told the fingers that it leaves to others only once nothing new had come for 0.3 s; in a stream of lists, with the entry that should have told them dead and not suspected yet, a profile would not have come into force behind it before the stream ended. Change: at most 0.6 s. Ruled out: all fingers at once (the bound, 10 KB/s). Test: TestRevisionsReachAllInAStream, red before.

--- a/internal/core/gossip/config.go
+++ b/internal/core/gossip/config.go
@@ -64,9 +64,11 @@
 // News is told along a tree: each entry tells its fingers up to the one that its teller
 // tells next. passedWithin is how long it leaves the others to the rest of the tree before it
 // tells them of a revision, or asks whether they have the evidence: several times what the
-// tree takes in a sound fleet. passedAtMost is the same for evidence while more comes in.
+// tree takes in a sound fleet. While more comes in that moment does not come; behindAtMost is
+// then the limit for revisions, passedAtMost that for evidence, which the lists hold as well.
 const (
 	passedWithin = 300 * time.Millisecond
+	behindAtMost = 600 * time.Millisecond
 	passedAtMost = 1500 * time.Millisecond
 )
 
--- a/internal/core/gossip/flood_test.go
+++ b/internal/core/gossip/flood_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/tealhall/tealhall/internal/message"
 )
 
 // A quarter of 421 endpoints left, and half a minute later another one, which got a read from
@@ -54,3 +56,42 @@
 		t.Errorf("the next piece is known after %v, the most of all that stands for never", took)
 	}
 }
+
+// An operator publishes a profile while endpoints come and go for many seconds and a third of
+// the entries have just died. Those whose teller is among the dead would hear nothing before
+// the list of VMs rests for a moment, since an entry tells the fingers that it leaves to others
+// only after that. In a stream of revisions, 20 a second, nobody is more than 2 s behind.
+func TestRevisionsReachAllInAStream(t *testing.T) {
+	const gap, within = 50 * time.Millisecond, 2 * time.Second
+	f := newFleet(60, 1)
+	f.sightless = true
+	f.run(8 * time.Second)
+	dead := func(id uint64) bool { return id%3 == 1 }
+	f.cut = func(from, to uint64) bool { return dead(from) || dead(to) }
+	holds := make(map[uint64]uint64)
+	adopt := func(id, revision uint64) {
+		holds[id] = revision
+		f.nodes[id].SetState(State{State: message.EntryServing, VMs: message.Mark{Revision: revision}})
+	}
+	behind := uint64(within / gap)
+	for revision := uint64(1); revision <= 160; revision++ {
+		adopt(f.ids[1], revision)
+		for range gap / step {
+			f.run(step)
+			for _, id := range f.ids {
+				latest := holds[id]
+				for _, p := range f.nodes[id].peers {
+					latest = max(latest, p.told.vms)
+				}
+				if !dead(id) && latest > holds[id] {
+					adopt(id, latest)
+				}
+			}
+		}
+		for _, id := range f.ids {
+			if !dead(id) && holds[id]+behind < revision {
+				t.Fatalf("at revision %d entry %d has %d", revision, id, holds[id])
+			}
+		}
+	}
+}
--- a/internal/core/gossip/scheduler.go
+++ b/internal/core/gossip/scheduler.go
@@ -71,7 +71,10 @@
 	// lacks says that it is known not to have all that it is owed; doubted that its latest
 	// ack said so.
 	lacks, doubted bool
-	sightings      map[string]toldSighting
+	// lagging says that it has not been told of the revisions in force, behindSince since when.
+	lagging     bool
+	behindSince time.Duration
+	sightings   map[string]toldSighting
 	// named are the endpoints that the link has named, with their incarnations.
 	named map[string]uint64
 
@@ -306,11 +309,21 @@
 	return p.told.state != s.state.State || p.kind == linkRegion || p.distance < s.reach
 }
 
+// isBehind reports whether the peer lacks news of s, and notes since when.
+func (p *peer) isBehind(now time.Duration, s State) bool {
+	was := p.lagging
+	p.lagging = p.told.behind(s)
+	if p.lagging && !was {
+		p.behindSince = now
+	}
+	return p.lagging
+}
+
 // copyDue reports whether a finger is to be told what it should have heard from others. What
 // it says to that tells whether it has, but only while nothing new comes in: so it waits for
 // that, up to a limit.
 func (s *Scheduler) copyDue(now time.Duration, p *peer) bool {
-	if p.told.behind(s.state) && now-max(s.changedAt, p.sentAt) >= passedWithin {
+	if p.isBehind(now, s.state) && (now-max(s.changedAt, p.sentAt) >= passedWithin || now-max(p.behindSince, p.sentAt) >= behindAtMost) {
 		return true
 	}
 	if p.owed == 0 {
--- a/internal/core/readers.go
+++ b/internal/core/readers.go
@@ -45,16 +45,15 @@
 	volunteer bool
 }
 
-// assignReaders divides the duty to read anew after a change of entries. An entry that is
-// not among those that duties are divided among does not know enough to rely on others.
+// assignReaders divides the duty to read anew after a change of entries.
 func (c *Core) assignReaders() {
 	f, r := &c.fleet, &c.fleet.readers
-	f.reader, r.turn = true, 0
-	r.assigned = r.assigned[:0]
+	f.reader = duty.IsReader(f.selfID, f.dutyMembers, c.cfg.ReadersPerDomain)
+	r.assigned, r.turn = r.assigned[:0], 0
 	for _, domain := range duty.Domains(f.dutyMembers) {
 		order := duty.ReaderOrder(f.dutyMembers, domain)
 		if rank := slices.Index(order, f.selfID); rank >= 0 {
-			f.reader, r.turn = rank < c.cfg.ReadersPerDomain, turnOf(rank, c.cfg.ReadersPerDomain)
+			r.turn = turnOf(rank, c.cfg.ReadersPerDomain)
 		}
 		for _, id := range order[:min(c.cfg.ReadersPerDomain, len(order))] {
 			if e := &f.entries[f.byDuty[id]]; e.VM.Region == c.cfg.Self.Region {
