--- a/internal/core/gossip/flood_test.go
+++ b/internal/core/gossip/flood_test.go
@@ -15,6 +15,7 @@
 // stood at 110 of 18,000 bytes and 34 messages a second each, 13,500 pieces owed at each of
 // them, and none of that ebbed away.
 func TestBoundIsNotSpentOnCopies(t *testing.T) {
+	t.Parallel()
 	const (
 		entries, leave = 141, 105
 		// copies of a piece that an entry sends at most, on average, in its first seconds.
@@ -62,6 +63,7 @@
 // the list of VMs rests for a moment, since an entry tells the fingers that it leaves to others
 // only after that. In a stream of revisions, 20 a second, nobody is more than 2 s behind.
 func TestRevisionsReachAllInAStream(t *testing.T) {
+	t.Parallel()
 	const gap, within = 50 * time.Millisecond, 2 * time.Second
 	f := newFleet(60, 1)
 	f.sightless = true
@@ -100,6 +102,7 @@
 // comes in all the time two entries seldom hold the same evidence, which is no sign that one
 // lacks some: told everything again for that, each entry would spend its bound on it.
 func TestLongReplacementStaysWithinTheBound(t *testing.T) {
+	t.Parallel()
 	const entries, pieces, gap = 60, 144, 80 * time.Millisecond
 	f := newFleet(entries, 1)
 	f.sightless = true
