An entry that starts reads for all only once its peers hold the same records

Cause: an entry that starts waited until the number of entries that it knows stayed the same for a while; in a large fleet that is a part of it, and each such part has readers of its own. Change: the meeting is over when no peer says to hold other records and the number stays. Ruled out: a longer first patience (TestFirstStartLeavesThePlatformToReaders failed with it, rightly). Test: TestMeetingIsOverWhenNobodyComes, extended.

--- a/internal/core/gossip/records.go
+++ b/internal/core/gossip/records.go
@@ -222,6 +222,17 @@
 	return out
 }
 
+// Agrees reports whether all peers that said which records they hold said last to hold the same
+// as this entry.
+func (s *Scheduler) Agrees() bool {
+	for _, p := range s.peers {
+		if p.roster != 0 && p.roster != s.records.digest {
+			return false
+		}
+	}
+	return true
+}
+
 // Latest returns the record of a VM's entry that is held, or nil.
 func (s *Scheduler) Latest(name string) *message.Record {
 	if h := s.records.byName[name]; h != nil {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -171,5 +171,8 @@
 // RecordsBeyond returns the records held that are not among those marked.
 func (c *Core) RecordsBeyond(marks []uint32) []message.Record { return c.fleet.gossip.Beyond(marks) }
 
+// Agrees reports whether the peers from which this entry has heard hold the same records.
+func (c *Core) Agrees() bool { return c.fleet.gossip.Agrees() }
+
 // Roster says which records this entry holds.
 func (c *Core) Roster() message.Roster { return c.fleet.gossip.Roster() }
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -111,18 +111,19 @@
 // startPatience is for how long an entry that starts waits to learn of others before
 // it reads for all: each entry of a fleet that starts would otherwise read as if it
 // were alone. firstPatience is the same at the first start of a whole fleet, in which
-// hundreds of entries meet.
+// hundreds of entries meet and no caller comes for seconds.
 const (
 	startPatience = time.Second
 	firstPatience = 3 * time.Second
 )
 
-// meeting tells when an entry that starts has met the others. They greet each other one
-// by one within a moment; an entry that divided the duty to read among the first two would
-// begin to read, as most others would.
+// meeting tells when an entry that starts has met the others: it agrees with its peers on who
+// there is, and that stays so. An entry that divided the duty to read among the first two that
+// it met, or among the part of a large fleet that it has heard of, would begin to read, as most
+// others would.
 type meeting struct {
 	known, unchanged int
-	// checks is for how many of them the number has to stay the same.
+	// checks is for how many of them it has to stay the same.
 	checks int
 }
 
@@ -133,11 +134,14 @@
 	firstChecks   = 12
 )
 
-// over takes in how many entries are known by now.
-func (m *meeting) over(known int) bool {
-	if known != m.known {
+// over takes in how many entries are known by now, and whether peers agree with that.
+func (m *meeting) over(known int, agreed bool) bool {
+	if known != m.known || !agreed {
 		m.known, m.unchanged = known, 0
 	}
+	if !agreed {
+		return false
+	}
 	m.unchanged++
 	return known >= 2 && m.unchanged > m.checks
 }
@@ -152,7 +156,12 @@
 		patience, m.checks = firstPatience, firstChecks
 	}
 	until := e.engine.clock() + patience
-	for ctx.Err() == nil && e.engine.clock() < until && !m.over(e.KnownEntries()) {
+	for ctx.Err() == nil && e.engine.clock() < until {
+		known, agreed := 0, false
+		e.engine.view(func(_ time.Duration, c *core.Core) { known, agreed = c.UsableEntries(), c.Agrees() })
+		if m.over(known, agreed) {
+			return
+		}
 		wait.For(ctx, readerCheck/4)
 	}
 }
--- a/internal/entry/published_test.go
+++ b/internal/entry/published_test.go
@@ -8,11 +8,19 @@
 func TestMeetingIsOverWhenNobodyComes(t *testing.T) {
 	m := meeting{checks: meetingChecks}
 	for _, known := range []int{1, 1, 1, 1, 1, 1, 2, 3, 3, 3, 5, 9, 9, 14, 15, 15, 15, 15} {
-		if m.over(known) {
+		if m.over(known, true) {
 			t.Fatalf("over with %d entries known", known)
 		}
 	}
-	if !m.over(15) {
+	if m.over(15, false) {
+		t.Error("over though a peer knows others")
+	}
+	for range meetingChecks {
+		if m.over(15, true) {
+			t.Fatal("over right after a peer knew others")
+		}
+	}
+	if !m.over(15, true) {
 		t.Error("not over though nobody came for five checks")
 	}
 }
