A watch that the platform has forgotten is made anew

Ruled out: news between entries (1 s from the first to the last of 126, the cut-off ones included). Change: a glance asks for the items below a prefix that nobody writes, at the same tenth of a price, and so learns the store's revision; a watch that has not brought, one glance later, what the store held by then is called anew from the same place. Decided in internal/entry, platform/ only passes it on.

--- a/internal/entry/glance.go
+++ b/internal/entry/glance.go
@@ -20,15 +20,22 @@
 // glances is what an entry that reads the platform learns from cheap calls beside its
 // watches. Guards against a platform that stops answering some entries, the readers
 // among them: their watches wait in silence, and published changes come into force
-// only when the watches time out.
+// only when the watches time out. Guards as well against a platform that has forgotten a watch,
+// as one that drops its history does: it answers, and the watch waits in silence.
 type glances struct {
 	platform published.Glancer
 	every    time.Duration
 	// made and late count them, late those that were not answered in time.
 	made, late atomic.Uint64
+	// renewed counts the watches that were made anew.
+	renewed atomic.Uint64
 	// failed says that the latest glance had no answer at all. While it stays so,
 	// nothing is read: the next glance tells sooner, and for less.
 	failed atomic.Bool
+	// held is how far the platform was at the glance before, renewedAt when a watch was last
+	// made anew.
+	held      uint64
+	renewedAt time.Duration
 }
 
 // glanceLoop glances for as long as this entry reads the platform.
@@ -49,12 +56,15 @@
 	ctx, cancel := context.WithTimeout(life, e.settings.Platform.Timeout.Duration)
 	defer cancel()
 	late := time.AfterFunc(glanceInTime, func() { e.noteGlance(false) })
-	err := e.glances.platform.Glance(ctx)
+	seen, err := e.glances.platform.Glance(ctx)
 	inTime := late.Stop() && err == nil
 	if life.Err() != nil {
 		return // this entry stops
 	}
 	e.noteGlance(inTime)
+	if err == nil {
+		e.renewWatch(seen)
+	}
 	e.glances.made.Add(1)
 	if !inTime {
 		e.glances.late.Add(1)
@@ -64,6 +74,22 @@
 	}
 }
 
+// renewWatch has a watch made anew that has not brought, a whole glance later, what the platform
+// held by then. Without it a profile that was published while the platform dropped its history
+// came into force when the watches ran out, 3 s later, and the list had to be read besides.
+func (e *Entry) renewWatch(seen published.Glance) {
+	before := e.glances.held
+	e.glances.held = seen.Held
+	now, patience := e.engine.clock(), e.settings.Platform.Timeout.Duration
+	if seen.Brought == 0 || seen.Brought >= before || e.glances.renewedAt != 0 && now-e.glances.renewedAt < patience {
+		return // nothing is missing, or the new call has had no time yet
+	}
+	e.glances.renewedAt = now
+	klog.InfoS("a watch has not brought what the platform holds; it is made anew", "brought", seen.Brought, "held", before)
+	e.glances.renewed.Add(1)
+	e.glances.platform.Rewatch()
+}
+
 func (e *Entry) noteGlance(inTime bool) {
 	e.engine.view(func(_ time.Duration, c *core.Core) { c.PlatformGlanced(inTime) })
 }
--- a/internal/entry/glance_test.go
+++ b/internal/entry/glance_test.go
@@ -18,6 +18,9 @@
 	values
 	silent                 atomic.Bool
 	reads, glances, leaves atomic.Int64
+	// held and brought are what a glance says, renewed counts the watches made anew.
+	held, brought atomic.Uint64
+	renewed       atomic.Int64
 }
 
 func (m *mutable) Read(ctx context.Context, name string) (published.Value, error) {
@@ -37,18 +40,19 @@
 	return v, err
 }
 
-func (m *mutable) Glance(context.Context) error {
+func (m *mutable) Glance(context.Context) (published.Glance, error) {
 	m.glances.Add(1)
 	if m.silent.Load() {
-		return errors.New("no answer")
+		return published.Glance{}, errors.New("no answer")
 	}
-	return nil
+	return published.Glance{Held: m.held.Load(), Brought: m.brought.Load()}, nil
 }
 
-// The service falls silent while watches wait at it, for longer than they would wait.
-// The entry leaves them at once, asks nothing but whether it answers, and reads anew as
-// soon as it does.
-func TestServiceFallsSilentDuringAWatch(t *testing.T) {
+func (m *mutable) Rewatch() { m.renewed.Add(1) }
+
+// glancing starts an entry that glances at a service every 20 ms, and returns how to wait for it.
+func glancing(t *testing.T) (*mutable, *entry.Entry, func(what string, holds func() bool)) {
+	t.Helper()
 	m := &mutable{values: values{
 		published.ProfilesValue: {Name: published.ProfilesValue, Revision: 1, Data: []byte(overheadProfiles)},
 		published.VMsValue:      {Name: published.VMsValue, Revision: 1, Data: published.EncodeVMs(published.VMList{})},
@@ -78,6 +82,44 @@
 			}
 		}
 	}
+	return m, e, until
+}
+
+// An operator publishes a profile in the moment in which the service drops its history. The
+// watches that wait are forgotten, and the service answers whoever asks: the profile came into
+// force when the watches ran out, four seconds later on 126 entries. A glance that shows the
+// service further than the watches have brought, a glance later still, has them made anew; a
+// service of which the watches bring all that changes is left alone.
+func TestForgottenWatchIsMadeAnew(t *testing.T) {
+	m, e, until := glancing(t)
+	until("ready", func() bool { ok, _ := e.Ready(); return ok })
+	more := func() {
+		glances := m.glances.Load()
+		until("five glances", func() bool { return m.glances.Load() >= glances+5 })
+	}
+	for range 20 {
+		m.brought.Store(m.held.Add(1))
+		more()
+	}
+	if got := m.renewed.Load(); got != 0 {
+		t.Errorf("%d watches made anew though they bring all", got)
+	}
+	m.held.Add(1)
+	until("the watch is made anew", func() bool { return m.renewed.Load() > 0 })
+	m.brought.Store(m.held.Load())
+	more()
+	renewed := m.renewed.Load()
+	more()
+	if got := m.renewed.Load(); got != renewed {
+		t.Errorf("%d more watches made anew after they brought all", got-renewed)
+	}
+}
+
+// The service falls silent while watches wait at it, for longer than they would wait.
+// The entry leaves them at once, asks nothing but whether it answers, and reads anew as
+// soon as it does.
+func TestServiceFallsSilentDuringAWatch(t *testing.T) {
+	m, e, until := glancing(t)
 	until("ready", func() bool { ok, _ := e.Ready(); return ok })
 	m.silent.Store(true)
 	until("both watches are left", func() bool { return m.leaves.Load() >= 2 })
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -134,6 +134,7 @@
 		total("platform.failures", p.failures),
 		total("platform.glances", f.glances),
 		total("platform.glances_late", f.lateGlances),
+		total("platform.watches_renewed", f.renewedWatches),
 		gauge("platform.failing", float64(len(f.failingValues()))),
 		total("published.stale", c.StaleProfiles),
 		total("published.refused", c.RefusedDocuments),
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -33,7 +33,9 @@
 	// glances are the cheap calls beside those, lateGlances the ones without an
 	// answer in time.
 	glances, lateGlances uint64
-	callers              int
+	// renewedWatches are the watches that were made anew.
+	renewedWatches uint64
+	callers        int
 	// connections counts the open connections to each endpoint by address.
 	connections map[string]int
 	links       []peer.LinkStats
@@ -53,17 +55,18 @@
 // facts gathers what is known now.
 func (e *Entry) facts() *facts {
 	f := &facts{
-		wall:        e.options.Wall(),
-		settings:    e.settings,
-		hello:       &e.hello,
-		platform:    e.platform.snapshot(),
-		glances:     e.glances.made.Load(),
-		lateGlances: e.glances.late.Load(),
-		callers:     e.front.Connections(),
-		connections: make(map[string]int),
-		links:       e.links.Stats(),
-		peerServer:  e.peerServer.Stats(),
-		process:     readProcess(),
+		wall:           e.options.Wall(),
+		settings:       e.settings,
+		hello:          &e.hello,
+		platform:       e.platform.snapshot(),
+		glances:        e.glances.made.Load(),
+		lateGlances:    e.glances.late.Load(),
+		renewedWatches: e.glances.renewed.Load(),
+		callers:        e.front.Connections(),
+		connections:    make(map[string]int),
+		links:          e.links.Stats(),
+		peerServer:     e.peerServer.Stats(),
+		process:        readProcess(),
 	}
 	e.engine.view(func(now time.Duration, c *core.Core) { f.now, f.view = now, c.View(now) })
 	f.view.Sort()
@@ -272,12 +275,12 @@
 }
 
 // entriesBehind are the entries that hold an older revision of the profiles than
-// this one. Those that were not heard yet hold none that is known.
+// this one. Those that did not tell this one hold none that is known.
 func (f *facts) entriesBehind() []*core.EntryView {
 	var behind []*core.EntryView
 	for i := range f.view.Entries {
 		e := &f.view.Entries[i]
-		if e.Heard && e.State == message.EntryServing && !e.Suspected && e.Profiles < f.view.Profiles.InForce.Revision {
+		if e.Heard && e.State == message.EntryServing && !e.Suspected && e.Profiles > 0 && e.Profiles < f.view.Profiles.InForce.Revision {
 			behind = append(behind, e)
 		}
 	}
