The ring lies by failure domains; far neighbours are asked by heartbeats

In the simulated fleet of 125 entries in five domains a piece of news was told 366 times into another domain and 427 times in its own. Change: the ring orders entries by domain first, so that half of the tree's steps go to the next entry; fingers in other domains are asked after news by the next heartbeat, or told at the limits (profiles as before); records may follow each other after 50 ms. Found beside it: an entry that others vouch for was dropped for its old silence, and its record then refused for good (one of 141, partition of 90 s). Measured: 17 tellings into another domain and 427 in the own one. Price: news where a third of 60 entries is silent takes 1.32 s (0.66), where a whole domain is 0.70 s; the first of profiles is as it was.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -96,6 +96,7 @@
 	gossipConfig := gossip.Config{
 		Self:              c.cfg.Self.Incarnation,
 		Region:            c.cfg.Self.Region,
+		Domain:            c.cfg.Self.Domain,
 		BytesPerSecond:    c.cfg.PeerBytesPerSecond,
 		MessagesPerSecond: c.cfg.PeerMessagesPerSecond,
 	}
--- a/internal/core/gossip/compose.go
+++ b/internal/core/gossip/compose.go
@@ -104,9 +104,12 @@
 	p.inFlight, p.sentAt, p.sequence = true, now, u.Sequence
 	p.offered = told{profiles: u.Profiles.Revision, vms: u.VMs.Revision}
 	p.heartbeatAt = s.nextHeartbeat(now, p)
-	if why >= dueNews || len(u.Records) > 0 {
+	if why >= dueNews {
 		p.urgentAt = now + s.cfg.UrgentGap
 	}
+	if len(u.Records) > 0 {
+		p.recordsAt = now + recordGap
+	}
 }
 
 // Done reports whether the message with this sequence reached its peer, and the digest of
--- a/internal/core/gossip/config.go
+++ b/internal/core/gossip/config.go
@@ -19,6 +19,8 @@
 type Config struct {
 	Self   uint64
 	Region string
+	// Domain is this entry's failure domain.
+	Domain string
 	// BytesPerSecond and MessagesPerSecond bound what this entry sends, acks
 	// that come back included. Peers send it as much on average.
 	BytesPerSecond    float64
--- a/internal/core/gossip/evidence.go
+++ b/internal/core/gossip/evidence.go
@@ -239,7 +239,7 @@
 }
 
 // tells reports whether a message tells a peer a claim that it is owed. It does if the peer
-// hears it first from this entry, or is known to lack some. A finger is also told what it may
+// hears it first from this entry, or is known to lack some. A near finger is also told what it may
 // have from others where that takes no more than the question whether it has; or what it has
 // been owed for long, while so much comes in that no digest can tell.
 func (s *Scheduler) tells(now time.Duration, p *peer, c *claim) bool {
@@ -249,7 +249,7 @@
 	case !p.finger:
 		return false
 	case now-s.log.changedAt >= passedWithin:
-		return p.owed*pieceBytes <= heartbeatBytes
+		return p.near && p.owed*pieceBytes <= heartbeatBytes
 	}
 	return now-c.learnedAt >= passedAtMost
 }
--- a/internal/core/gossip/gossip_test.go
+++ b/internal/core/gossip/gossip_test.go
@@ -39,10 +39,15 @@
 	sent     map[uint64]int
 	told     map[[2]uint64]time.Duration
 	worstGap time.Duration
+	// carried, if not nil, is told of each message.
+	carried func(from, to uint64, u *message.Update)
 	// sightless says that the entries tell no loads.
 	sightless bool
 }
 
+// domainOf returns the failure domain of an entry, one of five.
+func domainOf(id uint64) string { return fmt.Sprint("d", id%5) }
+
 // newFleet makes n entries spread evenly over regions; entry i is in region
 // i mod regions.
 func newFleet(n, regions int) *fleet {
@@ -54,10 +59,10 @@
 	for i := range n {
 		id := uint64(1000 + i)
 		f.ids = append(f.ids, id)
-		peers = append(peers, Peer{Incarnation: id, Region: fmt.Sprint("r", i%regions), Shares: true})
+		peers = append(peers, Peer{Incarnation: id, Region: fmt.Sprint("r", i%regions), Domain: domainOf(id), Shares: true})
 	}
 	for i, id := range f.ids {
-		f.nodes[id] = New(Config{Self: id, Region: peers[i].Region})
+		f.nodes[id] = New(Config{Self: id, Region: peers[i].Region, Domain: peers[i].Domain})
 		f.nodes[id].SetPeers(0, slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Incarnation == id }))
 		f.nodes[id].SetState(State{State: message.EntryServing})
 	}
@@ -103,6 +108,9 @@
 			continue
 		}
 		f.sent[id] += Size(&u)
+		if f.carried != nil {
+			f.carried(id, to, &u)
+		}
 		f.worstGap = max(f.worstGap, f.now-f.told[[2]uint64{id, to}])
 		f.told[[2]uint64{id, to}] = f.now
 		d := delivery{at: f.now + transit, from: id, to: to, update: u, lost: f.cut(id, to)}
@@ -157,6 +165,8 @@
 		{"a third of the entries is silent", 60, 1, 1, func(from, to uint64) bool { return from%3 == 1 || to%3 == 1 },
 			func(id uint64) bool { return id%3 != 1 }, 1500 * time.Millisecond},
 		{"each entry hears only higher ones", 30, 1, 1, func(from, to uint64) bool { return from < to && (to-from)%2 == 0 }, all, 1500 * time.Millisecond},
+		{"a failure domain is silent", 60, 1, 1, func(from, to uint64) bool { return from%5 == 1 || to%5 == 1 },
+			func(id uint64) bool { return id%5 != 1 }, 1500 * time.Millisecond},
 		{"70 endpoints leave at once", 60, 1, 70, nil, all, 3 * time.Second},
 		{"one half hears the other not at all", 30, 1, 1, func(from, to uint64) bool { return from%2 != to%2 }, odd, time.Second},
 	} {
@@ -216,6 +226,31 @@
 	}
 }
 
+// Bytes between failure domains are dear to the users. A piece of news that each of 125 entries
+// hears has to enter four of five domains; in a ring of any order four of five of its tellings
+// went into another domain.
+func TestNewsStaysInItsDomain(t *testing.T) {
+	f := newFleet(125, 1)
+	f.sightless = true
+	f.run(10 * time.Second)
+	near, far := 0, 0
+	f.carried = func(from, to uint64, u *message.Update) {
+		if domainOf(from) == domainOf(to) {
+			near += len(u.Evidence)
+		} else {
+			far += len(u.Evidence)
+		}
+	}
+	f.nodes[f.ids[7]].Spread(f.now, evidence(1))
+	if took := f.reached(1, 5*time.Second, func(uint64) bool { return true }); took > 300*time.Millisecond {
+		t.Errorf("all have it after %v", took)
+	}
+	f.run(2 * time.Second)
+	if t.Logf("told %d times in its domain, %d times into another one", near, far); far > near/2 {
+		t.Errorf("told %d times into another domain and %d times in its own", far, near)
+	}
+}
+
 // A user on the other side of a partition would see work go to an endpoint
 // that left while the halves could not talk. The partition lasts a minute;
 // when it heals, links in back-off are tried within 2 s, and what was missed
--- a/internal/core/gossip/records.go
+++ b/internal/core/gossip/records.go
@@ -18,6 +18,10 @@
 	freshMost  = 8
 	freshFor   = time.Second
 	maxRecords = 4096
+	// recordGap is the shortest time between two messages with records to a peer. That an
+	// entry reads the platform no more has to be known before others take over, and each
+	// step of the tree may have to wait for it.
+	recordGap = 50 * time.Millisecond
 	// recordsPerMessage bounds what one message carries.
 	recordsPerMessage = freshMost
 )
@@ -165,12 +169,15 @@
 	if h == nil || h.record.Incarnation != incarnation {
 		return
 	}
+	x.drop(name)
+	x.changedAt = now
+	if s.relays && !h.record.Silent {
+		return // nobody else takes it for silent: it may be told again
+	}
 	if len(x.ended) >= maxRecords {
 		clear(x.ended)
 	}
 	x.ended[name] = h.record
-	x.drop(name)
-	x.changedAt = now
 }
 
 // forgetSlot notes that a slot stands for no peer any more.
@@ -296,7 +303,10 @@
 	if p.rosterSince == 0 {
 		p.rosterSince = now
 	}
-	if now-p.rosterSince >= pullAfter && !l.asked && p.pulledInVain != [2]uint64{roster, x.digest} {
+	if now-p.rosterSince < pullAfter || l.asked || p.pulledInVain == [2]uint64{roster, x.digest} {
+		return
+	}
+	if l.wanted == 0 || p.near {
 		l.wanted = p.incarnation
 	}
 }
--- a/internal/core/gossip/scheduler.go
+++ b/internal/core/gossip/scheduler.go
@@ -43,6 +43,7 @@
 	incarnation uint64
 	slot        int
 	region      string
+	near        bool // in this entry's failure domain
 	shares      bool
 	suspected   bool
 	kind        linkKind
@@ -54,6 +55,7 @@
 	heartbeatAt time.Duration
 	sightingAt  time.Duration
 	urgentAt    time.Duration
+	recordsAt   time.Duration
 
 	told told
 	// owed counts the claims that it is not known to have, eager those of them that it is
@@ -300,7 +302,7 @@
 		return dueNews
 	case now >= p.heartbeatAt:
 		return dueHeartbeat
-	case now >= p.urgentAt && p.finger && s.records.due(p):
+	case now >= p.recordsAt && p.finger && s.records.due(p):
 		return dueRecords
 	case p.finger && s.copyDue(now, p):
 		return dueCopy
@@ -330,16 +332,21 @@
 
 // copyDue reports whether a finger is to be told what it should have heard from others. What
 // it says to that tells whether it has, but only while nothing new comes in: so it waits for
-// that, up to a limit.
+// that, up to a limit. Fingers in other failure domains say so to the next heartbeat, or are told
+// at the limits: a question to each of them for each piece of news would be most of the bytes
+// between domains. Profiles are worth it, since they change rarely and have to be in force soon.
 func (s *Scheduler) copyDue(now time.Duration, p *peer) bool {
-	if p.isBehind(now, s.state) && (now-max(s.changedAt, p.sentAt) >= passedWithin || now-max(p.behindSince, p.sentAt) >= behindAtMost) {
-		return true
+	if p.isBehind(now, s.state) {
+		asks := p.near || p.told.profiles < s.state.Profiles.Revision
+		if asks && now-max(s.changedAt, p.sentAt) >= passedWithin || now-max(p.behindSince, p.sentAt) >= behindAtMost {
+			return true
+		}
 	}
 	if p.owed == 0 {
 		return false
 	}
 	quiet := s.log.changedAt + passedWithin
-	return now >= quiet && p.sentAt < quiet || now-max(p.owedSince, p.sentAt) >= passedAtMost
+	return p.near && now >= quiet && p.sentAt < quiet || now-max(p.owedSince, p.sentAt) >= passedAtMost
 }
 
 // needs is what the message that a peer is due to takes of the bound, its news included. A
@@ -410,7 +417,9 @@
 	switch u {
 	case dueSightings:
 		return p.sightingAt
-	case dueRecords, dueNews, dueEvidence:
+	case dueRecords:
+		return p.recordsAt
+	case dueNews, dueEvidence:
 		return p.urgentAt
 	case dueCopy:
 		return p.sentAt
--- a/internal/core/gossip/topology.go
+++ b/internal/core/gossip/topology.go
@@ -12,6 +12,8 @@
 type Peer struct {
 	Incarnation uint64
 	Region      string
+	// Domain is its failure domain.
+	Domain string
 	// Shares: it serves a service that this entry serves too.
 	Shares bool
 	// Suspected entries get heartbeats, so that they are heard again, but news
@@ -47,24 +49,38 @@
 // place to the next one.
 const failuresToSkip = 3
 
-// ringPlace orders the entries of a region; all entries compute the same.
-func ringPlace(incarnation uint64) uint64 {
-	return duty.Score(duty.Key("ring", ""), incarnation)
+// ringPlace orders the entries of a region; all entries compute the same. Entries of a failure
+// domain lie together, since bytes between domains are dear: half of the steps of the tree go to
+// the next entry on the ring, a quarter to the one after it. In any order, two thirds of what 126
+// entries in three domains told each other left its domain.
+type ringPlace struct{ domain, entry uint64 }
+
+func placeOf(p Peer) ringPlace {
+	return ringPlace{duty.Score(duty.Key("ring", p.Domain), 0), duty.Score(duty.Key("ring", ""), p.Incarnation)}
+}
+
+func (a ringPlace) compare(b ringPlace) int {
+	return cmp.Or(cmp.Compare(a.domain, b.domain), cmp.Compare(a.entry, b.entry))
+}
+
+// member is an entry with its place on the ring.
+type member struct {
+	id    uint64
+	place ringPlace
 }
 
 // ringFrom returns members, which includes self, in ring order beginning with
 // self. The fingers of self are those at 1, 2, 4, … If each entry passes news
 // on to its fingers, it reaches all n after at most ceil(log2 n) steps; several
 // ways lead to each entry, so one that is lost costs steps, not the news.
-func ringFrom(self uint64, members []uint64) []uint64 {
-	places := make(map[uint64]uint64, len(members))
-	for _, id := range members {
-		places[id] = ringPlace(id)
+func ringFrom(self uint64, members []member) []uint64 {
+	slices.SortFunc(members, func(a, b member) int { return a.place.compare(b.place) })
+	own := slices.IndexFunc(members, func(m member) bool { return m.id == self })
+	ring := make([]uint64, 0, len(members))
+	for i := range members {
+		ring = append(ring, members[(own+i)%len(members)].id)
 	}
-	ring := slices.Clone(members)
-	slices.SortFunc(ring, func(a, b uint64) int { return cmp.Compare(places[a], places[b]) })
-	own := slices.Index(ring, self)
-	return append(ring[own:], ring[:own]...)
+	return ring
 }
 
 // topRanked returns the incarnations of up to n peers with the highest scores for key.
@@ -99,16 +115,17 @@
 // setTopology decides with whom links are held and how each is used.
 func (s *Scheduler) setTopology() {
 	s.version++
-	var local, live []uint64
+	self := member{s.cfg.Self, placeOf(Peer{Incarnation: s.cfg.Self, Domain: s.cfg.Domain})}
+	local, live := []member{self}, []member{self}
 	remote := make(map[string][]uint64)
 	var regions []string
-	local, live = append(local, s.cfg.Self), append(live, s.cfg.Self)
 	for _, p := range s.known {
 		switch {
 		case p.Region == s.cfg.Region:
-			local = append(local, p.Incarnation)
+			m := member{p.Incarnation, placeOf(p)}
+			local = append(local, m)
 			if !p.Suspected {
-				live = append(live, p.Incarnation)
+				live = append(live, m)
 			}
 		default:
 			if remote[p.Region] == nil {
@@ -120,7 +137,7 @@
 	ring := ringFrom(s.cfg.Self, live)
 	kinds := s.localLinks(local, ring)
 	for _, region := range regions {
-		for _, id := range s.regionLinks(region, live, remote[region]) {
+		for _, id := range s.regionLinks(region, ring, remote[region]) {
 			kinds[id] = linkRegion
 		}
 	}
@@ -133,13 +150,14 @@
 // localLinks returns the entries of this region to hold links with. Beside the fingers of the
 // ring these are those whose finger this entry is, and the fingers of the ring with the
 // suspected entries in it: two parts of a fleet that had lost each other meet by them.
-func (s *Scheduler) localLinks(local, ring []uint64) map[uint64]linkKind {
+func (s *Scheduler) localLinks(local []member, ring []uint64) map[uint64]linkKind {
 	kinds := make(map[uint64]linkKind, len(local))
 	s.relays = len(local)-1 > meshMost
 	if !s.relays {
-		for _, id := range local[1:] {
-			kinds[id] = linkMesh
+		for _, m := range local {
+			kinds[m.id] = linkMesh
 		}
+		delete(kinds, s.cfg.Self)
 		return kinds
 	}
 	n := len(ring)
@@ -202,6 +220,7 @@
 			continue
 		}
 		p.region, p.shares, p.suspected, p.kind = known.Region, known.Shares, known.Suspected, kind
+		p.near = known.Domain == s.cfg.Domain
 		if kind == linkMesh {
 			s.told++
 		}
--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -61,8 +61,8 @@
 		return max(r.seenAt, r.watchedAt)
 	case r.suspected || r.leaving:
 		return max(r.seenAt, r.quietAt)
-	case r.introduced && !t.watched(r):
-		return now
+	case r.introduced && (!t.watched(r) || r.contested):
+		return now // others hear it
 	}
 	return r.seenAt
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -84,6 +84,7 @@
 		peers = append(peers, gossip.Peer{
 			Incarnation: e.VM.Incarnation,
 			Region:      e.VM.Region,
+			Domain:      e.VM.Domain,
 			Shares:      c.fleet.shares[e.VM.Incarnation],
 			Suspected:   e.Suspected,
 		})
