Callers are sent to as many entries as the weakest of them can bear

Callers choose evenly; five of the eight have a sixth of a core, and the rule asked only whether all together bear the calls.

--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -48,12 +48,12 @@
 // few requests a second each know little and open one for nearly each request. namedLeast is
 // enough that several are left when half of them are lost at once. More are named as far as the
 // domain's calls need them: callsPerCore is what an entry carries on small VMs, where a call
-// with its looks and wake-ups takes up to a millisecond of a core, and roomFor leaves room for
-// calls to grow before the next answers.
+// with its looks and wake-ups takes up to two milliseconds of a core, and roomFor leaves room for
+// peaks, for callers who repeat, and for collecting garbage on a sixth of a core.
 const (
 	namedLeast   = 8
-	callsPerCore = 1000
-	roomFor      = 3
+	callsPerCore = 500
+	roomFor      = 5
 )
 
 // settling is how long an entry that has begun to serve may not know all others yet, and
@@ -104,8 +104,9 @@
 }
 
 // strongest returns the addresses of the entries that callers are sent to, of some that could
-// serve them: those with most capacity, as many as the calls of them all need. All entries
-// that answer callers name the same.
+// serve them: those with most capacity, as many as it takes for the weakest of them to bear an
+// even part of all calls, since callers choose evenly. All entries that answer callers name the
+// same.
 func (c *Core) strongest(entries []*member.Entry) []string {
 	calls := 0.0
 	for _, e := range entries {
@@ -115,13 +116,12 @@
 		return cmp.Or(cmp.Compare(c.capacityOf(b), c.capacityOf(a)), cmp.Compare(dutyID(a.VM.Name), dutyID(b.VM.Name)))
 	})
 	var named []string
-	carried := 0.0
-	for _, e := range entries {
-		if len(named) >= namedLeast && carried >= roomFor*calls {
+	for i, e := range entries {
+		named = append(named, e.VM.Address)
+		part := roomFor * calls / float64(i+1)
+		if i+1 >= namedLeast && part <= callsPerCore*float64(c.capacityOf(e))/1000 {
 			break
 		}
-		named = append(named, e.VM.Address)
-		carried += callsPerCore * float64(c.capacityOf(e)) / 1000
 	}
 	return named
 }
