Entries that told no revision are shown as such; pages name large fleets

Cause: read over: since records do not carry revisions, tealhallctl entries showed none for all that are no neighbours of the entry that is asked. Change: they are shown as not told; pages and one comment in line. Nothing of it runs in the daemon. Measured: tests of ctl and of the pages.

--- a/internal/core/gossip/topology.go
+++ b/internal/core/gossip/topology.go
@@ -97,6 +97,8 @@
 	return duty.Key("link", min(a, b)+"\x00"+max(a, b))
 }
 
+// settleEvery is the shortest time between two changes of a larger fleet's links: far below the
+// seconds after which silence counts.
 const settleEvery = 100 * time.Millisecond
 
 // settle brings the topology up to date, once for any number of changes of peers.
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -112,3 +112,22 @@
 		})
 	}
 }
+
+// An operator who follows a new profile asks one of hundreds of entries. It hears the revisions
+// of its neighbours only; the others were shown as having none, as if they had lost theirs.
+func TestRevisionThatIsNotTold(t *testing.T) {
+	for _, c := range []struct {
+		entry    admin.EntryView
+		revision uint64
+		want     string
+	}{
+		{admin.EntryView{Self: true}, 0, "none"},
+		{admin.EntryView{Self: true}, 7, "7"},
+		{admin.EntryView{}, 7, "7"},
+		{admin.EntryView{}, 0, "not told"},
+	} {
+		if got := toldRevision(&c.entry, c.revision); got != c.want {
+			t.Errorf("self %v, revision %d: %q, want %q", c.entry.Self, c.revision, got, c.want)
+		}
+	}
+}
--- a/internal/ctl/lists.go
+++ b/internal/ctl/lists.go
@@ -65,6 +65,15 @@
 	return o.show(rows, func(p *page) { render(p, rows) })
 }
 
+// toldRevision is a revision that an entry said to hold. In a large fleet only its neighbours
+// say so to the entry that is asked.
+func toldRevision(v *admin.EntryView, n uint64) string {
+	if n == 0 && !v.Self {
+		return "not told"
+	}
+	return revision(n)
+}
+
 func entriesPage(p *page, entries []admin.EntryView) {
 	rows := make([][]string, len(entries))
 	for i := range entries {
@@ -73,7 +82,7 @@
 		if v.Self {
 			heard = "self"
 		}
-		rows[i] = []string{v.Name, v.FailureDomain, v.CallerAddress, v.State, revision(v.Profiles), revision(v.VMs),
+		rows[i] = []string{v.Name, v.FailureDomain, v.CallerAddress, v.State, toldRevision(v, v.Profiles), toldRevision(v, v.VMs),
 			number(v.Rate) + "/s", heard,
 			marks(mark{v.Reader, "reader"}, mark{v.Suspected, "suspected"}, mark{v.Missing, "not in the platform's list"})}
 	}
