Simulated fleets run alike each time; silence within 3 s at every size, red at 15 entries

Traced: the simulation dialled and took in records in the order of maps, so runs differed (2.8 to 4.0 s). Change: it sorts both; three runs gave the same lines. Besides, two bounds were above the stated aims: all known within 2 s of the last start (4 before), a silent entry suspected within 3 s (4 before). Measured: internal/core passed but for that one. No product code changed.

--- a/internal/core/large_test.go
+++ b/internal/core/large_test.go
@@ -113,7 +113,7 @@
 				links, bytes = max(links, len(e.linked)), max(bytes, e.bytes)
 			}
 			t.Logf("%d entries know all %v after the last start; at most %d links, %d bytes sent", n, took, links, bytes)
-			if took > 4*sec {
+			if took > 2*sec {
 				t.Errorf("all are known after %v", took)
 			}
 			if links > 40 {
@@ -142,27 +142,35 @@
 // third of them have a sixth of a core.
 func TestSilentEntryIsSuspectedByAll(t *testing.T) {
 	t.Parallel()
-	for _, n := range sizes(t) {
-		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			f := newLargeFleet(t, n)
-			f.run(10 * sec)
-			victim := n / 2
-			f.vms[victim].dead = true
-			took := f.until(30*sec, func(e *largeEntry) bool {
-				b := e.believes(victim)
-				return b == nil || b.Suspected
-			})
-			t.Logf("%d entries suspect it after %v", n, took)
-			if took > 4*sec {
-				t.Errorf("suspected by all after %v", took)
-			}
-			f.run(5 * sec)
-			for _, e := range f.vms {
-				if got := e.usable(); !e.dead && got != n-1 {
-					t.Errorf("%s believes %d of %d to serve", e.hello.Name, got, n-1)
-				}
-			}
-		})
+	silentEntry(t, max(141, *largest))
+}
+
+// The same where all talk to all: heartbeats to 14 others come every 1.16 s, so that silence that
+// no failed message shows takes three of them.
+func TestSilentEntryIsSuspectedInASmallFleet(t *testing.T) {
+	t.Parallel()
+	silentEntry(t, 15)
+}
+
+// silentEntry lets one of n entries die silently.
+func silentEntry(t *testing.T, n int) {
+	const within = 3 * sec
+	f := newLargeFleet(t, n)
+	f.run(10 * sec)
+	victim := n / 2
+	f.vms[victim].dead = true
+	took := f.until(30*sec, func(e *largeEntry) bool {
+		b := e.believes(victim)
+		return b == nil || b.Suspected
+	})
+	if t.Logf("%d entries suspect it after %v", n, took); took > within {
+		t.Errorf("suspected by all after %v, want %v", took, within)
+	}
+	f.run(5 * sec)
+	for _, e := range f.vms {
+		if got := e.usable(); !e.dead && got != n-1 {
+			t.Errorf("%s believes %d of %d to serve", e.hello.Name, got, n-1)
+		}
 	}
 }
 
--- a/internal/core/largefleet_test.go
+++ b/internal/core/largefleet_test.go
@@ -1,9 +1,12 @@
 package core
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -196,7 +199,7 @@
 				delete(e.linked, address)
 			}
 		}
-		for address := range wanted {
+		for _, address := range slices.Sorted(maps.Keys(wanted)) {
 			if _, there := e.linked[address]; !there {
 				f.dial(e, address)
 			}
@@ -288,6 +291,7 @@
 	f.post(largeHop, func() {
 		f.work(to, messageTakes, func() {
 			records := to.RecordsBeyond(p.Marks)
+			slices.SortFunc(records, func(a, b message.Record) int { return cmp.Compare(a.Name, b.Name) })
 			f.post(largeHop, func() { done(records, true) })
 		})
 	})
