--- a/internal/core/gossip/topology.go
+++ b/internal/core/gossip/topology.go
@@ -35,8 +35,9 @@
 
 // meshMost is up to how many other entries of its region an entry talks to all of them. In a
 // larger fleet it talks to its fingers, so that links, heartbeats and the time until silence
-// shows grow with the logarithm of the fleet: 24 peers are told every 2 s within the bound.
-const meshMost = 24
+// shows grow with the logarithm of the fleet: 14 peers are told every 1.2 s within the bound, 24
+// only every 2 s.
+const meshMost = 14
 
 // linksPerRegion is how many entries of a region talk to another region, and
 // to how many entries there. With two and two, each end may lose one.
--- a/internal/core/large_test.go
+++ b/internal/core/large_test.go
@@ -152,6 +152,15 @@
 	silentEntry(t, 15)
 }
 
+// The same around the size from which on entries talk to some of the others only. Of 25 that all
+// talked to all, each heard each other every two seconds, and a silent one was suspected after 5 s.
+func TestSilentEntryIsSuspectedAtEachSize(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{3, 10, 16, 20, 25, 40} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) { silentEntry(t, n) })
+	}
+}
+
 // silentEntry lets one of n entries die silently.
 func silentEntry(t *testing.T, n int) {
 	const within = 3 * sec
--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -62,13 +62,19 @@
 // VMs a single replacement is already a large share.
 const holdMin = 3
 
-// suspectBeats is how many heartbeats may be missed before an entry is
-// suspected, and suspectSlack what is added for delays on the way.
+// suspectBeats is how many heartbeats may be missed before an entry is suspected. Each is
+// answered, and the entry sends its own as often, so that twice as many signs of it are missing
+// by then. suspectLeast is the least time where heartbeats are frequent, since an entry with a
+// sixth of a core may be late by as much. suspectSlack is added for delays on the way.
 const (
-	suspectBeats = 3
+	suspectBeats = 2
+	suspectLeast = 1500 * time.Millisecond
 	suspectSlack = 500 * time.Millisecond
 )
 
+// unreachableSlack is what an entry has beyond one heartbeat that could not be reached either.
+const unreachableSlack = suspectSlack / 3
+
 func (c Config) withDefaults() Config {
 	if c.HoldShare <= 0 {
 		c.HoldShare = defaultHoldShare
--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -46,7 +46,7 @@
 
 // SuspectAfter returns how long an entry may be silent before it is suspected.
 func (t *Table) SuspectAfter() time.Duration {
-	return suspectBeats*t.cfg.Heartbeat() + suspectSlack
+	return max(suspectBeats*t.cfg.Heartbeat(), suspectLeast) + suspectSlack
 }
 
 // watched reports whether silence of an entry says something.
@@ -96,7 +96,7 @@
 	case newWay:
 		patience *= newWayBeats
 	case r.unreachable:
-		patience /= suspectBeats
+		patience = t.cfg.Heartbeat() + unreachableSlack
 	}
 	if silent < patience {
 		return nil
