A planned stop is one plan reckoned from its signal; nothing is begun behind an answer that closes

Cause: the time for the requests in flight was reckoned in the platform's terms with a step of 2.5 s that the stop itself made 1 s long, so answers were cut 4.2 s after the signal where 6 are given; and the farewell of 0.5 s came after 0.95 of the grace time, so a stop that had to wait ended after 6.2 s: the processes that were still there at its end. Class: one schedule worked out in two places. Second cause (its own test): whether the entry leaves was asked before a head was looked at, whether a request is behind was asked at the answer; two locks, two moments. Change: stopPlan gives every step as a time since the signal; timeouts.stop_within (the platform's grace time) ends it, and what the steps leave is for the requests in flight. closeBehind and begin decide under one lock. How long answers have is checked by the properties, for every grace time from 2 s on.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -13,11 +13,6 @@
 	"github.com/tealhall/tealhall/internal/wait"
 )
 
-const (
-	// farewell is how long the last message may take on its way.
-	farewell = 500 * time.Millisecond
-)
-
 // StopSummary says how a planned stop went.
 type StopSummary struct {
 	// Cut counts requests in flight that were cut off.
@@ -35,26 +30,31 @@
 // says what it cuts.
 func (e *Entry) Stop(ctx context.Context) StopSummary {
 	began := e.engine.clock()
+	plan := planStop(e.answersTTL(), &e.settings.Timeouts)
+	until := func(step time.Duration) time.Duration { return step - (e.engine.clock() - began) }
 	e.leave("a planned stop")
-	wait.For(ctx, e.answersTTL())
+	wait.For(ctx, until(plan.turnAway))
 	// From here on only callers with late answers come. Each answer asks its
 	// caller to close the connection, so that the close of an idle one, which
 	// could meet a request on its way, is the exception.
 	e.front.Leave()
-	wait.For(ctx, min(e.settings.Timeouts.StopServe.Duration, e.answersTTL()))
+	wait.For(ctx, until(plan.refuse))
 	var running int
 	e.engine.view(func(now time.Duration, c *core.Core) { running = c.SealKeys(now) })
 	// The keys are handed over at once: from now on this entry refuses
 	// connections, and uploads may keep it for long. Keys that still run are
 	// unknown to the successors until the second hand-over.
+	// A quick stop hands them over as well.
+	left, cancel := context.WithTimeout(context.WithoutCancel(ctx), until(plan.sayGoodbye))
+	defer cancel()
 	first := make(chan handover, 1)
-	go func() { first <- e.handOver(context.WithoutCancel(ctx)) }()
-	cut := e.finishRequests(ctx)
+	go func() { first <- e.handOver(left) }()
+	cut := e.finishRequests(ctx, until(plan.cut))
 	handedOver := <-first
 	if running > 0 {
-		handedOver = e.handOver(context.WithoutCancel(ctx))
+		handedOver = e.handOver(left)
 	}
-	e.finish()
+	e.finish(min(farewell, until(plan.end)))
 	return StopSummary{
 		Cut:        cut,
 		HandedOver: handedOver.keys,
@@ -78,20 +78,19 @@
 	return directory.DefaultMaxTTL
 }
 
-// finishRequests refuses new connections, waits for the requests in flight and
+// finishRequests refuses new connections, waits at most so long for the requests in flight and
 // returns how many it had to cut off. A wait that gets long is reported.
-func (e *Entry) finishRequests(ctx context.Context) int {
-	limits := &e.settings.Timeouts
-	limit, cancel := context.WithTimeout(ctx, limits.StopUpload.Duration)
+func (e *Entry) finishRequests(ctx context.Context, most time.Duration) int {
+	limit, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
-	patience := time.AfterFunc(limits.StopGrace.Duration, func() {
-		e.report("waits", e.front.InFlight(), "they are cut off "+limits.StopUpload.String()+" after the given answers ran out")
+	patience := time.AfterFunc(min(e.settings.Timeouts.StopGrace.Duration, most/2), func() {
+		e.report("waits", e.front.InFlight(), "they are cut off "+most.Round(time.Millisecond).String()+" after new connections were refused")
 	})
 	defer patience.Stop()
 	return e.front.Stop(limit, func(inFlight int) {
 		why := "a second signal made the stop quick"
 		if ctx.Err() == nil {
-			why = "raise timeouts.stop_upload to wait longer"
+			why = "raise timeouts.stop_upload, or timeouts.stop_within where that is less, to wait longer"
 		}
 		e.report("cuts-off", inFlight, why)
 	})
@@ -109,10 +108,10 @@
 	})
 }
 
-// finish says goodbye and ends all goroutines.
-func (e *Entry) finish() {
+// finish says goodbye, gives that so long on its way and ends all goroutines.
+func (e *Entry) finish(onItsWay time.Duration) {
 	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { c.Stopped(now, out) })
-	wait.For(context.Background(), farewell)
+	wait.For(context.Background(), onItsWay)
 	e.shutDown()
 }
 
--- /dev/null
+++ b/internal/entry/stopplan_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/settings"
+	"pgregory.net/rapid"
+)
+
+// Whatever an operator sets, the steps of a stop come in their order, the process has ended before
+// it is killed, and what runs has a quarter of the time at least once new connections are refused.
+func TestStepsOfAStopKeepTheirOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		span := func(name string, least, most time.Duration) time.Duration {
+			return time.Duration(rapid.Int64Range(int64(least), int64(most)).Draw(t, name))
+		}
+		timeouts := &settings.Timeouts{
+			StopServe:  settings.Duration{Duration: span("serve", 0, time.Hour)},
+			StopUpload: settings.Duration{Duration: span("upload", time.Second, 24*time.Hour)},
+			StopWithin: settings.Duration{Duration: span("within", time.Second, 48*time.Hour)},
+		}
+		within := timeouts.StopWithin.Duration
+		p := planStop(span("ttl", 0, 10*time.Minute), timeouts)
+		steps := []time.Duration{0, p.turnAway, p.refuse, p.cut, p.sayGoodbye, p.end, within}
+		for i := 1; i < len(steps); i++ {
+			if steps[i] < steps[i-1] {
+				t.Fatalf("step %d comes before the one before it: %v", i, steps)
+			}
+		}
+		if p.end >= within {
+			t.Errorf("ends after %v, is killed after %v", p.end, within)
+		}
+		if left := p.sayGoodbye - p.refuse; left < within/4 {
+			t.Errorf("requests in flight have %v of %v", left, within)
+		}
+	})
+}
+
+// A caller sends a request before half of the grace time is over, and its endpoint answers before
+// the last sixth of it begins: the answer has to reach the caller, however long the earlier steps
+// take, for every grace time that leaves as much.
+func TestAnswersBeforeTheLastSixthAreNotCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.Int64Range(int64(2*time.Second), int64(time.Minute)).Draw(t, "grace"))
+		timeouts := settings.Default().Timeouts
+		timeouts.StopWithin.Duration = grace
+		p := planStop(time.Duration(rapid.Int64Range(0, int64(12*time.Second)).Draw(t, "ttl")), &timeouts)
+		if last := grace * 5 / 6; p.cut < last {
+			t.Errorf("cut off after %v, an answer may come after %v", p.cut, last)
+		}
+	})
+}
+
+// Without an end that is set from outside, a stop takes what its steps take together.
+func TestStopWithoutAnEnd(t *testing.T) {
+	timeouts := settings.Default().Timeouts
+	p := planStop(12*time.Second, &timeouts)
+	if p.turnAway != 12*time.Second || p.refuse != 13*time.Second || p.cut != 13*time.Second+15*time.Minute || p.end < 48*time.Hour {
+		t.Errorf("%+v", p)
+	}
+}
--- a/internal/front/ahead.go
+++ b/internal/front/ahead.go
@@ -43,6 +43,8 @@
 	// cancels end the requests in work, by number, when the caller has gone.
 	cancels map[uint64]context.CancelFunc
 	gone    bool
+	// closing says that an answer on its way closes the connection.
+	closing bool
 
 	// stop is closed to end the reading ahead, done when it has ended; both are nil
 	// while nothing is read ahead. They belong to the reading goroutine.
@@ -106,11 +108,18 @@
 	}
 }
 
-// behind reports whether requests wait behind the one of that number.
-func (q *aheadQueue) behind(number uint64) bool {
+// closeBehind reports whether the answer to the request of that number may close the
+// connection, which it may not while requests wait behind it. From then on none is begun
+// there: what is asked and what is begun change under one lock, so that no request is at work
+// whose answer has no connection to go to.
+func (q *aheadQueue) closeBehind(number uint64) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting) > 0 && q.waiting[len(q.waiting)-1].number > number
+	if len(q.waiting) > 0 && q.waiting[len(q.waiting)-1].number > number {
+		return false
+	}
+	q.closing = true
+	return true
 }
 
 // callerGone ends everything that is worked on for the connection.
@@ -222,17 +231,20 @@
 		return false
 	}
 	r.RemoteAddr = g.RemoteAddr().String()
-	g.begin(r, number)
-	return true
+	return g.begin(r, number)
 }
 
-// begin hands a request to the handler.
-func (g *guard) begin(r *http.Request, number uint64) {
+// begin hands a request to the handler, unless its connection closes.
+func (g *guard) begin(r *http.Request, number uint64) bool {
 	q := &g.ahead
 	answer := newAheadAnswer()
 	a := &aheadRequest{number: number, answer: answer, done: make(chan struct{})}
 	a.tracked = &answerWriter{ResponseWriter: answer, server: q.server, ahead: true}
 	q.mu.Lock()
+	if q.closing {
+		q.mu.Unlock()
+		return false
+	}
 	q.begun = number
 	q.waiting = append(q.waiting, a)
 	ctx := q.cancellable(context.Background(), number)
@@ -250,6 +262,7 @@
 		}()
 		q.server.handler.ServeHTTP(a.tracked, r.WithContext(ctx))
 	}()
+	return true
 }
 
 // pass gives the answer to the server's writer, whose turn it is, and waits for its
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -282,7 +282,7 @@
 	if w.ahead || !w.server.leaving.Load() {
 		return false
 	}
-	return w.guard == nil || !w.guard.ahead.behind(w.number)
+	return w.guard == nil || w.guard.ahead.closeBehind(w.number)
 }
 
 // Write writes a part of the body, after the head if that is missing.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -220,6 +220,9 @@
 	c.span("timeouts.answers_ttl", t.AnswersTTL, 100*time.Millisecond, 10*time.Minute)
 	c.span("timeouts.stop_grace", t.StopGrace, time.Second, time.Hour)
 	c.span("timeouts.stop_upload", t.StopUpload, time.Second, 24*time.Hour)
+	if t.StopWithin.Duration != 0 {
+		c.span("timeouts.stop_within", t.StopWithin, time.Second, 48*time.Hour)
+	}
 	if t.StopUpload.Duration < t.StopGrace.Duration {
 		c.add("timeouts.stop_upload", "raise it or lower timeouts.stop_grace",
 			"%s is less than timeouts.stop_grace (%s)", t.StopUpload, t.StopGrace)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -230,6 +230,10 @@
 	// StopUpload is how long after the given answers have run out a planned stop
 	// cuts off the requests that still run, long uploads for one; default 15m.
 	StopUpload Duration `toml:"stop_upload" unit:"duration"`
+	// StopWithin is how long after its signal a planned stop has ended, since the process is
+	// killed then; the earlier steps leave the rest of it to the requests in flight; default
+	// 0, no such limit.
+	StopWithin Duration `toml:"stop_within" unit:"duration"`
 }
 
 // Balance chooses how endpoints are picked.
