Evacuated failure domains: an operator's word is part of the list, and nothing goes there

Ways weighed: in the routes (they have the operator's version, which an evacuation does not raise); a third published value with tracker, fetches and watch of its own; a mark on each endpoint's row (a third of all rows to each entry); in the list of VMs, named once beside its rows (chosen): it has the store's revision, which never goes back, is told as a difference by the tree, is read by who reads for all at one go with the endpoints (no further call: the keys behind the config's), and an entry that starts holds it before it serves. Change: VMList.Evacuated; member notes evacuated and taken back; Endpoint.TakesWork is the one question that choices, counts and the check before the first byte ask. All failure domains at once: callers are refused at once as not run. A list's difference is drawn with evacuations.

--- a/internal/admin/admintest/sample.go
+++ b/internal/admin/admintest/sample.go
@@ -40,7 +40,8 @@
 		Fleet: admin.FleetView{
 			Domains:       []admin.DomainCount{{FailureDomain: "a", Usable: 2}, {FailureDomain: "b", Suspected: 1}},
 			EntriesUsable: 2, EntriesSuspected: 1, EndpointsLive: 3, EndpointsLeaving: 1, EndpointsEjected: 1,
-			Readers: []string{"entry-1"}, Revisions: []admin.RevisionCount{{Revision: 42, Entries: 2}, {Revision: 41, Entries: 1}}},
+			Evacuated: []admin.EvacuationView{{FailureDomain: "b", Age: 42, Endpoints: 2, Outstanding: 1}},
+			Readers:   []string{"entry-1"}, Revisions: []admin.RevisionCount{{Revision: 42, Entries: 2}, {Revision: 41, Entries: 1}}},
 		Requests: admin.RequestsView{InFlight: 3, MaxInFlight: 20000, PerSecond: 412.5, Arrived: 100000, Done: 99900, NotRun: 99,
 			Unknown: 1, Retried: 40, Hedged: 7, Replayed: 2, Forwarded: 11, RetriesDenied: 1},
 		Refusals: []admin.RefusalView{{Reason: "queue-full", Count: 90, Remedy: "come back after Retry-After"},
--- a/internal/admin/views.go
+++ b/internal/admin/views.go
@@ -139,6 +139,9 @@
 	EndpointsLive    int `json:"endpoints_live"`
 	EndpointsLeaving int `json:"endpoints_leaving"`
 	EndpointsEjected int `json:"endpoints_ejected"`
+	// Evacuated are the failure domains whose endpoints get nothing, in the order in which that
+	// became known.
+	Evacuated []EvacuationView `json:"evacuated,omitempty"`
 	// Readers names the entries that say that they read the platform.
 	Readers []string `json:"readers"`
 	// Revisions counts entries by the revision of the profiles in force there, as far as
@@ -148,6 +151,17 @@
 	Domains []DomainCount `json:"domains"`
 }
 
+// EvacuationView is a failure domain whose endpoints get nothing.
+type EvacuationView struct {
+	FailureDomain string `json:"failure_domain"`
+	// Age is for how long this entry has known of it, in seconds.
+	Age float64 `json:"age_seconds"`
+	// Endpoints counts its endpoints that would take work, Outstanding the requests of this entry
+	// that still run there.
+	Endpoints   int `json:"endpoints"`
+	Outstanding int `json:"outstanding"`
+}
+
 // DomainCount is how the entries of a failure domain are.
 type DomainCount struct {
 	FailureDomain string `json:"failure_domain"`
--- a/internal/core/balance/standings.go
+++ b/internal/core/balance/standings.go
@@ -65,7 +65,7 @@
 	count := 0
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
-		if e.State != table.EndpointLive || e.ServiceNanos <= 0 || count == MaxRemembered {
+		if !e.TakesWork() || e.ServiceNanos <= 0 || count == MaxRemembered {
 			continue
 		}
 		at := count
--- a/internal/core/balance/view.go
+++ b/internal/core/balance/view.go
@@ -81,7 +81,7 @@
 
 // usable reports whether ordinary work may go to e.
 func usable(now time.Duration, e *table.Endpoint) bool {
-	return e.State == table.EndpointLive && now >= e.Health.EjectedUntil
+	return e.TakesWork() && now >= e.Health.EjectedUntil
 }
 
 // standing says how far eligibility must be relaxed for a choice to exist.
@@ -102,7 +102,7 @@
 	found := nowhere
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
-		if e.State != table.EndpointLive || tried.Has(i) {
+		if !e.TakesWork() || tried.Has(i) {
 			continue
 		}
 		if now >= e.Health.EjectedUntil {
@@ -116,7 +116,7 @@
 // eligible reports whether endpoint i may get the request under the standing.
 func eligible(now time.Duration, p *table.Pool, i int, tried Set, s standing) bool {
 	e := &p.Endpoints[i]
-	if e.State != table.EndpointLive || tried.Has(i) {
+	if !e.TakesWork() || tried.Has(i) {
 		return false
 	}
 	return s == relaxed || now >= e.Health.EjectedUntil
@@ -129,7 +129,7 @@
 	}
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
-		if e.State == table.EndpointLive && e.Health.EjectedUntil > now && e.Health.TrialAt > 0 &&
+		if e.TakesWork() && e.Health.EjectedUntil > now && e.Health.TrialAt > 0 &&
 			now >= e.Health.TrialAt && e.Outstanding == 0 && !ask.Tried.Has(i) {
 			return Choice{Index: i, OK: true, Trial: true}, true
 		}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -7,7 +7,6 @@
 	"github.com/tealhall/tealhall/internal/core/health"
 	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/queue"
-	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/profile"
 )
 
@@ -70,7 +69,7 @@
 	p := r.pool
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
-		if e.State == table.EndpointLive && health.TrialDue(now, e) {
+		if e.TakesWork() && health.TrialDue(now, e) {
 			return i
 		}
 	}
@@ -109,7 +108,7 @@
 	var c queue.Capacity
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
-		if e.State != table.EndpointLive {
+		if !e.TakesWork() {
 			continue
 		}
 		c.Slots += int(e.Slots)
@@ -195,7 +194,7 @@
 // takesWork reports whether the endpoint of an attempt still gets new work.
 func (p *pool) takesWork(a *attempt) bool {
 	e := p.endpointAt(a.index, a.incarnation)
-	return e != nil && e.State == table.EndpointLive
+	return e != nil && e.TakesWork()
 }
 
 // drainQueues dispatches what waits in any pool.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,6 +36,8 @@
 	profiles    *duty.Tracker
 	vms         *duty.Tracker
 	nextCheck   time.Duration
+	// evacuated are the failure domains whose endpoints get nothing, with since when.
+	evacuated []Evacuation
 	// rows finds an endpoint's row by the VM's name.
 	rows   map[string]endpointRef
 	gossip *gossip.Scheduler
@@ -269,6 +272,7 @@
 	case member.EndpointAdded:
 		p := c.poolNamed(ch.VM.Pool)
 		index := p.add(now, ch.VM)
+		p.Endpoints[index].Evacuated = slices.Contains(c.fleet.members.Evacuated(), ch.VM.Domain)
 		p.newRows = true
 		c.fleet.rows[ch.VM.Name] = endpointRef{pool: p, index: index}
 	case member.EndpointLeaving:
@@ -285,6 +289,12 @@
 			delete(c.fleet.rows, ch.VM.Name)
 			out.DropAddresses = append(out.DropAddresses, ch.VM.Address)
 		}
+	case member.DomainEvacuated:
+		c.fleet.evacuated = append(c.fleet.evacuated, Evacuation{Domain: ch.VM.Domain, Since: now})
+		c.setEvacuated(ch.VM.Domain, true)
+	case member.DomainReturned:
+		c.fleet.evacuated = slices.DeleteFunc(c.fleet.evacuated, func(e Evacuation) bool { return e.Domain == ch.VM.Domain })
+		c.setEvacuated(ch.VM.Domain, false)
 	case member.EntryGone:
 		delete(c.fleet.peers, ch.VM.Incarnation)
 		c.fleet.gossip.Forget(now, ch.VM.Name, ch.VM.Incarnation)
@@ -292,6 +302,17 @@
 	}
 }
 
+// setEvacuated marks the endpoints of a failure domain. What runs there goes on.
+func (c *Core) setEvacuated(domain string, evacuated bool) {
+	for _, p := range c.poolRows {
+		for i := range p.Endpoints {
+			if e := &p.Endpoints[i]; e.Domain == domain {
+				e.Evacuated = evacuated
+			}
+		}
+	}
+}
+
 // rowOfVM returns the row of one incarnation of an endpoint, or nil.
 func (c *Core) rowOfVM(vm *published.VM) *table.Endpoint {
 	ref, ok := c.fleet.rows[vm.Name]
--- a/internal/core/health/sweep.go
+++ b/internal/core/health/sweep.go
@@ -107,7 +107,7 @@
 func (s *sweep) each(f func(i int, e *table.Endpoint)) {
 	for i := range s.pool.Endpoints {
 		e := &s.pool.Endpoints[i]
-		if e.State == table.EndpointLive {
+		if e.TakesWork() {
 			f(i, e)
 		}
 	}
--- a/internal/core/holdings.go
+++ b/internal/core/holdings.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/queue"
-	"github.com/tealhall/tealhall/internal/core/table"
 )
 
 const (
@@ -88,7 +87,7 @@
 func (p *pool) taken() int {
 	taken := 0
 	for i := range p.Endpoints {
-		if e := &p.Endpoints[i]; e.State == table.EndpointLive {
+		if e := &p.Endpoints[i]; e.TakesWork() {
 			taken += int(min(e.Slots, e.Outstanding+p.holdings.at(i)))
 		}
 	}
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/message"
@@ -21,6 +22,8 @@
 	heldAt time.Duration
 	// skipped are the names on unusable rows of the latest list.
 	skipped map[string]bool
+	// evacuated are the failure domains that the latest list evacuates.
+	evacuated []string
 }
 
 // ListRevision returns the revision of the latest list, when it was applied or
@@ -50,6 +53,8 @@
 	}
 	t.list.revision, t.list.at, t.list.applied = l.Revision, now, true
 	t.list.vms, t.list.skipped = vms, skipped
+	// Before the rows: endpoints that this list adds may lie in such a domain.
+	changes = append(changes, t.evacuate(l.Evacuated)...)
 	for _, vm := range l.VMs {
 		if kept, ok := vms[vm.Name]; ok && kept.Incarnation == vm.Incarnation {
 			changes = append(changes, t.listed(now, kept)...)
@@ -58,6 +63,28 @@
 	return append(changes, t.absences(now, news)...)
 }
 
+// evacuate takes over which failure domains are evacuated. It counts at once and whatever else
+// the list loses: only the operator writes it.
+func (t *Table) evacuate(domains []string) []Change {
+	before := t.list.evacuated
+	t.list.evacuated = slices.Clone(domains)
+	var changes []Change
+	for _, domain := range domains {
+		if !slices.Contains(before, domain) {
+			changes = append(changes, Change{Kind: DomainEvacuated, VM: published.VM{Domain: domain}, Why: "the operator asks that its endpoints get nothing more"})
+		}
+	}
+	for _, domain := range before {
+		if !slices.Contains(domains, domain) {
+			changes = append(changes, Change{Kind: DomainReturned, VM: published.VM{Domain: domain}, Why: "the operator has taken the request back"})
+		}
+	}
+	return changes
+}
+
+// Evacuated returns the failure domains whose endpoints are to get nothing.
+func (t *Table) Evacuated() []string { return t.list.evacuated }
+
 // usable returns the rows that can be worked with by name, and the names of
 // those that cannot. Of two rows with one name or address the later
 // incarnation counts.
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -39,6 +39,11 @@
 	EndpointMissing
 	// EndpointListed: the list names it again. Only with Config.ListIsFinal.
 	EndpointListed
+	// DomainEvacuated: the endpoints of a failure domain are to get nothing more. The change's
+	// VM says just the domain.
+	DomainEvacuated
+	// DomainReturned: they may get work again.
+	DomainReturned
 
 	// KindCount is one more than the highest kind.
 	KindCount
@@ -50,6 +55,7 @@
 	EntryLeaving: "entry-leaving", EntryGone: "entry-gone",
 	ListRefused: "list-refused", ListHeld: "list-held", ListConfirmed: "list-confirmed", RowRefused: "row-refused",
 	EndpointMissing: "endpoint-missing", EndpointListed: "endpoint-listed",
+	DomainEvacuated: "evacuated", DomainReturned: "taken-back",
 }
 
 // String returns the name of k as the audit trail shows it.
--- a/internal/core/notes.go
+++ b/internal/core/notes.go
@@ -46,8 +46,11 @@
 
 func changeNote(ch *member.Change, actor string) Note {
 	subject := "vm list"
-	if ch.VM.Name != "" {
+	switch {
+	case ch.VM.Name != "":
 		subject = string(ch.VM.Role) + " " + ch.VM.Name
+	case ch.VM.Domain != "":
+		subject = "failure domain " + ch.VM.Domain
 	}
 	return Note{Actor: actor, Subject: subject, Action: ch.Kind.String(), Why: ch.Why}
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -206,7 +206,7 @@
 		}
 		for i := range p.Endpoints {
 			e := &p.Endpoints[i]
-			if e.State == table.EndpointLive {
+			if e.TakesWork() {
 				f.sightings = append(f.sightings, sightingOf(now, e))
 			}
 		}
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -102,7 +102,7 @@
 
 // Perfect reports whether no other endpoint could be a better choice than e.
 func (v *View) Perfect(e *table.Endpoint) bool {
-	return e.State == table.EndpointLive && HasEasyRoom(e) && v.Now >= e.AvoidUntil && !e.Missing &&
+	return e.TakesWork() && HasEasyRoom(e) && v.Now >= e.AvoidUntil && !e.Missing &&
 		e.DoubtAfter(v.Now) < SlightDoubt && (v.isNear(e) || v.Request.Kilobytes < smallExchange)
 }
 
@@ -114,7 +114,7 @@
 	for i := range v.Endpoints {
 		e := &v.Endpoints[i]
 		full := e.Look.Seen && v.Now-e.Look.At < fullLasts && !e.HasRoom()
-		if e.State != table.EndpointLive || v.Request.Tried.Has(i) || e.Outstanding >= max(1, e.Slots) || full || v.seemsSlow(e) {
+		if !e.TakesWork() || v.Request.Tried.Has(i) || e.Outstanding >= max(1, e.Slots) || full || v.seemsSlow(e) {
 			continue
 		}
 		if rank := v.rank(e); best < 0 || rank < bestRank {
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -117,7 +117,7 @@
 func (p *Pool) Fullness(now time.Duration, endpoints []table.Endpoint) (live, told, full int) {
 	for i := range endpoints {
 		e := &endpoints[i]
-		if e.State != table.EndpointLive {
+		if !e.TakesWork() {
 			continue
 		}
 		live++
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -257,7 +257,7 @@
 
 func (p *pool) hasLive() bool {
 	for i := range p.Endpoints {
-		if p.Endpoints[i].State == table.EndpointLive {
+		if p.Endpoints[i].TakesWork() {
 			return true
 		}
 	}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -115,7 +115,7 @@
 // counted for the bound on looks, they let the others be asked more often than it allows.
 func (p *pool) live() (n int) {
 	for i := range p.Endpoints {
-		if p.Endpoints[i].State == table.EndpointLive {
+		if p.Endpoints[i].TakesWork() {
 			n++
 		}
 	}
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -96,6 +96,8 @@
 	Sighting Sighting
 	// Look is what the endpoint last told of its load.
 	Look Look
+	// Evacuated: its failure domain is to get nothing until the operator takes it back.
+	Evacuated bool
 	// Missing: the platform's list has lost the endpoint, and it is used only since
 	// no other is left.
 	Missing bool
@@ -117,6 +119,10 @@
 	Health       Health
 }
 
+// TakesWork reports whether the endpoint may get a request at all. Whoever chooses an endpoint,
+// or counts what a pool can do, asks this.
+func (e *Endpoint) TakesWork() bool { return e.State == EndpointLive && !e.Evacuated }
+
 // doubtHalves is the time in which a doubt that nothing confirms halves: an
 // endpoint that was bad for some seconds is tried again soon after.
 const doubtHalves = 4 * time.Second
@@ -153,11 +159,11 @@
 	Endpoints []Endpoint
 }
 
-// Slots returns the slots of all live endpoints.
+// Slots returns the slots of all endpoints that take work.
 func (p *Pool) Slots() int {
 	total := 0
 	for i := range p.Endpoints {
-		if p.Endpoints[i].State == EndpointLive {
+		if p.Endpoints[i].TakesWork() {
 			total += int(p.Endpoints[i].Slots)
 		}
 	}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -45,6 +45,7 @@
 	// Entries are in the order of their names, Pools and Endpoints in no order
 	// that means anything before Sort.
 	Pools     []PoolView
+	Evacuated []Evacuation
 	Entries   []EntryView
 	Endpoints []EndpointView
 }
@@ -77,8 +78,9 @@
 	Slots, Outstanding int
 	// Waiting is the length of this entry's queue.
 	Waiting int
-	// Live, Leaving and Ejected count endpoints; ejected ones are live too.
-	Live, Leaving, Ejected int
+	// Live, Leaving, Ejected and Evacuated count endpoints; those ejected or evacuated are live
+	// too.
+	Live, Leaving, Ejected, Evacuated int
 	// ViewWrong: most endpoints look bad, so none is ejected.
 	ViewWrong bool
 	// WatchShare is the share of slot time that all entries may spend on probes.
@@ -114,6 +116,13 @@
 	Ejection *EjectionView
 }
 
+// Evacuation is a failure domain whose endpoints get nothing.
+type Evacuation struct {
+	Domain string
+	// Since is when this entry learned of it.
+	Since time.Duration
+}
+
 // EjectionView says why an endpoint is ejected and what ends that.
 type EjectionView struct {
 	Why, Clears string
@@ -178,6 +187,7 @@
 		Keys:       c.keys.Stats(),
 		KeysSealed: c.keys.Sealed(),
 		Entries:    c.viewEntries(),
+		Evacuated:  slices.Clone(c.fleet.evacuated),
 	}
 	v.Ready, v.NotReadyWhy = c.ReadyReason(now)
 	_, _, v.ListHeld, _ = c.fleet.members.ListRevision()
@@ -239,6 +249,9 @@
 	switch e.State {
 	case table.EndpointLive:
 		v.Live++
+		if e.Evacuated {
+			v.Evacuated++
+		}
 		v.ViewWrong = v.ViewWrong || e.Health.ViewWrong
 		if e.Health.EjectedUntil != 0 {
 			v.Ejected++
--- a/internal/core/yard_test.go
+++ b/internal/core/yard_test.go
@@ -70,6 +70,7 @@
 	// stories are the lines of requests that ended; name is that of the next request.
 	stories []Story
 	name    string
+	notes   []Note
 }
 
 type yardLetter struct {
@@ -144,6 +145,7 @@
 	var out Actions
 	event(&out)
 	y.stories = append(y.stories, out.Stories...)
+	y.notes = append(y.notes, out.Notes...)
 	y.updates = append(y.updates, out.Updates...)
 	for _, d := range out.Requests {
 		switch d.Step {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -122,6 +122,9 @@
 			p.line("           %s: %d usable, %d suspected, %d leaving, %d starting", d.FailureDomain, d.Usable, d.Suspected, d.Leaving, d.Starting)
 		}
 	}
+	for _, e := range f.Evacuated {
+		p.line("evacuated  %s for %s: %d endpoints get nothing, %d request(s) from here still run there", e.FailureDomain, age(e.Age), e.Endpoints, e.Outstanding)
+	}
 	p.line("endpoints  %d live, %d leaving, %d ejected", f.EndpointsLive, f.EndpointsLeaving, f.EndpointsEjected)
 	p.line("readers    %s", strings.Join(f.Readers, ", "))
 	own := "read by other entries"
--- a/internal/entry/views_concerns.go
+++ b/internal/entry/views_concerns.go
@@ -195,6 +195,10 @@
 			l.add("by itself when most look good; check the paths from this entry to them, and the service itself",
 				"most endpoints of pool %s look bad, so that none is ejected", p.Name)
 		}
+		if len(p.Services) > 0 && p.Live > 0 && p.Live == p.Evacuated {
+			l.add("when a failure domain is taken back; callers are refused until then",
+				"all endpoints of pool %s of %s are evacuated", p.Name, p.Services[0].Name)
+		}
 		if len(p.Services) > 0 && p.Live == 0 {
 			l.add("start endpoints, or correct the pool's name in the profiles or in the VM list",
 				"pool %s of %s has no live endpoint", p.Name, p.Services[0].Name)
--- a/internal/entry/views_concerns_test.go
+++ b/internal/entry/views_concerns_test.go
@@ -55,6 +55,8 @@
 		{"an entry that starts has no revision yet", func(f *facts) { f.view.Entries[1].State, f.view.Entries[1].Profiles = message.EntryStarting, 0 }, [2]string{}},
 		{"an entry of which others told", func(f *facts) { f.view.Entries[1].Profiles = 0 }, [2]string{}},
 		{"a stale replica long ago", func(f *facts) { f.view.Profiles.Stale = true }, [2]string{}},
+		{"one failure domain of several is evacuated", func(f *facts) { f.view.Pools[0].Evacuated = 1 }, [2]string{}},
+		{"all are evacuated", func(f *facts) { f.view.Pools[0].Evacuated = 2 }, [2]string{"all endpoints of pool halls of booking are evacuated", "taken back"}},
 		{"one failed call", func(f *facts) {
 			f.platform.values = map[string]valueCalls{published.VMsValue: {failing: 1, cause: "reset"}}
 		}, [2]string{}},
--- a/internal/entry/views_status.go
+++ b/internal/entry/views_status.go
@@ -8,6 +8,7 @@
 
 	"github.com/tealhall/tealhall/internal/admin"
 	"github.com/tealhall/tealhall/internal/core"
+	tables "github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/message"
 )
 
@@ -136,6 +137,7 @@
 		v.Revisions = append(v.Revisions, admin.RevisionCount{Revision: revision, Entries: entries})
 	}
 	slices.SortFunc(v.Revisions, func(a, b admin.RevisionCount) int { return cmp.Compare(b.Revision, a.Revision) })
+	v.Evacuated = f.evacuationViews()
 	for i := range f.view.Pools {
 		p := &f.view.Pools[i]
 		v.EndpointsLive += p.Live
@@ -145,6 +147,26 @@
 	return v
 }
 
+// evacuationViews tells what of each evacuated failure domain there is, and still runs.
+func (f *facts) evacuationViews() []admin.EvacuationView {
+	var views []admin.EvacuationView
+	for _, evacuation := range f.view.Evacuated {
+		v := admin.EvacuationView{FailureDomain: evacuation.Domain, Age: (f.now - evacuation.Since).Seconds()}
+		for i := range f.view.Endpoints {
+			e := &f.view.Endpoints[i]
+			if e.Domain != evacuation.Domain {
+				continue
+			}
+			v.Outstanding += int(e.Outstanding)
+			if e.State == tables.EndpointLive {
+				v.Endpoints++
+			}
+		}
+		views = append(views, v)
+	}
+	return views
+}
+
 func (f *facts) requestsView() admin.RequestsView {
 	c := &f.view.Counters
 	return admin.RequestsView{
--- a/internal/published/patch.go
+++ b/internal/published/patch.go
@@ -18,6 +18,8 @@
 	// Rows are those that are new or differ, Gone the names of those that are there no more.
 	Rows []VM     `json:"rows,omitempty"`
 	Gone []string `json:"gone,omitempty"`
+	// Evacuated are the failure domains that are evacuated in the list that results.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Digest is that of the text of the list that results.
 	Digest uint64 `json:"digest"`
 }
@@ -25,8 +27,9 @@
 // History remembers what changed from list to list, so that a peer with an earlier one can
 // be given the difference. The zero value is empty. It is not safe for concurrent use.
 type History struct {
-	text []byte
-	rows map[string]VM
+	text      []byte
+	rows      map[string]VM
+	evacuated []string
 	// steps are the latest changes, oldest first. base is the revision before the first of
 	// them, latest that of the list held.
 	steps        []step
@@ -46,7 +49,7 @@
 // Add takes in a list with its text. Only a text as EncodeVMs makes it from rows in the
 // order of their names can be made from a difference; others are given whole.
 func (h *History) Add(list VMList, text []byte) {
-	if !bytes.Equal(encodeRows(rowsOf(list)), text) {
+	if !bytes.Equal(EncodeVMs(listOf(rowsOf(list), list.Evacuated)), text) {
 		*h = History{}
 		return
 	}
@@ -65,7 +68,7 @@
 		h.base = h.steps[0].revision
 		h.steps = slices.Delete(h.steps, 0, 1)
 	}
-	h.text, h.rows, h.latest = text, rows, list.Revision
+	h.text, h.rows, h.evacuated, h.latest = text, rows, list.Evacuated, list.Revision
 }
 
 // rowsOf returns the rows of a list by name.
@@ -101,7 +104,7 @@
 	if h.rows == nil || revision < h.base || revision >= h.latest {
 		return nil, false
 	}
-	p := patch{Digest: xxhash.Sum64(h.text)}
+	p := patch{Digest: xxhash.Sum64(h.text), Evacuated: h.evacuated}
 	touched := make(map[string]bool)
 	for _, s := range h.steps {
 		if s.revision <= revision {
@@ -145,7 +148,11 @@
 	for _, name := range p.Gone {
 		delete(rows, name)
 	}
-	list := listOf(rows)
+	var found problems
+	if checkEvacuated(p.Evacuated, &found); found.count > 0 {
+		return VMList{}, nil, fault.New(fault.BadMessage, remedyPatch, "the difference is unusable: %s", found.texts[0])
+	}
+	list := listOf(rows, p.Evacuated)
 	text := EncodeVMs(list)
 	if xxhash.Sum64(text) != p.Digest {
 		return VMList{}, nil, fault.New(fault.BadMessage, remedyPatch, "the difference is to another VM list than revision %d", h.latest)
@@ -157,14 +164,11 @@
 const remedyPatch = "ask for the whole list"
 
 // listOf returns a list of the given rows in the order of their names.
-func listOf(rows map[string]VM) VMList {
-	list := VMList{VMs: make([]VM, 0, len(rows))}
+func listOf(rows map[string]VM, evacuated []string) VMList {
+	list := VMList{VMs: make([]VM, 0, len(rows)), Evacuated: evacuated}
 	for _, vm := range rows {
 		list.VMs = append(list.VMs, vm)
 	}
 	slices.SortFunc(list.VMs, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
-
-// encodeRows returns the text of a list with the given rows in the order of their names.
-func encodeRows(rows map[string]VM) []byte { return EncodeVMs(listOf(rows)) }
--- a/internal/published/patch_test.go
+++ b/internal/published/patch_test.go
@@ -23,6 +23,7 @@
 func TestDifferenceLeadsToTheSameList(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		rows := map[string]VM{}
+		var evacuated []string
 		var ahead, behind History
 		behindAt, whole, fitting := uint64(0), 0, 0
 		for revision := uint64(1); revision <= 40; revision++ {
@@ -34,7 +35,10 @@
 					rows[vm.Name] = vm
 				}
 			}
-			text := encodeRows(rows)
+			if rapid.IntRange(0, 3).Draw(rt, "evacuates") == 0 {
+				evacuated = [][]string{nil, {"d"}, {"d", "e"}}[rapid.IntRange(0, 2).Draw(rt, "domains")]
+			}
+			text := EncodeVMs(listOf(rows, evacuated))
 			list, err := ParseVMs(Value{Revision: revision, Data: text})
 			if err != nil {
 				rt.Fatal(err)
@@ -82,7 +86,7 @@
 	}
 	var h History
 	add := func(revision uint64) {
-		text := encodeRows(rows)
+		text := EncodeVMs(listOf(rows, nil))
 		list, err := ParseVMs(Value{Revision: revision, Data: text})
 		if err != nil {
 			t.Fatal(err)
@@ -119,7 +123,7 @@
 
 func FuzzPatched(f *testing.F) {
 	var h History
-	text := encodeRows(map[string]VM{"i-001": rowOf(1, 0)})
+	text := EncodeVMs(listOf(map[string]VM{"i-001": rowOf(1, 0)}, nil))
 	list, _ := ParseVMs(Value{Revision: 1, Data: text})
 	h.Add(list, text)
 	f.Add([]byte(`{"rows":[],"gone":["i-001"],"digest":1}`))
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -99,10 +99,14 @@
 	Pool string `json:"pool,omitempty"`
 	// Slots is how many requests an endpoint works on at a time; default 2.
 	Slots int `json:"slots,omitempty"`
+	// Cold: an endpoint that was started or emptied a moment ago and bears few requests.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // VMList is the platform's list at one revision. It lags behind reality.
 type VMList struct {
 	Revision uint64 `json:"-"`
 	VMs      []VM   `json:"vms"`
+	// Evacuated are the failure domains, in order, whose endpoints are to get nothing.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
--- a/internal/published/vms.go
+++ b/internal/published/vms.go
@@ -56,6 +56,7 @@
 		names[vm.Name] = true
 		checkVM(vm, &found)
 	}
+	checkEvacuated(list.Evacuated, &found)
 	if found.count > 0 {
 		return VMList{}, fault.New(fault.PlatformAnswer, remedyVMs,
 			"VM list of revision %d has %d problems: %s", value.Revision, found.count, strings.Join(found.texts, "; "))
@@ -148,6 +149,16 @@
 	if vm.Slots != 0 {
 		found.add(vm, "an entry has no slots")
 	}
+	if vm.Cold {
+		found.add(vm, "an entry is not cold")
+	}
+}
+
+// checkEvacuated checks the names of evacuated failure domains.
+func checkEvacuated(domains []string, found *problems) {
+	for _, domain := range domains {
+		checkName(&VM{}, "evacuated domain", domain, found)
+	}
 }
 
 // checkName accepts printable names without spaces, which fit log lines, tables
--- a/internal/route/document.go
+++ b/internal/route/document.go
@@ -89,6 +89,9 @@
 			p.add("service %q stands twice", s.Name)
 		}
 		seen[s.Name] = true
+		if s.Warmup < 0 || !(s.WarmupRate >= 0) {
+			p.add("service %q: warm-up time and rate must not be negative", s.Name)
+		}
 	}
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -60,6 +60,10 @@
 	ProbePath string `json:"probe_path"`
 	// MaxConnections is how many connections one endpoint takes from everybody.
 	MaxConnections int `json:"max_connections"`
+	// Warmup is how long an endpoint is cold after its start, WarmupRate the requests a second
+	// that a cold one bears; 0 for endpoints that need not warm up.
+	Warmup     Millis  `json:"warmup_ms,omitempty"`
+	WarmupRate float64 `json:"warmup_rate,omitempty"`
 }
 
 // Limits bound what a caller may send, for all routes alike.
