Cold endpoints: a few entries own each one and have what it bears among them; package grant

Nothing read the published rate or what endpoints tell. Ways weighed: (a) a part of the bound for each entry by its part of the requests: with 60 entries at work 0.28 a second each, so either nothing in the three seconds that it is cold, or one each at once, which is 60; (b) a few owners by rendezvous hashing who have the bound among them (kept): 3 of them send 1.8 a second and one at once, half of the bound together; (c) only a look before each request: its answer tells what runs and not what was begun in this second, so nothing can be proved; kept beside (b), since a look tells best whether the endpoint is cold; (d) slow start alone: bounds slots, not requests of all together. Change: package grant is the one place that says whether an endpoint may get a request, with the reason (leaving, gone, evacuated, cold); choices by looks and by reports ask it, sending spends it. Endpoints are taken for cold by the list, after a take-back, and by what they tell when looked at, which counts most.

--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -62,7 +62,7 @@
 			if e.State != table.EndpointLive || ask.Tried.Has(c.Index) {
 				t.Fatalf("chose %+v, tried %b", e, ask.Tried)
 			}
-			if !c.Trial && !usable(testNow, e) && stands(testNow, p, ask.Tried) == ordinary {
+			if !c.Trial && !usable(testNow, p, e) && stands(testNow, p, ask.Tried) == ordinary {
 				t.Fatal("chose an ejected endpoint though others stand")
 			}
 			if c.Trial && (!ask.Trial || e.Health.TrialAt > testNow) {
--- a/internal/core/balance/view.go
+++ b/internal/core/balance/view.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"github.com/tealhall/tealhall/internal/core/grant"
 	"math/rand/v2"
 	"time"
 
@@ -80,8 +81,8 @@
 }
 
 // usable reports whether ordinary work may go to e.
-func usable(now time.Duration, e *table.Endpoint) bool {
-	return e.TakesWork() && now >= e.Health.EjectedUntil
+func usable(now time.Duration, p *table.Pool, e *table.Endpoint) bool {
+	return grant.Of(now, p, e) == grant.Granted && now >= e.Health.EjectedUntil
 }
 
 // standing says how far eligibility must be relaxed for a choice to exist.
@@ -102,7 +103,7 @@
 	found := nowhere
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
-		if !e.TakesWork() || tried.Has(i) {
+		if grant.Of(now, p, e) != grant.Granted || tried.Has(i) {
 			continue
 		}
 		if now >= e.Health.EjectedUntil {
@@ -116,7 +117,7 @@
 // eligible reports whether endpoint i may get the request under the standing.
 func eligible(now time.Duration, p *table.Pool, i int, tried Set, s standing) bool {
 	e := &p.Endpoints[i]
-	if !e.TakesWork() || tried.Has(i) {
+	if grant.Of(now, p, e) != grant.Granted || tried.Has(i) {
 		return false
 	}
 	return s == relaxed || now >= e.Health.EjectedUntil
@@ -129,7 +130,7 @@
 	}
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
-		if e.TakesWork() && e.Health.EjectedUntil > now && e.Health.TrialAt > 0 &&
+		if grant.Of(now, p, e) == grant.Granted && e.Health.EjectedUntil > now && e.Health.TrialAt > 0 &&
 			now >= e.Health.TrialAt && e.Outstanding == 0 && !ask.Tried.Has(i) {
 			return Choice{Index: i, OK: true, Trial: true}, true
 		}
--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -131,7 +131,10 @@
 	if e.VM.Incarnation == c.cfg.Self.Incarnation {
 		return float64(c.fleet.rate)
 	}
-	return float64(c.fleet.peers[e.VM.Incarnation].update.Rate)
+	if p := c.fleet.peers[e.VM.Incarnation]; p != nil {
+		return float64(p.update.Rate)
+	}
+	return 0
 }
 
 // capacityOf returns what an entry's VM gives it, in thousandths of a core.
--- /dev/null
+++ b/internal/core/cold.go
@@ -0,0 +1,110 @@
+package core
+
+import (
+	"maps"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/grant"
+	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/profile"
+)
+
+// coldOwners is what the owners of a pool's cold endpoints were worked out from.
+type coldOwners struct {
+	// until is when the last cold endpoint of the pool is warm as far as known.
+	until time.Duration
+	// at is when they were worked out, for a version of the entries known.
+	at      time.Duration
+	version uint64
+	rows    int
+	settled bool
+}
+
+// turnedCold notes that an endpoint is cold as far as others say. Its owners are worked out once
+// it is asked for.
+func (p *pool) turnedCold(now time.Duration, index int) {
+	e := &p.Endpoints[index]
+	grant.TurnedCold(now, &p.Pool, e)
+	e.Cold.Own = false
+	p.cold.until, p.cold.at = max(p.cold.until, e.Cold.Until), 0
+}
+
+// toldCold takes in how much longer an endpoint says that it stays cold.
+func (c *Core) toldCold(now time.Duration, p *pool, e *table.Endpoint, left time.Duration) {
+	wasCold := grant.IsCold(now, &p.Pool, e)
+	grant.Told(now, e, left)
+	if p.cold.until = max(p.cold.until, e.Cold.Until); !wasCold && left > 0 {
+		e.Cold.Own, p.cold.at = false, 0
+	}
+}
+
+// setWarmup puts in force what is published of a pool's cold endpoints.
+func (c *Core) setWarmup(p *pool, w profile.Warmup) {
+	p.ColdShare = grant.Share(grant.Warmup{For: w.For, PerSecond: w.PerSecond, Over: c.cfg.WarmupOver, Slack: c.cfg.WarmupSlack})
+}
+
+// ownCold works out which of the pool's cold endpoints this entry may send to.
+func (c *Core) ownCold(now time.Duration, p *pool) {
+	if now >= p.cold.until {
+		return
+	}
+	o := &p.cold
+	if o.at > 0 && o.version == c.fleet.version && o.rows == len(p.Endpoints) && o.settled == c.fleet.settled {
+		return
+	}
+	o.at, o.version, o.rows, o.settled = now, c.fleet.version, len(p.Endpoints), c.fleet.settled
+	candidates := c.coldCandidates()
+	for i := range p.Endpoints {
+		if e := &p.Endpoints[i]; now < e.Cold.Until {
+			e.Cold.Own = o.settled && candidates.Owns(c.fleet.selfID, e.Name, e.Domain, p.ColdShare.Owners)
+		}
+	}
+}
+
+// remembered is an entry as it counts for who owns cold endpoints.
+type remembered struct {
+	grant.Entry
+	at time.Duration
+}
+
+// rememberFor is how long an entry counts for that after it was known last. Entries that went silent
+// stay in it, and those on the other side of a partition, so that both sides go on with the same
+// owners; what one that has gone for good owned is nobody's for so long.
+const rememberFor = 10 * time.Minute
+
+// remember notes the entries that are known, and settles once this entry knows what others do.
+//
+// Guards against an entry that has just begun to serve and takes itself for the owner of everything
+// since it knows few others, as all entries of a failure domain would that comes back with its
+// endpoints: it owns nothing until it has served for a while and then held the same records as
+// all that it hears.
+func (c *Core) remember(now time.Duration) {
+	f := &c.fleet
+	if !f.settled && c.state != message.EntryStarting && now >= c.servesSince+settling {
+		f.settled = f.gossip.Agrees()
+	}
+	if f.rememberedAt == f.version {
+		return
+	}
+	f.rememberedAt = f.version
+	for i := range f.entries {
+		e := &f.entries[i]
+		id := dutyID(e.VM.Name)
+		next := remembered{grant.Entry{ID: id, Domain: e.VM.Domain, Capacity: c.capacityOf(e)}, now}
+		if next.Capacity == 0 {
+			next.Capacity = f.remembered[id].Capacity
+		}
+		f.remembered[id] = next
+	}
+	maps.DeleteFunc(f.remembered, func(_ uint64, r remembered) bool { return now-r.at > rememberFor })
+}
+
+// coldCandidates are the entries among which cold endpoints are divided.
+func (c *Core) coldCandidates() grant.Candidates {
+	entries := make([]grant.Entry, 0, len(c.fleet.remembered))
+	for _, r := range c.fleet.remembered {
+		entries = append(entries, r.Entry)
+	}
+	return grant.NewCandidates(entries)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,6 +70,9 @@
 	// LooksPerEndpoint bounds how often a second all entries together look at an
 	// endpoint; 0 for no bound.
 	LooksPerEndpoint float64
+	// WarmupOver and WarmupSlack bound what all entries together send to a cold endpoint in any
+	// second: WarmupOver times the rate published for it, and WarmupSlack more.
+	WarmupOver, WarmupSlack float64
 	// CheckEvery is the shortest time between two reads of the platform by an entry
 	// that others read for; 0 stands for the default of package duty.
 	CheckEvery time.Duration
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/balance"
+	"github.com/tealhall/tealhall/internal/core/grant"
 	"github.com/tealhall/tealhall/internal/core/health"
 	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/queue"
@@ -23,6 +24,7 @@
 	if !c.mayTakeSlot(now, p, r.service) {
 		return false
 	}
+	c.ownCold(now, p)
 	if i := c.trialEndpoint(now, r); i >= 0 {
 		health.TrialSent(now, &p.Endpoints[i])
 		c.dispatch(now, r, balance.Choice{Index: i}, hedge, out)
@@ -69,7 +71,7 @@
 	p := r.pool
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
-		if e.TakesWork() && health.TrialDue(now, e) {
+		if grant.Of(now, &p.Pool, e) == grant.Granted && health.TrialDue(now, e) {
 			return i
 		}
 	}
@@ -148,6 +150,7 @@
 		due:         view.Takes(e),
 	}
 	r.tried = r.tried.With(index)
+	grant.Spend(now, &p.Pool, e)
 	e.Outstanding++
 	e.Look.Since++
 	r.service.held++
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -98,6 +98,8 @@
 	// Pace is how long work takes there at this moment, in percent of the usual; 0
 	// if the endpoint did not say.
 	Pace int
+	// Cold is how much longer the endpoint stays cold, 0 for a warm one. Only looks tell.
+	Cold time.Duration
 }
 
 // EndKind says how an attempt ended.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -38,6 +38,11 @@
 	nextCheck   time.Duration
 	// evacuated are the failure domains whose endpoints get nothing, with since when.
 	evacuated []Evacuation
+	// remembered are the entries that count for who owns cold endpoints, by dutyID, as of a version
+	// of the entries; settled says that this entry knows what others do.
+	remembered   map[uint64]remembered
+	rememberedAt uint64
+	settled      bool
 	// rows finds an endpoint's row by the VM's name.
 	rows   map[string]endpointRef
 	gossip *gossip.Scheduler
@@ -116,8 +121,10 @@
 		profiles: duty.NewTracker(0, tracked),
 		vms:      duty.NewTracker(0, tracked),
 		rows:     make(map[string]endpointRef),
-		gossip:   gossip.New(gossipConfig),
-		reader:   true,
+
+		remembered: make(map[uint64]remembered),
+		gossip:     gossip.New(gossipConfig),
+		reader:     true,
 	}
 	c.fleet.members.Introduce(0, vmOf(c.cfg.Self))
 	c.refreshEntries()
@@ -273,6 +280,9 @@
 		p := c.poolNamed(ch.VM.Pool)
 		index := p.add(now, ch.VM)
 		p.Endpoints[index].Evacuated = slices.Contains(c.fleet.members.Evacuated(), ch.VM.Domain)
+		if ch.VM.Cold {
+			p.turnedCold(now, index)
+		}
 		p.newRows = true
 		c.fleet.rows[ch.VM.Name] = endpointRef{pool: p, index: index}
 	case member.EndpointLeaving:
@@ -289,12 +299,16 @@
 			delete(c.fleet.rows, ch.VM.Name)
 			out.DropAddresses = append(out.DropAddresses, ch.VM.Address)
 		}
+	case member.EndpointCold:
+		if ref, ok := c.fleet.rows[ch.VM.Name]; ok && ref.pool.endpointAt(ref.index, ch.VM.Incarnation) != nil {
+			ref.pool.turnedCold(now, ref.index)
+		}
 	case member.DomainEvacuated:
 		c.fleet.evacuated = append(c.fleet.evacuated, Evacuation{Domain: ch.VM.Domain, Since: now})
-		c.setEvacuated(ch.VM.Domain, true)
+		c.setEvacuated(now, ch.VM.Domain, true)
 	case member.DomainReturned:
 		c.fleet.evacuated = slices.DeleteFunc(c.fleet.evacuated, func(e Evacuation) bool { return e.Domain == ch.VM.Domain })
-		c.setEvacuated(ch.VM.Domain, false)
+		c.setEvacuated(now, ch.VM.Domain, false)
 	case member.EntryGone:
 		delete(c.fleet.peers, ch.VM.Incarnation)
 		c.fleet.gossip.Forget(now, ch.VM.Name, ch.VM.Incarnation)
@@ -302,12 +316,18 @@
 	}
 }
 
-// setEvacuated marks the endpoints of a failure domain. What runs there goes on.
-func (c *Core) setEvacuated(domain string, evacuated bool) {
+// setEvacuated marks the endpoints of a failure domain. What runs there goes on. One that is
+// taken back has done nothing for a while and is taken for cold until it tells more.
+func (c *Core) setEvacuated(now time.Duration, domain string, evacuated bool) {
 	for _, p := range c.poolRows {
 		for i := range p.Endpoints {
-			if e := &p.Endpoints[i]; e.Domain == domain {
-				e.Evacuated = evacuated
+			e := &p.Endpoints[i]
+			if e.Domain != domain {
+				continue
+			}
+			e.Evacuated = evacuated
+			if !evacuated {
+				p.turnedCold(now, i)
 			}
 		}
 	}
@@ -327,6 +347,7 @@
 	c.noteReached(now, out)
 	c.applyChanges(now, c.fleet.members.Tick(now), "silence", out)
 	c.tellSilent(now)
+	c.remember(now)
 	c.checkReaders(now)
 	c.fetchDue(now, out)
 }
--- /dev/null
+++ b/internal/core/grant/grant.go
@@ -0,0 +1,92 @@
+// Package grant decides whether an endpoint may get a request now, and how many: the one place
+// for all reasons why it may get none or few, whoever chooses it.
+//
+// Most reasons hold for everybody alike: an endpoint that leaves, has gone, or lies in an
+// evacuated failure domain gets nothing. A cold endpoint, started or emptied a moment ago, bears a
+// few requests a second from all entries together and crashes well above that, with the requests
+// that it holds. Each entry sees it idle and would send to it; that it is cold is known late; and
+// entries can't count together. So a few entries own each cold endpoint (see Owners) and have the
+// bound among them, and the others leave it alone while it is cold.
+//
+// The package is pure. Times are durations since the process started.
+package grant
+
+import (
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+)
+
+// Verdict is whether an endpoint may get a request, and if not why.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Granted Verdict = iota
+	// Leaving and Gone: its own end, which is final.
+	Leaving
+	Gone
+	// Evacuated: its failure domain is to get nothing until the operator takes it back.
+	Evacuated
+	// ColdElsewhere: it is cold, and other entries send what it bears.
+	ColdElsewhere
+	// ColdSpent: it is cold, and this entry has sent its part of what it bears.
+	ColdSpent
+)
+
+var verdictNames = [...]string{"granted", "leaving", "gone", "evacuated", "cold-elsewhere", "cold-spent"}
+
+// String returns the verdict as the log shows it.
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Of returns whether endpoint e of pool p may get a request now.
+func Of(now time.Duration, p *table.Pool, e *table.Endpoint) Verdict {
+	switch {
+	case e.State == table.EndpointLeaving:
+		return Leaving
+	case e.State == table.EndpointGone:
+		return Gone
+	case e.Evacuated:
+		return Evacuated
+	case !IsCold(now, p, e):
+		return Granted
+	case !e.Cold.Own:
+		return ColdElsewhere
+	case tokens(now, &p.ColdShare, e) < 1:
+		return ColdSpent
+	}
+	return Granted
+}
+
+// IsCold reports whether the endpoint is cold, in a pool where that binds.
+func IsCold(now time.Duration, p *table.Pool, e *table.Endpoint) bool {
+	return now < e.Cold.Until && p.ColdShare.Bound > 0
+}
+
+// Spend takes a request that is sent to e into account.
+func Spend(now time.Duration, p *table.Pool, e *table.Endpoint) {
+	if !IsCold(now, p, e) {
+		return
+	}
+	e.Cold.Tokens, e.Cold.At = tokens(now, &p.ColdShare, e)-1, now
+}
+
+// tokens is how many requests this entry may send to e now. One that was warm for a while has all
+// that may be saved.
+func tokens(now time.Duration, s *table.ColdShare, e *table.Endpoint) float64 {
+	return min(burst, e.Cold.Tokens+(now-e.Cold.At).Seconds()*s.Rate)
+}
+
+// Told takes in how much longer the endpoint says that it stays cold; 0 says that it is warm.
+func Told(now time.Duration, e *table.Endpoint, left time.Duration) {
+	e.Cold.Until = 0
+	if left > 0 {
+		e.Cold.Until = now + left
+	}
+}
+
+// TurnedCold notes that the endpoint is cold as far as others say, for as long as that commonly
+// takes in its pool, or until it tells more.
+func TurnedCold(now time.Duration, p *table.Pool, e *table.Endpoint) {
+	e.Cold.Until = max(e.Cold.Until, now+p.ColdShare.Warmup)
+}
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/grant"
 	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/table"
 )
@@ -64,14 +65,15 @@
 
 // see returns a request with its pool as package placement sees them.
 func (c *Core) see(now time.Duration, r *request) placement.View {
+	c.ownCold(now, r.pool)
 	return placement.View{
-		Now:       now,
-		Domain:    c.cfg.Self.Domain,
-		Endpoints: r.pool.Endpoints,
-		Pool:      &r.pool.learned,
-		Turn:      r.pool.turn(now),
-		Rand:      c.rng,
-		Request:   r.toPlace(),
+		Now:     now,
+		Domain:  c.cfg.Self.Domain,
+		Pool:    &r.pool.Pool,
+		Learned: &r.pool.learned,
+		Turn:    r.pool.turn(now),
+		Rand:    c.rng,
+		Request: r.toPlace(),
 	}
 }
 
@@ -158,6 +160,7 @@
 	case end.Load.Known:
 		p.loadless = 0
 		e.See(lookOf(now, end.Load))
+		c.toldCold(now, p, e, end.Load.Cold)
 		p.learned.NoteLook(e)
 	default:
 		p.loadless++
@@ -274,6 +277,9 @@
 	if int(r.dispatches) >= MaxAttempts || now >= r.deadline {
 		return false
 	}
+	if grant.Of(now, &r.pool.Pool, &r.pool.Endpoints[i]) != grant.Granted {
+		return false // another request has taken what it bears
+	}
 	second := r.look.second
 	if second && !c.payRepeat(now, r) {
 		return false
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -130,6 +130,9 @@
 		changes = append(changes, Change{Kind: EndpointListed, VM: r.vm, Why: "listed again by the platform"})
 	}
 	r.listed, r.missing = true, false
+	if vm.Cold && !r.vm.Cold {
+		changes = append(changes, Change{Kind: EndpointCold, VM: r.vm, Why: "the platform's list says so"})
+	}
 	t.refresh(r, vm)
 	if vm.State == published.Leaving {
 		t.judge(now, message.Evidence{VM: vm.Name, Incarnation: vm.Incarnation, Kind: message.EvidenceLeaving})
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -39,6 +39,8 @@
 	EndpointMissing
 	// EndpointListed: the list names it again. Only with Config.ListIsFinal.
 	EndpointListed
+	// EndpointCold: the list says that it is cold again.
+	EndpointCold
 	// DomainEvacuated: the endpoints of a failure domain are to get nothing more. The change's
 	// VM says just the domain.
 	DomainEvacuated
@@ -55,7 +57,7 @@
 	EntryLeaving: "entry-leaving", EntryGone: "entry-gone",
 	ListRefused: "list-refused", ListHeld: "list-held", ListConfirmed: "list-confirmed", RowRefused: "row-refused",
 	EndpointMissing: "endpoint-missing", EndpointListed: "endpoint-listed",
-	DomainEvacuated: "evacuated", DomainReturned: "taken-back",
+	EndpointCold: "endpoint-cold", DomainEvacuated: "evacuated", DomainReturned: "taken-back",
 }
 
 // String returns the name of k as the audit trail shows it.
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -90,19 +90,19 @@
 func (v *View) worthwhile(e *table.Endpoint, expected time.Duration) bool {
 	r := &v.Request
 	switch {
-	case v.Now+expected >= r.Deadline, v.Pool.overfills(e):
+	case v.Now+expected >= r.Deadline, v.Learned.overfills(e):
 		return false
 	case r.Objective == 0:
 		return true
 	case r.Late:
-		return !v.Pool.isShort(v.Now) && e.HasRoom() && (!Fills(e) || v.Pool.sharing < littleSharing) && Pace(&e.Look) < SlowPace
+		return !v.Learned.isShort(v.Now) && e.HasRoom() && (!Fills(e) || v.Learned.sharing < littleSharing) && Pace(&e.Look) < SlowPace
 	}
 	return v.Now+expected <= r.FirstTry+r.Objective
 }
 
 // Perfect reports whether no other endpoint could be a better choice than e.
 func (v *View) Perfect(e *table.Endpoint) bool {
-	return e.TakesWork() && HasEasyRoom(e) && v.Now >= e.AvoidUntil && !e.Missing &&
+	return v.granted(e) && HasEasyRoom(e) && v.Now >= e.AvoidUntil && !e.Missing &&
 		e.DoubtAfter(v.Now) < SlightDoubt && (v.isNear(e) || v.Request.Kilobytes < smallExchange)
 }
 
@@ -114,7 +114,7 @@
 	for i := range v.Endpoints {
 		e := &v.Endpoints[i]
 		full := e.Look.Seen && v.Now-e.Look.At < fullLasts && !e.HasRoom()
-		if !e.TakesWork() || v.Request.Tried.Has(i) || e.Outstanding >= max(1, e.Slots) || full || v.seemsSlow(e) {
+		if !v.granted(e) || v.Request.Tried.Has(i) || e.Outstanding >= max(1, e.Slots) || full || v.seemsSlow(e) {
 			continue
 		}
 		if rank := v.rank(e); best < 0 || rank < bestRank {
--- a/internal/core/placement/domain.go
+++ b/internal/core/placement/domain.go
@@ -40,6 +40,6 @@
 
 // nearAndWell reports whether an endpoint of the own failure domain is worth waiting for.
 func (v *View) nearAndWell(e *table.Endpoint) bool {
-	return v.isNear(e) && e.TakesWork() && !e.Missing && v.Now >= e.AvoidUntil &&
+	return v.isNear(e) && v.granted(e) && !e.Missing && v.Now >= e.AvoidUntil &&
 		e.DoubtAfter(v.Now) < SlightDoubt
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/balance"
+	"github.com/tealhall/tealhall/internal/core/grant"
 	"github.com/tealhall/tealhall/internal/core/table"
 )
 
@@ -68,9 +69,10 @@
 type View struct {
 	Now time.Duration
 	// Domain is the entry's own failure domain.
-	Domain    string
-	Endpoints []table.Endpoint
-	Pool      *Pool
+	Domain string
+	*table.Pool
+	// Learned is what is learned of the pool.
+	Learned *Pool
 	// Turn is what the requests that a full endpoint holds commonly take there.
 	Turn time.Duration
 	// Rand decides between endpoints that are alike.
@@ -78,6 +80,9 @@
 	Request Request
 }
 
+// granted reports whether an endpoint may get a request now.
+func (v *View) granted(e *table.Endpoint) bool { return grant.Of(v.Now, v.Pool, e) == grant.Granted }
+
 // isNear reports whether an endpoint lies in the entry's own failure domain.
 func (v *View) isNear(e *table.Endpoint) bool { return e.Domain == v.Domain }
 
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -16,7 +16,7 @@
 func see(endpoints ...table.Endpoint) *View {
 	now := 10 * time.Second
 	pool := NewPool()
-	return &View{Now: now, Domain: "a", Endpoints: endpoints, Pool: &pool, Turn: 150 * ms, Rand: rand.New(rand.NewPCG(1, 2)),
+	return &View{Now: now, Domain: "a", Pool: &table.Pool{Endpoints: endpoints}, Learned: &pool, Turn: 150 * ms, Rand: rand.New(rand.NewPCG(1, 2)),
 		Request: Request{Arrived: now, FirstTry: now, Deadline: now + 1500*ms, Objective: 400 * ms, Work: 130 * ms, Kilobytes: 0.8, Began: now}}
 }
 
@@ -132,7 +132,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			v := see(endpoint("a", c.running, c.slots, 100, 0))
 			for range 50 {
-				v.Pool.NoteSharing(time.Duration(c.times*float64(v.Request.Work)), v.Request.Work)
+				v.Learned.NoteSharing(time.Duration(c.times*float64(v.Request.Work)), v.Request.Work)
 			}
 			if got := v.Best().Worth; got != c.want {
 				t.Errorf("sent there: %v", got)
@@ -150,7 +150,7 @@
 		late, want bool
 	}{{50 * ms, true, false}, {50 * ms, false, true}, {300 * ms, true, true}} {
 		v := see(endpoint("a", 1, 6, 100, 0))
-		v.Pool.NoteShort(v.Now - c.ago)
+		v.Learned.NoteShort(v.Now - c.ago)
 		v.Request.Late = c.late
 		if got := v.Best().Worth; got != c.want {
 			t.Errorf("short %v ago, late %v: sent there %v", c.ago, c.late, got)
@@ -181,9 +181,9 @@
 func TestLogCountsFullAsPlacementDoes(t *testing.T) {
 	v := see(endpoint("a", 4, 6, 100, ms), endpoint("a", 3, 6, 100, ms), endpoint("a", 6, 6, 100, ms), endpoint("a", 6, 6, 100, 2*time.Second))
 	for range 50 {
-		v.Pool.NoteSharing(2*v.Request.Work, v.Request.Work)
+		v.Learned.NoteSharing(2*v.Request.Work, v.Request.Work)
 	}
-	live, told, full := v.Pool.Fullness(v.Now, v.Endpoints)
+	live, told, full := v.Learned.Fullness(v.Now, v.Endpoints)
 	if live != 4 || told != 3 || full != 2 || !v.Crowded() {
 		t.Errorf("%d live, %d told, %d full, crowded %v", live, told, full, v.Crowded())
 	}
--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -53,7 +53,7 @@
 // eligible reports whether the request may go to the endpoint at an index at all.
 func (v *View) eligible(i int) bool {
 	e := &v.Endpoints[i]
-	return e.TakesWork() && !v.Request.Tried.Has(i) && (!v.Request.OwnOnly || v.isNear(e))
+	return v.granted(e) && !v.Request.Tried.Has(i) && (!v.Request.OwnOnly || v.isNear(e))
 }
 
 // rank orders the endpoints to ask: a lower one goes first.
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -136,6 +136,6 @@
 // last heard of. What is sent to them blindly queues up there, and all later requests,
 // which could have waited here for the first free slot, find them full.
 func (v *View) Crowded() bool {
-	_, told, full := v.Pool.Fullness(v.Now, v.Endpoints)
+	_, told, full := v.Learned.Fullness(v.Now, v.Endpoints)
 	return told > 0 && full*2 >= told
 }
--- a/internal/core/placement/work.go
+++ b/internal/core/placement/work.go
@@ -28,7 +28,7 @@
 	work := float64(v.Request.Work)
 	after := float64(v.Takes(e))
 	if Fills(e) {
-		after += (v.Pool.sharing - 1) * work
+		after += (v.Learned.sharing - 1) * work
 	}
 	after += e.DoubtAfter(v.Now) * 2 * work
 	if v.Now < e.AvoidUntil || e.Missing {
@@ -46,7 +46,7 @@
 	load, slots := e.Look.Load(), max(1, e.Look.Slots)
 	own, wait := float64(v.Request.Work), 0.0
 	if fills(load, slots) {
-		own *= v.Pool.sharing
+		own *= v.Learned.sharing
 	}
 	if ahead := load - slots + 1; ahead > 0 {
 		wait = float64(v.Turn) * pace * (float64(ahead-1) + turnPart) / float64(slots)
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -92,6 +92,7 @@
 	probePath string
 	// learned is what placement learned of the endpoints.
 	learned placement.Pool
+	cold    coldOwners
 }
 
 // expectedWork is how long a request of the service is taken to hold a slot.
@@ -239,6 +240,7 @@
 	sv.spec = spec
 	sv.pool = c.poolNamed(spec.Pool)
 	sv.pool.probePath = spec.ProbePath
+	c.setWarmup(sv.pool, spec.Warmup)
 	c.applyMode(sv)
 }
 
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -77,6 +77,28 @@
 	ViewWrong bool
 }
 
+// Cold is owned by package grant.
+type Cold struct {
+	// Until is when the endpoint is warm as far as known; 0 or past for a warm one.
+	Until time.Duration
+	// Own says that this entry is one of the few that send to it while it is cold.
+	Own bool
+	// Tokens is how many requests this entry might send as of At.
+	Tokens float64
+	At     time.Duration
+}
+
+// ColdShare is what an entry may send to the cold endpoints of a pool that it owns.
+type ColdShare struct {
+	// Bound is what all entries together may send to one in a second; 0 for no bound.
+	Bound float64
+	// Owners is how many entries own one, Rate what each of them may send a second.
+	Owners int
+	Rate   float64
+	// Warmup is how long an endpoint commonly stays cold.
+	Warmup time.Duration
+}
+
 // Endpoint is one endpoint VM.
 type Endpoint struct {
 	Name        string
@@ -98,6 +120,8 @@
 	Look Look
 	// Evacuated: its failure domain is to get nothing until the operator takes it back.
 	Evacuated bool
+	// Cold is what it bears after its start.
+	Cold Cold
 	// Missing: the platform's list has lost the endpoint, and it is used only since
 	// no other is left.
 	Missing bool
@@ -119,8 +143,8 @@
 	Health       Health
 }
 
-// TakesWork reports whether the endpoint may get a request at all. Whoever chooses an endpoint,
-// or counts what a pool can do, asks this.
+// TakesWork reports whether the endpoint is one of those that do a pool's work. Whether it may get
+// a request now is for package grant to say.
 func (e *Endpoint) TakesWork() bool { return e.State == EndpointLive && !e.Evacuated }
 
 // doubtHalves is the time in which a doubt that nothing confirms halves: an
@@ -157,6 +181,8 @@
 	// Endpoints are in a stable order; an index is valid until the next
 	// membership change.
 	Endpoints []Endpoint
+	// ColdShare is what this entry may send to cold ones.
+	ColdShare ColdShare
 }
 
 // Slots returns the slots of all endpoints that take work.
--- a/internal/core/yard_test.go
+++ b/internal/core/yard_test.go
@@ -49,6 +49,8 @@
 	name, domain           string
 	running, waiting, pace int
 	silent, misdirected    bool
+	// coldUntil is when it is warm, as it tells those who look at it.
+	coldUntil time.Duration
 }
 
 // yard is one core in failure domain d0 before endpoints with two slots each, whose
@@ -61,6 +63,7 @@
 	under []yardLetter
 	// sent lists the endpoints of attempts in order, told what callers got.
 	sent   []string
+	sentAt []time.Duration
 	looked []string
 	told   map[RequestID]Directive
 	open   map[RequestID]map[Attempt]Directive
@@ -98,6 +101,7 @@
 	cfg.ListIsFinal = true
 	cfg.Repeats = budget.RepeatBound{Share: 1, Window: 10 * sec, Slack: 1000}
 	cfg.LargestFleet = 1
+	cfg.WarmupOver, cfg.WarmupSlack = 1.5, 8
 	y.Core = New(cfg, rand.New(rand.NewPCG(1, 2)))
 	y.publish(1, yardRoutes())
 	list := published.VMList{Revision: 1}
@@ -150,7 +154,7 @@
 	for _, d := range out.Requests {
 		switch d.Step {
 		case StepDispatch:
-			y.sent = append(y.sent, d.Endpoint)
+			y.sent, y.sentAt = append(y.sent, d.Endpoint), append(y.sentAt, y.now)
 			if y.open[d.ID] == nil {
 				y.open[d.ID] = map[Attempt]Directive{}
 			}
@@ -172,7 +176,7 @@
 func (y *yard) answerLook(p Probe) {
 	b := y.box(p.Endpoint)
 	end := ProbeEnd{Probe: p, OK: !b.silent, Misdirected: b.misdirected, Latency: ms,
-		Load: Load{Known: !b.silent, InFlight: b.running, Queued: b.waiting, Slots: 2, Pace: max(b.pace, 100)}}
+		Load: Load{Known: !b.silent, InFlight: b.running, Queued: b.waiting, Slots: 2, Pace: max(b.pace, 100), Cold: max(0, b.coldUntil-y.now)}}
 	y.do(func(out *Actions) { y.ProbeEnd(y.now, end, out) })
 }
 
@@ -235,7 +239,7 @@
 		y.run(100 * ms)
 		y.answer(id, 1, 200)
 	}
-	y.sent, y.looked = nil, nil
+	y.sent, y.sentAt, y.looked = nil, nil, nil
 }
 
 func idle(n int, domain string) (boxes []*box) {
--- a/internal/profile/policy.go
+++ b/internal/profile/policy.go
@@ -106,6 +106,15 @@
 	// ProbePath is where the pool's endpoints tell their load; empty for that of
 	// the contract with endpoints.
 	ProbePath string
+	// Warmup is what the pool's endpoints bear after their start.
+	Warmup Warmup
+}
+
+// Warmup says how long the endpoints of a pool are cold, and how many requests a second a cold one
+// bears; zero where nothing is published.
+type Warmup struct {
+	For       time.Duration
+	PerSecond float64
 }
 
 // Policy returns the treatment in force. The result belongs to the snapshot
--- a/internal/profile/traffic.go
+++ b/internal/profile/traffic.go
@@ -117,9 +117,9 @@
 	bound.revision, bound.digest = revision, digest
 	bound.table = table
 	bound.services, bound.byName, bound.pools = nil, map[string]*Service{}, nil
-	probes := make(map[string]string, len(table.Services()))
-	for _, service := range table.Services() {
-		probes[service.Name] = service.ProbePath
+	services := make(map[string]*route.Service, len(table.Services()))
+	for i := range table.Services() {
+		services[table.Services()[i].Name] = &table.Services()[i]
 	}
 	for i := range table.Routes() {
 		r := &table.Routes()[i]
@@ -128,7 +128,7 @@
 			return nil, fault.New(fault.BadProfile, "add a [traffic] rule for the kind to the profiles", "no profile treats %s routes such as %q", r.Kind, r.Name)
 		}
 		for _, part := range r.Parts {
-			bound.addPart(r, part, probes[part.Service], rule.Profile, s.modes[rule.Profile])
+			bound.addPart(r, part, services[part.Service], rule.Profile, s.modes[rule.Profile])
 		}
 	}
 	slices.SortFunc(bound.services, func(a, b *Service) int { return compareNames(a, b) })
@@ -154,14 +154,15 @@
 	return r.Name + "/" + part.Service
 }
 
-func (s *Snapshot) addPart(r *route.Route, part route.Part, probe, profileName string, m *modes) {
+func (s *Snapshot) addPart(r *route.Route, part route.Part, of *route.Service, profileName string, m *modes) {
 	service := &Service{
 		Name:      PartName(r, part),
 		Pool:      part.Service,
 		Profile:   profileName,
 		Ordinary:  routed(m.ordinary, r, s.table.Limits()),
 		Close:     routed(m.closing, r, s.table.Limits()),
-		ProbePath: probe,
+		ProbePath: of.ProbePath,
+		Warmup:    Warmup{For: of.Warmup.Duration(), PerSecond: of.WarmupRate},
 	}
 	s.services = append(s.services, service)
 	s.byName[service.Name] = service
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -202,6 +202,8 @@
 	c.share("limits.repeat_share", l.RepeatShare, 1)
 	c.share("limits.repeat_slack", l.RepeatSlack, 1e6)
 	c.share("limits.looks_per_endpoint", l.LooksPerEndpoint, 1e6)
+	c.share("limits.warmup_over", l.WarmupOver, 100)
+	c.share("limits.warmup_slack", l.WarmupSlack, 1e6)
 	c.inside("limits.heap_growth", l.HeapGrowth, 10, 10_000)
 	c.span("limits.repeat_window", l.RepeatWindow, time.Second, time.Hour)
 	if l.KeyAnswerBytes > l.KeyTableBytes {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -196,6 +196,11 @@
 	// LooksPerEndpoint bounds how often a second all entries together ask an
 	// endpoint for its load before they choose; default 0, which sets no bound.
 	LooksPerEndpoint float64 `toml:"looks_per_endpoint" unit:"looks/s"`
+	// WarmupOver is how many times the rate that is published for cold endpoints all entries
+	// together may send to one in any second; default 1.
+	WarmupOver float64 `toml:"warmup_over" unit:"times"`
+	// WarmupSlack is what they may send beyond that; default 0.
+	WarmupSlack float64 `toml:"warmup_slack" unit:"requests"`
 	// HeapGrowth is by how many percent the heap may grow before it is collected, if
 	// the environment's GOGC does not say; default 400.
 	HeapGrowth int `toml:"heap_growth" unit:"percent"`
@@ -307,6 +312,7 @@
 			KeyTableBytes:          16 << 20,
 			LargestFleet:           60,
 			RepeatWindow:           Duration{10 * time.Second},
+			WarmupOver:             1,
 			HeapGrowth:             400,
 		},
 		Timeouts: Timeouts{
