--- a/internal/core/large_test.go
+++ b/internal/core/large_test.go
@@ -245,6 +245,39 @@
 	}
 }
 
+// Entries lose power, a failure domain or more than half of them all over, and their connections
+// fall silent. Callers that ask afterwards must not be sent to any of them: not later than six
+// seconds, the three in which a machine counts as calm and three more, whoever answers.
+func TestDirectoryNamesNoDeadEntries(t *testing.T) {
+	t.Parallel()
+	for _, n := range sizes(t) {
+		for name, dies := range map[string]func(vm int) bool{
+			"a failure domain": func(vm int) bool { return vm%5 == 2 },
+			"55 of 100":        func(vm int) bool { return vm%20 < 11 },
+		} {
+			t.Run(fmt.Sprint(n, " ", name), func(t *testing.T) {
+				f := newLargeFleet(t, n)
+				f.run(10 * sec)
+				byAddress := map[string]*largeEntry{}
+				for vm, e := range f.vms {
+					e.dead = dies(vm)
+					byAddress[e.hello.CallerAddress] = e
+				}
+				f.run(6 * sec)
+				for _, e := range f.vms {
+					for d := range 5 {
+						for _, address := range e.EntriesNear(fmt.Sprint("d", d), 64) {
+							if !e.dead && byAddress[address].dead {
+								t.Fatalf("%s names %s, which died", e.hello.Name, byAddress[address].hello.Name)
+							}
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
 // A fleet is cut into halves for twenty seconds, then for ninety, after which each half has
 // forgotten the other. Callers of one half would never be sent to the other again if nobody
 // dialled the addresses that were lost.
