--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -250,6 +250,10 @@
 	f.Platform.SetVMs(f.vms...)
 }
 
+// Evacuate publishes that the endpoints of these failure domains are to get nothing; none takes all
+// back.
+func (f *Fleet) Evacuate(domains ...string) { f.Platform.SetVMsEvacuated(domains, f.vms...) }
+
 // Forget takes a stopped entry out of the fleet.
 func (f *Fleet) Forget(gone *entry.Entry) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/entry/evacuation_test.go
@@ -0,0 +1,66 @@
+package entry_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/tealhall/tealhall/internal/standin"
+)
+
+// requestsIn counts the requests that arrived so far at the endpoints of a failure domain.
+func (f *fleet) requestsIn(domain string) (n int64) {
+	for _, e := range f.Endpoints {
+		if e.VM.Domain == domain {
+			n += e.Stats().Requests
+		}
+	}
+	return n
+}
+
+// evacuatedEverywhere reports whether all entries have failure domains as evacuated, and nothing of
+// theirs runs there.
+func (f *fleet) evacuatedEverywhere(domains ...string) bool {
+	for _, e := range f.Entries {
+		var known []string
+		for _, v := range e.Status().Fleet.Evacuated {
+			if known = append(known, v.FailureDomain); v.Outstanding > 0 {
+				return false
+			}
+		}
+		if !slices.Equal(known, domains) {
+			return false
+		}
+	}
+	return true
+}
+
+// An operator empties a failure domain in the middle of a working day. Then the configuration
+// service goes down, and an entry is replaced by a new process, which has only its peers to ask. Nothing
+// may reach the domain's endpoints all the while, callers don't notice, and when it is taken back
+// its endpoints are used again.
+func TestFailureDomainIsEvacuatedAndTakenBack(t *testing.T) {
+	t.Parallel() // it mostly waits
+	f := newFleet(t, 4)
+	l := startCalmTraffic(t, f)
+	l.awaitMore(t, 100)
+	if f.requestsIn("a") == 0 {
+		t.Fatal("nothing goes to the failure domain before")
+	}
+	f.Evacuate("a")
+	await(t, "all entries know and nothing runs there", func() bool { return f.evacuatedEverywhere("a") })
+	before := f.requestsIn("a")
+	l.awaitMore(t, 100)
+	f.Platform.SetFaults(standin.PlatformFaults{Down: true})
+	e := f.Entries[1]
+	f.stop(t, e)
+	f.replace(t, e.Name(), 1)
+	l.awaitMore(t, 100)
+	if got := f.requestsIn("a"); got != before {
+		t.Errorf("%d requests reached the evacuated failure domain", got-before)
+	}
+	f.Platform.SetFaults(standin.PlatformFaults{})
+	f.Evacuate()
+	await(t, "all entries know that it is taken back", func() bool { return f.evacuatedEverywhere() })
+	await(t, "its endpoints are used again", func() bool { return f.requestsIn("a") > before })
+	l.calm(t, f)
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -74,6 +74,12 @@
 	return p.Put(published.VMsValue, published.EncodeVMs(published.VMList{VMs: vms}))
 }
 
+// SetVMsEvacuated publishes the list of VMs with failure domains that are evacuated, and returns
+// its revision.
+func (p *Platform) SetVMsEvacuated(domains []string, vms ...published.VM) uint64 {
+	return p.Put(published.VMsValue, published.EncodeVMs(published.VMList{VMs: vms, Evacuated: domains}))
+}
+
 // wake lets waiting watches look again.
 func (p *Platform) wake() {
 	close(p.changed)
