--- a/internal/core/cold_test.go
+++ b/internal/core/cold_test.go
@@ -31,17 +31,14 @@
 	return most
 }
 
-// press asks for reads for a while and answers each after 40 ms.
+// press asks for reads for a while, and endpoints answer each after 40 ms.
 func (y *yard) press(every, d time.Duration) {
+	y.works = 40 * ms
 	for end := y.now + d; y.now < end; {
-		id := y.ask(route.Idempotent, 3*sec)
-		y.post(40*ms, func() {
-			for n := range y.open[id] {
-				y.answer(id, n, 200)
-			}
-		})
+		y.ask(route.Idempotent, 3*sec)
 		y.run(every)
 	}
+	y.works = 0
 }
 
 // An endpoint has become cold. It is idle and all reads would go there: 17 in a second crash it, and
--- a/internal/core/yard_test.go
+++ b/internal/core/yard_test.go
@@ -70,6 +70,8 @@
 	told   map[RequestID]Directive
 	open   map[RequestID]map[Attempt]Directive
 	nextID RequestID
+	// works is how long endpoints work on an attempt; 0 where a test answers by itself.
+	works time.Duration
 	// updates are those to peers.
 	updates []Outgoing
 	// stories are the lines of requests that ended; name is that of the next request.
@@ -165,6 +167,9 @@
 				y.post(map[bool]time.Duration{false: ms, true: sec}[b.silent], func() { y.refuseDial(d) })
 			} else {
 				b.running++
+				if y.works > 0 {
+					y.post(y.works*time.Duration(max(b.pace, 100))/100, func() { y.answer(d.ID, d.Attempt, 200) })
+				}
 			}
 		case StepReply:
 			if _, twice := y.told[d.ID]; twice {
