--- a/internal/admin/views.go
+++ b/internal/admin/views.go
@@ -308,6 +308,8 @@
 	FailureDomain string `json:"failure_domain"`
 	// State is live, leaving or gone.
 	State string `json:"state"`
+	// Grant says whether it may get a request from this entry now: granted, or why not.
+	Grant string `json:"grant"`
 	// Missing says that the platform's list has lost the endpoint.
 	Missing bool `json:"missing,omitempty"`
 	Slots   int  `json:"slots"`
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/gossip"
+	"github.com/tealhall/tealhall/internal/core/grant"
 	"github.com/tealhall/tealhall/internal/core/health"
 	"github.com/tealhall/tealhall/internal/core/member"
 	"github.com/tealhall/tealhall/internal/core/table"
@@ -81,6 +82,8 @@
 	// Live, Leaving, Ejected and Evacuated count endpoints; those ejected or evacuated are live
 	// too.
 	Live, Leaving, Ejected, Evacuated int
+	// Cold counts the endpoints that are cold, Owned those of them that this entry may send to.
+	Cold, Owned int
 	// ViewWrong: most endpoints look bad, so none is ejected.
 	ViewWrong bool
 	// WatchShare is the share of slot time that all entries may spend on probes.
@@ -110,6 +113,8 @@
 type EndpointView struct {
 	table.Endpoint
 	Pool string
+	// Grant says whether it may get a request now.
+	Grant grant.Verdict
 	// Missing says that the platform's list has lost the endpoint.
 	Missing bool
 	// Ejection is nil unless the endpoint is ejected.
@@ -194,7 +199,7 @@
 	v.Endpoints = c.viewEndpoints(now)
 	for _, p := range c.poolRows {
 		if len(p.services)+len(p.Endpoints) > 0 {
-			v.Pools = append(v.Pools, c.viewPool(p))
+			v.Pools = append(v.Pools, c.viewPool(now, p))
 		}
 	}
 	return v
@@ -222,7 +227,7 @@
 	return v
 }
 
-func (c *Core) viewPool(p *pool) PoolView {
+func (c *Core) viewPool(now time.Duration, p *pool) PoolView {
 	spent := p.watch.Spent()
 	v := PoolView{
 		Name:         p.Name,
@@ -236,7 +241,7 @@
 		ProbeTime:    spent.SlotTime,
 	}
 	for i := range p.Endpoints {
-		v.count(&p.Endpoints[i])
+		v.count(&p.Endpoints[i], grant.IsCold(now, &p.Pool, &p.Endpoints[i]))
 	}
 	for _, sv := range p.services {
 		v.Services = append(v.Services, viewService(sv))
@@ -245,10 +250,16 @@
 	return v
 }
 
-func (v *PoolView) count(e *table.Endpoint) {
+func (v *PoolView) count(e *table.Endpoint, cold bool) {
 	switch e.State {
 	case table.EndpointLive:
 		v.Live++
+		if cold {
+			v.Cold++
+		}
+		if cold && e.Cold.Own {
+			v.Owned++
+		}
 		if e.Evacuated {
 			v.Evacuated++
 		}
@@ -292,6 +303,7 @@
 			views = append(views, EndpointView{
 				Endpoint: *e,
 				Pool:     p.Name,
+				Grant:    grant.Of(now, &p.Pool, e),
 				Missing:  missing[e.Name],
 				Ejection: c.viewEjection(now, p, i),
 			})
--- a/internal/ctl/lists.go
+++ b/internal/ctl/lists.go
@@ -118,6 +118,7 @@
 func endpointNotes(v *admin.EndpointView) string {
 	notes := marks(
 		mark{v.Missing, "not in the platform's list"},
+		mark{v.Grant != "granted" && v.Grant != v.State, v.Grant},
 		mark{v.SlowStart < 1, "slow start at " + percent(v.SlowStart)},
 	)
 	if v.Ejection == nil {
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -202,6 +202,8 @@
 		gauge(poolMetric(p.Name, "leaving"), float64(p.Leaving)),
 		gauge(poolMetric(p.Name, "ejected"), float64(p.Ejected)),
 		gauge(poolMetric(p.Name, "evacuated"), float64(p.Evacuated)),
+		gauge(poolMetric(p.Name, "cold"), float64(p.Cold)),
+		gauge(poolMetric(p.Name, "cold_owned"), float64(p.Owned)),
 		flag(poolMetric(p.Name, "view_wrong"), p.ViewWrong),
 		gauge(poolMetric(p.Name, "watch_share"), p.WatchShare),
 		total(poolMetric(p.Name, "probes"), p.Probes),
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -196,6 +196,7 @@
 		Region:        e.Region,
 		FailureDomain: e.Domain,
 		State:         endpointState(e.State),
+		Grant:         e.Grant.String(),
 		Missing:       e.Missing,
 		Slots:         int(e.Slots),
 		Outstanding:   int(e.Outstanding),
