--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -54,7 +54,7 @@
 	if running > 0 {
 		handedOver = e.handOver(left)
 	}
-	e.finish(min(farewell, until(plan.end)))
+	e.finish(min(farewell, until(plan.end)), func() time.Duration { return until(plan.end) })
 	return StopSummary{
 		Cut:        cut,
 		HandedOver: handedOver.keys,
@@ -108,11 +108,15 @@
 	})
 }
 
-// finish says goodbye, gives that so long on its way and ends all goroutines.
-func (e *Entry) finish(onItsWay time.Duration) {
+// finish says goodbye, gives that so long on its way and ends all goroutines. Those that are not
+// through when the process has to end, in a call that nobody answers for one, end with it: a process
+// that waited for them would be killed.
+func (e *Entry) finish(onItsWay time.Duration, left func() time.Duration) {
 	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) { c.Stopped(now, out) })
 	wait.For(context.Background(), onItsWay)
-	e.shutDown()
+	if !wait.Done(left(), e.shutDown) {
+		klog.InfoS("the process ends before all its calls have", "entry", e.settings.Name)
+	}
 }
 
 // Kill ends the entry at once, as a crash would: nothing is said or finished.
--- /dev/null
+++ b/internal/wait/done.go
@@ -0,0 +1,20 @@
+package wait
+
+import "time"
+
+// Done does work and reports whether it ended within limit. Work that did not goes on by itself.
+func Done(limit time.Duration, work func()) bool {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		work()
+	}()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ended:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
