Nearly full endpoints are left alone until it is measured what filling them costs

Two slots: one request beside another is worth it as before. Test: a pool is tried at the pace, then used or not by what was measured.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -149,6 +149,9 @@
 		look:        e.Look,
 		due:         view.Takes(e),
 	}
+	if placement.Fills(e) {
+		p.learned.NoteFill(now)
+	}
 	r.tried = r.tried.With(index)
 	grant.Spend(now, &p.Pool, e)
 	e.Outstanding++
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -90,7 +90,7 @@
 func (v *View) worthwhile(e *table.Endpoint, expected time.Duration) bool {
 	r := &v.Request
 	switch {
-	case v.Now+expected >= r.Deadline, v.Learned.overfills(e):
+	case v.Now+expected >= r.Deadline, v.Learned.overfills(v.Now, e):
 		return false
 	case r.Objective == 0:
 		return true
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -188,3 +188,35 @@
 		t.Errorf("%d live, %d told, %d full, crowded %v", live, told, full, v.Crowded())
 	}
 }
+
+// A burst meets endpoints with six slots of which nobody has learned yet that work takes 1.7 times as
+// long at five. Each of 57 entries filled them at its beginning to find that out, and they stayed
+// full for as long as callers pressed. One request a second tries until a few are measured; then what
+// was measured counts, also where it costs nothing.
+func TestNearlyFullIsTriedBeforeItIsUsed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		times float64
+		used  bool
+	}{{"it costs nothing", 1, true}, {"it costs more than it brings", 1.7, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewPool()
+			e := endpoint("a", 4, 6, 100, 0)
+			now := 10 * time.Second
+			for tried := range enoughSharings {
+				if p.overfills(now, &e) {
+					t.Fatalf("it is not tried after %d measurements", tried)
+				}
+				p.NoteFill(now)
+				if c.times > 1.5 && !p.overfills(now+trialEvery/2, &e) {
+					t.Fatal("it is used before it was measured")
+				}
+				now += trialEvery
+				p.NoteSharing(time.Duration(c.times*float64(100*ms)), 100*ms)
+			}
+			if p.overfills(now, &e) == c.used {
+				t.Errorf("used afterwards: %v, want %v (measured %.2f)", !c.used, c.used, p.Sharing())
+			}
+		})
+	}
+}
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -11,9 +11,20 @@
 	// nearlyFull is the occupancy from which on some endpoints work more slowly.
 	nearlyFull = 0.8
 	// firstSharing is by how much longer work is taken to take there before it was
-	// measured, and sharingMost bounds what is measured.
-	firstSharing = 1.3
-	sharingMost  = 4.0
+	// measured, as if by firstSharings measurements: so much that no endpoint with several
+	// slots is filled, since a peak that fills all of them at its beginning keeps them full.
+	// sharingMost bounds what is measured.
+	firstSharing  = 1.6
+	firstSharings = 3
+	sharingMost   = 4.0
+	// Until enoughSharings were measured, one request in trialEvery is sent to an endpoint
+	// that it makes nearly full nevertheless: where that costs nothing, all slots are used
+	// from then on.
+	enoughSharings = 6
+	trialEvery     = 10 * time.Second
+	// fillGain is by how much more a full endpoint gets done than one with a slot to spare
+	// where it is worth that all its requests take longer.
+	fillGain = 1.1
 	// sharingWeight is the weight of a new measurement. The first ones weigh more: while
 	// load is low few requests make an endpoint nearly full, and what that costs would be
 	// learned only when a peak has filled all of them.
@@ -28,6 +39,8 @@
 	// many measurements.
 	sharing  float64
 	sharings int
+	// trialAt is when an endpoint may be filled next to learn what that costs.
+	trialAt time.Duration
 	// easy is the smoothed part of looks that found easy room.
 	easy float64
 	// shortAt is when a request that could be in time last found no room, 0 for never.
@@ -79,7 +92,7 @@
 	}
 	times := min(max(float64(latency)/float64(work), 1), sharingMost)
 	p.sharings++
-	p.sharing += max(sharingWeight, 1/float64(p.sharings+1)) * (times - p.sharing)
+	p.sharing += max(sharingWeight, 1/float64(firstSharings+p.sharings)) * (times - p.sharing)
 }
 
 // fills reports whether one more request makes an endpoint nearly full.
@@ -98,11 +111,17 @@
 // and work that takes 1.7 times as long at five and six requests, four at a time get 4 done
 // and six get 3.5. Guards against a peak of which the load alone could be borne, and that
 // goes on for as long as it lasts because every endpoint was filled at its beginning.
-func (p *Pool) overfills(e *table.Endpoint) bool {
+func (p *Pool) overfills(now time.Duration, e *table.Endpoint) bool {
+	if !Fills(e) || p.sharings < enoughSharings && now >= p.trialAt {
+		return false
+	}
 	slots := max(1, e.Look.Slots)
-	return Fills(e) && float64(slots)/p.sharing <= float64(wellUsed(slots))
+	return float64(slots)/p.sharing <= fillGain*float64(wellUsed(slots))
 }
 
+// NoteFill notes that a request was sent to an endpoint that it makes nearly full.
+func (p *Pool) NoteFill(now time.Duration) { p.trialAt = now + trialEvery }
+
 // HasEasyRoom reports whether an endpoint told that it would begin one more request at
 // once, at the usual pace, and without being nearly full then. With six slots one is
 // hardly ever idle and mostly has easy room: asked for an idle one, a request used up all
@@ -112,7 +131,9 @@
 }
 
 // full reports whether an endpoint told that it has no room that is worth taking.
-func (p *Pool) full(e *table.Endpoint) bool { return !e.HasRoom() || p.overfills(e) }
+func (p *Pool) full(now time.Duration, e *table.Endpoint) bool {
+	return !e.HasRoom() || p.overfills(now, e)
+}
 
 // Fullness counts the endpoints that take work, those of them that told their load within
 // the last moment, and those that told then that they are full.
@@ -127,7 +148,7 @@
 			continue
 		}
 		told++
-		if p.full(e) {
+		if p.full(now, e) {
 			full++
 		}
 	}
