--- a/internal/core/cold_test.go
+++ b/internal/core/cold_test.go
@@ -4,8 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/route"
 )
 
@@ -142,12 +140,9 @@
 
 // listCold publishes the boxes with one of them cold.
 func (y *yard) listCold(name string) {
-	list := published.VMList{Revision: 8}
-	for _, b := range y.boxes {
-		list.VMs = append(list.VMs, published.VM{Name: b.name, Incarnation: 1, Role: published.EndpointRole, State: published.Live,
-			Region: "r", Domain: b.domain, Address: b.name, Pool: "p", Slots: 2, Cold: b.name == name})
+	list := y.listed(8)
+	for i := range list.VMs {
+		list.VMs[i].Cold = list.VMs[i].Name == name
 	}
-	y.do(func(out *Actions) {
-		y.Offer(y.now, Offered{Name: published.VMsValue, Mark: message.Mark{Revision: 8, Digest: 8}, VMs: list}, out)
-	})
+	y.offerList(list)
 }
--- a/internal/core/coldfleet_test.go
+++ b/internal/core/coldfleet_test.go
@@ -74,12 +74,7 @@
 			w.watch(4 * sec)
 			w.cut = func(int, int) bool { return false }
 			w.watch(4 * sec)
-			for vm, e := range w.vms {
-				if vm%20 < 11 {
-					e.dead = true
-					w.post(500*ms+time.Duration(w.rng.IntN(300))*ms, func() { w.start(vm) })
-				}
-			}
+			w.killHerd()
 			w.watch(5 * sec)
 			for range max(1, n/10) {
 				vm := len(w.vms)
--- a/internal/core/evacuation_test.go
+++ b/internal/core/evacuation_test.go
@@ -6,21 +6,14 @@
 	"testing"
 
 	"github.com/tealhall/tealhall/internal/core/table"
-	"github.com/tealhall/tealhall/internal/message"
-	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/route"
 )
 
 // relist publishes the boxes as they are, with the failure domains that are evacuated.
 func (y *yard) relist(revision uint64, evacuated ...string) {
-	list := published.VMList{Revision: revision, Evacuated: evacuated}
-	for _, b := range y.boxes {
-		list.VMs = append(list.VMs, published.VM{Name: b.name, Incarnation: 1, Role: published.EndpointRole, State: published.Live,
-			Region: "r", Domain: b.domain, Address: b.name, Pool: "p", Slots: 2})
-	}
-	y.do(func(out *Actions) {
-		y.Offer(y.now, Offered{Name: published.VMsValue, Mark: message.Mark{Revision: revision, Digest: revision}, VMs: list}, out)
-	})
+	list := y.listed(revision)
+	list.Evacuated = evacuated
+	y.offerList(list)
 }
 
 // sentTo counts the attempts sent to endpoints of a failure domain.
--- a/internal/core/large_test.go
+++ b/internal/core/large_test.go
@@ -314,12 +314,7 @@
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			f := newLargeFleet(t, n)
 			f.run(10 * sec)
-			for vm, e := range f.vms {
-				if vm%20 < 11 {
-					e.dead = true
-					f.post(500*ms+time.Duration(f.rng.IntN(300))*ms, func() { f.start(vm) })
-				}
-			}
+			f.killHerd()
 			f.run(800 * ms)
 			took := f.until(30*sec, func(e *largeEntry) bool { return e.usable() == n })
 			t.Logf("%d entries know all %v after the last start", n, took)
--- a/internal/core/largefleet_test.go
+++ b/internal/core/largefleet_test.go
@@ -133,6 +133,16 @@
 	f.tick(e)
 }
 
+// killHerd kills 55 of 100 entries, which start again half a second later or a little after.
+func (f *largeFleet) killHerd() {
+	for vm, e := range f.vms {
+		if vm%20 < 11 {
+			e.dead = true
+			f.post(500*ms+time.Duration(f.rng.IntN(300))*ms, func() { f.start(vm) })
+		}
+	}
+}
+
 // work runs something on an entry when it is through with what came before.
 func (f *largeFleet) work(e *largeEntry, takes time.Duration, run func()) {
 	if e.dead {
--- a/internal/core/yard_test.go
+++ b/internal/core/yard_test.go
@@ -108,17 +108,26 @@
 	cfg.WarmupOver, cfg.WarmupSlack = 1.5, 8
 	y.Core = New(cfg, rand.New(rand.NewPCG(1, 2)))
 	y.publish(1, yardRoutes())
-	list := published.VMList{Revision: 1}
-	for _, b := range boxes {
+	y.offerList(y.listed(1))
+	y.Confirm(y.now, published.VMsValue)
+	y.run(200 * ms)
+	return y
+}
+
+// listed is the list of VMs with the boxes as they are.
+func (y *yard) listed(revision uint64) published.VMList {
+	list := published.VMList{Revision: revision}
+	for _, b := range y.boxes {
 		list.VMs = append(list.VMs, published.VM{Name: b.name, Incarnation: 1, Role: published.EndpointRole, State: published.Live,
 			Region: "r", Domain: b.domain, Address: b.name, Pool: "p", Slots: 2})
 	}
+	return list
+}
+
+func (y *yard) offerList(list published.VMList) {
 	y.do(func(out *Actions) {
-		y.Offer(y.now, Offered{Name: published.VMsValue, Mark: message.Mark{Revision: 1, Digest: 1}, VMs: list}, out)
+		y.Offer(y.now, Offered{Name: published.VMsValue, Mark: message.Mark{Revision: list.Revision, Digest: list.Revision}, VMs: list}, out)
 	})
-	y.Confirm(y.now, published.VMsValue)
-	y.run(200 * ms)
-	return y
 }
 
 func (y *yard) publish(revision uint64, d route.Document) {
