Taken back: requests no longer wait for a look that is not to be had

Blind sends did harm where they filled endpoints that were nearly full; since these are left alone by everybody, waiting only costs time.

--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -126,40 +126,19 @@
 		c.askAtWork(now, r, out)
 	}
 	view := c.see(now, r)
-	denied := false
 	for range min(p.learned.Batch(), most) {
 		view.Request.Asked = r.look.asked
 		i := view.NextToAsk()
-		if i < 0 {
-			break
-		}
-		if denied = !p.looks.TrySpend(now, p.live(), c.fleet.part); denied {
+		if i < 0 || !p.looks.TrySpend(now, p.live(), c.fleet.part) {
 			break
 		}
 		c.ask(r, i, out)
 	}
-	switch {
-	case r.look.pending > 0:
-	case denied && c.mayAwaitLooks(now, r):
-		c.endLook(r)
-		c.lookLater(now, r)
-	default:
+	if r.look.pending == 0 {
 		c.decide(now, r, out)
 	}
 }
 
-// mayAwaitLooks reports whether r, for which no look is to be had now, had better wait for one
-// than be sent blindly: it can be in time after the next round still, and none of those asked so
-// far is a choice. Blind ones find an endpoint slow or full as often as not, are late there, and
-// make those late that were in time.
-func (c *Core) mayAwaitLooks(now time.Duration, r *request) bool {
-	if r.look.second || r.policy.Objective == 0 || now+lookGap > r.latestInTime() {
-		return false
-	}
-	best := c.best(now, r)
-	return !best.Worth
-}
-
 // ask looks at the endpoint at index i for r.
 func (c *Core) ask(r *request, i int, out *Actions) {
 	e := &r.pool.Endpoints[i]
