--- a/internal/published/vms.go
+++ b/internal/published/vms.go
@@ -74,6 +74,17 @@
 	return fault.New(fault.PlatformAnswer, remedyVMs, "%s", strings.Join(found.texts, "; "))
 }
 
+// CheckDomain returns what is wrong with the name of an evacuated failure domain, nil if it can be
+// used.
+func CheckDomain(name string) error {
+	var found problems
+	checkEvacuated([]string{name}, &found)
+	if found.count == 0 {
+		return nil
+	}
+	return fault.New(fault.PlatformAnswer, remedyVMs, "%s", found.texts[0])
+}
+
 // EncodeVMs returns list in the form that ParseVMs reads, in the order given.
 func EncodeVMs(list VMList) []byte {
 	if list.VMs == nil {
