Test, red: the refusal of an endpoint that leaves needs a budget that a fresh entry has not

By reading: the retry budget of a service starts empty, 0.1 a success is earned; an entry that has had fewer than ten has nothing to pay with when the endpoint it chose refuses because it leaves.

--- /dev/null
+++ b/internal/core/leaving_test.go
@@ -0,0 +1,37 @@
+package core
+
+import "testing"
+
+// An entry has just started when an endpoint drains, and the list of VMs is not to be
+// read. The endpoint refuses the first read as it leaves, and the caller is told that
+// its read did not run although two endpoints are idle: another attempt was paid from
+// what successes had earned, and this entry had none yet.
+func TestRefusalOfALeavingEndpointNeedsNoBudget(t *testing.T) {
+	r := settled(t, 1, "counts/c1", "counts/c2", "counts/c3")
+	n := r.nodes[0]
+	refusals := 0
+	r.endpoint = func(name string, _ Arrival) reaction {
+		if name != "c1" {
+			return reaction{after: 5 * ms}
+		}
+		refusals++
+		return reaction{after: 5 * ms, head: Head{NotRun: true, Draining: true}}
+	}
+	const together = 6 // as many as all endpoints have slots
+	for range together {
+		r.ask(n, Arrival{Service: "counts", Caller: 1})
+	}
+	r.run(200 * ms)
+	for range together {
+		r.ask(n, Arrival{Service: "counts", Caller: 1})
+	}
+	r.run(200 * ms)
+	for id := range r.nextID {
+		if got := n.told[id+1]; got.Outcome != OutcomeDone {
+			t.Errorf("request %d: told %v (%v)", id+1, got.Outcome, got.Reason)
+		}
+	}
+	if refusals == 0 || refusals > 2 {
+		t.Errorf("the endpoint that leaves refused %d requests, want 1 or 2: those on their way", refusals)
+	}
+}
