A refusal by an endpoint that leaves is sent again without a budget

Change: where the fleet has no bound of its own on repeats, a request that an endpoint refused as it leaves goes elsewhere unpaid: the endpoint gets nothing further, so at most what was on its way is sent twice. Where the fleet bounds repeats (the users' platform) nothing changes.

--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -32,6 +32,11 @@
 		c.placeAgain(now, r, out)
 		return
 	}
+	if refusedLeaving(r, a, e) {
+		c.counters.Retried++
+		c.placeAgain(now, r, out)
+		return
+	}
 	if !a.paid && !c.mayRetry(now, r, provablyNotRun, e.ConnSilent) {
 		c.fail(now, r, r.lastReason, out)
 		return
@@ -48,6 +53,16 @@
 	return e.Kind == EndNotWritten && !e.DialFailed && !e.BodyFailed && r.replayable && int(r.dispatches) < MaxAttempts
 }
 
+// refusedLeaving says that an endpoint refused an attempt because it leaves. It gets no further
+// requests, so at most those that were on their way are sent again, and no budget is needed to
+// bound them. Guards against an entry that has just started, whose budget is empty, and that
+// would refuse its first requests while other endpoints are idle. Where the fleet bounds
+// repeats, that bound counts all of them.
+func refusedLeaving(r *request, a *attempt, e End) bool {
+	return e.Kind == EndNotRun && r.pool.repeats == nil && r.replayable &&
+		!r.pool.takesWork(a) && int(r.dispatches) < MaxAttempts
+}
+
 // placeAgain dispatches a request anew or lets it wait.
 func (c *Core) placeAgain(now time.Duration, r *request, out *Actions) {
 	if c.tryDispatch(now, r, false, out) {
