--- /dev/null
+++ b/internal/core/readers_test.go
@@ -0,0 +1,48 @@
+package core
+
+import "testing"
+
+// The platform is silent for all entries until each of them tries to read it. When it comes
+// back, it answers the first of those that try, which are not the ones assigned to it. All 59
+// others read it too, one after the other, until an assigned entry has noticed: a store that
+// just came back gets the reads of a whole fleet, at the moment at which it can bear them least.
+func TestOnlyFewReadAPlatformThatComesBack(t *testing.T) {
+	r := settled(t, 60, "counts/c1")
+	r.run(5 * sec)
+	assigned := map[*node]bool{}
+	for _, n := range r.nodes {
+		assigned[n] = n.Reader()
+	}
+	silent := func(*node) bool { return true }
+	r.mute = silent
+	for _, n := range r.nodes {
+		n.PlatformAnswered(false)
+	}
+	if took := r.until(10*sec, (*node).Reader); took >= 10*sec {
+		t.Fatal("not all entries try to read, though nobody does")
+	}
+	var first *node
+	for _, n := range r.nodes {
+		if !assigned[n] {
+			first = n
+			break
+		}
+	}
+	r.mute = func(n *node) bool { return n != first }
+	r.run(sec)
+	reading := 0
+	for _, n := range r.nodes {
+		if n.Reader() && !assigned[n] {
+			reading++
+		}
+	}
+	const few = 12 // as many as may take over
+	if reading > few || !first.Reader() {
+		t.Errorf("%d entries that are not assigned read or try to, want at most %d; the one that is answered: %v", reading, few, first.Reader())
+	}
+	r.mute = silent
+	first.PlatformAnswered(false)
+	if took := r.until(5*sec, (*node).Reader); took >= 5*sec {
+		t.Error("the one that read is answered no more, and others do not try again")
+	}
+}
