Those that tried in vain to read the platform stand down once another entry reads it

Change: an entry that reads in place of others, and is not answered itself, leaves it once any other says that it reads.

--- a/internal/core/readers.go
+++ b/internal/core/readers.go
@@ -109,11 +109,13 @@
 		r.reachedAt, r.volunteer = now, false
 		return
 	}
-	if r.volunteer {
+	if c.anyReads() && !(r.volunteer && c.reachesPlatform()) {
+		// Another one reads. Those that tried in vain leave it to that one: a platform
+		// that comes back would get the reads of all at once.
+		r.reachedAt, r.volunteer = now, false
 		return
 	}
-	if c.anyReads() {
-		r.reachedAt = now
+	if r.volunteer {
 		return
 	}
 	r.volunteer = now >= max(r.reachedAt+time.Duration(max(r.turn, 1))*readerSilence, c.startPatience())
