--- a/internal/core/yard_test.go
+++ b/internal/core/yard_test.go
@@ -53,6 +53,18 @@
 	dead bool
 	// coldUntil is when it is warm, as it tells those who look at it.
 	coldUntil time.Duration
+	// busyUntil is until when its slots are taken, in a yard whose endpoints queue.
+	busyUntil [2]time.Duration
+}
+
+// work takes the slot that is free first for a time, and returns when it is done.
+func (b *box) work(now, takes time.Duration) time.Duration {
+	slot := 0
+	if b.busyUntil[1] < b.busyUntil[0] {
+		slot = 1
+	}
+	b.busyUntil[slot] = max(b.busyUntil[slot], now) + takes
+	return b.busyUntil[slot] - now
 }
 
 // yard is one core in failure domain d0 before endpoints with two slots each, whose
@@ -72,6 +84,8 @@
 	nextID RequestID
 	// works is how long endpoints work on an attempt; 0 where a test answers by itself.
 	works time.Duration
+	// queues says that an attempt waits at its endpoint until a slot is free.
+	queues bool
 	// updates are those to peers.
 	updates []Outgoing
 	// stories are the lines of requests that ended; name is that of the next request.
@@ -177,7 +191,11 @@
 			} else {
 				b.running++
 				if y.works > 0 {
-					y.post(y.works*time.Duration(max(b.pace, 100))/100, func() { y.answer(d.ID, d.Attempt, 200) })
+					takes := y.works * time.Duration(max(b.pace, 100)) / 100
+					if y.queues {
+						takes = b.work(y.now, takes)
+					}
+					y.post(takes, func() { y.answer(d.ID, d.Attempt, 200) })
 				}
 			}
 		case StepReply:
