--- a/internal/core/readers.go
+++ b/internal/core/readers.go
@@ -88,6 +88,12 @@
 	return c.fleet.reader || c.fleet.readers.volunteer
 }
 
+// AssignedReader reports whether reading the platform is this entry's duty, whoever answers.
+func (c *Core) AssignedReader() bool {
+	c.assignReaders()
+	return c.fleet.reader
+}
+
 // PlatformAnswered notes whether the platform answered this entry's latest call.
 func (c *Core) PlatformAnswered(ok bool) { c.fleet.readers.reaches = ok }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -289,7 +289,7 @@
 	e.run(func() { e.tickLoop(e.life) })
 	e.run(func() { e.followLoop(e.life, published.ProfilesValue) })
 	e.run(func() { e.followLoop(e.life, published.VMsValue) })
-	if e.glances.every > 0 && e.glances.platform != nil {
+	if e.glances.on() {
 		e.run(func() { e.glanceLoop(e.life) })
 	}
 	return nil
--- a/internal/entry/glance.go
+++ b/internal/entry/glance.go
@@ -32,6 +32,8 @@
 	// failed says that the latest glance had no answer at all. While it stays so,
 	// nothing is read: the next glance tells sooner, and for less.
 	failed atomic.Bool
+	// answered says that a glance was answered since this entry reads.
+	answered atomic.Bool
 	// held is how far the platform was at the glance before, renewedAt when a watch was last
 	// made anew.
 	held      uint64
@@ -43,6 +45,7 @@
 	for ctx.Err() == nil {
 		if !e.isReader() {
 			e.glances.failed.Store(false)
+			e.glances.answered.Store(false)
 			wait.For(ctx, readerCheck)
 			continue
 		}
@@ -63,6 +66,7 @@
 	}
 	e.noteGlance(inTime)
 	if err == nil {
+		e.glances.answered.Store(true)
 		e.renewWatch(seen)
 	}
 	e.glances.made.Add(1)
@@ -95,4 +99,15 @@
 }
 
 // reads reports whether this entry should read the platform now.
-func (e *Entry) reads() bool { return e.isReader() && !e.glances.failed.Load() }
+func (e *Entry) reads() bool { return e.isReader() && e.glances.allow(e.assigned()) }
+
+// allow reports whether an entry that reads may do so by what its glances tell. One that is not
+// assigned to read does when those that are have no answer, so most likely it gets none
+// either: it waits until a glance was answered. Guards against a platform that is down, to
+// which each entry of the fleet in turn would send reads, ten times as dear.
+func (g *glances) allow(assigned bool) bool {
+	return !g.failed.Load() && (assigned || !g.on() || g.answered.Load())
+}
+
+// on reports whether this entry glances at all.
+func (g *glances) on() bool { return g.every > 0 && g.platform != nil }
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -168,6 +168,12 @@
 	}
 }
 
+// assigned reports whether it is this entry's duty to read, rather than in place of others.
+func (e *Entry) assigned() (assigned bool) {
+	e.engine.view(func(_ time.Duration, c *core.Core) { assigned = c.AssignedReader() })
+	return assigned
+}
+
 func (e *Entry) isReader() (reader bool) {
 	e.engine.view(func(_ time.Duration, c *core.Core) { reader = c.Reader() })
 	return reader
