--- a/internal/core/hold.go
+++ b/internal/core/hold.go
@@ -10,7 +10,8 @@
 // latency objective, for seconds. Whoever can still be answered in time goes first;
 // one that can't any more waits behind all of those for a while, since a late answer
 // is worth something, and is then told when to come back. Without the two ranks the
-// late ones, which are the oldest, take the slots, and everybody is late.
+// late ones, which are the oldest, take the slots, and everybody is late. Among those who can
+// be in time the newest goes first: it has time left if it takes longer than most.
 const (
 	// lateWait is how long a request that is late by now waits for a slot that nobody
 	// else wants, as a share of its latency objective.
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -3,8 +3,8 @@
 //
 // A Queue belongs to one pool and is shared by the services that use the pool.
 // The order is: higher priority first; inside a service every caller gets an
-// equal part; inside a caller the earliest deadline or the earliest arrival
-// first. A service of lower priority that was passed over PassLimit times is
+// equal part; inside a caller the earliest deadline, the earliest arrival or
+// the latest arrival first. A service of lower priority that was passed over PassLimit times is
 // served next, so that nothing waits for good.
 //
 // The package is pure: the driver passes in the time, and the same calls in
@@ -48,6 +48,10 @@
 	CallerShare float64
 	// DeadlineOrder orders by deadline instead of arrival.
 	DeadlineOrder bool
+	// NewestFirst orders by arrival, the latest first, whatever DeadlineOrder says. While more
+	// is asked than can be done, the order of arrival lets each request begin at the last
+	// moment that makes sense, and all that take a little longer than most are late.
+	NewestFirst bool
 }
 
 // Refusal says why a request may not wait.
@@ -280,7 +284,10 @@
 
 func (q *Queue) newNode(it Item, lim Limits) int32 {
 	key := int64(it.Enqueued)
-	if lim.DeadlineOrder {
+	switch {
+	case lim.NewestFirst:
+		key = -key
+	case lim.DeadlineOrder:
 		key = int64(it.latestStart())
 	}
 	n := node{item: it, flow: none, key: key, previous: none, next: none}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -284,6 +284,7 @@
 	if c.looksFor(r) {
 		item.Deadline, item.Priority = c.hold(now, r)
 		item.Work, wait = 0, 0
+		limits.NewestFirst = r.policy.Objective > 0
 	}
 	switch p.queue.Push(now, item, limits, wait) {
 	case queue.Full:
