Those who would read the platform last glance 20 times a second together

Change: those who try last, all but nine of each failure domain, glance spread over a period that grows with the fleet; the first that is answered tells all others. Test red on the pause as it was: 82 glances a second of 60 entries' last 33.

--- a/internal/core/readers.go
+++ b/internal/core/readers.go
@@ -71,12 +71,15 @@
 	}
 }
 
+// lastTurn is the turn of those who try last: all entries but a few of each failure domain.
+const lastTurn = 3
+
 // turnOf is after how many spans of silence the entry of a rank in its failure domain tries to
 // read: twice as many as are assigned try first, then three times as many, then all.
 func turnOf(rank, assigned int) int {
-	const widening, last = 3, 3
+	const widening = 3
 	turn := 0
-	for most := assigned; rank >= most && turn < last; most *= widening {
+	for most := assigned; rank >= most && turn < lastTurn; most *= widening {
 		turn++
 	}
 	return turn
@@ -94,6 +97,23 @@
 	return c.fleet.reader
 }
 
+// lastGlances bounds how often those glance who try last, all together: a fleet that waits for a
+// platform which is down asked it a hundred times a second otherwise. Whoever is answered
+// first tells all others, so it is found at once however many ask.
+var lastGlances = duty.CheckLimits{Longest: 10 * time.Second, FleetRate: 20, Values: 1}
+
+// GlancePause returns the time between two glances of this entry, for which it also waits before
+// its first one if it is spread: one of those who try last. usual is the pause of all others.
+func (c *Core) GlancePause(usual time.Duration) (pause time.Duration, spread bool) {
+	c.assignReaders()
+	if c.fleet.reader || c.fleet.readers.turn < lastTurn {
+		return usual, false
+	}
+	limits := lastGlances
+	limits.Shortest = usual
+	return duty.CheckPeriod(len(c.fleet.dutyMembers), limits), true
+}
+
 // PlatformAnswered notes whether the platform answered this entry's latest call.
 func (c *Core) PlatformAnswered(ok bool) { c.fleet.readers.reaches = ok }
 
--- a/internal/core/readers_test.go
+++ b/internal/core/readers_test.go
@@ -1,6 +1,9 @@
 package core
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // The platform is silent for all entries until each of them tries to read it. When it comes
 // back, it answers the first of those that try, which are not the ones assigned to it. All 59
@@ -46,3 +49,29 @@
 		t.Error("the one that read is answered no more, and others do not try again")
 	}
 }
+
+// The platform is silent for eight seconds, and all entries of a fleet try to read in the end.
+// Each glanced every 0.4 s: a hundred calls a second and more to a platform that is down. All
+// that are not assigned to read, and are not next in turn, may make 20 a second together.
+func TestGlancesAtASilentPlatformDoNotGrowWithTheFleet(t *testing.T) {
+	const usual, next, together = 400 * ms, 24, 20.0
+	for _, entries := range []int{6, 15, 60} {
+		r := settled(t, entries, "counts/c1")
+		rate, spread := 0.0, 0
+		for _, n := range r.nodes {
+			n.cfg.ReadersPerDomain, n.fleet.readers.stale = 1, true
+			pause, last := n.GlancePause(usual)
+			if !last {
+				if pause != usual {
+					t.Errorf("%d entries: one that tries first glances every %v, want %v", entries, pause, usual)
+				}
+				continue
+			}
+			spread++
+			rate += float64(time.Second) / float64(pause)
+		}
+		if rate > together || entries-spread > 3+next {
+			t.Errorf("%d entries: %d that try last glance %.0f times a second, want %.0f", entries, spread, rate, together)
+		}
+	}
+}
--- a/internal/entry/glance.go
+++ b/internal/entry/glance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -49,11 +50,24 @@
 			wait.For(ctx, readerCheck)
 			continue
 		}
-		e.glance(ctx)
-		wait.For(ctx, e.glances.every)
+		pause, spread := e.glancePause()
+		if !spread {
+			e.glance(ctx)
+			wait.For(ctx, pause)
+			continue
+		}
+		wait.For(ctx, time.Duration(2*rand.Float64()*float64(pause)))
+		if e.isReader() {
+			e.glance(ctx)
+		}
 	}
 }
 
+func (e *Entry) glancePause() (pause time.Duration, spread bool) {
+	e.engine.view(func(_ time.Duration, c *core.Core) { pause, spread = c.GlancePause(e.glances.every) })
+	return pause, spread
+}
+
 // glance makes one call and notes whether it was answered, and whether in time.
 func (e *Entry) glance(life context.Context) {
 	ctx, cancel := context.WithTimeout(life, e.settings.Platform.Timeout.Duration)
