Requests keep to endpoints with an open connection while there is room

Change: among endpoints that are alike those with which this entry spoke within eight seconds go first, in seven choices of eight, and not for a while after a request found no room.

--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -28,8 +28,28 @@
 	rankLost    = 500
 	rankAvoided = 1000
 	rankMissing = 5000
+	// rankConnected puts endpoints with which this entry has spoken lately before those that
+	// are alike but for that.
+	rankConnected = 1
 )
 
+// The load that this answers: a few requests a second at each of many entries, before many
+// endpoints with room. Chosen by chance, an endpoint comes round when its connection has been
+// closed, and every other request opens a new one.
+const (
+	// connectedFor is how long after the latest answer a connection is likely to be open still.
+	connectedFor = 8 * time.Second
+	// otherShare is how often endpoints without a connection are asked like all others, so that
+	// one that has just joined gets its part.
+	otherShare = 0.125
+)
+
+// keepsToConnected reports whether endpoints with a connection go first in this choice. Where
+// requests find no room they don't: each entry would find its own endpoints full.
+func (v *View) keepsToConnected() bool {
+	return !v.Learned.isShort(v.Now) && v.Rand.Float64() >= otherShare
+}
+
 // busyTurns is for how many times the time in which an endpoint commonly frees a slot it
 // is taken to stay full.
 const busyTurns = 2
@@ -38,12 +58,16 @@
 // failure domain first, and of these the ones that had most room when last heard of.
 func (v *View) NextToAsk() int {
 	best, bestRank := -1, 0.0
+	keeps := v.keepsToConnected()
 	for i := range v.Endpoints {
 		e := &v.Endpoints[i]
 		if !v.eligible(i) || slices.Contains(v.Request.Asked, i) {
 			continue
 		}
 		rank := v.rank(e)
+		if keeps && e.Look.Seen && v.Now-e.Look.At < connectedFor {
+			rank -= rankConnected
+		}
 		if best < 0 || rank < bestRank {
 			best, bestRank = i, rank
 		}
