An entry that hears nobody reads the platform itself

Found by reading: the pause between glances of those who read last grows with the fleet, also for an entry that is cut off from it but not from the platform. The test for that shows an older fault: since entries watch neighbours only, an entry cut off from 59 others suspects six to sixteen of them in 18 s (simulated) and takes what the rest said last, that they read the platform, for true: it does not read at all until its slow check after 120 s. Ruled out: the paced glances (red without them too). Change: one that has heard nobody for as long as it takes to suspect an entry counts on nobody, reads in nobody's turn, and glances as those do who try first. Test red before (not reading after 4 s, nor after 18), green now.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -59,6 +59,8 @@
 	due       []uint64
 	fresh     []message.Evidence
 	sightings []message.Sighting
+	// heardAt is when any other entry was last heard.
+	heardAt time.Duration
 	// rate is this entry's calls per second, last sampled at rateAt.
 	rate     uint32
 	rateAt   time.Duration
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -158,6 +158,7 @@
 func (c *Core) UpdateDone(now time.Duration, to, sequence uint64, r message.Receipt) {
 	c.fleet.gossip.Done(now, to, sequence, r)
 	if r.Acked {
+		c.fleet.heardAt = now
 		c.fleet.reached = append(c.fleet.reached, to)
 	} else {
 		c.fleet.members.Unreachable(to)
@@ -269,6 +270,7 @@
 	if u.From == c.cfg.Self.Incarnation || !f.members.Knows(u.From) {
 		return false
 	}
+	f.heardAt = now
 	p, ok := f.peers[u.From]
 	if !ok {
 		p = &peer{}
--- a/internal/core/readers.go
+++ b/internal/core/readers.go
@@ -103,10 +103,11 @@
 var lastGlances = duty.CheckLimits{Longest: 10 * time.Second, FleetRate: 20, Values: 1}
 
 // GlancePause returns the time between two glances of this entry, for which it also waits before
-// its first one if it is spread: one of those who try last. usual is the pause of all others.
-func (c *Core) GlancePause(usual time.Duration) (pause time.Duration, spread bool) {
+// its first one if it is spread: one of those who try last, unless it is cut off from the others,
+// who can tell it nothing. usual is the pause of all others.
+func (c *Core) GlancePause(now, usual time.Duration) (pause time.Duration, spread bool) {
 	c.assignReaders()
-	if c.fleet.reader || c.fleet.readers.turn < lastTurn {
+	if c.fleet.reader || c.fleet.readers.turn < lastTurn || c.isCutOff(now) {
 		return usual, false
 	}
 	limits := lastGlances
@@ -131,11 +132,11 @@
 func (c *Core) checkReaders(now time.Duration) {
 	c.assignReaders()
 	r := &c.fleet.readers
-	if c.readerReaches() {
+	if c.readerReaches(now) {
 		r.reachedAt, r.volunteer = now, false
 		return
 	}
-	if c.anyReads() && !(r.volunteer && c.reachesPlatform()) {
+	if c.anyReads(now) && !(r.volunteer && c.reachesPlatform()) {
 		// Another one reads. Those that tried in vain leave it to that one: a platform
 		// that comes back would get the reads of all at once.
 		r.reachedAt, r.volunteer = now, false
@@ -144,7 +145,11 @@
 	if r.volunteer {
 		return
 	}
-	r.volunteer = now >= max(r.reachedAt+time.Duration(max(r.turn, 1))*readerSilence, c.startPatience())
+	turn := max(r.turn, 1)
+	if c.isCutOff(now) {
+		turn = 0 // nobody else tries in its place
+	}
+	r.volunteer = now >= max(r.reachedAt+time.Duration(turn)*readerSilence, c.startPatience())
 }
 
 // mayRead reports whether another entry can be counted on to read the platform: it was heard,
@@ -154,9 +159,19 @@
 	return heard && !e.Suspected && e.State <= message.EntryServing && e.VM.State == published.Live
 }
 
+// isCutOff reports whether this entry hears no other one. In a large fleet it watches a few
+// neighbours, and takes all others for live until one that watches them says otherwise: what they
+// said last, that they read the platform for instance, would hold for good.
+func (c *Core) isCutOff(now time.Duration) bool {
+	return now-c.fleet.heardAt >= c.fleet.members.SuspectAfter()
+}
+
 // anyReads reports whether any entry of this region says that it reaches the platform.
-func (c *Core) anyReads() bool {
+func (c *Core) anyReads(now time.Duration) bool {
 	f := &c.fleet
+	if c.isCutOff(now) {
+		return false
+	}
 	for i := range f.entries {
 		e := &f.entries[i]
 		if e.VM.Region == c.cfg.Self.Region && c.mayRead(e) && f.peers[e.VM.Incarnation].update.Reader {
@@ -196,15 +211,16 @@
 		return false
 	}
 	if c.cfg.FirstStart {
-		return now < firstPatience || c.readerReaches()
+		return now < firstPatience || c.readerReaches(now)
 	}
 	return now < c.cfg.StartLeave
 }
 
 // readerReaches reports whether an assigned reader reaches the platform.
-func (c *Core) readerReaches() bool {
+func (c *Core) readerReaches(now time.Duration) bool {
 	c.assignReaders()
 	f := &c.fleet
+	cutOff := c.isCutOff(now)
 	for _, incarnation := range f.readers.assigned {
 		if incarnation == c.cfg.Self.Incarnation {
 			if f.readers.reaches && !f.readers.silent {
@@ -212,7 +228,7 @@
 			}
 			continue
 		}
-		if e := f.entry(incarnation); e != nil && c.mayRead(e) && f.peers[incarnation].update.Reader {
+		if e := f.entry(incarnation); !cutOff && e != nil && c.mayRead(e) && f.peers[incarnation].update.Reader {
 			return true
 		}
 	}
--- a/internal/core/readers_test.go
+++ b/internal/core/readers_test.go
@@ -60,7 +60,7 @@
 		rate, spread := 0.0, 0
 		for _, n := range r.nodes {
 			n.cfg.ReadersPerDomain, n.fleet.readers.stale = 1, true
-			pause, last := n.GlancePause(usual)
+			pause, last := n.GlancePause(r.now-n.started, usual)
 			if !last {
 				if pause != usual {
 					t.Errorf("%d entries: one that tries first glances every %v, want %v", entries, pause, usual)
@@ -75,3 +75,27 @@
 		}
 	}
 }
+
+// An entry is cut off from all others while the platform answers it and callers reach it, and a
+// profile is published. It watches nine of 59 others and took the rest for live, so that what
+// they had said last, that some of them read the platform, held for good: it served by the old
+// profile until its slow check, a minute or two later.
+func TestEntryAloneWithThePlatformReadsSoon(t *testing.T) {
+	r := settled(t, 60, "counts/c1")
+	var alone *node
+	for _, n := range r.nodes {
+		n.cfg.ReadersPerDomain, n.fleet.readers.stale = 1, true
+		if _, last := n.GlancePause(r.now-n.started, 400*ms); last {
+			alone = n
+		}
+	}
+	r.cut = func(from, to *node) bool { return from == alone || to == alone }
+	r.run(4 * sec)
+	const usual = 400 * ms
+	if pause, spread := alone.GlancePause(r.now-alone.started, usual); spread || pause != usual {
+		t.Errorf("an entry that hears nobody glances every %v, want %v", pause, usual)
+	}
+	if !alone.Reader() {
+		t.Error("an entry that hears nobody does not read")
+	}
+}
--- a/internal/entry/glance.go
+++ b/internal/entry/glance.go
@@ -64,7 +64,7 @@
 }
 
 func (e *Entry) glancePause() (pause time.Duration, spread bool) {
-	e.engine.view(func(_ time.Duration, c *core.Core) { pause, spread = c.GlancePause(e.glances.every) })
+	e.engine.view(func(now time.Duration, c *core.Core) { pause, spread = c.GlancePause(now, e.glances.every) })
 	return pause, spread
 }
 
