--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -4,8 +4,8 @@
 // A Queue belongs to one pool and is shared by the services that use the pool.
 // The order is: higher priority first; inside a service every caller gets an
 // equal part; inside a caller the earliest deadline, the earliest arrival or
-// the latest arrival first. A service of lower priority that was passed over PassLimit times is
-// served next, so that nothing waits for good.
+// the latest arrival first. A service of lower priority that was passed over
+// PassLimit times is served next, so that nothing waits for good.
 //
 // The package is pure: the driver passes in the time, and the same calls in
 // the same order give the same results. A Queue must not be used by two
