--- a/internal/core/readers_test.go
+++ b/internal/core/readers_test.go
@@ -5,6 +5,85 @@
 	"time"
 )
 
+// The platform stops answering just those entries that read it for all, and an operator
+// publishes a profile in that moment: it would come into force only when their watches
+// time out. They notice by a glance within 0.7 s and say so at once; others take over.
+// The rest of 2 s is for that.
+func TestReadersFallSilent(t *testing.T) {
+	r := settled(t, 15, "counts/c1")
+	silent := map[*node]bool{}
+	for _, n := range r.nodes {
+		if n.Reader() {
+			silent[n] = true
+		}
+	}
+	if len(silent) == 0 || len(silent) > 8 {
+		t.Fatalf("%d entries read for all", len(silent))
+	}
+	r.mute = func(n *node) bool { return silent[n] }
+	r.republish(2, `deadline = "800ms"`, `deadline = "700ms"`)
+	r.run(700 * ms)
+	for n := range silent {
+		n.PlatformGlanced(false)
+	}
+	if took := r.until(20*sec, atRevision(2)); took > 1300*ms {
+		t.Errorf("in force %v after the readers noticed", took)
+	}
+	r.mute = func(*node) bool { return false }
+	for n := range silent {
+		n.PlatformGlanced(true)
+	}
+	r.run(2 * sec)
+	for _, n := range r.nodes {
+		if n.Reader() != silent[n] {
+			t.Errorf("%s reads: %v, though the readers are answered again", n.hello.Name, n.Reader())
+		}
+	}
+}
+
+// The platform stops answering the entries that read it for all. All 59 others tried to read
+// in their place, each told all others that it did, and the calls to the platform grew with
+// the fleet. A few of each failure domain are enough; where these are turned away as well,
+// further ones come a moment later.
+func TestFewTakeOverFromSilentReaders(t *testing.T) {
+	for _, alsoSilent := range []bool{false, true} {
+		r := settled(t, 60, "counts/c1")
+		r.run(5 * sec)
+		silent := map[*node]bool{}
+		for _, n := range r.nodes {
+			silent[n] = n.Reader()
+		}
+		r.mute = func(n *node) bool { return silent[n] }
+		for n := range silent {
+			if silent[n] {
+				n.PlatformAnswered(false)
+			}
+		}
+		r.republish(2, `deadline = "800ms"`, `deadline = "700ms"`)
+		tried := map[*node]bool{}
+		began := r.now
+		for r.now-began < 2*sec {
+			r.run(r.tick)
+			for _, n := range r.nodes {
+				if n.Reader() && !silent[n] {
+					tried[n] = true
+					if alsoSilent && len(tried) <= 12 {
+						silent[n] = true
+						n.PlatformAnswered(false)
+					}
+				}
+			}
+		}
+		took, most := r.until(20*sec, atRevision(2)), 12
+		if alsoSilent {
+			most = 60
+		}
+		if len(tried) > most || took > 0 {
+			t.Errorf("the first to take over silent too: %v: %d entries tried to read; not in force everywhere after 2 s but %v later", alsoSilent, len(tried), took)
+		}
+	}
+}
+
 // The platform is silent for all entries until each of them tries to read it. When it comes
 // back, it answers the first of those that try, which are not the ones assigned to it. All 59
 // others read it too, one after the other, until an assigned entry has noticed: a store that
--- /dev/null
+++ b/internal/entry/rig_traffic_test.go
@@ -0,0 +1,233 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/client"
+	"github.com/tealhall/tealhall/internal/contract"
+	"github.com/tealhall/tealhall/internal/standin"
+)
+
+// traffic is a steady load of reads and once-only bookings by several callers.
+type traffic struct {
+	wire    *wire
+	callers []*client.Client
+	sending sync.WaitGroup
+	end     chan struct{}
+	// room has a place for each request under way; nil for any number of them.
+	room chan struct{}
+
+	mu   sync.Mutex
+	told []told
+}
+
+const (
+	callers      = 6
+	readEvery    = 5 * time.Millisecond
+	bookingEvery = 20 * time.Millisecond
+	readSize     = 2000
+	// requestLimit bounds one request with all its tries.
+	requestLimit = 15 * time.Second
+	// calmRoom bounds the requests under way where none may be refused. On a quiet machine
+	// two or three are; on one so busy that 2 ms of work take a quarter of a second, more of
+	// them than that are an overload, and refusing some is right.
+	calmRoom = 24
+)
+
+// startTraffic sends until finish.
+func startTraffic(t *testing.T, f *fleet) *traffic {
+	t.Helper()
+	return start(t, f, &traffic{wire: newWire(), end: make(chan struct{})})
+}
+
+// startCalmTraffic sends until finish, and no more at a time than has room on any machine.
+func startCalmTraffic(t *testing.T, f *fleet) *traffic {
+	t.Helper()
+	return start(t, f, &traffic{wire: newWire(), end: make(chan struct{}), room: make(chan struct{}, calmRoom)})
+}
+
+func start(t *testing.T, f *fleet, l *traffic) *traffic {
+	t.Helper()
+	for i := range callers {
+		l.callers = append(l.callers, newCaller(t, f, l.wire, fmt.Sprintf("caller-%d", i)))
+	}
+	l.sending.Go(func() { l.stream(readEvery, l.read) })
+	l.sending.Go(func() { l.stream(bookingEvery, l.book) })
+	return l
+}
+
+func newCaller(t *testing.T, f *fleet, w *wire, name string) *client.Client {
+	t.Helper()
+	c, err := client.New(client.Options{Seeds: f.Seeds(), Caller: name, HTTP: &http.Client{Transport: w}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func (l *traffic) stream(every time.Duration, send func(n int)) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-l.end:
+			return
+		case <-ticker.C:
+			if !l.enter() {
+				continue
+			}
+			l.sending.Go(func() {
+				defer l.leave()
+				send(n)
+			})
+		}
+	}
+}
+
+// enter takes a place for a request and reports whether there was one.
+func (l *traffic) enter() bool {
+	if l.room == nil {
+		return true
+	}
+	select {
+	case l.room <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *traffic) leave() {
+	if l.room != nil {
+		<-l.room
+	}
+}
+
+func (l *traffic) read(n int) {
+	id := fmt.Sprintf("read-%d", n)
+	l.do(n, told{id: id, size: readSize}, client.Request{
+		Service: "counts",
+		Method:  http.MethodGet,
+		Path:    fmt.Sprintf("/trays?id=%s&bytes=%d", id, readSize),
+	})
+}
+
+func (l *traffic) book(n int) {
+	id := fmt.Sprintf("booking-%d", n)
+	l.do(n, told{id: id, once: true, size: standin.AnswerSize(id)}, client.Request{
+		Service: "bookings",
+		Method:  http.MethodPost,
+		Path:    "/bookings?id=" + id,
+		Body:    []byte("hall 7, " + id),
+		Once:    true,
+	})
+}
+
+func (l *traffic) do(n int, about told, request client.Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), requestLimit)
+	defer cancel()
+	request.Header = http.Header{contract.HeaderRequest: {about.id}}
+	result, err := l.callers[n%len(l.callers)].Do(ctx, request)
+	if err != nil {
+		result = client.Result{Outcome: client.NotRun, Err: err}
+	}
+	about.result = result
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told = append(l.told, about)
+}
+
+// answered returns how many requests have ended.
+func (l *traffic) answered() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.told)
+}
+
+// awaitMore waits until n more requests have ended, so that what came before
+// was met by traffic.
+func (l *traffic) awaitMore(t *testing.T, n int) {
+	t.Helper()
+	from := l.answered()
+	await(t, "more answers", func() bool { return l.answered() >= from+n })
+}
+
+// outcomes are how many requests ended how.
+type outcomes struct{ done, notRun, unknown int }
+
+// finish ends the traffic and checks what holds whatever happens: every answer
+// is whole and the request's own, no booking ran twice, and what callers were
+// told is true of what the endpoints did.
+func (l *traffic) finish(t *testing.T, f *fleet) (reads, bookings outcomes) {
+	t.Helper()
+	close(l.end)
+	l.sending.Wait()
+	for _, about := range l.told {
+		count := &reads
+		if about.once {
+			count = &bookings
+		}
+		count.add(about.result.Outcome)
+		if about.result.Outcome != client.Done {
+			t.Logf("%s: %s %q by %s after %d tries: %v", about.id, about.result.Outcome, about.result.Reason,
+				about.result.Entry, about.result.Tries, about.result.Err)
+		}
+		if problem := about.problem(f.Ledger.Request(about.id)); problem != "" {
+			t.Errorf("%s: %s; told %s %q by %s after %d tries (%v)", about.id, problem, about.result.Outcome,
+				about.result.Reason, about.result.Entry, about.result.Tries, about.result.Err)
+		}
+	}
+	if twice := f.Ledger.RanTwice(); len(twice) > 0 {
+		t.Errorf("keys that ran twice: %v", twice)
+	}
+	t.Logf("reads %+v, bookings %+v, connections broken %d", reads, bookings, len(l.wire.broken))
+	return reads, bookings
+}
+
+func (o *outcomes) add(outcome client.Outcome) {
+	switch outcome {
+	case client.Done:
+		o.done++
+	case client.NotRun:
+		o.notRun++
+	default:
+		o.unknown++
+	}
+}
+
+// problem says how a promise was broken to the caller of one request.
+func (a told) problem(ran standin.Count) string {
+	switch {
+	case a.once && ran.Runs > 1:
+		return fmt.Sprintf("ran %d times", ran.Runs)
+	case a.result.Outcome == client.NotRun && ran.Runs > 0:
+		return "a false \"not run\""
+	case a.result.Outcome == client.Done && ran.Finished == 0:
+		return "a false \"done\""
+	}
+	if a.result.Outcome != client.Done || a.result.Status != http.StatusOK {
+		return ""
+	}
+	if err := standin.CheckAnswer(a.result.Body, a.id, a.size); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+// calm demands that a planned change was not noticed by any caller: every
+// request is done and no exchange broke off.
+func (l *traffic) calm(t *testing.T, f *fleet) {
+	t.Helper()
+	reads, bookings := l.finish(t, f)
+	if reads.notRun+reads.unknown+bookings.notRun+bookings.unknown > 0 {
+		t.Errorf("requests were lost: reads %+v, bookings %+v", reads, bookings)
+	}
+	for _, broken := range l.wire.broken {
+		t.Errorf("cut off: %s", broken)
+	}
+}
