An entry whose duty it becomes to read glances at once

Found by reading the whole change: those who try last sleep until their moment to glance, up to two pauses, 14 s at 139 entries, and did not look meanwhile whether the duty had fallen to them; such a reader would watch for all others without a glance for so long, and a platform that falls silent to it then would show when its watch runs out. Test with it; the loop before had no seam for one.

--- a/internal/entry/glance.go
+++ b/internal/entry/glance.go
@@ -39,6 +39,8 @@
 	// made anew.
 	held      uint64
 	renewedAt time.Duration
+	// spreadUntil is when an entry glances next that is one of those who try last, 0 for none.
+	spreadUntil time.Duration
 }
 
 // glanceLoop glances for as long as this entry reads the platform.
@@ -47,22 +49,40 @@
 		if !e.isReader() {
 			e.glances.failed.Store(false)
 			e.glances.answered.Store(false)
+			e.glances.spreadUntil = 0
 			wait.For(ctx, readerCheck)
 			continue
 		}
 		pause, spread := e.glancePause()
-		if !spread {
-			e.glance(ctx)
-			wait.For(ctx, pause)
+		if !e.glances.due(e.engine.clock(), pause, spread) {
+			wait.For(ctx, readerCheck)
 			continue
 		}
-		wait.For(ctx, time.Duration(2*rand.Float64()*float64(pause)))
-		if e.isReader() {
-			e.glance(ctx)
+		e.glance(ctx)
+		if !spread {
+			wait.For(ctx, pause)
 		}
 	}
 }
 
+// due reports whether to glance now. One that is spread glances at a random moment, on average a
+// pause after it began to read or after the glance before. It is asked again and again meanwhile:
+// an entry whose duty it becomes to read glances at once, rather than up to two pauses later.
+func (g *glances) due(now, pause time.Duration, spread bool) bool {
+	if !spread {
+		g.spreadUntil = 0
+		return true
+	}
+	if g.spreadUntil == 0 {
+		g.spreadUntil = now + time.Duration(2*rand.Float64()*float64(pause))
+	}
+	if now < g.spreadUntil {
+		return false
+	}
+	g.spreadUntil = 0
+	return true
+}
+
 func (e *Entry) glancePause() (pause time.Duration, spread bool) {
 	e.engine.view(func(now time.Duration, c *core.Core) { pause, spread = c.GlancePause(now, e.glances.every) })
 	return pause, spread
--- a/internal/entry/reads_test.go
+++ b/internal/entry/reads_test.go
@@ -37,3 +37,32 @@
 		}
 	}
 }
+
+// An entry that tries last waits for its moment to glance, up to 14 s in a fleet of 139, when the
+// readers of its failure domain end and the duty falls to it. It slept on: it read for all others
+// and did not notice, for those seconds, that the platform had stopped answering it.
+func TestNewReaderGlancesAtOnce(t *testing.T) {
+	const pause = 7 * time.Second
+	for range 100 {
+		g := &glances{}
+		if g.due(time.Second, pause, true) {
+			continue // its moment has come at once
+		}
+		if !g.due(time.Second+readerCheck, pause, false) {
+			t.Fatal("an entry whose duty it is to read waits on")
+		}
+		if !g.due(time.Second+2*pause+readerCheck, pause, true) && g.spreadUntil <= time.Second+2*pause {
+			t.Fatal("the moment of before holds on")
+		}
+	}
+	g, glanced := &glances{}, 0
+	const lasts = 700 * time.Second
+	for now := time.Duration(0); now < lasts; now += readerCheck {
+		if g.due(now, pause, true) {
+			glanced++
+		}
+	}
+	if most := int(2 * lasts / pause); glanced == 0 || glanced > most {
+		t.Errorf("%d glances in %v with a pause of %v, want %d at most", glanced, lasts, pause, most)
+	}
+}
