Audit lines give action and reason first; an answer that can't be used is told from silence

The record of the incident ends before the reason of each refusal: the log line had sequence, actor, subject and revisions before it, and its length was not bounded. An answer of the platform that can't be used was logged at the second level of detail only and counted like silence: it has a line of its own, once for each reason, and the counter platform.unusable. The line 'serving' named the entry twice. No decision changed. Tests: go test ./internal/audit ./internal/entry (those of log and metrics).

--- a/internal/audit/sink.go
+++ b/internal/audit/sink.go
@@ -1,17 +1,39 @@
 package audit
 
-import "k8s.io/klog/v2"
+import (
+	"strings"
+	"unicode/utf8"
 
-// LogSink writes the record to the log as one structured line.
+	"k8s.io/klog/v2"
+)
+
+// maxWhyBytes bounds the reason in a log line; the trail in memory has it whole. A document may
+// have thousands of problems.
+const maxWhyBytes = 400
+
+// LogSink writes the record to the log as one structured line. What was done and why come first,
+// because collectors cut long lines at their end.
 func LogSink(r Record) {
 	klog.InfoS("audit",
-		"seq", r.Seq,
-		"actor", r.Actor,
-		"subject", r.Subject,
 		"action", r.Action,
+		"why", shortened(r.Why),
+		"subject", r.Subject,
 		"from", r.From,
 		"to", r.To,
 		"revision", r.Revision,
-		"why", r.Why,
+		"actor", r.Actor,
+		"seq", r.Seq,
 	)
 }
+
+// shortened cuts a text at the end of a character.
+func shortened(text string) string {
+	if len(text) <= maxWhyBytes {
+		return text
+	}
+	end := maxWhyBytes
+	for end > 0 && !utf8.RuneStart(text[end]) {
+		end--
+	}
+	return strings.TrimSpace(text[:end]) + " ..."
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -41,7 +41,7 @@
 	if err := e.Start(); err != nil {
 		return err
 	}
-	klog.InfoS("serving", "entry", s.Name, "failureDomain", s.FailureDomain, "callers", e.CallerAddress(), "peers", e.PeerAddress())
+	klog.InfoS("serving", "failureDomain", s.FailureDomain, "callers", e.CallerAddress(), "peers", e.PeerAddress())
 	return attend(e, newReloader(path, e, s), signals)
 }
 
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -132,6 +132,7 @@
 		flag("platform.reader", f.view.Reader),
 		total("platform.calls", p.calls),
 		total("platform.failures", p.failures),
+		total("platform.unusable", p.unusable),
 		total("platform.glances", f.glances),
 		total("platform.glances_late", f.lateGlances),
 		total("platform.watches_renewed", f.renewedWatches),
--- a/internal/entry/views_platform.go
+++ b/internal/entry/views_platform.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/tealhall/tealhall/internal/fault"
 	"github.com/tealhall/tealhall/internal/published"
 )
@@ -22,7 +24,8 @@
 
 // platformCounts is what became of calls so far.
 type platformCounts struct {
-	calls, failures uint64
+	// unusable are those of the failures that were answered with something that can't be used.
+	calls, failures, unusable uint64
 	// values are the published values that were asked for, by name.
 	values map[string]valueCalls
 	// lastError is the latest failure, "" when there was none.
@@ -76,7 +79,14 @@
 	default:
 		p.counts.failures++
 		value.failing++
-		value.cause = rootCause(err)
+		cause := rootCause(err)
+		if fault.KindOf(err) == fault.PlatformAnswer {
+			p.counts.unusable++
+			if cause != value.cause {
+				klog.ErrorS(err, "the platform's answer can't be used", "value", name)
+			}
+		}
+		value.cause = cause
 		p.counts.lastError = err.Error()
 	}
 	p.counts.values[name] = value
