A configuration that the platform accepted is in force, but for what can't be served of it

What callers saw: routes added by a confirmed change were answered 404, requests went on to services that the change had taken them from, and after a loss of all entries nothing was served. Cause, as far as shown: route.Parse refused a whole document for one problem, and decoding failed for one number or one route in another form, though the platform checks a configuration before it confirms it. One such part stays from version to version, so nothing later came into force either, and entries that started had nothing to serve by. That fits the record (the refusals from revision 63 by entries that ran, and from none by those that started); which part the users published is not known. Change: routes, services and figures are taken one by one; what is odd is set right or left out, and is named in the audit trail, in status and in profiles.problems. Only a text that can't be read as a whole is refused.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -103,8 +103,8 @@
 func newSplit(r *route.Route) *split {
 	s := &split{}
 	for _, part := range r.Parts {
-		s.parts = append(s.parts, splitPart{name: profile.PartName(r, part), weight: part.Weight})
-		s.total += part.Weight
+		s.parts = append(s.parts, splitPart{name: profile.PartName(r, part), weight: int(part.Weight)})
+		s.total += int(part.Weight)
 	}
 	return s
 }
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/duty"
@@ -82,6 +83,9 @@
 		return
 	}
 	note.Action = "accepted"
+	if o.Profiles != nil && o.Profiles.Routes() != nil {
+		note.Why = strings.Join(o.Profiles.Routes().Problems(), "; ")
+	}
 	out.note(note)
 	if o.Name == published.VMsValue {
 		c.spreadFresh(now)
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -68,6 +68,8 @@
 	// valid if Stale.
 	StaleAt time.Duration
 	Stale   bool
+	// Problems are what was set right in the document in force or left out of it.
+	Problems []string
 }
 
 // PoolView is a pool with its queue and budgets.
@@ -222,6 +224,9 @@
 		Refused:    t.LastRefused().Revision,
 		RefusedWhy: c.explained.refused[name],
 	}
+	if name == published.ProfilesValue && c.Routed() {
+		v.Problems = c.snapshot.Routes().Problems()
+	}
 	v.ConfirmedAt, v.Confirmed = t.ConfirmedAt()
 	v.StaleAt, v.Stale = c.explained.staleAt[name]
 	return v
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -149,6 +149,7 @@
 			gauge(name+".revision", float64(v.InForce.Revision)),
 			gauge(name+".wanted", float64(v.Wanted)),
 			gauge(name+".refused", float64(v.Refused)),
+			gauge(name+".problems", float64(len(v.Problems))),
 			gauge(name+".confirmed_age_s", age),
 		)
 	}
--- a/internal/entry/views_concerns.go
+++ b/internal/entry/views_concerns.go
@@ -87,6 +87,10 @@
 		l.add("publish a corrected one; until then the revision in force stays",
 			"%s: revision %d was refused: %s", name, p.Refused, firstLine(p.RefusedWhy))
 	}
+	if len(p.Problems) > 0 {
+		l.add("publish a corrected one; the other routes are in force as they are",
+			"%s: revision %d is in force, but for what can't be used of it: %s", name, p.InForce.Revision, strings.Join(p.Problems, "; "))
+	}
 	if p.Stale && f.now-p.StaleAt < staleShown {
 		l.add("by itself when the replica has caught up; what is in force never goes back",
 			"%s: an older revision than %d, which is in force, was offered %s ago", name, p.InForce.Revision, since(f.now, p.StaleAt))
--- a/internal/entry/views_routes.go
+++ b/internal/entry/views_routes.go
@@ -30,12 +30,12 @@
 		Route: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: string(r.Kind), Priority: r.Priority,
 		Objective: r.Objective.Duration().Seconds(), Timeout: r.Timeout.Duration().Seconds(), MaxAttempts: r.MaxAttempts,
 	}
-	whole := 0
+	whole := 0.0
 	for _, part := range r.Parts {
 		whole += part.Weight
 	}
 	for _, part := range r.Parts {
-		view := admin.RoutePartView{Service: part.Service, Share: float64(part.Weight) / float64(whole)}
+		view := admin.RoutePartView{Service: part.Service, Share: part.Weight / whole}
 		if service, known := s.Service(profile.PartName(r, part)); known {
 			view.Profile = service.Profile
 		}
--- a/internal/profile/traffic.go
+++ b/internal/profile/traffic.go
@@ -111,15 +111,15 @@
 // Bind returns a snapshot of the given revision whose services are those of the
 // routes, each treated by the profile that the traffic rules of s give it. The
 // route's own timeout, latency objective, rank and attempts replace those of the
-// profile. The calendar is that of s.
+// profile; one without a timeout keeps the profile's deadline. The calendar is that of s.
 func (s *Snapshot) Bind(table *route.Table, revision, digest uint64) (*Snapshot, error) {
 	bound := *s
 	bound.revision, bound.digest = revision, digest
 	bound.table = table
 	bound.services, bound.byName, bound.pools = nil, map[string]*Service{}, nil
-	services := make(map[string]*route.Service, len(table.Services()))
-	for i := range table.Services() {
-		services[table.Services()[i].Name] = &table.Services()[i]
+	services := make(map[string]route.Service, len(table.Services()))
+	for _, service := range table.Services() {
+		services[service.Name] = service
 	}
 	for i := range table.Routes() {
 		r := &table.Routes()[i]
@@ -154,7 +154,7 @@
 	return r.Name + "/" + part.Service
 }
 
-func (s *Snapshot) addPart(r *route.Route, part route.Part, of *route.Service, profileName string, m *modes) {
+func (s *Snapshot) addPart(r *route.Route, part route.Part, of route.Service, profileName string, m *modes) {
 	service := &Service{
 		Name:      PartName(r, part),
 		Pool:      part.Service,
@@ -170,7 +170,9 @@
 
 // routed is a profile's policy with what the route says itself.
 func routed(p Policy, r *route.Route, limits route.Limits) Policy {
-	p.Deadline = r.Timeout.Duration()
+	if r.Timeout > 0 {
+		p.Deadline = r.Timeout.Duration()
+	}
 	p.Objective = r.Objective.Duration()
 	p.Priority = max(highestPriority-r.Priority, lowestPriority)
 	p.MaxAttempts = r.MaxAttempts
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,7 +1,7 @@
 // Package route holds the table by which an entry finds what a request is for:
 // host and longest path prefix lead to a service, or to several services that
-// share the requests by weight. A Table is validated as a whole, never changes
-// and is safe for concurrent use.
+// share the requests by weight. A Table never changes and is safe for concurrent
+// use.
 package route
 
 import (
@@ -30,8 +30,9 @@
 // Part is a service that gets a share of a route's requests.
 type Part struct {
 	Service string `json:"service"`
-	// Weight is the part's share against the other parts' weights, above 0.
-	Weight int `json:"weight"`
+	// Weight is the part's share against the other parts' weights. In a Table it is a whole
+	// number above 0.
+	Weight float64 `json:"weight"`
 }
 
 // Route leads requests to services.
@@ -43,9 +44,10 @@
 	Kind   Kind   `json:"kind"`
 	// Priority is the rank among routes, 0 the highest.
 	Priority int `json:"priority"`
-	// Timeout is the longest that a request may stay without its final answer.
+	// Timeout is the longest that a request may stay without its final answer, 0 if the route
+	// does not say.
 	Timeout Millis `json:"timeout_ms"`
-	// Objective is the latency within which an answer has its full value.
+	// Objective is the latency within which an answer has its full value, 0 for none.
 	Objective Millis `json:"objective_ms"`
 	// MaxAttempts is the most endpoints that one request may be sent to.
 	MaxAttempts int `json:"max_attempts"`
@@ -88,6 +90,7 @@
 	routes   []Route // sorted by name
 	services []Service
 	limits   Limits
+	problems []string
 	// hosts lists each host's routes, the longest prefix first.
 	hosts map[string][]*Route
 }
@@ -101,6 +104,9 @@
 // Limits returns the bounds on what callers may send.
 func (t *Table) Limits() Limits { return t.limits }
 
+// Problems returns what was set right in the document or left out, a bounded number of texts.
+func (t *Table) Problems() []string { return t.problems }
+
 // Find returns the route of a request: among those of its host the one with the
 // longest prefix that begins the path. A port in the host is ignored.
 func (t *Table) Find(host, path string) (*Route, bool) {
