--- a/internal/core/duty/tracker.go
+++ b/internal/core/duty/tracker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // Platform is the source of what the platform itself answered; any other
@@ -233,11 +234,11 @@
 	need := min(t.cfg.StartPeers, peers)
 	switch {
 	case t.inForce.Revision == 0 && t.refused.Revision != 0:
-		return false, fmt.Sprintf("revision %d is invalid and no earlier one is known", t.refused.Revision)
+		return false, fmt.Sprintf("revision %s is invalid and no earlier one is known", published.RevisionText(t.refused.Revision))
 	case t.inForce.Revision == 0:
 		return false, "neither the platform nor a peer has given a revision yet"
 	case t.Wanted() != 0:
-		return false, fmt.Sprintf("revision %d is in force but %d exists", t.inForce.Revision, t.Wanted())
+		return false, fmt.Sprintf("revision %s is in force but %s exists", published.RevisionText(t.inForce.Revision), published.RevisionText(t.Wanted()))
 	case t.cfg.AlwaysCurrent && t.confirmed:
 	case len(t.heard) < need && now-t.started < t.cfg.StartGrace:
 		return false, fmt.Sprintf("%d of %d peers have told their revision", len(t.heard), need)
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -43,7 +43,7 @@
 // would show as a whole fleet without endpoints.
 func (t *Table) ApplyList(now time.Duration, l published.VMList) []Change {
 	if l.Revision < t.list.revision {
-		why := fmt.Sprintf("list revision %d is older than %d", l.Revision, t.list.revision)
+		why := fmt.Sprintf("list revision %s is older than %s", published.RevisionText(l.Revision), published.RevisionText(t.list.revision))
 		return []Change{{Kind: ListRefused, Why: why}}
 	}
 	vms, skipped, changes := t.usable(l)
@@ -99,7 +99,7 @@
 		}
 		if wrong != "" {
 			skipped[vm.Name] = true
-			why := fmt.Sprintf("list revision %d: %s; correct the row at the platform", l.Revision, wrong)
+			why := fmt.Sprintf("list revision %s: %s; correct the row at the platform", published.RevisionText(l.Revision), wrong)
 			changes = append(changes, Change{Kind: RowRefused, VM: vm, Why: why})
 			continue
 		}
@@ -233,7 +233,7 @@
 	if !news {
 		return nil
 	}
-	why := fmt.Sprintf("list revision %d loses %d of %d live VMs; held for %v", t.list.revision, live, base, t.cfg.HoldFor)
+	why := fmt.Sprintf("list revision %s loses %d of %d live VMs; held for %v", published.RevisionText(t.list.revision), live, base, t.cfg.HoldFor)
 	return []Change{{Kind: ListHeld, Why: why}}
 }
 
@@ -290,6 +290,6 @@
 func (t *Table) confirmHeld(now time.Duration) []Change {
 	lost, live, base := t.lost()
 	t.list.held = false
-	why := fmt.Sprintf("list revision %d has lost %d of %d live VMs for %v", t.list.revision, live, base, t.cfg.HoldFor)
+	why := fmt.Sprintf("list revision %s has lost %d of %d live VMs for %v", published.RevisionText(t.list.revision), live, base, t.cfg.HoldFor)
 	return append([]Change{{Kind: ListConfirmed, Why: why}}, t.miss(now, lost)...)
 }
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -232,7 +232,7 @@
 	if revision == 0 {
 		return "none"
 	}
-	return "revision " + strconv.FormatUint(revision, 10)
+	return "revision " + published.RevisionText(revision)
 }
 
 // becomeReady lets a starting entry serve once it knows the latest revision
--- a/internal/ctl/audit.go
+++ b/internal/ctl/audit.go
@@ -107,7 +107,7 @@
 		text += ", " + line.From + " -> " + line.To
 	}
 	if line.Revision > 0 {
-		text += fmt.Sprintf(" (revision %d)", line.Revision)
+		text += fmt.Sprintf(" (revision %s)", revision(line.Revision))
 	}
 	if line.Why != "" {
 		text += ": " + line.Why
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -9,6 +9,8 @@
 	"text/tabwriter"
 	"time"
 	"unicode"
+
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // The forms of a result.
@@ -102,7 +104,7 @@
 	if n == 0 {
 		return "none"
 	}
-	return number(n)
+	return published.RevisionText(n)
 }
 
 // marks joins the texts whose condition holds.
--- a/internal/entry/views_concerns.go
+++ b/internal/entry/views_concerns.go
@@ -12,6 +12,7 @@
 	tables "github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/peer"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 const (
@@ -81,11 +82,11 @@
 func (f *facts) publishedConcerns(l *concernList, name string, p *core.PublishedView) {
 	if p.Wanted > 0 {
 		l.add("by itself within seconds; check the links below if it lasts",
-			"%s: revision %d exists, %d is in force here", name, p.Wanted, p.InForce.Revision)
+			"%s: revision %s exists, %s is in force here", name, published.RevisionText(p.Wanted), published.RevisionText(p.InForce.Revision))
 	}
 	if p.Refused > p.InForce.Revision {
 		l.add("publish a corrected one; until then the revision in force stays",
-			"%s: revision %d was refused: %s", name, p.Refused, firstLine(p.RefusedWhy))
+			"%s: revision %s was refused: %s", name, published.RevisionText(p.Refused), firstLine(p.RefusedWhy))
 	}
 	if len(p.Problems) > 0 {
 		l.add("publish a corrected one; the other routes are in force as they are",
@@ -93,7 +94,7 @@
 	}
 	if p.Stale && f.now-p.StaleAt < staleShown {
 		l.add("by itself when the replica has caught up; what is in force never goes back",
-			"%s: an older revision than %d, which is in force, was offered %s ago", name, p.InForce.Revision, since(f.now, p.StaleAt))
+			"%s: an older revision than %s, which is in force, was offered %s ago", name, published.RevisionText(p.InForce.Revision), since(f.now, p.StaleAt))
 	}
 }
 
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -16,8 +16,9 @@
 // MaxValueBytes is the largest value that the service holds.
 const MaxValueBytes = 1 << 20
 
-// Value is one published value at one revision. Revisions of a name only grow
-// at the service; a lagging replica may still answer with an older one.
+// Value is one published value at one revision. Revisions of a name only grow at the service;
+// a lagging replica, or one that was restored from a copy, may still answer with an older one. Those
+// of the list of VMs bear the service's era (InEra), and grow through restorations as well.
 type Value struct {
 	Name     string
 	Revision uint64
@@ -32,7 +33,8 @@
 	// Watch returns once the value of name has a revision later than after, or
 	// with an error of kind fault.PlatformDown when the service ended the wait.
 	// A wait that ends without a change returns a Value with Revision == after
-	// and no data. One waiting Watch counts as one call at the service.
+	// and no data, which confirms that revision. A service that holds an older one, or that had
+	// to be read anew, returns what it holds. One waiting Watch counts as one call at the service.
 	Watch(ctx context.Context, name string, after uint64) (Value, error)
 }
 
