A configuration that can't be read no longer stops the list of endpoints, and is told

What callers would see: endpoints that leave go on getting work, and new ones get none, for as long as the platform holds a configuration that is cut short or lacks its version or routes. Operators see a platform that does not answer, and no reason. Cause: one round of the store's watch brings configuration and list, and failed as a whole for either; the failure counted as silence. Class: what one item says decides on all others. Change: a value bears the problem of what can't be read beside what was read before. The round goes on; the problem goes to the audit trail (refused), to a concern in status and to published.refused, and counts as an answer.

--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -40,6 +40,9 @@
 func (c *Core) Offer(now time.Duration, o Offered, out *Actions) {
 	t := c.tracker(o.Name)
 	from := t.InForce().Revision
+	if o.Source == duty.Platform {
+		delete(c.explained.unreadable, o.Name)
+	}
 	note := Note{
 		Actor:    c.sourceName(o.Source),
 		Subject:  o.Name,
@@ -61,6 +64,18 @@
 	}
 }
 
+// Unreadable notes that what the platform holds can't be read. What is in force stays, until the
+// platform gives something else.
+func (c *Core) Unreadable(name string, problem error, out *Actions) {
+	text := problemText(problem)
+	if c.explained.unreadable[name] == text {
+		return
+	}
+	c.explained.unreadable[name] = text
+	c.counters.RefusedDocuments++
+	out.note(Note{Actor: "platform", Subject: name, Action: "refused", From: revisionText(c.InForce(name).Revision), Why: text})
+}
+
 // noteOnce keeps a fault that repeats with every read from filling the trail.
 func (c *Core) noteOnce(last *Note, n Note, out *Actions) {
 	if *last == n {
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -70,6 +70,8 @@
 	Stale   bool
 	// Problems are what was set right in the document in force or left out of it.
 	Problems []string
+	// Unreadable says why what the platform holds now can't be read, "" if it can.
+	Unreadable string
 }
 
 // PoolView is a pool with its queue and budgets.
@@ -161,6 +163,8 @@
 	// staleAt when an older revision of it was last offered.
 	refused map[string]string
 	staleAt map[string]time.Duration
+	// unreadable says why what the platform holds now can't be read.
+	unreadable map[string]string
 }
 
 type poolRow struct {
@@ -173,6 +177,8 @@
 		ejected: make(map[poolRow]health.Event),
 		refused: make(map[string]string),
 		staleAt: make(map[string]time.Duration),
+
+		unreadable: make(map[string]string),
 	}
 }
 
@@ -223,6 +229,7 @@
 		Wanted:     t.Wanted(),
 		Refused:    t.LastRefused().Revision,
 		RefusedWhy: c.explained.refused[name],
+		Unreadable: c.explained.unreadable[name],
 	}
 	if name == published.ProfilesValue && c.Routed() {
 		v.Problems = c.snapshot.Routes().Problems()
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -242,6 +242,10 @@
 // offer parses a value and gives it to the core. A value without a text says
 // that there is no later revision.
 func (e *Entry) offer(v published.Value, source uint64) {
+	if v.Problem != nil {
+		e.engine.event(func(_ time.Duration, c *core.Core, out *core.Actions) { c.Unreadable(v.Name, v.Problem, out) })
+		return
+	}
 	if v.Data == nil {
 		e.engine.event(func(now time.Duration, c *core.Core, _ *core.Actions) {
 			if c.InForce(v.Name).Revision == v.Revision {
--- a/internal/entry/views_concerns.go
+++ b/internal/entry/views_concerns.go
@@ -88,6 +88,10 @@
 		l.add("publish a corrected one; until then the revision in force stays",
 			"%s: revision %s was refused: %s", name, published.RevisionText(p.Refused), firstLine(p.RefusedWhy))
 	}
+	if p.Unreadable != "" {
+		l.add("publish it again; until then the revision in force stays",
+			"%s: what the platform holds now can't be used: %s", name, firstLine(p.Unreadable))
+	}
 	if len(p.Problems) > 0 {
 		l.add("publish a corrected one; the other routes are in force as they are",
 			"%s: revision %d is in force, but for what can't be used of it: %s", name, p.InForce.Revision, strings.Join(p.Problems, "; "))
--- a/internal/entry/views_concerns_test.go
+++ b/internal/entry/views_concerns_test.go
@@ -64,6 +64,8 @@
 		{"leaving", func(f *facts) { f.view.State = message.EntryLeaving }, [2]string{"this entry is leaving", "when its requests have ended"}},
 		{"paused", func(f *facts) { f.recent.pauses = 1 }, [2]string{"did not run 1 time(s)", "after a minute"}},
 		{"behind", func(f *facts) { f.view.Profiles.Wanted = 9 }, [2]string{"revision 9 exists, 7 is in force", "within seconds"}},
+		{"unreadable", func(f *facts) { f.view.Profiles.Unreadable = "the config is not readable" },
+			[2]string{"profiles: what the platform holds now can't be used: the config is not readable", "publish it again"}},
 		{"odd routes", func(f *facts) { f.view.Profiles.Problems = []string{`route "r" leads to no service and is left out`} },
 			[2]string{`profiles: revision 7 is in force, but for what can't be used of it: route "r" leads to no service`, "corrected"}},
 		{"refused", func(f *facts) { f.view.Profiles.Refused, f.view.Profiles.RefusedWhy = 8, "line 3\nline 9" },
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -23,6 +23,9 @@
 	Name     string
 	Revision uint64
 	Data     []byte
+	// Problem says that what the service holds can't be read, and why. Revision and Data are those
+	// of what was read before.
+	Problem error
 }
 
 // Service is the platform's configuration service as a reader sees it.
