A path that a later configuration may have is not denied

What callers saw: proper requests ended with a 404 of the system's own, by entries that had not got the configuration with their route. Cause: an entry said that a service or path does not exist by what is in force there, though it knew of a later revision that it had refused or could not read, or had heard of and not fetched yet. Class: an answer that promises more than is known. Change: in these cases it answers 503 (reason 'behind', not run) with the time after which an entry that starts is asked again.

--- a/client/session.go
+++ b/client/session.go
@@ -98,6 +98,7 @@
 var entryCannot = map[string]bool{
 	"":               true,
 	"starting":       true,
+	"behind":         true,
 	"stopping":       true,
 	"overload":       true,
 	"home-stopped":   true,
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/route"
 )
 
@@ -24,7 +25,7 @@
 	}
 	r, ok := c.snapshot.Routes().Find(host, path)
 	if !ok {
-		return Admission{Reason: ReasonUnknownService}
+		return Admission{Reason: c.unknown()}
 	}
 	name := r.Name
 	if s := c.splits[r.Name]; s != nil {
@@ -51,11 +52,15 @@
 	return Admission{Service: sv.name, MaxBody: sv.policy.MaxBodyBytes, row: sv.index + 1, pool: sv.pool, policy: sv.policy}
 }
 
-// unknown tells a service that isn't published from an entry that knows no
-// profiles yet.
+// unknown tells a service that isn't published from an entry that knows no profiles yet, or that
+// knows of later ones which may have it.
 func (c *Core) unknown() Reason {
-	if c.snapshot == nil {
+	t := c.fleet.profiles
+	switch {
+	case c.snapshot == nil:
 		return ReasonStarting
+	case t.Wanted() != 0, t.LastRefused().Revision > t.InForce().Revision, c.explained.unreadable[published.ProfilesValue] != "":
+		return ReasonBehind
 	}
 	return ReasonUnknownService
 }
--- a/internal/core/reason.go
+++ b/internal/core/reason.go
@@ -10,6 +10,7 @@
 	ReasonNone Reason = iota
 	ReasonUnknownService
 	ReasonStarting
+	ReasonBehind
 	ReasonQueueFull
 	ReasonCallerShare
 	ReasonTooLate
@@ -50,6 +51,7 @@
 	ReasonNone:            {"none", http.StatusOK, ""},
 	ReasonUnknownService:  {"unknown-service", http.StatusNotFound, "name a service of the published profiles in the Tealhall-Service header"},
 	ReasonStarting:        {"starting", http.StatusServiceUnavailable, "use another entry; this one has no profiles in force yet"},
+	ReasonBehind:          {"behind", http.StatusServiceUnavailable, "come back after Retry-After; a later revision of the profiles exists that is not in force here yet"},
 	ReasonQueueFull:       {"queue-full", http.StatusServiceUnavailable, "come back after Retry-After"},
 	ReasonCallerShare:     {"caller-share", http.StatusTooManyRequests, "send fewer requests at a time; this caller holds its share of the queue"},
 	ReasonTooLate:         {"too-late", http.StatusServiceUnavailable, "come back after Retry-After or allow a longer deadline"},
--- a/internal/core/reply.go
+++ b/internal/core/reply.go
@@ -24,8 +24,8 @@
 	c.countOutcome(outcome)
 	c.counters.Refused[reason]++
 	after := refusedAtDoorRetry
-	if reason == ReasonStarting {
-		after = c.comeBack() // it takes a fraction of a second to get ready
+	if reason == ReasonStarting || reason == ReasonBehind {
+		after = c.comeBack() // it takes a fraction of a second to get what is missing
 	}
 	out.request(Directive{ID: a.ID, Step: StepReply, Outcome: outcome, Reason: reason, RetryAfter: after})
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -170,7 +170,7 @@
 		return ReasonStopping
 	}
 	if c.serviceOf(a) == nil {
-		return ReasonUnknownService
+		return c.unknown()
 	}
 	if a.Depth > maxDepth {
 		return ReasonTooDeep
