--- a/internal/published/era.go
+++ b/internal/published/era.go
@@ -30,5 +30,8 @@
 	if era := EraOf(revision); era > 0 {
 		text += " of era " + strconv.FormatUint(era, 10)
 	}
+	if !Settled(revision) {
+		text += ", unsettled"
+	}
 	return text
 }
--- a/internal/published/era_test.go
+++ b/internal/published/era_test.go
@@ -25,7 +25,7 @@
 			}
 		}
 	})
-	for text, revision := range map[string]uint64{"61": 61, "61 of era 3": published.InEra(3, 61), "7 of era 1": published.Unsettled(published.InEra(1, 7))} {
+	for text, revision := range map[string]uint64{"61": 61, "61 of era 3": published.InEra(3, 61), "7 of era 1, unsettled": published.Unsettled(published.InEra(1, 7))} {
 		if got := published.RevisionText(revision); got != text {
 			t.Errorf("got %q, want %q", got, text)
 		}
