Callers may take what the limits of the configuration in force allow

What callers would see: a request within the operator's limits is ended with 431, or its connection closed while they may still use it. Cause: heads, their time and idle time were bounded by settings alone; of the config's limits only the body's was read. Change: the larger of setting and configuration counts, up to 1 MiB, a minute and ten minutes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -109,6 +109,8 @@
 
 	// revision of the profiles in force, for answers.
 	revision atomic.Uint64
+	// allowed is what the routes in force allow callers.
+	allowed atomic.Pointer[front.Limits]
 
 	callerListener *net.TCPListener
 	peerListener   net.Listener
@@ -168,13 +170,13 @@
 	e.engine = newEngine(core.New(e.coreConfig(), rng), clock, opts.Wall)
 	e.engine.carry = e.carryOut
 	e.buildPeers()
+	e.allowed.Store(&front.Limits{})
 	e.front = front.NewServer(front.ServerConfig{
-		ReadHeaderTimeout: s.Timeouts.Header.Duration,
-		IdleTimeout:       s.Timeouts.Idle.Duration,
-		MaxHeaderBytes:    s.Limits.HeaderBytes,
-		TLS:               opts.TLS.Callers,
-		Refuse:            e.refuseShape,
-		Ahead:             e.mayBeginAhead,
+		Limits:  front.Limits{HeaderBytes: s.Limits.HeaderBytes, HeaderTimeout: s.Timeouts.Header.Duration, Idle: s.Timeouts.Idle.Duration},
+		Allowed: func() front.Limits { return *e.allowed.Load() },
+		TLS:     opts.TLS.Callers,
+		Refuse:  e.refuseShape,
+		Ahead:   e.mayBeginAhead,
 	}, e.callerHandler())
 	return e, nil
 }
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -12,6 +12,7 @@
 	"github.com/tealhall/tealhall/internal/core"
 	"github.com/tealhall/tealhall/internal/core/duty"
 	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/front"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/profile"
 	"github.com/tealhall/tealhall/internal/published"
@@ -280,10 +281,20 @@
 		}
 	})
 	if adopted != nil {
+		e.allow(adopted.Routes())
 		e.instruments.forgetServices(func(name string) bool { _, ok := adopted.Service(name); return ok })
 	}
 }
 
+// allow lets callers take what the routes in force allow.
+func (e *Entry) allow(routes *route.Table) {
+	if routes == nil {
+		return
+	}
+	l := routes.Limits()
+	e.allowed.Store(&front.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout.Duration(), Idle: l.IdleTimeout.Duration()})
+}
+
 func markOf(v published.Value) message.Mark {
 	return message.Mark{Revision: v.Revision, Digest: xxhash.Sum64(v.Data)}
 }
--- a/internal/front/ahead.go
+++ b/internal/front/ahead.go
@@ -219,7 +219,7 @@
 	if begun {
 		return true
 	}
-	if full || len(head) > g.maxHead || q.server.leaving.Load() {
+	if full || len(head) > g.cfg.limits().HeaderBytes || q.server.leaving.Load() {
 		return false
 	}
 	info, shape := checkHead(head)
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -31,9 +31,8 @@
 // feeds. Bodies are passed on as they come.
 type guard struct {
 	net.Conn
-	tcp     *net.TCPConn // Conn, or what it is on top of
-	maxHead int
-	slow    time.Duration // time for a head from its first byte on
+	tcp *net.TCPConn // Conn, or what it is on top of
+	cfg *ServerConfig
 
 	// The fields below belong to the reading goroutine; the server has one at
 	// a time.
@@ -111,7 +110,7 @@
 			g.accept(end)
 			return nil
 		}
-		if len(g.head) > g.maxHead {
+		if len(g.head) > g.cfg.limits().HeaderBytes {
 			g.refuse(ShapeTooLarge)
 			return nil
 		}
@@ -130,7 +129,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.headDeadline.IsZero() {
-		g.headDeadline = time.Now().Add(g.slow)
+		g.headDeadline = time.Now().Add(g.cfg.limits().HeaderTimeout)
 		g.applyDeadline()
 	}
 }
@@ -179,7 +178,7 @@
 
 // accept checks the head and makes it, or the stand-in for it, ready.
 func (g *guard) accept(end int) {
-	if end > g.maxHead {
+	if end > g.cfg.limits().HeaderBytes {
 		g.refuse(ShapeTooLarge)
 		return
 	}
@@ -249,7 +248,8 @@
 	}
 }
 
-// SetReadDeadline sets the server's deadline. While the server waits for a
+// SetReadDeadline sets the server's deadline, later where callers may be idle for longer than
+// the server knows. While the server waits for a
 // request under a deadline, a head in the making also has its own. Without the
 // latter a caller could take the whole idle time-out for each head, byte by
 // byte. While a request is worked on, the server reads without a deadline and
@@ -257,6 +257,9 @@
 func (g *guard) SetReadDeadline(t time.Time) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.idle.Load() && !t.IsZero() {
+		t = t.Add(g.cfg.longer())
+	}
 	g.deadline = t
 	return g.applyDeadline()
 }
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -73,7 +73,7 @@
 
 // guard wraps a new connection, inside TLS if that is set.
 func (s *Server) guard(tcp *net.TCPConn) *guard {
-	g := &guard{Conn: tcp, tcp: tcp, maxHead: s.cfg.MaxHeaderBytes, slow: s.cfg.ReadHeaderTimeout, opened: time.Now()}
+	g := &guard{Conn: tcp, tcp: tcp, cfg: &s.cfg, opened: time.Now()}
 	if s.cfg.Ahead != nil {
 		g.ahead.server = s
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -19,13 +19,10 @@
 // ServerConfig bounds what callers may take. Zero values take the defaults
 // named at each field.
 type ServerConfig struct {
-	// ReadHeaderTimeout bounds the time from the first byte of a head to its
-	// last. Default 5 s.
-	ReadHeaderTimeout time.Duration
-	// IdleTimeout bounds the wait for a connection's next request. Default 60 s.
-	IdleTimeout time.Duration
-	// MaxHeaderBytes bounds a head. Default 32 KiB.
-	MaxHeaderBytes int
+	// Limits bound what a caller may take; the defaults are 5 s for a head, 60 s idle and 32 KiB.
+	Limits Limits
+	// Allowed, if not nil, returns what callers are allowed beyond Limits.
+	Allowed func() Limits
 	// KeepAlive is the time between TCP keep-alive probes. Default 10 s.
 	KeepAlive time.Duration
 	// UserTimeout is the TCP user time-out; it also ends a connection whose
@@ -54,9 +51,7 @@
 )
 
 func (c ServerConfig) withDefaults() ServerConfig {
-	c.ReadHeaderTimeout = cmp.Or(c.ReadHeaderTimeout, defaultReadHeader)
-	c.IdleTimeout = cmp.Or(c.IdleTimeout, defaultIdle)
-	c.MaxHeaderBytes = cmp.Or(c.MaxHeaderBytes, defaultHeaderBytes)
+	c.Limits = c.Limits.withDefaults()
 	c.KeepAlive = cmp.Or(c.KeepAlive, defaultKeepAlive)
 	c.UserTimeout = cmp.Or(c.UserTimeout, defaultUserTimeout)
 	return c
@@ -86,11 +81,11 @@
 	}
 	s := &Server{cfg: cfg, handler: handler, conns: make(map[*guard]struct{})}
 	s.http = &http.Server{
-		Handler:           s,
-		ReadHeaderTimeout: cfg.ReadHeaderTimeout,
-		IdleTimeout:       cfg.IdleTimeout,
-		// The guard applies the bound; the server's must not be reached first.
-		MaxHeaderBytes:               2 * cfg.MaxHeaderBytes,
+		Handler: s,
+		// The guard applies the bounds; the server's must not be reached first.
+		ReadHeaderTimeout:            cfg.Limits.HeaderTimeout,
+		IdleTimeout:                  cfg.Limits.Idle,
+		MaxHeaderBytes:               2 * cfg.Limits.wider(largest).HeaderBytes,
 		ErrorLog:                     cfg.ErrorLog,
 		DisableGeneralOptionsHandler: true,
 		ConnState:                    s.connState,
--- a/internal/front/shape_test.go
+++ b/internal/front/shape_test.go
@@ -52,7 +52,7 @@
 		{"endless line", strings.Repeat("x", 9000), 431, 400},
 	}
 	ran := make(chan string, 1)
-	cfg := ServerConfig{MaxHeaderBytes: 4096, Refuse: func(w http.ResponseWriter, _ *http.Request, shape Shape) {
+	cfg := ServerConfig{Limits: Limits{HeaderBytes: 4096}, Refuse: func(w http.ResponseWriter, _ *http.Request, shape Shape) {
 		w.Header().Set("Remedy", shape.String())
 		w.WriteHeader(shape.Status())
 	}}
@@ -118,7 +118,7 @@
 // Many callers each send a head byte by byte, or nothing, and hold an entry's
 // connections. They are closed in time, also behind an answered request.
 func TestSlowCallers(t *testing.T) {
-	_, address := serve(t, ServerConfig{ReadHeaderTimeout: 30 * time.Millisecond, IdleTimeout: time.Hour}, echo)
+	_, address := serve(t, ServerConfig{Limits: Limits{HeaderTimeout: 30 * time.Millisecond, Idle: time.Hour}}, echo)
 	for _, begun := range []string{"", lines("GET / HTTP/1.1", "Host: a", "", "")} {
 		c := dial(t, address)
 		c.say(begun + "GET /slow HTTP/1.1\r\n")
