--- a/internal/published/vms.go
+++ b/internal/published/vms.go
@@ -20,8 +20,8 @@
 	DefaultSlots = 2
 	// MaxSlots is the largest number of slots that the list may give.
 	MaxSlots = 1024
-	// maxNameBytes bounds every name in the list.
-	maxNameBytes = 128
+	// maxNameBytes bounds every name in the list; the longest keys of users' stores have 200.
+	maxNameBytes = 200
 	// maxProblems bounds how many problems an error names.
 	maxProblems = 8
 )
