--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -174,10 +174,9 @@
 
 func newExplanations() explanations {
 	return explanations{
-		ejected: make(map[poolRow]health.Event),
-		refused: make(map[string]string),
-		staleAt: make(map[string]time.Duration),
-
+		ejected:    make(map[poolRow]health.Event),
+		refused:    make(map[string]string),
+		staleAt:    make(map[string]time.Duration),
 		unreadable: make(map[string]string),
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,12 +23,10 @@
 
 	"github.com/tealhall/tealhall/internal/audit"
 	"github.com/tealhall/tealhall/internal/core"
-	"github.com/tealhall/tealhall/internal/core/budget"
 	"github.com/tealhall/tealhall/internal/fault"
 	"github.com/tealhall/tealhall/internal/forward"
 	"github.com/tealhall/tealhall/internal/forward/socket"
 	"github.com/tealhall/tealhall/internal/front"
-	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/peer"
 	"github.com/tealhall/tealhall/internal/profile"
@@ -250,35 +248,6 @@
 	return leastLeave + time.Duration(math.Cbrt(place)*float64(leaveSpan))
 }
 
-func (e *Entry) coreConfig() core.Config {
-	limits := &e.settings.Limits
-	c := core.DefaultConfig(e.hello)
-	if e.settings.Balance.Policy != "" {
-		c.Policy = e.settings.Balance.Policy
-	}
-	c.MaxInFlight = limits.InFlightRequests
-	c.LargestFleet = limits.LargestFleet
-	c.AnswersTTL = e.settings.Timeouts.AnswersTTL.Duration
-	c.PeerBytesPerSecond = float64(e.settings.Peers.BytesPerSecond)
-	c.ReadersPerDomain = e.settings.Platform.ReadersPerDomain
-	c.CheckEvery = e.settings.Platform.CheckEvery.Duration
-	c.FirstStart = e.settings.Platform.FirstStart
-	c.StartLeave = e.startLeave()
-	c.AlwaysCurrent = e.settings.Platform.AlwaysCurrent
-	c.ListIsFinal = e.settings.Platform.ListIsFinal
-	c.MissingAfter = e.settings.Platform.MissingAfter.Duration
-	c.KeepLast = e.settings.Platform.KeepLast.Duration
-	c.Repeats = budget.RepeatBound{Share: limits.RepeatShare, Window: limits.RepeatWindow.Duration, Slack: limits.RepeatSlack}
-	c.LooksPerEndpoint = limits.LooksPerEndpoint
-	c.WarmupOver, c.WarmupSlack = limits.WarmupOver, limits.WarmupSlack
-	keys := idem.DefaultConfig(e.hello.Incarnation)
-	keys.MaxKeys = limits.Keys
-	keys.MaxAnswerBytes = limits.KeyAnswerBytes
-	keys.MaxAnswerTotal = int64(limits.KeyTableBytes)
-	c.Keys = keys
-	return c
-}
-
 // Start opens the sockets and runs until Stop. It does not wait for readiness.
 func (e *Entry) Start() error {
 	if err := e.listen(); err != nil {
