An entry that has a later configuration is no longer behind for a text that it could not read

Found by reading over: an entry that read an unusable text while it was one of those that read the platform, and then got a later revision from a peer, stayed behind for good, so that paths that do not exist got 503 there, and the concern stayed. Any later revision ends it now. TestNobodyStaysBehindForATextThatWasReplaced failed before the change and passes.

--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -40,7 +40,7 @@
 func (c *Core) Offer(now time.Duration, o Offered, out *Actions) {
 	t := c.tracker(o.Name)
 	from := t.InForce().Revision
-	if o.Source == duty.Platform {
+	if o.Source == duty.Platform || o.Mark.Revision > from {
 		delete(c.explained.unreadable, o.Name)
 	}
 	note := Note{
--- /dev/null
+++ b/internal/core/published_test.go
@@ -0,0 +1,34 @@
+package core
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/duty"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/published"
+)
+
+// Guards against an entry that takes itself for behind for good: it reads the platform no more
+// since it read a text that it could not use, and has a later one from a peer.
+func TestNobodyStaysBehindForATextThatWasReplaced(t *testing.T) {
+	y := newYard(t, idle(1, "d0")...)
+	y.publish(1, yardRoutes())
+	reason := func() Reason { return y.AdmitRoute("nowhere", "/x").Reason }
+	if got := reason(); got != ReasonUnknownService {
+		t.Fatalf("at first: %v", got)
+	}
+	y.do(func(out *Actions) { y.Unreadable(published.ProfilesValue, errors.New("cut short"), out) })
+	if got := reason(); got != ReasonBehind {
+		t.Errorf("while the platform holds what can't be read: %v", got)
+	}
+	bound := y.snapshot
+	y.do(func(out *Actions) {
+		mark := message.Mark{Revision: 2, Digest: 2}
+		y.Offer(y.now+time.Second, Offered{Name: published.ProfilesValue, Mark: mark, Source: duty.Platform + 7, Profiles: bound}, out)
+	})
+	if got := reason(); got != ReasonUnknownService {
+		t.Errorf("with a later revision of a peer: %v", got)
+	}
+}
