--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -22,6 +22,8 @@
 	Service string
 	// Name is how the caller names the request, for the log.
 	Name string
+	// Content is the same for requests with the same caller, target and body, 0 if not known.
+	Content uint64
 	// Caller is a hash of the caller's identity, for fairness and to bind keys.
 	Caller uint64
 	// CallerDomain is the failure domain that the caller names, or "".
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -12,6 +12,8 @@
 type Story struct {
 	// Name is the caller's name for the request, Service what it was for.
 	Name, Service string
+	// Content is the same for requests with the same caller, target and body.
+	Content uint64
 	// Revision is that of the routes or profiles in force.
 	Revision uint64
 	Outcome  Outcome
@@ -86,7 +88,7 @@
 		return
 	}
 	s := Story{
-		Name: r.arrival.Name, Service: r.service.name, Revision: c.fleet.profiles.InForce().Revision,
+		Name: r.arrival.Name, Service: r.service.name, Content: r.arrival.Content, Revision: c.fleet.profiles.InForce().Revision,
 		Outcome: r.outcome, Reason: r.reason, Status: r.status, RetryAfter: r.retryAfter, Gone: r.gone,
 		Age: r.age, Took: took, Objective: r.policy.Objective, Looks: r.looks, Held: r.held, Late: r.late, Ordinary: ordinary,
 	}
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"k8s.io/klog/v2"
 
@@ -17,14 +18,14 @@
 // storyFields are the fields of the line of a request, in their order.
 // docs/OPERATIONS.md explains each; a test compares the two.
 var storyFields = []string{
-	"request", "service", "revision", "outcome", "reason", "status", "retry_after_ms", "gone", "age_ms", "took_ms",
+	"request", "service", "content", "revision", "outcome", "reason", "status", "retry_after_ms", "gone", "age_ms", "took_ms",
 	"objective_ms", "looks", "held", "late", "endpoints", "full", "queued", "attempts",
 }
 
 // logStory writes the line of a request that failed, was late, or is a sample.
 func logStory(s *core.Story) {
 	values := []any{
-		s.Name, s.Service, s.Revision, s.Outcome.String(), s.Reason.String(), s.Status, s.RetryAfter.Milliseconds(), s.Gone,
+		s.Name, s.Service, strconv.FormatUint(s.Content, 16), s.Revision, s.Outcome.String(), s.Reason.String(), s.Status, s.RetryAfter.Milliseconds(), s.Gone,
 		s.Age.Milliseconds(), s.Took.Milliseconds(), s.Objective.Milliseconds(), s.Looks, s.Held, s.Late, s.Endpoints, s.Full, s.Queued, s.Attempts,
 	}
 	pairs := make([]any, 0, 2*len(values)+2)
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -38,3 +38,18 @@
 	binary.BigEndian.PutUint64(bytes[:], uint64(length))
 	h.Write(bytes[:])
 }
+
+// Content returns a number that requests share which have the same caller, host, method, target and
+// body; whatever differs between two attempts of a caller is left out. Of a body larger than its
+// buffer the length and the bytes kept count.
+func Content(caller string, r *http.Request, body *ReplayBody) uint64 {
+	h := sha256.New()
+	writeField(h, caller)
+	writeField(h, r.Host)
+	writeField(h, r.Method)
+	writeField(h, r.URL.RequestURI())
+	writeLength(h, body.Length())
+	h.Write(body.Bytes())
+	var sum [sha256.Size]byte
+	return binary.BigEndian.Uint64(h.Sum(sum[:0]))
+}
