--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	"github.com/tealhall/tealhall/internal/core/budget"
 	"github.com/tealhall/tealhall/internal/core/health"
 	"github.com/tealhall/tealhall/internal/core/placement"
+	"github.com/tealhall/tealhall/internal/core/quarantine"
 	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/profile"
@@ -135,6 +136,11 @@
 	waiters map[idem.Key][]RequestID
 	joined  []RequestID
 
+	// quarantine knows the requests under which endpoints crashed, broken are the attempts whose
+	// endpoint is asked whether it has.
+	quarantine *quarantine.Table
+	broken     []brokenAttempt
+
 	fleet fleet
 	state message.EntryState
 	// servesSince is when this entry began to serve.
@@ -163,10 +169,12 @@
 	Probes, ProbesDenied, Pauses   uint64
 	// TicksLate counts ticks that came long after the one before: the process was short of
 	// processor time.
-	TicksLate                       uint64
-	Looks                           uint64
-	EndpointNotRun, RetriesDenied   uint64
-	Ejections, Readmissions         uint64
+	TicksLate                     uint64
+	Looks                         uint64
+	EndpointNotRun, RetriesDenied uint64
+	Ejections, Readmissions       uint64
+	// Crashes counts what was heard of endpoints that crashed under a request.
+	Crashes                         uint64
 	StaleProfiles, RefusedDocuments uint64
 	// Refused counts answers of tealhall's own by reason.
 	Refused [reasonCount]uint64
@@ -184,7 +192,8 @@
 		waiters:  make(map[idem.Key][]RequestID),
 		state:    message.EntryStarting,
 
-		explained: newExplanations(),
+		explained:  newExplanations(),
+		quarantine: quarantine.NewTable(),
 	}
 	c.initFleet()
 	return c
@@ -210,10 +219,12 @@
 	c.endLateLooks(now, out)
 	c.looksDue(now, out)
 	c.lookAfterAttempts(now, out)
+	c.askBroken(now, out)
 	if now >= c.nextMember {
 		c.nextMember = now + memberPeriod
 		c.tickFleet(now, out)
 		c.expireHoldings(now)
+		c.quarantine.Forget(now)
 	}
 	if now >= c.nextHealth {
 		c.nextHealth = now + healthPeriod
--- /dev/null
+++ b/internal/core/crash_test.go
@@ -0,0 +1,259 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/route"
+)
+
+// askFor feeds a read of a content and returns its number.
+func (y *yard) askContent(content uint64) RequestID {
+	y.nextID++
+	id, a := y.nextID, y.AdmitRoute("a", "/idempotent/x")
+	y.do(func(out *Actions) {
+		y.Arrive(y.now, Arrival{ID: id, Service: a.Service, Admission: a, Replayable: true, Timeout: 3 * sec, CallerAttempt: 1, Content: content, Caller: 1}, out)
+	})
+	return id
+}
+
+// breakOff ends the attempt of a request by the end of its connection; its endpoint has crashed, or not.
+func (y *yard) breakOff(id RequestID, n Attempt, crashed bool) {
+	d, ok := y.open[id][n]
+	if !ok {
+		y.Fatalf("request %d has no attempt %d", id, n)
+	}
+	delete(y.open[id], n)
+	b := y.box(d.Endpoint)
+	b.running, b.dead = 0, crashed
+	y.do(func(out *Actions) {
+		y.End(y.now, End{ID: id, Attempt: n, Kind: EndLost, Broke: true, Replayable: true, Cause: "connection ended"}, out)
+	})
+}
+
+// crashes has three endpoints crash under a content.
+func (y *yard) crashes(content uint64) {
+	y.Helper()
+	for range 3 {
+		id := y.askContent(content)
+		y.run(50 * ms)
+		y.breakOff(id, 1, true)
+		y.run(20 * ms)
+		for n := range y.open[id] { // the repeat after the first crash
+			y.answerNothing(id, n)
+		}
+		y.run(20 * ms)
+	}
+}
+
+// answerNothing ends an attempt of which nothing is known.
+func (y *yard) answerNothing(id RequestID, n Attempt) {
+	y.box(y.open[id][n].Endpoint).running--
+	delete(y.open[id], n)
+	y.do(func(out *Actions) {
+		y.End(y.now, End{ID: id, Attempt: n, Kind: EndLost, TimedOut: true, Replayable: true}, out)
+	})
+}
+
+// Guards against a request that goes on to the next endpoint after it has crashed three: at its next
+// arrival, from the queue, and right before it is written.
+func TestQuarantinedRequestReachesNoEndpoint(t *testing.T) {
+	y := newYard(t, idle(12, "d0")...)
+	y.learn(8)
+	y.crashes(7)
+	before := len(y.sent)
+	id := y.askContent(7)
+	y.run(100 * ms)
+	if got := y.told[id]; got.Outcome != OutcomeNotRun || got.Reason != ReasonQuarantined || got.RetryAfter < minRetryAfter {
+		t.Errorf("told %v (%v), come back after %v", got.Outcome, got.Reason, got.RetryAfter)
+	}
+	other := y.askContent(8)
+	y.run(20 * ms)
+	if sent := len(y.sent) - before; sent != 1 || y.open[other] == nil {
+		t.Errorf("%d requests were sent, want the other one", sent)
+	}
+}
+
+// Guards against a request that waits in a queue, or for its connection, while others of the same content
+// crash endpoints, and goes on then.
+func TestRequestsThatWaitAreQuarantined(t *testing.T) {
+	y := newYard(t, idle(12, "d0")...)
+	y.learn(8)
+	dialled := y.askContent(7)
+	y.run(20 * ms)
+	y.crashes(7)
+	if y.MaySend(y.now, dialled, 1) {
+		t.Error("what has no byte written yet may be sent")
+	}
+	y.do(func(out *Actions) {
+		y.End(y.now, End{ID: dialled, Attempt: 1, Kind: EndNotWritten, Replayable: true}, out)
+	})
+	if got := y.told[dialled]; got.Outcome != OutcomeNotRun || got.Reason != ReasonQuarantined {
+		t.Errorf("one that was not written: told %v (%v)", got.Outcome, got.Reason)
+	}
+
+	y = newYard(t, idle(12, "d0")...)
+	y.learn(8)
+	var first [3]RequestID
+	for i := range first {
+		first[i] = y.askContent(7)
+		y.run(20 * ms)
+		y.breakOff(first[i], 1, true)
+		if i < 2 {
+			y.run(20 * ms)
+			for n := range y.open[first[i]] {
+				y.answerNothing(first[i], n)
+			}
+			continue
+		}
+		for _, b := range y.boxes { // the crash of the third is not known yet
+			b.running, b.waiting = 2, 4
+		}
+	}
+	waits := y.askContent(7)
+	y.do(func(out *Actions) { y.Tick(y.now, time.Unix(0, 0), out) })
+	y.run(100 * ms)
+	if got := y.told[waits]; got.Outcome != OutcomeNotRun || got.Reason != ReasonQuarantined {
+		t.Errorf("one that waited: told %v (%v)", got.Outcome, got.Reason)
+	}
+}
+
+// Guards against endpoints that are crashed by repeats of this entry's own: after one crash under the
+// same request, a request that loses its endpoint isn't sent to another.
+func TestSuspectIsNotRepeated(t *testing.T) {
+	y := newYard(t, idle(12, "d0")...)
+	y.learn(8)
+	first := y.askContent(7)
+	y.run(50 * ms)
+	y.breakOff(first, 1, true)
+	y.run(20 * ms)
+	if len(y.open[first]) != 1 {
+		t.Error("a request whose endpoint crashed for the first time isn't repeated")
+	}
+	y.breakOff(first, 2, true)
+	second := y.askContent(7)
+	y.run(50 * ms)
+	y.breakOff(second, 1, true)
+	y.run(50 * ms)
+	if got := y.told[second]; len(y.open[second]) != 0 || got.Reason != ReasonEndpointLost || got.Outcome != OutcomeUnknown {
+		t.Errorf("%d attempts, told %v (%v)", len(y.open[second]), got.Outcome, got.Reason)
+	}
+}
+
+// Guards against quarantine for what is no crash: endpoints that reset connections, endpoints that say
+// nothing, and endpoints that had announced that they leave.
+func TestOnlyCrashesCount(t *testing.T) {
+	y := newYard(t, idle(12, "d0")...)
+	y.learn(8)
+	for i := range 20 {
+		id := y.askContent(7)
+		y.run(20 * ms)
+		d := y.open[id][1]
+		b := y.box(d.Endpoint)
+		b.silent = i%2 == 0
+		y.breakOff(id, 1, false)
+		y.run(50 * ms)
+		for n := range y.open[id] {
+			y.answerNothing(id, n)
+		}
+		y.run(3 * sec)
+		b.silent = false
+	}
+	if y.quarantine.Suspects() != 0 || len(y.broken) != 0 {
+		t.Errorf("%d suspects, %d attempts whose endpoint is still asked", y.quarantine.Suspects(), len(y.broken))
+	}
+}
+
+// Guards against a request that stays suspect, or in quarantine, although it runs.
+func TestRunThatCompletesEndsSuspicion(t *testing.T) {
+	y := newYard(t, idle(12, "d0")...)
+	y.learn(8)
+	long := y.askContent(7)
+	y.run(20 * ms)
+	y.crashes(7)
+	y.answer(long, 1, 200)
+	y.run(20 * ms)
+	id := y.askContent(7)
+	y.run(20 * ms)
+	if len(y.open[id]) != 1 {
+		t.Errorf("told %+v", y.told[id])
+	}
+	y.answer(id, 1, 200)
+	if y.quarantine.Suspects() != 0 {
+		t.Error("it is suspected still")
+	}
+	if got := y.ask(route.Idempotent, 3*sec); got == 0 {
+		t.Error("nothing is taken in")
+	}
+}
+
+// crashRig is a fleet on which one read crashes endpoints.
+func crashRig(t *testing.T, entries int) (r *rig, endpoints []string) {
+	var listed []string
+	for i := range 12 {
+		endpoints = append(endpoints, fmt.Sprint("c", i+1))
+		listed = append(listed, "counts/"+endpoints[i])
+	}
+	r = settled(t, entries, listed...)
+	dead := map[string]bool{}
+	r.endpoint = func(name string, a Arrival) reaction {
+		switch {
+		case dead[name]:
+			return reaction{end: End{Kind: EndNotWritten, DialFailed: true}, ignores: true}
+		case a.Content == 7:
+			dead[name] = true
+			return reaction{after: 30 * ms, end: End{Kind: EndLost, Broke: true}}
+		}
+		return reaction{after: 5 * ms}
+	}
+	r.refuses = func(name string) bool { return dead[name] }
+	return r, endpoints
+}
+
+// Guards against a request that is new at each entry, and to one that has just started: it comes at
+// every entry in turn, and once more at one that was replaced after the quarantine began.
+func TestFleetKnowsWhatIsQuarantined(t *testing.T) {
+	r, endpoints := crashRig(t, 4)
+	ask := func(i int) RequestID {
+		n := r.nodes[i%len(r.nodes)]
+		if n.dead {
+			return 0
+		}
+		return r.ask(n, Arrival{Service: "counts", Caller: 1, Content: 7})
+	}
+	for i := range 16 {
+		ask(i)
+		r.run(250 * ms)
+	}
+	crashed := 0
+	for _, runs := range r.written {
+		crashed += runs
+	}
+	if crashed > 5 {
+		t.Errorf("the request reached %d endpoints", crashed)
+	}
+	for _, n := range r.nodes {
+		if got := n.quarantine.Quarantined(r.now-n.started, nil); len(got) != 1 || got[0].Content != 7 {
+			t.Errorf("%s has in quarantine: %v", n.hello.Name, got)
+		}
+	}
+	fresh := r.start(3)
+	r.run(3 * sec)
+	if got := fresh.quarantine.Quarantined(r.now-fresh.started, nil); len(got) != 1 {
+		t.Errorf("an entry that has started has in quarantine: %v", got)
+	}
+	var living []string
+	for _, name := range endpoints {
+		if !r.refuses(name) {
+			living = append(living, "counts/"+name)
+		}
+	}
+	r.list(2, living...)
+	r.run(sec)
+	id := r.ask(r.nodes[0], Arrival{Service: "counts", Caller: 1, Content: 8})
+	r.run(100 * ms)
+	if got := r.nodes[0].told[id]; got.Outcome != OutcomeDone {
+		t.Errorf("another request: told %v (%v)", got.Outcome, got.Reason)
+	}
+}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -176,7 +176,7 @@
 
 // MaySend is asked by the driver right before the first byte of an attempt is
 // written. It is false for a request that was answered, cancelled or whose
-// deadline passed meanwhile: a process that slept between the decision and the
+// deadline passed meanwhile, or that may not be sent any more: a process that slept between the decision and the
 // write must not send what its caller no longer waits for or was told is not
 // run. It is false as well when the endpoint leaves by now. After false the
 // driver reports EndNotWritten.
@@ -188,7 +188,7 @@
 	if n == 0 || n > r.dispatches || !r.attempts[n].live {
 		return false
 	}
-	if r.committed != 0 && r.committed != n {
+	if r.committed != 0 && r.committed != n || c.isQuarantined(now, r) {
 		return false
 	}
 	if a := &r.attempts[n]; !a.forward && !r.pool.takesWork(a) {
@@ -290,7 +290,7 @@
 
 func (c *Core) hedge(now time.Duration, id RequestID, out *Actions) {
 	r, ok := c.requests[id]
-	if !ok || r.phase != phaseActive || r.committed != 0 || r.dispatches != 1 || r.live() != 1 {
+	if !ok || r.phase != phaseActive || r.committed != 0 || r.dispatches != 1 || r.live() != 1 || c.isSuspect(now, r) {
 		return
 	}
 	if !r.service.retry.TrySpend(now) {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -22,7 +22,8 @@
 	Service string
 	// Name is how the caller names the request, for the log.
 	Name string
-	// Content is the same for requests with the same caller, target and body, 0 if not known.
+	// Content is the same for requests with the same host, method, target and body, whoever sends
+	// them; 0 if not known.
 	Content uint64
 	// Caller is a hash of the caller's identity, for fairness and to bind keys.
 	Caller uint64
@@ -138,6 +139,8 @@
 	ConnSilent bool
 	// BodyFailed says that the caller's own request broke off or is unusable.
 	BodyFailed bool
+	// Broke says that the endpoint's connection ended before its answer was whole.
+	Broke bool
 	// DialFailed says that no connection could be opened.
 	DialFailed bool
 	// Cause names what went wrong, for the log; "" if nothing did.
@@ -233,6 +236,8 @@
 	Round   uint32
 	// Wait bounds the wait for the answer; 0 leaves the bound to the driver.
 	Wait time.Duration
+	// Broken says that it asks whether an endpoint that broke its connections has crashed.
+	Broken bool
 }
 
 // ProbeEnd is the result of a probe.
@@ -244,6 +249,8 @@
 	// Draining and Seen are what the endpoint says of itself.
 	Draining bool
 	Seen     uint64
+	// Refused: the address refuses connections; no process listens.
+	Refused bool
 	// Unwell: the endpoint answers that it should get no work now.
 	Unwell bool
 	// Misdirected: another endpoint answers at the address.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -242,11 +242,13 @@
 	c.fleet.gossip.Meets(h.Incarnation, h.Knows)
 }
 
-// claim feeds evidence about VMs.
+// claim feeds evidence about VMs; what it says of requests is left out.
 func (c *Core) claim(now time.Duration, out *Actions, evidence ...message.Evidence) {
 	var changes []member.Change
 	for _, ev := range evidence {
-		changes = append(changes, c.fleet.members.Claim(now, ev)...)
+		if !ev.Kind.OfRequest() {
+			changes = append(changes, c.fleet.members.Claim(now, ev)...)
+		}
 	}
 	c.applyChanges(now, changes, "evidence", out)
 }
--- a/internal/core/gossip/evidence.go
+++ b/internal/core/gossip/evidence.go
@@ -23,10 +23,18 @@
 	vm          string
 	incarnation uint64
 	gone        bool
+	// The rest is that of evidence of a request.
+	content, caller uint64
+	completed       bool
+	clears          uint32
 }
 
 func keyOf(e message.Evidence) claimKey {
-	return claimKey{e.VM, e.Incarnation, e.Kind != message.EvidenceLeaving}
+	if e.Kind.OfRequest() {
+		return claimKey{vm: e.VM, incarnation: e.Incarnation, content: e.Content, caller: e.Caller,
+			completed: e.Kind == message.EvidenceCompleted, clears: e.Clears}
+	}
+	return claimKey{vm: e.VM, incarnation: e.Incarnation, gone: e.Kind != message.EvidenceLeaving}
 }
 
 // hash is the same at every entry.
@@ -35,7 +43,14 @@
 	if k.gone {
 		seed |= 1
 	}
-	return duty.Score(xxhash.Sum64String(k.vm), seed)
+	score := duty.Score(xxhash.Sum64String(k.vm), seed)
+	if k.content == 0 {
+		return score
+	}
+	if k.completed {
+		score ^= uint64(k.clears) + 1
+	}
+	return duty.Score(duty.Score(score, k.content), k.caller)
 }
 
 // claim is evidence that is passed on.
@@ -226,7 +241,7 @@
 		if c.known.has(p.slot) || !s.tells(now, p, c) {
 			continue
 		}
-		budget -= evidenceBytes + len(c.evidence.VM)
+		budget -= evidenceSize(&c.evidence)
 		if budget < 0 {
 			break
 		}
--- a/internal/core/gossip/gossip_test.go
+++ b/internal/core/gossip/gossip_test.go
@@ -375,8 +375,10 @@
 			InFlight: math.MaxUint16, Own: math.MaxUint16, AgeMillis: math.MaxUint16,
 		})
 	}
-	for range maxEvidence {
-		full.Evidence = append(full.Evidence, message.Evidence{VM: "endpoint", Incarnation: math.MaxUint64, Kind: 3, AgeMillis: math.MaxUint32})
+	for range maxEvidence / 2 {
+		full.Evidence = append(full.Evidence, message.Evidence{VM: "endpoint", Incarnation: math.MaxUint64, Kind: 3, AgeMillis: math.MaxUint32},
+			message.Evidence{VM: "endpoint", Incarnation: math.MaxUint64, Kind: message.EvidenceCrashed, AgeMillis: math.MaxUint32,
+				Content: math.MaxUint64, Caller: math.MaxUint64, RanMillis: math.MaxUint32})
 	}
 	bare := message.Update{From: math.MaxUint64, Sequence: math.MaxUint64, Known: 1, Profiles: mark, VMs: mark}
 	for _, u := range []message.Update{full, bare} {
--- a/internal/core/gossip/records.go
+++ b/internal/core/gossip/records.go
@@ -130,7 +130,7 @@
 	if last, ended := s.records.ended[r.Name]; ended && !r.Newer(&last) {
 		return true
 	}
-	return s.log.index[claimKey{r.Name, r.Incarnation, true}] != nil
+	return s.log.index[claimKey{vm: r.Name, incarnation: r.Incarnation, gone: true}] != nil
 }
 
 // replace puts a record in the place of the one before.
--- a/internal/core/gossip/size.go
+++ b/internal/core/gossip/size.go
@@ -19,6 +19,8 @@
 	marksBytes  = 50
 	// evidenceBytes come on top of the VM's name.
 	evidenceBytes = 24
+	// contentBytes is what evidence of a request has besides.
+	contentBytes = 27
 	// sightingBytes is an endpoint's load; nameBytes and the name are added the
 	// first time that a link names the endpoint.
 	sightingBytes = 12
@@ -34,7 +36,7 @@
 func Size(u *message.Update) int {
 	size := heartbeatBytes + sightingBytes*len(u.Sightings)
 	for i := range u.Evidence {
-		size += evidenceBytes + len(u.Evidence[i].VM)
+		size += evidenceSize(&u.Evidence[i])
 	}
 	for i := range u.Records {
 		size += recordSize(&u.Records[i])
@@ -42,6 +44,14 @@
 	return size
 }
 
+func evidenceSize(e *message.Evidence) int {
+	size := evidenceBytes + len(e.VM)
+	if e.Kind.OfRequest() {
+		size += contentBytes
+	}
+	return size
+}
+
 func recordSize(r *message.Record) int {
 	return recordBytes + len(r.Name) + len(r.Region) + len(r.Domain) + len(r.CallerAddress) + len(r.PeerAddress)
 }
--- a/internal/core/reason.go
+++ b/internal/core/reason.go
@@ -19,6 +19,7 @@
 	ReasonOverload
 	ReasonEndpointsRefuse
 	ReasonEndpointLost
+	ReasonQuarantined
 	ReasonAnswerBroken
 	ReasonKeyRequired
 	ReasonKeyBad
@@ -60,6 +61,7 @@
 	ReasonOverload:        {"overload", http.StatusServiceUnavailable, "use another entry; this one has reached its bound of requests in flight"},
 	ReasonEndpointsRefuse: {"endpoints-refuse", http.StatusServiceUnavailable, "come back after Retry-After; every endpoint tried refused the request"},
 	ReasonEndpointLost:    {"endpoint-lost", http.StatusBadGateway, "ask again only if running the request twice is harmless, or with the same idempotency key"},
+	ReasonQuarantined:     {"quarantined", http.StatusServiceUnavailable, "mend the request or the service; endpoints crashed whenever they ran it, and it is not sent again for minutes"},
 	ReasonAnswerBroken:    {"answer-broken", http.StatusBadGateway, "ask again only if running the request twice is harmless, or with the same idempotency key"},
 	ReasonKeyRequired:     {"key-required", http.StatusBadRequest, "ask an entry for its key prefix and send an Idempotency-Key made from it"},
 	ReasonKeyBad:          {"key-bad", http.StatusBadRequest, "make the Idempotency-Key from the key prefix of an entry and 32 random hexadecimal digits"},
--- a/internal/core/reply.go
+++ b/internal/core/reply.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/quarantine"
 	"github.com/tealhall/tealhall/internal/core/queue"
 	"github.com/tealhall/tealhall/internal/idem"
 )
@@ -27,6 +28,9 @@
 	if reason == ReasonStarting || reason == ReasonBehind {
 		after = c.comeBack() // it takes a fraction of a second to get what is missing
 	}
+	if reason == ReasonQuarantined {
+		after = c.quarantineLeft(now, a.identity())
+	}
 	out.request(Directive{ID: a.ID, Step: StepReply, Outcome: outcome, Reason: reason, RetryAfter: after})
 }
 
@@ -69,6 +73,9 @@
 	default:
 		return 0
 	}
+	if reason == ReasonQuarantined {
+		return c.quarantineLeft(now, r.identity())
+	}
 	if c.looksFor(r) {
 		return c.comeBackAfter(now, r, reason)
 	}
@@ -77,6 +84,11 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
+// quarantineLeft is when a request in quarantine may run again.
+func (c *Core) quarantineLeft(now time.Duration, request quarantine.Request) time.Duration {
+	return min(max(c.quarantine.Until(request)-now, minRetryAfter), maxRetryAfter)
+}
+
 // finish marks a request as answered. Attempts that are still out are
 // cancelled; the row stays until they ended.
 func (c *Core) finish(r *request, out *Actions) {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/balance"
+	"github.com/tealhall/tealhall/internal/core/quarantine"
 	"github.com/tealhall/tealhall/internal/core/queue"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/message"
@@ -175,6 +176,9 @@
 	if a.Depth > maxDepth {
 		return ReasonTooDeep
 	}
+	if c.quarantine.Of(c.now, a.identity()) == quarantine.Quarantined {
+		return ReasonQuarantined
+	}
 	if len(c.requests) >= c.cfg.MaxInFlight {
 		return ReasonOverload
 	}
--- a/internal/core/rig_test.go
+++ b/internal/core/rig_test.go
@@ -50,6 +50,8 @@
 	probed    []time.Duration
 	// dial is the time from a decision to the first byte.
 	dial func() time.Duration
+	// refuses says that an endpoint takes no connections.
+	refuses func(name string) bool
 	// endpoint says what becomes of a request at an endpoint.
 	endpoint func(name string, a Arrival) reaction
 	written  map[string]int // requests written, by endpoint
@@ -110,6 +112,7 @@
 	r.lose = func(_, _ *node, _ *message.Update) bool { return false }
 	r.dial = func() time.Duration { return hop }
 	r.down = func(*node) bool { return false }
+	r.refuses = func(string) bool { return false }
 	r.mute = func(*node) bool { return false }
 	r.endpoint = func(string, Arrival) reaction { return reaction{after: 10 * ms} }
 	text, err := os.ReadFile("testdata/profiles.toml")
@@ -203,6 +206,9 @@
 	for _, p := range out.Probes {
 		n.probes, r.probed = append(n.probes, p), append(r.probed, r.now)
 		end := ProbeEnd{Probe: p, OK: true, Latency: r.probeTime, Load: Load{Known: true, Slots: 2}}
+		if r.refuses(p.Endpoint) {
+			end = ProbeEnd{Probe: p, Refused: true, Latency: r.probeTime}
+		}
 		r.post(r.probeTime, n, func() {
 			r.do(n, func(now time.Duration, out *Actions) { n.ProbeEnd(now, end, out) })
 		})
--- a/internal/core/secondtry.go
+++ b/internal/core/secondtry.go
@@ -81,7 +81,7 @@
 
 // lookAfter asks the endpoint at work, and others that could take over.
 func (c *Core) lookAfter(now time.Duration, r *request, out *Actions) {
-	if r.look.active || r.live() != 1 || !c.mayPayRepeat(now, r) {
+	if r.look.active || r.live() != 1 || !c.mayPayRepeat(now, r) || c.isSuspect(now, r) {
 		return
 	}
 	a := &r.attempts[1]
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -12,7 +12,7 @@
 type Story struct {
 	// Name is the caller's name for the request, Service what it was for.
 	Name, Service string
-	// Content is the same for requests with the same caller, target and body.
+	// Content is the same for requests with the same host, method, target and body.
 	Content uint64
 	// Revision is that of the routes or profiles in force.
 	Revision uint64
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -10,6 +10,7 @@
 	"github.com/tealhall/tealhall/internal/core/grant"
 	"github.com/tealhall/tealhall/internal/core/health"
 	"github.com/tealhall/tealhall/internal/core/member"
+	"github.com/tealhall/tealhall/internal/core/quarantine"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/message"
@@ -43,6 +44,10 @@
 	News       gossip.Stats
 	Keys       idem.Stats
 	KeysSealed bool
+	// Suspects counts the contents of requests under which endpoints crashed; Quarantined are the
+	// requests that are not sent.
+	Suspects    int
+	Quarantined []quarantine.Request
 	// Entries are in the order of their names, Pools and Endpoints in no order
 	// that means anything before Sort.
 	Pools     []PoolView
@@ -200,6 +205,9 @@
 		KeysSealed: c.keys.Sealed(),
 		Entries:    c.viewEntries(),
 		Evacuated:  slices.Clone(c.fleet.evacuated),
+
+		Suspects:    c.quarantine.Suspects(),
+		Quarantined: c.quarantine.Quarantined(now, nil),
 	}
 	v.Ready, v.NotReadyWhy = c.ReadyReason(now)
 	_, _, v.ListHeld, _ = c.fleet.members.ListRevision()
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -91,6 +91,10 @@
 	if !ok {
 		return
 	}
+	if end.Probe.Broken {
+		c.brokenAnswered(now, end, out)
+		return
+	}
 	i := p.find(end.Probe.Endpoint, end.Probe.Incarnation)
 	if i < 0 {
 		return
--- a/internal/core/yard_test.go
+++ b/internal/core/yard_test.go
@@ -225,7 +225,7 @@
 
 func (y *yard) answerLook(p Probe) {
 	b := y.box(p.Endpoint)
-	end := ProbeEnd{Probe: p, OK: !b.silent && !b.dead, Misdirected: b.misdirected, Latency: ms,
+	end := ProbeEnd{Probe: p, OK: !b.silent && !b.dead, Refused: b.dead && !b.silent, Misdirected: b.misdirected, Latency: ms,
 		Load: Load{Known: !b.silent, InFlight: b.running, Queued: b.waiting, Slots: 2, Pace: max(b.pace, 100), Cold: max(0, b.coldUntil-y.now)}}
 	y.do(func(out *Actions) { y.ProbeEnd(y.now, end, out) })
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -116,6 +116,8 @@
 	failure := forward.FailureOf(err)
 	end := core.End{ID: d.ID, Attempt: d.Attempt, Kind: core.EndLost, Replayable: !x.body.Streamed(), Cause: failure.String()}
 	switch failure {
+	case forward.Died:
+		end.Broke = true
 	case forward.RefusedDial, forward.DialTimeout, forward.DialFailed:
 		end.DialFailed = true
 	case forward.Silent:
--- a/internal/entry/carry.go
+++ b/internal/entry/carry.go
@@ -101,6 +101,7 @@
 	})
 	e.instruments.sent(delivery)
 	if err != nil {
+		end.Refused = forward.FailureOf(err) == forward.RefusedDial
 		return
 	}
 	// A body that is left unread costs the connection, and the endpoint a new one
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -117,6 +117,9 @@
 		total("requests.replayed", c.Replayed),
 		total("requests.endpoint_not_run", c.EndpointNotRun),
 		total("requests.looks", c.Looks),
+		total("requests.crashes", c.Crashes),
+		gauge("requests.suspected", float64(f.view.Suspects)),
+		gauge("requests.quarantined", float64(len(f.view.Quarantined))),
 	}
 	for i, count := range c.Refused {
 		if reason := core.Reason(i); reason != core.ReasonNone {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -154,7 +154,7 @@
 		ID:            x.id,
 		Service:       x.service,
 		Admission:     admission,
-		Content:       front.Content(x.caller, x.request, x.body),
+		Content:       front.Content(x.request, x.body),
 		Caller:        xxhash.Sum64String(x.caller),
 		Safe:          idempotentMethod(x.request.Method),
 		Replayable:    x.body.Whole(),
--- a/internal/entry/views_concerns.go
+++ b/internal/entry/views_concerns.go
@@ -230,6 +230,10 @@
 		l.add(operatorRemedy(most), "%d of %d requests were refused in the last minute, %d of them for %s",
 			total, r.arrived, r.refused[most], most)
 	}
+	if n := len(f.view.Quarantined); n > 0 {
+		l.add("by itself some minutes after the last crash, or when a run completes; grep the log for request lines with this content to see who sends it, and mend the request or the service",
+			"%d request(s) are in quarantine, since endpoints crashed whenever they ran them; the first has content %x", n, f.view.Quarantined[0].Content)
+	}
 	if r.unknown > 0 {
 		l.add("by itself after a minute; their callers have to check in the application whether they ran",
 			"%d request(s) ended with an unknown outcome in the last minute", r.unknown)
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -39,12 +39,11 @@
 	h.Write(bytes[:])
 }
 
-// Content returns a number that requests share which have the same caller, host, method, target and
-// body; whatever differs between two attempts of a caller is left out. Of a body larger than its
+// Content returns a number that requests share which have the same host, method, target and body,
+// whoever sends them; whatever differs between two attempts is left out. Of a body larger than its
 // buffer the length and the bytes kept count.
-func Content(caller string, r *http.Request, body *ReplayBody) uint64 {
+func Content(r *http.Request, body *ReplayBody) uint64 {
 	h := sha256.New()
-	writeField(h, caller)
 	writeField(h, r.Host)
 	writeField(h, r.Method)
 	writeField(h, r.URL.RequestURI())
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -160,22 +160,22 @@
 // Guards against a request that is not known again: under another name for the attempt, or with
 // another time left; and against one that is taken for another.
 func TestContent(t *testing.T) {
-	content := func(attempt, caller, method, url, body string) uint64 {
+	content := func(attempt, method, url, body string) uint64 {
 		r, _ := http.NewRequest(method, url, strings.NewReader(body))
 		r.Header.Set("X-Attempt", attempt)
 		kept, err := NewReplayBody(httptest.NewRecorder(), r, BodyLimits{Buffer: 4})
 		if err != nil {
 			t.Fatal(err)
 		}
-		return Content(caller, r, kept)
+		return Content(r, kept)
 	}
 	seen := make(map[uint64]string)
-	for _, parts := range [][4]string{
-		{"tablet", "GET", "http://a/tray?a=1", "1"}, {"table", "GET", "http://a/tray?a=1", "1"}, {"tablet", "PUT", "http://a/tray?a=1", "1"},
-		{"tablet", "GET", "http://a/tray?a=11", ""}, {"tablet", "GET", "http://a/tray?a=1", "2"}, {"tablet", "GET", "http://a/tray?a=1", ""},
-		{"tablet", "GET", "http://b/tray?a=1", "1"}, {"tablet", "GET", "http://a/tray?a=1", "12345"}, {"tablet", "GET", "http://a/tray?a=1", "123456"},
+	for _, parts := range [][3]string{
+		{"GET", "http://a/tray?a=1", "1"}, {"PUT", "http://a/tray?a=1", "1"},
+		{"GET", "http://a/tray?a=11", ""}, {"GET", "http://a/tray?a=1", "2"}, {"GET", "http://a/tray?a=1", ""},
+		{"GET", "http://b/tray?a=1", "1"}, {"GET", "http://a/tray?a=1", "12345"}, {"GET", "http://a/tray?a=1", "123456"},
 	} {
-		once, again := content("1", parts[0], parts[1], parts[2], parts[3]), content("2", parts[0], parts[1], parts[2], parts[3])
+		once, again := content("1", parts[0], parts[1], parts[2]), content("2", parts[0], parts[1], parts[2])
 		if other, found := seen[once]; found || once != again {
 			t.Errorf("%v: %x and %x, and %x is that of %q", parts, once, again, once, other)
 		}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -89,7 +89,7 @@
 	Digest   uint64 `cbor:"2,keyasint,omitempty"`
 }
 
-// EvidenceKind is what an entry claims of a VM.
+// EvidenceKind is what an entry claims of a VM, or of a request that a VM ran.
 type EvidenceKind uint8
 
 // The kinds of evidence about a VM.
@@ -101,15 +101,32 @@
 	EvidenceReplaced
 	// EvidenceStopped: the VM said that it has stopped. Final as well.
 	EvidenceStopped
+	// EvidenceCrashed: the VM, an endpoint, crashed while it ran the request of Content and Caller.
+	EvidenceCrashed
+	// EvidenceCompleted: a run of the request of Content and Caller completed. It names the request in place
+	// of a VM, since entries of earlier releases take evidence of kinds that they don't know for the
+	// end of the VM.
+	EvidenceCompleted
 )
 
-// Evidence is a claim about one incarnation of a VM that spreads over the fleet.
+// OfRequest reports whether the evidence is about a request rather than a VM.
+func (k EvidenceKind) OfRequest() bool { return k == EvidenceCrashed || k == EvidenceCompleted }
+
+// Evidence is a claim about one incarnation of a VM, or what it did with a request, that spreads over
+// the fleet.
 type Evidence struct {
 	VM          string       `cbor:"1,keyasint"`
 	Incarnation uint64       `cbor:"2,keyasint"`
 	Kind        EvidenceKind `cbor:"3,keyasint"`
 	// AgeMillis is how old the claim was when it was sent.
 	AgeMillis uint32 `cbor:"4,keyasint,omitempty"`
+	// Content and Caller identify the request that evidence of a request is about.
+	Content uint64 `cbor:"5,keyasint,omitempty"`
+	Caller  uint64 `cbor:"8,keyasint,omitempty"`
+	// RanMillis is how long a run had taken when its endpoint crashed.
+	RanMillis uint32 `cbor:"6,keyasint,omitempty"`
+	// Clears is a number of the latest crash that a completed run came after.
+	Clears uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // Sighting is one entry's knowledge of the load of one endpoint.
