--- a/internal/admin/views.go
+++ b/internal/admin/views.go
@@ -312,7 +312,9 @@
 	Grant string `json:"grant"`
 	// Missing says that the platform's list has lost the endpoint.
 	Missing bool `json:"missing,omitempty"`
-	Slots   int  `json:"slots"`
+	// RateLimit is how many requests a second it says that it takes from all entries together.
+	RateLimit float64 `json:"rate_limit,omitempty"`
+	Slots     int     `json:"slots"`
 	// Outstanding counts this entry's attempts in flight, Foreign the work that
 	// others have there as far as known, seen SightingAge ago; -1 for never.
 	Outstanding int     `json:"outstanding"`
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -40,6 +40,9 @@
 	HeaderIncarnation = "Tealhall-Incarnation"
 	// HeaderDraining is DrainingValue on every answer of an endpoint that leaves.
 	HeaderDraining = "Tealhall-Draining"
+	// HeaderRateLimit is how many requests a second the endpoint takes from all entries together, a
+	// decimal number. It is on every answer for as long as the limit holds.
+	HeaderRateLimit = "Tealhall-Rate-Limit"
 	// HeaderNotRun states that the endpoint did not run the request and why, see
 	// NotRunReason. It counts only on an answer with status 503.
 	HeaderNotRun = "Tealhall-Not-Run"
--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -113,7 +113,7 @@
 func TestHeaderNamesAreCanonical(t *testing.T) {
 	names := []string{
 		HeaderDeadline, HeaderAttempt, HeaderDepth, HeaderRequest, HeaderIdempotencyKey, HeaderService,
-		HeaderLoad, HeaderIncarnation, HeaderDraining, HeaderNotRun, HeaderCaller, HeaderOutcome,
+		HeaderLoad, HeaderIncarnation, HeaderDraining, HeaderRateLimit, HeaderNotRun, HeaderCaller, HeaderOutcome,
 		HeaderReason, HeaderRevision, HeaderEntry, HeaderForwarded,
 	}
 	for _, name := range names {
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -56,6 +56,7 @@
 	if h.Load.Known {
 		e.See(lookOf(now, h.Load))
 	}
+	c.toldLimit(now, e, h.Load.RateLimit, out)
 	c.claimFromAnswer(now, e, h.Draining, h.Incarnation, out)
 }
 
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -147,6 +147,7 @@
 		at:          now,
 		endpoint:    e.Name,
 		look:        e.Look,
+		limit:       e.Limit.Rate,
 		due:         view.Takes(e),
 	}
 	if placement.Fills(e) {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -103,6 +103,9 @@
 	Pace int
 	// Cold is how much longer the endpoint stays cold, 0 for a warm one. Only looks tell.
 	Cold time.Duration
+	// RateLimit is how many requests a second the endpoint takes from all entries together, 0 if it
+	// names no limit. It is told also where Known is false.
+	RateLimit float64
 }
 
 // EndKind says how an attempt ended.
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -67,10 +67,11 @@
 	status    int
 	load      Load
 	headAfter time.Duration
-	// endpoint is its name, look what it had told; end, cause and took are how the attempt
+	// endpoint is its name, look and limit what it had told; end, cause and took are how the attempt
 	// ended, for the log.
 	endpoint string
 	look     table.Look
+	limit    float64
 	end      EndKind
 	cause    string
 	took     time.Duration
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -53,6 +53,8 @@
 	Waiting   int32 `json:"waiting"`
 	Pace      int32 `json:"pace"`
 	AgeMillis int64 `json:"look_age_ms"`
+	// Limit is the rate limit that it had named, in requests a second; 0 for none.
+	Limit float64 `json:"limit,omitempty"`
 	// Second says that it went out beside an earlier one.
 	Second bool `json:"second,omitempty"`
 	Status int  `json:"status,omitempty"`
@@ -107,7 +109,7 @@
 	}
 	return StoryAttempt{
 		Endpoint: a.endpoint, AtMillis: (a.at - r.arrived).Milliseconds(), TookMillis: took.Milliseconds(),
-		Running: a.look.Running, Waiting: a.look.Waiting, Pace: a.look.Pace, AgeMillis: (a.at - a.look.At).Milliseconds(),
+		Running: a.look.Running, Waiting: a.look.Waiting, Pace: a.look.Pace, AgeMillis: (a.at - a.look.At).Milliseconds(), Limit: a.limit,
 		Second: a.hedge, Status: a.status, End: a.end.String(), Cause: a.cause,
 	}
 }
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -77,6 +77,14 @@
 	ViewWrong bool
 }
 
+// Limit is what an endpoint says of the requests that it takes. Owned by package grant.
+type Limit struct {
+	// Rate is how many requests a second it takes from all entries together, 0 for no limit.
+	Rate float64
+	// Since is when this entry learned it.
+	Since time.Duration
+}
+
 // Cold is owned by package grant.
 type Cold struct {
 	// Until is when the endpoint is warm as far as known; 0 or past for a warm one.
@@ -122,6 +130,8 @@
 	Evacuated bool
 	// Cold is what it bears after its start.
 	Cold Cold
+	// Limit is what it says that it takes.
+	Limit Limit
 	// Missing: the platform's list has lost the endpoint, and it is used only since
 	// no other is left.
 	Missing bool
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -93,6 +93,8 @@
 	Live, Leaving, Ejected, Evacuated int
 	// Cold counts the endpoints that are cold, Owned those of them that this entry may send to.
 	Cold, Owned int
+	// Limited counts the endpoints that name a limit of the requests that they take.
+	Limited int
 	// ViewWrong: most endpoints look bad, so none is ejected.
 	ViewWrong bool
 	// WatchShare is the share of slot time that all entries may spend on probes.
@@ -282,6 +284,9 @@
 		if e.Evacuated {
 			v.Evacuated++
 		}
+		if e.Limit.Rate > 0 {
+			v.Limited++
+		}
 		v.ViewWrong = v.ViewWrong || e.Health.ViewWrong
 		if e.Health.EjectedUntil != 0 {
 			v.Ejected++
--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -112,7 +112,8 @@
 	h.Draining = answer.Get(contract.HeaderDraining) == contract.DrainingValue
 	h.Incarnation, _ = contract.ParseIncarnation(answer.Get(contract.HeaderIncarnation))
 	load, ok := contract.ParseLoad(answer.Get(contract.HeaderLoad))
-	h.Load = core.Load{Known: ok, InFlight: load.InFlight, Queued: load.Queued, Slots: load.Slots}
+	h.Load = core.Load{Known: ok, InFlight: load.InFlight, Queued: load.Queued, Slots: load.Slots,
+		RateLimit: contract.ParseRateLimit(answer.Get(contract.HeaderRateLimit))}
 	return h
 }
 
@@ -131,6 +132,7 @@
 	contract.HeaderLoad,
 	contract.HeaderIncarnation,
 	contract.HeaderDraining,
+	contract.HeaderRateLimit,
 	contract.HeaderNotRun,
 }
 
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -209,6 +209,7 @@
 		gauge(poolMetric(p.Name, "evacuated"), float64(p.Evacuated)),
 		gauge(poolMetric(p.Name, "cold"), float64(p.Cold)),
 		gauge(poolMetric(p.Name, "cold_owned"), float64(p.Owned)),
+		gauge(poolMetric(p.Name, "limited"), float64(p.Limited)),
 		flag(poolMetric(p.Name, "view_wrong"), p.ViewWrong),
 		gauge(poolMetric(p.Name, "watch_share"), p.WatchShare),
 		total(poolMetric(p.Name, "probes"), p.Probes),
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -198,6 +198,7 @@
 		State:         endpointState(e.State),
 		Grant:         e.Grant.String(),
 		Missing:       e.Missing,
+		RateLimit:     e.Limit.Rate,
 		Slots:         int(e.Slots),
 		Outstanding:   int(e.Outstanding),
 		SightingAge:   -1,
