--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -56,7 +56,9 @@
 	if h.Load.Known {
 		e.See(lookOf(now, h.Load))
 	}
-	c.toldLimit(now, e, h.Load.RateLimit, out)
+	if h.Load.RateLimit > 0 || h.Status < http.StatusInternalServerError && !h.NotRun {
+		c.toldLimit(now, p, e, h.Load.RateLimit, out)
+	}
 	c.claimFromAnswer(now, e, h.Draining, h.Incarnation, out)
 }
 
--- a/internal/core/cold.go
+++ b/internal/core/cold.go
@@ -19,6 +19,8 @@
 	version uint64
 	rows    int
 	settled bool
+	// turnAt is when the next turn begins to own an endpoint that names a limit.
+	turnAt time.Duration
 }
 
 // turnedCold notes that an endpoint is cold as far as others say. Its owners are worked out once
@@ -44,21 +46,30 @@
 	p.ColdShare = grant.Share(grant.Warmup{For: w.For, PerSecond: w.PerSecond, Over: c.cfg.WarmupOver, Slack: c.cfg.WarmupSlack})
 }
 
-// ownCold works out which of the pool's cold endpoints this entry may send to.
-func (c *Core) ownCold(now time.Duration, p *pool) {
-	if now >= p.cold.until {
+// ownBounded works out which of the pool's endpoints that are cold, or name a limit, this entry may
+// send to.
+func (c *Core) ownBounded(now time.Duration, p *pool) {
+	if now >= p.cold.until && p.limited == 0 {
 		return
 	}
 	o := &p.cold
-	if o.at > 0 && o.version == c.fleet.version && o.rows == len(p.Endpoints) && o.settled == c.fleet.settled {
+	known := o.at > 0 && o.version == c.fleet.version && o.rows == len(p.Endpoints) && o.settled == c.fleet.settled
+	if known && (p.limited == 0 || now < o.turnAt) {
 		return
 	}
 	o.at, o.version, o.rows, o.settled = now, c.fleet.version, len(p.Endpoints), c.fleet.settled
+	o.turnAt = now + time.Hour
 	candidates := c.coldCandidates()
 	for i := range p.Endpoints {
-		if e := &p.Endpoints[i]; now < e.Cold.Until {
+		e := &p.Endpoints[i]
+		if now < e.Cold.Until {
 			e.Cold.Own = o.settled && candidates.Owns(c.fleet.selfID, e.Name, e.Domain, p.ColdShare.Owners)
 		}
+		if grant.IsLimited(e) {
+			turn, ends := grant.Turn(now, e)
+			grant.SetOwner(now, e, o.settled && candidates.OwnsLimited(c.fleet.selfID, e, turn))
+			o.turnAt = min(o.turnAt, ends)
+		}
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -141,6 +141,9 @@
 	quarantine *quarantine.Table
 	broken     []brokenAttempt
 
+	// limits are those of endpoints by their names and incarnations.
+	limits map[endpointID]knownLimit
+
 	fleet fleet
 	state message.EntryState
 	// servesSince is when this entry began to serve.
@@ -194,6 +197,7 @@
 
 		explained:  newExplanations(),
 		quarantine: quarantine.NewTable(),
+		limits:     make(map[endpointID]knownLimit),
 	}
 	c.initFleet()
 	return c
@@ -225,6 +229,7 @@
 		c.tickFleet(now, out)
 		c.expireHoldings(now)
 		c.quarantine.Forget(now)
+		c.forgetLimits(now)
 	}
 	if now >= c.nextHealth {
 		c.nextHealth = now + healthPeriod
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -24,7 +24,7 @@
 	if !c.mayTakeSlot(now, p, r.service) {
 		return false
 	}
-	c.ownCold(now, p)
+	c.ownBounded(now, p)
 	if i := c.trialEndpoint(now, r); i >= 0 {
 		health.TrialSent(now, &p.Endpoints[i])
 		c.dispatch(now, r, balance.Choice{Index: i}, hedge, out)
@@ -105,7 +105,8 @@
 }
 
 // capacity counts the pool's slots and those that look idle: not taken by this
-// entry and not seen taken by others within the last service time.
+// entry and not seen taken by others within the last service time. An endpoint that
+// names a limit counts for the request that it may get now.
 func (p *pool) capacity(now time.Duration) queue.Capacity {
 	var c queue.Capacity
 	for i := range p.Endpoints {
@@ -113,6 +114,12 @@
 		if !e.TakesWork() {
 			continue
 		}
+		if grant.IsLimited(e) {
+			if grant.Of(now, &p.Pool, e) == grant.Granted {
+				c.Slots, c.Free = c.Slots+1, c.Free+1
+			}
+			continue
+		}
 		c.Slots += int(e.Slots)
 		foreign := int32(0)
 		if now-e.Sighting.At < time.Duration(p.serviceNanos) {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -242,11 +242,11 @@
 	c.fleet.gossip.Meets(h.Incarnation, h.Knows)
 }
 
-// claim feeds evidence about VMs; what it says of requests is left out.
+// claim feeds evidence about VMs; what it says of requests and limits is left out.
 func (c *Core) claim(now time.Duration, out *Actions, evidence ...message.Evidence) {
 	var changes []member.Change
 	for _, ev := range evidence {
-		if !ev.Kind.OfRequest() {
+		if !ev.Kind.OfRequest() && ev.Kind != message.EvidenceLimit {
 			changes = append(changes, c.fleet.members.Claim(now, ev)...)
 		}
 	}
@@ -288,6 +288,7 @@
 			p.turnedCold(now, index)
 		}
 		p.newRows = true
+		c.applyLimit(now, p, index, "a peer", out)
 		c.fleet.rows[ch.VM.Name] = endpointRef{pool: p, index: index}
 	case member.EndpointLeaving:
 		if e := c.rowOfVM(&ch.VM); e != nil {
--- a/internal/core/gossip/evidence.go
+++ b/internal/core/gossip/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,6 +28,8 @@
 	content, caller uint64
 	completed       bool
 	clears          uint32
+	// limit says that it is of an endpoint's limit, of which the latest version is held.
+	limit bool
 }
 
 func keyOf(e message.Evidence) claimKey {
@@ -34,10 +37,21 @@
 		return claimKey{vm: e.VM, incarnation: e.Incarnation, content: e.Content, caller: e.Caller,
 			completed: e.Kind == message.EvidenceCompleted, clears: e.Clears}
 	}
+	if e.Kind == message.EvidenceLimit {
+		return claimKey{vm: e.VM, incarnation: e.Incarnation, limit: true}
+	}
 	return claimKey{vm: e.VM, incarnation: e.Incarnation, gone: e.Kind != message.EvidenceLeaving}
 }
 
-// hash is the same at every entry.
+// hashOf is the same at every entry.
+func hashOf(e message.Evidence) uint64 {
+	hash := keyOf(e).hash()
+	if e.Kind == message.EvidenceLimit {
+		hash = duty.Score(duty.Score(hash, math.Float64bits(e.Rate)), uint64(e.Version)<<32|uint64(e.Turn))
+	}
+	return hash
+}
+
 func (k claimKey) hash() uint64 {
 	seed := k.incarnation << 1
 	if k.gone {
@@ -56,6 +70,7 @@
 // claim is evidence that is passed on.
 type claim struct {
 	evidence message.Evidence
+	hash     uint64
 	since    time.Duration
 	// known holds the peers that have the evidence.
 	known peerSet
@@ -100,8 +115,14 @@
 func (s *Scheduler) hold(now time.Duration, e message.Evidence, reach int) *claim {
 	key := keyOf(e)
 	if c := s.log.index[key]; c != nil {
-		s.extend(c, reach)
-		return c
+		switch {
+		case !key.limit || e.Limit == c.evidence.Limit:
+			s.extend(c, reach)
+			return c
+		case !e.Newer(c.evidence.Limit):
+			return nil
+		}
+		s.discard(slices.Index(s.log.claims, c))
 	}
 	since := now - time.Duration(e.AgeMillis)*time.Millisecond
 	if e.VM == "" || e.Incarnation == 0 || now-since >= s.cfg.KeepEvidence {
@@ -110,10 +131,10 @@
 	if len(s.log.claims) >= maxClaims {
 		s.discard(0)
 	}
-	c := &claim{evidence: e, since: since, reach: reach, learnedAt: now}
+	c := &claim{evidence: e, hash: hashOf(e), since: since, reach: reach, learnedAt: now}
 	s.log.claims = append(s.log.claims, c)
 	s.log.index[key] = c
-	s.log.digest ^= key.hash()
+	s.log.digest ^= c.hash
 	s.log.changedAt = now
 	if key.gone {
 		s.Forget(now, e.VM, e.Incarnation)
@@ -175,10 +196,9 @@
 // discard drops the claim at an index of the log.
 func (s *Scheduler) discard(at int) {
 	c := s.log.claims[at]
-	key := keyOf(c.evidence)
 	s.log.claims = append(s.log.claims[:at], s.log.claims[at+1:]...)
-	delete(s.log.index, key)
-	s.log.digest ^= key.hash()
+	delete(s.log.index, keyOf(c.evidence))
+	s.log.digest ^= c.hash
 	for _, id := range s.order {
 		if p := s.peers[id]; !c.known.has(p.slot) {
 			s.paid(c, p)
--- a/internal/core/gossip/gossip_test.go
+++ b/internal/core/gossip/gossip_test.go
@@ -375,10 +375,12 @@
 			InFlight: math.MaxUint16, Own: math.MaxUint16, AgeMillis: math.MaxUint16,
 		})
 	}
-	for range maxEvidence / 2 {
+	for range maxEvidence / 3 {
 		full.Evidence = append(full.Evidence, message.Evidence{VM: "endpoint", Incarnation: math.MaxUint64, Kind: 3, AgeMillis: math.MaxUint32},
 			message.Evidence{VM: "endpoint", Incarnation: math.MaxUint64, Kind: message.EvidenceCrashed, AgeMillis: math.MaxUint32,
-				Content: math.MaxUint64, Caller: math.MaxUint64, RanMillis: math.MaxUint32})
+				Content: math.MaxUint64, Caller: math.MaxUint64, RanMillis: math.MaxUint32},
+			message.Evidence{VM: "limit of endpoint", Incarnation: math.MaxUint64, Kind: message.EvidenceLimit, AgeMillis: math.MaxUint32,
+				Limit: message.Limit{Rate: 0.1, Version: math.MaxUint32, Turn: math.MaxUint32}})
 	}
 	bare := message.Update{From: math.MaxUint64, Sequence: math.MaxUint64, Known: 1, Profiles: mark, VMs: mark}
 	for _, u := range []message.Update{full, bare} {
--- a/internal/core/gossip/size.go
+++ b/internal/core/gossip/size.go
@@ -19,7 +19,7 @@
 	marksBytes  = 50
 	// evidenceBytes come on top of the VM's name.
 	evidenceBytes = 24
-	// contentBytes is what evidence of a request has besides.
+	// contentBytes is what evidence of a request, or of a limit, has besides.
 	contentBytes = 27
 	// sightingBytes is an endpoint's load; nameBytes and the name are added the
 	// first time that a link names the endpoint.
@@ -46,7 +46,7 @@
 
 func evidenceSize(e *message.Evidence) int {
 	size := evidenceBytes + len(e.VM)
-	if e.Kind.OfRequest() {
+	if e.Kind.OfRequest() || e.Kind == message.EvidenceLimit {
 		size += contentBytes
 	}
 	return size
--- a/internal/core/grant/grant.go
+++ b/internal/core/grant/grant.go
@@ -6,7 +6,8 @@
 // few requests a second from all entries together and crashes well above that, with the requests
 // that it holds. Each entry sees it idle and would send to it; that it is cold is known late; and
 // entries can't count together. So a few entries own each cold endpoint (see Owners) and have the
-// bound among them, and the others leave it alone while it is cold.
+// bound among them, and the others leave it alone while it is cold. The same holds for an endpoint
+// that names a limit of its own (limit.go).
 //
 // The package is pure. Times are durations since the process started.
 package grant
@@ -32,9 +33,13 @@
 	ColdElsewhere
 	// ColdSpent: it is cold, and this entry has sent its part of what it bears.
 	ColdSpent
+	// LimitElsewhere: it names a limit, and other entries send what it takes.
+	LimitElsewhere
+	// LimitSpent: it names a limit, and this entry has sent its part of what it takes.
+	LimitSpent
 )
 
-var verdictNames = [...]string{"granted", "leaving", "gone", "evacuated", "cold-elsewhere", "cold-spent"}
+var verdictNames = [...]string{"granted", "leaving", "gone", "evacuated", "cold-elsewhere", "cold-spent", "limit-elsewhere", "limit-spent"}
 
 // String returns the verdict as the log shows it.
 func (v Verdict) String() string { return verdictNames[v] }
@@ -48,16 +53,23 @@
 		return Gone
 	case e.Evacuated:
 		return Evacuated
-	case !IsCold(now, p, e):
-		return Granted
-	case !e.Cold.Own:
+	case IsCold(now, p, e) && !e.Cold.Own:
 		return ColdElsewhere
-	case tokens(now, &p.ColdShare, e) < 1:
+	case IsCold(now, p, e) && tokens(now, &e.Cold.Part, p.ColdShare.Rate) < 1:
 		return ColdSpent
+	case !IsLimited(e):
+		return Granted
+	case !e.Limit.Own:
+		return LimitElsewhere
+	case tokens(now, &e.Limit.Part, e.Limit.Each) < 1:
+		return LimitSpent
 	}
 	return Granted
 }
 
+// IsLimited reports whether the endpoint names a limit of the requests that it takes.
+func IsLimited(e *table.Endpoint) bool { return e.Limit.Rate > 0 }
+
 // IsCold reports whether the endpoint is cold, in a pool where that binds.
 func IsCold(now time.Duration, p *table.Pool, e *table.Endpoint) bool {
 	return now < e.Cold.Until && p.ColdShare.Bound > 0
@@ -65,16 +77,18 @@
 
 // Spend takes a request that is sent to e into account.
 func Spend(now time.Duration, p *table.Pool, e *table.Endpoint) {
-	if !IsCold(now, p, e) {
-		return
+	if IsCold(now, p, e) {
+		e.Cold.Tokens, e.Cold.At = tokens(now, &e.Cold.Part, p.ColdShare.Rate)-1, now
+	}
+	if IsLimited(e) {
+		e.Limit.Tokens, e.Limit.At = tokens(now, &e.Limit.Part, e.Limit.Each)-1, now
 	}
-	e.Cold.Tokens, e.Cold.At = tokens(now, &p.ColdShare, e)-1, now
 }
 
-// tokens is how many requests this entry may send to e now. One that was warm for a while has all
-// that may be saved.
-func tokens(now time.Duration, s *table.ColdShare, e *table.Endpoint) float64 {
-	return min(burst, e.Cold.Tokens+(now-e.Cold.At).Seconds()*s.Rate)
+// tokens is how many requests this entry may send now of a part with a rate. One that was not bounded
+// for a while has all that may be saved.
+func tokens(now time.Duration, p *table.Part, rate float64) float64 {
+	return min(burst, p.Tokens+(now-p.At).Seconds()*rate)
 }
 
 // Told takes in how much longer the endpoint says that it stays cold; 0 says that it is warm.
--- a/internal/core/grant/grant_test.go
+++ b/internal/core/grant/grant_test.go
@@ -16,8 +16,8 @@
 	share := Share(Warmup{For: 3 * time.Second, PerSecond: 5.8, Over: 1.5, Slack: 8})
 	now := 10 * time.Second
 	cold := table.Cold{Until: now + ms}
-	own := table.Cold{Until: now + ms, Own: true}
-	spent := table.Cold{Until: now + ms, Own: true, At: now}
+	own := table.Cold{Until: now + ms, Part: table.Part{Own: true}}
+	spent := table.Cold{Until: now + ms, Part: table.Part{Own: true, At: now}}
 	for _, c := range []struct {
 		name  string
 		share table.ColdShare
@@ -103,7 +103,7 @@
 				side = 1
 			}
 			s := &sender{id: uint64(i), view: NewCandidates(slices.Clone(views[side])), pool: table.Pool{ColdShare: share, Endpoints: []table.Endpoint{{Name: "e", Domain: "0"}}}}
-			s.pool.Endpoints[0].Cold = table.Cold{Until: time.Hour, Own: s.view.Owns(s.id, "e", "0", share.Owners)}
+			s.pool.Endpoints[0].Cold = table.Cold{Until: time.Hour, Part: table.Part{Own: s.view.Owns(s.id, "e", "0", share.Owners)}}
 			return s
 		}
 		var owners []*sender
--- /dev/null
+++ b/internal/core/grant/limit_test.go
@@ -0,0 +1,155 @@
+package grant
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/table"
+	"pgregory.net/rapid"
+)
+
+func limitedAt(now time.Duration, rate float64, own bool) table.Endpoint {
+	e := table.Endpoint{Name: "e", Domain: "0"}
+	SetLimit(now, &e, rate)
+	SetOwner(now, &e, own)
+	e.Limit.ToldAt = now
+	return e
+}
+
+func TestVerdictsOnLimits(t *testing.T) {
+	now := 10 * time.Second
+	cold := limitedAt(now, 10, true)
+	cold.Cold.Until = now + ms
+	for _, c := range []struct {
+		name string
+		at   time.Duration
+		e    table.Endpoint
+		want Verdict
+	}{
+		{"of others", now + time.Hour, limitedAt(now, 10, false), LimitElsewhere},
+		{"its own, just named", now, limitedAt(now, 10, true), LimitSpent},
+		{"its own, earned", now + time.Second, limitedAt(now, 10, true), Granted},
+		{"its own, a fraction not earned yet", now + 2*time.Second, limitedAt(now, 0.4, true), LimitSpent},
+		{"its own, a fraction earned", now + 2501*ms, limitedAt(now, 0.4, true), Granted},
+		{"no limit any more", now, limitedAt(now, 0, false), Granted},
+		{"cold besides", now, cold, ColdElsewhere},
+	} {
+		p := &table.Pool{Endpoints: []table.Endpoint{c.e}, ColdShare: Share(Warmup{PerSecond: 5})}
+		if got := Of(c.at, p, &p.Endpoints[0]); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// limitView is a fleet of entries by which an endpoint's owners are worked out.
+type limitView struct {
+	candidates Candidates
+	offset     time.Duration
+}
+
+// Guards against an endpoint that gets more than it takes: owners by two views of the fleet that press as
+// hard as they can, with their clocks of turns apart, while the limit changes and owners take turns.
+func TestLimitHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := rapid.Float64Range(0.05, 40).Draw(rt, "rate")
+		n := rapid.SampledFrom([]int{1, 2, 14, 141}).Draw(rt, "entries")
+		var all []Entry
+		for i := range n {
+			all = append(all, Entry{ID: uint64(i), Domain: fmt.Sprint(i % 3)})
+		}
+		cut := rapid.IntRange(0, n).Draw(rt, "cut")
+		views := []limitView{{candidates: NewCandidates(slices.Clone(all[:cut]))}, {candidates: NewCandidates(slices.Clone(all[cut:]))}}
+		if rapid.Bool().Draw(rt, "joined") {
+			views[1].candidates = NewCandidates(slices.Clone(all))
+		}
+		views[1].offset = time.Duration(rapid.IntRange(0, 1000).Draw(rt, "apart")) * ms
+		type owner struct {
+			view int
+			pool table.Pool
+			id   uint64
+		}
+		var senders []*owner
+		for v := range views {
+			for i := range n {
+				if side := i >= cut; side == (v == 1) {
+					e := limitedAt(0, rate, false)
+					senders = append(senders, &owner{v, table.Pool{Endpoints: []table.Endpoint{e}}, uint64(i)})
+				}
+			}
+		}
+		var sent []time.Duration
+		for now := time.Duration(0); now < 24*time.Second; now += 50 * ms {
+			for _, s := range senders {
+				e := &s.pool.Endpoints[0]
+				if now%(500*ms) == 0 {
+					view := &views[s.view]
+					turn, _ := Turn(now+view.offset, e)
+					SetOwner(now, e, view.candidates.OwnsLimited(s.id, e, turn))
+				}
+				for Of(now, &s.pool, e) == Granted {
+					Spend(now, &s.pool, e)
+					sent = append(sent, now)
+				}
+			}
+		}
+		allowed := limitOver*rate*limitWindow.Seconds() + limitSlack
+		for i, from := range sent {
+			end, _ := slices.BinarySearch(sent, from+limitWindow+1)
+			if got := end - i; float64(got) > allowed {
+				rt.Fatalf("%d requests in four seconds from %v on, %.1f allowed at %.2f a second", got, from, allowed, rate)
+			}
+		}
+	})
+}
+
+// Guards against a limited endpoint that gets far less than it takes where all know each other.
+func TestLimitedEndpointIsUsed(t *testing.T) {
+	for _, rate := range []float64{0.4, 1, 1.1, 3, 10, 40} {
+		owners, each := limitShare(rate)
+		if all := float64(owners) * each; all > rate+1e-9 || all < 0.7*rate {
+			t.Errorf("limit %v: %d owners with %.2f a second each", rate, owners, each)
+		}
+	}
+	if owners, each := limitShare(0); owners != 0 || each != 0 {
+		t.Error("there are owners without a limit")
+	}
+}
+
+// Guards against an endpoint that gets nothing for good since the entry that owns it has no callers or is
+// down: others take their turn unless the fleet is told that the limit holds.
+func TestOwnersTakeTurns(t *testing.T) {
+	var all []Entry
+	for i := range 14 {
+		all = append(all, Entry{ID: uint64(1 + i), Domain: fmt.Sprint(i % 3)})
+	}
+	candidates := NewCandidates(all)
+	e := limitedAt(0, 1, false)
+	e.Domain = "1"
+	owners := map[uint64]bool{}
+	for k := range 30 {
+		now := time.Duration(k) * turnFor
+		turn, ends := Turn(now, &e)
+		if turn != uint32(k) || ends != now+turnFor {
+			t.Fatalf("at %v turn %d until %v", now, turn, ends)
+		}
+		had := 0
+		for _, o := range all {
+			if candidates.OwnsLimited(o.ID, &e, turn) {
+				owners[o.ID] = true
+				had++
+			}
+		}
+		if had != 1 {
+			t.Errorf("turn %d has %d owners", turn, had)
+		}
+	}
+	if len(owners) < 4 {
+		t.Errorf("only %d entries had their turn", len(owners))
+	}
+	e.Limit.Own = true
+	if RenewalDue(renewAfter-ms, &e) || !RenewalDue(renewAfter, &e) {
+		t.Error("the fleet is told that a limit holds still too early or too late")
+	}
+}
--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -1,20 +1,140 @@
 package core
 
 import (
+	"maps"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/grant"
 	"github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/message"
+)
+
+// endpointID names one incarnation of an endpoint.
+type endpointID struct {
+	name        string
+	incarnation uint64
+}
+
+// knownLimit is what the fleet knows of an endpoint's limit since it was told.
+type knownLimit struct {
+	message.Limit
+	at time.Duration
+}
+
+const (
+	// limitsMost bounds the limits that are known of endpoints.
+	limitsMost = 4096
+	// limitKept is how long a limit is known of an endpoint that the list doesn't have.
+	limitKept = 5 * time.Minute
+	// limitDiffers is by what part a limit has to change for the fleet to be told at once. Those who
+	// send to the endpoint hear of it in any case.
+	limitDiffers = 0.25
 )
 
 // toldLimit takes in the limit that an endpoint names in an answer, 0 if it names none.
-func (c *Core) toldLimit(now time.Duration, e *table.Endpoint, rate float64, out *Actions) {
-	if rate == e.Limit.Rate {
+func (c *Core) toldLimit(now time.Duration, p *pool, e *table.Endpoint, rate float64, out *Actions) {
+	last := &e.Limit
+	switch {
+	case rate == last.Rate && !(rate > 0 && grant.RenewalDue(now, e)):
+		return
+	case last.Rate > 0 && (rate == 0 || rate > last.Rate) && !grant.Settled(now, e):
+		return
+	}
+	from, owners, changed := last.Rate, last.Owners, rate != last.Rate
+	grant.SetLimit(now, e, rate)
+	if changed && last.Owners == owners && differsLittle(from, rate) && !grant.RenewalDue(now, e) {
+		return
+	}
+	last.Turn, _ = grant.Turn(now, e)
+	last.ToldAt = now
+	last.Version++
+	told := message.Limit{Rate: rate, Version: last.Version, Turn: last.Turn}
+	c.limits[endpointID{e.Name, e.Incarnation}] = knownLimit{told, now}
+	c.fleet.gossip.Spread(now, []message.Evidence{{VM: limitSubject + e.Name, Incarnation: e.Incarnation, Kind: message.EvidenceLimit, Limit: told}})
+	p.noteLimits()
+	if changed {
+		c.noteLimit(e, from, "its answer says so", out)
+	}
+}
+
+// lookedLimit is toldLimit for the answer to a look. That it names none says something only of an
+// endpoint that names its limit in such answers as well.
+func (c *Core) lookedLimit(now time.Duration, p *pool, e *table.Endpoint, rate float64, out *Actions) {
+	if rate > 0 {
+		e.Limit.InLooks = true
+	}
+	if e.Limit.InLooks {
+		c.toldLimit(now, p, e, rate, out)
+	}
+}
+
+func differsLittle(a, b float64) bool {
+	return a > 0 && b > 0 && max(a, b)-min(a, b) <= limitDiffers*min(a, b)
+}
+
+// limitSubject marks evidence of limits, which names no VM: entries of earlier releases take evidence of
+// kinds that they don't know for the end of the VM.
+const limitSubject = "limit of "
+
+// takeLimits takes in what is told of the limits of endpoints.
+func (c *Core) takeLimits(now time.Duration, evidence []message.Evidence, out *Actions) {
+	for i := range evidence {
+		ev := &evidence[i]
+		name, named := strings.CutPrefix(ev.VM, limitSubject)
+		if ev.Kind != message.EvidenceLimit || !named || !(ev.Rate >= 0) {
+			continue
+		}
+		id := endpointID{name, ev.Incarnation}
+		last, there := c.limits[id]
+		known := knownLimit{ev.Limit, now - time.Duration(ev.AgeMillis)*time.Millisecond}
+		if there && !known.Newer(last.Limit) || !there && len(c.limits) >= limitsMost {
+			continue
+		}
+		c.limits[id] = known
+		if ref, ok := c.fleet.rows[name]; ok {
+			c.applyLimit(now, ref.pool, ref.index, "a peer", out)
+		}
+	}
+}
+
+// applyLimit puts what is known of an endpoint's limit into its row.
+func (c *Core) applyLimit(now time.Duration, p *pool, index int, actor string, out *Actions) {
+	e := &p.Endpoints[index]
+	known, there := c.limits[endpointID{e.Name, e.Incarnation}]
+	if !there {
 		return
 	}
-	out.note(Note{Actor: "endpoint " + e.Name, Subject: "endpoint " + e.Name, Action: "limited",
-		From: limitText(e.Limit.Rate), To: limitText(rate), Why: "its answer says so"})
-	e.Limit = table.Limit{Rate: rate, Since: now}
+	from := e.Limit.Rate
+	grant.SetLimit(now, e, known.Rate)
+	e.Limit.Version, e.Limit.Turn, e.Limit.ToldAt = known.Version, known.Turn, known.at
+	p.noteLimits()
+	if from != known.Rate {
+		c.noteLimit(e, from, actor+" says so", out)
+	}
+}
+
+// noteLimits has the owners of the pool's endpoints worked out anew.
+func (p *pool) noteLimits() {
+	p.cold.at, p.limited = 0, 0
+	for i := range p.Endpoints {
+		if e := &p.Endpoints[i]; e.State == table.EndpointLive && grant.IsLimited(e) {
+			p.limited++
+		}
+	}
+}
+
+// forgetLimits drops the limits of endpoints that have gone.
+func (c *Core) forgetLimits(now time.Duration) {
+	maps.DeleteFunc(c.limits, func(id endpointID, k knownLimit) bool {
+		ref, there := c.fleet.rows[id.name]
+		return now-k.at >= limitKept && (!there || ref.pool.endpointAt(ref.index, id.incarnation) == nil)
+	})
+}
+
+func (c *Core) noteLimit(e *table.Endpoint, from float64, why string, out *Actions) {
+	out.note(Note{Subject: "endpoint " + e.Name, Action: "limited", From: limitText(from), To: limitText(e.Limit.Rate), Why: why})
 }
 
 func limitText(rate float64) string {
--- a/internal/core/looks.go
+++ b/internal/core/looks.go
@@ -65,7 +65,7 @@
 
 // see returns a request with its pool as package placement sees them.
 func (c *Core) see(now time.Duration, r *request) placement.View {
-	c.ownCold(now, r.pool)
+	c.ownBounded(now, r.pool)
 	return placement.View{
 		Now:     now,
 		Domain:  c.cfg.Self.Domain,
@@ -167,6 +167,9 @@
 	default:
 		p.loadless++
 	}
+	if end.OK && !end.Misdirected {
+		c.lookedLimit(now, p, e, end.Load.RateLimit, out)
+	}
 	r, ok := c.requests[end.Probe.Request]
 	if !ok || !r.look.active || r.look.round != end.Probe.Round {
 		return
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -294,6 +294,7 @@
 	c.takeRecords(now, u.Records, out)
 	c.claim(now, out, u.Evidence...)
 	c.takeRequestEvidence(now, u.Evidence, out)
+	c.takeLimits(now, u.Evidence, out)
 	c.peerHeard(now, u.From)
 	for i := range u.Sightings {
 		c.peerSighting(now, u.From, &u.Sightings[i])
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/grant"
 	"github.com/tealhall/tealhall/internal/core/table"
 )
 
@@ -141,8 +142,8 @@
 			continue
 		}
 		live++
-		if !e.Look.Seen || now-e.Look.At > fullLasts {
-			continue
+		if !e.Look.Seen || now-e.Look.At > fullLasts || grant.IsLimited(e) {
+			continue // idle as it may seem, one that names a limit is no room for others
 		}
 		told++
 		if p.full(now, e) {
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -93,6 +93,8 @@
 	// learned is what placement learned of the endpoints.
 	learned placement.Pool
 	cold    coldOwners
+	// limited counts the endpoints that name a limit.
+	limited int
 }
 
 // expectedWork is how long a request of the service is taken to hold a slot.
@@ -170,6 +172,7 @@
 		if e.State == table.EndpointGone && e.Outstanding == 0 {
 			*e = row
 			p.holdings.forgetRow(i)
+			p.noteLimits()
 			return i
 		}
 	}
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -77,23 +77,38 @@
 	ViewWrong bool
 }
 
+// Part is an entry's part of what an endpoint gets, where that is bounded. Owned by package grant.
+type Part struct {
+	// Own says that this entry is one of the few that send to it meanwhile.
+	Own bool
+	// Tokens is how many requests this entry might send as of At.
+	Tokens float64
+	At     time.Duration
+}
+
 // Limit is what an endpoint says of the requests that it takes. Owned by package grant.
 type Limit struct {
+	Part
 	// Rate is how many requests a second it takes from all entries together, 0 for no limit.
 	Rate float64
-	// Since is when this entry learned it.
+	// Version orders what is known of it in the whole fleet, Turn is which entries own it, as of
+	// ToldAt, when the fleet was last told.
+	Version, Turn uint32
+	ToldAt        time.Duration
+	// Since is when this entry learned of the rate.
 	Since time.Duration
+	// Owners is how many entries own it, Each how many requests a second each of them sends.
+	Owners int
+	Each   float64
+	// InLooks says that it names a limit also to those who look at it.
+	InLooks bool
 }
 
 // Cold is owned by package grant.
 type Cold struct {
+	Part
 	// Until is when the endpoint is warm as far as known; 0 or past for a warm one.
 	Until time.Duration
-	// Own says that this entry is one of the few that send to it while it is cold.
-	Own bool
-	// Tokens is how many requests this entry might send as of At.
-	Tokens float64
-	At     time.Duration
 }
 
 // ColdShare is what an entry may send to the cold endpoints of a pool that it owns.
--- a/internal/core/yard_test.go
+++ b/internal/core/yard_test.go
@@ -53,6 +53,8 @@
 	dead bool
 	// coldUntil is when it is warm, as it tells those who look at it.
 	coldUntil time.Duration
+	// limit is how many requests a second it takes, as it tells in its answers.
+	limit float64
 	// busyUntil is until when its slots are taken, in a yard whose endpoints queue.
 	busyUntil [2]time.Duration
 }
@@ -277,7 +279,7 @@
 	b := y.box(d.Endpoint)
 	b.running--
 	y.do(func(out *Actions) {
-		y.Head(y.now, Head{ID: id, Attempt: n, Status: status, Load: Load{Known: true, InFlight: b.running, Queued: b.waiting, Slots: 2, Pace: max(b.pace, 100)}}, out)
+		y.Head(y.now, Head{ID: id, Attempt: n, Status: status, Load: Load{Known: true, InFlight: b.running, Queued: b.waiting, Slots: 2, Pace: max(b.pace, 100), RateLimit: b.limit}}, out)
 		y.End(y.now, End{ID: id, Attempt: n, Kind: EndComplete, Replayable: true}, out)
 	})
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -2,7 +2,11 @@
 // behaviour; package peer moves them and package core decides on them.
 package message
 
-import "github.com/tealhall/tealhall/internal/idem"
+import (
+	"cmp"
+
+	"github.com/tealhall/tealhall/internal/idem"
+)
 
 // The versions of the peer protocol that this program speaks.
 const (
@@ -107,6 +111,9 @@
 	// of a VM, since entries of earlier releases take evidence of kinds that they don't know for the
 	// end of the VM.
 	EvidenceCompleted
+	// EvidenceLimit: what an endpoint says that it takes. Its VM says whose limit it is, as in package
+	// core. A later version takes the place of an earlier one.
+	EvidenceLimit
 )
 
 // OfRequest reports whether the evidence is about a request rather than a VM.
@@ -127,6 +134,23 @@
 	RanMillis uint32 `cbor:"6,keyasint,omitempty"`
 	// Clears is a number of the latest crash that a completed run came after.
 	Clears uint32 `cbor:"7,keyasint,omitempty"`
+	// Limit is that of EvidenceLimit.
+	Limit
+}
+
+// Limit is what the fleet is told of the requests that an endpoint takes.
+type Limit struct {
+	// Rate is in requests a second, 0 for no limit.
+	Rate    float64 `cbor:"9,keyasint,omitempty"`
+	Version uint32  `cbor:"10,keyasint,omitempty"`
+	// Turn is whose turn it is to send to the endpoint.
+	Turn uint32 `cbor:"11,keyasint,omitempty"`
+}
+
+// Newer reports whether l replaces other: a later version, and of two that were told at the same time
+// the same one at every entry.
+func (l Limit) Newer(other Limit) bool {
+	return cmp.Or(cmp.Compare(l.Version, other.Version), cmp.Compare(l.Turn, other.Turn), cmp.Compare(l.Rate, other.Rate)) > 0
 }
 
 // Sighting is one entry's knowledge of the load of one endpoint.
--- a/internal/peer/wire/wire_test.go
+++ b/internal/peer/wire/wire_test.go
@@ -81,11 +81,31 @@
 	}
 }
 
+// TestNoFieldIsLostInItsForm fails when a field of message.Update has no number in its form on a connection.
+func TestNoFieldIsLostInItsForm(t *testing.T) {
+	var u message.Update
+	fill(t, reflect.ValueOf(&u).Elem())
+	data, err := new(Packer).Pack(u).MarshalBinary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var form Update
+	if err := form.UnmarshalBinary(data); err != nil {
+		t.Fatal(err)
+	}
+	got, err := new(Unpacker).Unpack(u.From, &form)
+	if diff := cmp.Diff(u, got); err != nil || diff != "" {
+		t.Errorf("error %v, (-sent +received):\n%s", err, diff)
+	}
+}
+
 // fill sets every field to something other than zero.
 func fill(t *testing.T, v reflect.Value) {
 	switch {
 	case v.CanUint():
 		v.SetUint(7)
+	case v.CanFloat():
+		v.SetFloat(0.4)
 	case v.Kind() == reflect.Bool:
 		v.SetBool(true)
 	case v.Kind() == reflect.String:
