--- a/internal/core/crash_test.go
+++ b/internal/core/crash_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/route"
 )
 
@@ -257,3 +258,75 @@
 		t.Errorf("another request: told %v (%v)", got.Outcome, got.Reason)
 	}
 }
+
+// Guards against a fleet of hundreds in which some entries still send a request three seconds after it has
+// crashed its third endpoint: each crash is seen by another entry.
+func TestLargeFleetKnowsWhatIsQuarantined(t *testing.T) {
+	t.Parallel()
+	const stable = 3 * sec
+	for _, n := range sizes(t) {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			f := newLargeFleet(t, n)
+			f.run(8 * sec)
+			for i := range 3 {
+				e := f.vms[(i*n/3+n/7)%n]
+				f.do(e, func(now time.Duration, out *Actions) {
+					evidence := []message.Evidence{{VM: fmt.Sprint("e", i), Incarnation: 1, Kind: message.EvidenceCrashed, Content: 7, Caller: 1, RanMillis: 60}}
+					e.fleet.gossip.Spread(now, evidence)
+					e.takeRequestEvidence(now, evidence, out)
+				})
+				if i < 2 {
+					f.run(250 * ms)
+				}
+			}
+			took := f.until(10*sec, func(e *largeEntry) bool { return len(e.quarantine.Quarantined(f.now-e.startedAt, nil)) == 1 })
+			t.Logf("%d entries know after %v", n, took)
+			if took > stable {
+				t.Errorf("the last entry knows %v after the third crash", took)
+			}
+		})
+	}
+}
+
+// Guards against quarantine of a request that often comes and has nothing to do with it: one endpoint after
+// the other crashes, each while it runs this read, and comes back.
+func TestCrashesByAnotherCauseRefuseNobody(t *testing.T) {
+	const every, down, work = 700 * ms, 2 * sec, 40 * ms
+	var endpoints []string
+	crashAt := map[string]time.Duration{}
+	for i := range 14 {
+		name := fmt.Sprint("c", i+1)
+		endpoints = append(endpoints, "counts/"+name)
+		crashAt[name] = time.Duration(i+1) * every
+	}
+	r := settled(t, 4, endpoints...)
+	began := r.now
+	untilCrash := func(name string) time.Duration { return crashAt[name] - (r.now - began) }
+	r.refuses = func(name string) bool { left := untilCrash(name); return left <= 0 && left > -down }
+	r.endpoint = func(name string, _ Arrival) reaction {
+		switch left := untilCrash(name); {
+		case r.refuses(name):
+			return reaction{end: End{Kind: EndNotWritten, DialFailed: true}, ignores: true}
+		case left > 0 && left <= work:
+			return reaction{after: left, end: End{Kind: EndLost, Broke: true}}
+		}
+		return reaction{after: work}
+	}
+	for i := 0; r.now < began+15*every; i++ {
+		r.ask(r.nodes[i%4], Arrival{Service: "counts", Caller: 1, Content: 7})
+		r.run(10 * ms)
+		for _, n := range r.nodes {
+			if held := n.quarantine.Quarantined(r.now-n.started, nil); len(held) != 0 {
+				t.Fatalf("%s has it in quarantine %v after the first crash", n.hello.Name, r.now-began-every)
+			}
+		}
+	}
+	crashes := uint64(0)
+	for _, n := range r.nodes {
+		crashes = max(crashes, n.counters.Crashes)
+	}
+	if crashes < 5 {
+		t.Errorf("only %d crashes were seen: the test shows nothing", crashes)
+	}
+}
