--- a/internal/contract/ratelimit.go
+++ b/internal/contract/ratelimit.go
@@ -6,12 +6,12 @@
 	"strings"
 )
 
-// The range of rate limits. A limit of less than one request an hour is read as that: an endpoint
-// that takes nothing leaves.
-const (
-	leastRateLimit = 1.0 / 3600
-	mostRateLimit  = 1e6
-)
+// leastRateLimit is a request an hour, as which lower limits are read: an endpoint that takes nothing
+// leaves.
+const leastRateLimit = 1.0 / 3600
+
+// mostRateLimit is the highest limit in requests a second; higher ones bind nobody.
+const mostRateLimit = 1e6
 
 // ParseRateLimit reads a limit of requests a second; 0 for none. What is no number, negative or too
 // large to bind is none.
--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -67,7 +67,7 @@
 			}
 		}
 		out.Probes = append(out.Probes, Probe{Pool: b.pool.Name, Endpoint: b.endpoint, Incarnation: b.incarnation, Address: b.address,
-			Path: b.pool.probePath, Broken: true, Wait: askAgain})
+			Path: b.pool.probePath, Broken: true, At: now, Wait: askAgain})
 	}
 }
 
@@ -79,15 +79,15 @@
 }
 
 // brokenAnswered takes in what the endpoint of broken attempts answered. One at whose address
-// another endpoint answers has ended as well.
+// another endpoint, or another incarnation, answers has ended as well.
 func (c *Core) brokenAnswered(now time.Duration, end ProbeEnd, out *Actions) {
-	crashed := end.Refused || end.Misdirected
+	crashed := end.Refused || end.Misdirected || end.Seen != 0 && end.Seen != end.Probe.Incarnation
 	if !crashed && !end.OK && !end.Unwell {
 		return // it is asked again
 	}
 	var evidence []message.Evidence
 	c.broken = slices.DeleteFunc(c.broken, func(b brokenAttempt) bool {
-		if b.endpoint != end.Probe.Endpoint || b.incarnation != end.Probe.Incarnation {
+		if b.endpoint != end.Probe.Endpoint || b.incarnation != end.Probe.Incarnation || b.at > end.Probe.At {
 			return false
 		}
 		if crashed {
--- a/internal/core/crash_test.go
+++ b/internal/core/crash_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/quarantine"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/route"
 )
@@ -166,6 +167,30 @@
 	}
 }
 
+// Guards against a crash that is missed since its endpoint had answered a question from before; and one
+// whose endpoint is back at once, as another process at the same address.
+func TestEarlierAnswersSayNothingOfALaterCrash(t *testing.T) {
+	y := newYard(t, idle(1, "d0")...)
+	y.learn(8)
+	first, second := y.askContent(8), y.askContent(7)
+	y.run(20 * ms)
+	y.breakOff(first, 1, false)
+	earlier := y.probes[len(y.probes)-1]
+	y.now += ms
+	y.breakOff(second, 1, false)
+	y.do(func(out *Actions) { y.ProbeEnd(y.now, ProbeEnd{Probe: earlier, OK: true}, out) })
+	later := y.probes[len(y.probes)-1]
+	y.do(func(out *Actions) {
+		y.ProbeEnd(y.now, ProbeEnd{Probe: later, OK: true, Seen: later.Incarnation + 1}, out)
+	})
+	if got := y.quarantine.Crashes(quarantine.Request{Content: 7, Caller: 1}); len(got) != 1 {
+		t.Errorf("crashes under the second request: %+v", got)
+	}
+	if got := y.quarantine.Crashes(quarantine.Request{Content: 8, Caller: 1}); len(got) != 0 {
+		t.Errorf("crashes under the first request: %+v", got)
+	}
+}
+
 // Guards against a request that stays suspect, or in quarantine, although it runs.
 func TestRunThatCompletesEndsSuspicion(t *testing.T) {
 	y := newYard(t, idle(12, "d0")...)
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -241,6 +241,8 @@
 	Wait time.Duration
 	// Broken says that it asks whether an endpoint that broke its connections has crashed.
 	Broken bool
+	// At is when such a question was asked.
+	At time.Duration
 }
 
 // ProbeEnd is the result of a probe.
--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -83,7 +84,7 @@
 	for i := range evidence {
 		ev := &evidence[i]
 		name, named := strings.CutPrefix(ev.VM, limitSubject)
-		if ev.Kind != message.EvidenceLimit || !named || !(ev.Rate >= 0) {
+		if ev.Kind != message.EvidenceLimit || !named || !(ev.Rate >= 0) || math.IsInf(ev.Rate, 1) {
 			continue
 		}
 		id := endpointID{name, ev.Incarnation}
--- a/internal/core/yard_test.go
+++ b/internal/core/yard_test.go
@@ -90,6 +90,8 @@
 	queues bool
 	// updates are those to peers.
 	updates []Outgoing
+	// probes are all that were asked for.
+	probes []Probe
 	// stories are the lines of requests that ended; name is that of the next request.
 	stories []Story
 	name    string
@@ -208,7 +210,7 @@
 		}
 	}
 	for _, p := range out.Probes {
-		y.looked = append(y.looked, p.Endpoint)
+		y.looked, y.probes = append(y.looked, p.Endpoint), append(y.probes, p)
 		after := ms
 		if b := y.box(p.Endpoint); b.dead && b.silent {
 			after = p.Wait
