--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -137,9 +137,10 @@
 	joined  []RequestID
 
 	// quarantine knows the requests under which endpoints crashed, broken are the attempts whose
-	// endpoint is asked whether it has.
+	// endpoint is asked whether it has, untold the crashes of which the fleet is not told yet.
 	quarantine *quarantine.Table
 	broken     []brokenAttempt
+	untold     []untoldCrash
 
 	// limits are those of endpoints by their names and incarnations.
 	limits map[endpointID]knownLimit
@@ -224,6 +225,7 @@
 	c.looksDue(now, out)
 	c.lookAfterAttempts(now, out)
 	c.askBroken(now, out)
+	c.tellCrashes(now)
 	if now >= c.nextMember {
 		c.nextMember = now + memberPeriod
 		c.tickFleet(now, out)
--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -23,8 +23,17 @@
 	// it is asked. One that is cut off or has lost power says nothing for longer.
 	askAgain = 200 * time.Millisecond
 	askFor   = 2 * time.Second
+	// toldAfter is after how long the fleet is told of the first crash under a request. Most requests
+	// run elsewhere by then, so that many endpoints which crash for another reason are hardly news.
+	toldAfter = 500 * time.Millisecond
 )
 
+// untoldCrash is a crash of which the fleet has not been told, and when it is to be.
+type untoldCrash struct {
+	quarantine.Crash
+	due time.Duration
+}
+
 // brokenAttempt is an attempt whose connection broke before its answer was whole.
 type brokenAttempt struct {
 	request     quarantine.Request
@@ -85,25 +94,51 @@
 	if !crashed && !end.OK && !end.Unwell {
 		return // it is asked again
 	}
-	var evidence []message.Evidence
+	var crashes []quarantine.Crash
 	c.broken = slices.DeleteFunc(c.broken, func(b brokenAttempt) bool {
 		if b.endpoint != end.Probe.Endpoint || b.incarnation != end.Probe.Incarnation || b.at > end.Probe.At {
 			return false
 		}
 		if crashed {
-			evidence = append(evidence, message.Evidence{VM: b.endpoint, Incarnation: b.incarnation, Kind: message.EvidenceCrashed,
-				Content: b.request.Content, Caller: b.request.Caller, AgeMillis: millis(now - b.at), RanMillis: millis(b.at - b.began)})
+			crashes = append(crashes, quarantine.Crash{Request: b.request, Endpoint: b.endpoint, Incarnation: b.incarnation, Began: b.began, At: b.at})
 		}
 		return true
 	})
-	if len(evidence) == 0 {
-		return
+	for _, crash := range crashes {
+		c.takeRequestEvidence(now, []message.Evidence{crashEvidence(now, &crash)}, out)
+		c.untold = append(c.untold, untoldCrash{crash, crash.At + toldAfter})
+	}
+	if len(crashes) > 0 {
+		c.tellCrashes(now)
+	}
+}
+
+func crashEvidence(now time.Duration, crash *quarantine.Crash) message.Evidence {
+	return message.Evidence{VM: crash.Endpoint, Incarnation: crash.Incarnation, Kind: message.EvidenceCrashed, Content: crash.Content,
+		Caller: crash.Caller, AgeMillis: millis(now - crash.At), RanMillis: millis(crash.At - crash.Began)}
+}
+
+// tellCrashes has the fleet told of the crashes that are due, or whose request has crashed another
+// endpoint; those under requests that have run since are no news.
+func (c *Core) tellCrashes(now time.Duration) {
+	var evidence []message.Evidence
+	c.untold = slices.DeleteFunc(c.untold, func(u untoldCrash) bool {
+		standing := c.quarantine.Crashes(u.Request)
+		switch {
+		case len(standing) == 0:
+			return true
+		case len(standing) == 1 && now < u.due:
+			return false
+		}
+		evidence = append(evidence, crashEvidence(now, &u.Crash))
+		return true
+	})
+	if len(evidence) > 0 {
+		c.fleet.gossip.Spread(now, evidence)
 	}
-	c.fleet.gossip.Spread(now, evidence)
-	c.takeRequestEvidence(now, evidence, out)
 }
 
-// noteCompleted clears a request that has run, and has the fleet told.
+// noteCompleted clears a request that has run, and has the fleet told if it knows of a crash.
 func (c *Core) noteCompleted(now time.Duration, request quarantine.Request, out *Actions) {
 	if !c.quarantine.Knows(request) {
 		return
@@ -114,10 +149,17 @@
 	}
 	evidence := []message.Evidence{{VM: requestSubject(request), Incarnation: request.Content, Kind: message.EvidenceCompleted,
 		Content: request.Content, Caller: request.Caller, Clears: crashNumber(&crashes[len(crashes)-1])}}
-	c.fleet.gossip.Spread(now, evidence)
+	if slices.ContainsFunc(crashes, c.isTold) {
+		c.fleet.gossip.Spread(now, evidence)
+	}
 	c.takeRequestEvidence(now, evidence, out)
 }
 
+// isTold reports whether the fleet was told of a crash, or told this entry.
+func (c *Core) isTold(crash quarantine.Crash) bool {
+	return !slices.ContainsFunc(c.untold, func(u untoldCrash) bool { return u.Crash == crash })
+}
+
 // crashNumber is a number for a crash, the same at every entry.
 func crashNumber(crash *quarantine.Crash) uint32 {
 	h := fnv.New32a()
@@ -129,6 +171,7 @@
 // takeRequestEvidence takes in what is told of requests, by this entry or others, and refuses those
 // that wait here and may not be sent any more.
 func (c *Core) takeRequestEvidence(now time.Duration, evidence []message.Evidence, out *Actions) {
+	news := false
 	for i := range evidence {
 		e := &evidence[i]
 		if !e.Kind.OfRequest() {
@@ -137,9 +180,12 @@
 		before := c.quarantine.Quarantined(now, nil)
 		if c.judgeRequest(now, e) {
 			c.noteVerdicts(now, before, e, out)
+			news = true
 		}
 	}
-	c.refuseQuarantined(now, out)
+	if news && c.quarantine.Holds() {
+		c.refuseQuarantined(now, out)
+	}
 }
 
 func (c *Core) judgeRequest(now time.Duration, e *message.Evidence) (news bool) {
--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -36,30 +36,34 @@
 
 // toldLimit takes in the limit that an endpoint names in an answer, 0 if it names none.
 func (c *Core) toldLimit(now time.Duration, p *pool, e *table.Endpoint, rate float64, out *Actions) {
-	last := &e.Limit
-	switch {
-	case rate == last.Rate && !(rate > 0 && grant.RenewalDue(now, e)):
-		return
-	case last.Rate > 0 && (rate == 0 || rate > last.Rate) && !grant.Settled(now, e):
+	limit := &e.Limit
+	from, owners, renew := limit.Rate, limit.Owners, grant.RenewalDue(now, e)
+	rises := from > 0 && (rate == 0 || rate > from)
+	if rate == from && !(rate > 0 && renew) || rises && !grant.Settled(now, e) {
 		return
 	}
-	from, owners, changed := last.Rate, last.Owners, rate != last.Rate
 	grant.SetLimit(now, e, rate)
-	if changed && last.Owners == owners && differsLittle(from, rate) && !grant.RenewalDue(now, e) {
+	if rate != from && limit.Owners == owners && differsLittle(from, rate) && !renew {
 		return
 	}
-	last.Turn, _ = grant.Turn(now, e)
-	last.ToldAt = now
-	last.Version++
-	told := message.Limit{Rate: rate, Version: last.Version, Turn: last.Turn}
-	c.limits[endpointID{e.Name, e.Incarnation}] = knownLimit{told, now}
-	c.fleet.gossip.Spread(now, []message.Evidence{{VM: limitSubject + e.Name, Incarnation: e.Incarnation, Kind: message.EvidenceLimit, Limit: told}})
+	c.tellLimit(now, e)
 	p.noteLimits()
-	if changed {
+	if rate != from {
 		c.noteLimit(e, from, "its answer says so", out)
 	}
 }
 
+// tellLimit has the fleet told what an endpoint takes.
+func (c *Core) tellLimit(now time.Duration, e *table.Endpoint) {
+	limit := &e.Limit
+	limit.Turn, _ = grant.Turn(now, e)
+	limit.ToldAt = now
+	limit.Version++
+	told := message.Limit{Rate: limit.Rate, Version: limit.Version, Turn: limit.Turn}
+	c.limits[endpointID{e.Name, e.Incarnation}] = knownLimit{told, now}
+	c.fleet.gossip.Spread(now, []message.Evidence{{VM: limitSubject + e.Name, Incarnation: e.Incarnation, Kind: message.EvidenceLimit, Limit: told}})
+}
+
 // lookedLimit is toldLimit for the answer to a look. That it names none says something only of an
 // endpoint that names its limit in such answers as well.
 func (c *Core) lookedLimit(now time.Duration, p *pool, e *table.Endpoint, rate float64, out *Actions) {
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -88,6 +88,10 @@
 // Table remembers the requests under which endpoints crashed. It is not safe for concurrent use.
 type Table struct {
 	records map[Request]*record
+	// explained are the endpoints that crashed under a request with crashesMost crashes or more, and
+	// held is how many such requests there are.
+	explained map[endpoint]bool
+	held      int
 }
 
 // NewTable returns an empty table.
@@ -98,14 +102,18 @@
 	if c.Content == 0 || c.Caller == 0 || now-c.At >= keptFor {
 		return false
 	}
-	news := false
+	news, many := false, false
 	for _, request := range [...]Request{c.Request, c.ofAny()} {
-		if t.recordOf(request).crashed(c) {
-			t.records[request].touchedAt, news = now, true
+		r := t.recordOf(request)
+		if !r.crashed(c) {
+			continue
 		}
+		r.touchedAt, news = now, true
+		r.weigh(t.explained)
+		many = many || len(r.standing()) >= crashesMost
 	}
-	if news {
-		t.judge()
+	if many {
+		t.judge() // it may explain what speaks against others
 	}
 	return news
 }
@@ -145,6 +153,9 @@
 	return cleared
 }
 
+// Holds reports whether crashes have put any request into quarantine.
+func (t *Table) Holds() bool { return t.held > 0 }
+
 // Of returns the verdict on a request.
 func (t *Table) Of(now time.Duration, r Request) Verdict {
 	if len(t.records) == 0 {
@@ -186,6 +197,9 @@
 
 // Quarantined appends the requests in quarantine to out, in order.
 func (t *Table) Quarantined(now time.Duration, out []Request) []Request {
+	if !t.Holds() {
+		return out
+	}
 	for request, r := range t.records {
 		if r.verdict(now) == Quarantined {
 			out = append(out, request)
@@ -298,21 +312,26 @@
 	slices.SortFunc(suspects, func(a, b *record) int {
 		return cmp.Or(cmp.Compare(len(b.standing()), len(a.standing())), a.request.compare(b.request))
 	})
-	explained := make(map[endpoint]bool)
+	t.explained, t.held = make(map[endpoint]bool), 0
 	for _, r := range suspects {
-		n, callers := inSuccession(r.standing(), explained)
-		if r.request.Caller == 0 && callers < callersLeast {
-			continue
-		}
-		if r.count = n; n < crashesMost {
+		if r.weigh(t.explained); r.count < crashesMost {
 			continue
 		}
+		t.held++
 		for _, c := range r.standing() {
-			explained[c.endpoint()] = true
+			t.explained[c.endpoint()] = true
 		}
 	}
 }
 
+// weigh counts what speaks against a request.
+func (r *record) weigh(explained map[endpoint]bool) {
+	n, callers := inSuccession(r.standing(), explained)
+	if r.count = n; r.request.Caller == 0 && callers < callersLeast {
+		r.count = 0
+	}
+}
+
 // inSuccession counts the crashes that no other request explains, as many as have runs that don't
 // overlap, and the callers of these. Guards against a request that often comes and was at many endpoints
 // when they crashed together, as when a failure domain loses power: its next runs complete.
