--- a/internal/core/crash_test.go
+++ b/internal/core/crash_test.go
@@ -10,14 +10,9 @@
 	"github.com/tealhall/tealhall/internal/route"
 )
 
-// askFor feeds a read of a content and returns its number.
+// askContent feeds a read of a content and returns its number.
 func (y *yard) askContent(content uint64) RequestID {
-	y.nextID++
-	id, a := y.nextID, y.AdmitRoute("a", "/idempotent/x")
-	y.do(func(out *Actions) {
-		y.Arrive(y.now, Arrival{ID: id, Service: a.Service, Admission: a, Replayable: true, Timeout: 3 * sec, CallerAttempt: 1, Content: content, Caller: 1}, out)
-	})
-	return id
+	return y.arrive(route.Idempotent, Arrival{Replayable: true, Timeout: 3 * sec, Content: content, Caller: 1})
 }
 
 // breakOff ends the attempt of a request by the end of its connection; its endpoint has crashed, or not.
@@ -397,11 +392,7 @@
 	if both == 0 {
 		t.Error("a second crash isn't told at once")
 	}
-	y.nextID++
-	once, a := y.nextID, y.AdmitRoute("a", "/non_idempotent/x")
-	y.do(func(out *Actions) {
-		y.Arrive(y.now, Arrival{ID: once, Service: a.Service, Admission: a, Timeout: 3 * sec, CallerAttempt: 1, Content: 9, Caller: 1}, out)
-	})
+	once := y.arrive(route.NonIdempotent, Arrival{Timeout: 3 * sec, Content: 9, Caller: 1})
 	y.run(20 * ms)
 	y.breakOff(once, 1, true)
 	y.run(toldAfter + 100*ms)
--- a/internal/core/yard_test.go
+++ b/internal/core/yard_test.go
@@ -259,16 +259,19 @@
 
 // ask feeds a request of a kind and returns its number.
 func (y *yard) ask(kind route.Kind, left time.Duration) RequestID {
+	return y.arrive(kind, Arrival{Replayable: true, Timeout: left})
+}
+
+// arrive feeds a request of a kind, of which the rest is given, and returns its number.
+func (y *yard) arrive(kind route.Kind, a Arrival) RequestID {
 	y.nextID++
-	a := y.AdmitRoute("a", "/"+string(kind)+"/x")
-	if a.Reason != ReasonNone {
-		y.Fatalf("not admitted: %v", a.Reason)
+	admission := y.AdmitRoute("a", "/"+string(kind)+"/x")
+	if admission.Reason != ReasonNone {
+		y.Fatalf("not admitted: %v", admission.Reason)
 	}
-	id := y.nextID
-	y.do(func(out *Actions) {
-		y.Arrive(y.now, Arrival{ID: id, Service: a.Service, Name: y.name, Admission: a, Replayable: true, Timeout: left, CallerAttempt: 1}, out)
-	})
-	return id
+	a.ID, a.Service, a.Name, a.Admission, a.CallerAttempt = y.nextID, admission.Service, y.name, admission, 1
+	y.do(func(out *Actions) { y.Arrive(y.now, a, out) })
+	return a.ID
 }
 
 // answer ends a request's attempt with a status.
