--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -157,7 +157,9 @@
 
 // isTold reports whether the fleet was told of a crash, or told this entry.
 func (c *Core) isTold(crash quarantine.Crash) bool {
-	return !slices.ContainsFunc(c.untold, func(u untoldCrash) bool { return u.Crash == crash })
+	return !slices.ContainsFunc(c.untold, func(u untoldCrash) bool {
+		return u.Request == crash.Request && u.Endpoint == crash.Endpoint && u.Incarnation == crash.Incarnation
+	})
 }
 
 // crashNumber is a number for a crash, the same at every entry.
--- a/internal/core/crash_test.go
+++ b/internal/core/crash_test.go
@@ -362,9 +362,11 @@
 		y.run(10 * ms)
 	}
 	y.works = 100 * ms
+	y.now += 333 * time.Microsecond // crashes don't come on whole milliseconds
 	for _, id := range ids {
 		y.breakOff(id, 1, true)
 	}
+	y.now += 667 * time.Microsecond
 	y.run(sec)
 	if got := y.EvidenceDigest(); got != 0 {
 		t.Error("the fleet is told of requests that have run since")
