--- a/internal/front/pipeline_test.go
+++ b/internal/front/pipeline_test.go
@@ -36,8 +36,8 @@
 			t.Fatalf("answer %d: %q, %v", i+1, text, err)
 		}
 	}
-	c.send(get("/4"))
 	running.Add(1)
+	c.send(get("/4"))
 	if _, text, err := c.answer(http.MethodGet); err != nil || text != "/4" {
 		t.Errorf("answer after the pipelined ones: %q, %v", text, err)
 	}
