Roster: a removed VM is recorded with the reports that it had made by then

Change: Remove records the removal itself, with the reports made by then; RecordRemoved is for rosters that were read anew only.

--- a/internal/published/roster.go
+++ b/internal/published/roster.go
@@ -41,6 +41,7 @@
 func (r Roster) Clone() Roster {
 	r.vms, r.reports, r.evacuated = maps.Clone(r.vms), maps.Clone(r.reports), maps.Clone(r.evacuated)
 	r.carriedVMs, r.carriedDomains = maps.Clone(r.carriedVMs), maps.Clone(r.carriedDomains)
+	r.removed = slices.Clip(r.removed) // an append must not write to the array of the original
 	return r
 }
 
@@ -53,8 +54,16 @@
 	return !found || known != vm
 }
 
-// Remove removes a VM.
+// Remove removes a VM and records it as removed, with the reports that it had made by then.
 func (r *Roster) Remove(name string) {
+	if _, found := r.vms[name]; found {
+		r.recordRemoval(name, r.reports[name])
+	}
+	r.drop(name)
+}
+
+// drop removes a VM without recording it as removed.
+func (r *Roster) drop(name string) {
 	delete(r.vms, name)
 	delete(r.reports, name)
 	delete(r.carriedVMs, name)
@@ -74,13 +83,18 @@
 // List returns the list of VMs, sorted by name.
 func (r *Roster) List() VMList { return listOf(r.vms, slices.Sorted(maps.Keys(r.evacuated))) }
 
-// RecordRemoved records the VMs of the earlier roster that are no longer in r as removed.
+// RecordRemoved records the VMs of the earlier roster that are missing in r, which was read anew,
+// as removed.
 func (r *Roster) RecordRemoved(before *Roster) {
 	for name := range before.vms {
 		if _, found := r.vms[name]; !found {
-			r.removed = append(r.removed, removal{name, before.reports[name]})
+			r.recordRemoval(name, before.reports[name])
 		}
 	}
+}
+
+func (r *Roster) recordRemoval(name string, reports int64) {
+	r.removed = append(r.removed, removal{name, reports})
 	if excess := len(r.removed) - maxRemoved; excess > 0 {
 		r.removed = slices.Clone(r.removed[excess:])
 	}
@@ -94,7 +108,7 @@
 	r.removed = slices.Clone(before.removed)
 	for _, removed := range before.removed {
 		if reports, found := r.reports[removed.name]; found && reports <= removed.reports {
-			r.Remove(removed.name)
+			r.drop(removed.name)
 		}
 	}
 	for name, vm := range before.vms {
