Log and count what endpoints ask for with Retry-After

Logs and metrics could not tell whether an entry doesn't hear an endpoint's Retry-After (hypothesis 1) or heeds it for first attempts only (2): no line showed what an endpoint had asked for, and attempts of requests that succeed elsewhere have no line.

Added: the header of a 503 decoded once into Head.RetryAfter and ProbeEnd.RetryAfter (seconds with a fraction, or a date by the sender's own clock; contract.ParseRetryAfter), kept on the endpoint's row, retry_after_ms for each attempt in a request's line, requests.backoffs and requests.sent_in_backoff. Nothing is decided by it yet.

Seen with it (three entries of one process, four endpoints that refuse everything with 2 s): each refused request has one attempt, sent 0 ms after it came, to an endpoint that had answered the same entry with retry_after_ms 2000 some 20 ms before. First attempts go there, so hypothesis 2 does not hold. TestParseRetryAfter is new; go test ./internal/core ./internal/contract ./internal/docs green.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -47,12 +47,13 @@
 	if e == nil {
 		return
 	}
-	a.load = h.Load
+	a.load, a.retryAfter = h.Load, h.RetryAfter
 	a.headLatency = now - a.sentAt
 	if h.Misdirected {
 		e.AvoidUntil = now + misdirectedPause
 		return
 	}
+	c.noteRetryAfter(now, e, h.RetryAfter)
 	if h.Load.Known {
 		e.NoteProbed(probedLoadOf(now, h.Load))
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -183,7 +183,10 @@
 	TicksLate                     uint64
 	LoadProbes                    uint64
 	EndpointNotRun, RetriesDenied uint64
-	Ejections, Readmissions       uint64
+	// Backoffs counts the refusals with which an endpoint asked this entry for a time without
+	// requests, SentInBackoff the attempts that were sent within such a time.
+	Backoffs, SentInBackoff uint64
+	Ejections, Readmissions uint64
 	// Crashes counts the known crashes of endpoints under a request.
 	Crashes                         uint64
 	StaleProfiles, RefusedDocuments uint64
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -161,6 +161,9 @@
 		p.placementState.NoteFill(now)
 	}
 	r.tried = r.tried.With(index)
+	if quota.IsBackingOff(now, e) {
+		c.counters.SentInBackoff++
+	}
 	quota.Spend(now, &p.Pool, e)
 	e.Outstanding++
 	e.Probed.SentSince++
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -78,6 +78,9 @@
 	Load    Load
 	// NotRun is set if the endpoint stated explicitly that it did not run the request.
 	NotRun bool
+	// RetryAfter is for how long the endpoint, which refused the request, wants no requests from
+	// this entry; 0 if it does not say so.
+	RetryAfter time.Duration
 	// Draining is set if the endpoint announced that it is leaving.
 	Draining bool
 	// Incarnation is the incarnation that the endpoint reports; 0 if it reports none.
@@ -253,6 +256,8 @@
 	OK      bool
 	Load    Load
 	Latency time.Duration
+	// RetryAfter is for how long the endpoint wants no requests from this entry, as in a Head.
+	RetryAfter time.Duration
 	// Draining and Incarnation are what the endpoint reports about itself.
 	Draining    bool
 	Incarnation uint64
--- a/internal/core/healthprobes.go
+++ b/internal/core/healthprobes.go
@@ -108,6 +108,7 @@
 	if over := end.Latency - c.cfg.ProbeCost; over > 0 {
 		p.healthProbes.Charge(over)
 	}
+	c.noteRetryAfter(now, e, end.RetryAfter)
 	if !end.OK {
 		health.Observe(now, e, health.Observation{Outcome: health.ConnectFailed})
 		return
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -63,9 +63,10 @@
 	sentAt                     time.Duration
 	// expectedDuration is how long the attempt was expected to take when it was sent.
 	expectedDuration time.Duration
-	// status, load and headLatency come from the head of the answer.
+	// status, load, retryAfter and headLatency come from the head of the answer.
 	status      int
 	load        Load
+	retryAfter  time.Duration
 	headLatency time.Duration
 	// endpoint is the endpoint's name, probedLoad and limit the load and rate limit that it had
 	// reported; end, cause and took describe the end of the attempt, for the request trace.
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -130,6 +130,13 @@
 	Warmup time.Duration
 }
 
+// Backoff is a time for which an endpoint wants no requests from this entry. It is owned by package
+// quota.
+type Backoff struct {
+	// Until is when it ends; 0 or a past time if the endpoint asked for none.
+	Until time.Duration
+}
+
 // Endpoint is one endpoint VM.
 type Endpoint struct {
 	Name        string
@@ -156,6 +163,8 @@
 	Cold Cold
 	// Limit is the rate limit that the endpoint reports.
 	Limit Limit
+	// Backoff is the time for which the endpoint asked this entry to send it nothing.
+	Backoff Backoff
 	// Missing says that the platform's list no longer has the endpoint. It is used only because no
 	// other endpoint is left.
 	Missing bool
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -59,6 +59,8 @@
 	// Second is set if the attempt was sent while an earlier attempt was running.
 	Second bool `json:"second,omitempty"`
 	Status int  `json:"status,omitempty"`
+	// RetryAfterMillis is for how many milliseconds the endpoint asked for no more requests.
+	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
 	// End is how the attempt ended, "running" if it had not ended; Cause names the fault, if any.
 	End   string `json:"end"`
 	Cause string `json:"cause,omitempty"`
@@ -112,6 +114,6 @@
 	return AttemptTrace{
 		Endpoint: a.endpoint, AtMillis: (a.sentAt - r.arrived).Milliseconds(), TookMillis: took.Milliseconds(),
 		Running: a.probedLoad.Running, Waiting: a.probedLoad.Waiting, Pace: a.probedLoad.Pace, AgeMillis: (a.sentAt - a.probedLoad.At).Milliseconds(), Limit: a.limit,
-		Second: a.hedge, Status: a.status, End: a.end.String(), Cause: a.cause,
+		Second: a.hedge, Status: a.status, RetryAfterMillis: a.retryAfter.Milliseconds(), End: a.end.String(), Cause: a.cause,
 	}
 }
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -110,7 +110,8 @@
 	head := e.dialect.ReadHead(end.Probe.Endpoint, request.Header, response.Header, response.StatusCode)
 	end.OK = response.StatusCode < http.StatusInternalServerError || head.NotRun
 	end.Unhealthy = response.StatusCode >= http.StatusInternalServerError
-	end.Load, end.Draining, end.Incarnation, end.Misdirected = head.Load, head.Draining, head.Incarnation, head.Misdirected
+	end.Load, end.RetryAfter, end.Draining = head.Load, head.RetryAfter, head.Draining
+	end.Incarnation, end.Misdirected = head.Incarnation, head.Misdirected
 }
 
 // fetch gets a published value from a peer or the configuration service.
--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -115,6 +115,7 @@
 func (nativeDialect) ReadHead(_ string, _, answer http.Header, status int) core.Head {
 	h := core.Head{Status: status}
 	_, h.NotRun = contract.ProvedNotRun(status, answer)
+	h.RetryAfter = contract.ParseRetryAfter(status, answer, time.Now())
 	h.Draining = answer.Get(contract.HeaderDraining) == contract.DrainingValue
 	h.Incarnation, _ = contract.ParseIncarnation(answer.Get(contract.HeaderIncarnation))
 	load, ok := contract.ParseLoad(answer.Get(contract.HeaderLoad))
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -115,6 +115,8 @@
 		total("requests.forwarded", c.Forwarded),
 		total("requests.replayed", c.Replayed),
 		total("requests.endpoint_not_run", c.EndpointNotRun),
+		total("requests.backoffs", c.Backoffs),
+		total("requests.sent_in_backoff", c.SentInBackoff),
 		total("requests.looks", c.LoadProbes),
 		total("requests.crashes", c.Crashes),
 		gauge("requests.suspected", float64(f.view.Suspects)),
