An endpoint's Retry-After binds the entry that it answered

Cause: what an endpoint says of itself in an answer had no place in the decision whether it may get a request. What remained after a refusal was AvoidUntil, 0.5 s, which only orders the choice. Evidence: with the header in the log and nothing decided by it, first attempts go to the endpoint some 20 ms after its refusal; the time asked for makes no difference. Ruled out: that only repeats or trials go there, that they were under way (the lines say sent 0 ms after they came).

Change: quota.Of, the one check that all senders make, has a status BackingOff. It holds for first and second attempts, hedges, trials, hand-outs of the queue, blind choices and keys' homes. What was placed and not yet written is withdrawn by MaySend and placed again without a budget. Load, health and crash probes leave the endpoint alone too. A shorter time, a refusal without one, an answer that arrives meanwhile or a gap in the VM list don't end it; another incarnation isn't bound by it; an hour is the longest. After it the endpoint is half open: one request at a time until one is accepted, or a queue would be sent at once to an endpoint that still refuses. While all endpoints of a pool back off, requests that can't be in time afterwards are refused at once with the time at which the first is back, a little later at random; the others wait. Room, slow start and the choice of another failure domain see such endpoints as no room.

--- a/client/session.go
+++ b/client/session.go
@@ -90,6 +90,7 @@
 	"deadline":         true,
 	"no-endpoint":      true,
 	"endpoints-refuse": true,
+	"backoff":          true,
 }
 
 // otherEntryMayHelp has the reasons for which another entry may be able to serve the request. All
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/quota"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/message"
 )
@@ -53,6 +54,9 @@
 		e.AvoidUntil = now + misdirectedPause
 		return
 	}
+	if h.Status != http.StatusServiceUnavailable && !h.NotRun {
+		quota.NoteAccepted(e, a.sentAt)
+	}
 	c.noteRetryAfter(now, e, h.RetryAfter)
 	if h.Load.Known {
 		e.NoteProbed(probedLoadOf(now, h.Load))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	"github.com/tealhall/tealhall/internal/core/health"
 	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/quarantine"
+	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/idem"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/profile"
@@ -148,6 +149,8 @@
 
 	// limits holds the rate limits of endpoints by name and incarnation.
 	limits map[endpointID]knownLimit
+	// backoffs holds the backoffs of removed endpoints.
+	backoffs map[endpointID]table.Backoff
 
 	fleet fleet
 	state message.EntryState
@@ -209,6 +212,7 @@
 		explained:  newExplanations(),
 		quarantine: quarantine.NewTable(),
 		limits:     make(map[endpointID]knownLimit),
+		backoffs:   make(map[endpointID]table.Backoff),
 	}
 	c.initFleet()
 	return c
@@ -243,6 +247,7 @@
 		c.expirePeerSlots(now)
 		c.quarantine.Expire(now)
 		c.forgetLimits(now)
+		c.forgetBackoffs(now)
 	}
 	if now >= c.nextSweep {
 		c.nextSweep = now + sweepPeriod
--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/quarantine"
+	"github.com/tealhall/tealhall/internal/core/quota"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/message"
 )
@@ -72,7 +73,7 @@
 	c.brokenAttempts = slices.DeleteFunc(c.brokenAttempts, func(b brokenAttempt) bool { return now-b.at >= crashProbeDuration })
 	for i := range c.brokenAttempts {
 		b := &c.brokenAttempts[i]
-		if now < b.probeAt || !c.spendCrashProbe(now, b.pool) {
+		if now < b.probeAt || b.inBackoff(now) || !c.spendCrashProbe(now, b.pool) {
 			continue
 		}
 		for j := range c.brokenAttempts {
@@ -85,6 +86,12 @@
 	}
 }
 
+// inBackoff reports whether the endpoint of the attempt wants no requests from this entry now.
+func (b *brokenAttempt) inBackoff(now time.Duration) bool {
+	i := b.pool.find(b.endpoint, b.incarnation)
+	return i >= 0 && quota.InBackoff(now, &b.pool.Endpoints[i])
+}
+
 func (c *Core) spendCrashProbe(now time.Duration, p *pool) bool {
 	if p.usesLoadProbes() {
 		return p.loadProbes.TrySpend(now, p.countLive(), c.fleet.ownShare)
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -105,8 +105,8 @@
 }
 
 // capacity counts the pool's slots and those that look idle: neither used by this entry nor
-// reported in use by others within the last service time. An endpoint with a rate limit counts as
-// one free slot if it may get a request now, and as none otherwise.
+// reported in use by others within the last service time. A throttled endpoint counts as one free
+// slot if it may get a request now, and as none otherwise.
 func (p *pool) capacity(now time.Duration) queue.Capacity {
 	var c queue.Capacity
 	for i := range p.Endpoints {
@@ -114,7 +114,7 @@
 		if !e.TakesWork() {
 			continue
 		}
-		if quota.IsLimited(e) {
+		if quota.IsThrottled(e) {
 			if quota.Of(now, &p.Pool, e) == quota.Granted {
 				c.Slots, c.Free = c.Slots+1, c.Free+1
 			}
@@ -161,7 +161,7 @@
 		p.placementState.NoteFill(now)
 	}
 	r.tried = r.tried.With(index)
-	if quota.IsBackingOff(now, e) {
+	if quota.InBackoff(now, e) {
 		c.counters.SentInBackoff++
 	}
 	quota.Spend(now, &p.Pool, e)
@@ -187,7 +187,7 @@
 
 // MaySend is called by the driver right before it writes the first byte of an attempt. It returns
 // false if the request was answered, cancelled or quarantined meanwhile, if its deadline passed, or
-// if its endpoint is leaving. A process that was suspended between the decision and the write must
+// if its endpoint is leaving or backing off. A process that was suspended between the decision and the write must
 // not send a request that its caller has given up or that was reported as not run. After false the
 // driver reports EndNotWritten.
 func (c *Core) MaySend(now time.Duration, id RequestID, n Attempt) bool {
@@ -201,7 +201,7 @@
 	if r.committed != 0 && r.committed != n || c.isQuarantined(now, r) {
 		return false
 	}
-	if a := &r.attempts[n]; !a.forward && !r.pool.takesWork(a) {
+	if a := &r.attempts[n]; !a.forward && !r.pool.accepts(now, a) {
 		return false
 	}
 	return !r.keyed || c.keys.MayDispatch(r.arrival.Key)
@@ -213,6 +213,11 @@
 	return e != nil && e.TakesWork()
 }
 
+// accepts reports whether the endpoint of an attempt that was not written yet still gets it.
+func (p *pool) accepts(now time.Duration, a *attempt) bool {
+	return p.takesWork(a) && !quota.InBackoff(now, p.endpointAt(a.index, a.incarnation))
+}
+
 // drainQueues dispatches waiting requests in all pools.
 func (c *Core) drainQueues(now time.Duration, out *Actions) {
 	for _, p := range c.poolRows {
@@ -222,6 +227,7 @@
 
 // drainPool dispatches waiting requests of a pool until no more can be sent now.
 func (c *Core) drainPool(now time.Duration, p *pool, out *Actions) {
+	c.refuseUnservable(now, p, out)
 	for p.queue.Len() > 0 {
 		if c.waitsForLoadProbe(now, p) {
 			return
@@ -250,8 +256,8 @@
 		c.fail(now, r, ReasonDeadline, out)
 		return true
 	}
-	if !r.pool.hasLive() {
-		c.fail(now, r, ReasonNoEndpoint, out)
+	if reason := c.unservable(now, r); reason != ReasonNone {
+		c.fail(now, r, reason, out)
 		return true
 	}
 	if c.usesLoadProbes(r) {
--- a/internal/core/entryharness_test.go
+++ b/internal/core/entryharness_test.go
@@ -56,6 +56,9 @@
 	coldUntil time.Duration
 	// limit is the rate limit, in requests per second, that the endpoint reports in its answers.
 	limit float64
+	// refuses makes the endpoint refuse all requests, with the given Retry-After.
+	refuses    bool
+	retryAfter time.Duration
 	// busyUntil is until when each slot is busy, in a harness with endpointsQueue.
 	busyUntil [2]time.Duration
 }
@@ -198,7 +201,9 @@
 				h.schedule(map[bool]time.Duration{false: ms, true: sec}[ep.silent], func() { h.refuseDial(d) })
 			} else {
 				ep.running++
-				if h.serviceTime > 0 {
+				if ep.refuses {
+					h.schedule(ms, func() { h.refuse(d, ep.retryAfter) })
+				} else if h.serviceTime > 0 {
 					duration := h.serviceTime * time.Duration(max(ep.pace, 100)) / 100
 					if h.endpointsQueue {
 						duration = ep.occupySlot(h.now, duration)
@@ -293,6 +298,17 @@
 	})
 }
 
+// refuse ends an attempt that its endpoint refused with the given Retry-After.
+func (h *entryHarness) refuse(d Directive, retryAfter time.Duration) {
+	delete(h.open[d.ID], d.Attempt)
+	ep := h.endpoint(d.Endpoint)
+	ep.running--
+	h.do(func(out *Actions) {
+		h.Head(h.now, Head{ID: d.ID, Attempt: d.Attempt, Status: 503, NotRun: true, RetryAfter: retryAfter, Load: Load{Known: true, Slots: 2, Pace: 100}}, out)
+		h.End(h.now, End{ID: d.ID, Attempt: d.Attempt, Kind: EndNotRun, Replayable: true}, out)
+	})
+}
+
 // learnServiceTime sends the given number of reads, from which the core learns that reads take 100
 // ms, and leaves the endpoints idle.
 func (h *entryHarness) learnServiceTime(requests int) {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -294,6 +294,7 @@
 		}
 		p.newRows = true
 		c.applyLimit(now, p, index, "a peer", out)
+		c.takeBackoff(&p.Endpoints[index])
 		c.fleet.rows[ch.VM.Name] = endpointRef{pool: p, index: index}
 	case member.EndpointLeaving:
 		if e := c.rowOfVM(&ch.VM); e != nil {
@@ -306,6 +307,7 @@
 	case member.EndpointGone:
 		if e := c.rowOfVM(&ch.VM); e != nil {
 			e.State = table.EndpointGone
+			c.keepBackoff(now, e)
 			delete(c.fleet.rows, ch.VM.Name)
 			out.DropAddresses = append(out.DropAddresses, ch.VM.Address)
 		}
--- a/internal/core/healthprobes.go
+++ b/internal/core/healthprobes.go
@@ -5,6 +5,7 @@
 
 	"github.com/tealhall/tealhall/internal/core/assign"
 	"github.com/tealhall/tealhall/internal/core/health"
+	"github.com/tealhall/tealhall/internal/core/quota"
 	"github.com/tealhall/tealhall/internal/core/table"
 )
 
@@ -74,7 +75,7 @@
 }
 
 func wantsProbe(now time.Duration, e *table.Endpoint) bool {
-	if e.State != table.EndpointLive || e.Outstanding > 0 {
+	if e.State != table.EndpointLive || e.Outstanding > 0 || quota.InBackoff(now, e) {
 		return false
 	}
 	return now-lastSeen(e) >= probeAfter
--- a/internal/core/loadprobes.go
+++ b/internal/core/loadprobes.go
@@ -251,8 +251,8 @@
 		c.delayProbeRound(now, r)
 		return
 	}
-	if !r.pool.hasLive() {
-		c.fail(now, r, ReasonNoEndpoint, out)
+	if reason := c.unservable(now, r); reason != ReasonNone {
+		c.fail(now, r, reason, out)
 		return
 	}
 	r.noRoom++
--- a/internal/core/placement/busy.go
+++ b/internal/core/placement/busy.go
@@ -45,7 +45,7 @@
 	}
 	near := 0
 	for i := range v.Endpoints {
-		if e := &v.Endpoints[i]; v.isNear(e) && e.TakesWork() {
+		if e := &v.Endpoints[i]; v.isNear(e) && v.granted(e) {
 			near++
 		}
 	}
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -151,8 +151,8 @@
 			continue
 		}
 		live++
-		if !e.Probed.Seen || now-e.Probed.At > fullFor || quota.IsLimited(e) {
-			continue // a rate-limited endpoint may look idle but has no room for other requests
+		if !e.Probed.Seen || now-e.Probed.At > fullFor || quota.IsThrottled(e) {
+			continue // a throttled endpoint may look idle but has no room for other requests
 		}
 		known++
 		if p.full(now, e) {
--- a/internal/core/placement/slowstart.go
+++ b/internal/core/placement/slowstart.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/quota"
 	"github.com/tealhall/tealhall/internal/core/table"
 )
 
@@ -17,7 +18,7 @@
 func BeginSlowStart(now time.Duration, others []table.Endpoint, joining *table.Endpoint) {
 	for i := range others {
 		e := &others[i]
-		if e.State == table.EndpointLive && e.SlowUntil == 0 && now-e.AdmittedAt >= slowStartTime {
+		if e.State == table.EndpointLive && !quota.InBackoff(now, e) && e.SlowUntil == 0 && now-e.AdmittedAt >= slowStartTime {
 			joining.SlowUntil = now + slowStartTime
 			joining.Slots = AllowedSlots(now, joining)
 			return
--- a/internal/core/queuewait.go
+++ b/internal/core/queuewait.go
@@ -33,7 +33,7 @@
 func (c *Core) queueUntil(now time.Duration, r *request) (until time.Duration, rank int) {
 	r.queuedOnce = true
 	if r.policy.Objective == 0 {
-		return max(r.arrived+time.Duration(noObjectiveWaitShare*float64(r.deadline-r.arrived)), now+time.Millisecond), r.policy.Priority
+		return max(r.arrived+r.longestWait(), now+time.Millisecond), r.policy.Priority
 	}
 	if until = r.latestInTime(); now < until {
 		return until, inTimeRank + r.policy.Priority
@@ -46,6 +46,11 @@
 	return max(r.lateUntil, now+time.Millisecond), r.policy.Priority
 }
 
+// longestWait is how long a request without a latency objective waits.
+func (r *request) longestWait() time.Duration {
+	return time.Duration(noObjectiveWaitShare * float64(r.deadline-r.arrived))
+}
+
 // latestInTime is the latest start at which r is typically answered within its latency objective,
 // counted from the caller's first try.
 func (r *request) latestInTime() time.Duration {
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -31,6 +31,8 @@
 	Gone
 	// Evacuated: the operator has evacuated the endpoint's failure domain.
 	Evacuated
+	// BackingOff: the endpoint has asked this entry for a time without requests.
+	BackingOff
 	// ColdElsewhere: the endpoint is cold and owned by other entries.
 	ColdElsewhere
 	// ColdSpent: the endpoint is cold, and this entry has spent its quota for it.
@@ -41,7 +43,7 @@
 	LimitSpent
 )
 
-var statusNames = [...]string{"granted", "leaving", "gone", "evacuated", "cold-elsewhere", "cold-spent", "limit-elsewhere", "limit-spent"}
+var statusNames = [...]string{"granted", "leaving", "gone", "evacuated", "backing-off", "cold-elsewhere", "cold-spent", "limit-elsewhere", "limit-spent"}
 
 // String returns the status as the log shows it.
 func (s Status) String() string { return statusNames[s] }
@@ -55,6 +57,8 @@
 		return Gone
 	case e.Evacuated:
 		return Evacuated
+	case isBackingOff(now, e):
+		return BackingOff
 	case IsCold(now, p, e) && !e.Cold.Owned:
 		return ColdElsewhere
 	case IsCold(now, p, e) && tokens(now, &e.Cold.OwnerQuota, p.ColdQuota.Rate) < 1:
@@ -72,6 +76,10 @@
 // IsLimited reports whether the endpoint reports a limit on the requests that it accepts.
 func IsLimited(e *table.Endpoint) bool { return e.Limit.Rate > 0 }
 
+// IsThrottled reports whether the endpoint gets fewer requests than it has free slots, so that its
+// load does not show how much room it has.
+func IsThrottled(e *table.Endpoint) bool { return IsLimited(e) || e.Backoff.HalfOpen }
+
 // IsCold reports whether the endpoint is cold and its pool has a bound for cold endpoints.
 func IsCold(now time.Duration, p *table.Pool, e *table.Endpoint) bool {
 	return now < e.Cold.Until && p.ColdQuota.Bound > 0
@@ -85,6 +93,9 @@
 	if IsLimited(e) {
 		e.Limit.Tokens, e.Limit.At = tokens(now, &e.Limit.OwnerQuota, e.Limit.OwnerRate)-1, now
 	}
+	if e.Backoff.HalfOpen {
+		e.Backoff.NextAt = now + halfOpenGap
+	}
 }
 
 // tokens returns how many requests this entry may send now under a quota with the given rate. An
--- a/internal/core/reason.go
+++ b/internal/core/reason.go
@@ -18,6 +18,7 @@
 	ReasonNoEndpoint
 	ReasonOverload
 	ReasonEndpointsRefuse
+	ReasonBackoff
 	ReasonEndpointLost
 	ReasonQuarantined
 	ReasonAnswerBroken
@@ -60,6 +61,7 @@
 	ReasonNoEndpoint:      {"no-endpoint", http.StatusServiceUnavailable, "come back after Retry-After; no endpoint of the service takes work now"},
 	ReasonOverload:        {"overload", http.StatusServiceUnavailable, "use another entry; this one has reached its bound of requests in flight"},
 	ReasonEndpointsRefuse: {"endpoints-refuse", http.StatusServiceUnavailable, "come back after Retry-After; every endpoint tried refused the request"},
+	ReasonBackoff:         {"backoff", http.StatusServiceUnavailable, "come back after Retry-After; all endpoints of the service have asked for a time without requests"},
 	ReasonEndpointLost:    {"endpoint-lost", http.StatusBadGateway, "ask again only if running the request twice is harmless, or with the same idempotency key"},
 	ReasonQuarantined:     {"quarantined", http.StatusServiceUnavailable, "mend the request or the service; endpoints crashed whenever they ran it, and it is not sent again for minutes"},
 	ReasonAnswerBroken:    {"answer-broken", http.StatusBadGateway, "ask again only if running the request twice is harmless, or with the same idempotency key"},
--- a/internal/core/reply.go
+++ b/internal/core/reply.go
@@ -66,7 +66,7 @@
 )
 
 // retryAfter returns the delay after which the caller should try again, or 0 if the reason's status
-// calls for none: the remaining time of a quarantine, a random delay for a service that uses load
+// calls for none: the remaining time of a quarantine or backoff, a random delay for a service that uses load
 // probes, and otherwise the expected wait in the current queue.
 func (c *Core) retryAfter(now time.Duration, r *request, reason Reason) time.Duration {
 	switch reason.Status() {
@@ -77,6 +77,9 @@
 	if reason == ReasonQuarantined {
 		return c.quarantineLeft(now, r.identity())
 	}
+	if reason == ReasonBackoff {
+		return c.backoffDelay(now, r)
+	}
 	if c.usesLoadProbes(r) {
 		return c.retryDelayAfter(now, r, reason)
 	}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -245,8 +245,8 @@
 // place dispatches r now or puts it into its pool's queue.
 func (c *Core) place(now time.Duration, r *request, out *Actions) {
 	p := r.pool
-	if !p.hasLive() {
-		c.fail(now, r, ReasonNoEndpoint, out)
+	if reason := c.unservable(now, r); reason != ReasonNone {
+		c.fail(now, r, reason, out)
 		return
 	}
 	if p.queue.Len() == 0 && c.tryDispatch(now, r, false, out) {
@@ -264,16 +264,6 @@
 	return c.services[a.Service]
 }
 
-// hasLive reports whether any endpoint of the pool takes work.
-func (p *pool) hasLive() bool {
-	for i := range p.Endpoints {
-		if p.Endpoints[i].TakesWork() {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *Core) enqueue(now time.Duration, r *request, out *Actions) {
 	p := r.pool
 	item := queue.Item{
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -25,6 +25,10 @@
 		c.fail(now, r, r.lastReason, out)
 		return
 	}
+	if c.unservable(now, r) == ReasonBackoff {
+		c.fail(now, r, ReasonBackoff, out)
+		return
+	}
 	if refusedIdleOnly(a, e) && r.replayable {
 		r.idleRefusals++
 		r.service.idleRetry.TrySpend(now)
--- a/internal/core/supervision.go
+++ b/internal/core/supervision.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/placement"
+	"github.com/tealhall/tealhall/internal/core/quota"
 )
 
 // A request that may run twice is supervised once it has been sent: a load probe shows if its
@@ -92,11 +93,12 @@
 	c.startLoadProbes(now, r, true, out)
 }
 
-// probeRunning probes the endpoint that runs r. The first batch of load probes to other endpoints
+// probeRunning probes the endpoint that runs r, unless that is backing off. The first batch of load probes to other endpoints
 // follows at once.
 func (c *Core) probeRunning(now time.Duration, r *request, out *Actions) {
 	a := &r.attempts[1]
-	if r.pool.endpointAt(a.index, a.incarnation) != nil && r.pool.loadProbes.TrySpend(now, r.pool.countLive(), c.fleet.ownShare) {
+	e := r.pool.endpointAt(a.index, a.incarnation)
+	if e != nil && !quota.InBackoff(now, e) && r.pool.loadProbes.TrySpend(now, r.pool.countLive(), c.fleet.ownShare) {
 		c.probeLoad(r, a.index, out)
 	}
 }
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -135,6 +135,10 @@
 type Backoff struct {
 	// Until is when it ends; 0 or a past time if the endpoint asked for none.
 	Until time.Duration
+	// HalfOpen is set from its beginning until the endpoint has accepted a request that was sent
+	// after its end. The next such request may be sent at NextAt.
+	HalfOpen bool
+	NextAt   time.Duration
 }
 
 // Endpoint is one endpoint VM.
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -36,7 +36,9 @@
 	// room by the newest load known at the end, and Queued the requests that wait in this entry for
 	// the pool.
 	Endpoints, Full, Queued int
-	Attempts                []AttemptTrace
+	// BackingOff counts the endpoints of the pool that want no requests from this entry at the end.
+	BackingOff int
+	Attempts   []AttemptTrace
 	// Sampled is set if the request went well and is traced as a sample.
 	Sampled bool
 }
@@ -99,7 +101,7 @@
 		CallerAge: r.age, Took: took, Objective: r.policy.Objective, LoadProbes: r.loadProbes, NoRoom: r.noRoom, Late: r.late, Sampled: sampled,
 	}
 	trace.Endpoints, _, trace.Full = r.pool.placementState.Fullness(c.now, r.pool.Endpoints)
-	trace.Queued = r.pool.queue.Len()
+	trace.Queued, trace.BackingOff = r.pool.queue.Len(), r.pool.backingOff(c.now)
 	for i := Attempt(1); i <= r.dispatches; i++ {
 		trace.Attempts = append(trace.Attempts, c.traceAttempt(r, &r.attempts[i]))
 	}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -91,8 +91,9 @@
 	Live, Leaving, Ejected, Evacuated int
 	// Cold counts the cold endpoints, Owned those of them to which this entry may send.
 	Cold, Owned int
-	// Limited counts the endpoints that report a rate limit.
-	Limited int
+	// Limited counts the endpoints that report a rate limit, BackingOff those that want no requests
+	// from this entry now.
+	Limited, BackingOff int
 	// ViewWrong says that most endpoints look bad, so that none is ejected.
 	ViewWrong bool
 	// HealthProbeShare is the share of slot time that all entries may spend on health probes.
@@ -259,6 +260,7 @@
 		Probes:           spent.Probes,
 		ProbesDenied:     spent.Denied,
 		ProbeTime:        spent.SlotTime,
+		BackingOff:       p.backingOff(now),
 	}
 	for i := range p.Endpoints {
 		v.count(&p.Endpoints[i], quota.IsCold(now, &p.Pool, &p.Endpoints[i]))
