An answer that says that its endpoint leaves ends the traffic to it

And in both contracts answers to load probes and crash probes were not looked at for it, answers to requests and health probes alone.

One function records what answers to probes of any kind ask of the entry (Retry-After, leaving). Nothing is new after that: the evidence is final for the incarnation, stops what was placed and not yet written and goes to the fleet.

TestEndpointThatLeavesInProbeAnswerGetsNoRequests failed before (49 requests).

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -64,18 +64,23 @@
 	if h.Load.RateLimit > 0 || h.Status < http.StatusInternalServerError && !h.NotRun {
 		c.noteReportedLimit(now, p, e, h.Load.RateLimit, out)
 	}
-	c.evidenceFromAnswer(now, e, h.Draining, h.Incarnation, out)
+	if h.Draining && (h.Incarnation == 0 || h.Incarnation == e.Incarnation) {
+		c.noteDraining(now, e, out)
+	}
+	c.noteIncarnation(now, e, h.Incarnation, out)
+}
+
+// noteIncarnation records that an endpoint answered, and which incarnation it reports, 0 for none.
+func (c *Core) noteIncarnation(now time.Duration, e *table.Endpoint, incarnation uint64, out *Actions) {
+	if changes := c.fleet.members.Answered(now, e.Name, incarnation); len(changes) > 0 {
+		c.applyChanges(now, changes, "endpoint "+e.Name, out)
+	}
 }
 
-// evidenceFromAnswer turns the incarnation and the draining state that an endpoint reports into
-// evidence.
-func (c *Core) evidenceFromAnswer(now time.Duration, e *table.Endpoint, draining bool, incarnation uint64, out *Actions) {
-	name, known := e.Name, e.Incarnation
-	if changes := c.fleet.members.Answered(now, name, incarnation); len(changes) > 0 {
-		c.applyChanges(now, changes, "endpoint "+name, out)
-	}
-	if draining && (incarnation == 0 || incarnation == known) && e.State == table.EndpointLive {
-		c.applyEvidence(now, out, message.Evidence{VM: name, Incarnation: known, Kind: message.EvidenceLeaving})
+// noteDraining records that an endpoint has announced that it is leaving, and notifies the fleet.
+func (c *Core) noteDraining(now time.Duration, e *table.Endpoint, out *Actions) {
+	if e.State == table.EndpointLive {
+		c.applyEvidence(now, out, message.Evidence{VM: e.Name, Incarnation: e.Incarnation, Kind: message.EvidenceLeaving})
 	}
 }
 
--- a/internal/core/entryharness_test.go
+++ b/internal/core/entryharness_test.go
@@ -59,6 +59,8 @@
 	// refuses makes the endpoint refuse all requests, with the given Retry-After.
 	refuses    bool
 	retryAfter time.Duration
+	// leaving is set if the endpoint says in answers to load probes that it is leaving.
+	leaving bool
 	// busyUntil is until when each slot is busy, in a harness with endpointsQueue.
 	busyUntil [2]time.Duration
 }
@@ -238,7 +240,7 @@
 
 func (h *entryHarness) answerLoadProbe(p Probe) {
 	ep := h.endpoint(p.Endpoint)
-	end := ProbeEnd{Probe: p, OK: !ep.silent && !ep.dead, Refused: ep.dead && !ep.silent, Misdirected: ep.misdirected, Latency: ms,
+	end := ProbeEnd{Probe: p, OK: !ep.silent && !ep.dead, Refused: ep.dead && !ep.silent, Misdirected: ep.misdirected, Draining: ep.leaving, Latency: ms,
 		Load: Load{Known: !ep.silent, InFlight: ep.running, Queued: ep.waiting, Slots: 2, Pace: max(ep.pace, 100), Cold: max(0, ep.coldUntil-h.now)}}
 	h.do(func(out *Actions) { h.ProbeEnd(h.now, end, out) })
 }
--- a/internal/core/healthprobes.go
+++ b/internal/core/healthprobes.go
@@ -92,6 +92,7 @@
 	if !ok {
 		return
 	}
+	c.observeProbe(now, p, &end, out)
 	if end.Probe.CrashProbe {
 		c.crashProbeEnd(now, end, out)
 		return
@@ -109,7 +110,6 @@
 	if over := end.Latency - c.cfg.ProbeCost; over > 0 {
 		p.healthProbes.Charge(over)
 	}
-	c.noteRetryAfter(now, e, end.RetryAfter)
 	if !end.OK {
 		health.Observe(now, e, health.Observation{Outcome: health.ConnectFailed})
 		return
@@ -118,10 +118,23 @@
 		foreign := max(0, end.Load.InFlight+end.Load.Queued-int(e.Outstanding))
 		e.Reported = table.ReportedLoad{Foreign: int32(foreign), At: now, Seen: true}
 	}
-	c.evidenceFromAnswer(now, e, end.Draining, end.Incarnation, out)
+	c.noteIncarnation(now, e, end.Incarnation, out)
 	c.drainPool(now, p, out)
 }
 
+// observeProbe records what the answer to a probe of any kind asks of this entry.
+func (c *Core) observeProbe(now time.Duration, p *pool, end *ProbeEnd, out *Actions) {
+	i := p.find(end.Probe.Endpoint, end.Probe.Incarnation)
+	otherProcess := end.Misdirected || end.Incarnation != 0 && end.Incarnation != end.Probe.Incarnation
+	if i < 0 || otherProcess {
+		return
+	}
+	c.noteRetryAfter(now, &p.Endpoints[i], end.RetryAfter)
+	if end.Draining {
+		c.noteDraining(now, &p.Endpoints[i], out)
+	}
+}
+
 // sweepHealth ejects and readmits endpoints.
 func (c *Core) sweepHealth(now time.Duration, out *Actions) {
 	for _, p := range c.poolRows {
--- a/internal/core/leaving_test.go
+++ b/internal/core/leaving_test.go
@@ -1,6 +1,9 @@
 package core
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // An entry has just started when an endpoint drains, and the VM list cannot be read. The endpoint
 // refuses the first read because it is leaving, and the caller got the outcome not-run although two
@@ -35,3 +38,19 @@
 		t.Errorf("the leaving endpoint refused %d requests, want 1 or 2: those already under way", refusals)
 	}
 }
+
+// Guards against an endpoint that gets requests after it has said in the answer to a load probe
+// that it is leaving, and against a fleet that is not told.
+func TestEndpointThatLeavesInProbeAnswerGetsNoRequests(t *testing.T) {
+	h := newEntryHarness(t, idleEndpoints(3, "d0")...)
+	h.learnServiceTime(8)
+	h.endpoint("d0-0").leaving = true
+	h.serviceTime = 20 * ms
+	h.sendReads(10*ms, sec)
+	if n := h.sentSince("d0-0", 0); n > 0 {
+		t.Errorf("the endpoint got %d requests", n)
+	}
+	if !slices.ContainsFunc(h.notes, func(n Note) bool { return n.Action == "endpoint-leaving" }) {
+		t.Errorf("the trail does not show that the endpoint leaves: %+v", h.notes)
+	}
+}
--- a/internal/core/loadprobes.go
+++ b/internal/core/loadprobes.go
@@ -153,9 +153,6 @@
 
 // loadProbeEnd processes the result of a load probe.
 func (c *Core) loadProbeEnd(now time.Duration, p *pool, e *table.Endpoint, end ProbeEnd, out *Actions) {
-	if !end.Misdirected {
-		c.noteRetryAfter(now, e, end.RetryAfter)
-	}
 	p.placementState.NoteContact(now, e.Domain, end.OK || end.Unhealthy || end.Misdirected)
 	switch {
 	case end.Misdirected:
