A leaving listener accepts the connections that wait after its deadline

When the goroutine that accepts gets no processor until it has passed, AcceptTCP returns the deadline's error although connections wait in the kernel, and the close resets them.

Change: after the deadline the listener asks the kernel whether a connection waits, and closes only if none does. New attempts are dropped by then, so this ends.

Tested: TestLeavingListenerAcceptsConnectionsAfterItsDeadline sets the deadline into the past with three connections waiting; it fails before ("use of closed network connection") and passes 20 times under the race detector.

--- a/internal/forward/socket/socket.go
+++ b/internal/forward/socket/socket.go
@@ -73,6 +73,15 @@
 	return errors.Join(err, optErr)
 }
 
+// ConnectionWaits reports whether a listening socket has a connection to accept.
+func ConnectionWaits(raw syscall.RawConn) bool {
+	var ready int
+	_ = raw.Control(func(fd uintptr) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return ready > 0
+}
+
 // ReadState is what a read from a connection would return.
 type ReadState uint8
 
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -34,11 +34,15 @@
 	for {
 		tcp, err := l.TCPListener.AcceptTCP()
 		if err != nil {
-			if l.leaving.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-				l.TCPListener.Close()
-				return nil, net.ErrClosed
+			if !l.leaving.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+				return nil, err
 			}
-			return nil, err
+			if l.connectionWaits() {
+				l.TCPListener.SetDeadline(time.Now().Add(drainTime))
+				continue
+			}
+			l.TCPListener.Close()
+			return nil, net.ErrClosed
 		}
 		if err := l.server.setOptions(tcp); err != nil {
 			tcp.Close()
@@ -58,6 +62,13 @@
 	l.TCPListener.SetDeadline(time.Now().Add(drainTime))
 }
 
+// connectionWaits reports whether the kernel has a connection to accept. The deadline of the
+// listener may have passed before this goroutine got processor time to accept all of them.
+func (l *listener) connectionWaits() bool {
+	raw, err := l.TCPListener.SyscallConn()
+	return err == nil && socket.ConnectionWaits(raw)
+}
+
 // setOptions makes the kernel detect a caller that disappears without closing its connection.
 func (s *Server) setOptions(tcp *net.TCPConn) error {
 	if err := tcp.SetKeepAliveConfig(socket.KeepAlive(s.cfg.KeepAlive)); err != nil {
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/forward"
+	"github.com/tealhall/tealhall/internal/forward/socket"
 )
 
 func decimal(n int) string     { return strconv.Itoa(n) }
@@ -220,3 +221,30 @@
 		t.Errorf("%s was started behind an answer that closes the connection", path)
 	}
 }
+
+// Guards against connections that are reset because the goroutine that accepts them got no
+// processor time until the leaving listener's deadline had passed.
+func TestLeavingListenerAcceptsConnectionsAfterItsDeadline(t *testing.T) {
+	tcp, err := socket.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tcp.Close()
+	l := &listener{TCPListener: tcp, server: NewServer(ServerConfig{}, nil)}
+	const waiting = 3
+	for range waiting {
+		dial(t, tcp.Addr().String())
+	}
+	l.leave()
+	tcp.SetDeadline(time.Now().Add(-time.Second))
+	for i := range waiting {
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatalf("connection %d: %v", i+1, err)
+		}
+		defer conn.Close()
+	}
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("after the last connection: %v, want a closed listener", err)
+	}
+}
