Backoff and leaving: an answer counts also when the list lost its endpoint meanwhile

Found by reading the change over. The list may lose an endpoint and name the same incarnation again while a request runs there, as after a lapse of registrations in an outage of the store. The row of that attempt is then the removed one. A refusal that arrived on it bound nobody, and an answer that said that the endpoint leaves was dropped: the endpoint, live again, got requests.

Change: a refusal on a removed row binds the current row of the same incarnation or is kept for it; draining on it is evidence like any other. Two scans fewer on the way of each request (the end of backoffs is compared before the latest useful start is computed, the queue's length before that).

Tested: three new cases fail before (backoff 0 s where 1 min 35 s is wanted, twice; 50 requests to the leaving endpoint) and pass after.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -79,7 +79,7 @@
 
 // noteDraining records that an endpoint has announced that it is leaving, and notifies the fleet.
 func (c *Core) noteDraining(now time.Duration, e *table.Endpoint, out *Actions) {
-	if e.State == table.EndpointLive {
+	if e.State != table.EndpointLeaving {
 		c.applyEvidence(now, out, message.Evidence{VM: e.Name, Incarnation: e.Incarnation, Kind: message.EvidenceLeaving})
 	}
 }
--- a/internal/core/backoff.go
+++ b/internal/core/backoff.go
@@ -19,6 +19,15 @@
 	}
 	c.counters.Backoffs++
 	quota.BeginBackoff(now, e, wait)
+	if e.State != table.EndpointGone {
+		return
+	}
+	// The answer to an earlier attempt may arrive after the endpoint was removed and added again.
+	if ref, ok := c.fleet.rows[e.Name]; !ok {
+		c.keepBackoff(now, e)
+	} else if current := ref.pool.endpointAt(ref.index, e.Incarnation); current != nil {
+		quota.BeginBackoff(now, current, wait)
+	}
 }
 
 // keepBackoff keeps the backoff of an endpoint that is removed. The list may name the same
@@ -78,7 +87,7 @@
 	switch end, ok := r.pool.backoffEnd(now); {
 	case !ok:
 		return ReasonNoEndpoint
-	case end > max(now, r.latestUsefulStart()):
+	case end > now && end > r.latestUsefulStart():
 		return ReasonBackoff
 	}
 	return ReasonNone
@@ -96,7 +105,10 @@
 // refuseUnservable refuses the requests that wait for an endpoint of the pool in vain since its
 // endpoints began to back off.
 func (c *Core) refuseUnservable(now time.Duration, p *pool, out *Actions) {
-	if end, ok := p.backoffEnd(now); p.queue.Len() == 0 || !ok || end == 0 {
+	if p.queue.Len() == 0 {
+		return
+	}
+	if end, ok := p.backoffEnd(now); !ok || end == 0 {
 		return
 	}
 	var refused []RequestID
@@ -107,7 +119,9 @@
 	}
 	slices.Sort(refused)
 	for _, id := range refused {
-		c.fail(now, c.requests[id], ReasonBackoff, out)
+		if r, ok := c.requests[id]; ok {
+			c.fail(now, r, ReasonBackoff, out)
+		}
 	}
 }
 
--- a/internal/core/backoff_test.go
+++ b/internal/core/backoff_test.go
@@ -159,6 +159,18 @@
 			}
 			h.offerList(h.vmList(3))
 		}, 60 * sec},
+		"a refusal that arrives in a gap of the list": {sec, func(h *entryHarness, d Directive) {
+			h.offerList(withoutFirst(h, 2))
+			h.run(35 * sec)
+			h.refuse(d, 60*sec)
+			h.offerList(h.vmList(3))
+		}, 95 * sec},
+		"a refusal that arrives after a gap of the list": {sec, func(h *entryHarness, d Directive) {
+			h.offerList(withoutFirst(h, 2))
+			h.run(35 * sec)
+			h.offerList(h.vmList(3))
+			h.refuse(d, 60*sec)
+		}, 95 * sec},
 		"another incarnation": {3 * sec, func(h *entryHarness, _ Directive) {
 			list := h.vmList(2)
 			list.VMs[0].Incarnation = 2
--- a/internal/core/leaving_test.go
+++ b/internal/core/leaving_test.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"testing"
+
+	"github.com/tealhall/tealhall/internal/published"
+	"github.com/tealhall/tealhall/internal/route"
 )
 
 // An entry has just started when an endpoint drains, and the VM list cannot be read. The endpoint
@@ -39,6 +42,28 @@
 	}
 }
 
+// Guards against an endpoint that is live again because its answer arrived after the list had lost
+// it for a while.
+func TestEndpointThatLeavesDuringGapInListGetsNoRequests(t *testing.T) {
+	h := newEntryHarness(t, idleEndpoints(2, "d0")...)
+	h.learnServiceTime(8)
+	id := h.sendRequest(route.Idempotent, 3*sec)
+	h.run(20 * ms)
+	d := h.open[id][1]
+	list := h.vmList(2)
+	list.VMs = slices.DeleteFunc(list.VMs, func(vm published.VM) bool { return vm.Name == d.Endpoint })
+	h.offerList(list)
+	h.run(35 * sec)
+	h.do(func(out *Actions) { h.Head(h.now, Head{ID: id, Attempt: 1, Status: 200, Draining: true}, out) })
+	h.offerList(h.vmList(3))
+	h.serviceTime = 20 * ms
+	from := h.now
+	h.sendReads(10*ms, sec)
+	if n := h.sentSince(d.Endpoint, from); n > 0 {
+		t.Errorf("the endpoint got %d requests", n)
+	}
+}
+
 // Guards against an endpoint that gets requests after it has said in the answer to a load probe
 // that it is leaving, and against a fleet that is not told.
 func TestEndpointThatLeavesInProbeAnswerGetsNoRequests(t *testing.T) {
