Stand-in: endpoints that shed load can ask for a time without requests

The stand-in endpoint's faults have retry_after, the Retry-After in seconds of the refusals of shed, so that operators can try what an entry does with it (ENDPOINTS). TestEntryLeavesEndpointsAlone- ForTheirRetryAfter plays it with whole entries and the project's own contract: three of four endpoints shed with an hour, each gets at most one request of each entry and no probe, and no more reads go unserved than endpoints refused. No code of the daemon changes.

--- a/internal/entry/endpoint_test.go
+++ b/internal/entry/endpoint_test.go
@@ -225,3 +225,51 @@
 		t.Error("no booking was sent on a closing connection")
 	}
 }
+
+// Guards against requests and probes that an entry sends to endpoints which have refused one of its
+// requests and asked it for a time without requests.
+func TestEntryLeavesEndpointsAloneForTheirRetryAfter(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	var shedding []*demo.Endpoint
+	for _, e := range f.Endpoints {
+		if e.VM.Pool == "counts" {
+			shedding = append(shedding, e)
+		}
+	}
+	shedding = shedding[1:] // one endpoint of the pool serves
+	for _, e := range shedding {
+		e.SetFaults(standin.EndpointFaults{Shed: true, RetryAfter: 3600})
+	}
+	const reads = 100
+	notServed := int64(0)
+	for n := range reads {
+		for _, e := range f.Entries {
+			r, err := http.NewRequest(http.MethodGet, "http://"+e.CallerAddress()+fmt.Sprintf("/trays?id=%d", n), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Header.Set(contract.HeaderService, "counts")
+			response, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response.Body.Close()
+			if response.StatusCode != http.StatusOK {
+				notServed++
+			}
+		}
+	}
+	refused := int64(0)
+	for _, e := range shedding {
+		got := e.Stats()
+		refused += got.Requests
+		if got.Requests+got.Probes > int64(len(f.Entries)) {
+			t.Errorf("%s got %d requests and %d probes, want at most one from each of %d entries", e.VM.Name, got.Requests, got.Probes, len(f.Entries))
+		}
+	}
+	// A new entry has no retry budget, so a read that an endpoint refuses may not be sent again.
+	if refused == 0 || notServed > refused {
+		t.Errorf("%d reads were not served, endpoints refused %d", notServed, refused)
+	}
+}
--- a/internal/standin/endpoint_test.go
+++ b/internal/standin/endpoint_test.go
@@ -131,6 +131,11 @@
 			header:  map[string]string{contract.HeaderNotRun: "overload"},
 			counted: EndpointStats{Requests: 1, NotRun: map[contract.NotRunReason]int64{contract.NotRunOverload: 1}},
 		},
+		"sheds with Retry-After": {
+			faults: EndpointFaults{Shed: true, RetryAfter: 1.5}, status: 503,
+			header:  map[string]string{contract.HeaderNotRun: "overload", contract.HeaderRetryAfter: "1.5"},
+			counted: EndpointStats{Requests: 1, NotRun: map[contract.NotRunReason]int64{contract.NotRunOverload: 1}},
+		},
 		"drains": {
 			drain: true, status: 503,
 			header:  map[string]string{contract.HeaderNotRun: "draining", contract.HeaderDraining: "1"},
--- a/internal/standin/endpointconfig.go
+++ b/internal/standin/endpointconfig.go
@@ -89,6 +89,8 @@
 	FailFast int `json:"fail_fast,omitempty"`
 	// Shed refuses every request and probe as not run.
 	Shed bool `json:"shed,omitempty"`
+	// RetryAfter, if above zero, is the Retry-After of the refusals of Shed, in seconds.
+	RetryAfter float64 `json:"retry_after,omitempty"`
 	// Hang keeps every request and probe waiting: the endpoint neither runs nor answers it.
 	Hang bool `json:"hang,omitempty"`
 	// CutAnswer closes the connection in the middle of each answer.
--- a/internal/standin/endpointserve.go
+++ b/internal/standin/endpointserve.go
@@ -51,6 +51,9 @@
 	case faults.FailFast > 0 && !call.probe:
 		e.fail(w, faults.FailFast)
 	case faults.Shed:
+		if faults.RetryAfter > 0 {
+			w.Header().Set(contract.HeaderRetryAfter, strconv.FormatFloat(faults.RetryAfter, 'f', -1, 64))
+		}
 		e.refuse(w, contract.NotRunOverload)
 	default:
 		e.admit(w, r, call)
