--- a/internal/contract/retryafter.go
+++ b/internal/contract/retryafter.go
@@ -14,9 +14,9 @@
 // maxRetryAfter is the longest time that ParseRetryAfter returns, in seconds.
 const maxRetryAfter = 86_400
 
-// ParseRetryAfter returns for how long an answer with the given status asks for no more requests;
-// 0 if it asks for nothing or its value is malformed. now is the wall clock time, for dates in an
-// answer that does not say when it was made. Longer times than a day are shortened to a day.
+// ParseRetryAfter returns the time that an endpoint's answer asks for in HeaderRetryAfter, at most a
+// day; 0 if its status is not 503 or the value is missing or malformed. A date counts from the
+// answer's own Date header or, without one, from the wall clock time now.
 func ParseRetryAfter(status int, header http.Header, now time.Time) time.Duration {
 	value := strings.TrimSpace(header.Get(HeaderRetryAfter))
 	if status != http.StatusServiceUnavailable || value == "" {
