Record which endpoints fail to answer after the last answer of any

The line of a request has unanswered and unheard_ms, and pool.<pool>.unanswered counts the endpoints. Nothing is decided by it.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -49,6 +49,7 @@
 		return
 	}
 	a.load, a.retryAfter = h.Load, h.RetryAfter
+	c.noteContact(now, now, p, e, true)
 	a.headLatency = now - a.sentAt
 	if h.Misdirected {
 		e.AvoidUntil = now + misdirectedPause
--- a/internal/core/healthprobes.go
+++ b/internal/core/healthprobes.go
@@ -125,6 +125,9 @@
 // observeProbe records what the answer to a probe of any kind asks of this entry.
 func (c *Core) observeProbe(now time.Duration, p *pool, end *ProbeEnd, out *Actions) {
 	i := p.find(end.Probe.Endpoint, end.Probe.Incarnation)
+	if i >= 0 {
+		c.noteProbeContact(now, p, &p.Endpoints[i], end)
+	}
 	otherProcess := end.Misdirected || end.Incarnation != 0 && end.Incarnation != end.Probe.Incarnation
 	if i < 0 || otherProcess {
 		return
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -24,6 +24,7 @@
 	if o, ok := healthOutcome(a, end); ok {
 		c.recordOutcome(now, r, e, o, end)
 	}
+	c.noteAttemptContact(now, p, a, e, end)
 	c.noteAttemptEnd(now, r, a, e, end, out)
 	p.picker.Answered(now, &p.Pool, a.index, observationOf(now, a, e, end))
 	if end.BodyFailed || end.Kind == EndNotWritten && !end.DialFailed {
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -9,6 +9,7 @@
 	"github.com/tealhall/tealhall/internal/core/health"
 	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/queue"
+	"github.com/tealhall/tealhall/internal/core/reach"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/profile"
 	"github.com/tealhall/tealhall/internal/published"
@@ -93,6 +94,8 @@
 	// placementState is what package placement has learned about the endpoints.
 	placementState placement.PoolState
 	cold           coldOwners
+	// reach records whether this entry reaches the endpoints.
+	reach reach.Tracker
 	// limited counts the endpoints with a rate limit.
 	limited int
 }
@@ -112,6 +115,7 @@
 		p.Endpoints[i].Reported = table.ReportedLoad{}
 	}
 	p.peerSlots = peerSlots{}
+	p.reach.Reset()
 	health.Pause(now, gap, &p.Pool)
 }
 
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -38,6 +38,11 @@
 	Endpoints, Full, Queued int
 	// BackingOff counts the endpoints of the pool that want no requests from this entry at the end.
 	BackingOff int
+	// Unanswered counts the endpoints of the pool that failed to answer this entry after the last
+	// answer of any of them, Unheard is how long ago that answer came; both are 0 if the latest
+	// contact succeeded.
+	Unanswered int
+	Unheard    time.Duration
 	Attempts   []AttemptTrace
 	// Sampled is set if the request went well and is traced as a sample.
 	Sampled bool
@@ -102,6 +107,9 @@
 	}
 	trace.Endpoints, _, trace.Full = r.pool.placementState.Fullness(c.now, r.pool.Endpoints)
 	trace.Queued, trace.BackingOff = r.pool.queue.Len(), r.pool.backingOff(c.now)
+	if trace.Unanswered = r.pool.reach.Unanswered(); trace.Unanswered > 0 {
+		trace.Unheard = c.now - r.pool.reach.HeardAt()
+	}
 	for i := Attempt(1); i <= r.dispatches; i++ {
 		trace.Attempts = append(trace.Attempts, c.traceAttempt(r, &r.attempts[i]))
 	}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -94,6 +94,9 @@
 	// Limited counts the endpoints that report a rate limit, BackingOff those that want no requests
 	// from this entry now.
 	Limited, BackingOff int
+	// Unanswered counts the endpoints that failed to answer this entry after the last answer of any
+	// of them.
+	Unanswered int
 	// ViewWrong says that most endpoints look bad, so that none is ejected.
 	ViewWrong bool
 	// HealthProbeShare is the share of slot time that all entries may spend on health probes.
@@ -261,6 +264,7 @@
 		ProbesDenied:     spent.Denied,
 		ProbeTime:        spent.SlotTime,
 		BackingOff:       p.backingOff(now),
+		Unanswered:       p.reach.Unanswered(),
 	}
 	for i := range p.Endpoints {
 		v.count(&p.Endpoints[i], quota.IsCold(now, &p.Pool, &p.Endpoints[i]))
