--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,6 +59,8 @@
 	PeerListener   net.Listener
 	// TLS encrypts the connections of the entry; the zero value leaves them plain.
 	TLS TLS
+	// DialEndpoint, if not nil, opens the connections to endpoints.
+	DialEndpoint func(ctx context.Context, address string) (*net.TCPConn, error)
 	// Dialect translates the headers and statuses of callers and endpoints; nil for tealhall's own
 	// contract.
 	Dialect Dialect
@@ -93,8 +95,7 @@
 	engine      *engine
 	dialect     Dialect
 	connections *forward.Connections
-	// homeConnections are the connections on which requests are forwarded to other entries. They
-	// are the same as connections if callers use plain HTTP.
+	// homeConnections are the connections on which requests are forwarded to other entries.
 	homeConnections *forward.Connections
 	front           *front.Server
 	peerServer      *peer.Server
@@ -190,12 +191,12 @@
 		AllowUnframed:       e.settings.Limits.UnframedAnswers,
 		Clock:               clock,
 	}
-	e.connections = forward.New(cfg)
-	e.homeConnections = e.connections
 	if e.options.TLS.Callers != nil {
 		cfg.TLS = e.options.TLS.HomeClient
-		e.homeConnections = forward.New(cfg)
 	}
+	e.homeConnections = forward.New(cfg)
+	cfg.TLS, cfg.Dial = nil, e.options.DialEndpoint
+	e.connections = forward.New(cfg)
 }
 
 // capacityOf returns the processing capacity of this entry, in thousandths of a core.
--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"crypto/tls"
 	"net"
 	"syscall"
@@ -53,6 +54,8 @@
 	// configuration has no server name, the certificate of the other end must name the IP address
 	// that was dialled. An encrypted connection carries one request only.
 	TLS func() *tls.Config
+	// Dial, if not nil, opens the connections in place of the default dialer, within DialTimeout.
+	Dial func(ctx context.Context, address string) (*net.TCPConn, error)
 	// Clock returns the monotonic time since the process started. Required.
 	Clock func() time.Duration
 }
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -203,23 +203,37 @@
 }
 
 func (c *Connections) connect(ctx context.Context, address string) (*conn, error) {
-	netConn, err := c.dialer.DialContext(ctx, "tcp", address)
+	tcp, err := c.dialTCP(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	fresh, err := newConn(netConn.(*net.TCPConn), c.cfg.Clock())
+	fresh, err := newConn(tcp, c.cfg.Clock())
 	if err != nil || c.cfg.TLS == nil {
 		return fresh, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
 	if err := fresh.encrypt(ctx, c.tlsConfig(address)); err != nil {
-		netConn.Close()
+		tcp.Close()
 		return nil, err
 	}
 	return fresh, nil
 }
 
+// dialTCP opens a TCP connection to address.
+func (c *Connections) dialTCP(ctx context.Context, address string) (*net.TCPConn, error) {
+	if c.cfg.Dial != nil {
+		ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
+		defer cancel()
+		return c.cfg.Dial(ctx, address)
+	}
+	netConn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return netConn.(*net.TCPConn), nil
+}
+
 // tlsConfig returns the TLS configuration for address. A configuration without a server name gets
 // the IP address as its server name.
 func (c *Connections) tlsConfig(address string) *tls.Config {
