An entry that reaches no endpoint relays its requests to another entry

Cause: the evidence of a cut stayed with single endpoints. Nothing held that this entry hears from none of them, and a request had no way but from this entry to an endpoint. That timeouts are too long was ruled out by the resets, where every failure is known within milliseconds and nothing is served either; that callers go to the wrong entries, by tests that use all entries alike.

A tracker for each pool counts a pool as lost when three endpoints failed to answer within 75 ms or more and none answered since. Requests for a lost pool go to another entry at once, those that wait or are not written yet as well, and a read that was written gets a second attempt there within the fleet's bound on repeats. Without that state, a request is relayed when a whole round of load probes is silent or its connections are refused. One hop at most; an entry that reaches no endpoint either, or has no room, says so at once and the next is asked, four at most; then the request is refused. Probes every 200 ms look for the return, three answers in a row end the loss.

--- a/client/session.go
+++ b/client/session.go
@@ -102,6 +102,7 @@
 	"behind":         true,
 	"stopping":       true,
 	"overload":       true,
+	"unreachable":    true,
 	"home-stopped":   true,
 	"key-table-full": true,
 }
--- a/internal/contract/entries.go
+++ b/internal/contract/entries.go
@@ -44,5 +44,10 @@
 // ReplayedValue is the only value of HeaderReplayed.
 const ReplayedValue = "1"
 
-// ForwardedValue is the only value of HeaderForwarded.
-const ForwardedValue = "1"
+// The values of HeaderForwarded.
+const (
+	// ForwardedValue: the request was forwarded to the home of its key.
+	ForwardedValue = "1"
+	// RelayedValue: the request was relayed by an entry that reaches no endpoint.
+	RelayedValue = "relay"
+)
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -22,7 +22,10 @@
 		return
 	}
 	a.status = h.Status
-	if !a.forward {
+	if a.relay {
+		a.helperReason, a.retryAfter = h.Reason, h.RetryAfter
+	}
+	if !a.toEntry() {
 		c.observeHead(now, r, a, h, out)
 	}
 	if c.useAnswer(now, r, a, h) {
@@ -97,6 +100,9 @@
 	if h.NotRun || h.Unusable {
 		return false
 	}
+	if a.relay {
+		return true // the other entry has retried as far as the budgets allow
+	}
 	if h.Status < http.StatusInternalServerError || !r.mayRunTwice {
 		return true
 	}
@@ -137,7 +143,7 @@
 	}
 	a.live, a.end, a.cause, a.took = false, e.Kind, e.Cause, now-a.sentAt
 	r.replayable = e.Replayable
-	if !a.forward {
+	if !a.toEntry() {
 		c.settleAttempt(now, r, a, e, out)
 	}
 	if r.phase == phaseFinished {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -152,6 +152,11 @@
 	// backoffs holds the backoffs of removed endpoints.
 	backoffs map[endpointID]table.Backoff
 
+	// helperPauses is until when entries are not asked to serve relayed requests, and
+	// relayedInFlight counts the requests that other entries relayed to this one.
+	helperPauses    map[helperPool]time.Duration
+	relayedInFlight int
+
 	fleet fleet
 	state message.EntryState
 	// servingSince is when this entry became ready to serve.
@@ -178,6 +183,9 @@
 	Arrived, Done, NotRun, Unknown uint64
 	Dispatched, Retried, Hedged    uint64
 	Queued, Forwarded, Replayed    uint64
+	// Relayed counts the attempts that were sent to other entries because this one did not reach an
+	// endpoint, and RelayedHere the requests that other entries relayed to this one.
+	Relayed, RelayedHere uint64
 	// Probes and ProbesDenied count the health probes that were sent and those that the budget did
 	// not allow.
 	Probes, ProbesDenied, Pauses uint64
@@ -213,6 +221,8 @@
 		quarantine: quarantine.NewTable(),
 		limits:     make(map[endpointID]knownLimit),
 		backoffs:   make(map[endpointID]table.Backoff),
+
+		helperPauses: make(map[helperPool]time.Duration),
 	}
 	c.initFleet()
 	return c
@@ -239,6 +249,7 @@
 	c.expireLoadProbes(now, out)
 	c.startDelayedRounds(now, out)
 	c.superviseDue(now, out)
+	c.tickReach(now, out)
 	c.sendCrashProbes(now, out)
 	c.spreadCrashes(now)
 	if now >= c.nextMember {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -187,10 +187,19 @@
 
 // MaySend is called by the driver right before it writes the first byte of an attempt. It returns
 // false if the request was answered, cancelled or quarantined meanwhile, if its deadline passed, or
-// if its endpoint is leaving or backing off. A process that was suspended between the decision and
+// if its endpoint is leaving, backing off or not reached. A process that was suspended between the decision and
 // the write must not send a request that its caller has given up or that was reported as not run.
 // After false the driver reports EndNotWritten.
 func (c *Core) MaySend(now time.Duration, id RequestID, n Attempt) bool {
+	if !c.MayConnect(now, id, n) {
+		return false
+	}
+	c.requests[id].attempts[n].written = true
+	return true
+}
+
+// MayConnect is MaySend for the moment before the driver takes or opens a connection.
+func (c *Core) MayConnect(now time.Duration, id RequestID, n Attempt) bool {
 	r, ok := c.requests[id]
 	if !ok || r.phase == phaseFinished || now >= r.deadline {
 		return false
@@ -201,12 +210,15 @@
 	if r.committed != 0 && r.committed != n || c.isQuarantined(now, r) {
 		return false
 	}
-	if a := &r.attempts[n]; !a.forward && !r.pool.accepts(now, a) {
+	if a := &r.attempts[n]; a.withdrawn || !a.toEntry() && !r.pool.accepts(now, a) {
 		return false
 	}
 	return !r.keyed || c.keys.MayDispatch(r.arrival.Key)
 }
 
+// toEntry reports whether the attempt goes to another entry rather than to an endpoint.
+func (a *attempt) toEntry() bool { return a.forward || a.relay }
+
 // takesWork reports whether the endpoint of an attempt still gets new work.
 func (p *pool) takesWork(a *attempt) bool {
 	e := p.endpointAt(a.index, a.incarnation)
@@ -256,6 +268,9 @@
 		c.fail(now, r, ReasonDeadline, out)
 		return true
 	}
+	if c.relayLost(now, r, out) {
+		return true
+	}
 	if reason := c.unservable(now, r); reason != ReasonNone {
 		c.fail(now, r, reason, out)
 		return true
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -47,6 +47,9 @@
 	Depth int
 	// Forwarded is set if another entry forwarded the request to the home of its key.
 	Forwarded bool
+	// Relayed is set if another entry relayed the request because it reaches no endpoint. Its key, if
+	// it has one, is not looked up here.
+	Relayed bool
 	// Revision is the latest revision of the profiles that the caller has seen.
 	Revision uint64
 	// Admission is the result of Admit or AdmitRoute for the request. Without one, the request is
@@ -91,6 +94,8 @@
 	// Unusable is set if the answer lacks the proof that its status requires of the endpoint, such
 	// as the signature of a success. The request may have run.
 	Unusable bool
+	// Reason is why the entry to which the request was relayed refused it.
+	Reason Reason
 	// HomeLost is set if the entry to which the request was forwarded does not know its key.
 	HomeLost bool
 }
@@ -196,6 +201,9 @@
 	StepDispatch Step = iota + 1
 	// StepForward: send the request to the entry at Address, the home of its key.
 	StepForward
+	// StepRelay: send the request to the entry at Address, which may reach endpoints that this entry
+	// does not.
+	StepRelay
 	// StepCommit: pass the answer of Attempt on to the caller.
 	StepCommit
 	// StepDiscard: drop the answer of Attempt unread and report EndDiscarded or EndNotRun.
@@ -214,7 +222,7 @@
 	Step    Step
 	Attempt Attempt
 	// Address is the IP:port to send the request to, and Endpoint the name of the endpoint expected
-	// there.
+	// there, or of the entry that a request is relayed to.
 	Address  string
 	Endpoint string
 	// Once is set if the attempt must not be sent twice by any layer below the core and needs a
@@ -222,6 +230,8 @@
 	Once bool
 	// IdleOnly asks the endpoint to refuse the request rather than queue it.
 	IdleOnly bool
+	// Repeated is set on a relay of a request that an endpoint may already have run.
+	Repeated bool
 	// Deadline is the time by which the attempt must have ended.
 	Deadline time.Duration
 	Outcome  Outcome
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -14,6 +14,9 @@
 	if r.policy.Kind == profile.Read || r.policy.Kind == profile.Urgent {
 		return true
 	}
+	if r.arrival.Relayed {
+		return true
+	}
 	if !r.arrival.HasKey {
 		if r.policy.RequireKey {
 			c.fail(now, r, ReasonKeyRequired, out)
--- a/internal/core/loadprobes.go
+++ b/internal/core/loadprobes.go
@@ -235,6 +235,9 @@
 		c.decideSecondAttempt(now, r, best, out)
 		return
 	}
+	if best.Index < 0 && !r.probeRound.ownOnly && c.heardNobody(r) && c.relayNext(now, r, false, out) {
+		return
+	}
 	if view := c.placementView(now, r); best.Index < 0 && !r.probeRound.ownOnly && !c.anyAnswered(r) && !view.MostlyFull() {
 		if i := view.WithoutLoad(); i >= 0 && c.dispatchProbed(now, r, i, out) {
 			return
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -26,13 +26,14 @@
 }
 
 // noteAttemptContact records what the end of an attempt says about whether its endpoint is reached.
-// An answer was recorded with its head.
+// An answer was recorded with its head. A connection that went silent says nothing: a network device
+// may have lost its state while new connections work.
 func (c *Core) noteAttemptContact(now time.Duration, p *pool, a *attempt, e *table.Endpoint, end End) {
-	if a.status != 0 || end.Kind == EndCancelled || !end.DialFailed && !end.ConnSilent && !end.ConnBroken {
+	if a.status != 0 || end.Kind == EndCancelled || end.ConnSilent || !end.DialFailed && !end.ConnBroken {
 		return
 	}
 	at := now
-	if end.TimedOut || end.ConnSilent || end.DialFailed && now-a.sentAt > loadProbeWait {
+	if end.TimedOut || end.DialFailed && now-a.sentAt > loadProbeWait {
 		at = a.sentAt
 	}
 	c.noteContact(now, at, p, e, false)
--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -11,17 +11,18 @@
 )
 
 const (
-	// lostEndpoints is how many endpoints must fail to answer, with no answer from any endpoint
+	// LostEndpoints is how many endpoints must fail to answer, with no answer from any endpoint
 	// after them, for the pool to count as lost; all of them in a smaller pool.
-	lostEndpoints = 3
+	LostEndpoints = 3
 	// lostContacts is how many contacts must have failed. It matters for pools of one or two
 	// endpoints.
 	lostContacts = 3
 	// lostAfter is the shortest time from the first of these contacts until the pool counts as
 	// lost, so that a short pause of the network or of this process is not taken for a cut.
 	lostAfter = 75 * time.Millisecond
-	// lostFor is how long a pool counts as lost after the latest failed contact.
-	lostFor = 2 * time.Second
+	// lostFor is how long a pool counts as lost after the latest failed contact. A pool that cannot
+	// be probed is used again a second after its endpoints work.
+	lostFor = 900 * time.Millisecond
 	// returnAnswers is how many answers in a row end the loss. It doubles, up to maxReturnAnswers,
 	// each time the pool is lost again within calmTime: hysteresis for paths that come and go.
 	returnAnswers    = 3
@@ -69,7 +70,7 @@
 	if len(t.failed) < maxListed && !slices.Contains(t.failed, endpoint) {
 		t.failed = append(t.failed, endpoint)
 	}
-	if t.lost || len(t.failed) < min(lostEndpoints, live) || t.contacts < lostContacts || now-t.failingSince < lostAfter {
+	if t.lost || len(t.failed) < min(LostEndpoints, live) || t.contacts < lostContacts || now-t.failingSince < lostAfter {
 		return false
 	}
 	t.lose(now)
--- a/internal/core/reason.go
+++ b/internal/core/reason.go
@@ -19,6 +19,7 @@
 	ReasonOverload
 	ReasonEndpointsRefuse
 	ReasonBackoff
+	ReasonUnreachable
 	ReasonEndpointLost
 	ReasonQuarantined
 	ReasonAnswerBroken
@@ -62,6 +63,7 @@
 	ReasonOverload:        {"overload", http.StatusServiceUnavailable, "use another entry; this one has reached its bound of requests in flight"},
 	ReasonEndpointsRefuse: {"endpoints-refuse", http.StatusServiceUnavailable, "come back after Retry-After; every endpoint tried refused the request"},
 	ReasonBackoff:         {"backoff", http.StatusServiceUnavailable, "come back after Retry-After; all endpoints of the service have asked for a time without requests"},
+	ReasonUnreachable:     {"unreachable", http.StatusServiceUnavailable, "come back after Retry-After; this entry reaches no endpoint of the service, nor does any other entry that was asked"},
 	ReasonEndpointLost:    {"endpoint-lost", http.StatusBadGateway, "ask again only if running the request twice is harmless, or with the same idempotency key"},
 	ReasonQuarantined:     {"quarantined", http.StatusServiceUnavailable, "mend the request or the service; endpoints crashed whenever they ran it, and it is not sent again for minutes"},
 	ReasonAnswerBroken:    {"answer-broken", http.StatusBadGateway, "ask again only if running the request twice is harmless, or with the same idempotency key"},
@@ -90,5 +92,15 @@
 // Status returns the HTTP status that belongs to the reason.
 func (r Reason) Status() int { return reasonTexts[r].status }
 
+// ReasonNamed returns the reason with a name, or ReasonNone.
+func ReasonNamed(name string) Reason {
+	for r := range reasonCount {
+		if reasonTexts[r].name == name {
+			return r
+		}
+	}
+	return ReasonNone
+}
+
 // Remedy returns what the caller can do about the reason.
 func (r Reason) Remedy() string { return reasonTexts[r].remedy }
--- /dev/null
+++ b/internal/core/relay.go
@@ -0,0 +1,320 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/tealhall/tealhall/internal/core/member"
+	"github.com/tealhall/tealhall/internal/core/reach"
+	"github.com/tealhall/tealhall/internal/profile"
+)
+
+// An entry whose paths to the endpoints of a pool are cut passes requests for the pool on to
+// another entry, a helper, which may reach them. A relayed request is not relayed again: two cut
+// entries that take each other for helpers would otherwise send it back and forth. A helper that
+// cannot serve it says so at once, and the next one is asked.
+const (
+	// maxRelays bounds how many helpers are asked for one request.
+	maxRelays = 4
+	// maxDialFailures is how many endpoints must refuse or time out a connection for one request
+	// until it is relayed. One of them may just have crashed.
+	maxDialFailures = 2
+	// helperPause is how long a helper is not asked for a pool that it does not reach, or at all if
+	// it cannot be reached itself, and busyHelperPause how long one that has no room is not asked.
+	helperPause     = time.Second
+	busyHelperPause = 100 * time.Millisecond
+	// relayedPerCore and minRelayed bound the relayed requests that a helper has in flight, by its
+	// processing capacity, so that the callers of others do not crowd out its own.
+	relayedPerCore = 200
+	minRelayed     = 16
+	// trialInterval is the time between two requests that are sent to the endpoints of a lost pool
+	// whose endpoints get no load probes, and unprobedTrialInterval that between two requests that
+	// nobody else serves: endpoints may answer requests although they answer no probes.
+	trialInterval         = reach.CheckInterval
+	unprobedTrialInterval = 2 * time.Second
+)
+
+// helperPool identifies a helper and a pool for which it is asked; pool is nil for all pools.
+type helperPool struct {
+	incarnation uint64
+	pool        *pool
+}
+
+// relayLost relays or refuses r if this entry reaches no endpoint of its pool. It returns false if
+// r is to be sent from here.
+func (c *Core) relayLost(now time.Duration, r *request, out *Actions) bool {
+	if !r.pool.reach.Lost() {
+		return false
+	}
+	if !r.pool.usesLoadProbes() && c.takeTrial(now, r, trialInterval) {
+		return false
+	}
+	if c.relayNext(now, r, false, out) {
+		return true
+	}
+	if c.takeTrial(now, r, unprobedTrialInterval) {
+		return false
+	}
+	c.fail(now, r, ReasonUnreachable, out)
+	return true
+}
+
+// takeTrial reports whether r is to be sent to an endpoint of its lost pool, to find out whether it
+// is answered. The next such request follows after the interval.
+func (c *Core) takeTrial(now time.Duration, r *request, interval time.Duration) bool {
+	if !r.mayRunTwice || r.arrival.Relayed || r.dispatches > 0 || now < r.pool.nextTrial {
+		return false
+	}
+	r.pool.nextTrial = now + interval
+	return true
+}
+
+// relayNext sends r to the next helper, beside a running attempt if second is set. It returns false
+// if r may not be relayed or no helper is left.
+func (c *Core) relayNext(now time.Duration, r *request, second bool, out *Actions) bool {
+	if r.arrival.Forwarded || r.arrival.Relayed || r.keyed || r.relays >= maxRelays || int(r.dispatches) >= MaxAttempts || now >= r.deadline {
+		return false
+	}
+	if r.dispatches > 0 && !r.replayable {
+		return false
+	}
+	helper := c.nextHelper(now, r)
+	if helper == nil || second && !c.spendRepeat(now, r) {
+		return false
+	}
+	if r.phase == phaseQueued {
+		r.pool.queue.Remove(uint64(r.arrival.ID))
+	}
+	c.endProbeRound(r)
+	repeated := r.attemptsOutcome != OutcomeNotRun || r.live() > 0
+	r.phase = phaseActive
+	r.relays++
+	r.dispatches++
+	r.relayedTo = append(r.relayedTo, helper.VM.Incarnation)
+	r.attempts[r.dispatches] = attempt{live: true, relay: true, hedge: second, index: -1, incarnation: helper.VM.Incarnation, endpoint: helper.VM.Name, sentAt: now}
+	c.counters.Relayed++
+	out.addDirective(Directive{
+		ID:       r.arrival.ID,
+		Step:     StepRelay,
+		Attempt:  r.dispatches,
+		Address:  helper.VM.Address,
+		Endpoint: helper.VM.Name,
+		Once:     r.policy.Kind == profile.Once,
+		Repeated: repeated,
+		Deadline: r.deadline,
+	})
+	return true
+}
+
+// nextHelper returns an entry that may reach the endpoints of r's pool and was not asked yet for r,
+// or nil. Entries of the own failure domain come first, since traffic between domains is expensive;
+// among them the choice is random, by processing capacity.
+func (c *Core) nextHelper(now time.Duration, r *request) *member.Entry {
+	var best *member.Entry
+	bestDistance, total := 0, uint64(0)
+	for i := range c.fleet.entries {
+		e := &c.fleet.entries[i]
+		if !c.mayHelp(now, e, r) {
+			continue
+		}
+		distance := c.distanceTo(e)
+		if best != nil && distance > bestDistance {
+			continue
+		}
+		if best == nil || distance < bestDistance {
+			bestDistance, total = distance, 0
+		}
+		weight := uint64(max(1, c.capacityOf(e)))
+		if total += weight; c.rng.Uint64N(total) < weight {
+			best = e
+		}
+	}
+	return best
+}
+
+func (c *Core) mayHelp(now time.Duration, e *member.Entry, r *request) bool {
+	id := e.VM.Incarnation
+	return id != c.cfg.Self.Incarnation && !e.Suspected && c.mayBeNamed(e) && !slices.Contains(r.relayedTo, id) &&
+		now >= c.helperPauses[helperPool{id, nil}] && now >= c.helperPauses[helperPool{id, r.pool}]
+}
+
+// distanceTo returns 0 for an entry in this entry's failure domain, 1 for one in its region, else 2.
+func (c *Core) distanceTo(e *member.Entry) int {
+	switch {
+	case e.VM.Domain == c.cfg.Self.Domain:
+		return 0
+	case e.VM.Region == c.cfg.Self.Region:
+		return 1
+	}
+	return 2
+}
+
+// relayEnded continues a request whose relayed attempt has ended without an answer for the caller.
+func (c *Core) relayEnded(now time.Duration, r *request, a *attempt, e End, out *Actions) {
+	provablyNotRun := e.Kind == EndNotWritten || e.Kind == EndNotRun
+	if provablyNotRun {
+		r.unsent++
+	}
+	c.pauseHelper(now, r, a, e)
+	switch {
+	case e.BodyFailed:
+		c.fail(now, r, ReasonBodyBroken, out)
+	case provablyNotRun && e.Kind == EndNotRun && !a.helperReason.anotherHelper():
+		c.failRelayed(now, r, a, out)
+	case !provablyNotRun && (!r.mayRunTwice || !c.mayRetry(now, r, false, false)):
+		c.fail(now, r, ReasonEndpointLost, out)
+	case c.relayNext(now, r, false, out):
+	default:
+		c.placeAgain(now, r, out)
+	}
+}
+
+// failRelayed refuses r for the reason that its helper gave.
+func (c *Core) failRelayed(now time.Duration, r *request, a *attempt, out *Actions) {
+	after := a.retryAfter
+	if after == 0 {
+		after = c.retryAfter(now, r, a.helperReason)
+	}
+	c.reply(r, r.attemptsOutcome, a.helperReason, after, out)
+	c.finish(r, out)
+}
+
+// pauseHelper records for how long a helper that did not serve r is not asked.
+func (c *Core) pauseHelper(now time.Duration, r *request, a *attempt, e End) {
+	id, pause := helperPool{incarnation: a.incarnation}, helperPause
+	switch {
+	case e.Kind == EndNotRun && a.helperReason == ReasonOverload:
+		pause = busyHelperPause
+	case e.Kind == EndNotRun && a.helperReason.anotherHelper():
+		id.pool = r.pool
+	case !e.DialFailed && !e.ConnSilent && !e.ConnBroken:
+		return
+	}
+	c.helperPauses[id] = now + pause
+}
+
+// anotherHelper reports whether a helper that refuses a relayed request for this reason says
+// nothing about whether another one can serve it.
+func (r Reason) anotherHelper() bool {
+	switch r {
+	case ReasonUnreachable, ReasonOverload, ReasonBehind, ReasonStarting, ReasonStopping, ReasonUnknownService, ReasonNoEndpoint:
+		return true
+	}
+	return false
+}
+
+// refusesRelayed returns why this entry does not serve a request that another one relays to it, or
+// ReasonNone.
+func (c *Core) refusesRelayed(a *Arrival) Reason {
+	switch {
+	case !a.Relayed:
+		return ReasonNone
+	case a.Revision > c.fleet.profiles.InForce().Revision:
+		return ReasonBehind
+	case c.relayedInFlight >= max(minRelayed, relayedPerCore*int(c.cfg.Self.Capacity)/1000):
+		return ReasonOverload
+	}
+	return ReasonNone
+}
+
+// heardNobody reports whether enough endpoints were probed in the current round of r to conclude
+// from their silence that this entry may reach none of the pool.
+func (c *Core) heardNobody(r *request) bool {
+	return r.relays == 0 && len(r.probeRound.probed) >= min(reach.LostEndpoints, r.pool.countLive()) &&
+		!r.pool.reach.HeardSince(r.probeRound.began)
+}
+
+// tickReach handles pools of which this entry began or ceased to reach endpoints, and probes the
+// endpoints of those of which it reaches none.
+func (c *Core) tickReach(now time.Duration, out *Actions) {
+	for _, p := range c.poolRows {
+		p.reach.Expire(now)
+		if lost := p.reach.Lost(); lost != p.knownLost {
+			p.knownLost = lost
+			out.note(c.reachNote(now, p))
+			if lost {
+				c.leaveLostPool(now, p, out)
+			}
+		}
+		if p.knownLost && now >= p.nextReachProbe {
+			c.probeLost(now, p, out)
+		}
+	}
+	for id, until := range c.helperPauses {
+		if now >= until {
+			delete(c.helperPauses, id)
+		}
+	}
+}
+
+func (c *Core) reachNote(now time.Duration, p *pool) Note {
+	n := Note{Subject: "pool " + p.Name, Action: "reached", From: "unreachable", To: "reached"}
+	if !p.knownLost {
+		return n
+	}
+	n.Action, n.From, n.To = "unreachable", "reached", "relayed to other entries"
+	n.Why = fmt.Sprintf("%d of %d endpoints failed to answer and none has answered since", p.reach.Unanswered(), p.countLive())
+	if heard := p.reach.HeardAt(); heard > 0 {
+		n.Why += "; the last answer came " + (now - heard).Round(time.Millisecond).String() + " ago"
+	}
+	n.Why += "; check the network paths from this entry, and the endpoints if other entries say the same"
+	return n
+}
+
+// leaveLostPool relays the requests that wait for an endpoint of a lost pool. An attempt that is
+// not written yet is withdrawn, and its end leads to a relayed one. A request that may run twice
+// gets a relayed attempt beside one that was written.
+func (c *Core) leaveLostPool(now time.Duration, p *pool, out *Actions) {
+	var ids []RequestID
+	for id, r := range c.requests {
+		if r.pool == p && r.committed == 0 && (r.phase == phaseQueued || r.phase == phaseProbing || r.phase == phaseActive) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		r, ok := c.requests[id]
+		switch {
+		case !ok:
+		case r.phase != phaseActive:
+			c.relayLost(now, r, out)
+		case !withdrawUnwritten(r, out) && r.mayRunTwice && r.live() == 1 && r.relays == 0 && !r.nested() && !c.isSuspect(now, r):
+			c.relayNext(now, r, true, out)
+		}
+	}
+}
+
+// withdrawUnwritten withdraws the attempts of r that no endpoint has seen, and reports whether
+// there was one.
+func withdrawUnwritten(r *request, out *Actions) (withdrew bool) {
+	for i := Attempt(1); i <= r.dispatches; i++ {
+		a := &r.attempts[i]
+		if !a.live || a.relay || a.forward || a.written {
+			continue
+		}
+		a.withdrawn, withdrew = true, true
+		out.addDirective(Directive{ID: r.arrival.ID, Step: StepCancel, Attempt: i})
+	}
+	return withdrew
+}
+
+// probeLost probes the next endpoint of a lost pool. The probe counts against the budget of its
+// kind.
+func (c *Core) probeLost(now time.Duration, p *pool, out *Actions) {
+	p.nextReachProbe = now + reach.CheckInterval
+	for range p.Endpoints {
+		p.lastReachProbe = (p.lastReachProbe + 1) % len(p.Endpoints)
+		e := &p.Endpoints[p.lastReachProbe]
+		if !e.TakesWork() {
+			continue
+		}
+		if p.usesLoadProbes() {
+			p.loadProbes.Request(1)
+		}
+		if c.spendCrashProbe(now, p) {
+			out.Probes = append(out.Probes, Probe{Pool: p.Name, Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address, Path: p.probePath, Wait: 4 * loadProbeWait})
+		}
+		return
+	}
+}
--- a/internal/core/reply.go
+++ b/internal/core/reply.go
@@ -104,6 +104,9 @@
 	}
 	c.endProbeRound(r)
 	r.phase = phaseFinished
+	if r.arrival.Relayed {
+		c.relayedInFlight--
+	}
 	c.traceRequest(r, out)
 	c.cancelOthers(r, 0, out)
 	c.forgetIfEnded(r)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -64,10 +64,17 @@
 	// expectedDuration is how long the attempt was expected to take when it was sent.
 	expectedDuration time.Duration
 	// status, load, retryAfter and headLatency come from the head of the answer.
-	status      int
-	load        Load
-	retryAfter  time.Duration
-	headLatency time.Duration
+	status     int
+	load       Load
+	retryAfter time.Duration
+	// relay is set if the attempt went to another entry, which refused it for helperReason.
+	// incarnation is then that of the entry.
+	relay        bool
+	helperReason Reason
+	// written is set right before the first byte is written. A withdrawn attempt is not written any
+	// more.
+	written, withdrawn bool
+	headLatency        time.Duration
 	// endpoint is the endpoint's name, probedLoad and limit the load and rate limit that it had
 	// reported; end, cause and took describe the end of the attempt, for the request trace.
 	endpoint   string
@@ -107,6 +114,11 @@
 	idleRefusals int
 	// unsent counts the attempts that never left this entry.
 	unsent int
+	// relays counts the helpers that were asked for the request, relayedTo are their incarnations.
+	// dialFailures counts the attempts for which no connection could be opened.
+	relays       int
+	relayedTo    []uint64
+	dialFailures int
 	// forwardedTo are the entries to which the request was forwarded for its key.
 	forwardedTo []uint64
 	// tried are the endpoints that the request was dispatched to.
@@ -157,9 +169,12 @@
 	sv.arrived++
 	sv.demand.Add(now, sv.expectedWork())
 	r := c.newRequest(now, a, sv)
-	r.pool.repeats.Request(now)
+	if !r.pool.reach.Lost() {
+		// The entry that serves a relayed request counts it for the fleet's budgets.
+		r.pool.repeats.Request(now)
+		r.pool.loadProbes.Request(loadProbeEarnFactor * r.policy.LoadProbes)
+	}
 	r.pool.placementState.NoteArrival(now)
-	r.pool.loadProbes.Request(loadProbeEarnFactor * r.policy.LoadProbes)
 	if !c.admitKey(now, r, out) {
 		return
 	}
@@ -187,7 +202,7 @@
 	if len(c.requests) >= c.cfg.MaxInFlight {
 		return ReasonOverload
 	}
-	return ReasonNone
+	return c.refusesRelayed(a)
 }
 
 func (c *Core) newRequest(now time.Duration, a Arrival, sv *service) *request {
@@ -213,6 +228,10 @@
 		attemptsOutcome: OutcomeNotRun,
 	}
 	r.age = sv.estimateAge(a.Timeout)
+	if a.Relayed {
+		c.relayedInFlight++
+		c.counters.RelayedHere++
+	}
 	c.requests[a.ID] = r
 	return r
 }
@@ -245,6 +264,9 @@
 // place dispatches r now or puts it into its pool's queue.
 func (c *Core) place(now time.Duration, r *request, out *Actions) {
 	p := r.pool
+	if c.relayLost(now, r, out) {
+		return
+	}
 	if reason := c.unservable(now, r); reason != ReasonNone {
 		c.fail(now, r, reason, out)
 		return
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -8,6 +8,10 @@
 
 // retryOrFail sends another attempt if that is allowed, and otherwise answers the caller.
 func (c *Core) retryOrFail(now time.Duration, r *request, a *attempt, e End, out *Actions) {
+	if a.relay && now < r.deadline && !c.isQuarantined(now, r) {
+		c.relayEnded(now, r, a, e, out)
+		return
+	}
 	provablyNotRun := e.Kind == EndNotWritten || e.Kind == EndNotRun
 	r.lastReason = failureReason(e)
 	if e.Kind == EndNotRun {
@@ -40,12 +44,20 @@
 		c.placeAgain(now, r, out)
 		return
 	}
+	if notConnected(e) {
+		if r.dialFailures++; r.dialFailures >= maxDialFailures && c.relayNext(now, r, false, out) {
+			return
+		}
+	}
 	if refusedWhileLeaving(r, a, e) {
 		c.counters.Retried++
 		c.placeAgain(now, r, out)
 		return
 	}
 	if !a.repeatSpent && !c.mayRetry(now, r, provablyNotRun, e.ConnSilent) {
+		if notConnected(e) && c.relayNext(now, r, false, out) {
+			return
+		}
 		c.fail(now, r, r.lastReason, out)
 		return
 	}
@@ -61,6 +73,12 @@
 	return e.Kind == EndNotWritten && !e.DialFailed && !e.BodyFailed && r.replayable && int(r.dispatches) < MaxAttempts
 }
 
+// notConnected reports whether no connection could be opened for an attempt, so that no endpoint
+// has seen it. Another entry may reach an endpoint where this one does not.
+func notConnected(e End) bool {
+	return e.Kind == EndNotWritten && e.DialFailed && !e.BodyFailed
+}
+
 // refusedWhileLeaving reports whether an endpoint refused an attempt because it is leaving. The
 // endpoint gets no further requests, so at most those already under way are sent again, and no
 // budget is needed to bound them. This guards against an entry that has just started: its budget is
@@ -73,6 +91,9 @@
 
 // placeAgain dispatches a request again or puts it into the queue.
 func (c *Core) placeAgain(now time.Duration, r *request, out *Actions) {
+	if c.relayLost(now, r, out) {
+		return
+	}
 	if c.tryDispatch(now, r, false, out) {
 		return
 	}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -96,6 +96,12 @@
 	cold           coldOwners
 	// reach records whether this entry reaches the endpoints.
 	reach reach.Tracker
+	// knownLost says that the pool is lost and its requests were relayed. nextReachProbe and
+	// lastReachProbe are the time of the next probe of a lost pool and the row of the latest one;
+	// nextTrial is when a request may next be tried at a lost pool.
+	knownLost                 bool
+	nextReachProbe, nextTrial time.Duration
+	lastReachProbe            int
 	// limited counts the endpoints with a rate limit.
 	limited int
 }
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -44,6 +44,8 @@
 	Unanswered int
 	Unheard    time.Duration
 	Attempts   []AttemptTrace
+	// Relayed is set if another entry relayed the request to this one.
+	Relayed bool
 	// Sampled is set if the request went well and is traced as a sample.
 	Sampled bool
 }
@@ -65,6 +67,8 @@
 	Limit float64 `json:"limit,omitempty"`
 	// Second is set if the attempt was sent while an earlier attempt was running.
 	Second bool `json:"second,omitempty"`
+	// Relay is set if the attempt went to another entry, whose name is in Endpoint.
+	Relay  bool `json:"relay,omitempty"`
 	Status int  `json:"status,omitempty"`
 	// RetryAfterMillis is for how many milliseconds the endpoint asked for no more requests.
 	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
@@ -103,7 +107,7 @@
 	trace := RequestTrace{
 		Name: r.arrival.Name, Service: r.service.name, Content: r.arrival.Content, Revision: c.fleet.profiles.InForce().Revision,
 		Outcome: r.outcome, Reason: r.reason, Status: r.status, RetryAfter: r.retryAfter, CallerGone: r.callerGone,
-		CallerAge: r.age, Took: took, Objective: r.policy.Objective, LoadProbes: r.loadProbes, NoRoom: r.noRoom, Late: r.late, Sampled: sampled,
+		CallerAge: r.age, Took: took, Objective: r.policy.Objective, LoadProbes: r.loadProbes, NoRoom: r.noRoom, Late: r.late, Relayed: r.arrival.Relayed, Sampled: sampled,
 	}
 	trace.Endpoints, _, trace.Full = r.pool.placementState.Fullness(c.now, r.pool.Endpoints)
 	trace.Queued, trace.BackingOff = r.pool.queue.Len(), r.pool.backingOff(c.now)
@@ -124,6 +128,6 @@
 	return AttemptTrace{
 		Endpoint: a.endpoint, AtMillis: (a.sentAt - r.arrived).Milliseconds(), TookMillis: took.Milliseconds(),
 		Running: a.probedLoad.Running, Waiting: a.probedLoad.Waiting, Pace: a.probedLoad.Pace, AgeMillis: (a.sentAt - a.probedLoad.At).Milliseconds(), Limit: a.limit,
-		Second: a.hedge, Status: a.status, RetryAfterMillis: a.retryAfter.Milliseconds(), End: a.end.String(), Cause: a.cause,
+		Second: a.hedge, Relay: a.relay, Status: a.status, RetryAfterMillis: a.retryAfter.Milliseconds(), End: a.end.String(), Cause: a.cause,
 	}
 }
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -38,6 +38,7 @@
 	for _, address := range a.DropAddresses {
 		e.connections.Drop(address)
 		e.homeConnections.Drop(address)
+		e.relayConnections.Drop(address)
 	}
 	for _, address := range a.SuspectAddresses {
 		e.connections.Suspect(address)
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -20,7 +20,11 @@
 		for _, name := range x.entry.dialect.EntryHeaders() {
 			delete(c.response.Header, name)
 		}
+		if c.relayed {
+			dropRelayMarks(c.response.Header)
+		}
 		x.entry.dialect.SetAnswerHeaders(w.Header(), x.entry.mark(c.outcome, core.ReasonNone))
+		x.entry.markRelayed(w.Header(), x.request, c.outcome, core.ReasonNone)
 	}
 	if x.keyed && !c.forwarded {
 		x.passKeyedAnswer(w, c)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -18,16 +18,19 @@
 func (x *exchange) attempt(ctx context.Context, cancel context.CancelFunc, d core.Directive) {
 	maySend := func() bool { return x.entry.engine.maySend(d.ID, d.Attempt) }
 	body, ok := x.body.Reader()
-	// maySend is also checked before a connection is taken, since opening one costs the endpoint
+	// The core is also asked before a connection is taken, since opening one costs the endpoint
 	// something too.
-	if !ok || !maySend() {
+	if !ok || !x.entry.engine.mayConnect(d.ID, d.Attempt) {
 		cancel()
 		x.reportEnd(d.Attempt, core.EndNotWritten, nil)
 		return
 	}
 	connections := x.entry.connections
-	if d.Step == core.StepForward {
+	switch d.Step {
+	case core.StepForward:
 		connections = x.entry.homeConnections
+	case core.StepRelay:
+		connections = x.entry.relayConnections
 	}
 	response, delivery, err := connections.Send(ctx, forward.Outgoing{
 		Address:       d.Address,
@@ -53,7 +56,7 @@
 
 // extraHeader returns the headers that the entry adds to an attempt.
 func (x *exchange) extraHeader(d core.Directive) http.Header {
-	return x.entry.dialect.AttemptHeader(&AttemptInfo{
+	h := x.entry.dialect.AttemptHeader(&AttemptInfo{
 		Endpoint:  d.Endpoint,
 		Left:      d.Deadline - x.entry.engine.clock(),
 		Number:    int(d.Attempt) + x.callerAttempt - 1,
@@ -62,8 +65,15 @@
 		Caller:    x.caller,
 		Depth:     x.depth + 1,
 		IdleOnly:  d.IdleOnly,
-		Forwarded: d.Step == core.StepForward,
+		Forwarded: d.Step != core.StepDispatch,
 	})
+	switch {
+	case d.Step == core.StepRelay:
+		x.addRelayHeader(h, d)
+	case isRelayed(x.request):
+		dropRelayHeader(h)
+	}
+	return h
 }
 
 // handleHead passes the head of an answer to the core. If the core commits to the answer, the
@@ -73,7 +83,7 @@
 	head := x.headOf(d, response)
 	commit, outcome := x.entry.engine.head(head)
 	if commit {
-		c := &committed{response: response, attempt: d.Attempt, outcome: outcome, forwarded: d.Step == core.StepForward, waited: waited}
+		c := &committed{response: response, attempt: d.Attempt, outcome: outcome, forwarded: d.Step == core.StepForward, relayed: d.Step == core.StepRelay, waited: waited}
 		if !x.offer(c) {
 			x.dropAnswer(c)
 		}
@@ -104,6 +114,9 @@
 
 // headOf reads the head of an answer for the core.
 func (x *exchange) headOf(d core.Directive, response *http.Response) core.Head {
+	if d.Step == core.StepRelay {
+		return relayedHead(d, response)
+	}
 	if d.Step == core.StepForward {
 		lost := response.Header.Get(contract.HeaderReason) == core.ReasonHomeLost.String()
 		return core.Head{ID: d.ID, Attempt: d.Attempt, Status: response.StatusCode, HomeLost: lost}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -147,6 +147,13 @@
 	return e.core.MaySend(e.clock(), id, n)
 }
 
+// mayConnect reports whether a connection may still be taken for an attempt.
+func (e *engine) mayConnect(id core.RequestID, n core.Attempt) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.MayConnect(e.clock(), id, n)
+}
+
 // callerGone tells the core that the caller of a request has left, and reports whether the request
 // runs on nevertheless.
 func (e *engine) callerGone(id core.RequestID) (runsOn bool) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -96,17 +96,18 @@
 	dialect     Dialect
 	connections *forward.Connections
 	// homeConnections are the connections on which requests are forwarded to other entries.
-	homeConnections *forward.Connections
-	front           *front.Server
-	peerServer      *peer.Server
-	links           *peer.Links
-	knownAddresses  addressBook
-	trail           *audit.Trail
-	documents       documents
-	platform        *countedPlatform
-	liveness        livenessChecks
-	instruments     *instruments
-	counterSamples  counterSamples
+	// relayConnections are those on which requests are relayed to entries that may reach endpoints.
+	homeConnections, relayConnections *forward.Connections
+	front                             *front.Server
+	peerServer                        *peer.Server
+	links                             *peer.Links
+	knownAddresses                    addressBook
+	trail                             *audit.Trail
+	documents                         documents
+	platform                          *countedPlatform
+	liveness                          livenessChecks
+	instruments                       *instruments
+	counterSamples                    counterSamples
 
 	// revision of the profiles in force, for answers to callers.
 	revision atomic.Uint64
@@ -182,6 +183,13 @@
 	return e, nil
 }
 
+// The limits of the connections to entries that serve relayed requests. A cut entry relays all of its
+// requests to a few others, and the dial timeout leaves time to ask another one.
+const (
+	relayConnections = 64
+	relayDialTimeout = 300 * time.Millisecond
+)
+
 func (e *Entry) buildConnections(clock func() time.Duration) {
 	cfg := forward.Config{
 		MaxConnsPerEndpoint: e.settings.Limits.ConnectionsPerEndpoint,
@@ -195,6 +203,10 @@
 		cfg.TLS = e.options.TLS.HomeClient
 	}
 	e.homeConnections = forward.New(cfg)
+	relay := cfg
+	relay.MaxConnsPerEndpoint = max(cfg.MaxConnsPerEndpoint, relayConnections)
+	relay.DialTimeout = min(cfg.DialTimeout, relayDialTimeout)
+	e.relayConnections = forward.New(relay)
 	cfg.TLS, cfg.Dial = nil, e.options.DialEndpoint
 	e.connections = forward.New(cfg)
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -53,6 +53,8 @@
 	outcome  core.Outcome
 	// forwarded is set if the answer comes from another entry.
 	forwarded bool
+	// relayed is set if an endpoint's answer comes through another entry.
+	relayed bool
 	// waited is the time from the first write of the request to the first byte of the answer.
 	waited time.Duration
 }
@@ -80,7 +82,9 @@
 }
 
 // isAttempt reports whether the step makes an attempt.
-func isAttempt(s core.Step) bool { return s == core.StepDispatch || s == core.StepForward }
+func isAttempt(s core.Step) bool {
+	return s == core.StepDispatch || s == core.StepForward || s == core.StepRelay
+}
 
 // offer gives the exchange an answer to which the core committed. It returns false if the exchange
 // is closed.
@@ -156,7 +160,7 @@
 			break
 		}
 		switch d.Step {
-		case core.StepDispatch, core.StepForward:
+		case core.StepDispatch, core.StepForward, core.StepRelay:
 			x.run(d)
 		case core.StepReply:
 			x.ending = endingOf(d.Outcome)
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -114,6 +114,8 @@
 		total("requests.hedged", c.Hedged),
 		total("requests.forwarded", c.Forwarded),
 		total("requests.replayed", c.Replayed),
+		total("requests.relayed", c.Relayed),
+		total("requests.relayed_here", c.RelayedHere),
 		total("requests.endpoint_not_run", c.EndpointNotRun),
 		total("requests.backoffs", c.Backoffs),
 		total("requests.sent_in_backoff", c.SentInBackoff),
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -28,6 +28,7 @@
 		// caller takes to send it.
 		w.Header().Set("Connection", "close")
 	}
+	e.markRelayed(w.Header(), r, d.Outcome, d.Reason)
 	e.dialect.Refuse(w, r, Refusal{Mark: e.mark(d.Outcome, d.Reason), Status: status, Remedy: remedy, RetryAfter: d.RetryAfter})
 	if e.settings.Log.Requests {
 		logReply(r, d)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -159,6 +159,7 @@
 		Replayable:    x.body.Whole(),
 		CallerAttempt: 1,
 		Forwarded:     h.Get(contract.HeaderForwarded) == contract.ForwardedValue,
+		Relayed:       isRelayed(x.request),
 	}
 	if left, ok := x.entry.dialect.TimeLeft(h); ok {
 		a.Timeout = max(left, time.Nanosecond)
@@ -200,6 +201,11 @@
 	return core.ReasonNone
 }
 
+// isRelayed reports whether another entry relayed a request to this one.
+func isRelayed(r *http.Request) bool {
+	return r.Header.Get(contract.HeaderForwarded) == contract.RelayedValue
+}
+
 func idempotentMethod(method string) bool {
 	switch method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -138,6 +138,7 @@
 	e.peerServer.Close()
 	e.connections.Close()
 	e.homeConnections.Close()
+	e.relayConnections.Close()
 	// Requests that were cut off must not run on at an endpoint after the entry has ended.
 	e.engine.cancelAll()
 	e.endRunning()
