Lost paths of an entry are not crashes of its endpoints

While the paths of an entry to all endpoints are cut with resets, its crash probes are refused as well, so each request that was running counted as one that had crashed its endpoint, was suspected on all entries and no longer repeated; links that come and go could put it in quarantine.

The failing test: three reads running when six endpoints begin to refuse everything; 3 crashes were known. Now a refused probe counts only if at most one endpoint fails to answer, or one has answered since; a third endpoint is probed to find out.

--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -48,6 +48,8 @@
 	began, at   time.Duration
 	// probeAt is when the next crash probe is due.
 	probeAt time.Duration
+	// refused is set if the endpoint refused a crash probe.
+	refused bool
 }
 
 // noteAttemptEnd records the end of an attempt: a complete answer without a server error clears the
@@ -100,7 +102,9 @@
 }
 
 // crashProbeEnd processes the result of a crash probe. The endpoint also counts as crashed if
-// another endpoint or another incarnation answers at its address.
+// another endpoint or another incarnation answers at its address. While other endpoints fail to
+// answer as well, this entry may have lost its paths to all of them, and a refused connection counts
+// only once an endpoint has answered.
 func (c *Core) crashProbeEnd(now time.Duration, end ProbeEnd, out *Actions) {
 	crashed := end.Refused || end.Misdirected || end.Incarnation != 0 && end.Incarnation != end.Probe.Incarnation
 	if !crashed && !end.OK && !end.Unhealthy {
@@ -111,11 +115,58 @@
 		if b.endpoint != end.Probe.Endpoint || b.incarnation != end.Probe.Incarnation || b.at > end.Probe.At {
 			return false
 		}
-		if crashed {
-			crashes = append(crashes, quarantine.Crash{Request: b.request, Endpoint: b.endpoint, Incarnation: b.incarnation, Began: b.began, At: b.at})
+		if crashed && !end.Refused {
+			crashes = append(crashes, b.crash())
 		}
+		return !end.Refused
+	})
+	if end.Refused {
+		c.noteRefused(now, end.Probe, out)
+		return
+	}
+	c.recordCrashes(now, crashes, out)
+}
+
+// noteRefused records that an endpoint refused a crash probe.
+func (c *Core) noteRefused(now time.Duration, probe Probe, out *Actions) {
+	for i := range c.brokenAttempts {
+		b := &c.brokenAttempts[i]
+		if b.endpoint == probe.Endpoint && b.incarnation == probe.Incarnation && b.at <= probe.At {
+			b.refused = true
+		}
+	}
+	if c.confirmCrashes(now, out) {
+		return
+	}
+	c.probeAnother(now, probe, out)
+}
+
+// confirmCrashes records the crashes of endpoints that refused a crash probe, unless this entry may
+// have lost its paths to all endpoints.
+// It returns false if a refusal is still unconfirmed.
+func (c *Core) confirmCrashes(now time.Duration, out *Actions) (all bool) {
+	if len(c.brokenAttempts) == 0 {
 		return true
+	}
+	all = true
+	var crashes []quarantine.Crash
+	c.brokenAttempts = slices.DeleteFunc(c.brokenAttempts, func(b brokenAttempt) bool {
+		confirmed := b.refused && (b.pool.reach.Unanswered() < 2 || b.pool.reach.HeardSince(b.at))
+		if confirmed {
+			crashes = append(crashes, b.crash())
+		}
+		all = all && (confirmed || !b.refused)
+		return confirmed
 	})
+	c.recordCrashes(now, crashes, out)
+	return all
+}
+
+func (b *brokenAttempt) crash() quarantine.Crash {
+	return quarantine.Crash{Request: b.request, Endpoint: b.endpoint, Incarnation: b.incarnation, Began: b.began, At: b.at}
+}
+
+func (c *Core) recordCrashes(now time.Duration, crashes []quarantine.Crash, out *Actions) {
 	for _, crash := range crashes {
 		c.processRequestEvidence(now, []message.Evidence{crashEvidence(now, &crash)}, out)
 		c.unspreadCrashes = append(c.unspreadCrashes, unspreadCrash{crash, crash.At + spreadDelay})
@@ -125,6 +176,21 @@
 	}
 }
 
+// probeAnother probes an endpoint that has not failed to answer, for a crash that is not confirmed.
+func (c *Core) probeAnother(now time.Duration, refused Probe, out *Actions) {
+	p := c.pools[refused.Pool]
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if !e.TakesWork() || quota.InBackoff(now, e) || p.reach.HasFailed(e.Name) {
+			continue
+		}
+		if c.spendCrashProbe(now, p) {
+			out.Probes = append(out.Probes, reachProbe(p, e))
+		}
+		return
+	}
+}
+
 func crashEvidence(now time.Duration, crash *quarantine.Crash) message.Evidence {
 	return message.Evidence{VM: crash.Endpoint, Incarnation: crash.Incarnation, Kind: message.EvidenceCrashed, Content: crash.Content,
 		Caller: crash.Caller, AgeMillis: millis(now - crash.At), RanMillis: millis(crash.At - crash.Began)}
--- a/internal/core/healthprobes.go
+++ b/internal/core/healthprobes.go
@@ -127,6 +127,7 @@
 	i := p.find(end.Probe.Endpoint, end.Probe.Incarnation)
 	if i >= 0 {
 		c.noteProbeContact(now, p, &p.Endpoints[i], end)
+		c.confirmCrashes(now, out)
 	}
 	otherProcess := end.Misdirected || end.Incarnation != 0 && end.Incarnation != end.Probe.Incarnation
 	if i < 0 || otherProcess {
--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -129,6 +129,10 @@
 // Unanswered returns how many endpoints have failed to answer since one last answered.
 func (t *Tracker) Unanswered() int { return len(t.failed) }
 
+// HasFailed reports whether an endpoint is among those that have failed to answer since one last
+// answered.
+func (t *Tracker) HasFailed(endpoint string) bool { return slices.Contains(t.failed, endpoint) }
+
 // HeardSince reports whether an endpoint has answered at the given time or later.
 func (t *Tracker) HeardSince(at time.Duration) bool { return t.heardAt > 0 && t.heardAt >= at }
 
--- /dev/null
+++ b/internal/core/reach_test.go
@@ -0,0 +1,48 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/tealhall/tealhall/internal/route"
+)
+
+// Guards against an entry that takes the loss of its own paths to all endpoints for crashes of the
+// endpoints: the requests that were running would be suspected on all entries.
+func TestLostPathsAreNoCrashes(t *testing.T) {
+	h := newEntryHarness(t, idleEndpoints(6, "d0")...)
+	h.learnServiceTime(8)
+	var ids []RequestID
+	for content := range uint64(3) {
+		ids = append(ids, h.sendContent(content+1))
+		h.run(20 * ms)
+	}
+	for _, ep := range h.endpoints {
+		ep.dead = true
+	}
+	for _, id := range ids {
+		h.breakConnection(id, 1, true)
+	}
+	h.run(3 * sec)
+	if got := h.Counters().Crashes; got != 0 {
+		t.Errorf("%d crashes are known", got)
+	}
+}
+
+// Guards against crashes that are not recognized because two endpoints crash together while nothing
+// else is under way: a third endpoint is probed to tell the crashes from lost paths.
+func TestCrashesAreRecognizedOnIdleEntry(t *testing.T) {
+	h := newEntryHarness(t, idleEndpoints(6, "d0")...)
+	h.learnServiceTime(8)
+	var ids []RequestID
+	for content := range uint64(2) {
+		ids = append(ids, h.arrive(route.NonIdempotent, Arrival{Replayable: true, Timeout: 3 * sec, Content: content + 1, Caller: 1}))
+		h.run(20 * ms)
+	}
+	for _, id := range ids {
+		h.breakConnection(id, 1, true)
+	}
+	h.run(sec)
+	if got := h.Counters().Crashes; got != 2 {
+		t.Errorf("%d crashes are known, want 2", got)
+	}
+}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/member"
+	"github.com/tealhall/tealhall/internal/core/quota"
 	"github.com/tealhall/tealhall/internal/core/reach"
+	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/profile"
 )
 
@@ -306,15 +308,20 @@
 	for range p.Endpoints {
 		p.lastReachProbe = (p.lastReachProbe + 1) % len(p.Endpoints)
 		e := &p.Endpoints[p.lastReachProbe]
-		if !e.TakesWork() {
+		if !e.TakesWork() || quota.InBackoff(now, e) {
 			continue
 		}
 		if p.usesLoadProbes() {
 			p.loadProbes.Request(1)
 		}
 		if c.spendCrashProbe(now, p) {
-			out.Probes = append(out.Probes, Probe{Pool: p.Name, Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address, Path: p.probePath, Wait: 4 * loadProbeWait})
+			out.Probes = append(out.Probes, reachProbe(p, e))
 		}
 		return
 	}
 }
+
+// reachProbe returns a probe that asks whether an endpoint can be reached.
+func reachProbe(p *pool, e *table.Endpoint) Probe {
+	return Probe{Pool: p.Name, Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address, Path: p.probePath, Wait: 4 * loadProbeWait}
+}
