Relays where endpoints get no load probes; tests with injected clocks

A pool without load probes has only its requests to show that it is reached. While such a pool is lost, one request each 200 ms is tried at an endpoint, on a connection that is known to be alive, and the loss lasts while that goes on. A deadline that passes while a connection is opened counts as a failed contact.

--- a/internal/core/clusterharness_test.go
+++ b/internal/core/clusterharness_test.go
@@ -54,8 +54,10 @@
 	refuses func(name string) bool
 	// endpoint returns an endpoint's reaction to a request.
 	endpoint func(name string, a Arrival) reaction
-	written  map[string]int // requests written, by endpoint
-	ran      map[string]int // requests run, by their body
+	// paths returns the state of the paths from an entry to all endpoints; nil if they always work.
+	paths   func(n *node) paths
+	written map[string]int // requests written, by endpoint
+	ran     map[string]int // requests run, by their body
 }
 
 // reaction is how an endpoint reacts to a request.
@@ -206,8 +208,8 @@
 	for _, p := range out.Probes {
 		n.probes, h.probedAt = append(n.probes, p), append(h.probedAt, h.now)
 		end := ProbeEnd{Probe: p, OK: true, Latency: h.probeTime, Load: Load{Known: true, Slots: 2}}
-		if h.refuses(p.Endpoint) {
-			end = ProbeEnd{Probe: p, Refused: true, Latency: h.probeTime}
+		if h.refuses(p.Endpoint) || h.pathsOf(n) != pathsWork {
+			end = ProbeEnd{Probe: p, Refused: h.pathsOf(n) != pathsSilent, Latency: h.probeTime}
 		}
 		h.post(h.probeTime, n, func() {
 			h.do(n, func(now time.Duration, out *Actions) { n.ProbeEnd(now, end, out) })
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -179,7 +179,7 @@
 		Attempt:  r.dispatches,
 		Address:  e.Address,
 		Endpoint: e.Name,
-		Once:     r.policy.Kind == profile.Once || r.keyed,
+		Once:     r.policy.Kind == profile.Once || r.keyed || p.reach.Lost(),
 		IdleOnly: choice.IdleOnly,
 		Deadline: r.deadline,
 	})
--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -20,7 +20,7 @@
 	// lostAfter is the shortest time from the first of these contacts until the pool counts as
 	// lost, so that a short pause of the network or of this process is not taken for a cut.
 	lostAfter = 75 * time.Millisecond
-	// lostFor is how long a pool counts as lost after the latest failed contact. A pool that cannot
+	// lostFor is how long a pool counts as lost after the latest attempt at a contact. A pool that cannot
 	// be probed is used again a second after its endpoints work.
 	lostFor = 900 * time.Millisecond
 	// returnAnswers is how many answers in a row end the loss. It doubles, up to maxReturnAnswers,
@@ -43,6 +43,8 @@
 	failed                 []string
 	contacts               int
 	failingSince, failedAt time.Duration
+	// triedAt is when something was last sent to find out whether a lost pool is reached again.
+	triedAt time.Duration
 
 	lost   bool
 	lostAt time.Duration
@@ -106,10 +108,14 @@
 	t.lost, t.answers, t.returnedAt = false, 0, now
 }
 
-// Expire ends a loss that no failed contact has confirmed for a while, so that a pool that cannot
-// be probed is tried again. It reports whether it did.
+// Tried records that something was sent to an endpoint of a lost pool to find out whether it is
+// answered.
+func (t *Tracker) Tried(now time.Duration) { t.triedAt = now }
+
+// Expire ends a loss that was not tested for a while, so that a pool that cannot be probed and gets
+// no requests is used again. It reports whether it did.
 func (t *Tracker) Expire(now time.Duration) (ended bool) {
-	if !t.lost || now-t.failedAt < lostFor {
+	if !t.lost || now-max(t.failedAt, t.triedAt) < lostFor {
 		return false
 	}
 	t.failed, t.contacts = t.failed[:0], 0
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -25,7 +25,7 @@
 	// helperPause is how long a helper is not asked for a pool that it does not reach, or at all if
 	// it cannot be reached itself, and busyHelperPause how long one that has no room is not asked.
 	helperPause     = time.Second
-	busyHelperPause = 100 * time.Millisecond
+	busyHelperPause = 20 * time.Millisecond
 	// relayedPerCore and minRelayed bound the relayed requests that a helper has in flight, by its
 	// processing capacity, so that the callers of others do not crowd out its own.
 	relayedPerCore = 200
@@ -65,10 +65,11 @@
 // takeTrial reports whether r is to be sent to an endpoint of its lost pool, to find out whether it
 // is answered. The next such request follows after the interval.
 func (c *Core) takeTrial(now time.Duration, r *request, interval time.Duration) bool {
-	if !r.mayRunTwice || r.arrival.Relayed || r.dispatches > 0 || now < r.pool.nextTrial {
+	if !r.replayable || r.arrival.Relayed || r.dispatches > 0 || now < r.pool.nextTrial {
 		return false
 	}
 	r.pool.nextTrial = now + interval
+	r.pool.reach.Tried(now)
 	return true
 }
 
@@ -315,6 +316,7 @@
 			p.loadProbes.Request(1)
 		}
 		if c.spendCrashProbe(now, p) {
+			p.reach.Tried(now)
 			out.Probes = append(out.Probes, reachProbe(p, e))
 		}
 		return
--- a/internal/core/traffic_test.go
+++ b/internal/core/traffic_test.go
@@ -41,6 +41,10 @@
 		n.open[t] = d
 		h.post(lag, n, func() { h.forward(n, d) })
 		h.post(d.Deadline-(h.now-n.started), n, func() { h.end(n, t, End{Kind: EndLost, TimedOut: true}) })
+	case StepRelay:
+		n.open[t] = d
+		h.post(lag, n, func() { h.relay(n, d) })
+		h.post(d.Deadline-(h.now-n.started), n, func() { h.end(n, t, End{Kind: EndLost, TimedOut: true}) })
 	case StepCancel:
 		h.post(0, n, func() { h.end(n, t, End{Kind: EndCancelled}) })
 	case StepReply:
@@ -68,6 +72,10 @@
 	if _, open := n.open[t]; !open {
 		return
 	}
+	if state := h.pathsOf(n); state != pathsWork {
+		h.failDial(n, d, state)
+		return
+	}
 	if !n.MaySend(h.now-n.started, d.ID, d.Attempt) {
 		h.end(n, t, End{Kind: EndNotWritten})
 		return
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -147,6 +147,7 @@
 	}
 	if !delivery.Wrote {
 		end.Kind = core.EndNotWritten
+		end.DialFailed = end.DialFailed || failure == forward.Deadline && delivery.NewConn
 	}
 	return end
 }
