--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -102,6 +102,7 @@
 		return false
 	}
 	if a.relay {
+		c.noteHelped(now, r.pool, a.incarnation)
 		return true // the other entry has retried as far as the budgets allow
 	}
 	if h.Status < http.StatusInternalServerError || !r.mayRunTwice {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -152,9 +152,9 @@
 	// backoffs holds the backoffs of removed endpoints.
 	backoffs map[endpointID]table.Backoff
 
-	// helperPauses is until when entries are not asked to serve relayed requests, and
-	// relayedInFlight counts the requests that other entries relayed to this one.
-	helperPauses    map[helperPool]time.Duration
+	// helpers is what is known of the entries that serve relayed requests, and relayedInFlight counts
+	// the requests that other entries relayed to this one.
+	helpers         map[helperPool]helperState
 	relayedInFlight int
 
 	fleet fleet
@@ -222,7 +222,7 @@
 		limits:     make(map[endpointID]knownLimit),
 		backoffs:   make(map[endpointID]table.Backoff),
 
-		helperPauses: make(map[helperPool]time.Duration),
+		helpers: make(map[helperPool]helperState),
 	}
 	c.initFleet()
 	return c
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -22,10 +22,17 @@
 	// maxDialFailures is how many endpoints must refuse or time out a connection for one request
 	// until it is relayed. One of them may just have crashed.
 	maxDialFailures = 2
-	// helperPause is how long a helper is not asked for a pool that it does not reach, or at all if
-	// it cannot be reached itself, and busyHelperPause how long one that has no room is not asked.
-	helperPause     = time.Second
+	// cutHelperPause is how long a helper is not asked for a pool that it does not reach,
+	// deadHelperPause how long one that cannot be reached itself is not asked, and busyHelperPause
+	// how long one that has no room is not asked.
+	cutHelperPause  = 3 * time.Second
+	deadHelperPause = time.Second
 	busyHelperPause = 20 * time.Millisecond
+	// helperMemory is how long a helper is preferred after it served a relayed request, and
+	// exploreOneIn is how many requests it takes until others are tried all the same: one in the own
+	// failure domain may reach endpoints again.
+	helperMemory = 5 * time.Second
+	exploreOneIn = 16
 	// relayedPerCore and minRelayed bound the relayed requests that a helper has in flight, by its
 	// processing capacity, so that the callers of others do not crowd out its own.
 	relayedPerCore = 200
@@ -43,6 +50,15 @@
 	pool        *pool
 }
 
+// helperState is what this entry knows of a helper: until when it is not asked, and when it last
+// served a request.
+type helperState struct{ pausedUntil, servedAt time.Duration }
+
+// servedLately reports whether the helper served a request within helperMemory.
+func (s helperState) servedLately(now time.Duration) bool {
+	return s.servedAt > 0 && now-s.servedAt < helperMemory
+}
+
 // relayLost relays or refuses r if this entry reaches no endpoint of its pool. It returns false if
 // r is to be sent from here.
 func (c *Core) relayLost(now time.Duration, r *request, out *Actions) bool {
@@ -111,22 +127,22 @@
 }
 
 // nextHelper returns an entry that may reach the endpoints of r's pool and was not asked yet for r,
-// or nil. Entries of the own failure domain come first, since traffic between domains is expensive;
-// among them the choice is random, by processing capacity.
+// or nil. Among those of the best rank the choice is random, by processing capacity.
 func (c *Core) nextHelper(now time.Duration, r *request) *member.Entry {
 	var best *member.Entry
-	bestDistance, total := 0, uint64(0)
+	bestRank, total := 0, uint64(0)
+	explore := r.relays == 0 && c.rng.IntN(exploreOneIn) == 0
 	for i := range c.fleet.entries {
 		e := &c.fleet.entries[i]
 		if !c.mayHelp(now, e, r) {
 			continue
 		}
-		distance := c.distanceTo(e)
-		if best != nil && distance > bestDistance {
+		rank := c.helperRank(now, e, r, explore)
+		if best != nil && rank > bestRank {
 			continue
 		}
-		if best == nil || distance < bestDistance {
-			bestDistance, total = distance, 0
+		if best == nil || rank < bestRank {
+			bestRank, total = rank, 0
 		}
 		weight := uint64(max(1, c.capacityOf(e)))
 		if total += weight; c.rng.Uint64N(total) < weight {
@@ -139,9 +155,34 @@
 func (c *Core) mayHelp(now time.Duration, e *member.Entry, r *request) bool {
 	id := e.VM.Incarnation
 	return id != c.cfg.Self.Incarnation && !e.Suspected && c.mayBeNamed(e) && !slices.Contains(r.relayedTo, id) &&
-		now >= c.helperPauses[helperPool{id, nil}] && now >= c.helperPauses[helperPool{id, r.pool}]
+		now >= c.helpers[helperPool{id, nil}].pausedUntil && now >= c.helpers[helperPool{id, r.pool}].pausedUntil
+}
+
+// helperRank returns the rank of a helper, the best being 0: first those that served a request
+// lately, then those of failure domains in which none was asked for r, as a whole domain may be cut,
+// and always the nearest first, since traffic between domains is expensive.
+func (c *Core) helperRank(now time.Duration, e *member.Entry, r *request, explore bool) int {
+	rank := c.distanceTo(e)
+	if !explore && c.helpers[helperPool{e.VM.Incarnation, r.pool}].servedLately(now) {
+		return rank
+	}
+	if rank += distances; c.askedIn(r, e.VM.Domain) {
+		rank += distances
+	}
+	return rank
+}
+
+// askedIn reports whether a helper in a failure domain was asked for r.
+func (c *Core) askedIn(r *request, domain string) bool {
+	return slices.ContainsFunc(r.relayedTo, func(incarnation uint64) bool {
+		e := c.fleet.entry(incarnation)
+		return e != nil && e.VM.Domain == domain
+	})
 }
 
+// distances is the number of results of distanceTo.
+const distances = 3
+
 // distanceTo returns 0 for an entry in this entry's failure domain, 1 for one in its region, else 2.
 func (c *Core) distanceTo(e *member.Entry) int {
 	switch {
@@ -185,16 +226,33 @@
 
 // pauseHelper records for how long a helper that did not serve r is not asked.
 func (c *Core) pauseHelper(now time.Duration, r *request, a *attempt, e End) {
-	id, pause := helperPool{incarnation: a.incarnation}, helperPause
+	id, pause := helperPool{incarnation: a.incarnation}, deadHelperPause
 	switch {
 	case e.Kind == EndNotRun && a.helperReason == ReasonOverload:
 		pause = busyHelperPause
 	case e.Kind == EndNotRun && a.helperReason.anotherHelper():
-		id.pool = r.pool
+		id.pool, pause = r.pool, cutHelperPause
 	case !e.DialFailed && !e.ConnSilent && !e.ConnBroken:
 		return
 	}
-	c.helperPauses[id] = now + pause
+	c.helpers[id] = helperState{pausedUntil: now + pause}
+	if id.pool == nil && pause != busyHelperPause {
+		delete(c.helpers, helperPool{a.incarnation, r.pool})
+	}
+}
+
+// noteHelped records that a helper served a request of the pool.
+func (c *Core) noteHelped(now time.Duration, p *pool, helper uint64) {
+	c.helpers[helperPool{helper, p}] = helperState{servedAt: now}
+}
+
+// forgetHelpers drops what is known of helpers and no longer matters.
+func (c *Core) forgetHelpers(now time.Duration) {
+	for id, state := range c.helpers {
+		if now >= state.pausedUntil && !state.servedLately(now) {
+			delete(c.helpers, id)
+		}
+	}
 }
 
 // anotherHelper reports whether a helper that refuses a relayed request for this reason says
@@ -244,11 +302,7 @@
 			c.probeLost(now, p, out)
 		}
 	}
-	for id, until := range c.helperPauses {
-		if now >= until {
-			delete(c.helperPauses, id)
-		}
-	}
+	c.forgetHelpers(now)
 }
 
 func (c *Core) reachNote(now time.Duration, p *pool) Note {
