--- a/internal/admin/views.go
+++ b/internal/admin/views.go
@@ -217,6 +217,9 @@
 	// Ejected counts the ejected endpoints, Endpoints the live and the leaving ones.
 	Ejected   int `json:"ejected"`
 	Endpoints int `json:"endpoints"`
+	// Unreachable reports whether no endpoint answers this entry, so that requests are relayed to
+	// other entries.
+	Unreachable bool `json:"unreachable,omitempty"`
 	// ViewWrong reports whether most endpoints look unhealthy, so that none is ejected.
 	ViewWrong bool `json:"view_wrong,omitempty"`
 	// HealthProbes is the budget of health probes, as a share of the pool's slot time.
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -97,6 +97,10 @@
 	// Unanswered counts the endpoints that failed to answer this entry after the last answer of any
 	// of them.
 	Unanswered int
+	// Unreachable says that this entry reaches no endpoint and relays the requests for the pool;
+	// UnreachableSince is when that began.
+	Unreachable      bool
+	UnreachableSince time.Duration
 	// ViewWrong says that most endpoints look bad, so that none is ejected.
 	ViewWrong bool
 	// HealthProbeShare is the share of slot time that all entries may spend on health probes.
@@ -265,6 +269,8 @@
 		ProbeTime:        spent.SlotTime,
 		BackingOff:       p.backingOff(now),
 		Unanswered:       p.reach.Unanswered(),
+		Unreachable:      p.reach.Lost(),
+		UnreachableSince: p.reach.LostAt(),
 	}
 	for i := range p.Endpoints {
 		v.count(&p.Endpoints[i], quota.IsCold(now, &p.Pool, &p.Endpoints[i]))
--- a/internal/entry/views_concerns.go
+++ b/internal/entry/views_concerns.go
@@ -202,6 +202,10 @@
 func (f *facts) poolConcerns(l *concernList) {
 	for i := range f.view.Pools {
 		p := &f.view.Pools[i]
+		if p.Unreachable {
+			l.add("by itself when endpoints answer again; check the network paths from this entry, and the endpoints if other entries say the same",
+				"no endpoint of pool %s has answered this entry for %s, so its requests are relayed to other entries", p.Name, ageText(f.now, p.UnreachableSince))
+		}
 		if p.ViewWrong {
 			l.add("by itself when most look healthy; check the network from this entry to them, and the service itself",
 				"most endpoints of pool %s look unhealthy, so none is ejected", p.Name)
--- a/internal/entry/views_status.go
+++ b/internal/entry/views_status.go
@@ -219,6 +219,7 @@
 		Ejected:      p.Ejected,
 		Endpoints:    p.Live + p.Leaving,
 		ViewWrong:    p.ViewWrong,
+		Unreachable:  p.Unreachable,
 		HealthProbes: admin.BudgetView{Share: p.HealthProbeShare, Spent: p.Probes, Denied: p.ProbesDenied, Left: p.ProbesLeft},
 	}
 	for i := range p.Services {
