Directories name other entries than those that reach no endpoint

Callers kept being directed to an entry whose requests need a second hop. If most are cut, the few others could not take all callers, and all are named as before.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -76,6 +76,8 @@
 	ownRecord   message.Record
 	announcedAt time.Duration
 	epochDue    time.Duration
+	// noEndpoint says that this entry tells the fleet that it reaches no endpoint.
+	noEndpoint bool
 	// reportedSilent says that another entry reported this one as silent, as of version
 	// silentVersion of its record.
 	reportedSilent bool
--- a/internal/core/gossip/compose.go
+++ b/internal/core/gossip/compose.go
@@ -54,6 +54,7 @@
 		Profiles:       s.state.Profiles,
 		VMs:            s.state.VMs,
 		Reader:         s.state.Reader,
+		NoEndpoint:     s.state.NoEndpoint,
 		Rate:           s.state.Rate,
 		EvidenceDigest: s.log.digest,
 		Version:        s.state.Version,
--- a/internal/core/gossip/scheduler.go
+++ b/internal/core/gossip/scheduler.go
@@ -11,12 +11,13 @@
 
 // State is this entry's status as it sends it to peers.
 type State struct {
-	State    message.EntryState
-	Epoch    uint32
-	Profiles message.Mark
-	VMs      message.Mark
-	Reader   bool
-	Rate     uint32
+	State      message.EntryState
+	Epoch      uint32
+	Profiles   message.Mark
+	VMs        message.Mark
+	Reader     bool
+	NoEndpoint bool
+	Rate       uint32
 	// Version is the version of this entry's record.
 	Version uint32
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -122,13 +122,14 @@
 // ownState returns this entry's current state for the gossip scheduler.
 func (c *Core) ownState() gossip.State {
 	return gossip.State{
-		State:    c.state,
-		Epoch:    c.keys.Epoch(),
-		Profiles: c.InForce(published.ProfilesValue),
-		VMs:      c.InForce(published.VMsValue),
-		Reader:   c.reachesPlatform(),
-		Rate:     c.fleet.rate,
-		Version:  c.fleet.ownRecord.Version,
+		State:      c.state,
+		Epoch:      c.keys.Epoch(),
+		Profiles:   c.InForce(published.ProfilesValue),
+		VMs:        c.InForce(published.VMsValue),
+		Reader:     c.reachesPlatform(),
+		NoEndpoint: c.fleet.noEndpoint,
+		Rate:       c.fleet.rate,
+		Version:    c.fleet.ownRecord.Version,
 	}
 }
 
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -9,8 +9,8 @@
 	"github.com/tealhall/tealhall/internal/published"
 )
 
-// Rules for announcing this entry's record again. A change of its state, or of whether it reads the
-// configuration service, is announced at once. Its rate is a weight in answers to callers and in
+// Rules for announcing this entry's record again. A change of its state, of whether it reads the
+// configuration service, or of whether it is cut off from all endpoints, is announced at once. Its rate is a weight in answers to callers and in
 // shares of bounds, where a deviation of a quarter does little harm. The announced epoch of its
 // keys may lag by one of the five epochs that are kept; the lag spreads out the announcements of
 // entries that started together.
@@ -26,7 +26,7 @@
 	return message.Record{
 		Name: h.Name, Incarnation: h.Incarnation, Version: h.Status.Version,
 		Region: h.Region, Domain: h.Domain, CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress,
-		State: h.Status.State, Epoch: h.Status.Epoch, Reader: h.Status.Reader, Rate: h.Status.Rate, Capacity: h.Capacity,
+		State: h.Status.State, Epoch: h.Status.Epoch, Reader: h.Status.Reader, Rate: h.Status.Rate, NoEndpoint: h.Status.NoEndpoint, Capacity: h.Capacity,
 	}
 }
 
@@ -43,7 +43,7 @@
 func (c *Core) announce(now time.Duration) {
 	f := &c.fleet
 	h := c.cfg.Self
-	h.Status = message.Update{State: c.state, Epoch: c.keys.Epoch(), Reader: c.reachesPlatform(), Rate: f.rate}
+	h.Status = message.Update{State: c.state, Epoch: c.keys.Epoch(), Reader: c.reachesPlatform(), Rate: f.rate, NoEndpoint: f.noEndpoint}
 	next := recordOf(h)
 	version := f.ownRecord.Version
 	switch {
@@ -60,7 +60,7 @@
 // recordDue reports whether the next version of this entry's record is to be announced.
 func (c *Core) recordDue(now time.Duration, next *message.Record) bool {
 	f := &c.fleet
-	if f.ownRecord.Version == 0 || next.State != f.ownRecord.State || next.Reader != f.ownRecord.Reader {
+	if f.ownRecord.Version == 0 || next.State != f.ownRecord.State || next.Reader != f.ownRecord.Reader || next.NoEndpoint != f.ownRecord.NoEndpoint {
 		return true
 	}
 	if next.Epoch != f.ownRecord.Epoch && f.epochDue == 0 {
@@ -111,7 +111,7 @@
 	}
 	p.heardAt = now
 	u := &p.update
-	u.From, u.Version, u.State, u.Epoch, u.Reader, u.Rate = r.Incarnation, r.Version, r.State, r.Epoch, r.Reader, r.Rate
+	u.From, u.Version, u.State, u.Epoch, u.Reader, u.Rate, u.NoEndpoint = r.Incarnation, r.Version, r.State, r.Epoch, r.Reader, r.Rate, r.NoEndpoint
 }
 
 // noteAcked passes the entries that acknowledged a message to the member table.
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -160,7 +160,8 @@
 
 // helperRank returns the rank of a helper, the best being 0: first those that served a request
 // lately, then those of failure domains in which none was asked for r, as a whole domain may be cut,
-// and always the nearest first, since traffic between domains is expensive.
+// last those that are cut off as well, and always the nearest first, since traffic between domains
+// is expensive.
 func (c *Core) helperRank(now time.Duration, e *member.Entry, r *request, explore bool) int {
 	rank := c.distanceTo(e)
 	if !explore && c.helpers[helperPool{e.VM.Incarnation, r.pool}].servedLately(now) {
@@ -169,6 +170,9 @@
 	if rank += distances; c.askedIn(r, e.VM.Domain) {
 		rank += distances
 	}
+	if c.reportsNoEndpoint(e.VM.Incarnation) {
+		rank += 2 * distances
+	}
 	return rank
 }
 
@@ -302,9 +306,58 @@
 			c.probeLost(now, p, out)
 		}
 	}
+	c.fleet.noEndpoint = c.reachesNoEndpoint(now)
 	c.forgetHelpers(now)
 }
 
+// noEndpointAfter is how long this entry must have reached no endpoint before it tells the fleet, which
+// then directs callers to other entries.
+const noEndpointAfter = time.Second
+
+// reachesNoEndpoint reports whether this entry has reached no endpoint of any pool for a while. A pool that
+// gets no requests counts if it has not answered since another one was lost.
+func (c *Core) reachesNoEndpoint(now time.Duration) bool {
+	since := now
+	for _, p := range c.poolRows {
+		if p.reach.Lost() {
+			since = min(since, p.reach.LostAt())
+		}
+	}
+	if now-since < noEndpointAfter {
+		return false
+	}
+	for _, p := range c.poolRows {
+		if !p.reach.Lost() && p.reach.HeardSince(since) {
+			return false
+		}
+	}
+	return true
+}
+
+// reportsNoEndpoint reports whether another entry, or this one, is known to be cut off.
+func (c *Core) reportsNoEndpoint(incarnation uint64) bool {
+	if incarnation == c.cfg.Self.Incarnation {
+		return c.fleet.noEndpoint
+	}
+	p := c.fleet.peers[incarnation]
+	return p != nil && p.update.NoEndpoint
+}
+
+// avoidsUnreaching reports whether callers are directed to other entries than those that are cut off. If
+// most are, the few others could not serve all callers, and cut ones relay.
+func (c *Core) avoidsUnreaching() bool {
+	serving, cutOff := 0, 0
+	for i := range c.fleet.entries {
+		if e := &c.fleet.entries[i]; c.mayBeNamed(e) && !e.Suspected {
+			serving++
+			if c.reportsNoEndpoint(e.VM.Incarnation) {
+				cutOff++
+			}
+		}
+	}
+	return cutOff > 0 && 2*cutOff <= serving
+}
+
 func (c *Core) reachNote(now time.Duration, p *pool) Note {
 	n := Note{Subject: "pool " + p.Name, Action: "reached", From: "unreachable", To: "reached"}
 	if !p.knownLost {
--- a/internal/core/relay_test.go
+++ b/internal/core/relay_test.go
@@ -260,3 +260,39 @@
 		t.Errorf("%d of %d requests were served", served, len(ids))
 	}
 }
+
+// Guards against callers that are directed to a cut entry for as long as the cut lasts, to hardly
+// any entry when most are cut, or still elsewhere when the paths are back.
+func TestCallersAreDirectedToEntriesThatReachEndpoints(t *testing.T) {
+	for _, c := range []struct{ cut, named int }{{1, 5}, {3, 3}, {4, 6}, {6, 6}} {
+		h, states := newRelayCluster(t, 6)
+		for _, n := range h.nodes[:c.cut] {
+			states[n] = pathsRefuse
+		}
+		send := func(length time.Duration) {
+			for end := h.now + length; h.now < end; h.run(20 * ms) {
+				for _, n := range h.nodes {
+					h.sendRequest(n, Arrival{Service: "checks", Caller: uint64(h.nextID)})
+				}
+			}
+		}
+		named := func(want int, when string) {
+			for _, n := range h.nodes {
+				all := map[string]bool{}
+				for _, domain := range []string{"d0", "d1", "d2"} {
+					for _, address := range n.EntriesNear(domain, 64) {
+						all[address] = true
+					}
+				}
+				if len(all) != want {
+					t.Errorf("%d of 6 cut, %s: %s names %d entries, want %d", c.cut, when, n.hello.Name, len(all), want)
+				}
+			}
+		}
+		send(4 * sec)
+		named(c.named, "during the cut")
+		clear(states)
+		send(4 * sec)
+		named(6, "afterwards")
+	}
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -71,6 +71,8 @@
 	Silent bool `cbor:"12,keyasint,omitempty"`
 	// Capacity is as in a Hello.
 	Capacity uint32 `cbor:"13,keyasint,omitempty"`
+	// NoEndpoint is as in an Update.
+	NoEndpoint bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Newer reports whether r replaces other, a record of the same VM: r is of a later incarnation, or
@@ -179,6 +181,8 @@
 	VMs      Mark
 	// Reader is set if the sender reads the platform itself.
 	Reader bool
+	// NoEndpoint is set if the sender reaches no endpoint and relays all requests.
+	NoEndpoint bool
 	// Rate is the sender's calls per second, used to weight entries.
 	Rate uint32
 	// EvidenceDigest is the digest of all evidence that the sender has. Equal digests mean that
--- a/internal/peer/wire/update.go
+++ b/internal/peer/wire/update.go
@@ -39,6 +39,7 @@
 	Records     []message.Record `cbor:"14,keyasint,omitempty"`
 	// RecordDigest is packed in the same way as EvidenceDigest.
 	RecordDigest uint64 `cbor:"15,keyasint,omitempty"`
+	NoEndpoint   bool   `cbor:"16,keyasint,omitempty"`
 }
 
 // EndpointID identifies one incarnation of an endpoint.
@@ -63,6 +64,7 @@
 		Profiles:       packMark(&p.profiles, u.Profiles),
 		VMs:            packMark(&p.vms, u.VMs),
 		Reader:         u.Reader,
+		NoEndpoint:     u.NoEndpoint,
 		Rate:           u.Rate,
 		EvidenceDigest: u.EvidenceDigest ^ p.evidenceDigest,
 		Evidence:       u.Evidence,
@@ -135,6 +137,7 @@
 		Profiles:       unpackMark(&p.profiles, packed.Profiles),
 		VMs:            unpackMark(&p.vms, packed.VMs),
 		Reader:         packed.Reader,
+		NoEndpoint:     packed.NoEndpoint,
 		Rate:           packed.Rate,
 		EvidenceDigest: p.evidenceDigest,
 		Evidence:       packed.Evidence,
