Requests are refused before their caller's time is over, whatever their objective

Where all six endpoints of a service rested for 2 s and callers waited 2 s with an objective of 5 s, refusals took 4.8 s at p90, 2.8 s after the caller's own time was over: a wait ended when the objective could no longer be met, and nothing bounded that by the caller's deadline. The failing test: full endpoints and endpoints that back off, an objective of 5 s, callers that wait 2 s; 40 of 80 requests were answered after more than 2 s. An objective that is longer than the caller's time now counts as none, so that a request waits for three tenths of its time. Where the objective is the shorter one, nothing changes.

The comment on keep-alive options says what a user timeout changes.

--- a/internal/core/queuewait.go
+++ b/internal/core/queuewait.go
@@ -52,10 +52,15 @@
 }
 
 // latestInTime is the latest start at which r is typically answered within its latency objective,
-// counted from the caller's first try.
+// counted from the caller's first try. An objective that is longer than the caller's time counts as
+// none: r would wait until its caller gives up.
 func (r *request) latestInTime() time.Duration {
 	placed := r.placementRequest()
-	return placed.LatestInTime()
+	latest := placed.LatestInTime()
+	if placed.FirstTry+placed.Objective > r.deadline {
+		latest = min(latest, r.arrived+r.longestWait())
+	}
+	return latest
 }
 
 // typicalWork is how long a request of the service typically takes at an endpoint without other
--- a/internal/core/queuewait_test.go
+++ b/internal/core/queuewait_test.go
@@ -131,3 +131,47 @@
 		ep.running, ep.waiting = running, waiting
 	}
 }
+
+// Guards against requests that wait past the end of their caller's time because their latency
+// objective is longer: while endpoints are full, and while all of them back off.
+func TestRequestsAreRefusedBeforeTheirCallersGiveUp(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		state func(ep *simEndpoint)
+	}{
+		{"full endpoints", func(ep *simEndpoint) { ep.running, ep.waiting = 2, 4 }},
+		{"endpoints that back off", func(ep *simEndpoint) { ep.refuses, ep.retryAfter = true, 8*sec }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			endpoints := idleEndpoints(3, "d0")
+			h := newEntryHarness(t, endpoints...)
+			d := harnessRoutes()
+			for i := range d.Routes {
+				d.Routes[i].Timeout, d.Routes[i].Objective = 20_000, 5_000
+			}
+			h.publish(2, d)
+			h.learnServiceTime(8)
+			for _, ep := range endpoints {
+				c.state(ep)
+			}
+			const left = 2 * sec
+			sent, answered := map[RequestID]time.Duration{}, map[RequestID]time.Duration{}
+			for i := range 160 {
+				if i < 40 {
+					sent[h.sendRequest(route.Idempotent, left)] = h.now
+				}
+				h.run(50 * ms)
+				for id := range h.replies {
+					if _, known := answered[id]; !known {
+						answered[id] = h.now
+					}
+				}
+			}
+			for id, at := range sent {
+				if reply, ok := h.replies[id]; !ok || reply.Outcome != OutcomeNotRun || answered[id]-at >= left {
+					t.Errorf("request %d: answered %v (%v) after %v", id, ok, reply.Reason, answered[id]-at)
+				}
+			}
+		})
+	}
+}
--- a/internal/forward/socket/socket.go
+++ b/internal/forward/socket/socket.go
@@ -16,7 +16,9 @@
 const keepAliveCount = 3
 
 // KeepAlive returns options with which an idle connection ends after at most four periods if the
-// other end no longer exists.
+// other end no longer exists. With a user timeout set (SetUserTimeout), the kernel ignores the number
+// of probes: the connection ends at the first probe that is due after the user timeout has passed
+// without an answer.
 func KeepAlive(period time.Duration) net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: period, Interval: period, Count: keepAliveCount}
 }
