--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -31,6 +31,8 @@
 	Pools []PoolConfig
 	// Adjust, if not nil, modifies the default settings of each entry.
 	Adjust func(*settings.Settings)
+	// DialEndpoint, if not nil, opens the connections of the named entry to endpoints.
+	DialEndpoint func(ctx context.Context, entry, address string) (*net.TCPConn, error)
 	// Audit, if not nil, receives the audit records of all entries.
 	Audit func(entry string, r audit.Record)
 }
@@ -139,12 +141,16 @@
 		return nil, err
 	}
 	s := f.settings(name, index, callers, peers)
-	e, err := entry.New(s, entry.Options{
+	options := entry.Options{
 		Platform:       published.NewClient(published.ClientConfig{BaseURL: s.Platform.URL}),
 		Audit:          f.newTrail(name, s.Audit.Records),
 		CallerListener: callers,
 		PeerListener:   peers,
-	})
+	}
+	if dial := f.cfg.DialEndpoint; dial != nil {
+		options.DialEndpoint = func(ctx context.Context, address string) (*net.TCPConn, error) { return dial(ctx, name, address) }
+	}
+	e, err := entry.New(s, options)
 	if err != nil {
 		return nil, err
 	}
