Where few requests arrive, those that nobody serves are refused at once

With all entries cut and a request a second at each, 36 of 118 requests were held for more than a second: one request in 2 s was tried at an endpoint although load probes failed there, which was every second one. Now at most one request in 16 is.

--- a/internal/core/reach_test.go
+++ b/internal/core/reach_test.go
@@ -46,3 +46,27 @@
 		t.Errorf("%d crashes are known, want 2", got)
 	}
 }
+
+// Guards against requests that are held at endpoints that cannot be reached, where few requests
+// arrive: each of them would be the one that is tried there.
+func TestFewRequestsAreRefusedAtOnce(t *testing.T) {
+	h := newEntryHarness(t, idleEndpoints(6, "d0")...)
+	h.learnServiceTime(8)
+	for _, ep := range h.endpoints {
+		ep.dead, ep.silent = true, true
+	}
+	h.sendRequest(route.Idempotent, 3*sec)
+	h.run(3 * sec)
+	late := 0
+	for range 48 {
+		id := h.sendRequest(route.Idempotent, 3*sec)
+		h.run(500 * ms)
+		if _, ok := h.replies[id]; !ok {
+			late++
+		}
+		h.run(500 * ms)
+	}
+	if late > 3 {
+		t.Errorf("%d of 48 requests were not refused within half a second", late)
+	}
+}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -38,10 +38,13 @@
 	relayedPerCore = 200
 	minRelayed     = 16
 	// trialInterval is the time between two requests that are sent to the endpoints of a lost pool
-	// whose endpoints get no load probes, and unprobedTrialInterval that between two requests that
-	// nobody else serves: endpoints may answer requests although they answer no probes.
-	trialInterval         = reach.CheckInterval
-	unprobedTrialInterval = 2 * time.Second
+	// whose endpoints get no load probes.
+	trialInterval = reach.CheckInterval
+	// Of the requests that nobody else serves, one in unservedOneIn is sent to an endpoint all the
+	// same, and at most one in unservedInterval: endpoints may answer requests although they answer
+	// no probes.
+	unservedOneIn    = 16
+	unservedInterval = 2 * time.Second
 )
 
 // helperPool identifies a helper and a pool for which it is asked; pool is nil for all pools.
@@ -71,7 +74,8 @@
 	if c.relayNext(now, r, false, out) {
 		return true
 	}
-	if c.takeTrial(now, r, unprobedTrialInterval) {
+	if r.pool.unserved++; r.pool.unserved >= unservedOneIn && c.takeTrial(now, r, unservedInterval) {
+		r.pool.unserved = 0
 		return false
 	}
 	c.fail(now, r, ReasonUnreachable, out)
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -102,6 +102,8 @@
 	knownLost                 bool
 	nextReachProbe, nextTrial time.Duration
 	lastReachProbe            int
+	// unserved counts the requests for a lost pool that nobody served since one was last tried.
+	unserved int
 	// limited counts the endpoints with a rate limit.
 	limited int
 }
