--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -78,16 +78,16 @@
 // a caller in a failure domain. It names the entries with the most capacity in the caller's own
 // domain, and others only if that domain has fewer than enoughNearby: an entry in another domain
 // would send the caller's requests to endpoints there. If all of these entries are suspected, it
-// names the suspected ones, so that an entry that is alone still names itself. Entries that are cut
-// off from all endpoints are left out as long as most are not.
+// names the suspected ones, so that an entry that is alone still names itself. Entries that reach no
+// endpoint are left out unless most reach none.
 func (c *Core) EntriesNear(domain string, most int) []string {
 	var near, far []*member.Entry
 	var suspected []string
-	avoidUnreaching := c.avoidsUnreaching()
+	leaveOutCut := c.leavesOutCutEntries()
 	for i := range c.fleet.entries {
 		e := &c.fleet.entries[i]
 		switch {
-		case !c.mayBeNamed(e), avoidUnreaching && c.reportsNoEndpoint(e.VM.Incarnation):
+		case !c.mayBeNamed(e), leaveOutCut && c.reportsNoEndpoint(e.VM.Incarnation):
 		case e.Suspected:
 			suspected = append(suspected, e.VM.Address)
 		case e.VM.Domain == domain:
@@ -166,7 +166,7 @@
 		Serving: c.serviceEntries(sv),
 		MaxTTL:  c.cfg.AnswersTTL,
 	}
-	avoidUnreaching := c.avoidsUnreaching()
+	leaveOutCut := c.leavesOutCutEntries()
 	for i := range f.entries {
 		e := &f.entries[i]
 		row := directory.Entry{
@@ -175,7 +175,7 @@
 			Region:      e.VM.Region,
 			Domain:      e.VM.Domain,
 			Leaving:     e.State != message.EntryServing || e.VM.State == published.Leaving,
-			Suspected:   e.Suspected || avoidUnreaching && c.reportsNoEndpoint(e.VM.Incarnation),
+			Suspected:   e.Suspected || leaveOutCut && c.reportsNoEndpoint(e.VM.Incarnation),
 		}
 		if e.VM.Incarnation == c.cfg.Self.Incarnation {
 			row.Epoch, row.Load = c.keys.Epoch(), c.ownLoad()
--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -142,8 +142,7 @@
 }
 
 // confirmCrashes records the crashes of endpoints that refused a crash probe, unless this entry may
-// have lost its paths to all endpoints.
-// It returns false if a refusal is still unconfirmed.
+// have lost its paths to all endpoints. It returns false if a refusal is still unconfirmed.
 func (c *Core) confirmCrashes(now time.Duration, out *Actions) (all bool) {
 	if len(c.brokenAttempts) == 0 {
 		return true
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -187,9 +187,9 @@
 
 // MaySend is called by the driver right before it writes the first byte of an attempt. It returns
 // false if the request was answered, cancelled or quarantined meanwhile, if its deadline passed, or
-// if its endpoint is leaving, backing off or not reached. A process that was suspended between the decision and
-// the write must not send a request that its caller has given up or that was reported as not run.
-// After false the driver reports EndNotWritten.
+// if its endpoint is leaving, backing off or not reached. A process that was suspended between the
+// decision and the write must not send a request that its caller has given up or that was reported
+// as not run. After false the driver reports EndNotWritten.
 func (c *Core) MaySend(now time.Duration, id RequestID, n Attempt) bool {
 	if !c.MayConnect(now, id, n) {
 		return false
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -1,14 +1,11 @@
 package core
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/member"
-	"github.com/tealhall/tealhall/internal/core/quota"
 	"github.com/tealhall/tealhall/internal/core/reach"
-	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/profile"
 )
 
@@ -19,8 +16,8 @@
 const (
 	// maxRelays bounds how many helpers are asked for one request.
 	maxRelays = 4
-	// maxDialFailures is how many endpoints must refuse or time out a connection for one request
-	// until it is relayed. One of them may just have crashed.
+	// maxDialFailures is how many connections must fail for one request until it is relayed. One
+	// endpoint may just have crashed.
 	maxDialFailures = 2
 	// cutHelperPause is how long a helper is not asked for a pool that it does not reach,
 	// deadHelperPause how long one that cannot be reached itself is not asked, and busyHelperPause
@@ -286,155 +283,3 @@
 	}
 	return ReasonNone
 }
-
-// heardNobody reports whether enough endpoints were probed in the current round of r to conclude
-// from their silence that this entry may reach none of the pool.
-func (c *Core) heardNobody(r *request) bool {
-	return r.relays == 0 && len(r.probeRound.probed) >= min(reach.LostEndpoints, r.pool.countLive()) &&
-		!r.pool.reach.HeardSince(r.probeRound.began)
-}
-
-// tickReach handles pools of which this entry began or ceased to reach endpoints, and probes the
-// endpoints of those of which it reaches none.
-func (c *Core) tickReach(now time.Duration, out *Actions) {
-	for _, p := range c.poolRows {
-		p.reach.Expire(now)
-		if lost := p.reach.Lost(); lost != p.knownLost {
-			p.knownLost = lost
-			out.note(c.reachNote(now, p))
-			if lost {
-				c.leaveLostPool(now, p, out)
-			}
-		}
-		if p.knownLost && now >= p.nextReachProbe {
-			c.probeLost(now, p, out)
-		}
-	}
-	c.fleet.noEndpoint = c.reachesNoEndpoint(now)
-	c.forgetHelpers(now)
-}
-
-// noEndpointAfter is how long this entry must have reached no endpoint before it tells the fleet, which
-// then directs callers to other entries.
-const noEndpointAfter = time.Second
-
-// reachesNoEndpoint reports whether this entry has reached no endpoint of any pool for a while. A pool that
-// gets no requests counts if it has not answered since another one was lost.
-func (c *Core) reachesNoEndpoint(now time.Duration) bool {
-	since := now
-	for _, p := range c.poolRows {
-		if p.reach.Lost() {
-			since = min(since, p.reach.LostAt())
-		}
-	}
-	if now-since < noEndpointAfter {
-		return false
-	}
-	for _, p := range c.poolRows {
-		if !p.reach.Lost() && p.reach.HeardSince(since) {
-			return false
-		}
-	}
-	return true
-}
-
-// reportsNoEndpoint reports whether another entry, or this one, is known to be cut off.
-func (c *Core) reportsNoEndpoint(incarnation uint64) bool {
-	if incarnation == c.cfg.Self.Incarnation {
-		return c.fleet.noEndpoint
-	}
-	p := c.fleet.peers[incarnation]
-	return p != nil && p.update.NoEndpoint
-}
-
-// avoidsUnreaching reports whether callers are directed to other entries than those that are cut off. If
-// most are, the few others could not serve all callers, and cut ones relay.
-func (c *Core) avoidsUnreaching() bool {
-	serving, cutOff := 0, 0
-	for i := range c.fleet.entries {
-		if e := &c.fleet.entries[i]; c.mayBeNamed(e) && !e.Suspected {
-			serving++
-			if c.reportsNoEndpoint(e.VM.Incarnation) {
-				cutOff++
-			}
-		}
-	}
-	return cutOff > 0 && 2*cutOff <= serving
-}
-
-func (c *Core) reachNote(now time.Duration, p *pool) Note {
-	n := Note{Subject: "pool " + p.Name, Action: "reached", From: "unreachable", To: "reached"}
-	if !p.knownLost {
-		return n
-	}
-	n.Action, n.From, n.To = "unreachable", "reached", "relayed to other entries"
-	n.Why = fmt.Sprintf("%d of %d endpoints failed to answer and none has answered since", p.reach.Unanswered(), p.countLive())
-	if heard := p.reach.HeardAt(); heard > 0 {
-		n.Why += "; the last answer came " + (now - heard).Round(time.Millisecond).String() + " ago"
-	}
-	n.Why += "; check the network paths from this entry, and the endpoints if other entries say the same"
-	return n
-}
-
-// leaveLostPool relays the requests that wait for an endpoint of a lost pool. An attempt that is
-// not written yet is withdrawn, and its end leads to a relayed one. A request that may run twice
-// gets a relayed attempt beside one that was written.
-func (c *Core) leaveLostPool(now time.Duration, p *pool, out *Actions) {
-	var ids []RequestID
-	for id, r := range c.requests {
-		if r.pool == p && r.committed == 0 && (r.phase == phaseQueued || r.phase == phaseProbing || r.phase == phaseActive) {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		r, ok := c.requests[id]
-		switch {
-		case !ok:
-		case r.phase != phaseActive:
-			c.relayLost(now, r, out)
-		case !withdrawUnwritten(r, out) && r.mayRunTwice && r.live() == 1 && r.relays == 0 && !r.nested() && !c.isSuspect(now, r):
-			c.relayNext(now, r, true, out)
-		}
-	}
-}
-
-// withdrawUnwritten withdraws the attempts of r that no endpoint has seen, and reports whether
-// there was one.
-func withdrawUnwritten(r *request, out *Actions) (withdrew bool) {
-	for i := Attempt(1); i <= r.dispatches; i++ {
-		a := &r.attempts[i]
-		if !a.live || a.relay || a.forward || a.written {
-			continue
-		}
-		a.withdrawn, withdrew = true, true
-		out.addDirective(Directive{ID: r.arrival.ID, Step: StepCancel, Attempt: i})
-	}
-	return withdrew
-}
-
-// probeLost probes the next endpoint of a lost pool. The probe counts against the budget of its
-// kind.
-func (c *Core) probeLost(now time.Duration, p *pool, out *Actions) {
-	p.nextReachProbe = now + reach.CheckInterval
-	for range p.Endpoints {
-		p.lastReachProbe = (p.lastReachProbe + 1) % len(p.Endpoints)
-		e := &p.Endpoints[p.lastReachProbe]
-		if !e.TakesWork() || quota.InBackoff(now, e) {
-			continue
-		}
-		if p.usesLoadProbes() {
-			p.loadProbes.Request(1)
-		}
-		if c.spendCrashProbe(now, p) {
-			p.reach.Tried(now)
-			out.Probes = append(out.Probes, reachProbe(p, e))
-		}
-		return
-	}
-}
-
-// reachProbe returns a probe that asks whether an endpoint can be reached.
-func reachProbe(p *pool, e *table.Endpoint) Probe {
-	return Probe{Pool: p.Name, Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address, Path: p.probePath, Wait: 4 * loadProbeWait}
-}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -64,17 +64,17 @@
 	// expectedDuration is how long the attempt was expected to take when it was sent.
 	expectedDuration time.Duration
 	// status, load, retryAfter and headLatency come from the head of the answer.
-	status     int
-	load       Load
-	retryAfter time.Duration
-	// relay is set if the attempt went to another entry, which refused it for helperReason.
-	// incarnation is then that of the entry.
+	status      int
+	load        Load
+	retryAfter  time.Duration
+	headLatency time.Duration
+	// relay is set if the attempt went to another entry, of which incarnation is then the
+	// incarnation; helperReason is why that entry refused it.
 	relay        bool
 	helperReason Reason
 	// written is set right before the first byte is written. A withdrawn attempt is not written any
 	// more.
 	written, withdrawn bool
-	headLatency        time.Duration
 	// endpoint is the endpoint's name, probedLoad and limit the load and rate limit that it had
 	// reported; end, cause and took describe the end of the attempt, for the request trace.
 	endpoint   string
