--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -163,12 +163,8 @@
 	servingSince time.Duration
 
 	// now is the time of the latest tick or request event.
-	now      time.Duration
-	lastTick time.Duration
-	// wasBusy says that requests were in flight at the latest tick, and stalledUntil is the latest
-	// tick that came late because the process did not run.
-	wasBusy         bool
-	stalledUntil    time.Duration
+	now             time.Duration
+	lastTick        time.Duration
 	nextSweep       time.Duration
 	nextHealthProbe time.Duration
 	nextMember      time.Duration
@@ -244,7 +240,6 @@
 func (c *Core) Tick(now time.Duration, wall time.Time, out *Actions) {
 	c.wall, c.now = wall, now
 	c.notePause(now, out)
-	c.noteStall(now)
 	c.lastTick = now
 	c.keys.Tick(now)
 	c.applyCalendar(now, out)
--- a/internal/core/entryharness_test.go
+++ b/internal/core/entryharness_test.go
@@ -226,8 +226,7 @@
 		if ep := h.endpoint(p.Endpoint); ep.dead && ep.silent {
 			after = p.Wait
 		}
-		began := h.now
-		h.schedule(after, func() { h.answerLoadProbe(p, h.now-began) })
+		h.schedule(after, func() { h.answerLoadProbe(p) })
 	}
 }
 
@@ -239,9 +238,9 @@
 	})
 }
 
-func (h *entryHarness) answerLoadProbe(p Probe, took time.Duration) {
+func (h *entryHarness) answerLoadProbe(p Probe) {
 	ep := h.endpoint(p.Endpoint)
-	end := ProbeEnd{Probe: p, OK: !ep.silent && !ep.dead, Refused: ep.dead && !ep.silent, Misdirected: ep.misdirected, Draining: ep.leaving, Latency: took,
+	end := ProbeEnd{Probe: p, OK: !ep.silent && !ep.dead, Refused: ep.dead && !ep.silent, Misdirected: ep.misdirected, Draining: ep.leaving, Latency: ms,
 		Load: Load{Known: !ep.silent, InFlight: ep.running, Queued: ep.waiting, Slots: 2, Pace: max(ep.pace, 100), Cold: max(0, ep.coldUntil-h.now)}}
 	h.do(func(out *Actions) { h.ProbeEnd(h.now, end, out) })
 }
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -10,24 +10,6 @@
 	"github.com/tealhall/tealhall/internal/core/table"
 )
 
-// stallGap is the time between two ticks of a busy entry from which the process counts as having
-// stalled. It is below the time in which a probe has to be answered: after a stall, probes end
-// unanswered although their answers have arrived.
-const stallGap = 30 * time.Millisecond
-
-// noteStall records a tick that came late.
-func (c *Core) noteStall(now time.Duration) {
-	if c.stalledSince(now, c.lastTick) {
-		c.stalledUntil = now
-	}
-	c.wasBusy = len(c.requests) > 0
-}
-
-// stalledSince reports whether the process has stalled at the given time or later.
-func (c *Core) stalledSince(now, at time.Duration) bool {
-	return at < c.stalledUntil || c.wasBusy && now-c.lastTick > stallGap
-}
-
 // noteContact records whether an endpoint answered. at is when a connection was refused or reset,
 // or when what was not answered had been sent.
 func (c *Core) noteContact(now, at time.Duration, p *pool, e *table.Endpoint, answered bool) {
@@ -35,9 +17,6 @@
 		p.reach.Answered(now)
 		return
 	}
-	if at < now && c.stalledSince(now, at) {
-		return // the answer may have arrived
-	}
 	p.reach.Failed(now, at, e.Name, p.countLive())
 }
 
@@ -68,7 +47,7 @@
 // from their silence that this entry may reach none of the pool.
 func (c *Core) heardNobody(r *request) bool {
 	return r.relays == 0 && len(r.probeRound.probed) >= min(reach.LostEndpoints, r.pool.countLive()) &&
-		!r.pool.reach.HeardSince(r.probeRound.began) && !c.stalledSince(c.now, r.probeRound.began)
+		!r.pool.reach.HeardSince(r.probeRound.began)
 }
 
 // tickReach handles pools of which this entry began or ceased to reach endpoints, and probes the
--- a/internal/core/reach_test.go
+++ b/internal/core/reach_test.go
@@ -70,30 +70,3 @@
 		t.Errorf("%d of 48 requests were not refused within half a second", late)
 	}
 }
-
-// Guards against a process that was short of processor time, and so read the answers of its probes
-// late, and that takes this for a cut: it would relay its requests to entries that are as busy.
-func TestStalledProcessIsNotCutOff(t *testing.T) {
-	h := newEntryHarness(t, idleEndpoints(6, "d0")...)
-	h.learnServiceTime(8)
-	setSilent := func(silent bool) {
-		for _, ep := range h.endpoints {
-			ep.dead, ep.silent = silent, silent
-		}
-	}
-	for range 5 {
-		h.sendRequest(route.Idempotent, 3*sec)
-		h.run(5 * ms)
-		setSilent(true)
-		for range 4 {
-			h.sendRequest(route.Idempotent, 3*sec)
-		}
-		h.now += 130 * ms // the process does not run
-		h.run(5 * ms)
-		setSilent(false)
-		if h.pools["p"].reach.Lost() {
-			t.Fatal("the pool counts as lost")
-		}
-		h.run(sec)
-	}
-}
