--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -10,6 +10,7 @@
 
 	"github.com/tealhall/tealhall/internal/core/quarantine"
 	"github.com/tealhall/tealhall/internal/core/quota"
+	"github.com/tealhall/tealhall/internal/core/reach"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/message"
 )
@@ -102,9 +103,9 @@
 }
 
 // crashProbeEnd processes the result of a crash probe. The endpoint also counts as crashed if
-// another endpoint or another incarnation answers at its address. While other endpoints fail to
-// answer as well, this entry may have lost its paths to all of them, and a refused connection counts
-// only once an endpoint has answered.
+// another endpoint or another incarnation answers at its address. While several endpoints fail to
+// answer, this entry may have lost its paths to all of them, and a refused connection counts only
+// once an endpoint has answered.
 func (c *Core) crashProbeEnd(now time.Duration, end ProbeEnd, out *Actions) {
 	crashed := end.Refused || end.Misdirected || end.Incarnation != 0 && end.Incarnation != end.Probe.Incarnation
 	if !crashed && !end.OK && !end.Unhealthy {
@@ -150,7 +151,7 @@
 	all = true
 	var crashes []quarantine.Crash
 	c.brokenAttempts = slices.DeleteFunc(c.brokenAttempts, func(b brokenAttempt) bool {
-		confirmed := b.refused && (b.pool.reach.Unanswered() < 2 || b.pool.reach.HeardSince(b.at))
+		confirmed := b.refused && (b.pool.reach.Unanswered() < reach.LostEndpoints || b.pool.reach.HeardSince(b.at))
 		if confirmed {
 			crashes = append(crashes, b.crash())
 		}
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -43,11 +43,11 @@
 	c.noteContact(now, at, p, e, false)
 }
 
-// heardNobody reports whether enough endpoints were probed in the current round of r to conclude
-// from their silence that this entry may reach none of the pool.
+// heardNobody reports whether enough endpoints were probed in the current round of r, and were silent
+// for long enough, to conclude that this entry may reach none of the pool.
 func (c *Core) heardNobody(r *request) bool {
 	return r.relays == 0 && len(r.probeRound.probed) >= min(reach.LostEndpoints, r.pool.countLive()) &&
-		!r.pool.reach.HeardSince(r.probeRound.began)
+		!r.pool.reach.HeardSince(min(r.probeRound.began, c.now-reach.SilentAfter))
 }
 
 // tickReach handles pools of which this entry began or ceased to reach endpoints, and probes the
--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -18,8 +18,11 @@
 	// endpoints.
 	lostContacts = 3
 	// lostAfter is the shortest time from the first of these contacts until the pool counts as
-	// lost, so that a short pause of the network or of this process is not taken for a cut.
-	lostAfter = 75 * time.Millisecond
+	// lost. Answers may take that long through the full link of a small VM.
+	lostAfter = 300 * time.Millisecond
+	// SilentAfter is how long no endpoint must have answered until the silence of a whole round of
+	// load probes is reason enough to relay one request.
+	SilentAfter = 150 * time.Millisecond
 	// lostFor is how long a pool counts as lost after the latest attempt at a contact. A pool that cannot
 	// be probed is used again a second after its endpoints work.
 	lostFor = 900 * time.Millisecond
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -160,12 +160,12 @@
 }
 
 // helperRank returns the rank of a helper, the best being 0: first those that served a request
-// lately, then those of failure domains in which none was asked for r, as a whole domain may be cut,
-// last those that are cut off as well, and always the nearest first, since traffic between domains
-// is expensive.
+// lately if others have refused one, then those of failure domains in which none was asked for r, as
+// a whole domain may be cut, last those that reach no endpoint either, and always the nearest first,
+// since traffic between domains is expensive.
 func (c *Core) helperRank(now time.Duration, e *member.Entry, r *request, explore bool) int {
 	rank := c.distanceTo(e)
-	if !explore && c.helpers[helperPool{e.VM.Incarnation, r.pool}].servedLately(now) {
+	if !explore && now < r.pool.cutHelpersUntil && c.helpers[helperPool{e.VM.Incarnation, r.pool}].servedLately(now) {
 		return rank
 	}
 	if rank += distances; c.askedIn(r, e.VM.Domain) {
@@ -237,6 +237,7 @@
 		pause = busyHelperPause
 	case e.Kind == EndNotRun && a.helperReason.anotherHelper():
 		id.pool, pause = r.pool, cutHelperPause
+		r.pool.cutHelpersUntil = now + helperMemory
 	case !e.DialFailed && !e.ConnSilent && !e.ConnBroken:
 		return
 	}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -102,6 +102,9 @@
 	knownLost                 bool
 	nextReachProbe, nextTrial time.Duration
 	lastReachProbe            int
+	// cutHelpersUntil is until when helpers that served a request are preferred, since others did not
+	// reach the pool either.
+	cutHelpersUntil time.Duration
 	// unserved counts the requests for a lost pool that nobody served since one was last tried.
 	unserved int
 	// limited counts the endpoints with a rate limit.
