--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -46,7 +46,7 @@
 // heardNobody reports whether enough endpoints were probed in the current round of r, and were silent
 // for long enough, to conclude that this entry may reach none of the pool.
 func (c *Core) heardNobody(r *request) bool {
-	return r.relays == 0 && len(r.probeRound.probed) >= min(reach.LostEndpoints, r.pool.countLive()) &&
+	return len(r.relayedTo) == 0 && len(r.probeRound.probed) >= min(reach.LostEndpoints, r.pool.countLive()) &&
 		!r.pool.reach.HeardSince(min(r.probeRound.began, c.now-reach.SilentAfter))
 }
 
@@ -149,7 +149,7 @@
 		case !ok:
 		case r.phase != phaseActive:
 			c.relayLost(now, r, out)
-		case !withdrawUnwritten(r, out) && r.mayRunTwice && r.live() == 1 && r.relays == 0 && !r.nested() && !c.isSuspect(now, r):
+		case !withdrawUnwritten(r, out) && r.mayRunTwice && r.live() == 1 && len(r.relayedTo) == 0 && !r.nested() && !c.isSuspect(now, r):
 			c.relayNext(now, r, true, out)
 		}
 	}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -93,7 +93,7 @@
 // relayNext sends r to the next helper, beside a running attempt if second is set. It returns false
 // if r may not be relayed or no helper is left.
 func (c *Core) relayNext(now time.Duration, r *request, second bool, out *Actions) bool {
-	if r.arrival.Forwarded || r.arrival.Relayed || r.keyed || r.relays >= maxRelays || int(r.dispatches) >= MaxAttempts || now >= r.deadline {
+	if r.arrival.Forwarded || r.arrival.Relayed || r.keyed || len(r.relayedTo) >= maxRelays || int(r.dispatches) >= MaxAttempts || now >= r.deadline {
 		return false
 	}
 	if r.dispatches > 0 && !r.replayable {
@@ -109,7 +109,6 @@
 	c.endProbeRound(r)
 	repeated := r.attemptsOutcome != OutcomeNotRun || r.live() > 0
 	r.phase = phaseActive
-	r.relays++
 	r.dispatches++
 	r.relayedTo = append(r.relayedTo, helper.VM.Incarnation)
 	r.attempts[r.dispatches] = attempt{live: true, relay: true, hedge: second, index: -1, incarnation: helper.VM.Incarnation, endpoint: helper.VM.Name, sentAt: now}
@@ -132,7 +131,7 @@
 func (c *Core) nextHelper(now time.Duration, r *request) *member.Entry {
 	var best *member.Entry
 	bestRank, total := 0, uint64(0)
-	explore := r.relays == 0 && c.rng.IntN(exploreOneIn) == 0
+	explore := len(r.relayedTo) == 0 && c.rng.IntN(exploreOneIn) == 0
 	for i := range c.fleet.entries {
 		e := &c.fleet.entries[i]
 		if !c.mayHelp(now, e, r) {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -114,9 +114,8 @@
 	idleRefusals int
 	// unsent counts the attempts that never left this entry.
 	unsent int
-	// relays counts the helpers that were asked for the request, relayedTo are their incarnations.
-	// dialFailures counts the attempts for which no connection could be opened.
-	relays       int
+	// relayedTo are the incarnations of the helpers that were asked for the request. dialFailures
+	// counts the attempts for which no connection could be opened.
 	relayedTo    []uint64
 	dialFailures int
 	// forwardedTo are the entries to which the request was forwarded for its key.
