A pool to which no new connection can be opened uses its open ones and relays

Cause: load probes that met no open connection failed at their dial, and the request then waited in the queue as if the endpoints were full. The answers on open connections kept the pool from counting as lost, so nothing was relayed until two dials of a request itself had failed.

Change: a second tracker of package reach follows connections alone.

--- a/internal/admin/views.go
+++ b/internal/admin/views.go
@@ -220,6 +220,9 @@
 	// Unreachable reports whether no endpoint answers this entry, so that requests are relayed to
 	// other entries.
 	Unreachable bool `json:"unreachable,omitempty"`
+	// Unconnected reports whether no new connection to an endpoint can be opened, so that requests
+	// that find no open connection are relayed to other entries.
+	Unconnected bool `json:"unconnected,omitempty"`
 	// ViewWrong reports whether most endpoints look unhealthy, so that none is ejected.
 	ViewWrong bool `json:"view_wrong,omitempty"`
 	// HealthProbes is the budget of health probes, as a share of the pool's slot time.
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -53,6 +53,9 @@
 	}
 	a.load, a.retryAfter = h.Load, h.RetryAfter
 	c.noteContact(now, now, p, e, true)
+	if h.Connected {
+		p.dials.Answered(now)
+	}
 	c.confirmCrashes(now, out)
 	a.headLatency = now - a.sentAt
 	if h.Misdirected {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -180,6 +180,7 @@
 		Address:  e.Address,
 		Endpoint: e.Name,
 		Once:     r.policy.Kind == profile.Once || r.keyed || p.reach.Lost(),
+		OpenOnly: p.dials.Lost() && !p.reach.Lost(),
 		IdleOnly: choice.IdleOnly,
 		Deadline: r.deadline,
 	})
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -98,6 +98,8 @@
 	Reason Reason
 	// HomeLost is set if the entry to which the request was forwarded does not know its key.
 	HomeLost bool
+	// Connected is set if a new connection was opened for the attempt.
+	Connected bool
 }
 
 // Load is an endpoint's report of its own load.
@@ -153,8 +155,9 @@
 	BodyFailed bool
 	// ConnBroken is set if the endpoint's connection ended before its answer was complete.
 	ConnBroken bool
-	// DialFailed is set if no connection could be opened.
-	DialFailed bool
+	// DialFailed is set if no connection could be opened. Connected is set if one was, for this
+	// attempt. NoOpenConn is set if the attempt needed an open connection and there was none.
+	DialFailed, Connected, NoOpenConn bool
 	// Cause names the fault, for the log; "" if there was none.
 	Cause string
 	// Bytes is the size of the request's body and the answer's, if the answer was passed on
@@ -234,6 +237,9 @@
 	Repeated bool
 	// Deadline is the time by which the attempt must have ended.
 	Deadline time.Duration
+	// OpenOnly is set if the attempt may be sent only on a connection that is already open. Without
+	// one the driver reports EndNotWritten with NoOpenConn.
+	OpenOnly bool
 	Outcome  Outcome
 	Reason   Reason
 	// RetryAfter is the delay after which the caller may try again; 0 if it need not wait.
@@ -258,6 +264,9 @@
 	CrashProbe bool
 	// At is when a crash probe was requested.
 	At time.Duration
+	// OpenOnly is set if the probe may be sent only on a connection that is already open, NewConn if
+	// it needs a new one.
+	OpenOnly, NewConn bool
 }
 
 // ProbeEnd is the result of a probe.
@@ -277,6 +286,8 @@
 	Unhealthy bool
 	// Misdirected is set if another endpoint answers at the address.
 	Misdirected bool
+	// DialFailed, Connected and NoOpenConn are as in an End.
+	DialFailed, Connected, NoOpenConn bool
 }
 
 // Outgoing is an update for one peer.
--- a/internal/core/healthprobes.go
+++ b/internal/core/healthprobes.go
@@ -92,7 +92,9 @@
 	if !ok {
 		return
 	}
-	c.observeProbe(now, p, &end, out)
+	if !end.NoOpenConn {
+		c.observeProbe(now, p, &end, out)
+	}
 	if end.Probe.CrashProbe {
 		c.crashProbeEnd(now, end, out)
 		return
--- a/internal/core/loadprobes.go
+++ b/internal/core/loadprobes.go
@@ -100,7 +100,7 @@
 	}
 	view := c.placementView(now, r)
 	r.probeRound = loadProbeRound{batch: r.probeRound.batch, probed: r.probeRound.probed[:0], began: now, second: second, active: true,
-		ownOnly: !second && !r.queuedOnce && view.PrefersOwnDomain(probeRoundGap)}
+		ownOnly: !second && !r.queuedOnce && !r.pool.dials.Lost() && view.PrefersOwnDomain(probeRoundGap)}
 	c.probing = append(c.probing, r.arrival.ID)
 	if r.queuedOnce && !second {
 		// An answer that has just arrived may have reported a slot that is free by now.
@@ -148,13 +148,16 @@
 	r.loadProbes++
 	c.counters.LoadProbes++
 	out.Probes = append(out.Probes, Probe{Pool: r.pool.Name, Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address,
-		Path: r.pool.probePath, Request: r.arrival.ID, Round: r.probeRound.batch, Wait: 4 * loadProbeWait})
+		Path: r.pool.probePath, Request: r.arrival.ID, Round: r.probeRound.batch, Wait: 4 * loadProbeWait, OpenOnly: r.pool.dials.Lost()})
 }
 
 // loadProbeEnd processes the result of a load probe.
 func (c *Core) loadProbeEnd(now time.Duration, p *pool, e *table.Endpoint, end ProbeEnd, out *Actions) {
-	p.placementState.NoteContact(now, e.Domain, end.OK || end.Unhealthy || end.Misdirected)
+	if !end.NoOpenConn {
+		p.placementState.NoteContact(now, e.Domain, end.OK || end.Unhealthy || end.Misdirected)
+	}
 	switch {
+	case end.NoOpenConn:
 	case end.Misdirected:
 		e.AvoidUntil = now + misdirectedPause
 	case !end.OK || end.Unhealthy:
@@ -238,7 +241,7 @@
 	if best.Index < 0 && !r.probeRound.ownOnly && c.heardNobody(r) && c.relayNext(now, r, false, out) {
 		return
 	}
-	if view := c.placementView(now, r); best.Index < 0 && !r.probeRound.ownOnly && !c.anyAnswered(r) && !view.MostlyFull() {
+	if view := c.placementView(now, r); best.Index < 0 && !r.probeRound.ownOnly && !r.pool.dials.Lost() && !c.anyAnswered(r) && !view.MostlyFull() {
 		if i := view.WithoutLoad(); i >= 0 && c.dispatchProbed(now, r, i, out) {
 			return
 		}
@@ -246,6 +249,9 @@
 	if best.Worthwhile && c.dispatchProbed(now, r, best.Index, out) {
 		return
 	}
+	if c.relayUnconnected(now, r, out) {
+		return
+	}
 	c.endProbeRound(r)
 	if r.probeRound.ownOnly {
 		c.delayProbeRound(now, r)
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/quota"
@@ -26,6 +25,7 @@
 	if !end.Refused {
 		at = now - end.Latency
 	}
+	noteDial(now, at, p, e, end.Connected, end.DialFailed)
 	c.noteContact(now, at, p, e, end.OK || end.Unhealthy || end.Misdirected)
 }
 
@@ -33,13 +33,14 @@
 // An answer was recorded with its head. A connection that went silent says nothing: a network device
 // may have lost its state while new connections work.
 func (c *Core) noteAttemptContact(now time.Duration, p *pool, a *attempt, e *table.Endpoint, end End) {
-	if a.status != 0 || end.Kind == EndCancelled || end.ConnSilent || !end.DialFailed && !end.ConnBroken {
-		return
-	}
 	at := now
 	if end.TimedOut || end.DialFailed && now-a.sentAt > loadProbeWait {
 		at = a.sentAt
 	}
+	noteDial(now, at, p, e, end.Connected, end.DialFailed)
+	if a.status != 0 || end.Kind == EndCancelled || end.ConnSilent || !end.DialFailed && !end.ConnBroken {
+		return
+	}
 	c.noteContact(now, at, p, e, false)
 }
 
@@ -65,6 +66,7 @@
 		if p.knownLost && now >= p.nextReachProbe {
 			c.probeLost(now, p, out)
 		}
+		c.tickDials(now, p, out)
 	}
 	c.fleet.noEndpoint = c.reachesNoEndpoint(now)
 	c.forgetHelpers(now)
@@ -136,14 +138,7 @@
 // not written yet is withdrawn, and its end leads to a relayed one. A request that may run twice
 // gets a relayed attempt beside one that was written.
 func (c *Core) leaveLostPool(now time.Duration, p *pool, out *Actions) {
-	var ids []RequestID
-	for id, r := range c.requests {
-		if r.pool == p && r.committed == 0 && (r.phase == phaseQueued || r.phase == phaseProbing || r.phase == phaseActive) {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	for _, id := range c.waitingFor(p) {
 		r, ok := c.requests[id]
 		switch {
 		case !ok:
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -41,6 +41,9 @@
 	}
 	if neverSent(r, e) {
 		r.unsent++
+		if e.NoOpenConn && c.relayUnconnected(now, r, out) {
+			return
+		}
 		c.placeAgain(now, r, out)
 		return
 	}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -96,6 +96,12 @@
 	cold           coldOwners
 	// reach records whether this entry reaches the endpoints.
 	reach reach.Tracker
+	// dials records whether new connections to the endpoints can be opened, and knownUnconnected says
+	// that none could and that requests use open connections only. nextDialProbe is when the next
+	// new connection is tried.
+	dials            reach.Tracker
+	knownUnconnected bool
+	nextDialProbe    time.Duration
 	// knownLost says that the pool is lost and its requests were relayed. nextReachProbe and
 	// lastReachProbe are the time of the next probe of a lost pool and the row of the latest one;
 	// nextTrial is when a request may next be tried at a lost pool.
@@ -127,6 +133,7 @@
 	}
 	p.peerSlots = peerSlots{}
 	p.reach.Reset()
+	p.dials.Reset()
 	health.Pause(now, gap, &p.Pool)
 }
 
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -101,6 +101,10 @@
 	// UnreachableSince is when that began.
 	Unreachable      bool
 	UnreachableSince time.Duration
+	// Unconnected says that no new connection to an endpoint can be opened, so that this entry uses
+	// open connections only and relays other requests; UnconnectedSince is when that began.
+	Unconnected      bool
+	UnconnectedSince time.Duration
 	// ViewWrong says that most endpoints look bad, so that none is ejected.
 	ViewWrong bool
 	// HealthProbeShare is the share of slot time that all entries may spend on health probes.
@@ -271,6 +275,8 @@
 		Unanswered:       p.reach.Unanswered(),
 		Unreachable:      p.reach.Lost(),
 		UnreachableSince: p.reach.LostAt(),
+		Unconnected:      p.dials.Lost(),
+		UnconnectedSince: p.dials.LostAt(),
 	}
 	for i := range p.Endpoints {
 		v.count(&p.Endpoints[i], quota.IsCold(now, &p.Pool, &p.Endpoints[i]))
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -96,15 +96,22 @@
 func (e *Entry) sendProbe(ctx context.Context, request *http.Request, end *core.ProbeEnd) {
 	request.Host = end.Probe.Address
 	response, delivery, err := e.connections.Send(ctx, forward.Outgoing{
-		Address: end.Probe.Address,
-		Request: request,
-		IsStray: func(answer http.Header) bool { return e.dialect.IsStray(request.Header, answer) },
+		Address:  end.Probe.Address,
+		Request:  request,
+		OpenOnly: end.Probe.OpenOnly,
+		NewConn:  end.Probe.NewConn,
+		IsStray:  func(answer http.Header) bool { return e.dialect.IsStray(request.Header, answer) },
 	})
 	e.instruments.countConnection(delivery)
 	if err != nil {
-		end.Refused = forward.FailureOf(err) == forward.DialRefused
+		failure := forward.FailureOf(err)
+		end.Refused = failure == forward.DialRefused
+		end.NoOpenConn = end.Probe.OpenOnly && failure == forward.NoConnection
+		end.Connected = delivery.NewConn && delivery.Wrote
+		end.DialFailed = delivery.NewConn && !delivery.Wrote
 		return
 	}
+	end.Connected = delivery.NewConn
 	// A connection with an unread body cannot be reused, so each probe would need a new one.
 	_, _ = io.CopyN(io.Discard, response.Body, maxProbeBody)
 	_ = response.Body.Close()
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/tealhall/tealhall/internal/contract"
 	"github.com/tealhall/tealhall/internal/core"
@@ -40,6 +39,7 @@
 		Trailer:       x.request.Trailer,
 		Extra:         x.extraHeader(d),
 		Once:          d.Once,
+		OpenOnly:      d.OpenOnly,
 		MaySend:       maySend,
 		IsStray: func(answer http.Header) bool {
 			return x.entry.dialect.IsStray(x.request.Header, answer)
@@ -51,7 +51,7 @@
 		x.entry.engine.end(x.failedEnd(d, delivery, err))
 		return
 	}
-	x.handleHead(d, response, delivery.FirstByte-delivery.Started, cancel)
+	x.handleHead(d, response, delivery, cancel)
 }
 
 // extraHeader returns the headers that the entry adds to an attempt.
@@ -77,10 +77,11 @@
 }
 
 // handleHead passes the head of an answer to the core. If the core commits to the answer, the
-// exchange gets it; otherwise it is closed. waited is the time from the first write of the request
-// to the first byte of the answer.
-func (x *exchange) handleHead(d core.Directive, response *http.Response, waited time.Duration, cancel context.CancelFunc) {
+// exchange gets it; otherwise it is closed.
+func (x *exchange) handleHead(d core.Directive, response *http.Response, delivery forward.Delivery, cancel context.CancelFunc) {
 	head := x.headOf(d, response)
+	head.Connected = delivery.NewConn
+	waited := delivery.FirstByte - delivery.Started
 	commit, outcome := x.entry.engine.head(head)
 	if commit {
 		c := &committed{response: response, attempt: d.Attempt, outcome: outcome, forwarded: d.Step == core.StepForward, relayed: d.Step == core.StepRelay, waited: waited}
@@ -145,7 +146,9 @@
 	case forward.Cancelled:
 		end.Kind = core.EndCancelled
 	}
+	end.Connected = delivery.NewConn && delivery.Wrote
 	if !delivery.Wrote {
+		end.NoOpenConn = d.OpenOnly && failure == forward.NoConnection
 		end.Kind = core.EndNotWritten
 		end.DialFailed = end.DialFailed || failure == forward.Deadline && delivery.NewConn
 	}
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -216,6 +216,7 @@
 		gauge(poolMetric(p.Name, "backing_off"), float64(p.BackingOff)),
 		gauge(poolMetric(p.Name, "unanswered"), float64(p.Unanswered)),
 		boolGauge(poolMetric(p.Name, "unreachable"), p.Unreachable),
+		boolGauge(poolMetric(p.Name, "unconnected"), p.Unconnected),
 		boolGauge(poolMetric(p.Name, "view_wrong"), p.ViewWrong),
 		gauge(poolMetric(p.Name, "watch_share"), p.HealthProbeShare),
 		total(poolMetric(p.Name, "probes"), p.Probes),
--- a/internal/entry/views_concerns.go
+++ b/internal/entry/views_concerns.go
@@ -206,6 +206,10 @@
 			l.add("by itself when endpoints answer again; check the network paths from this entry, and the endpoints if other entries say the same",
 				"no endpoint of pool %s has answered this entry for %s, so its requests are relayed to other entries", p.Name, ageText(f.now, p.UnreachableSince))
 		}
+		if p.Unconnected {
+			l.add("by itself when new connections can be opened again; check the network paths from this entry to the endpoints",
+				"no new connection to an endpoint of pool %s could be opened for %s, so requests that find no open one are relayed to other entries", p.Name, ageText(f.now, p.UnconnectedSince))
+		}
 		if p.ViewWrong {
 			l.add("by itself when most look healthy; check the network from this entry to them, and the service itself",
 				"most endpoints of pool %s look unhealthy, so none is ejected", p.Name)
--- a/internal/entry/views_status.go
+++ b/internal/entry/views_status.go
@@ -220,6 +220,7 @@
 		Endpoints:    p.Live + p.Leaving,
 		ViewWrong:    p.ViewWrong,
 		Unreachable:  p.Unreachable,
+		Unconnected:  p.Unconnected,
 		HealthProbes: admin.BudgetView{Share: p.HealthProbeShare, Spent: p.Probes, Denied: p.ProbesDenied, Left: p.ProbesLeft},
 	}
 	for i := range p.Services {
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -135,15 +135,21 @@
 // has not closed, or a new one. If all allowed connections are in use, it waits up to
 // Config.DialTimeout for one to become free. Without the wait, requests would fail when this
 // process is short of CPU time, because it then releases the connections of finished requests late.
-func (c *Connections) acquire(ctx context.Context, address string, once bool) (acquired, error) {
+func (c *Connections) acquire(ctx context.Context, out *Outgoing) (acquired, error) {
+	address := out.Address
 	var timeout <-chan time.Time
 	for {
 		p := c.pool(address)
 		if p == nil {
 			return acquired{}, &Error{Failure: Closed, Address: address}
 		}
-		if idle := c.reuse(p, once); idle != nil {
-			return acquired{pool: p, conn: idle}, nil
+		if !out.NewConn {
+			if idle := c.reuse(p, out.Once); idle != nil {
+				return acquired{pool: p, conn: idle}, nil
+			}
+		}
+		if out.OpenOnly {
+			return acquired{}, &Error{Failure: NoConnection, Address: address}
 		}
 		ok, freed := p.reserve(c.cfg.MaxConnsPerEndpoint, c.cfg.Clock())
 		if ok {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -30,6 +30,9 @@
 	// Once is set when the request must run at most once. It is then sent only on a new connection
 	// or on one that was alive within Config.FreshWithin.
 	Once bool
+	// OpenOnly is set when the request may be sent only on a connection that is already open. Without
+	// one, Send fails with NoConnection at once. NewConn is set when it needs a new connection.
+	OpenOnly, NewConn bool
 	// MaySend, if not nil, is called when the connection is ready, right before the first byte is
 	// written. If it returns false, nothing is written and Send fails with Withdrawn. Setting up a
 	// connection may take long, and the process may be suspended meanwhile, so the caller may
@@ -69,7 +72,7 @@
 	if ctx.Err() != nil {
 		return nil, delivery, &Error{Failure: contextFailure(ctx), Address: out.Address, Cause: ctx.Err()}
 	}
-	got, err := c.acquire(ctx, out.Address, out.Once)
+	got, err := c.acquire(ctx, &out)
 	delivery.Dial, delivery.NewConn = got.dial, got.fresh
 	if err != nil {
 		return nil, delivery, err
