No more requests wait for the end of a backoff than endpoints return

Cause: while all endpoints of a pool back off, every request that could still be in time after the first of them is back waited for it. A returning endpoint gets one request until it has accepted that one, so the others waited in vain wherever it refused again.

Change: a request that arrives then waits only if fewer wait than endpoints return until its latest useful start. The others are refused at once, with the first return as their time to come back.

Ruled out: refusing all (those that the first return can serve are in time).

--- a/internal/core/backoff.go
+++ b/internal/core/backoff.go
@@ -81,18 +81,32 @@
 	return n
 }
 
-// unservable returns why no endpoint of its pool can take r while r waits, or ReasonNone. Requests
-// wait for the end of a backoff only if they can still be in time after it.
+// unservable returns why no endpoint of its pool can take r while r waits, or ReasonNone. While all
+// endpoints back off, a request waits only if it can still be in time after the end of a backoff, and
+// no more requests wait than endpoints return until then.
 func (c *Core) unservable(now time.Duration, r *request) Reason {
 	switch end, ok := r.pool.backoffEnd(now); {
 	case !ok:
 		return ReasonNoEndpoint
 	case end > now && end > r.latestUsefulStart():
 		return ReasonBackoff
+	case end > now && r.phase != phaseQueued && r.pool.queue.Len() >= r.pool.backoffsEndedBy(r.latestUsefulStart()):
+		return ReasonBackoff
 	}
 	return ReasonNone
 }
 
+// backoffsEndedBy counts the endpoints whose backoff has ended at a time. Each of them gets one
+// request at first, and more only after it has accepted that one.
+func (p *pool) backoffsEndedBy(at time.Duration) (n int) {
+	for i := range p.Endpoints {
+		if e := &p.Endpoints[i]; e.TakesWork() && e.Backoff.Until <= at {
+			n++
+		}
+	}
+	return n
+}
+
 // latestUsefulStart is the latest time at which an endpoint can begin r so that its answer is in
 // time, or comes within the usual wait of a request without a latency objective.
 func (r *request) latestUsefulStart() time.Duration {
--- a/internal/core/backoff_test.go
+++ b/internal/core/backoff_test.go
@@ -255,6 +255,31 @@
 	}
 }
 
+// Guards against requests that wait for the end of a backoff behind others: an endpoint gets one
+// request after it, and where it refuses again all that waited learn only then that they are not
+// served.
+func TestFewRequestsWaitForEndOfBackoff(t *testing.T) {
+	h := newEntryHarness(t, idleEndpoints(3, "d0")...)
+	h.learnServiceTime(8)
+	h.serviceTime = 100 * ms
+	for _, ep := range h.endpoints {
+		ep.refuses, ep.retryAfter = true, 2*sec
+	}
+	const requests = 800
+	late := 0
+	for range requests {
+		id := h.sendRequest(route.Idempotent, 2*sec)
+		h.run(10 * ms)
+		if _, refused := h.replies[id]; !refused {
+			late++
+		}
+	}
+	// Three endpoints take one request each when their backoffs end, four times in 8 s.
+	if late > 2*3*4 {
+		t.Errorf("%d of %d requests waited in vain", late, requests)
+	}
+}
+
 // Guards against requests that wait for a slot until it is too late for them after the last
 // endpoint has begun to back off.
 func TestWaitingRequestsAreRefusedWhenLastEndpointBacksOff(t *testing.T) {
