Downloads: a kind of their own, in turns on the link, held for slow callers

Cause: the kind was not known, so downloads ran once at most: one whose endpoint did not answer was not repeated until its caller's time was over. An answer was read from its endpoint only as fast as its caller read it, and endpoints give up what stays unread. Large answers and small ones shared the link first come, first served.

Change: route kind download (idempotent; profile documents without a rule for it stay valid and use the one for idempotent, with a warning); package transfer decides whose part goes next on the link and how much is held for a slow caller, front.CopyLargeAnswer carries it out; settings link_mbps, memory_mb, held_share, held_answer_bytes; refusal link-full; metrics and a cause in the request's line. All of it applies to routes of kind download only, and the last two only with the settings.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -30,7 +30,9 @@
 	if s := c.splits[r.Name]; s != nil {
 		name = s.next()
 	}
-	return admissionOf(c.services[name])
+	a := admissionOf(c.services[name])
+	a.LargeAnswer = r.Kind == route.Download
+	return a
 }
 
 // MayRepeat reports whether a request may run twice, by the kind of its route or, without routes,
@@ -41,7 +43,18 @@
 		return ok && (sv.policy.Kind == profile.Read || sv.policy.Kind == profile.Urgent)
 	}
 	r, ok := c.snapshot.Routes().Find(host, path)
-	return ok && r.Kind == route.Idempotent
+	return ok && r.Kind.MayRepeat()
+}
+
+// MayPipeline reports whether a request may be started before the answers in front of it on its
+// connection are sent. A download is not: its answer would wait, half read, at its endpoint.
+func (c *Core) MayPipeline(service, host, path string) bool {
+	if c.Routed() {
+		if r, ok := c.snapshot.Routes().Find(host, path); ok && r.Kind == route.Download {
+			return false
+		}
+	}
+	return c.MayRepeat(service, host, path)
 }
 
 // Routed reports whether the services in force come from published routes.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -52,6 +52,8 @@
 	Relayed bool
 	// Revision is the latest revision of the profiles that the caller has seen.
 	Revision uint64
+	// LinkBacklog is how long the entry's link takes for the large answers that are under way.
+	LinkBacklog time.Duration
 	// Admission is the result of Admit or AdmitRoute for the request. Without one, the request is
 	// for Service as it is published on arrival.
 	Admission Admission
@@ -64,6 +66,8 @@
 	Service string
 	// MaxBody is its largest request body in bytes.
 	MaxBody int64
+	// LargeAnswer is set if answers of the service are large, so that they take turns on the link.
+	LargeAnswer bool
 	// Reason is why the request is refused, ReasonNone if it is not.
 	Reason Reason
 	// row is the index of the service's row plus one, 0 for none; pool and policy are those in
@@ -94,12 +98,12 @@
 	// Unusable is set if the answer lacks the proof that its status requires of the endpoint, such
 	// as the signature of a success. The request may have run.
 	Unusable bool
+	// Connected is set if a new connection was opened for the attempt.
+	Connected bool
 	// Reason is why the entry to which the request was relayed refused it.
 	Reason Reason
 	// HomeLost is set if the entry to which the request was forwarded does not know its key.
 	HomeLost bool
-	// Connected is set if a new connection was opened for the attempt.
-	Connected bool
 }
 
 // Load is an endpoint's report of its own load.
@@ -233,13 +237,13 @@
 	Once bool
 	// IdleOnly asks the endpoint to refuse the request rather than queue it.
 	IdleOnly bool
+	// OpenOnly is set if the attempt may be sent only on a connection that is already open. Without
+	// one the driver reports EndNotWritten with NoOpenConn.
+	OpenOnly bool
 	// Repeated is set on a relay of a request that an endpoint may already have run.
 	Repeated bool
 	// Deadline is the time by which the attempt must have ended.
 	Deadline time.Duration
-	// OpenOnly is set if the attempt may be sent only on a connection that is already open. Without
-	// one the driver reports EndNotWritten with NoOpenConn.
-	OpenOnly bool
 	Outcome  Outcome
 	Reason   Reason
 	// RetryAfter is the delay after which the caller may try again; 0 if it need not wait.
@@ -260,13 +264,13 @@
 	Round   uint32
 	// Wait bounds the wait for the answer; 0 leaves the bound to the driver.
 	Wait time.Duration
+	// OpenOnly is set if the probe may be sent only on a connection that is already open, NewConn if
+	// it needs a new one.
+	OpenOnly, NewConn bool
 	// CrashProbe is set if the probe asks whether an endpoint whose connections broke has crashed.
 	CrashProbe bool
 	// At is when a crash probe was requested.
 	At time.Duration
-	// OpenOnly is set if the probe may be sent only on a connection that is already open, NewConn if
-	// it needs a new one.
-	OpenOnly, NewConn bool
 }
 
 // ProbeEnd is the result of a probe.
@@ -282,12 +286,12 @@
 	Incarnation uint64
 	// Refused is set if the address refuses connections: no process listens there.
 	Refused bool
+	// DialFailed, Connected and NoOpenConn are as in an End.
+	DialFailed, Connected, NoOpenConn bool
 	// Unhealthy is set if the endpoint answers that it should get no work now.
 	Unhealthy bool
 	// Misdirected is set if another endpoint answers at the address.
 	Misdirected bool
-	// DialFailed, Connected and NoOpenConn are as in an End.
-	DialFailed, Connected, NoOpenConn bool
 }
 
 // Outgoing is an update for one peer.
--- a/internal/core/reason.go
+++ b/internal/core/reason.go
@@ -17,6 +17,7 @@
 	ReasonDeadline
 	ReasonNoEndpoint
 	ReasonOverload
+	ReasonLinkFull
 	ReasonEndpointsRefuse
 	ReasonBackoff
 	ReasonUnreachable
@@ -61,6 +62,7 @@
 	ReasonDeadline:        {"deadline", http.StatusGatewayTimeout, "allow a longer deadline or come back later"},
 	ReasonNoEndpoint:      {"no-endpoint", http.StatusServiceUnavailable, "come back after Retry-After; no endpoint of the service takes work now"},
 	ReasonOverload:        {"overload", http.StatusServiceUnavailable, "use another entry; this one has reached its bound of requests in flight"},
+	ReasonLinkFull:        {"link-full", http.StatusServiceUnavailable, "use another entry or come back after Retry-After; this one has too many large answers to send"},
 	ReasonEndpointsRefuse: {"endpoints-refuse", http.StatusServiceUnavailable, "come back after Retry-After; every endpoint tried refused the request"},
 	ReasonBackoff:         {"backoff", http.StatusServiceUnavailable, "come back after Retry-After; all endpoints of the service have asked for a time without requests"},
 	ReasonUnreachable:     {"unreachable", http.StatusServiceUnavailable, "come back after Retry-After; this entry reaches no endpoint of the service, nor does any other entry that was asked"},
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -232,7 +232,7 @@
 func (c *Core) pauseHelper(now time.Duration, r *request, a *attempt, e End) {
 	id, pause := helperPool{incarnation: a.incarnation}, deadHelperPause
 	switch {
-	case e.Kind == EndNotRun && a.helperReason == ReasonOverload:
+	case e.Kind == EndNotRun && (a.helperReason == ReasonOverload || a.helperReason == ReasonLinkFull):
 		pause = busyHelperPause
 	case e.Kind == EndNotRun && a.helperReason.anotherHelper():
 		id.pool, pause = r.pool, cutHelperPause
@@ -264,7 +264,7 @@
 // nothing about whether another one can serve it.
 func (r Reason) anotherHelper() bool {
 	switch r {
-	case ReasonUnreachable, ReasonOverload, ReasonBehind, ReasonStarting, ReasonStopping, ReasonUnknownService, ReasonNoEndpoint:
+	case ReasonUnreachable, ReasonOverload, ReasonLinkFull, ReasonBehind, ReasonStarting, ReasonStopping, ReasonUnknownService, ReasonNoEndpoint:
 		return true
 	}
 	return false
--- a/internal/core/reply.go
+++ b/internal/core/reply.go
@@ -31,6 +31,9 @@
 	if reason == ReasonQuarantined {
 		after = c.quarantineLeft(now, a.identity())
 	}
+	if reason == ReasonLinkFull {
+		after = min(a.LinkBacklog-longestLinkBacklog(a.Admission.policy), maxRetryAfter) + c.retryDelay()
+	}
 	out.addDirective(Directive{ID: a.ID, Step: StepReply, Outcome: outcome, Reason: reason, RetryAfter: after})
 }
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -201,9 +201,25 @@
 	if len(c.requests) >= c.cfg.MaxInFlight {
 		return ReasonOverload
 	}
+	if a.Admission.LargeAnswer && a.LinkBacklog > longestLinkBacklog(a.Admission.policy) {
+		return ReasonLinkFull
+	}
 	return c.refusesRelayed(a)
 }
 
+// linkBacklogShare is the share of a large answer's latency objective for which it may wait for the
+// link. Another entry, which a caller chooses for its next try, has room more often than not.
+const linkBacklogShare = 0.5
+
+// longestLinkBacklog is the longest backlog of the link with which a large answer is still accepted.
+func longestLinkBacklog(p *profile.Policy) time.Duration {
+	limit := p.Objective
+	if limit == 0 {
+		limit = p.Deadline
+	}
+	return time.Duration(linkBacklogShare * float64(limit))
+}
+
 func (c *Core) newRequest(now time.Duration, a Arrival, sv *service) *request {
 	r := c.allocRequest()
 	policy, pool := sv.policy, sv.pool
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 
@@ -49,7 +50,7 @@
 
 // stream copies the answer to the caller and reports the end of the attempt to the core.
 func (x *exchange) stream(w http.ResponseWriter, c *committed, answer *idem.Answer) {
-	size, err := front.CopyAnswer(w, c.response)
+	size, err := x.copyAnswer(w, c.response)
 	end := endOfCopy(err)
 	switch end {
 	case core.EndTruncated:
@@ -57,10 +58,37 @@
 	case core.EndCallerGone:
 		x.ending = endedCallerGone
 	}
-	x.entry.engine.end(core.End{ID: x.id, Attempt: c.attempt, Kind: end, ConnBroken: end == core.EndTruncated, Replayable: !x.body.Streamed(), Answer: answer,
+	x.entry.engine.end(core.End{ID: x.id, Attempt: c.attempt, Kind: end, ConnBroken: end == core.EndTruncated, Cause: causeOfCopy(err), Replayable: !x.body.Streamed(), Answer: answer,
 		Bytes: max(x.body.Length(), 0) + size})
 }
 
+// copyAnswer copies the answer to the caller. A large one takes turns with others on the link, unless
+// it fits into one part.
+func (x *exchange) copyAnswer(w http.ResponseWriter, response *http.Response) (int64, error) {
+	if !x.largeAnswer || response.Body == http.NoBody || response.ContentLength >= 0 && response.ContentLength <= front.SmallAnswer {
+		size, err := front.CopyAnswer(w, response)
+		x.entry.link.Charge(size)
+		return size, err
+	}
+	t := x.entry.link.Begin(response.ContentLength)
+	defer t.End()
+	return front.CopyLargeAnswer(x.request.Context(), w, response, t)
+}
+
+// causeOfCopy names the fault with which copying an answer ended, for the log; "" if there was none.
+func causeOfCopy(err error) string {
+	var unread *front.UnreadError
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &unread):
+		return "ended by the endpoint while unread"
+	case forward.FailureOf(err) != forward.None:
+		return forward.FailureOf(err).String()
+	}
+	return "caller gone"
+}
+
 // endOfCopy distinguishes an answer that broke off from a caller that left: only errors of the
 // endpoint's side are errors of package forward.
 func endOfCopy(err error) core.EndKind {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,6 +32,7 @@
 	"github.com/tealhall/tealhall/internal/profile"
 	"github.com/tealhall/tealhall/internal/published"
 	"github.com/tealhall/tealhall/internal/settings"
+	"github.com/tealhall/tealhall/internal/transfer"
 )
 
 // tickPeriod is the interval of the core's periodic work. It bounds how late a queued request is
@@ -99,15 +100,17 @@
 	// relayConnections are those on which requests are relayed to entries that may reach endpoints.
 	homeConnections, relayConnections *forward.Connections
 	front                             *front.Server
-	peerServer                        *peer.Server
-	links                             *peer.Links
-	knownAddresses                    addressBook
-	trail                             *audit.Trail
-	documents                         documents
-	platform                          *countedPlatform
-	liveness                          livenessChecks
-	instruments                       *instruments
-	counterSamples                    counterSamples
+	// link schedules large answers; nil if the settings do not bound them.
+	link           *transfer.Link
+	peerServer     *peer.Server
+	links          *peer.Links
+	knownAddresses addressBook
+	trail          *audit.Trail
+	documents      documents
+	platform       *countedPlatform
+	liveness       livenessChecks
+	instruments    *instruments
+	counterSamples counterSamples
 
 	// revision of the profiles in force, for answers to callers.
 	revision atomic.Uint64
@@ -168,6 +171,7 @@
 	e.liveness.every = e.settings.Platform.LivenessEvery.Duration
 	e.instruments = newInstruments()
 	e.buildConnections(clock)
+	e.link = transfer.NewLink(linkConfig(&s.Limits, clock))
 	rng := rand.New(rand.NewPCG(incarnation, uint64(opts.Wall().UnixNano())))
 	e.engine = newEngine(core.New(e.coreConfig(), rng), clock, opts.Wall)
 	e.engine.execute = e.executeActions
@@ -211,6 +215,22 @@
 	e.connections = forward.New(cfg)
 }
 
+// linkShare is the share of the link's rate that answers to callers may use. The rest keeps the queue
+// of the link short and leaves room for packet headers and for what is not an answer.
+const linkShare = 0.9
+
+const bytesPerMB = 1 << 20
+
+func linkConfig(l *settings.Limits, clock func() time.Duration) transfer.Config {
+	const bytesPerMbit = 1e6 / 8
+	return transfer.Config{
+		Rate:          linkShare * l.LinkMbps * bytesPerMbit,
+		HeldBytes:     int64(l.HeldShare * l.MemoryMB * bytesPerMB),
+		HeldPerAnswer: int64(l.HeldAnswerBytes),
+		Clock:         clock,
+	}
+}
+
 // capacityOf returns the processing capacity of this entry, in thousandths of a core.
 func capacityOf(cores float64) uint32 {
 	if cores <= 0 {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -24,6 +24,8 @@
 	depth         int
 	callerAttempt int
 	keyed         bool
+	// largeAnswer is set if the answer takes turns with others on the entry's link.
+	largeAnswer bool
 	// began is the time of the request's arrival, and ending is how the request ended.
 	began  time.Duration
 	ending ending
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -83,8 +83,10 @@
 		body:    body,
 		service: admission.Service,
 		caller:  callerOf(r),
-		began:   e.engine.clock(),
-		wake:    make(chan struct{}, 1),
+		// A small part of a keyed answer is kept for replay, which reads it before it is sent.
+		largeAnswer: admission.LargeAnswer && e.link != nil && !hasKey(r),
+		began:       e.engine.clock(),
+		wake:        make(chan struct{}, 1),
 	}
 	arrival, reason := x.arrival(admission)
 	return x, arrival, reason
@@ -110,7 +112,7 @@
 		return false
 	}
 	may := false
-	e.engine.view(func(_ time.Duration, c *core.Core) { may = c.MayRepeat(serviceOf(r), r.Host, r.URL.Path) })
+	e.engine.view(func(_ time.Duration, c *core.Core) { may = c.MayPipeline(serviceOf(r), r.Host, r.URL.Path) })
 	return may
 }
 
@@ -153,6 +155,7 @@
 		ID:            x.id,
 		Service:       x.service,
 		Admission:     admission,
+		LinkBacklog:   x.entry.link.Backlog(),
 		Content:       front.ContentHash(x.request, x.body),
 		Caller:        xxhash.Sum64String(x.caller),
 		Idempotent:    idempotentMethod(x.request.Method),
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -14,6 +14,7 @@
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/peer"
 	"github.com/tealhall/tealhall/internal/settings"
+	"github.com/tealhall/tealhall/internal/transfer"
 )
 
 var _ admin.Source = (*Entry)(nil)
@@ -44,6 +45,8 @@
 	// peerBytesIn and peerBytesOut count the bytes of all peer links since the start.
 	peerBytesIn, peerBytesOut uint64
 	process                   processStats
+	// transfers describes the large answers on the entry's link.
+	transfers transfer.Stats
 }
 
 // processStats are figures of the process from the operating system and the Go runtime.
@@ -68,6 +71,7 @@
 		links:              e.links.Stats(),
 		peerServer:         e.peerServer.Stats(),
 		process:            readProcess(),
+		transfers:          e.link.Stats(),
 	}
 	e.engine.view(func(now time.Duration, c *core.Core) { f.now, f.view = now, c.View(now) })
 	f.view.Sort()
--- a/internal/entry/views_concerns.go
+++ b/internal/entry/views_concerns.go
@@ -272,6 +272,8 @@
 		return "start endpoints, or correct the pool in the profiles or the VM list"
 	case core.ReasonOverload:
 		return "add entries, or raise limits.in_flight_requests"
+	case core.ReasonLinkFull:
+		return "by itself when the large answers under way are sent; add entries, or raise limits.link_mbps if the link is faster"
 	case core.ReasonEndpointsRefuse, core.ReasonEndpointLost, core.ReasonAnswerBroken:
 		return "by itself when the endpoints of the service work again; check them"
 	case core.ReasonKeyTableFull:
@@ -290,6 +292,8 @@
 	}
 	near(f.view.InFlight, f.settings.Limits.InFlightRequests, "allowed requests are in flight", "limits.in_flight_requests")
 	near(f.view.Keys.Keys, f.settings.Limits.Keys, "allowed idempotency keys are in the key table", "limits.keys")
+	held := int(f.settings.Limits.HeldShare * f.settings.Limits.MemoryMB * bytesPerMB)
+	near(int(f.transfers.Held), held, "bytes are held for callers that read slowly", "limits.held_share")
 	for i := range f.view.Pools {
 		for _, s := range f.view.Pools[i].Services {
 			near(s.Waiting, s.Policy.QueueLimit, "requests that may wait for "+s.Name+" are waiting", "queue_limit in its profile")
--- a/internal/front/copy.go
+++ b/internal/front/copy.go
@@ -9,6 +9,9 @@
 // copySize is the size of the buffers with which answers are copied.
 const copySize = 32 << 10
 
+// SmallAnswer is the size in bytes up to which an answer is copied in one part.
+const SmallAnswer = copySize
+
 var copyBuffers = sync.Pool{New: func() any { return new([copySize]byte) }}
 
 // CopyAnswer sends an endpoint's answer to the caller: status, end-to-end headers, body and
--- a/internal/profile/traffic.go
+++ b/internal/profile/traffic.go
@@ -32,8 +32,12 @@
 	route.Idempotent:    {Read, Urgent},
 	route.NonIdempotent: {Once},
 	route.Upload:        {Bulk, Once},
+	route.Download:      {Read, Urgent},
 }
 
+// kindsRemedy lists the kinds of routes.
+const kindsRemedy = `use "idempotent", "non_idempotent", "upload" or "download"`
+
 // readTraffic reads the rules that assign profiles to routes.
 func (c *checker) readTraffic(root section, profiles map[string]*profileModes, s *Snapshot) {
 	tables, _ := c.readTable(root, "traffic")
@@ -48,23 +52,32 @@
 		}
 	}
 	for _, kind := range route.Kinds() {
-		if len(s.traffic) > 0 && s.trafficRuleFor(kind, lowestPriority) == nil {
-			c.report("traffic", fmt.Sprintf("no rule covers routes of kind %q of every priority", kind),
-				"add a rule for the kind without a priority")
+		if len(s.traffic) == 0 || s.ownTrafficRuleFor(kind, lowestPriority) != nil {
+			continue
 		}
+		problem, remedy := fmt.Sprintf("no rule covers routes of kind %q of every priority", kind), "add a rule for the kind without a priority"
+		if substitute, ok := substituteKind[kind]; ok {
+			c.warn("traffic", fmt.Sprintf("%s; they are treated like %s routes", problem, substitute), remedy)
+			continue
+		}
+		c.report("traffic", problem, remedy)
 	}
 }
 
+// substituteKind names the kind whose rules apply to routes of a kind without a rule. Documents that
+// were written before the kind existed stay valid.
+var substituteKind = map[route.Kind]route.Kind{route.Download: route.Idempotent}
+
 func (c *checker) readTrafficRule(table section, name string, profiles map[string]*profileModes) (TrafficRule, bool) {
 	c.reportUnknownKeys(table, []string{"kind", "priority", "profile"})
 	rule := TrafficRule{Name: name}
-	kind, ok := c.readString(table, "kind", `use "idempotent", "non_idempotent" or "upload"`)
+	kind, ok := c.readString(table, "kind", kindsRemedy)
 	if !ok {
 		return rule, false
 	}
 	rule.Kind = route.Kind(kind)
 	if !slices.Contains(route.Kinds(), rule.Kind) {
-		c.report(table.child("kind"), "there is no such kind of route", `use "idempotent", "non_idempotent" or "upload"`)
+		c.report(table.child("kind"), "there is no such kind of route", kindsRemedy)
 		return rule, false
 	}
 	if value, given := table.values["priority"]; given {
@@ -95,6 +108,17 @@
 
 // trafficRuleFor returns the rule for routes of the given kind and rank, or nil if there is none.
 func (s *Snapshot) trafficRuleFor(kind route.Kind, rank int) *TrafficRule {
+	if rule := s.ownTrafficRuleFor(kind, rank); rule != nil {
+		return rule
+	}
+	if substitute, ok := substituteKind[kind]; ok {
+		return s.ownTrafficRuleFor(substitute, rank)
+	}
+	return nil
+}
+
+// ownTrafficRuleFor is trafficRuleFor without the rules of other kinds.
+func (s *Snapshot) ownTrafficRuleFor(kind route.Kind, rank int) *TrafficRule {
 	var found *TrafficRule
 	for i := range s.traffic {
 		rule := &s.traffic[i]
--- a/internal/profile/traffic_test.go
+++ b/internal/profile/traffic_test.go
@@ -1,6 +1,7 @@
 package profile
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -118,6 +119,32 @@
 	}
 }
 
+// Guards against a document that was written before downloads existed and that is refused, or whose
+// download routes run once at most, since it has no rule for them.
+func TestDownloadsWithoutRuleAreTreatedAsIdempotent(t *testing.T) {
+	for _, c := range []struct{ name, rule, want, warning string }{
+		{"no rule", "", "reads", `no rule covers routes of kind "download"`},
+		{"own rule", "[traffic.downloads]\nkind = \"download\"\nprofile = \"urgent\"\n", "urgent", ""},
+	} {
+		base, err := Parse([]byte(trafficDocument+c.rule), 1)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		warnings := fmt.Sprint(base.Warnings())
+		if !strings.Contains(warnings, c.warning) || c.warning == "" && len(base.Warnings()) > 0 {
+			t.Errorf("%s: warnings %s, want %q", c.name, warnings, c.warning)
+		}
+		table := trafficTable(t, route.Route{Name: "d", Kind: route.Download, Rank: 2, Parts: []route.Part{{Service: "s", Weight: 1}}})
+		bound, err := base.Bind(table, 2, 2)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		if s, _ := bound.Service("d"); s.Profile != c.want {
+			t.Errorf("%s: profile %q, want %q", c.name, s.Profile, c.want)
+		}
+	}
+}
+
 func TestBindFailsWithoutRuleForRouteKind(t *testing.T) {
 	base, err := Parse([]byte("format = 1\n[profile.r]\nkind = \"read\"\n[service.s]\nprofile = \"r\"\n"), 1)
 	if err != nil {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -21,10 +21,15 @@
 	NonIdempotent Kind = "non_idempotent"
 	// Upload requests have large bodies and run at most once as well.
 	Upload Kind = "upload"
+	// Download requests have large answers and may run more than once.
+	Download Kind = "download"
 )
 
+// MayRepeat reports whether a request of the kind may run more than once.
+func (k Kind) MayRepeat() bool { return k == Idempotent || k == Download }
+
 // Kinds returns every kind, in the order of the tables in the reference documentation.
-func Kinds() []Kind { return []Kind{Idempotent, NonIdempotent, Upload} }
+func Kinds() []Kind { return []Kind{Idempotent, NonIdempotent, Upload, Download} }
 
 // Part is a service that gets a share of a route's requests.
 type Part struct {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -207,6 +207,10 @@
 	c.checkFloat("limits.warmup_over", l.WarmupOver, 100)
 	c.checkFloat("limits.warmup_slack", l.WarmupSlack, 1e6)
 	c.checkInt("limits.heap_growth", l.HeapGrowth, 10, 10_000)
+	c.checkFloat("limits.link_mbps", l.LinkMbps, 1e6)
+	c.checkFloat("limits.memory_mb", l.MemoryMB, 1e6)
+	c.checkFloat("limits.held_share", l.HeldShare, 0.5)
+	c.checkInt("limits.held_answer_bytes", l.HeldAnswerBytes, 0, 1<<30)
 	c.checkDuration("limits.repeat_window", l.RepeatWindow, time.Second, time.Hour)
 	if l.KeyAnswerBytes > l.KeyTableBytes {
 		c.report("limits.key_answer_bytes", "lower it or raise limits.key_table_bytes",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -199,6 +199,17 @@
 	// HeapGrowth is the percentage by which the heap may grow between garbage collections, unless
 	// the environment variable GOGC is set; default 400.
 	HeapGrowth int `toml:"heap_growth" unit:"percent"`
+	// LinkMbps is the rate of the VM's network link. Large answers take turns on it, and make room for
+	// small ones; default 0, which means that it is not known and answers do not wait.
+	LinkMbps float64 `toml:"link_mbps" unit:"Mbit/s"`
+	// MemoryMB is the memory that the process may use. HeldShare of it is for large answers whose
+	// callers read slowly; default 0, which means that nothing is held for them.
+	MemoryMB float64 `toml:"memory_mb" unit:"MB"`
+	// HeldShare is the share of MemoryMB that may be held of the answers of slow callers; default
+	// 0.125.
+	HeldShare float64 `toml:"held_share" unit:"share"`
+	// HeldAnswerBytes bounds what is held of one answer; default 1048576.
+	HeldAnswerBytes int `toml:"held_answer_bytes" unit:"bytes"`
 	// UnframedAnswers allows answers from endpoints whose end is marked only by the closing of the
 	// connection; default false.
 	UnframedAnswers bool `toml:"unframed_answers"`
@@ -306,6 +317,8 @@
 			RepeatWindow:           Duration{10 * time.Second},
 			WarmupOver:             1,
 			HeapGrowth:             400,
+			HeldShare:              0.125,
+			HeldAnswerBytes:        1 << 20,
 		},
 		Timeouts: Timeouts{
 			Header:       Duration{5 * time.Second},
