Late requests leave room to others on each path, and are known as late at once

Cause: while a pool is short of room a late request gets no slot, but only where the choice came at the end of a probe round. A probe that found headroom sent it at once. A request that came back after a refusal was not known as late before it had waited, and noted a shortage of its own.

Change: no endpoint is optimal for a late request in a shortage; a request is late from the moment at which it can't be in time, queued or not; only requests that can be in time make a pool short.

--- a/internal/core/loadprobes.go
+++ b/internal/core/loadprobes.go
@@ -66,6 +66,8 @@
 // placementView returns a request and its pool in the form that package placement uses.
 func (c *Core) placementView(now time.Duration, r *request) placement.View {
 	c.refreshOwnership(now, r.pool)
+	placed := r.placementRequest()
+	placed.Late = r.isLate(now)
 	return placement.View{
 		Now:       now,
 		Domain:    c.cfg.Self.Domain,
@@ -73,7 +75,7 @@
 		PoolState: &r.pool.placementState,
 		SlotTime:  r.pool.slotTime(now),
 		Rand:      c.rng,
-		Request:   r.placementRequest(),
+		Request:   placed,
 	}
 }
 
@@ -262,7 +264,7 @@
 		return
 	}
 	r.noRoom++
-	if !r.late {
+	if !r.isLate(now) {
 		r.pool.placementState.NoteShortage(now)
 	}
 	r.pool.probeAgainAt = now + probeRoundGap
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -102,8 +102,12 @@
 	return v.Now+expected <= r.FirstTry+r.Objective
 }
 
-// IsOptimal reports whether no other endpoint could be a better choice than e.
+// IsOptimal reports whether no other endpoint could be a better choice than e. While the pool is
+// short of room there is no optimal endpoint for a late request, which may have to wait instead.
 func (v *View) IsOptimal(e *table.Endpoint) bool {
+	if v.Request.Late && v.PoolState.isShort(v.Now) {
+		return false
+	}
 	return v.granted(e) && HasHeadroom(e) && v.Now >= e.AvoidUntil && !e.Missing &&
 		e.CurrentDoubt(v.Now) < SlightDoubt && (v.isNear(e) || v.Request.Kilobytes < smallExchangeKilobytes)
 }
--- a/internal/core/queuewait.go
+++ b/internal/core/queuewait.go
@@ -63,6 +63,12 @@
 	return latest
 }
 
+// isLate reports whether r can no longer be in time. A request that came back after a refusal may be
+// late when it arrives, before it has waited here.
+func (r *request) isLate(now time.Duration) bool {
+	return r.late || r.policy.Objective > 0 && now > r.latestInTime()
+}
+
 // typicalWork is how long a request of the service typically takes at an endpoint without other
 // work. Latencies at busy endpoints are left out: they grow under load, and all requests would
 // count as late.
