Load probes are saved up in large fleets and not spent on requests that get no room

Cause: in an overload of a fleet of 135 entries a fifth of the slots that could be used stood idle while requests were refused: an entry's part of the bound on load probes, saved up for a second, was used up by the first requests of a peak, and the others met no endpoint with room. A part of it went to late requests, which get no room in a shortage anyway.

Change: a late request gets no load probes, and no blind choice, while the pool is short. In a fleet of more than 30 entries probes are saved up for proportionally longer, up to 4 s. Fleets of up to 30 entries save as before.

--- a/internal/core/budget/repeats.go
+++ b/internal/core/budget/repeats.go
@@ -162,15 +162,33 @@
 	return b.denied
 }
 
-// loadProbeBurst is the time over which unused load probes may be saved up. Together with
-// usableLoadProbeShare it keeps the load probes of any ten seconds within the bound.
-const loadProbeBurst = time.Second
+// Unused load probes may be saved up over loadProbeBurst. Together with usableLoadProbeShare it keeps
+// the load probes of any ten seconds within the bound. In a fleet with more than burstEntries entries,
+// each of which sees few requests, they are saved up over proportionally longer, up to
+// maxLoadProbeBurst: a peak there is a matter of a few requests for each entry, and an entry that has
+// used up its probes finds no endpoint although some have room. The bound holds over any longer time.
+const (
+	loadProbeBurst    = time.Second
+	maxLoadProbeBurst = 4 * time.Second
+	burstEntries      = 30
+)
+
+// burstFor returns the time over which an entry with the given share of the fleet's requests saves up
+// load probes.
+func burstFor(ownShare float64) time.Duration {
+	if ownShare <= 0 {
+		return loadProbeBurst
+	}
+	burst := float64(loadProbeBurst) / (burstEntries * ownShare)
+	return time.Duration(min(max(burst, float64(loadProbeBurst)), float64(maxLoadProbeBurst)))
+}
 
 // usableLoadProbeShare is the share of the bound on load probes that entries use. The rest covers
 // entries that do not know of each other yet.
 const usableLoadProbeShare = 0.9
 
-// maxSavedLoadProbes bounds how many load probes may be saved up from requests.
+// maxSavedLoadProbes bounds how many load probes may be saved up from requests, where the bound per
+// endpoint allows no more.
 const maxSavedLoadProbes = 64
 
 // LoadProbes keeps an entry's load probes within two bounds. The first is proportional to the
@@ -197,13 +215,15 @@
 }
 
 // Request adds the number of load probes that one request earns.
-func (b *LoadProbes) Request(probes int) { b.saved = min(maxSavedLoadProbes, b.saved+float64(probes)) }
+func (b *LoadProbes) Request(probes int) {
+	b.saved = min(max(maxSavedLoadProbes, b.rateBucket.capacity), b.saved+float64(probes))
+}
 
 // TrySpend spends one load probe and reports true if both bounds allow it. endpoints is the number
 // of endpoints of the pool, and ownShare is this entry's share of the fleet's requests.
 func (b *LoadProbes) TrySpend(now time.Duration, endpoints int, ownShare float64) bool {
 	rate := usableLoadProbeShare * b.perEndpoint * float64(endpoints) * ownShare
-	b.rateBucket.capacity = max(1, rate*loadProbeBurst.Seconds())
+	b.rateBucket.capacity = max(1, rate*burstFor(ownShare).Seconds())
 	b.rateBucket.refill(now, rate)
 	if b.saved < 1 || b.perEndpoint > 0 && !b.rateBucket.take(1) {
 		b.denied++
--- a/internal/core/budget/repeats_test.go
+++ b/internal/core/budget/repeats_test.go
@@ -104,6 +104,36 @@
 	}
 }
 
+// Guards against an entry of a large fleet that finds its load probes used up in the first moments of
+// a peak, after seconds in which it needed few, and against probes above the bound over longer times.
+func TestLoadProbesAreSavedUpInLargeFleets(t *testing.T) {
+	const perEndpoint, endpoints, entries, calm = 42.0, 124, 135, 10 * time.Second
+	b := NewLoadProbes(perEndpoint)
+	spend := func(now time.Duration, requests int) (spent int) {
+		for range requests {
+			b.Request(18)
+			for range 18 {
+				if b.TrySpend(now, endpoints, 1.0/entries) {
+					spent++
+				}
+			}
+		}
+		return spent
+	}
+	all := spend(calm, 1)
+	peak := spend(calm+time.Millisecond, 10)
+	if peak < 100 {
+		t.Errorf("%d load probes for ten requests at the begin of a peak, want 100", peak)
+	}
+	const window = 40 * time.Second
+	for now := calm; now < calm+window; now += 100 * time.Millisecond {
+		all += spend(now, 2)
+	}
+	if limit := perEndpoint * endpoints / entries * window.Seconds(); float64(all+peak) > limit {
+		t.Errorf("%d load probes in %v, the entry's part of the bound is %.0f", all+peak, window, limit)
+	}
+}
+
 // Guards against repeats that go to frequent requests of a low rank while requests of a higher rank
 // are denied theirs: endpoints shed half of their requests, and the bound covers only a part of the
 // repeats. Requests of the higher rank must get their repeats first, and when they ask for none,
--- a/internal/core/loadprobes.go
+++ b/internal/core/loadprobes.go
@@ -128,6 +128,9 @@
 	if r.probeRound.second && len(r.probeRound.probed) == 0 {
 		c.probeRunning(now, r, out)
 	}
+	if c.yieldsRoom(now, r) {
+		remaining = 0
+	}
 	view := c.placementView(now, r)
 	for range min(p.placementState.Batch(), remaining) {
 		view.Request.Probed = r.probeRound.probed
@@ -142,6 +145,12 @@
 	}
 }
 
+// yieldsRoom reports whether r is late while its pool is short of room for requests that are not. It
+// then gets no endpoint, and load probes on its behalf would be missing for the others.
+func (c *Core) yieldsRoom(now time.Duration, r *request) bool {
+	return r.isLate(now) && r.pool.placementState.IsShort(now)
+}
+
 // probeLoad sends a load probe to the endpoint at index i on behalf of r.
 func (c *Core) probeLoad(r *request, i int, out *Actions) {
 	e := &r.pool.Endpoints[i]
@@ -243,7 +252,7 @@
 	if best.Index < 0 && !r.probeRound.ownOnly && c.heardNobody(r) && c.relayNext(now, r, false, out) {
 		return
 	}
-	if view := c.placementView(now, r); best.Index < 0 && !r.probeRound.ownOnly && !r.pool.dials.Lost() && !c.anyAnswered(r) && !view.MostlyFull() {
+	if view := c.placementView(now, r); best.Index < 0 && !r.probeRound.ownOnly && !r.pool.dials.Lost() && !c.yieldsRoom(now, r) && !c.anyAnswered(r) && !view.MostlyFull() {
 		if i := view.WithoutLoad(); i >= 0 && c.dispatchProbed(now, r, i, out) {
 			return
 		}
--- a/internal/core/placement/busy.go
+++ b/internal/core/placement/busy.go
@@ -40,7 +40,7 @@
 // leavesOwnDomain reports whether endpoints of other failure domains are probed like those of the
 // entry's own domain. A request that can probe all endpoints of its entry's domain does that first.
 func (v *View) leavesOwnDomain() bool {
-	if !v.PoolState.isShort(v.Now) || !v.PoolState.isBusy(v.Now, v.Domain) {
+	if !v.PoolState.IsShort(v.Now) || !v.PoolState.isBusy(v.Now, v.Domain) {
 		return false
 	}
 	near := 0
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -97,7 +97,7 @@
 	case r.Objective == 0:
 		return true
 	case r.Late:
-		return !v.PoolState.isShort(v.Now) && e.HasRoom() && (!MakesNearlyFull(e) || v.PoolState.slowdown < littleSlowdown) && Pace(&e.Probed) < SlowPace
+		return !v.PoolState.IsShort(v.Now) && e.HasRoom() && (!MakesNearlyFull(e) || v.PoolState.slowdown < littleSlowdown) && Pace(&e.Probed) < SlowPace
 	}
 	return v.Now+expected <= r.FirstTry+r.Objective
 }
@@ -105,7 +105,7 @@
 // IsOptimal reports whether no other endpoint could be a better choice than e. While the pool is
 // short of room there is no optimal endpoint for a late request, which may have to wait instead.
 func (v *View) IsOptimal(e *table.Endpoint) bool {
-	if v.Request.Late && v.PoolState.isShort(v.Now) {
+	if v.Request.Late && v.PoolState.IsShort(v.Now) {
 		return false
 	}
 	return v.granted(e) && HasHeadroom(e) && v.Now >= e.AvoidUntil && !e.Missing &&
--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -48,7 +48,7 @@
 // not while the pool is short of room: each entry would then find the endpoints full that it is
 // connected to.
 func (v *View) prefersConnected() bool {
-	return !v.PoolState.isShort(v.Now) && v.Rand.Float64() >= exploreShare
+	return !v.PoolState.IsShort(v.Now) && v.Rand.Float64() >= exploreShare
 }
 
 // busySlotTimes, multiplied by the time in which an endpoint usually frees a slot, is how long a
--- a/internal/core/placement/shortage.go
+++ b/internal/core/placement/shortage.go
@@ -34,7 +34,7 @@
 // NoteShortage records that a request that could be in time found no room.
 func (p *PoolState) NoteShortage(now time.Duration) { p.shortAt = now }
 
-// isShort reports whether a request that could be in time found no room a moment ago.
-func (p *PoolState) isShort(now time.Duration) bool {
+// IsShort reports whether a request that could be in time found no room a moment ago.
+func (p *PoolState) IsShort(now time.Duration) bool {
 	return p.shortAt > 0 && now-p.shortAt < p.shortFor()
 }
