--- a/internal/admin/views.go
+++ b/internal/admin/views.go
@@ -220,6 +220,10 @@
 	// Unreachable reports whether no endpoint answers this entry, so that requests are relayed to
 	// other entries.
 	Unreachable bool `json:"unreachable,omitempty"`
+	// Short reports whether a request that could be in time found no room a moment ago. Headroom is
+	// the share of load probes that found an endpoint with headroom.
+	Short    bool    `json:"short,omitempty"`
+	Headroom float64 `json:"headroom"`
 	// Unconnected reports whether no new connection to an endpoint can be opened, so that requests
 	// that find no open connection are relayed to other entries.
 	Unconnected bool `json:"unconnected,omitempty"`
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -82,6 +82,9 @@
 	return int(min(max(math.Round(1/max(p.headroomShare, 1.0/maxBatch)), 1), maxBatch))
 }
 
+// HeadroomShare returns the smoothed share of load probes that found headroom.
+func (p *PoolState) HeadroomShare() float64 { return p.headroomShare }
+
 // Slowdown returns the factor by which work takes longer at nearly full endpoints.
 func (p *PoolState) Slowdown() float64 { return p.slowdown }
 
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -101,6 +101,10 @@
 	// UnreachableSince is when that began.
 	Unreachable      bool
 	UnreachableSince time.Duration
+	// Short says that a request that could be in time found no room a moment ago, so that late ones
+	// get none. Headroom is the smoothed share of load probes that found headroom.
+	Short    bool
+	Headroom float64
 	// Unconnected says that no new connection to an endpoint can be opened, so that this entry uses
 	// open connections only and relays other requests; UnconnectedSince is when that began.
 	Unconnected      bool
@@ -275,6 +279,8 @@
 		Unanswered:       p.reach.Unanswered(),
 		Unreachable:      p.reach.Lost(),
 		UnreachableSince: p.reach.LostAt(),
+		Short:            p.placementState.IsShort(now),
+		Headroom:         p.placementState.HeadroomShare(),
 		Unconnected:      p.dials.Lost(),
 		UnconnectedSince: p.dials.LostAt(),
 	}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -161,7 +161,7 @@
 		rows[i] = []string{
 			v.Pool,
 			strings.Join(v.Services, " "),
-			number(v.Endpoints) + joinNotes(note{v.Ejected > 0, " (" + number(v.Ejected) + " ejected)"}, note{v.ViewWrong, " (most look unhealthy: none is ejected)"}, note{v.Unreachable, " (none answers: requests are relayed)"}, note{v.Unconnected, " (open connections only)"}),
+			number(v.Endpoints) + joinNotes(note{v.Ejected > 0, " (" + number(v.Ejected) + " ejected)"}, note{v.ViewWrong, " (most look unhealthy: none is ejected)"}, note{v.Unreachable, " (none answers: requests are relayed)"}, note{v.Unconnected, " (open connections only)"}, note{v.Short, " (short of room: " + percent(v.Headroom) + " of load probes found headroom)"}),
 			number(v.Outstanding) + "/" + number(v.Slots),
 			number(v.Waiting) + "/" + number(v.QueueLimit),
 			budgetText(&v.HealthProbes),
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -223,6 +223,8 @@
 		gauge(poolMetric(p.Name, "limited"), float64(p.Limited)),
 		gauge(poolMetric(p.Name, "backing_off"), float64(p.BackingOff)),
 		gauge(poolMetric(p.Name, "unanswered"), float64(p.Unanswered)),
+		boolGauge(poolMetric(p.Name, "short"), p.Short),
+		gauge(poolMetric(p.Name, "headroom"), p.Headroom),
 		boolGauge(poolMetric(p.Name, "unreachable"), p.Unreachable),
 		boolGauge(poolMetric(p.Name, "unconnected"), p.Unconnected),
 		boolGauge(poolMetric(p.Name, "view_wrong"), p.ViewWrong),
--- a/internal/entry/views_status.go
+++ b/internal/entry/views_status.go
@@ -221,6 +221,8 @@
 		ViewWrong:    p.ViewWrong,
 		Unreachable:  p.Unreachable,
 		Unconnected:  p.Unconnected,
+		Short:        p.Short,
+		Headroom:     p.Headroom,
 		HealthProbes: admin.BudgetView{Share: p.HealthProbeShare, Spent: p.Probes, Denied: p.ProbesDenied, Left: p.ProbesLeft},
 	}
 	for i := range p.Services {
