Ticks come when something is due, and starting entries wait less for absent peers

Cause: while any request was in flight the core ticked every 5 ms, and an entry with 4 requests a second of half a second each nearly always has one. Each tick wakes the process. Change: Core.NextDue says when Tick next has work; at most 20 ms apart with requests in flight, 5 ms where requests wait, pools are looked for or the entry starts or stops. Events move the next tick forward.

Cause: after a common loss of power the seeds return last, and all others waited 0.25 s and up to a second more for them before they read the configuration service. Change: 0.1 s, and up to 0.3 s more. Ruled out: no wait at all (each restarted entry would read the service although its peers have the values).

The probes of lost and of unconnected pools, and the tests of cuts, share their code now.

--- a/internal/core/dials.go
+++ b/internal/core/dials.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/tealhall/tealhall/internal/core/quota"
 	"github.com/tealhall/tealhall/internal/core/reach"
 	"github.com/tealhall/tealhall/internal/core/table"
 )
@@ -97,21 +96,9 @@
 // probeDial probes the next endpoint of an unconnected pool on a new connection.
 func (c *Core) probeDial(now time.Duration, p *pool, out *Actions) {
 	p.nextDialProbe = now + reach.CheckInterval
-	for range p.Endpoints {
-		p.lastReachProbe = (p.lastReachProbe + 1) % len(p.Endpoints)
-		e := &p.Endpoints[p.lastReachProbe]
-		if !e.TakesWork() || quota.InBackoff(now, e) {
-			continue
-		}
-		if p.usesLoadProbes() {
-			p.loadProbes.Request(1)
-		}
-		if c.spendCrashProbe(now, p) {
-			p.dials.Tried(now)
-			probe := reachProbe(p, e)
-			probe.NewConn = true
-			out.Probes = append(out.Probes, probe)
-		}
-		return
+	if probe, ok := c.nextReachProbe(now, p); ok {
+		probe.NewConn = true
+		p.dials.Tried(now)
+		out.Probes = append(out.Probes, probe)
 	}
 }
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -164,10 +164,18 @@
 	return withdrew
 }
 
-// probeLost probes the next endpoint of a lost pool. The probe counts against the budget of its
-// kind.
+// probeLost probes the next endpoint of a lost pool.
 func (c *Core) probeLost(now time.Duration, p *pool, out *Actions) {
 	p.nextReachProbe = now + reach.CheckInterval
+	if probe, ok := c.nextReachProbe(now, p); ok {
+		p.reach.Tried(now)
+		out.Probes = append(out.Probes, probe)
+	}
+}
+
+// nextReachProbe returns a probe that asks whether the next endpoint of a pool can be reached, unless
+// the budget of its kind is used up.
+func (c *Core) nextReachProbe(now time.Duration, p *pool) (Probe, bool) {
 	for range p.Endpoints {
 		p.lastReachProbe = (p.lastReachProbe + 1) % len(p.Endpoints)
 		e := &p.Endpoints[p.lastReachProbe]
@@ -177,12 +185,9 @@
 		if p.usesLoadProbes() {
 			p.loadProbes.Request(1)
 		}
-		if c.spendCrashProbe(now, p) {
-			p.reach.Tried(now)
-			out.Probes = append(out.Probes, reachProbe(p, e))
-		}
-		return
+		return reachProbe(p, e), c.spendCrashProbe(now, p)
 	}
+	return Probe{}, false
 }
 
 // reachProbe returns a probe that asks whether an endpoint can be reached.
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -23,9 +23,10 @@
 	// the lock and must not keep the slices.
 	execute func(*core.Actions)
 
-	// idle is set while ticks are rare because nothing is in flight. wake asks the tick loop for
-	// frequent ticks when a request arrives or the core's state changes meanwhile.
+	// idle is set while ticks are rare because nothing is in flight. due is the time of the next tick,
+	// and wake tells the tick loop that it was moved forward by an event.
 	idle bool
+	due  time.Duration
 	wake chan struct{}
 
 	nextID atomic.Uint64
@@ -59,6 +60,7 @@
 	if len(e.actions.Notes) > 0 {
 		e.wakeLocked() // peers may need to learn of the change
 	}
+	e.scheduleLocked()
 	for i := range e.actions.Directives {
 		d := &e.actions.Directives[i]
 		if x, ok := e.exchanges[d.ID]; ok {
@@ -163,29 +165,48 @@
 	return runsOn
 }
 
-// wakeLocked asks for frequent ticks again. e.mu is held.
+// wakeLocked moves the next tick forward after a change. e.mu is held.
 func (e *engine) wakeLocked() {
+	e.idle = false
+	e.moveForwardLocked(e.clock() + tickPeriod)
+}
+
+// scheduleLocked moves the next tick forward if an event made something due before it. e.mu is held.
+func (e *engine) scheduleLocked() {
 	if !e.idle {
+		e.moveForwardLocked(e.core.NextDue(e.clock(), tickPeriod, longTickPeriod))
+	}
+}
+
+// moveForwardLocked moves the next tick forward to a time, unless it is due about then. e.mu is held.
+func (e *engine) moveForwardLocked(due time.Duration) {
+	if due >= e.due-tickPeriod/4 {
 		return
 	}
-	e.idle = false
+	e.due = due
 	select {
 	case e.wake <- struct{}{}:
 	default:
 	}
 }
 
-// tick runs the core's periodic work and returns the time until the next tick.
-func (e *engine) tick() (next time.Duration) {
+// tick runs the core's periodic work.
+func (e *engine) tick() {
 	e.event(func(now time.Duration, c *core.Core, out *core.Actions) {
 		c.Tick(now, e.wall(), out)
 		e.idle = len(e.exchanges) == 0 && c.InFlight() == 0
-		next = tickPeriod
-		if e.idle {
-			next = idleTickPeriod
+		e.due = now + idleTickPeriod
+		if !e.idle {
+			e.due = c.NextDue(now, tickPeriod, longTickPeriod)
 		}
 	})
-	return next
+}
+
+// untilDue returns the time until the next tick.
+func (e *engine) untilDue() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(0, e.due-e.clock())
 }
 
 // view runs f with the core locked; f must not keep what it reads.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,11 +35,15 @@
 	"github.com/tealhall/tealhall/internal/transfer"
 )
 
-// tickPeriod is the interval of the core's periodic work. It bounds how late a queued request is
+// tickPeriod is the shortest interval of the core's periodic work. It bounds how late a queued request is
 // answered after its deadline and how late a hedge starts.
 const tickPeriod = 5 * time.Millisecond
 
-// idleTickPeriod replaces tickPeriod while no request is in flight and the core's state does not
+// longTickPeriod is the longest time between two ticks while requests are in flight and nothing is due
+// sooner: an entry that sees a few requests a second mostly waits for endpoints.
+const longTickPeriod = 20 * time.Millisecond
+
+// idleTickPeriod replaces longTickPeriod while no request is in flight and the core's state does not
 // change; a request or a change restores tickPeriod. Each tick wakes the process, which costs more
 // than the tick itself.
 const idleTickPeriod = 100 * time.Millisecond
@@ -267,15 +271,15 @@
 }
 
 // platformStartDelay returns how long a starting entry waits to hear from a peer before it reads
-// the configuration service: the links to its seeds open within a tenth of a second. The seeds
-// themselves read at once, so that a fleet that lost power as a whole gets the values from them.
+// the configuration service: the links to seeds that are up open within some hundredths of a second.
+// The seeds themselves read at once, so that a fleet whose processes were all killed gets the values
+// from them.
 //
-// Beyond leastDelay, entries are spread over delaySpread, with few of them early, so that the
-// values that the first entries read reach the other entries before those read the configuration
-// service as well. If the seeds are down too, the first of 14 entries reads after 0.7 s on average,
-// and a tenth of 472 entries have read by then.
+// After a common loss of power the seeds may be the last to return, and until then entries find no
+// peer. Beyond leastDelay, they are therefore spread only over delaySpread, with few of them early, so
+// that those that start a little later get the values from the first ones if a seed is back by then.
 func (e *Entry) platformStartDelay() time.Duration {
-	const leastDelay, delaySpread = 250 * time.Millisecond, time.Second
+	const leastDelay, delaySpread = 100 * time.Millisecond, 300 * time.Millisecond
 	seeds := e.settings.Peers.Seeds
 	if len(seeds) == 0 || slices.Contains(seeds, e.hello.PeerAddress) {
 		return 0
@@ -370,9 +374,10 @@
 		case <-ctx.Done():
 			return
 		case <-e.engine.wake:
-			timer.Reset(tickPeriod)
+			timer.Reset(e.engine.untilDue())
 		case <-timer.C:
-			timer.Reset(e.engine.tick())
+			e.engine.tick()
+			timer.Reset(e.engine.untilDue())
 			e.updateLinks(&links)
 			e.pullRecords(ctx)
 			e.counterSamples.sample(e.engine.clock(), e.counters)
