--- a/internal/core/overloadfleet_test.go
+++ b/internal/core/overloadfleet_test.go
@@ -15,9 +15,8 @@
 	"github.com/tealhall/tealhall/internal/route"
 )
 
-// overloadFleet simulates entries, each of which sees few requests, before endpoints that are short
-// of room, and callers that come back after a refusal. It has no network: entries know each other
-// only through what overloadFleet delivers.
+// overloadFleet simulates entries, each of which sees few requests, endpoints that are short of room,
+// and callers that come back after a refusal. The entries exchange no messages.
 type overloadFleet struct {
 	testing.TB
 	rng       *rand.Rand
@@ -37,15 +36,15 @@
 	work                             time.Duration
 	// slowShare of the endpoints at any time take slowFactor times as long.
 	slowShare, slowFactor float64
-	// From knee of its slots in use on, an endpoint works kneeFactor times as long on what it begins.
+	// An endpoint with at least the share knee of its slots in use takes kneeFactor times as long for
+	// the work that it begins. 0 means that it does not slow down.
 	knee, kneeFactor float64
 	// excess is the demand during the peak as a multiple of what the endpoints can do.
 	excess float64
 	peak   time.Duration
 	// repeatAtOnce is the share of callers that ignore Retry-After.
 	repeatAtOnce float64
-	// shedShare is the share of requests that endpoints refuse in spite of room, shedFrom when it
-	// begins.
+	// shedShare is the share of requests that endpoints refuse in spite of room.
 	shedShare float64
 }
 
