Request lines and metrics show what the bound on repeats counted and spent

The lines of refused requests could not tell a budget over the wrong window from attempts that nobody pays for or requests that are counted twice: they had neither the requests that an entry's budget counts nor the repeats it spent. New: window_requests and window_repeats in the line of a request and as gauges of a pool. Nothing is decided by them.

--- a/internal/core/budget/repeats.go
+++ b/internal/core/budget/repeats.go
@@ -118,6 +118,16 @@
 	return usableRepeatShare*(b.bound.Share*b.requests.total+earned) - b.repeats.total
 }
 
+// Counted returns the requests and the repeats of the latest window.
+func (b *Repeats) Counted(now time.Duration) (requests, repeats int) {
+	if b == nil {
+		return 0, 0
+	}
+	b.requests.advance(now)
+	b.repeats.advance(now)
+	return int(b.requests.total), int(b.repeats.total)
+}
+
 // leftFor returns how many repeats may be sent now for requests of a rank. It reserves the repeats
 // that requests of higher ranks were denied within the window.
 func (b *Repeats) leftFor(now time.Duration, rank int) float64 {
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -43,7 +43,10 @@
 	// contact succeeded.
 	Unanswered int
 	Unheard    time.Duration
-	Attempts   []AttemptTrace
+	// WindowRequests and WindowRepeats are what the bound on the pool's repeats counted at this entry
+	// in the latest window, 0 without a bound.
+	WindowRequests, WindowRepeats int
+	Attempts                      []AttemptTrace
 	// Relayed is set if another entry relayed the request to this one.
 	Relayed bool
 	// Sampled is set if the request went well and is traced as a sample.
@@ -114,6 +117,7 @@
 	if trace.Unanswered = r.pool.reach.Unanswered(); trace.Unanswered > 0 {
 		trace.Unheard = c.now - r.pool.reach.HeardAt()
 	}
+	trace.WindowRequests, trace.WindowRepeats = r.pool.repeats.Counted(c.now)
 	for i := Attempt(1); i <= r.dispatches; i++ {
 		trace.Attempts = append(trace.Attempts, c.traceAttempt(r, &r.attempts[i]))
 	}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -94,6 +94,9 @@
 	// Limited counts the endpoints that report a rate limit, BackingOff those that want no requests
 	// from this entry now.
 	Limited, BackingOff int
+	// WindowRequests and WindowRepeats are what the bound on repeats counted at this entry in the
+	// latest window, 0 without a bound.
+	WindowRequests, WindowRepeats int
 	// Unanswered counts the endpoints that failed to answer this entry after the last answer of any
 	// of them.
 	Unanswered int
@@ -284,6 +287,7 @@
 		Unconnected:      p.dials.Lost(),
 		UnconnectedSince: p.dials.LostAt(),
 	}
+	v.WindowRequests, v.WindowRepeats = p.repeats.Counted(now)
 	for i := range p.Endpoints {
 		v.count(&p.Endpoints[i], quota.IsCold(now, &p.Pool, &p.Endpoints[i]))
 	}
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -19,14 +19,14 @@
 // explains each; a test compares the two.
 var traceFields = []string{
 	"request", "service", "content", "revision", "outcome", "reason", "status", "retry_after_ms", "gone", "age_ms", "took_ms",
-	"objective_ms", "looks", "held", "late", "endpoints", "full", "backing_off", "unanswered", "unheard_ms", "queued", "relayed", "attempts",
+	"objective_ms", "looks", "held", "late", "endpoints", "full", "backing_off", "unanswered", "unheard_ms", "queued", "relayed", "window_requests", "window_repeats", "attempts",
 }
 
 // logTrace logs the trace of a request that failed, was late, or is sampled.
 func logTrace(trace *core.RequestTrace) {
 	values := []any{
 		trace.Name, trace.Service, strconv.FormatUint(trace.Content, 16), trace.Revision, trace.Outcome.String(), trace.Reason.String(), trace.Status, trace.RetryAfter.Milliseconds(), trace.CallerGone,
-		trace.CallerAge.Milliseconds(), trace.Took.Milliseconds(), trace.Objective.Milliseconds(), trace.LoadProbes, trace.NoRoom, trace.Late, trace.Endpoints, trace.Full, trace.BackingOff, trace.Unanswered, trace.Unheard.Milliseconds(), trace.Queued, trace.Relayed, trace.Attempts,
+		trace.CallerAge.Milliseconds(), trace.Took.Milliseconds(), trace.Objective.Milliseconds(), trace.LoadProbes, trace.NoRoom, trace.Late, trace.Endpoints, trace.Full, trace.BackingOff, trace.Unanswered, trace.Unheard.Milliseconds(), trace.Queued, trace.Relayed, trace.WindowRequests, trace.WindowRepeats, trace.Attempts,
 	}
 	pairs := make([]any, 0, 2*len(values)+2)
 	for i, value := range values {
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -222,6 +222,8 @@
 		gauge(poolMetric(p.Name, "cold_owned"), float64(p.Owned)),
 		gauge(poolMetric(p.Name, "limited"), float64(p.Limited)),
 		gauge(poolMetric(p.Name, "backing_off"), float64(p.BackingOff)),
+		gauge(poolMetric(p.Name, "window_requests"), float64(p.WindowRequests)),
+		gauge(poolMetric(p.Name, "window_repeats"), float64(p.WindowRepeats)),
 		gauge(poolMetric(p.Name, "unanswered"), float64(p.Unanswered)),
 		boolGauge(poolMetric(p.Name, "short"), p.Short),
 		gauge(poolMetric(p.Name, "headroom"), p.Headroom),
