--- a/internal/core/overloadharness_test.go
+++ b/internal/core/overloadharness_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/core/budget"
+	"github.com/tealhall/tealhall/internal/core/budget/budgettest"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/profile"
 	"github.com/tealhall/tealhall/internal/published"
@@ -27,8 +28,16 @@
 	requests  []*overloadRequest
 	// current is the endpoint that ceiling looks at.
 	current *overloadEndpoint
+	// callersUse are the entries that callers send their requests to.
+	callersUse []*overloadEntry
+	// log has the tries of all callers and the attempts beyond the first of a try that reached an
+	// endpoint.
+	log budgettest.Log
 }
 
+// overloadRepeats is the bound on repeats where a load has none of its own.
+var overloadRepeats = budget.RepeatBound{Share: 0.2, Window: 10 * sec, Slack: 208}
+
 // overloadLoad is a load and the service that it meets.
 type overloadLoad struct {
 	entries, endpoints, slots, queue int
@@ -45,6 +54,8 @@
 	repeatAtOnce float64
 	// shedShare is the share of requests that endpoints refuse in spite of room.
 	shedShare float64
+	// repeats is the bound on repeats, overloadRepeats if zero.
+	repeats budget.RepeatBound
 }
 
 type simEvent struct {
@@ -92,6 +103,7 @@
 type overloadRun struct {
 	entry     *overloadEntry
 	key       attemptKey
+	try       *overloadTry
 	endpoint  *overloadEndpoint
 	work      time.Duration
 	cancelled bool
@@ -114,6 +126,8 @@
 type overloadTry struct {
 	request *overloadRequest
 	began   time.Duration
+	// reached is set when an attempt of it has reached an endpoint.
+	reached bool
 }
 
 const (
@@ -124,6 +138,9 @@
 
 func newOverloadFleet(t testing.TB, load overloadLoad) *overloadFleet {
 	f := &overloadFleet{TB: t, rng: rand.New(rand.NewPCG(7, uint64(load.entries))), now: sec, load: load}
+	if f.load.repeats.Share == 0 {
+		f.load.repeats = overloadRepeats
+	}
 	list := published.VMList{Revision: 1}
 	for i := range load.endpoints {
 		ep := &overloadEndpoint{name: fmt.Sprint("ep-", i), domain: fmt.Sprint("d", i%4)}
@@ -148,7 +165,7 @@
 			CallerAddress: fmt.Sprint("10.0.0.", i, ":80"), PeerAddress: fmt.Sprint("10.0.0.", i, ":81")}
 		cfg := DefaultConfig(hello)
 		cfg.LoadProbesPerEndpoint, cfg.ListIsFinal = 42, true
-		cfg.Repeats, cfg.LargestFleet = budget.RepeatBound{Share: 0.2, Window: 10 * sec, Slack: 208}, 24
+		cfg.Repeats, cfg.LargestFleet = f.load.repeats, 24
 		e := &overloadEntry{Core: New(cfg, rand.New(rand.NewPCG(1, uint64(i)))), open: map[RequestID]*overloadTry{}, attempts: map[attemptKey]*overloadRun{}}
 		f.entries = append(f.entries, e)
 		f.do(e, func(out *Actions) {
@@ -160,6 +177,7 @@
 		e.fleet.ownShare = 1 / float64(load.entries)
 		f.at(time.Duration(i%10)*ms, func() { f.tick(e) })
 	}
+	f.callersUse = f.entries
 	return f
 }
 
@@ -218,7 +236,8 @@
 	if left <= 0 {
 		return
 	}
-	e := f.entries[f.rng.IntN(len(f.entries))]
+	e := f.callersUse[f.rng.IntN(len(f.callersUse))]
+	f.log.Request(f.now)
 	e.nextID++
 	id := e.nextID
 	e.open[id] = &overloadTry{request: r, began: f.now}
@@ -272,7 +291,7 @@
 	case StepDispatch:
 		run := &overloadRun{entry: e, key: attemptKey{d.ID, d.Attempt}, endpoint: f.endpointNamed(d.Endpoint)}
 		if try != nil {
-			run.work = try.request.work
+			run.try, run.work = try, try.request.work
 		}
 		e.attempts[run.key] = run
 		f.at(ms, func() { f.reach(run) })
@@ -296,6 +315,12 @@
 		f.end(run, End{Kind: EndNotWritten, Replayable: true})
 		return
 	}
+	if run.try != nil {
+		if run.try.reached {
+			f.log.Repeat(f.now)
+		}
+		run.try.reached = true
+	}
 	shed := f.load.shedShare > 0 && f.rng.Float64() < f.load.shedShare
 	switch {
 	case shed || ep.running >= f.load.slots && len(ep.waiting) >= f.load.queue:
