Repeats stay within the fleet's bound in every window

Cause: the bound holds in every window of ten seconds, with the requests of that window, of the one before or of the one half a window before. An entry spent against the requests of its own trailing 10 s, in one go when the fault came. The windows that began some seconds earlier, and hold the end of traffic, have fewer requests. The class is a bound on all windows kept by a counter of one.

Change: a repeat is sent only if each window that it falls into allows it, also the one that begins with it, whose requests are those known so far. All entries weigh the window and the one before it alike, since their shares add up only then; the larger of the two, chosen by each entry, exceeds the bound when callers move. Half of an entry's part of the slack is earned over each window, so that a process and its successor together stay within the part: before, a restarted process earned the whole part once more.

A check of the latter, as old as the test, looked for the repeats of the worst window to see that the endpoints' refusals caused any; the worst window of the case without calm lies before traffic. It counts all repeats now.

--- a/internal/core/budget/repeats.go
+++ b/internal/core/budget/repeats.go
@@ -1,42 +1,13 @@
 package budget
 
-import "time"
-
-// windowSteps is the number of steps of a window. An event is counted for up to one step longer
-// than the window's span, never shorter.
-const windowSteps = 20
-
-// window counts the events of the latest span.
-type window struct {
-	span   time.Duration
-	counts [windowSteps + 1]float64
-	total  float64
-	step   int64
-}
-
-// advance drops the events that are older than the span.
-func (w *window) advance(now time.Duration) {
-	step := int64(now / (w.span / windowSteps))
-	if step <= w.step {
-		return
-	}
-	if step-w.step > windowSteps {
-		w.counts, w.total = [windowSteps + 1]float64{}, 0
-	} else {
-		for s := w.step + 1; s <= step; s++ {
-			bin := &w.counts[s%(windowSteps+1)]
-			w.total -= *bin
-			*bin = 0
-		}
-	}
-	w.step = step
-}
+import (
+	"math"
+	"time"
+)
 
-func (w *window) add(now time.Duration, n float64) {
-	w.advance(now)
-	w.counts[w.step%(windowSteps+1)] += n
-	w.total += n
-}
+// repeatSteps is the number of steps of a window of the bound on repeats. Windows that begin in the same
+// step are taken for one.
+const repeatSteps = 40
 
 // RepeatBound bounds the repeats, the attempts beyond the first one of each request, that all
 // entries together may send to one pool.
@@ -49,22 +20,38 @@
 	Slack float64
 }
 
-// usableRepeatShare is the share of the bound that entries use. The rest covers requests that an
-// entry counts in one window and an observer counts in the next one. If fewer entries run than the
-// largest fleet has, the slack of the missing entries covers such requests as well.
+// usableRepeatShare is the share of the bound that entries use. The rest covers the time between a
+// request or repeat that an entry counts and its arrival elsewhere, which may be in another window.
 const usableRepeatShare = 0.9
 
+// The bound of a window counts the requests of that window, of the one before, or of the one half a
+// window before, whichever has most. Which one that is for the whole fleet, an entry cannot know: in
+// a window in which callers leave some entries for others, each entry would choose the one that suits
+// it, and together they would exceed the bound. So all of them use the same weighted mean of the first
+// two, which is never more than the largest.
+const (
+	currentWindowWeight  = 0.4
+	previousWindowWeight = 1 - currentWindowWeight
+)
+
+// savedSlackShare is the share of the slack that a process may use at once. It earns the rest over the
+// time of each window.
+const savedSlackShare = 0.5
+
 // Repeats keeps the repeats of all entries together within a bound without messages between the
-// entries: each entry spends the share of its own requests, and these amounts add up to the share
-// of all requests. The slack is divided by the largest fleet that may run, and each process earns
-// its part of the slack over the time of its first window, so that neither a partition nor any
-// number of restarts raises the total.
+// entries. A repeat must be allowed by every window that it falls into, also by those that have just
+// begun, since nobody knows how many requests are still to come in them. The amounts that the entries
+// may spend in a window add up to the share of all requests. The slack is divided by the largest fleet
+// that may run, and a process that has just started has none of it saved, so that neither a partition
+// nor a restart raises the total.
 type Repeats struct {
-	bound             RepeatBound
-	largestFleet      int
-	knownFleet        int
-	started           time.Duration
-	requests, repeats window
+	bound        RepeatBound
+	largestFleet int
+	knownFleet   int
+	started      time.Duration
+	// requests covers the windows that a repeat falls into and the windows before them, repeats only
+	// the former.
+	requests, repeats steps
 	// wanted counts the repeats that requests of each rank asked for, and spent those that were
 	// allowed.
 	wanted, spent [Ranks]window
@@ -85,8 +72,8 @@
 		bound:        bound,
 		started:      started,
 		largestFleet: max(1, largestFleet),
-		requests:     window{span: bound.Window},
-		repeats:      window{span: bound.Window},
+		requests:     newSteps(bound.Window/repeatSteps, 2*repeatSteps+1),
+		repeats:      newSteps(bound.Window/repeatSteps, repeatSteps+1),
 	}
 	for rank := range Ranks {
 		b.wanted[rank].span, b.spent[rank].span = bound.Window, bound.Window
@@ -97,7 +84,7 @@
 // Request counts a caller's request for the pool.
 func (b *Repeats) Request(now time.Duration) {
 	if b != nil {
-		b.requests.add(now, 1)
+		b.requests.add(now)
 	}
 }
 
@@ -113,9 +100,28 @@
 func (b *Repeats) Left(now time.Duration) float64 {
 	b.requests.advance(now)
 	b.repeats.advance(now)
-	slack := b.bound.Slack / float64(max(b.largestFleet, b.knownFleet))
-	earned := slack * min(1, float64(now-b.started)/float64(b.bound.Window))
-	return usableRepeatShare*(b.bound.Share*b.requests.total+earned) - b.repeats.total
+	left := math.Inf(1)
+	// Sums for the windows that begin in the step of an age: their repeats, and the least number of
+	// requests in them so far and in the windows before them.
+	sent, current, previous := 0, 0, b.requests.sum(1, repeatSteps)
+	for age := range repeatSteps + 1 {
+		sent += b.repeats.at(age)
+		requests := currentWindowWeight*float64(current) + previousWindowWeight*float64(previous)
+		allowed := usableRepeatShare * (b.bound.Share*requests + b.slack(now, age))
+		left = min(left, allowed-float64(sent))
+		current += b.requests.at(age)
+		previous += b.requests.at(age+repeatSteps) - b.requests.at(age+1)
+	}
+	return left
+}
+
+// slack returns this process's part of the slack for a window that begins in the step of an age.
+func (b *Repeats) slack(now time.Duration, age int) float64 {
+	part := b.bound.Slack / float64(max(b.largestFleet, b.knownFleet))
+	began := b.repeats.begin(age)
+	saved := max(0, min(1, float64(began-b.started)/float64(b.bound.Window)))
+	earned := float64(now-max(began+b.repeats.length, b.started)) / float64(b.bound.Window)
+	return part * (savedSlackShare*saved + (1-savedSlackShare)*max(0, earned))
 }
 
 // Counted returns the requests and the repeats of the latest window.
@@ -125,7 +131,7 @@
 	}
 	b.requests.advance(now)
 	b.repeats.advance(now)
-	return int(b.requests.total), int(b.repeats.total)
+	return b.requests.sum(0, repeatSteps), b.repeats.sum(0, repeatSteps)
 }
 
 // leftFor returns how many repeats may be sent now for requests of a rank. It reserves the repeats
@@ -159,7 +165,7 @@
 		b.denied++
 		return false
 	}
-	b.repeats.add(now, 1)
+	b.repeats.add(now)
 	b.spent[rank].add(now, 1)
 	return true
 }
--- a/internal/core/repeatbound_test.go
+++ b/internal/core/repeatbound_test.go
@@ -42,7 +42,7 @@
 			if t.Log(w); w.Exceeded() {
 				t.Error("too many repeats")
 			}
-			if w.Repeats < 20 {
+			if f.log.Repeats(0) < 20 {
 				t.Error("the endpoints' refusals caused few repeats")
 			}
 		})
