--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -63,6 +63,9 @@
 	HeaderEntry = "Tealhall-Entry"
 	// HeaderForwarded marks a request that one entry forwarded to another.
 	HeaderForwarded = "Tealhall-Forwarded"
+	// HeaderCounted is CountedValue on a relayed request that another entry has counted for the fleet's
+	// bound on repeats.
+	HeaderCounted = "Tealhall-Counted"
 )
 
 // Reserved paths. Requests below ReservedPrefix are never passed to a service.
--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -114,7 +114,7 @@
 	names := []string{
 		HeaderDeadline, HeaderAttempt, HeaderDepth, HeaderRequest, HeaderIdempotencyKey, HeaderService,
 		HeaderLoad, HeaderIncarnation, HeaderDraining, HeaderRateLimit, HeaderNotRun, HeaderCaller, HeaderOutcome,
-		HeaderReason, HeaderRevision, HeaderEntry, HeaderForwarded,
+		HeaderReason, HeaderRevision, HeaderEntry, HeaderForwarded, HeaderCounted,
 	}
 	for _, name := range names {
 		if canonical := http.CanonicalHeaderKey(name); canonical != name {
--- a/internal/contract/entries.go
+++ b/internal/contract/entries.go
@@ -44,6 +44,9 @@
 // ReplayedValue is the only value of HeaderReplayed.
 const ReplayedValue = "1"
 
+// CountedValue is the only value of HeaderCounted.
+const CountedValue = "1"
+
 // The values of HeaderForwarded.
 const (
 	// ForwardedValue: the request was forwarded to the home of its key.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -50,6 +50,8 @@
 	// Relayed is set if another entry relayed the request because it reaches no endpoint. Its key, if
 	// it has one, is not looked up here.
 	Relayed bool
+	// Counted is set if another entry counted the relayed request for the fleet's bound on repeats.
+	Counted bool
 	// Revision is the latest revision of the profiles that the caller has seen.
 	Revision uint64
 	// LinkBacklog is how long the entry's link takes for the large answers that are under way.
@@ -237,6 +239,9 @@
 	Once bool
 	// IdleOnly asks the endpoint to refuse the request rather than queue it.
 	IdleOnly bool
+	// Counted is set with StepRelay if an entry has counted the request for the fleet's bound on
+	// repeats.
+	Counted bool
 	// OpenOnly is set if the attempt may be sent only on a connection that is already open. Without
 	// one the driver reports EndNotWritten with NoOpenConn.
 	OpenOnly bool
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -121,8 +121,10 @@
 		Endpoint: helper.VM.Name,
 		Once:     r.policy.Kind == profile.Once,
 		Repeated: repeated,
+		Counted:  r.counted,
 		Deadline: r.deadline,
 	})
+	r.counted = true
 	return true
 }
 
--- a/internal/core/relay_test.go
+++ b/internal/core/relay_test.go
@@ -44,7 +44,7 @@
 		h.end(n, t, End{Kind: EndNotWritten, DialFailed: true})
 		return
 	}
-	a.Relayed, a.Timeout = true, d.Deadline-(h.now-n.started)
+	a.Relayed, a.Counted, a.Timeout = true, d.Counted, d.Deadline-(h.now-n.started)
 	if a.CallerAttempt = 1; d.Repeated {
 		a.CallerAttempt = 2
 	}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -110,6 +110,8 @@
 	committed  Attempt
 	attempts   [MaxAttempts + 1]attempt
 	dispatches Attempt
+	// counted is set if this entry or another one counts the request for the fleet's bound on repeats.
+	counted bool
 	// idleRefusals counts the idle-only attempts that endpoints refused.
 	idleRefusals int
 	// unsent counts the attempts that never left this entry.
@@ -168,11 +170,7 @@
 	sv.arrived++
 	sv.demand.Add(now, sv.expectedWork())
 	r := c.newRequest(now, a, sv)
-	if !r.pool.reach.Lost() {
-		// The entry that serves a relayed request counts it for the fleet's budgets.
-		r.pool.repeats.Request(now)
-		r.pool.loadProbes.Request(loadProbeEarnFactor * r.policy.LoadProbes)
-	}
+	c.countForBudgets(now, r)
 	r.pool.placementState.NoteArrival(now)
 	if !c.admitKey(now, r, out) {
 		return
@@ -180,6 +178,21 @@
 	c.place(now, r, out)
 }
 
+// countForBudgets counts r for the budgets of its pool. A request for a lost pool is left to the entry
+// that it is relayed to. For the fleet's bound on repeats only one of the entries that a request passes
+// through counts it.
+func (c *Core) countForBudgets(now time.Duration, r *request) {
+	lost := r.pool.reach.Lost()
+	if !lost {
+		r.pool.loadProbes.Request(loadProbeEarnFactor * r.policy.LoadProbes)
+	}
+	r.counted = r.arrival.Counted || r.arrival.Forwarded
+	if !lost && !r.counted {
+		r.pool.repeats.Request(now)
+		r.counted = true
+	}
+}
+
 // admissionRefusal returns why a request is refused at admission, or ReasonNone. It runs before the
 // core holds any state of the request.
 func (c *Core) admissionRefusal(a *Arrival) Reason {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -10,7 +10,7 @@
 )
 
 // relayHeaders are the headers that a relayed request has between two entries, in every dialect.
-var relayHeaders = []string{contract.HeaderForwarded, contract.HeaderAttempt, contract.HeaderCaller, contract.HeaderRevision}
+var relayHeaders = []string{contract.HeaderForwarded, contract.HeaderAttempt, contract.HeaderCaller, contract.HeaderRevision, contract.HeaderCounted}
 
 // addRelayHeader adds the headers of a request that is relayed to another entry. An attempt above 1
 // keeps the other entry from repeating a request that may have run.
@@ -23,6 +23,10 @@
 	h[contract.HeaderAttempt] = []string{strconv.Itoa(attempt)}
 	h[contract.HeaderCaller] = []string{x.caller}
 	h[contract.HeaderRevision] = []string{strconv.FormatUint(x.entry.revision.Load(), 10)}
+	h[contract.HeaderCounted] = nil // the caller's own
+	if d.Counted {
+		h[contract.HeaderCounted] = []string{contract.CountedValue}
+	}
 }
 
 // dropRelayHeader keeps the headers between two entries from an endpoint, except for those that the
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -7,11 +7,16 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"testing"
+	"time"
 
+	"github.com/tealhall/tealhall/internal/admin"
 	"github.com/tealhall/tealhall/internal/contract"
 	"github.com/tealhall/tealhall/internal/demo"
+	"github.com/tealhall/tealhall/internal/entry"
+	"github.com/tealhall/tealhall/internal/settings"
 )
 
 // refusingDialer refuses the connections of one entry to endpoints.
@@ -71,3 +76,49 @@
 		}
 	}
 }
+
+// windowRequests returns the requests for a pool that an entry counts for the bound on repeats.
+func windowRequests(t *testing.T, e *entry.Entry, pool string) float64 {
+	t.Helper()
+	all := ask[[]admin.MetricView](newOperator(t, e), "metrics")
+	i := slices.IndexFunc(all, func(v admin.MetricView) bool { return v.Name == "pool."+pool+".window_requests" })
+	if i < 0 {
+		t.Fatalf("%s has no metric of the requests for %s", e.Name(), pool)
+	}
+	return all[i].Values["value"]
+}
+
+// Guards against a relayed request that counts for the fleet's bound on repeats at two entries, because
+// the one that took it does not tell the other that it has counted it.
+func TestEntryTellsThatItCountedRelayedRequest(t *testing.T) {
+	f := newFleet(t, 3, refusingDialer("entry-1"), func(cfg *demo.FleetConfig) {
+		adjust := cfg.Adjust
+		cfg.Adjust = func(s *settings.Settings) {
+			adjust(s)
+			s.Limits.RepeatShare, s.Limits.RepeatWindow.Duration = 0.2, time.Hour
+		}
+	})
+	const sent = 20
+	for i := range sent {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, fmt.Sprintf("http://%s/counts?id=r-%d", f.Entries[0].CallerAddress(), i), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set(contract.HeaderService, "counts")
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: status %d", i, response.StatusCode)
+		}
+	}
+	counted := 0.0
+	for _, e := range f.Entries {
+		counted += windowRequests(t, e, "counts")
+	}
+	if counted != sent {
+		t.Errorf("%v requests were counted of %d sent", counted, sent)
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -163,6 +163,7 @@
 		CallerAttempt: 1,
 		Forwarded:     h.Get(contract.HeaderForwarded) == contract.ForwardedValue,
 		Relayed:       isRelayed(x.request),
+		Counted:       isRelayed(x.request) && h.Get(contract.HeaderCounted) == contract.CountedValue,
 	}
 	if left, ok := x.entry.dialect.TimeLeft(h); ok {
 		a.Timeout = max(left, time.Nanosecond)
