Hedges and refused idle-only attempts are spent from the fleet's bound

Callers of a deployment with a bound on repeats and profiles without load probes could have more attempts sent than the bound allows: a request that was to be refused rather than queued was sent again from a budget of its own, and a hedge from its service's. Both are attempts beyond the first, and neither asked the fleet's bound.

An entry asks for an idle slot only if a refusal could be repeated within the bound.

--- a/internal/core/countedrequests_test.go
+++ b/internal/core/countedrequests_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"testing"
+	"time"
+
+	"pgregory.net/rapid"
 
 	"github.com/tealhall/tealhall/internal/core/budget"
 )
@@ -10,23 +13,28 @@
 // their paths to all endpoints, as newRelayCluster does.
 func newBoundedCluster(t *testing.T) (*clusterHarness, map[*node]paths) {
 	h, states := newRelayCluster(t, 4)
+	h.boundRepeats(budget.RepeatBound{Share: 0.2, Window: 10 * sec})
+	return h, states
+}
+
+func (h *clusterHarness) boundRepeats(bound budget.RepeatBound) {
 	for _, n := range h.nodes {
 		for _, p := range n.poolRows {
-			p.repeats = budget.NewRepeats(budget.RepeatBound{Share: 0.2, Window: 10 * sec}, len(h.nodes), 0)
+			p.repeats = budget.NewRepeats(bound, len(h.nodes), 0)
 		}
 	}
-	return h, states
 }
 
-// countedRequests returns the requests that all entries count for the bound on repeats.
-func (h *clusterHarness) countedRequests() (counted int) {
+// counted returns the requests and repeats that all entries count for the bound on repeats.
+func (h *clusterHarness) counted() (requests, repeats int) {
 	for _, n := range h.nodes {
 		for _, p := range n.poolRows {
-			requests, _ := p.repeats.Counted(h.now - n.started)
-			counted += requests
+			own, spent := p.repeats.Counted(h.now - n.started)
+			requests += own
+			repeats += spent
 		}
 	}
-	return counted
+	return requests, repeats
 }
 
 // Guards against a request that counts for the fleet's bound on repeats at the entry that took it and
@@ -55,7 +63,7 @@
 		for _, n := range h.nodes {
 			relayed += n.Counters().RelayedHere
 		}
-		counted := h.countedRequests()
+		counted, _ := h.counted()
 		if t.Logf("state %v: %d sent, %d relayed, %d counted", state, sent, relayed, counted); counted > sent || relayed < 20 {
 			t.Errorf("%d requests were counted of %d sent, %d were relayed", counted, sent, relayed)
 		}
@@ -71,7 +79,52 @@
 		h.sendRequest(h.nodes[0], Arrival{Service: "waste", Key: h.key(h.nodes[1]), HasKey: true})
 		h.run(100 * ms)
 	}
-	if counted := h.countedRequests(); counted != sent {
+	if counted, _ := h.counted(); counted != sent {
 		t.Errorf("%d requests were counted of %d sent", counted, sent)
 	}
 }
+
+// Guards against attempts beyond the first of a request that reach an endpoint without being spent from
+// the fleet's bound on repeats, whichever entries and endpoints fail in between.
+func TestEachRepeatIsSpentFromTheBound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h, states := newRelayCluster(t, 4)
+		h.boundRepeats(budget.RepeatBound{Share: 10, Window: time.Hour})
+		h.tick = 10 * ms
+		kinds := []string{"answers", "refuses", "not dialled", "not sent", "lost", "silent", "answers 500", "slow"}
+		arrived := map[string]int{}
+		cut := rapid.IntRange(0, 3).Draw(rt, "cut for good")
+		for range rapid.IntRange(3, 12).Draw(rt, "steps") {
+			kindOf := map[string]string{}
+			for _, name := range []string{"s1", "s2", "s3", "s4", "c1", "c2", "c3", "c4", "c5", "c6"} {
+				kindOf[name] = rapid.SampledFrom(kinds).Draw(rt, name)
+			}
+			h.endpoint = func(name string, a Arrival) reaction {
+				re := reactions[kindOf[name]]
+				if re.end.Kind != EndNotWritten {
+					arrived[requestText(a)]++
+				}
+				return re
+			}
+			for i, n := range h.nodes {
+				states[n] = pathsRefuse
+				if i >= cut {
+					states[n] = rapid.SampledFrom([]paths{pathsWork, pathsWork, pathsRefuse, pathsSilent}).Draw(rt, "paths")
+				}
+				for _, service := range []string{"photos", "checks", "hedged"} {
+					h.sendRequest(n, Arrival{Service: service, Caller: uint64(i)})
+				}
+				h.run(time.Duration(rapid.IntRange(1, 40).Draw(rt, "gap")) * ms)
+			}
+		}
+		clear(states)
+		h.run(5 * sec)
+		beyond := 0
+		for _, n := range arrived {
+			beyond += n - 1
+		}
+		if _, spent := h.counted(); beyond > spent {
+			rt.Fatalf("%d attempts beyond the first of their request reached endpoints, %d were spent", beyond, spent)
+		}
+	})
+}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -54,7 +54,8 @@
 // mayTryIdleOnly reports whether an endpoint may be asked to refuse r rather than queue it. A
 // refusal costs a round trip and counts as an arrival at the endpoint.
 func (c *Core) mayTryIdleOnly(r *request) bool {
-	return r.replayable && r.idleRefusals < maxIdleRefusals && r.service.idleRetry.Level() >= 1
+	return r.replayable && r.idleRefusals < maxIdleRefusals && r.service.idleRetry.Level() >= 1 &&
+		r.pool.repeats.MaySpend(c.now, r.repeatRank(c.now))
 }
 
 // mayBeTrial reports whether r may be sent to an ejected endpoint as a trial: only the first
@@ -328,7 +329,7 @@
 	if !ok || r.phase != phaseActive || r.committed != 0 || r.dispatches != 1 || r.live() != 1 || c.isSuspect(now, r) {
 		return
 	}
-	if !r.service.retry.TrySpend(now) {
+	if !r.service.retry.TrySpend(now) || !r.pool.repeats.TrySpend(now, r.repeatRank(now)) {
 		c.counters.RetriesDenied++
 		return
 	}
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -33,7 +33,7 @@
 		c.fail(now, r, ReasonBackoff, out)
 		return
 	}
-	if refusedIdleOnly(a, e) && r.replayable {
+	if refusedIdleOnly(a, e) && r.replayable && r.pool.repeats.TrySpend(now, r.repeatRank(now)) {
 		r.idleRefusals++
 		r.service.idleRetry.TrySpend(now)
 		c.placeAgain(now, r, out)
