A new connection that is reset before an answer is no connection

Callers of entries whose open connections to endpoints live on, while new ones are set up and reset by their first bytes, were served badly: 26 and 79 of 186 first tries from 3 s after the begin of the cut (six entries, twelve endpoints, three entries cut), 187 to 189 of as many at the others.

Cause: a dial that succeeded counted as a connection that was opened, so the tracker of new connections began anew with each of them and the pool never counted as unconnected. Now a probe whose new connection ends before an answer counts as a failed dial. An attempt on such a connection counts as neither, since its endpoint may have broken it off while it ran the request.

Test: the case "new connections reset" of TestRequestsBeyondOpenConnectionsAreServed failed (figures above) and has 186 of 186 twice now; the same case of TestEntriesCutOffFromAllEndpointsServe passed before as well (100 of 100).

Ruled out: a loss by it where endpoints reset what exceeds their connections.

--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -291,7 +291,8 @@
 	Incarnation uint64
 	// Refused is set if the address refuses connections: no process listens there.
 	Refused bool
-	// DialFailed, Connected and NoOpenConn are as in an End.
+	// DialFailed, Connected and NoOpenConn are as in an End. DialFailed is also set if a new connection
+	// ended before the answer.
 	DialFailed, Connected, NoOpenConn bool
 	// Unhealthy is set if the endpoint answers that it should get no work now.
 	Unhealthy bool
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -107,8 +107,9 @@
 		failure := forward.FailureOf(err)
 		end.Refused = failure == forward.DialRefused
 		end.NoOpenConn = end.Probe.OpenOnly && failure == forward.NoConnection
-		end.Connected = delivery.NewConn && delivery.Wrote
-		end.DialFailed = delivery.NewConn && !delivery.Wrote
+		broken := failure == forward.ConnectionLost
+		end.Connected = delivery.NewConn && delivery.Wrote && !broken
+		end.DialFailed = delivery.NewConn && (!delivery.Wrote || broken)
 		return
 	}
 	end.Connected = delivery.NewConn
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -146,7 +146,8 @@
 	case forward.Cancelled:
 		end.Kind = core.EndCancelled
 	}
-	end.Connected = delivery.NewConn && delivery.Wrote
+	// A connection that ends before an answer may have been reset on the way or by an endpoint that failed.
+	end.Connected = delivery.NewConn && delivery.Wrote && !end.ConnBroken
 	if !delivery.Wrote {
 		end.NoOpenConn = d.OpenOnly && failure == forward.NoConnection
 		end.Kind = core.EndNotWritten
