--- a/internal/core/budget/repeats.go
+++ b/internal/core/budget/repeats.go
@@ -12,7 +12,8 @@
 // RepeatBound bounds the repeats, the attempts beyond the first one of each request, that all
 // entries together may send to one pool.
 type RepeatBound struct {
-	// Share is the number of repeats per request in the window; 0 means no bound.
+	// Share is the number of repeats per request; 0 means no bound. The requests are those of the
+	// window, of the one before or of the one half a window before, whichever has most.
 	Share float64
 	// Window is the length of the windows in which the bound holds, wherever they begin.
 	Window time.Duration
@@ -24,11 +25,10 @@
 // request or repeat that an entry counts and its arrival elsewhere, which may be in another window.
 const usableRepeatShare = 0.9
 
-// The bound of a window counts the requests of that window, of the one before, or of the one half a
-// window before, whichever has most. Which one that is for the whole fleet, an entry cannot know: in
-// a window in which callers leave some entries for others, each entry would choose the one that suits
-// it, and together they would exceed the bound. So all of them use the same weighted mean of the first
-// two, which is never more than the largest.
+// Weights of the requests of a window and of the window before it. An entry does not know which window
+// has most requests of the whole fleet. If each entry took the one in which it has most itself, they
+// would exceed the bound together when callers leave some entries for others. The mean with the same
+// weights at all entries never exceeds the largest.
 const (
 	currentWindowWeight  = 0.4
 	previousWindowWeight = 1 - currentWindowWeight
@@ -39,11 +39,10 @@
 const savedSlackShare = 0.5
 
 // Repeats keeps the repeats of all entries together within a bound without messages between the
-// entries. A repeat must be allowed by every window that it falls into, also by those that have just
-// begun, since nobody knows how many requests are still to come in them. The amounts that the entries
-// may spend in a window add up to the share of all requests. The slack is divided by the largest fleet
-// that may run, and a process that has just started has none of it saved, so that neither a partition
-// nor a restart raises the total.
+// entries. Every window that a repeat falls into must allow it, with the requests known so far: traffic
+// may end before the window does. Each entry spends for its own requests, and these amounts add up to
+// the share of all requests. The slack is divided by the largest fleet that may run, and a process that
+// has just started has saved none of it, so that neither a partition nor a restart raises the total.
 type Repeats struct {
 	bound        RepeatBound
 	largestFleet int
@@ -101,8 +100,8 @@
 	b.requests.advance(now)
 	b.repeats.advance(now)
 	left := math.Inf(1)
-	// Sums for the windows that begin in the step of an age: their repeats, and the least number of
-	// requests in them so far and in the windows before them.
+	// For the windows that begin in the step of an age: the most repeats in them, and the fewest requests
+	// in them so far and in the windows before them.
 	sent, current, previous := 0, 0, b.requests.sum(1, repeatSteps)
 	for age := range repeatSteps + 1 {
 		sent += b.repeats.at(age)
@@ -177,78 +176,3 @@
 	}
 	return b.denied
 }
-
-// Unused load probes may be saved up over loadProbeBurst. Together with usableLoadProbeShare it keeps
-// the load probes of any ten seconds within the bound. In a fleet with more than burstEntries entries,
-// each of which sees few requests, they are saved up over proportionally longer, up to
-// maxLoadProbeBurst: a peak there is a matter of a few requests for each entry, and an entry that has
-// used up its probes finds no endpoint although some have room. The bound holds over any longer time.
-const (
-	loadProbeBurst    = time.Second
-	maxLoadProbeBurst = 4 * time.Second
-	burstEntries      = 30
-)
-
-// burstFor returns the time over which an entry with the given share of the fleet's requests saves up
-// load probes.
-func burstFor(ownShare float64) time.Duration {
-	if ownShare <= 0 {
-		return loadProbeBurst
-	}
-	burst := float64(loadProbeBurst) / (burstEntries * ownShare)
-	return time.Duration(min(max(burst, float64(loadProbeBurst)), float64(maxLoadProbeBurst)))
-}
-
-// usableLoadProbeShare is the share of the bound on load probes that entries use. The rest covers
-// entries that do not know of each other yet.
-const usableLoadProbeShare = 0.9
-
-// maxSavedLoadProbes bounds how many load probes may be saved up from requests, where the bound per
-// endpoint allows no more.
-const maxSavedLoadProbes = 64
-
-// LoadProbes keeps an entry's load probes within two bounds. The first is proportional to the
-// entry's requests, so that even a partitioned fleet, or a fleet that restarts as a whole, sends no
-// more load probes than its requests justify. The second is the pool's bound per endpoint, of which
-// each entry uses a share equal to its share of the fleet's requests.
-type LoadProbes struct {
-	// perEndpoint is the number of load probes per second that all entries together may send to an
-	// endpoint; 0 means no bound.
-	perEndpoint float64
-	saved       float64
-	rateBucket  bucket
-	total       uint64
-	denied      uint64
-}
-
-// NewLoadProbes returns a budget for one pool.
-//
-// The bound per endpoint is earned from the start of the process. If it were earned from the first
-// request on, that request would be sent without a load probe. loadProbeBurst limits the load
-// probes after a restart of the whole fleet to those of one second.
-func NewLoadProbes(perEndpoint float64) *LoadProbes {
-	return &LoadProbes{perEndpoint: perEndpoint, rateBucket: bucket{started: true}}
-}
-
-// Request adds the number of load probes that one request earns.
-func (b *LoadProbes) Request(probes int) {
-	b.saved = min(max(maxSavedLoadProbes, b.rateBucket.capacity), b.saved+float64(probes))
-}
-
-// TrySpend spends one load probe and reports true if both bounds allow it. endpoints is the number
-// of endpoints of the pool, and ownShare is this entry's share of the fleet's requests.
-func (b *LoadProbes) TrySpend(now time.Duration, endpoints int, ownShare float64) bool {
-	rate := usableLoadProbeShare * b.perEndpoint * float64(endpoints) * ownShare
-	b.rateBucket.capacity = max(1, rate*burstFor(ownShare).Seconds())
-	b.rateBucket.refill(now, rate)
-	if b.saved < 1 || b.perEndpoint > 0 && !b.rateBucket.take(1) {
-		b.denied++
-		return false
-	}
-	b.saved--
-	b.total++
-	return true
-}
-
-// Spent returns how many load probes were allowed and denied since the process started.
-func (b *LoadProbes) Spent() (spent, denied uint64) { return b.total, b.denied }
--- a/internal/core/budget/window.go
+++ b/internal/core/budget/window.go
@@ -79,9 +79,9 @@
 	return int(s.counts[step%int64(len(s.counts))])
 }
 
-// sum returns the events of the steps with ages from first to last, without last.
-func (s *steps) sum(first, last int) (n int) {
-	for age := first; age < last; age++ {
+// sum returns the events of the steps with ages from first to end, without end.
+func (s *steps) sum(first, end int) (n int) {
+	for age := first; age < end; age++ {
 		n += s.at(age)
 	}
 	return n
