Downloads: a caller that was slow for a moment keeps its answer

Cause: once a write to the caller took less than 200 ms, the entry no longer counted the caller as slow, gave back what it held for it at once, and read nothing from the endpoint until the caller had taken all that was in hand. The endpoint then saw its answer unread for seconds and ended it.

The log blamed the caller ("gone", attempt "running"): the entry ends the caller's connection when an answer breaks off, and took that for the caller leaving. And the cause "ended by the endpoint while unread" was lost, since what the kernel had received is read before the end shows.

Fix: what is held is given back in pieces of 4 KB, one for four that the caller takes, the other three are read anew; reading and writing in pieces goes on until most of what is in hand was sent, and pieces of 32 KB together share a turn on the link, because each that blocks delays the next turn of all answers by 2 ms. A body that breaks off ends the watch for the caller first. The cause counts the longest time unread.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -72,9 +72,26 @@
 	}
 	t := x.entry.link.Begin(response.ContentLength)
 	defer t.End()
+	response.Body = &watchedBody{ReadCloser: response.Body, failed: x.stopWatch}
 	return front.CopyLargeAnswer(x.request.Context(), w, response, t)
 }
 
+// watchedBody calls failed when an answer breaks off. The connection of its caller is then ended too,
+// and must not look as if the caller had left.
+type watchedBody struct {
+	io.ReadCloser
+	failed func() bool
+}
+
+// Read reads from the answer.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		b.failed()
+	}
+	return n, err
+}
+
 // causeOfCopy names the fault with which copying an answer ended, for the log; "" if there was none.
 func causeOfCopy(err error) string {
 	var unread *front.UnreadError
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -46,6 +46,8 @@
 
 	wake     chan struct{}
 	attempts sync.WaitGroup
+	// stopWatch ends the watch for a caller that leaves.
+	stopWatch func() bool
 }
 
 // committed is an answer that is passed on to the caller.
@@ -131,8 +133,8 @@
 
 // serve carries out directives until the caller has its answer or has left.
 func (x *exchange) serve(w http.ResponseWriter) {
-	stop := context.AfterFunc(x.request.Context(), x.callerGone)
-	defer stop()
+	x.stopWatch = context.AfterFunc(x.request.Context(), x.callerGone)
+	defer x.stopWatch()
 	for range x.wake {
 		if x.handlePending(w) {
 			return
--- a/internal/front/copylarge.go
+++ b/internal/front/copylarge.go
@@ -31,8 +31,11 @@
 	// slowPiece is how much is read and written at a time for a slow caller once the bounds on held
 	// bytes are reached: its endpoint then sees that the answer is read as long as the caller reads.
 	slowPiece = 4 << 10
+	// shrinkAfter is how much a caller must take before a piece of what is held for it is given back.
+	// The rest of what it takes is read anew meanwhile, so the endpoint never sees a long pause.
+	shrinkAfter = 4 * slowPiece
 	// unreadAfter is how long an answer must have been left unread for its end to count as the
-	// endpoint's reaction to that.
+	// endpoint's reaction to that. What the kernel had received by then is read before the end shows.
 	unreadAfter = time.Second
 )
 
@@ -93,11 +96,17 @@
 	// inHand counts the bytes that were read and not yet sent, and held those that the flow lets the
 	// answer hold beyond freeBytes.
 	inHand, held int64
-	ended        bool
-	// slow is set if the latest write to the caller took long. writingSince is when the write that is
-	// under way began; zero while none is.
+	// taken counts the bytes that the caller has taken since a piece was given back.
+	taken int64
+	ended bool
+	// slow is set if the latest write to the caller took long, and piecewise from then on until most
+	// of what is in hand was sent. writingSince is when the write that is under way began; zero while
+	// none is.
 	slow         bool
+	piecewise    bool
 	writingSince time.Time
+	// turn is how many bytes are left of the turn that write took; it alone uses it.
+	turn int
 	// err is the first error on either side.
 	err error
 }
@@ -111,11 +120,13 @@
 // readFrom reads the body to its end, or until the caller's connection fails.
 func (a *heldAnswer) readFrom(body io.Reader) (total int64, err error) {
 	defer a.end()
+	var unread time.Duration // the longest time
 	for {
-		size, unread, ok := a.awaitRoom()
+		size, waited, ok := a.awaitRoom()
 		if !ok {
 			return total, nil // the error is that of the caller's connection
 		}
+		unread = max(unread, waited)
 		p := part{buffer: copyBuffers.Get().(*[copySize]byte)}
 		p.n, err = body.Read(p.buffer[:size])
 		total += int64(p.n)
@@ -168,16 +179,26 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	slow = a.isSlow()
-	left := freeBytes + a.held - a.inHand
+	left := a.unused()
+	if a.mustShrink() {
+		left -= slowPiece
+	}
 	switch {
 	case left >= copySize:
 		size = copySize
-	case slow && left >= slowPiece:
+	case (slow || a.piecewise) && left >= slowPiece:
 		size = slowPiece
 	}
 	return size, slow, a.err != nil
 }
 
+// unused returns how many of the bytes that the answer may have in hand are not used. The lock must be
+// held.
+func (a *heldAnswer) unused() int64 { return freeBytes + a.held - a.inHand }
+
+// mustShrink reports whether the next piece that gets unused is to be given back. The lock must be held.
+func (a *heldAnswer) mustShrink() bool { return a.held > 0 && a.taken >= shrinkAfter }
+
 // isSlow reports whether the latest write to the caller took long, or the one under way does. The lock
 // must be held.
 func (a *heldAnswer) isSlow() bool {
@@ -249,10 +270,11 @@
 // drops the part.
 func (a *heldAnswer) send(ctx context.Context, w http.ResponseWriter, controller *http.ResponseController, data []byte) error {
 	for len(data) > 0 && a.failure() == nil {
-		if err := a.flow.Turn(ctx); err != nil {
+		if err := a.takeTurn(ctx); err != nil {
 			return err
 		}
 		piece := data[:min(len(data), a.beginWrite())]
+		a.turn -= len(piece)
 		_, err := w.Write(piece)
 		if err == nil {
 			err = controller.Flush()
@@ -266,38 +288,64 @@
 	return nil
 }
 
+// takeTurn waits for a turn. The pieces for a slow caller share one: each may block, and the next turn
+// of all answers is granted only after a while then.
+func (a *heldAnswer) takeTurn(ctx context.Context) error {
+	if a.isPiecewise() && a.turn >= slowPiece {
+		return nil
+	}
+	a.turn = copySize
+	return a.flow.Turn(ctx)
+}
+
+func (a *heldAnswer) isPiecewise() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.piecewise
+}
+
 // beginWrite records the begin of a write and returns how many bytes it may have.
 func (a *heldAnswer) beginWrite() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.writingSince = time.Now()
-	if a.slow {
+	if a.piecewise {
 		return slowPiece
 	}
 	return copySize
 }
 
-// endWrite records the end of a write of n bytes. What the answer holds is given back as far as it
-// needs it no more: once it was read to its end, or its caller is slow no longer.
+// endWrite records the end of a write of n bytes, and gives back what the answer no longer has to hold.
 func (a *heldAnswer) endWrite(n int) {
 	a.flow.Wrote(int64(n))
 	a.mu.Lock()
 	a.slow = time.Since(a.writingSince) >= slowAfter
 	a.writingSince = time.Time{}
 	a.inHand -= int64(n)
-	unused := int64(0)
-	if a.ended || !a.slow {
-		needed := max(0, a.inHand-freeBytes)
-		unused = (a.held - needed) / copySize * copySize
-		a.held -= unused
-	}
+	a.piecewise = a.slow || a.piecewise && a.inHand > copySize
+	a.taken += int64(n)
+	released := a.shrink()
 	a.mu.Unlock()
-	if unused > 0 {
-		a.flow.Release(unused)
+	if released > 0 {
+		a.flow.Release(released)
 	}
 	wake(a.written)
 }
 
+// shrink returns how many held bytes to give back: all that are unused once the answer was read to its
+// end or its caller has caught up, else one piece at a time. The lock must be held.
+func (a *heldAnswer) shrink() (released int64) {
+	caughtUp := !a.slow && a.inHand <= freeBytes
+	switch {
+	case a.ended || caughtUp:
+		released = min(a.held, a.unused())
+	case a.mustShrink() && a.unused() >= slowPiece:
+		released, a.taken = min(a.held, slowPiece), 0
+	}
+	a.held -= released
+	return released
+}
+
 func (a *heldAnswer) fail(err error) {
 	a.mu.Lock()
 	if a.err == nil {
