--- a/cmd/tealhallbench/main.go
+++ b/cmd/tealhallbench/main.go
@@ -15,6 +15,6 @@
 		Use:   "tealhallbench",
 		Short: "Measure tealhall on this machine",
 	}
-	root.AddCommand(fleetCommand())
+	root.AddCommand(fleetCommand(), soakCommand())
 	os.Exit(program.Run(root, program.Failure))
 }
--- a/cmd/tealhallstandin/endpoint.go
+++ b/cmd/tealhallstandin/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -15,6 +16,7 @@
 type endpointFlags struct {
 	config       standin.EndpointConfig
 	control      string
+	journal      bool
 	distribution string
 	serviceTime  time.Duration
 	sigma        float64
@@ -49,6 +51,7 @@
 	set.Float64Var(&flags.sigma, "sigma", 0.5, "standard deviation of the logarithm of log-normal service times")
 	set.Uint64Var(&flags.seed, "seed", 1, "seed of the distribution")
 	set.StringVar(&flags.control, "control", "", "IP:port of the control interface; none by default")
+	set.BoolVar(&flags.journal, "journal", false, "print a line for each request that arrives, runs and finishes")
 	set.DurationVar(&flags.linger, "linger", 5*time.Second, "how long to keep refusing new requests after the drain began")
 	set.DurationVar(&flags.stopTimeout, "stop-timeout", time.Minute, "longest time to wait for requests in flight before stopping")
 	return command
@@ -74,6 +77,9 @@
 		return err
 	}
 	flags.config.ServiceTime = serviceTime
+	if flags.journal {
+		flags.config.Ledger = standin.NewJournaledLedger(os.Stdout)
+	}
 	endpoint, err := standin.NewEndpoint(flags.config)
 	if err != nil {
 		return err
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -23,13 +25,30 @@
 	mu       sync.Mutex
 	keys     map[string]Count
 	requests map[string]Count
+	// journal, if not nil, gets a line for each event.
+	journal io.Writer
 }
 
+// The events of a journal.
+const (
+	EventArrived  = "arrived"
+	EventRan      = "ran"
+	EventFinished = "finished"
+)
+
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{keys: make(map[string]Count), requests: make(map[string]Count)}
 }
 
+// NewJournaledLedger returns an empty ledger that also writes each event of a request to w, as a line
+// of the event and the request's id, before the event takes effect. The lines outlive the process.
+func NewJournaledLedger(w io.Writer) *Ledger {
+	l := NewLedger()
+	l.journal = w
+	return l
+}
+
 // Key returns the counts for an idempotency key.
 func (l *Ledger) Key(key string) Count {
 	l.mu.Lock()
@@ -68,13 +87,16 @@
 // identity identifies a request in a Ledger; either field may be empty.
 type identity struct{ key, request string }
 
-func (l *Ledger) arrived(id identity)  { l.add(id, Count{Arrivals: 1}) }
-func (l *Ledger) ran(id identity)      { l.add(id, Count{Runs: 1}) }
-func (l *Ledger) finished(id identity) { l.add(id, Count{Finished: 1}) }
+func (l *Ledger) arrived(id identity)  { l.add(id, EventArrived, Count{Arrivals: 1}) }
+func (l *Ledger) ran(id identity)      { l.add(id, EventRan, Count{Runs: 1}) }
+func (l *Ledger) finished(id identity) { l.add(id, EventFinished, Count{Finished: 1}) }
 
-func (l *Ledger) add(id identity, delta Count) {
+func (l *Ledger) add(id identity, event string, delta Count) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.journal != nil && id.request != "" {
+		fmt.Fprintln(l.journal, event, id.request)
+	}
 	if id.key != "" {
 		l.keys[id.key] = l.keys[id.key].plus(delta)
 	}
