--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -36,15 +36,18 @@
 	return j.failure
 }
 
+// action carries out a fault that lasts for a while.
+type action func(ctx context.Context, lasts time.Duration) error
+
 func (j *injector) inject(ctx context.Context, f Fault) {
-	busy, fault := j.fault(f)
-	if !busy.TryLock() {
+	target, act := j.actionOf(f)
+	if !target.TryLock() {
 		j.count(j.skipped, f.Kind)
 		return
 	}
-	defer busy.Unlock()
+	defer target.Unlock()
 	j.count(j.injected, f.Kind)
-	if err := fault(ctx, f.Lasts); err != nil {
+	if err := act(ctx, f.Lasts); err != nil {
 		j.mu.Lock()
 		j.failure = err
 		j.mu.Unlock()
@@ -57,128 +60,138 @@
 	counts[k]++
 }
 
-// fault returns what carries out a fault, and the lock of its target.
-func (j *injector) fault(f Fault) (busy *sync.Mutex, run func(ctx context.Context, lasts time.Duration) error) {
+// actionOf returns the action of a fault, and the lock of its target.
+func (j *injector) actionOf(f Fault) (target *sync.Mutex, act action) {
 	entry := j.fleet.entries[f.Target%len(j.fleet.entries)]
 	endpoint := j.fleet.endpoints[f.Target%len(j.fleet.endpoints)]
-	path := func(s pathState) (*sync.Mutex, func(context.Context, time.Duration) error) {
-		return &endpoint.pathBusy, func(ctx context.Context, lasts time.Duration) error {
-			endpoint.path.set(s)
-			wait.For(ctx, lasts)
-			endpoint.path.set(pathOpen)
-			return nil
-		}
-	}
-	platform := func(faults standin.PlatformFaults) (*sync.Mutex, func(context.Context, time.Duration) error) {
-		return &j.platform, func(ctx context.Context, lasts time.Duration) error {
-			j.fleet.disturbPlatform(ctx, faults, lasts)
-			return nil
-		}
-	}
 	switch f.Kind {
 	case EntryPaused:
-		return &entry.busy, func(ctx context.Context, lasts time.Duration) error {
-			j.fleet.pauseEntry(ctx, entry, lasts)
-			return nil
-		}
+		return &entry.busy, j.fleet.pauseEntry(entry)
 	case EntryKilled:
-		return &entry.busy, func(ctx context.Context, lasts time.Duration) error { return j.fleet.killEntry(ctx, entry, lasts) }
+		return &entry.busy, j.fleet.killEntry(entry)
 	case EntryStopped:
-		return &entry.busy, func(ctx context.Context, lasts time.Duration) error { return j.fleet.stopEntry(ctx, entry, lasts) }
+		return &entry.busy, j.fleet.stopEntry(entry)
 	case EndpointPaused:
-		return &endpoint.busy, func(ctx context.Context, lasts time.Duration) error {
-			pause(ctx, endpoint.running(), lasts)
-			return nil
-		}
+		return &endpoint.busy, j.fleet.pauseEndpoint(endpoint)
 	case EndpointKilled:
-		return &endpoint.busy, func(ctx context.Context, lasts time.Duration) error {
-			return j.fleet.killEndpoint(ctx, endpoint, lasts)
-		}
+		return &endpoint.busy, j.fleet.killEndpoint(endpoint)
 	case EndpointLeaves:
-		return &endpoint.busy, func(ctx context.Context, lasts time.Duration) error {
-			return j.fleet.replaceEndpoint(ctx, endpoint, lasts)
-		}
+		return &endpoint.busy, j.fleet.replaceEndpoint(endpoint)
 	case PathSilent:
-		return path(pathSilent)
+		return &endpoint.pathBusy, disturbPath(endpoint, pathSilent)
 	case PathReset:
-		return path(pathReset)
+		return &endpoint.pathBusy, disturbPath(endpoint, pathReset)
 	case PathSlow:
-		return path(pathSlow)
+		return &endpoint.pathBusy, disturbPath(endpoint, pathSlow)
 	case PlatformDown:
-		return platform(standin.PlatformFaults{Down: true})
+		return &j.platform, j.fleet.disturbPlatform(standin.PlatformFaults{Down: true})
 	case PlatformStale:
-		return platform(standin.PlatformFaults{Stale: true})
+		return &j.platform, j.fleet.disturbPlatform(standin.PlatformFaults{Stale: true})
 	case PlatformSlow:
-		return platform(standin.PlatformFaults{Delay: time.Second})
+		return &j.platform, j.fleet.disturbPlatform(standin.PlatformFaults{Delay: platformDelay})
 	case PlatformCut:
-		return platform(standin.PlatformFaults{Cut: standin.CutSized})
+		return &j.platform, j.fleet.disturbPlatform(standin.PlatformFaults{Cut: standin.CutSized})
 	default:
-		return new(sync.Mutex), func(context.Context, time.Duration) error {
-			j.fleet.publishProfiles()
-			return nil
-		}
+		return new(sync.Mutex), j.fleet.publishAgain
 	}
 }
 
-// pause stops a process for a while.
-func pause(ctx context.Context, p *process, lasts time.Duration) {
-	p.signal(syscall.SIGSTOP)
-	wait.For(ctx, lasts)
-	p.signal(syscall.SIGCONT)
+// platformDelay is by how much a slow platform delays its answers.
+const platformDelay = time.Second
+
+func (f *fleet) pauseEntry(e *entryVM) action {
+	return func(ctx context.Context, lasts time.Duration) error {
+		f.checks.EntryDisturbed(e.name)
+		pause(ctx, e.running(), lasts)
+		f.checks.EntryDisturbed(e.name)
+		return nil
+	}
 }
 
-func (f *fleet) pauseEntry(ctx context.Context, e *entryVM, lasts time.Duration) {
-	f.checks.EntryDisturbed(e.name)
-	pause(ctx, e.running(), lasts)
-	f.checks.EntryDisturbed(e.name)
+func (f *fleet) killEntry(e *entryVM) action {
+	return func(ctx context.Context, lasts time.Duration) error {
+		e.running().end(syscall.SIGKILL, killLimit)
+		wait.For(ctx, lasts)
+		return f.startEntry(e)
+	}
 }
 
-func (f *fleet) killEntry(ctx context.Context, e *entryVM, lasts time.Duration) error {
-	e.running().end(syscall.SIGKILL, killLimit)
-	wait.For(ctx, lasts)
-	return f.startEntry(e)
+func (f *fleet) stopEntry(e *entryVM) action {
+	return func(ctx context.Context, lasts time.Duration) error {
+		p := e.running()
+		inTime := p.end(syscall.SIGTERM, stopLimit)
+		f.checks.Stopped(e.name, p.code, inTime)
+		wait.For(ctx, lasts)
+		return f.startEntry(e)
+	}
 }
 
-func (f *fleet) stopEntry(ctx context.Context, e *entryVM, lasts time.Duration) error {
-	p := e.running()
-	inTime := p.end(syscall.SIGTERM, stopLimit)
-	f.checks.Stopped(e.name, p.code, inTime)
-	wait.For(ctx, lasts)
-	return f.startEntry(e)
+func (f *fleet) pauseEndpoint(e *endpointVM) action {
+	return func(ctx context.Context, lasts time.Duration) error {
+		pause(ctx, e.running(), lasts)
+		return nil
+	}
 }
 
-func (f *fleet) killEndpoint(ctx context.Context, e *endpointVM, lasts time.Duration) error {
-	e.running().end(syscall.SIGKILL, killLimit)
-	wait.For(ctx, lasts)
-	err := f.startEndpoint(e)
-	f.publishVMs()
-	return err
+func (f *fleet) killEndpoint(e *endpointVM) action {
+	return func(ctx context.Context, lasts time.Duration) error {
+		e.running().end(syscall.SIGKILL, killLimit)
+		wait.For(ctx, lasts)
+		err := f.startEndpoint(e)
+		f.publishVMs()
+		return err
+	}
 }
 
 // replaceEndpoint lets an endpoint leave and starts it again under its name.
-func (f *fleet) replaceEndpoint(ctx context.Context, e *endpointVM, lasts time.Duration) error {
-	name := e.incarnationName()
-	e.setState(published.Leaving)
-	f.publishVMs()
-	f.checks.Leaving(name)
-	e.running().end(syscall.SIGTERM, stopLimit)
-	f.checks.Left(name)
-	e.setState("")
-	f.publishVMs()
-	wait.For(ctx, lasts)
-	err := f.startEndpoint(e)
-	f.publishVMs()
-	return err
+func (f *fleet) replaceEndpoint(e *endpointVM) action {
+	return func(ctx context.Context, lasts time.Duration) error {
+		name := e.incarnationName()
+		e.setState(published.Leaving)
+		f.publishVMs()
+		f.checks.Leaving(name)
+		e.running().end(syscall.SIGTERM, stopLimit)
+		f.checks.Left(name)
+		e.setState("")
+		f.publishVMs()
+		wait.For(ctx, lasts)
+		err := f.startEndpoint(e)
+		f.publishVMs()
+		return err
+	}
 }
 
-func (f *fleet) disturbPlatform(ctx context.Context, faults standin.PlatformFaults, lasts time.Duration) {
-	f.checks.PlatformDisturbed()
-	f.platform.SetFaults(faults)
-	// Changes that are due meanwhile are excused too.
-	for left := lasts; left > 0 && ctx.Err() == nil; left -= pollEvery {
-		wait.For(ctx, min(left, pollEvery))
+func disturbPath(e *endpointVM, s pathState) action {
+	return func(ctx context.Context, lasts time.Duration) error {
+		e.path.set(s)
+		wait.For(ctx, lasts)
+		e.path.set(pathOpen)
+		return nil
+	}
+}
+
+func (f *fleet) disturbPlatform(faults standin.PlatformFaults) action {
+	return func(ctx context.Context, lasts time.Duration) error {
+		f.platform.SetFaults(faults)
+		// Changes that fall due meanwhile are excused too.
+		for left := lasts; left > 0 && ctx.Err() == nil; left -= pollEvery {
+			f.checks.PlatformDisturbed()
+			wait.For(ctx, min(left, pollEvery))
+		}
+		f.platform.SetFaults(standin.PlatformFaults{})
 		f.checks.PlatformDisturbed()
+		return nil
 	}
-	f.platform.SetFaults(standin.PlatformFaults{})
-	f.checks.PlatformDisturbed()
+}
+
+func (f *fleet) publishAgain(context.Context, time.Duration) error {
+	f.publishProfiles()
+	return nil
+}
+
+// pause stops a process for a while.
+func pause(ctx context.Context, p *process, lasts time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	wait.For(ctx, lasts)
+	p.signal(syscall.SIGCONT)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -27,8 +27,11 @@
 	requestTimeout = 15 * time.Second
 )
 
-// Run plays one run. The error says that it could not be played; the report says what it found.
-func Run(ctx context.Context, cfg Config) (*Report, error) {
+// Run plays one run with the faults that the seed draws. The error says that it could not be played;
+// the report says what it found.
+func Run(ctx context.Context, cfg Config) (*Report, error) { return play(ctx, cfg, Draw(cfg)) }
+
+func play(ctx context.Context, cfg Config, faults []Fault) (*Report, error) {
 	checks := NewChecks(time.Now)
 	f, err := newFleet(cfg, checks)
 	defer f.close()
@@ -49,7 +52,7 @@
 	background.Go(func() { traffic.run(running) })
 	wait.For(ctx, calmLength)
 	j := &injector{fleet: f, injected: make(map[Kind]int), skipped: make(map[Kind]int)}
-	failure := j.run(ctx, Draw(cfg))
+	failure := j.run(ctx, faults)
 	wait.For(ctx, recoveryWithin)
 	recovered := time.Now()
 	wait.For(ctx, calmLength)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -13,12 +11,11 @@
 func TestShortSoak(t *testing.T) {
 	cfg := DefaultConfig()
 	cfg.Seed, cfg.Entries, cfg.Endpoints, cfg.Length, cfg.Faults = 4, 4, 6, 5*time.Second, 6
-	cfg.Programs, cfg.Logs = t.TempDir(), t.TempDir()
-	build := exec.Command("go", "build", "-o", cfg.Programs, "./cmd/tealhalld", "./cmd/tealhallstandin")
-	build.Dir = filepath.Join("..", "..")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
+	programs, err := realPrograms()
+	if err != nil {
+		t.Fatal(err)
 	}
+	cfg.Programs, cfg.Logs = programs, t.TempDir()
 	report, err := Run(t.Context(), cfg)
 	if err != nil {
 		t.Fatal(err)
