Soak: an entry's failure domain is kept with it, no sleep in its tests

The domain was worked out by a search for the entry's index. The broken entry that ends by itself now does so after ten questions, not after a time that a slow machine could stretch past the run.

--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -128,23 +128,27 @@
 	if err != nil {
 		return 1
 	}
-	const startRevision = 100
+	const startRevision, lastAnswer = 100, 10
 	var asked atomic.Uint64
+	ended := make(chan struct{})
 	go func() {
 		_ = http.ListenAndServe(s.Addresses.Caller, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path != contract.HealthPath {
 				http.Error(w, "broken", http.StatusServiceUnavailable)
 				return
 			}
-			revision := uint64(0)
+			revision, n := uint64(0), asked.Add(1)
 			if kind == goesBack {
-				revision = startRevision - asked.Add(1)
+				revision = startRevision - n
+			}
+			if kind == endsByItself && n == lastAnswer {
+				close(ended)
 			}
 			fmt.Fprintf(w, `{"ready":true,"revision":%d}`, revision)
 		}))
 	}()
 	if kind == endsByItself {
-		time.Sleep(2 * calmLength)
+		<-ended
 		return 0
 	}
 	awaitSignal()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -58,9 +58,10 @@
 
 // entryVM is a VM of an entry.
 type entryVM struct {
-	name, callers, peers, admin string
-	settings                    string
-	busy                        sync.Mutex // held while a fault is under way
+	name, domain          string
+	callers, peers, admin string
+	settings              string
+	busy                  sync.Mutex // held while a fault is under way
 
 	mu      sync.Mutex
 	process *process
@@ -228,7 +229,7 @@
 	if err != nil {
 		return err
 	}
-	e := &entryVM{name: fmt.Sprint("entry-", i+1), callers: free[0], peers: free[1], admin: free[2]}
+	e := &entryVM{name: fmt.Sprint("entry-", i+1), domain: domains[i%len(domains)], callers: free[0], peers: free[1], admin: free[2]}
 	e.settings = filepath.Join(f.cfg.Logs, e.name+".toml")
 	f.entries = append(f.entries, e)
 	return nil
@@ -260,19 +261,10 @@
 [timeouts]
 answers_ttl = "1s"
 stop_serve = "500ms"
-`, e.name, region, domains[f.indexOf(e)%len(domains)], e.callers, e.peers, e.admin, f.server.URL(), strings.Join(seeds, ", "))
+`, e.name, region, e.domain, e.callers, e.peers, e.admin, f.server.URL(), strings.Join(seeds, ", "))
 	return os.WriteFile(e.settings, []byte(text), 0o644)
 }
 
-func (f *fleet) indexOf(e *entryVM) int {
-	for i := range f.entries {
-		if f.entries[i] == e {
-			return i
-		}
-	}
-	return 0
-}
-
 // startEntry starts an entry's process.
 func (f *fleet) startEntry(e *entryVM) error {
 	f.checks.EntryDisturbed(e.name)
