The owner of a limited endpoint uses the request that it has earned

Cause: an owner earns one request at a time, and others may not use it. But the owner chose among all endpoints, those with a connection of the last eight seconds first in seven of eight choices. A limited endpoint that was passed over for eight seconds lost its connection's preference and was then the first choice of 2 in 100 requests (measured on this choice). With the twenty requests that an owner gets in four seconds on a busy machine that leaves none for it two times in three.

Change: an owner ranks a limited endpoint for which it has earned a request before endpoints with a connection, unless its slots are in use.

--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/quota"
 	"github.com/tealhall/tealhall/internal/core/table"
 )
 
@@ -29,8 +30,10 @@
 	rankAvoided = 1000
 	rankMissing = 5000
 	// rankConnected ranks endpoints that this entry has contacted lately before otherwise equal
-	// ones.
+	// ones. rankEarned ranks a limited endpoint before these: no other entry may use the request
+	// that this one has earned for it.
 	rankConnected = 1
+	rankEarned    = 2
 )
 
 // Each of many entries may see only a few requests per second while many endpoints have room. If
@@ -85,7 +88,8 @@
 	return v.granted(e) && !v.Request.Tried.Has(i) && (!v.Request.OwnDomainOnly || v.isNear(e))
 }
 
-// rank returns the rank of an endpoint for probing; the lowest rank goes first.
+// rank returns the rank of an endpoint that may get a request, for probing; the lowest rank goes
+// first.
 func (v *View) rank(e *table.Endpoint) float64 {
 	slots := float64(max(1, e.Slots))
 	rank := v.Rand.Float64() + rankFull*float64(e.Outstanding)/slots + rankDoubt*max(0, e.CurrentDoubt(v.Now)-SlightDoubt)
@@ -95,6 +99,9 @@
 	if e.Missing {
 		rank += rankMissing
 	}
+	if quota.IsLimited(e) {
+		rank -= rankEarned
+	}
 	if age := v.Now - e.Probed.At; e.Probed.Seen && age < RememberedFor {
 		weight := 1 - float64(age)/float64(RememberedFor)
 		rank += weight * (rankFull*float64(e.Probed.Running+e.Probed.Waiting)/slots + rankPace*(Pace(&e.Probed)-1))
