Endpoints that a request was sent to are remembered in pools of any size

In a pool of more than 64 endpoints a request that an endpoint had refused could be sent to the same endpoint again, and with connections that are preferred it often was: the attempts of one request were a set of bits for the first 64 endpoints, and others "are never members".

Change: the set holds the indexes themselves, as many as a request has attempts (8).

TestTriedEndpointsOfLargePoolsAreRemembered failed before (indexes 64 and above). The property test of choices drew sets of any 64 bits; it draws any eight endpoints now, the most that a request is sent to.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -16,24 +16,37 @@
 	"github.com/tealhall/tealhall/internal/fault"
 )
 
-// Set is a set of endpoint indexes, each below MaxSetSize.
-type Set uint64
+// Set is a set of the indexes of a few endpoints, of a pool of any size. The zero value is empty.
+type Set struct {
+	// members has each index plus one, the latest first; 0 is a free place.
+	members [MaxSetSize]int32
+}
 
-// MaxSetSize is the largest number of endpoints of a pool that a Set can hold. Indexes from
-// MaxSetSize on are never members.
-const MaxSetSize = 64
+// MaxSetSize is the largest number of indexes in a Set, the endpoints to which one request is sent
+// at most. Beyond it, the earliest index is dropped.
+const MaxSetSize = 8
 
 // With returns s and index i.
 func (s Set) With(i int) Set {
-	if i < 0 || i >= MaxSetSize {
+	if i < 0 || s.Has(i) {
 		return s
 	}
-	return s | 1<<uint(i)
+	copy(s.members[1:], s.members[:])
+	s.members[0] = int32(i) + 1
+	return s
 }
 
 // Has reports whether i is in s.
 func (s Set) Has(i int) bool {
-	return i >= 0 && i < MaxSetSize && s&(1<<uint(i)) != 0
+	for _, member := range s.members {
+		if member == 0 {
+			return false
+		}
+		if member == int32(i)+1 {
+			return true
+		}
+	}
+	return false
 }
 
 // Request describes the request that needs an endpoint.
--- a/internal/core/balance/records.go
+++ b/internal/core/balance/records.go
@@ -57,14 +57,17 @@
 // maxDoublings keeps the delays within the range of a duration.
 const maxDoublings = 10
 
+// medianSample is the number of endpoints whose median service time stands for that of the pool.
+const medianSample = 64
+
 // median returns the median service time of the pool's measured live endpoints, or 0. It considers
-// the first MaxSetSize of them.
+// the first medianSample of them.
 func median(p *table.Pool) float64 {
-	var sorted [MaxSetSize]float64
+	var sorted [medianSample]float64
 	count := 0
 	for i := range p.Endpoints {
 		e := &p.Endpoints[i]
-		if !e.TakesWork() || e.ServiceNanos <= 0 || count == MaxSetSize {
+		if !e.TakesWork() || e.ServiceNanos <= 0 || count == medianSample {
 			continue
 		}
 		at := count
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -347,7 +347,7 @@
 		c.counters.Queued++
 		r.phase = phaseQueued
 		// Endpoints that refused the request may become idle while it waits.
-		r.tried = 0
+		r.tried = balance.Set{}
 	}
 }
 
