A starting entry is ready although newer revisions follow

Cause: a fresh entry needed the newest revision that it knew of. While 6,000 endpoints register, the list changes every 200 ms and an entry is one fetch behind, so it met that only by luck.

Change: what it needs is fixed when enough peers have reported, or the configuration service has confirmed a revision: the newest revision known at that moment, or a later one. After that it is as far behind as any entry that serves.

TestEntryIsReadyWhileRevisionsFollowEachOther failed before.

--- a/internal/core/assign/tracker.go
+++ b/internal/core/assign/tracker.go
@@ -107,7 +107,9 @@
 
 	plan      fetchPlan
 	reporters []uint64 // peers that reported their revision, at most StartPeers
-	ready     bool
+	// startTarget is the revision that a fresh entry needs to be ready, 0 while it is not known.
+	startTarget uint64
+	ready       bool
 }
 
 // NewTracker returns a tracker without a revision in force.
@@ -217,10 +219,11 @@
 	t.reporters = append(t.reporters, peer)
 }
 
-// Ready reports whether this entry may serve: a revision is in force, and either enough of the
-// reachable peers have reported their revision, none of them a newer one, or a configuration
-// service that is always current has confirmed it. Once true, it stays true. The reason is for
-// operators and is empty when ready.
+// Ready reports whether this entry may serve: either enough of the reachable peers have reported
+// their revision, or a configuration service that is always current has confirmed one, and the
+// newest revision that was known then, or a later one, is in force. Revisions that follow don't
+// delay a fresh entry: it is as far behind them as those that serve. Once true, it stays true. The
+// reason is for operators and is empty when ready.
 //
 // This guards against a fresh entry that asks a lagging replica and puts an older revision in force
 // than the fleet has; callers would see settings change back.
@@ -228,20 +231,38 @@
 	if t.ready {
 		return true, ""
 	}
-	need := min(t.cfg.StartPeers, peers)
 	switch {
 	case t.inForce.Revision == 0 && t.refused.Revision != 0:
 		return false, fmt.Sprintf("revision %s is invalid and no earlier one is known", published.RevisionText(t.refused.Revision))
 	case t.inForce.Revision == 0:
 		return false, "neither the platform nor a peer has given a revision yet"
-	case t.Wanted() != 0:
-		return false, fmt.Sprintf("revision %s is in force but %s exists", published.RevisionText(t.inForce.Revision), published.RevisionText(t.Wanted()))
+	}
+	if t.startTarget == 0 {
+		why := t.unconfirmed(now, peers)
+		if why == "" {
+			t.startTarget = max(t.Wanted(), t.highestJudged())
+		} else if t.Wanted() == 0 {
+			return false, why
+		}
+	}
+	if missing := max(t.startTarget, t.Wanted()); t.startTarget == 0 || t.highestJudged() < t.startTarget {
+		return false, fmt.Sprintf("revision %s is in force but %s exists", published.RevisionText(t.inForce.Revision), published.RevisionText(missing))
+	}
+	t.ready = true
+	return true, ""
+}
+
+// unconfirmed returns why a fresh entry does not know yet which revision the fleet has, "" if it
+// does.
+func (t *Tracker) unconfirmed(now time.Duration, peers int) string {
+	need := min(t.cfg.StartPeers, peers)
+	switch {
 	case t.cfg.AlwaysCurrent && t.confirmed:
+		return ""
 	case len(t.reporters) < need && now-t.started < t.cfg.StartGrace:
-		return false, fmt.Sprintf("%d of %d peers have reported their revision", len(t.reporters), need)
+		return fmt.Sprintf("%d of %d peers have reported their revision", len(t.reporters), need)
 	case len(t.reporters) == 0 && !t.confirmed:
-		return false, "neither the platform nor a peer has confirmed the revision"
+		return "neither the platform nor a peer has confirmed the revision"
 	}
-	t.ready = true
-	return true, ""
+	return ""
 }
--- a/internal/core/assign/tracker_test.go
+++ b/internal/core/assign/tracker_test.go
@@ -132,3 +132,34 @@
 		}
 	})
 }
+
+// Guards against a starting entry that is never ready while the list changes faster than it can be
+// fetched: each time it has the revision that it asked for, a later one exists. It is ready with
+// the latest revision that existed when it had heard of enough peers, as a serving entry is.
+func TestEntryIsReadyWhileRevisionsFollowEachOther(t *testing.T) {
+	tracker := NewTracker(0, TrackerConfig{})
+	for peer := range uint64(3) {
+		tracker.NotePeerRevision(0, 100, Source{Peer: 10 + peer})
+	}
+	now, head := time.Duration(0), uint64(100)
+	put := func(revision uint64) {
+		mark := message.Mark{Revision: revision, Digest: revision}
+		if tracker.Offer(now, mark, 10) == Newer {
+			tracker.Settle(mark, true)
+		}
+	}
+	put(90)
+	if ready, _ := tracker.Ready(now, 3); ready {
+		t.Fatal("ready with a revision from before its start")
+	}
+	for range 20 {
+		fetched := head
+		head += 5
+		now += 200 * time.Millisecond
+		tracker.NotePeerRevision(now, head, Source{Peer: 10})
+		put(fetched)
+		if ready, why := tracker.Ready(now, 3); ready != (fetched >= 100) {
+			t.Fatalf("ready %v with revision %d: %s", ready, fetched, why)
+		}
+	}
+}
