Departures and removals of any number of endpoints are remembered

Where more endpoints leave at once than 4,096, the first of them could get requests again: a list that lags, or a store that was restored from a copy, names them as live, and their departure had been forgotten.

Cause: both bounds were a constant above the endpoints of earlier deployments (421); the whole fleet has 5,999, and a release replaces half of them.

Change: both grow with the list, two for each VM that it names; 4,096 stay the least. A roster drops its oldest half at once, where each removal beyond the bound copied all before.

TestManyRemovedVMsStayRemoved failed before.

--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -44,7 +44,8 @@
 	// RememberFor is how long a departure is remembered after a list or evidence last named its
 	// incarnation.
 	RememberFor time.Duration
-	// MaxDepartures bounds the number of remembered departures.
+	// MaxDepartures bounds the number of remembered departures, unless the list names more VMs than
+	// half of it.
 	MaxDepartures int
 }
 
--- a/internal/core/member/finallist_test.go
+++ b/internal/core/member/finallist_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/published"
 )
 
@@ -53,3 +54,24 @@
 		t.Errorf("dropped last endpoints: %s", got)
 	}
 }
+
+// Guards against requests to endpoints that have left, where more leave at once than departures were
+// remembered: a list that lags names the first of them as live.
+func TestManyDeparturesAreRemembered(t *testing.T) {
+	const endpoints = 12_000
+	table := New(Config{Self: 1, Region: "r1", ListIsFinal: true})
+	l := published.VMList{Revision: 1}
+	for i := range endpoints {
+		l.VMs = append(l.VMs, parseVM(fmt.Sprintf("e%05d/1", i)))
+	}
+	table.ApplyList(0, l)
+	for _, vm := range l.VMs {
+		table.ApplyEvidence(time.Second, message.Evidence{VM: vm.Name, Incarnation: vm.Incarnation, Kind: message.EvidenceStopped})
+	}
+	table.Tick(2 * time.Second)
+	l.Revision++
+	table.ApplyList(3*time.Second, l)
+	if live := len(table.Endpoints(nil)); live != 0 {
+		t.Errorf("%d of %d endpoints that have stopped are listed again", live, endpoints)
+	}
+}
--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -41,10 +41,19 @@
 			changes = append(changes, t.ageEndpoint(now, r, unlisted)...)
 		}
 	}
-	t.departures.forget(now, t.cfg.RememberFor, t.cfg.MaxDepartures, t.lists)
+	t.departures.forget(now, t.cfg.RememberFor, t.maxDepartures(), t.lists)
 	return changes
 }
 
+// departuresPerVM is the number of departures remembered for each listed VM: all may be replaced at
+// once while a list that lags still names them.
+const departuresPerVM = 2
+
+// maxDepartures returns the number of departures to remember.
+func (t *Table) maxDepartures() int {
+	return max(t.cfg.MaxDepartures, departuresPerVM*len(t.list.vms))
+}
+
 // SuspectAfter returns how long an entry may be silent before it is suspected.
 func (t *Table) SuspectAfter() time.Duration {
 	return max(suspectHeartbeats*t.cfg.HeartbeatInterval(), minSuspectTime) + suspectSlack
--- a/internal/published/roster.go
+++ b/internal/published/roster.go
@@ -5,8 +5,12 @@
 	"slices"
 )
 
-// maxRemoved bounds how many removed VMs a Roster records.
-const maxRemoved = 4096
+// A Roster records the latest removedPerVM removals for each of its VMs, so that all may be replaced
+// at once, and at least minRemoved.
+const (
+	removedPerVM = 2
+	minRemoved   = 4096
+)
 
 // Roster is the set of VMs and evacuated failure domains of a service, maintained by single
 // changes. It is kept when the service is restored from a copy, because its content is newer than
@@ -124,8 +128,9 @@
 
 func (r *Roster) recordRemoval(name string, reports int64) {
 	r.removed = append(r.removed, removal{name, reports})
-	if excess := len(r.removed) - maxRemoved; excess > 0 {
-		r.removed = slices.Clone(r.removed[excess:])
+	// The oldest half goes at once, so that each removal takes constant time on average.
+	if limit := max(minRemoved, removedPerVM*len(r.vms)); len(r.removed) > 2*limit {
+		r.removed = slices.Clone(r.removed[len(r.removed)-limit:])
 	}
 }
 
--- a/internal/published/roster_test.go
+++ b/internal/published/roster_test.go
@@ -1,6 +1,10 @@
 package published
 
-import "testing"
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
 
 // Guards against a VM that reported once more, left in the same batch of changes, and is live again
 // after a restoration from a copy made between the two.
@@ -18,6 +22,28 @@
 	}
 }
 
+// Guards against endpoints that were removed and are live again after the store was restored from a
+// copy, where more were replaced than the roster remembered.
+func TestManyRemovedVMsStayRemoved(t *testing.T) {
+	const replaced = 12_000
+	before, copied := NewRoster(replaced), NewRoster(replaced)
+	for i := range replaced {
+		vm := VM{Name: fmt.Sprint("old-", i), Incarnation: 1}
+		before.Put(vm, 1)
+		copied.Put(vm, 1)
+	}
+	for i := range replaced {
+		before.Put(VM{Name: fmt.Sprint("new-", i), Incarnation: 1}, 1)
+		before.Remove(fmt.Sprint("old-", i))
+	}
+	copied.CarryOver(&before)
+	for _, vm := range copied.List().VMs {
+		if strings.HasPrefix(vm.Name, "old-") {
+			t.Fatalf("%s was removed and is listed again", vm.Name)
+		}
+	}
+}
+
 // Guards against a removal from a restored roster that shows in the roster before it, or in another
 // one that was restored from it.
 func TestRestoredRostersRecordRemovalsSeparately(t *testing.T) {
