--- a/internal/published/history.go
+++ b/internal/published/history.go
@@ -34,7 +34,7 @@
 	for _, vm := range list.VMs {
 		h.rows[vm.Name] = vm
 		sum.toggle(vm)
-		if old, found := before[vm.Name]; !found || old != vm {
+		if old, found := before[vm.Name]; before != nil && (!found || old != vm) {
 			changed = append(changed, vm.Name)
 		}
 	}
