Lists of VMs pass between entries of this release and the one before

During a rolling update an entry would have taken the difference that an entry of the earlier release sends, whose form is another, for a whole list, refused it as invalid and with it the revision, until a later one came.

Change: a difference in the earlier form counts as unusable and the whole list is fetched, as for one that does not fit.

--- a/internal/entry/documents.go
+++ b/internal/entry/documents.go
@@ -160,12 +160,10 @@
 // fetchFromPeer fetches a published value from a peer. It reports whether the peer answered.
 func (e *Entry) fetchFromPeer(ctx context.Context, f core.Fetch) bool {
 	request := message.Fetch{Name: f.Name, After: f.After, Packed: true, Difference: f.After > 0 && e.documents.revision(f.Name) == f.After}
-	v, err := e.fetchValue(ctx, f.Address, request)
-	if err == nil && !v.Unchanged() && !e.offer(v, f.Source) {
+	fits, err := e.fetchAndOffer(ctx, f, request)
+	if request.Difference && (!fits || fault.KindOf(err) == fault.BadMessage) {
 		request.Difference = false
-		if v, err = e.fetchValue(ctx, f.Address, request); err == nil && !v.Unchanged() {
-			e.offer(v, f.Source)
-		}
+		_, err = e.fetchAndOffer(ctx, f, request)
 	}
 	if err != nil {
 		klog.V(1).InfoS("could not fetch a value from a peer", "peer", f.Address, "value", f.Name, "err", err)
@@ -174,14 +172,30 @@
 	return true
 }
 
-// fetchValue fetches a value from a peer and decodes it.
-func (e *Entry) fetchValue(ctx context.Context, address string, f message.Fetch) (published.Value, error) {
-	d, err := e.fetchParts(ctx, address, f)
+// fetchAndOffer fetches a value and offers it to the core. It returns false if a difference does not
+// fit the list in force.
+func (e *Entry) fetchAndOffer(ctx context.Context, f core.Fetch, request message.Fetch) (fits bool, err error) {
+	d, err := e.fetchParts(ctx, f.Address, request)
+	if err != nil {
+		return true, err
+	}
+	v, err := decodeDocument(d)
+	if err != nil || v.Unchanged() {
+		return true, err
+	}
+	return e.offer(v, f.Source), nil
+}
+
+// decodeDocument decodes a peer's whole document. The difference that an entry of an earlier release
+// sends is of another form and not read.
+func decodeDocument(d message.Document) (published.Value, error) {
 	v := published.Value{Name: d.Name, Revision: d.Revision}
 	switch {
-	case err != nil || len(d.Data) == 0:
-		return v, err
-	case d.Difference && d.Packed:
+	case len(d.Data) == 0:
+		return v, nil
+	case d.Difference && !d.Packed:
+		return v, fault.New(fault.BadMessage, "fetch the whole value", "the difference of %s has the form of an earlier release", d.Name)
+	case d.Difference:
 		difference, err := published.UnpackDifference(d.Revision, d.Data)
 		v.Difference = &difference
 		return v, err
--- a/internal/published/difference_test.go
+++ b/internal/published/difference_test.go
@@ -142,7 +142,7 @@
 	if err := b.CheckFit(&d); fault.KindOf(err) != fault.BadMessage {
 		t.Errorf("error %v, want one of kind BadMessage", err)
 	}
-	if b.Revision() != 1 || b.Len() != 1 {
+	if b.Revision() != 1 || len(b.rows) != 1 {
 		t.Errorf("the check changed the list: %+v", b.List())
 	}
 }
--- a/internal/published/history.go
+++ b/internal/published/history.go
@@ -20,9 +20,6 @@
 // Revision returns the revision of the list, 0 before the first one.
 func (h *History) Revision() uint64 { return h.log.latest }
 
-// Len returns the number of rows.
-func (h *History) Len() int { return len(h.rows) }
-
 // Digest returns the digest of the list.
 func (h *History) Digest() uint64 { return h.sum.withDomains(h.evacuated) }
 
