Timed work looks at active endpoints and missing ones only

At 587 entries and 5,999 endpoints that was more than half of a tick, and an entry there has 0.16 of a core.

Pools now list their active endpoints: those with measurements, ejections, a measured service time or a slow start. Only these are swept and aged, and they are left out again when nothing about them changes with time. Membership keeps the rows of entries apart and counts the endpoints that are missing from the list; while none is, endpoints are not aged. That most endpoints look bad is a state of the pool instead of a mark on each endpoint.

The tests of health pass the pool and the index to Observe in place of the endpoint; their cases and bounds are unchanged.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,7 +14,6 @@
 
 	"github.com/tealhall/tealhall/internal/core/budget"
 	"github.com/tealhall/tealhall/internal/core/health"
-	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/quarantine"
 	"github.com/tealhall/tealhall/internal/core/table"
 	"github.com/tealhall/tealhall/internal/idem"
@@ -264,8 +263,7 @@
 		c.nextSweep = now + sweepPeriod
 		c.sweepHealth(now, out)
 		for _, p := range c.poolRows {
-			p.forgetOldServiceTimes(now)
-			placement.AdvanceSlowStart(now, p.Endpoints)
+			p.ageEndpoints(now)
 		}
 	}
 	if now >= c.nextHealthProbe {
--- a/internal/core/health/health_test.go
+++ b/internal/core/health/health_test.go
@@ -79,7 +79,7 @@
 		o := s.behave(i, s.now)
 		o.Expected, o.Sent = normalLatency, s.now
 		s.sent[i]++
-		Observe(s.now, e, o)
+		Observe(s.now, &s.pool, i, o)
 		return
 	}
 }
@@ -203,8 +203,8 @@
 	sent := start
 	check := func(endpoints []table.Endpoint) {
 		for i := range endpoints {
-			Observe(s.now, &endpoints[i], Observation{Outcome: TimedOut, Sent: sent, Latency: s.now - sent, Expected: normalLatency})
-			Observe(s.now, &endpoints[i], Observation{Latency: s.now - sent, Expected: normalLatency})
+			Observe(s.now, &s.pool, i, Observation{Outcome: TimedOut, Sent: sent, Latency: s.now - sent, Expected: normalLatency})
+			Observe(s.now, &s.pool, i, Observation{Latency: s.now - sent, Expected: normalLatency})
 			if h := endpoints[i].Health; h.Samples != 0 || h.FailureRate != 0 {
 				t.Errorf("endpoint %d: an outcome of an earlier request counted: %+v", i, h)
 			}
@@ -226,7 +226,7 @@
 		s.step = 20 * ms
 		s.limits.MaxShare = rapid.Float64Range(0, 0.5).Draw(t, "share")
 		s.limits.Utilization = rapid.Float64Range(0, 1).Draw(t, "busy")
-		anyOf := func(t *rapid.T) *table.Endpoint { return &s.pool.Endpoints[rapid.IntRange(0, n-1).Draw(t, "endpoint")] }
+		anyIndex := func(t *rapid.T) int { return rapid.IntRange(0, n-1).Draw(t, "endpoint") }
 		t.Repeat(map[string]func(*rapid.T){
 			"observe": func(t *rapid.T) {
 				o := Observation{
@@ -234,12 +234,12 @@
 					Latency: time.Duration(rapid.IntRange(0, 900).Draw(t, "latency")) * ms,
 					Queued:  rapid.IntRange(0, 50).Draw(t, "queued"), Expected: normalLatency, Sent: s.now,
 				}
-				e := anyOf(t)
+				i := anyIndex(t)
 				for range rapid.IntRange(1, 30).Draw(t, "times") {
-					Observe(s.now, e, o)
+					Observe(s.now, &s.pool, i, o)
 				}
 			},
-			"leave": func(t *rapid.T) { anyOf(t).State = table.EndpointLeaving },
+			"leave": func(t *rapid.T) { s.pool.Endpoints[anyIndex(t)].State = table.EndpointLeaving },
 			"wait":  func(t *rapid.T) { s.now += time.Duration(rapid.IntRange(1, 4000).Draw(t, "gap")) * ms },
 			"serve": func(*rapid.T) { s.run(time.Second) },
 			"": func(t *rapid.T) {
@@ -277,7 +277,7 @@
 			s := newSimulation(n, firstEndpointsBad(0, 0, Observation{})).run(20 * time.Second)
 			for b.ReportAllocs(); b.Loop(); {
 				for i := range s.pool.Endpoints {
-					Observe(s.now, &s.pool.Endpoints[i], Observation{Latency: normalLatency, Expected: normalLatency, Queued: 1})
+					Observe(s.now, &s.pool, i, Observation{Latency: normalLatency, Expected: normalLatency, Queued: 1})
 				}
 				Sweep(s.now, &s.pool, s.limits, s.rng, nil)
 			}
--- a/internal/core/health/observe.go
+++ b/internal/core/health/observe.go
@@ -82,8 +82,9 @@
 // and just-in-time compilers are still warming up.
 const ColdTime = 10 * time.Second
 
-// Observe records the outcome of an attempt at the endpoint.
-func Observe(now time.Duration, e *table.Endpoint, o Observation) {
+// Observe records the outcome of an attempt at the endpoint at index.
+func Observe(now time.Duration, p *table.Pool, index int, o Observation) {
+	e := &p.Endpoints[index]
 	h := &e.Health
 	if o.Outcome == ConnSilent || o.sent(now) < h.JudgeFrom {
 		return
@@ -93,6 +94,7 @@
 		// endpoint is detected by connections that fail or break.
 		return
 	}
+	p.Activate(index)
 	h.SampledAt = now
 	h.Samples = min(h.Samples+1, maxSamples)
 	h.FailureRate = smooth(h.FailureRate, failure(o), failureWeight)
--- a/internal/core/health/sweep.go
+++ b/internal/core/health/sweep.go
@@ -71,10 +71,20 @@
 	Until time.Duration
 }
 
+// IsRated reports whether the endpoint has measurements or ejections for Sweep to look at.
+func IsRated(e *table.Endpoint) bool {
+	return e.Health.Samples > 0 || e.Health.Ejections > 0 || e.Health.EjectedUntil != 0
+}
+
 // Sweep rates the live endpoints of a pool, updates their Health and appends its decisions to out.
-// The driver calls it at each tick.
+// The driver calls it periodically, and keeps endpoints active that are rated.
 func Sweep(now time.Duration, p *table.Pool, lim Limits, rng *rand.Rand, out []Event) []Event {
 	s := sweep{now: now, pool: p, limits: lim.withDefaults(), rng: rng, out: out}
+	for i := range p.Endpoints {
+		if p.Endpoints[i].TakesWork() {
+			s.live++
+		}
+	}
 	s.expireMeasurements()
 	s.collect()
 	if s.viewWrong() {
@@ -105,14 +115,13 @@
 	medianSlowness float64
 }
 
-// each calls f for every live endpoint.
+// each calls f for every live endpoint that may be rated.
 func (s *sweep) each(f func(i int, e *table.Endpoint)) {
-	for i := range s.pool.Endpoints {
-		e := &s.pool.Endpoints[i]
+	s.pool.Active(func(i int, e *table.Endpoint) {
 		if e.TakesWork() {
 			f(i, e)
 		}
-	}
+	})
 }
 
 // expireMeasurements discards stale measurements and reduces the count of successive ejections over
@@ -139,7 +148,6 @@
 	failures, slowness := values(buffers[0][:0]), values(buffers[1][:0])
 	s.each(func(_ int, e *table.Endpoint) {
 		h := &e.Health
-		s.live++
 		if h.EjectedUntil != 0 {
 			s.ejected++
 			s.judged++
@@ -164,20 +172,16 @@
 	s.medianSlowness = slowness.median()
 }
 
-// viewWrong reports whether most endpoints look bad, and records it in their Health. This happens
+// viewWrong reports whether most endpoints look bad, and records it in the pool. This happens
 // when the entry is cut off from the endpoints, or when all endpoints share a fault, such as a bad
 // request that each of them answers with an error. Ejections would then put the whole load on the
 // few remaining endpoints and overload these too.
 func (s *sweep) viewWrong() bool {
 	wrong := 2*s.judged > s.live && 2*s.bad > s.judged
-	was := false
-	s.each(func(_ int, e *table.Endpoint) {
-		was = was || e.Health.ViewWrong
-		e.Health.ViewWrong = wrong
-	})
-	if wrong != was {
+	if wrong != s.pool.ViewWrong {
 		s.reportView(wrong)
 	}
+	s.pool.ViewWrong = wrong
 	return wrong
 }
 
--- a/internal/core/healthprobes.go
+++ b/internal/core/healthprobes.go
@@ -113,7 +113,7 @@
 		p.healthProbes.Charge(over)
 	}
 	if !end.OK {
-		health.Observe(now, e, health.Observation{Outcome: health.ConnectFailed})
+		health.Observe(now, &p.Pool, i, health.Observation{Outcome: health.ConnectFailed})
 		return
 	}
 	if end.Load.Known {
@@ -144,10 +144,9 @@
 // sweepHealth ejects and readmits endpoints.
 func (c *Core) sweepHealth(now time.Duration, out *Actions) {
 	for _, p := range c.poolRows {
-		if len(p.services) == 0 {
-			continue
+		if len(p.services) > 0 && (p.HasActive() || p.ViewWrong) {
+			c.sweepPool(now, p, out)
 		}
-		c.sweepPool(now, p, out)
 	}
 }
 
--- a/internal/core/member/evidence.go
+++ b/internal/core/member/evidence.go
@@ -200,10 +200,7 @@
 // relays reports whether there are entries that only other entries watch.
 func (t *Table) SetWatched(now time.Duration, watches func(incarnation uint64) bool, relays bool) {
 	t.relays = relays
-	for _, r := range t.order {
-		if !isEntry(r.vm) {
-			continue
-		}
+	for _, r := range t.entries {
 		watched := watches(r.vm.Incarnation)
 		if watched && !r.watched {
 			r.watchedAt, r.unreachable, r.heardByOthers = now, false, false
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -207,7 +207,8 @@
 	if r.missing && t.cfg.ListIsFinal {
 		changes = append(changes, Change{Kind: EndpointListed, VM: r.vm, Why: "listed again by the platform"})
 	}
-	r.listed, r.missing = true, false
+	r.listed = true
+	t.setMissing(r, false)
 	if vm.Cold && !r.vm.Cold {
 		changes = append(changes, Change{Kind: EndpointCold, VM: r.vm, Why: "the platform's list marks it as cold"})
 	}
@@ -355,7 +356,8 @@
 			changes = append(changes, t.end(now, r, message.EvidenceStopped, "it was leaving and is no longer listed")...)
 			continue
 		}
-		r.missing, r.missingAt = true, now
+		t.setMissing(r, true)
+		r.missingAt = now
 		if t.cfg.ListIsFinal && !isEntry(r.vm) {
 			changes = append(changes, Change{Kind: EndpointMissing, VM: r.vm, Why: "the platform's list no longer names it"})
 		}
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -126,12 +126,15 @@
 
 // Table is this entry's view of every VM.
 type Table struct {
-	cfg         Config
-	rows        map[string]*row
-	order       []*row // the rows by name
-	departures  departures
-	newEvidence []message.Evidence
-	list        listState
+	cfg     Config
+	rows    map[string]*row
+	order   []*row // the rows by name
+	entries []*row // the rows of entries by name
+	// missingEndpoints counts the endpoints that the list has stopped naming.
+	missingEndpoints int
+	departures       departures
+	newEvidence      []message.Evidence
+	list             listState
 	// entriesVersion grows with each change of the result of Entries.
 	entriesVersion uint64
 	index          index
@@ -209,8 +212,10 @@
 	r.vm.State = published.Live
 	r.peer = t.isPeer(vm)
 	t.rows[vm.Name] = r
-	at, _ := slices.BinarySearchFunc(t.order, vm.Name, compareName)
-	t.order = slices.Insert(t.order, at, r)
+	insertByName(&t.order, r)
+	if isEntry(vm) {
+		insertByName(&t.entries, r)
+	}
 	t.index.add(r)
 	t.changed(vm)
 	changes := []Change{{Kind: kindFor(vm, EndpointAdded, EntryAdded), VM: r.vm, Why: why}}
@@ -220,6 +225,32 @@
 	return changes
 }
 
+func insertByName(rows *[]*row, r *row) {
+	at, _ := slices.BinarySearchFunc(*rows, r.vm.Name, compareName)
+	*rows = slices.Insert(*rows, at, r)
+}
+
+func deleteByName(rows *[]*row, r *row) {
+	if at, found := slices.BinarySearchFunc(*rows, r.vm.Name, compareName); found {
+		*rows = slices.Delete(*rows, at, at+1)
+	}
+}
+
+// setMissing records whether the list has stopped naming a VM.
+func (t *Table) setMissing(r *row, missing bool) {
+	if r.missing == missing {
+		return
+	}
+	r.missing = missing
+	switch {
+	case isEntry(r.vm):
+	case missing:
+		t.missingEndpoints++
+	default:
+		t.missingEndpoints--
+	}
+}
+
 // leave marks a row as leaving, which is final for the incarnation.
 func (t *Table) leave(now time.Duration, r *row, why string) []Change {
 	if r.leaving {
@@ -238,9 +269,11 @@
 // drop removes a row.
 func (t *Table) drop(r *row, why string) []Change {
 	delete(t.rows, r.vm.Name)
-	if at, found := slices.BinarySearchFunc(t.order, r.vm.Name, compareName); found {
-		t.order = slices.Delete(t.order, at, at+1)
+	deleteByName(&t.order, r)
+	if isEntry(r.vm) {
+		deleteByName(&t.entries, r)
 	}
+	t.setMissing(r, false)
 	t.index.remove(r)
 	t.changed(r.vm)
 	return []Change{{Kind: kindFor(r.vm, EndpointGone, EntryGone), VM: r.vm, Why: why}}
--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"slices"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/message"
@@ -33,8 +32,7 @@
 	}
 	timeout := t.SuspectAfter()
 	unlisted := t.unlistedPools()
-	t.agedRows = append(t.agedRows[:0], t.order...) // the loop may remove rows from t.order
-	for _, r := range t.agedRows {
+	for _, r := range t.rowsToAge() {
 		if isEntry(r.vm) {
 			changes = append(changes, t.ageEntry(now, r, timeout)...)
 		} else {
@@ -59,6 +57,18 @@
 	return max(suspectHeartbeats*t.cfg.HeartbeatInterval(), minSuspectTime) + suspectSlack
 }
 
+// rowsToAge returns the rows that may change with time: endpoints do only after the list has stopped
+// naming them.
+func (t *Table) rowsToAge() []*row {
+	t.agedRows = t.agedRows[:0] // a copy, since ageing removes rows
+	if t.missingEndpoints > 0 {
+		t.agedRows = append(t.agedRows, t.order...)
+	} else {
+		t.agedRows = append(t.agedRows, t.entries...)
+	}
+	return t.agedRows
+}
+
 // watched reports whether this entry exchanges heartbeats with an entry and so notices its silence.
 func (t *Table) watched(r *row) bool {
 	return r.peer && (r.watched || !t.relays)
@@ -146,7 +156,7 @@
 // unlistedPools returns the pools, with true for those whose endpoints are all missing from the
 // list.
 func (t *Table) unlistedPools() map[string]bool {
-	if !slices.ContainsFunc(t.order, func(r *row) bool { return r.missing }) {
+	if t.missingEndpoints == 0 {
 		return nil
 	}
 	pools := make(map[string]bool)
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -47,16 +47,14 @@
 
 // Entries appends all entries by name to out, including this one if it is known.
 func (t *Table) Entries(out []Entry) []Entry {
-	for _, r := range t.order {
-		if isEntry(r.vm) {
-			out = append(out, Entry{
-				VM:        r.vm,
-				State:     r.state,
-				Suspected: r.suspected,
-				Missing:   r.missing || !r.listed,
-				SeenAt:    r.seenAt,
-			})
-		}
+	for _, r := range t.entries {
+		out = append(out, Entry{
+			VM:        r.vm,
+			State:     r.state,
+			Suspected: r.suspected,
+			Missing:   r.missing || !r.listed,
+			SeenAt:    r.seenAt,
+		})
 	}
 	return out
 }
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -20,6 +20,7 @@
 		return
 	}
 	e.Outstanding--
+	p.Activate(a.index)
 	p.probeAgainAt = now // a slot may have become free
 	if o, ok := healthOutcome(a, end); ok {
 		c.recordOutcome(now, r, e, o, end)
@@ -34,7 +35,7 @@
 		out.SuspectAddresses = append(out.SuspectAddresses, e.Address)
 	}
 	if o, ok := healthOutcome(a, end); ok && !refusedWhileBusy(a, end) {
-		health.Observe(now, e, health.Observation{
+		health.Observe(now, &p.Pool, a.index, health.Observation{
 			Outcome:  o,
 			Sent:     a.sentAt,
 			Latency:  a.latency(now),
--- a/internal/core/peerslots.go
+++ b/internal/core/peerslots.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/health"
+	"github.com/tealhall/tealhall/internal/core/placement"
 	"github.com/tealhall/tealhall/internal/core/queue"
+	"github.com/tealhall/tealhall/internal/core/table"
 )
 
 const (
@@ -121,15 +124,24 @@
 	return false
 }
 
-// forgetOldServiceTimes drops the measured service time of endpoints that got no request for a long
+// ageEndpoints updates what changes with time at the active endpoints, and ends the activity of those at
+// which nothing does.
+func (p *pool) ageEndpoints(now time.Duration) {
+	p.Active(func(_ int, e *table.Endpoint) {
+		forgetOldServiceTime(now, e)
+		placement.AdvanceSlowStart(now, e)
+	})
+	p.Deactivate(func(e *table.Endpoint) bool {
+		return e.ServiceNanos == 0 && e.SlowUntil == 0 && !health.IsRated(e)
+	})
+}
+
+// forgetOldServiceTime drops the measured service time of an endpoint that got no request for a long
 // time. Otherwise a straggler would keep its measured time after the cause is gone: an endpoint
 // that counts as slow gets no request while others suffice, so nothing would correct the time, and
 // its slots would be missing at the next peak.
-func (p *pool) forgetOldServiceTimes(now time.Duration) {
-	for i := range p.Endpoints {
-		e := &p.Endpoints[i]
-		if e.Outstanding == 0 && now-e.Health.SampledAt > serviceTimeTTL {
-			e.ServiceNanos = 0
-		}
+func forgetOldServiceTime(now time.Duration, e *table.Endpoint) {
+	if e.Outstanding == 0 && now-e.Health.SampledAt > serviceTimeTTL {
+		e.ServiceNanos = 0
 	}
 }
--- a/internal/core/placement/slowstart.go
+++ b/internal/core/placement/slowstart.go
@@ -41,16 +41,13 @@
 	return max(1, int32(share*float64(e.Listed)))
 }
 
-// AdvanceSlowStart sets the slots that endpoints in slow start may use by now.
-func AdvanceSlowStart(now time.Duration, endpoints []table.Endpoint) {
-	for i := range endpoints {
-		e := &endpoints[i]
-		if e.SlowUntil == 0 {
-			continue
-		}
-		e.Slots = AllowedSlots(now, e)
-		if now >= e.SlowUntil {
-			e.SlowUntil = 0
-		}
+// AdvanceSlowStart sets the slots that an endpoint in slow start may use by now.
+func AdvanceSlowStart(now time.Duration, e *table.Endpoint) {
+	if e.SlowUntil == 0 {
+		return
+	}
+	e.Slots = AllowedSlots(now, e)
+	if now >= e.SlowUntil {
+		e.SlowUntil = 0
 	}
 }
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -200,17 +200,26 @@
 	for i := 0; p.gone > 0 && i < len(p.Endpoints); i++ {
 		e := &p.Endpoints[i]
 		if e.State == table.EndpointGone && e.Outstanding == 0 {
-			*e = row
+			p.Replace(i, row)
 			p.gone--
 			p.peerSlots.forgetRow(i)
 			p.recountLimits()
+			p.activateJoined(i)
 			return i
 		}
 	}
 	p.Endpoints = append(p.Endpoints, row)
+	p.activateJoined(len(p.Endpoints) - 1)
 	return len(p.Endpoints) - 1
 }
 
+// activateJoined makes a new endpoint active if it is in slow start.
+func (p *pool) activateJoined(index int) {
+	if p.Endpoints[index].SlowUntil != 0 {
+		p.Activate(index)
+	}
+}
+
 // poolNamed returns the pool of that name and creates it if necessary.
 func (c *Core) poolNamed(name string) *pool {
 	if p, ok := c.pools[name]; ok {
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -75,9 +75,6 @@
 	Slowness float64
 	// LatencyNanos is the smoothed time from dispatch to answer; 0 before the first answer.
 	LatencyNanos float64
-	// ViewWrong is set on all endpoints of a pool while most of them look bad, which means that
-	// this entry's own view is probably wrong.
-	ViewWrong bool
 }
 
 // OwnerQuota is this entry's part of the requests that an endpoint may get, where their rate is
@@ -188,6 +185,8 @@
 	// ServiceNanos is the smoothed service time of one request at the endpoint.
 	ServiceNanos float64
 	Health       Health
+	// active says that the pool's list of active endpoints has this one.
+	active bool
 }
 
 // TakesWork reports whether the endpoint serves the pool's requests: it is live and not evacuated.
@@ -228,6 +227,49 @@
 	Endpoints []Endpoint
 	// ColdQuota is the rate at which this entry may send to cold endpoints.
 	ColdQuota ColdQuota
+	// ViewWrong is set while most endpoints look bad, which means that this entry's own view is
+	// probably wrong. It is owned by package health.
+	ViewWrong bool
+	// active lists the indexes of the endpoints whose state changes as time passes, so that an entry of a
+	// large fleet need not look at the others.
+	active []int32
+}
+
+// Activate adds the endpoint at index to the active ones.
+func (p *Pool) Activate(index int) {
+	if e := &p.Endpoints[index]; !e.active {
+		e.active = true
+		p.active = append(p.active, int32(index))
+	}
+}
+
+// Active calls f for each active endpoint.
+func (p *Pool) Active(f func(index int, e *Endpoint)) {
+	for _, i := range p.active {
+		f(int(i), &p.Endpoints[i])
+	}
+}
+
+// HasActive reports whether any endpoint is active.
+func (p *Pool) HasActive() bool { return len(p.active) > 0 }
+
+// Deactivate removes the endpoints for which settled returns true from the active ones.
+func (p *Pool) Deactivate(settled func(e *Endpoint) bool) {
+	kept := p.active[:0]
+	for _, i := range p.active {
+		if e := &p.Endpoints[i]; settled(e) {
+			e.active = false
+		} else {
+			kept = append(kept, i)
+		}
+	}
+	p.active = kept
+}
+
+// Replace puts another endpoint into the row at index.
+func (p *Pool) Replace(index int, e Endpoint) {
+	e.active = p.Endpoints[index].active
+	p.Endpoints[index] = e
 }
 
 // Slots returns the total number of slots of the endpoints that take work.
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -286,6 +286,7 @@
 		Headroom:         p.placementState.HeadroomShare(),
 		Unconnected:      p.dials.Lost(),
 		UnconnectedSince: p.dials.LostAt(),
+		ViewWrong:        p.ViewWrong,
 	}
 	v.WindowRequests, v.WindowRepeats = p.repeats.Counted(now)
 	for i := range p.Endpoints {
@@ -314,7 +315,6 @@
 		if e.Limit.Rate > 0 {
 			v.Limited++
 		}
-		v.ViewWrong = v.ViewWrong || e.Health.ViewWrong
 		if e.Health.EjectedUntil != 0 {
 			v.Ejected++
 		}
