The log says why an entry reads a value of the platform

587 entries that start make some 4,700 calls of the store, about what 150 whole lists of 30 pages take, and neither the audit trail nor the metrics tell which of the ways to a read it was: an entry that watches, one that no peer has told a revision, one whose fetches from peers failed, or the periodic check.

--- a/internal/core/assign/fetch.go
+++ b/internal/core/assign/fetch.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,6 +13,8 @@
 	From uint64
 	// After is a revision; only a later one is useful.
 	After uint64
+	// Why says, for the log, why the configuration service is asked.
+	Why string
 }
 
 // Source is a peer that reported that it has a revision.
@@ -81,23 +84,24 @@
 		return Fetch{}, false
 	}
 	p.fetching = true
-	f := Fetch{From: p.source(fresh, peers), After: t.highestJudged()}
+	f := Fetch{After: t.highestJudged()}
+	f.From, f.Why = p.source(fresh, peers)
 	p.attempt++
 	return f, true
 }
 
 // source picks the source for this attempt.
-func (p *fetchPlan) source(fresh bool, peers []uint64) uint64 {
+func (p *fetchPlan) source(fresh bool, peers []uint64) (from uint64, why string) {
 	if n := len(p.sources); n > 0 {
 		if p.failures%platformEvery == platformEvery-1 {
-			return Platform
+			return Platform, fmt.Sprintf("%d fetches from peers failed", p.failures)
 		}
-		return p.sources[p.sourceIndex(n)].Peer
+		return p.sources[p.sourceIndex(n)].Peer, ""
 	}
 	if fresh && len(peers) > 0 && p.attempt%2 == 1 {
-		return peers[(p.attempt/2)%len(peers)]
+		return peers[(p.attempt/2)%len(peers)], ""
 	}
-	return Platform
+	return Platform, fmt.Sprintf("no peer has reported a revision, %d are reachable", len(peers))
 }
 
 // sourceIndex returns the index of the source to ask: a near one at first, and each in turn after a
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -318,6 +318,8 @@
 	After uint64
 	// Planned is set for fetches whose end the driver reports with FetchDone.
 	Planned bool
+	// Why says, for the log, why the configuration service is asked.
+	Why string
 }
 
 // Note is a change for the audit trail.
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -185,7 +185,7 @@
 		c.tracker(name).Done(now, f, false, c.rng)
 		return
 	}
-	out.Fetches = append(out.Fetches, Fetch{Name: name, Source: f.From, Address: address, After: f.After, Planned: true})
+	out.Fetches = append(out.Fetches, Fetch{Name: name, Source: f.From, Address: address, After: f.After, Planned: true, Why: f.Why})
 }
 
 // periodicCheck reads the configuration service at a low rate even if other entries are the
@@ -206,7 +206,7 @@
 		return
 	}
 	for _, name := range []string{published.ProfilesValue, published.VMsValue} {
-		out.Fetches = append(out.Fetches, Fetch{Name: name, Source: assign.Platform, After: c.InForce(name).Revision})
+		out.Fetches = append(out.Fetches, Fetch{Name: name, Source: assign.Platform, After: c.InForce(name).Revision, Why: "periodic check"})
 	}
 }
 
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -134,6 +134,7 @@
 
 func (e *Entry) fetchFrom(f core.Fetch) bool {
 	if f.Source == assign.Platform {
+		klog.InfoS("reading a value of the platform", "value", f.Name, "why", f.Why)
 		ctx, cancel := context.WithTimeout(e.life, fetchTimeout)
 		defer cancel()
 		value, err := e.platform.Read(ctx, f.Name)
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -138,6 +138,7 @@
 		published.Follow(ctx, service, name, e.documents.revision(name), options, e.platformAnswered)
 		return
 	}
+	klog.InfoS("reading a value of the platform", "value", name, "why", "this entry watches the platform", "assigned", e.assigned())
 	// A watch may wait long before it shows that the configuration service answers, so read first.
 	if v, err := e.platform.Read(ctx, name); err == nil {
 		e.platformAnswered(v)
