A peer that gave a later list is no failed source, so starting entries don't read the store

Cause: while the list changes every 200 ms a fetched list is older than the newest known revision when it arrives. The tracker counted each such fetch as failed and dropped the peer as one that lacks the revision, so the third fetch, or the next one when no other peer was left, went to the store. Ruled out by the lines: entries that take themselves for readers (2 of 182, as assigned), the periodic check (none), links that fail.

Change: a fetch from a peer that brought a later revision is a success: it ends the count of failures and the peer stays a source.

TestPeerThatIsBehindIsAskedAgain failed before (the third fetch asked the platform) and passes.

--- a/internal/core/assign/fetch.go
+++ b/internal/core/assign/fetch.go
@@ -42,6 +42,8 @@
 	failures int
 	attempt  int
 	fetching bool
+	// after is the highest judged revision when the fetch under way began.
+	after uint64
 	// hintsIgnoredUntil is the time before which callers' hints are ignored.
 	hintsIgnoredUntil time.Duration
 }
@@ -83,8 +85,8 @@
 	if p.fetching || now < p.retryAt || (!fresh && t.Wanted() == 0) {
 		return Fetch{}, false
 	}
-	p.fetching = true
-	f := Fetch{After: t.highestJudged()}
+	p.fetching, p.after = true, t.highestJudged()
+	f := Fetch{After: p.after}
 	f.From, f.Why = p.source(fresh, peers)
 	p.attempt++
 	return f, true
@@ -125,6 +127,9 @@
 	case !fresh && t.Wanted() == 0:
 		p.sources = p.sources[:0]
 		p.failures = 0
+	case answered && f.From != Platform && t.highestJudged() > p.after:
+		// The peer may be as far as the latest revision by now.
+		p.failures = 0
 	case answered:
 		p.handleMissing(now, f, t)
 		fallthrough
--- a/internal/core/assign/tracker_test.go
+++ b/internal/core/assign/tracker_test.go
@@ -133,6 +133,28 @@
 	})
 }
 
+// Guards against entries that all read the list from the configuration service while it changes faster
+// than peers pass it on: a peer that gave a later revision than the one in force, though not the latest,
+// is asked again.
+func TestPeerThatIsBehindIsAskedAgain(t *testing.T) {
+	tracker, rng := NewTracker(0, TrackerConfig{}), rand.New(rand.NewPCG(1, 2))
+	now, head := time.Duration(0), uint64(100)
+	for range 20 {
+		tracker.NotePeerRevision(now, head, Source{Peer: 31})
+		f, due := tracker.Next(now, []uint64{31, 32})
+		if !due || f.From != 31 {
+			t.Fatalf("at %v the entry asks %d (due %v), want 31", now, f.From, due)
+		}
+		head += 5
+		tracker.NotePeerRevision(now, head, Source{Peer: 31}) // while the fetch is under way
+		now += 100 * time.Millisecond
+		mark := message.Mark{Revision: head - 5, Digest: head}
+		tracker.Settle(mark, tracker.Offer(now, mark, 31) == Newer)
+		tracker.Done(now, f, true, rng)
+		now += 200 * time.Millisecond
+	}
+}
+
 // Guards against a starting entry that is never ready while the list changes faster than it can be
 // fetched: each time it has the revision that it asked for, a later one exists. It is ready with
 // the latest revision that existed when it had heard of enough peers, as a serving entry is.
