A missing endpoint does not have all rows of the list aged

Membership keeps the missing rows and ages only these; whether all of a pool are missing is asked once a tick and only about rows that are due. The capacity is summed if enough endpoints have a rated latency.

TestListedEndpointsAreNotAged expects one aged row where one is missing (1,000 before, red).

--- a/internal/core/health/sweep.go
+++ b/internal/core/health/sweep.go
@@ -76,6 +76,18 @@
 	return e.Health.Samples > 0 || e.Health.Ejections > 0 || e.Health.EjectedUntil != 0
 }
 
+// ComparesLatency reports whether enough endpoints have a rated latency for Sweep to call one of them
+// slow.
+func ComparesLatency(p *table.Pool) bool {
+	rated := 0
+	p.Active(func(_ int, e *table.Endpoint) {
+		if e.Health.SlowSamples >= minSlowSamples {
+			rated++
+		}
+	})
+	return rated >= minCompared
+}
+
 // Sweep rates the live endpoints of a pool, updates their Health and appends its decisions to out.
 // The driver calls it periodically, and keeps endpoints active that are rated.
 func Sweep(now time.Duration, p *table.Pool, lim Limits, rng *rand.Rand, out []Event) []Event {
--- a/internal/core/healthprobes.go
+++ b/internal/core/healthprobes.go
@@ -169,6 +169,9 @@
 		Base:     published.EjectBase,
 		Max:      published.EjectMax,
 	}
+	if !health.ComparesLatency(&p.Pool) {
+		return limits // the utilization matters for slow endpoints only
+	}
 	if slots := p.Slots(); slots > 0 {
 		limits.Utilization = 1 - float64(p.capacity(now).Free)/float64(slots)
 	}
--- a/internal/core/member/aging_test.go
+++ b/internal/core/member/aging_test.go
@@ -27,7 +27,7 @@
 	table.ApplyList(0, listOf(1, 1000))
 	check("all are listed", 0)
 	table.ApplyList(time.Second, listOf(2, 999))
-	check("one is missing", 1000)
+	check("one is missing", 1)
 	table.Tick(3 * time.Second)
 	check("the missing one was dropped", 0)
 	table.ApplyList(4*time.Second, listOf(3, 998))
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -126,23 +126,24 @@
 
 // Table is this entry's view of every VM.
 type Table struct {
-	cfg     Config
-	rows    map[string]*row
-	order   []*row // the rows by name
-	entries []*row // the rows of entries by name
-	// missingEndpoints counts the endpoints that the list has stopped naming.
-	missingEndpoints int
-	departures       departures
-	newEvidence      []message.Evidence
-	list             listState
+	cfg         Config
+	rows        map[string]*row
+	order       []*row // the rows by name
+	entries     []*row // the rows of entries by name
+	missing     []*row // the rows by name of endpoints that the list has stopped naming
+	departures  departures
+	newEvidence []message.Evidence
+	list        listState
 	// entriesVersion grows with each change of the result of Entries.
 	entriesVersion uint64
 	index          index
 	// relays reports that some entries are watched only by other entries.
 	relays bool
-	// ageAt is when the rows are aged next; agedRows is scratch memory for that.
+	// ageAt is when the rows are aged next; agedRows is scratch memory for that, and unlisted has what
+	// isUnlisted has found in this tick.
 	ageAt    time.Duration
 	agedRows []*row
+	unlisted map[string]bool
 	// silent holds the entries whose silence was noticed here since the last TakeSilences.
 	silent []Silence
 }
@@ -176,6 +177,7 @@
 	return &Table{
 		cfg:        cfg.withDefaults(),
 		rows:       make(map[string]*row),
+		unlisted:   make(map[string]bool),
 		departures: newDepartures(),
 		index:      index{entries: make(map[uint64][]*row), addresses: make(map[servedAt][]*row)},
 	}
@@ -245,9 +247,9 @@
 	switch {
 	case isEntry(r.vm):
 	case missing:
-		t.missingEndpoints++
+		insertByName(&t.missing, r)
 	default:
-		t.missingEndpoints--
+		deleteByName(&t.missing, r)
 	}
 }
 
--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tealhall/tealhall/internal/message"
@@ -31,12 +32,12 @@
 		changes = t.confirmHeld(now)
 	}
 	timeout := t.SuspectAfter()
-	unlisted := t.unlistedPools()
+	clear(t.unlisted)
 	for _, r := range t.rowsToAge() {
 		if isEntry(r.vm) {
 			changes = append(changes, t.ageEntry(now, r, timeout)...)
 		} else {
-			changes = append(changes, t.ageEndpoint(now, r, unlisted)...)
+			changes = append(changes, t.ageEndpoint(now, r)...)
 		}
 	}
 	t.departures.forget(now, t.cfg.RememberFor, t.maxDepartures(), t.lists)
@@ -60,12 +61,8 @@
 // rowsToAge returns the rows that may change with time: endpoints do only after the list has stopped
 // naming them.
 func (t *Table) rowsToAge() []*row {
-	t.agedRows = t.agedRows[:0] // a copy, since ageing removes rows
-	if t.missingEndpoints > 0 {
-		t.agedRows = append(t.agedRows, t.order...)
-	} else {
-		t.agedRows = append(t.agedRows, t.entries...)
-	}
+	t.agedRows = append(t.agedRows[:0], t.entries...) // a copy, since ageing removes rows
+	t.agedRows = append(t.agedRows, t.missing...)
 	return t.agedRows
 }
 
@@ -135,16 +132,13 @@
 // ageEndpoint drops an endpoint that the list no longer names and that does not answer. If a pool
 // would be left without endpoints, its endpoints stay for KeepLast: if the list is wrong they are
 // needed, and if it is right the only cost is a few refused connections.
-func (t *Table) ageEndpoint(now time.Duration, r *row, unlisted map[string]bool) []Change {
-	if !r.missing {
-		return nil
-	}
+func (t *Table) ageEndpoint(now time.Duration, r *row) []Change {
 	since := r.missingAt
 	if r.answered && !t.cfg.ListIsFinal {
 		since = max(since, r.seenAt)
 	}
 	limit := t.cfg.MissingAfter
-	if unlisted[r.vm.Pool] {
+	if now-since >= limit && t.isUnlisted(r.vm.Pool) {
 		limit = t.cfg.KeepLast
 	}
 	if now-since < limit {
@@ -153,21 +147,17 @@
 	return t.drop(r, "not listed and no answer for "+limit.String())
 }
 
-// unlistedPools returns the pools, with true for those whose endpoints are all missing from the
-// list.
-func (t *Table) unlistedPools() map[string]bool {
-	if t.missingEndpoints == 0 {
-		return nil
-	}
-	pools := make(map[string]bool)
-	for _, r := range t.order {
-		if isEntry(r.vm) || r.leaving {
-			continue
-		}
-		unlisted, seen := pools[r.vm.Pool]
-		pools[r.vm.Pool] = r.missing && (unlisted || !seen)
-	}
-	return pools
+// isUnlisted reports whether all endpoints of a pool that are not leaving are missing from the list. The
+// result is kept for the rest of the tick.
+func (t *Table) isUnlisted(pool string) bool {
+	unlisted, known := t.unlisted[pool]
+	if !known {
+		unlisted = !slices.ContainsFunc(t.order, func(r *row) bool {
+			return !isEntry(r.vm) && !r.leaving && !r.missing && r.vm.Pool == pool
+		})
+		t.unlisted[pool] = unlisted
+	}
+	return unlisted
 }
 
 // Pause records that the process slept for gap until now. Evidence that a VM is live is stale;
