--- a/internal/core/member/aging_test.go
+++ b/internal/core/member/aging_test.go
@@ -34,3 +34,17 @@
 	table.ApplyList(5*time.Second, listOf(4, 999))
 	check("the missing one is listed again", 0)
 }
+
+// Guards against an entry that is taken for a listed one again because its process has restarted: the
+// list has stopped naming its VM.
+func TestRestartedEntryStaysMissing(t *testing.T) {
+	table := New(Config{Self: 1, Region: "r1", ListIsFinal: true, MissingAfter: time.Second, KeepLast: time.Second, GoneAfter: time.Hour})
+	vm := parseVM("entry-a/7")
+	table.ApplyList(0, published.VMList{Revision: 1, VMs: []published.VM{vm}})
+	table.ApplyList(time.Second, published.VMList{Revision: 2})
+	vm.Incarnation = 8
+	table.HelloReceived(2*time.Second, vm)
+	if entries := table.Entries(nil); len(entries) != 1 || !entries[0].Missing {
+		t.Errorf("entries %+v, want one that is missing from the list", entries)
+	}
+}
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -274,8 +274,9 @@
 	deleteByName(&t.order, r)
 	if isEntry(r.vm) {
 		deleteByName(&t.entries, r)
+	} else {
+		deleteByName(&t.missing, r)
 	}
-	t.setMissing(r, false)
 	t.index.remove(r)
 	t.changed(r.vm)
 	return []Change{{Kind: kindFor(r.vm, EndpointGone, EntryGone), VM: r.vm, Why: why}}
