Audit trail and metrics tell how long a revision was looked for

When an entry is behind, nothing said whether it had not heard of the revision, had asked a source that did not answer, or had no time to apply it. The audit trail now says of an accepted revision that was known for 1 s or longer how long it was known, how many fetches were made and how many had no answer; profiles.wanted_age_s and vms.wanted_age_s are the gauges. No decision changes.

--- a/internal/core/assign/fetch.go
+++ b/internal/core/assign/fetch.go
@@ -46,6 +46,7 @@
 	after uint64
 	// hintsIgnoredUntil is the time before which callers' hints are ignored.
 	hintsIgnoredUntil time.Duration
+	search            Search
 }
 
 // requestRevision makes a fetch due as soon as none is under way.
@@ -89,6 +90,7 @@
 	f := Fetch{After: p.after}
 	f.From, f.Why = p.source(fresh, peers)
 	p.attempt++
+	p.search.Fetches++
 	return f, true
 }
 
@@ -122,6 +124,9 @@
 func (t *Tracker) Done(now time.Duration, f Fetch, answered bool, rng *rand.Rand) {
 	p := &t.plan
 	p.fetching = false
+	if !answered {
+		p.search.Unanswered++
+	}
 	fresh := t.inForce.Revision == 0
 	switch {
 	case !fresh && t.Wanted() == 0:
--- a/internal/core/assign/tracker.go
+++ b/internal/core/assign/tracker.go
@@ -194,6 +194,7 @@
 	t.addReporter(s.Peer)
 	if revision > t.highestJudged() {
 		t.plan.addSource(now, revision, s)
+		t.updateSearch(now)
 	}
 }
 
@@ -203,6 +204,7 @@
 func (t *Tracker) NoteCallerRevision(now time.Duration, revision uint64) {
 	if revision > t.highestJudged() && now >= t.plan.hintsIgnoredUntil {
 		t.plan.requestRevision(now, revision)
+		t.updateSearch(now)
 	}
 }
 
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,6 +31,9 @@
 	Problem    error
 }
 
+// lateSearch is how long a revision may be known before the audit trail reports it as late.
+const lateSearch = time.Second
+
 // tracker returns the tracker of a published value.
 func (c *Core) tracker(name string) *assign.Tracker {
 	if name == published.VMsValue {
@@ -97,13 +102,19 @@
 		out.note(note)
 		return
 	}
+	search, searched := t.Search()
 	if !t.Settle(o.Mark, true) {
 		return
 	}
 	note.Action = "accepted"
+	var why []string
 	if o.Profiles != nil && o.Profiles.Routes() != nil {
-		note.Why = strings.Join(o.Profiles.Routes().Problems(), "; ")
+		why = slices.Clone(o.Profiles.Routes().Problems())
+	}
+	if known := now - search.Since; searched && o.Mark.Revision >= search.Revision && known >= lateSearch {
+		why = append(why, fmt.Sprintf("late: known for %v, %d fetches, %d without an answer", known.Round(time.Millisecond), search.Fetches, search.Unanswered))
 	}
+	note.Why = strings.Join(why, "; ")
 	out.note(note)
 	if o.Name == published.VMsValue {
 		c.spreadEvidence(now)
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/assign"
 	"github.com/tealhall/tealhall/internal/core/gossip"
 	"github.com/tealhall/tealhall/internal/core/health"
 	"github.com/tealhall/tealhall/internal/core/member"
@@ -58,8 +59,9 @@
 // PublishedView describes a published value.
 type PublishedView struct {
 	InForce message.Mark
-	// Wanted is a later revision that is known to exist, or 0.
+	// Wanted is a later revision that is known to exist, or 0; Search describes the search for it.
 	Wanted uint64
+	Search assign.Search
 	// Refused is the latest revision that was found invalid, or 0, and RefusedWhy the reason.
 	Refused    uint64
 	RefusedWhy string
@@ -261,6 +263,7 @@
 	if name == published.ProfilesValue && c.Routed() {
 		v.Problems = c.snapshot.Routes().Problems()
 	}
+	v.Search, _ = t.Search()
 	v.ConfirmedAt, v.Confirmed = t.ConfirmedAt()
 	v.StaleAt, v.Stale = c.explained.staleAt[name]
 	return v
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -159,9 +159,14 @@
 		if v.Confirmed {
 			age = (f.now - v.ConfirmedAt).Seconds()
 		}
+		wantedFor := 0.0
+		if v.Wanted != 0 {
+			wantedFor = (f.now - v.Search.Since).Seconds()
+		}
 		all = append(all,
 			gauge(name+".revision", float64(v.InForce.Revision)),
 			gauge(name+".wanted", float64(v.Wanted)),
+			gauge(name+".wanted_age_s", wantedFor),
 			gauge(name+".refused", float64(v.Refused)),
 			gauge(name+".problems", float64(len(v.Problems))),
 			gauge(name+".confirmed_age_s", age),
