Failing test: a configuration is late behind a source that falls silent

In the simulated cluster a fetch from a silent peer or a silent configuration service ended at once; in the daemon it ends after its timeout. TestOnlyReadersAskPlatformOnFirstStart turns red by the same change of the simulation: an entry whose fetch from the silent service is under way asks no peer meanwhile.

--- a/internal/core/clusterharness_test.go
+++ b/internal/core/clusterharness_test.go
@@ -339,20 +339,33 @@
 	})
 }
 
+// fetchTimeout is the time after which a fetch from a silent source ends.
+const fetchTimeout = 3 * sec
+
 func (h *clusterHarness) fetch(n *node, f Fetch) {
 	peer := h.nodeAt(f.Address)
-	answered := f.Source == assign.Platform && !h.platformDown(n)
+	answered := f.Source == assign.Platform && !h.platformDown(n) && !h.platformMute(n)
+	silent := f.Source == assign.Platform && h.platformMute(n)
 	v := h.values[f.Name]
 	if f.Source != assign.Platform {
 		answered = h.reaches(n, peer) && h.reaches(peer, n) && !peer.asleep
 		if answered {
 			v = peer.values[f.Name]
 		}
+		silent = peer != nil && !answered
 	}
 	if answered && v.Revision > f.After {
 		h.offer(n, v, f.Source)
 	}
-	if f.Planned {
+	if !f.Planned {
+		return
+	}
+	done := func() {
 		h.do(n, func(now time.Duration, out *Actions) { n.FetchDone(now, f, answered) })
 	}
+	if silent {
+		h.post(fetchTimeout, n, done)
+		return
+	}
+	done()
 }
