A source that falls silent does not delay a revision that others have

Cause: an entry fetched a value from one source at a time, and a fetch ended with its answer or after the timeout of a call (3 s, or 1 s as deployed) and a pause. An entry whose first source fell silent stayed behind for that time, although other peers had reported the revision. The class: one call under way blocks all others, and its timeout is longer than the bound that it serves.

Change: a source that has sent nothing for 400 ms no longer keeps others from being asked, up to four at once, and a source that has not failed yet is asked without a pause. The driver reports each part of an answer, so that a source that sends a large value slowly is waited for; the configuration is now passed on in parts as the list of VMs is, and a revision stays available while peers fetch its parts. A fetch ends early when another one was faster. Entries of the release before understand both forms.

--- a/internal/core/assign/fetch.go
+++ b/internal/core/assign/fetch.go
@@ -9,6 +9,8 @@
 
 // Fetch says where to fetch a newer revision.
 type Fetch struct {
+	// Number distinguishes the fetches of a Tracker.
+	Number int
 	// From is Platform or the incarnation of a peer.
 	From uint64
 	// After is a revision; only a later one is useful.
@@ -17,38 +19,43 @@
 	Why string
 }
 
-// Source is a peer that reported that it has a revision.
-type Source struct {
-	Peer uint64
-	// Near sources are asked before others: traffic between failure domains is expensive, and the
-	// peers of one domain mostly learn of a revision at the same time.
-	Near bool
-	// Delay is how long to wait for a better source before this one is asked.
-	Delay time.Duration
-}
-
-// maxSources bounds how many peers with a newer revision are remembered.
-const maxSources = 4
-
 // platformEvery makes every third fetch in a row without a result ask the configuration service
 // while there are sources, in case they cannot be reached.
 const platformEvery = 3
 
+// sourcePatience is how long a source may send nothing before another one is asked as well. It is a
+// fraction of the seconds within which a revision has to be in force, and several times what a
+// source needs to answer.
+const sourcePatience = 400 * time.Millisecond
+
+// maxFetches bounds the fetches of one value that are under way at the same time.
+const maxFetches = 4
+
 // fetchPlan decides when to fetch next, and from where.
 type fetchPlan struct {
 	wanted   uint64
-	sources  []Source // peers that reported a newer revision
+	sources  sources
+	underway []pendingFetch // oldest first
 	retryAt  time.Duration
 	failures int
 	attempt  int
-	fetching bool
-	// after is the highest judged revision when the fetch under way began.
-	after uint64
 	// hintsIgnoredUntil is the time before which callers' hints are ignored.
 	hintsIgnoredUntil time.Duration
 	search            Search
 }
 
+// pendingFetch is a fetch under way.
+type pendingFetch struct {
+	Fetch
+	// heardAt is when the fetch began or its source last sent a part of the answer.
+	heardAt time.Duration
+	// received says that the answer is complete and is being applied.
+	received bool
+	// overdue says that the source has sent nothing for sourcePatience. The fetch goes on, but
+	// others are not delayed by it.
+	overdue bool
+}
+
 // requestRevision makes a fetch due as soon as none is under way.
 func (p *fetchPlan) requestRevision(now time.Duration, revision uint64) {
 	if revision <= p.wanted {
@@ -59,89 +66,142 @@
 }
 
 // addSource adds a peer that can provide a newer revision. An additional source makes a fetch due
-// after its delay, whatever failures preceded it. When the list is full, the new source replaces
-// the first one that is not near, or the first one if all are near.
+// after its delay, whatever failures preceded it.
 func (p *fetchPlan) addSource(now time.Duration, revision uint64, s Source) {
 	if revision > p.wanted {
 		p.wanted = revision
 		p.retryAt = now + s.Delay
 	}
-	if slices.ContainsFunc(p.sources, func(known Source) bool { return known.Peer == s.Peer }) {
-		return
-	}
-	if len(p.sources) == maxSources {
-		out := max(0, slices.IndexFunc(p.sources, func(known Source) bool { return !known.Near }))
-		p.sources = slices.Delete(p.sources, out, out+1)
+	if p.sources.add(s) {
+		p.retryAt = min(p.retryAt, now+s.Delay)
 	}
-	p.sources = append(p.sources, s)
-	p.retryAt = min(p.retryAt, now+s.Delay)
 }
 
-// Next returns the fetch that is due now, if any. The caller ends each fetch with Done; until then
-// no other fetch is due. peers are the reachable entries; an entry without a revision in force asks
-// them alternately with the configuration service.
-func (t *Tracker) Next(now time.Duration, peers []uint64) (Fetch, bool) {
+// Next returns the fetch that is due now, if any. The caller ends each fetch with Done. Until then
+// no other fetch is due, unless the source is silent for sourcePatience: a revision that several
+// peers have is not delayed by the one that was asked first. peers are the reachable entries; an
+// entry without a revision in force asks them alternately with the configuration service.
+func (t *Tracker) Next(now time.Duration, peers []uint64, rng *rand.Rand) (Fetch, bool) {
 	p := &t.plan
 	fresh := t.inForce.Revision == 0
-	if p.fetching || now < p.retryAt || (!fresh && t.Wanted() == 0) {
+	t.noteOverdue(now, rng)
+	if now < p.retryAt || p.isWaiting() || (!fresh && t.Wanted() == 0) {
 		return Fetch{}, false
 	}
-	p.fetching, p.after = true, t.highestJudged()
-	f := Fetch{After: p.after}
-	f.From, f.Why = p.source(fresh, peers)
+	from, why, ok := p.source(fresh, peers)
+	if !ok {
+		return Fetch{}, false
+	}
+	f := Fetch{Number: p.attempt, From: from, After: t.highestJudged(), Why: why}
+	p.underway = append(p.underway, pendingFetch{Fetch: f, heardAt: now})
 	p.attempt++
 	p.search.Fetches++
 	return f, true
 }
 
-// source picks the source for this attempt.
-func (p *fetchPlan) source(fresh bool, peers []uint64) (from uint64, why string) {
-	if n := len(p.sources); n > 0 {
-		if p.failures%platformEvery == platformEvery-1 {
-			return Platform, fmt.Sprintf("%d fetches from peers failed", p.failures)
+// noteOverdue looks for sources that have been silent for sourcePatience. Each counts as a failure.
+func (t *Tracker) noteOverdue(now time.Duration, rng *rand.Rand) {
+	p := &t.plan
+	for i := range p.underway {
+		f := &p.underway[i]
+		if f.overdue || f.received || now-f.heardAt < sourcePatience {
+			continue
 		}
-		return p.sources[p.sourceIndex(n)].Peer, ""
+		f.overdue = true
+		p.noteFailure(f.From)
+		t.scheduleRetry(now, true, rng)
 	}
-	if fresh && len(peers) > 0 && p.attempt%2 == 1 {
-		return peers[(p.attempt/2)%len(peers)], ""
-	}
-	return Platform, fmt.Sprintf("no peer has reported a revision, %d are reachable", len(peers))
 }
 
-// sourceIndex returns the index of the source to ask: a near one at first, and each in turn after a
-// failure.
-func (p *fetchPlan) sourceIndex(n int) int {
-	if p.failures == 0 {
-		if near := slices.IndexFunc(p.sources, func(s Source) bool { return s.Near }); near >= 0 {
-			return near
+// isWaiting reports whether the fetches under way are to be waited for.
+func (p *fetchPlan) isWaiting() bool {
+	inTime := func(f pendingFetch) bool { return !f.overdue }
+	return len(p.underway) >= maxFetches || slices.ContainsFunc(p.underway, inTime)
+}
+
+// asks reports whether a fetch from a source is under way.
+func (p *fetchPlan) asks(from uint64) bool {
+	return slices.ContainsFunc(p.underway, func(f pendingFetch) bool { return f.From == from })
+}
+
+// source picks the source for this attempt, which none of the fetches under way asks.
+func (p *fetchPlan) source(fresh bool, peers []uint64) (from uint64, why string, ok bool) {
+	platformAsked := p.asks(Platform)
+	if len(p.sources) > 0 {
+		if p.failures%platformEvery == platformEvery-1 && !platformAsked {
+			return Platform, fmt.Sprintf("%d fetches from peers failed", p.failures), true
+		}
+		if peer, found := p.sources.best(p.asks); found {
+			return peer, "", true
 		}
+		return Platform, "all peers that reported a revision are silent", !platformAsked
 	}
-	return p.attempt % n
+	if fresh && len(peers) > 0 && (p.attempt%2 == 1 || platformAsked) {
+		peer := peers[(p.attempt/2)%len(peers)]
+		return peer, "", !p.asks(peer)
+	}
+	return Platform, fmt.Sprintf("no peer has reported a revision, %d are reachable", len(peers)), !platformAsked
+}
+
+// Received records that a source sent a part of its answer, or all of it.
+func (t *Tracker) Received(now time.Duration, f Fetch, complete bool) {
+	if i := t.plan.pendingIndex(f); i >= 0 {
+		pending := &t.plan.underway[i]
+		pending.heardAt, pending.received = now, complete
+	}
+}
+
+func (p *fetchPlan) pendingIndex(f Fetch) int {
+	return slices.IndexFunc(p.underway, func(u pendingFetch) bool { return u.Number == f.Number })
 }
 
 // Done ends a fetch. answered is false when the source could not be reached. The caller offers and
 // settles what the source returned before it calls Done.
 func (t *Tracker) Done(now time.Duration, f Fetch, answered bool, rng *rand.Rand) {
 	p := &t.plan
-	p.fetching = false
+	i := p.pendingIndex(f)
+	if i < 0 {
+		return // given up by Pause
+	}
+	overdue := p.underway[i].overdue
+	p.underway = slices.Delete(p.underway, i, i+1)
 	if !answered {
 		p.search.Unanswered++
 	}
-	fresh := t.inForce.Revision == 0
+	fresh, failed := t.inForce.Revision == 0, false
 	switch {
 	case !fresh && t.Wanted() == 0:
 		p.sources = p.sources[:0]
 		p.failures = 0
-	case answered && f.From != Platform && t.highestJudged() > p.after:
+	case answered && f.From != Platform && t.highestJudged() > f.After:
 		// The peer may be as far as the latest revision by now.
 		p.failures = 0
 	case answered:
 		p.handleMissing(now, f, t)
-		fallthrough
-	default:
 		p.failures++
+		failed = true
+	default:
+		failed = true
+		if !overdue {
+			p.noteFailure(f.From)
+		}
+	}
+	t.scheduleRetry(now, failed, rng)
+}
+
+// scheduleRetry sets when the next fetch is due. After a failure a source that has not failed yet
+// is asked without a pause.
+func (t *Tracker) scheduleRetry(now time.Duration, failed bool, rng *rand.Rand) {
+	t.plan.retryAt = now
+	if !failed || !t.plan.sources.hasUntried() {
+		t.plan.retryAt += t.retryPause(rng)
 	}
-	p.retryAt = now + t.retryPause(rng)
+}
+
+// noteFailure records that a source did not answer.
+func (p *fetchPlan) noteFailure(from uint64) {
+	p.failures++
+	p.sources.noteFailure(from)
 }
 
 // handleMissing handles an answer without the wanted revision. A peer that does not have it is
@@ -149,7 +209,7 @@
 // the revision was a false hint.
 func (p *fetchPlan) handleMissing(now time.Duration, f Fetch, t *Tracker) {
 	if f.From != Platform {
-		p.sources = slices.DeleteFunc(p.sources, func(s Source) bool { return s.Peer == f.From })
+		p.sources.remove(f.From)
 		return
 	}
 	if len(p.sources) == 0 {
@@ -167,11 +227,11 @@
 	return jittered(min(d, t.cfg.RetryMax), retryJitter, rng)
 }
 
-// Pause records that the process slept for gap until now. A fetch that was under way is given up,
-// and the configuration service's confirmation no longer counts. This guards against a late wake-up
-// after which the entry takes its old revision for the latest.
+// Pause records that the process slept for gap until now. The fetches that were under way are given
+// up, and the configuration service's confirmation no longer counts. This guards against a late
+// wake-up after which the entry takes its old revision for the latest.
 func (t *Tracker) Pause(now, gap time.Duration) {
-	t.plan.fetching = false
+	t.plan.underway = t.plan.underway[:0]
 	t.plan.failures = max(t.plan.failures, platformEvery-1)
 	t.plan.retryAt = now
 	t.confirmed = false
--- a/internal/core/assign/tracker_test.go
+++ b/internal/core/assign/tracker_test.go
@@ -15,8 +15,9 @@
 )
 
 // runTrackerCommand runs one line of a golden file: seconds, command, then key=value pairs and
-// flags. Offers are validated at once; those marked bad are invalid.
-func runTrackerCommand(t *testing.T, tr *Tracker, rng *rand.Rand, fields []string) string {
+// flags. Offers are validated at once; those marked bad are invalid. fetches has the latest fetch
+// from each source.
+func runTrackerCommand(t *testing.T, tr *Tracker, rng *rand.Rand, fetches map[uint64]Fetch, fields []string) string {
 	seconds, _ := strconv.ParseFloat(fields[0], 64)
 	now := time.Duration(seconds * float64(time.Second))
 	args := make(map[string]uint64)
@@ -38,13 +39,16 @@
 	case "caller":
 		tr.NoteCallerRevision(now, args["rev"])
 	case "next":
-		f, due := tr.Next(now, []uint64{31, 32})
+		f, due := tr.Next(now, []uint64{31, 32}, rng)
 		if !due {
 			return "nothing"
 		}
+		fetches[f.From] = f
 		return fmt.Sprintf("ask %d after %d", f.From, f.After)
+	case "received":
+		tr.Received(now, fetches[args["from"]], !flag("part"))
 	case "done":
-		tr.Done(now, Fetch{From: args["from"]}, !flag("failed"), rng)
+		tr.Done(now, fetches[args["from"]], !flag("failed"), rng)
 	case "ready":
 		ready, reason := tr.Ready(now, int(args["peers"]))
 		return fmt.Sprintf("%v %s", ready, reason)
@@ -59,12 +63,12 @@
 func TestTrackerScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		tr := NewTracker(0, TrackerConfig{})
-		rng := rand.New(rand.NewPCG(1, 2))
+		rng, fetches := rand.New(rand.NewPCG(1, 2)), make(map[uint64]Fetch)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var b strings.Builder
 			for _, line := range strings.Split(d.Input, "\n") {
 				fields := strings.Fields(line)
-				if result := runTrackerCommand(t, tr, rng, fields); result != "" {
+				if result := runTrackerCommand(t, tr, rng, fetches, fields); result != "" {
 					fmt.Fprintf(&b, "%s %s: %s\n", fields[0], fields[1], strings.TrimSpace(result))
 				}
 			}
@@ -118,7 +122,7 @@
 			case 2:
 				tr.NotePeerRevision(now, m.Revision, Source{Peer: from})
 			case 3:
-				if f, due := tr.Next(now, []uint64{1, 2}); due {
+				if f, due := tr.Next(now, []uint64{1, 2}, rng); due {
 					tr.Done(now, f, rapid.Bool().Draw(rt, "answered"), rng)
 				}
 			case 4:
@@ -141,7 +145,7 @@
 	now, head := time.Duration(0), uint64(100)
 	for range 20 {
 		tracker.NotePeerRevision(now, head, Source{Peer: 31})
-		f, due := tracker.Next(now, []uint64{31, 32})
+		f, due := tracker.Next(now, []uint64{31, 32}, rng)
 		if !due || f.From != 31 {
 			t.Fatalf("at %v the entry asks %d (due %v), want 31", now, f.From, due)
 		}
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -316,8 +316,10 @@
 	Address string
 	// After is a revision; only a later one is needed.
 	After uint64
-	// Planned is set for fetches whose end the driver reports with FetchDone.
+	// Planned is set for fetches whose progress and end the driver reports with FetchReceived and
+	// FetchDone; Number distinguishes them.
 	Planned bool
+	Number  int
 	// Why says, for the log, why the configuration service is asked.
 	Why string
 }
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -157,9 +157,19 @@
 // InForce returns the mark of the revision in force of the named published value.
 func (c *Core) InForce(name string) message.Mark { return c.tracker(name).InForce() }
 
+// FetchReceived records that the source of a fetch sent a part of its answer, or all of it.
+func (c *Core) FetchReceived(now time.Duration, f Fetch, complete bool) {
+	c.tracker(f.Name).Received(now, f.planned(), complete)
+}
+
 // FetchDone records that a fetch ended. The driver has passed a fetched value to Offer before.
 func (c *Core) FetchDone(now time.Duration, f Fetch, answered bool) {
-	c.tracker(f.Name).Done(now, assign.Fetch{From: f.Source, After: f.After}, answered, c.rng)
+	c.tracker(f.Name).Done(now, f.planned(), answered, c.rng)
+}
+
+// planned returns the fetch as its tracker planned it.
+func (f *Fetch) planned() assign.Fetch {
+	return assign.Fetch{Number: f.Number, From: f.Source, After: f.After}
 }
 
 // noteCallerRevision records the revision that a caller sent. If it is later than the one in force,
@@ -187,7 +197,7 @@
 	if c.waitsForReaders(now, c.tracker(name)) {
 		return
 	}
-	f, ok := c.tracker(name).Next(now, peers)
+	f, ok := c.tracker(name).Next(now, peers, c.rng)
 	if !ok {
 		return
 	}
@@ -196,7 +206,7 @@
 		c.tracker(name).Done(now, f, false, c.rng)
 		return
 	}
-	out.Fetches = append(out.Fetches, Fetch{Name: name, Source: f.From, Address: address, After: f.After, Planned: true, Why: f.Why})
+	out.Fetches = append(out.Fetches, Fetch{Name: name, Source: f.From, Address: address, After: f.After, Planned: true, Number: f.Number, Why: f.Why})
 }
 
 // periodicCheck reads the configuration service at a low rate even if other entries are the
--- a/internal/core/silentsource_test.go
+++ b/internal/core/silentsource_test.go
@@ -13,11 +13,9 @@
 // falls silent meanwhile, although other peers have it.
 func TestRevisionInForceAlthoughItsSourceFallsSilent(t *testing.T) {
 	const soon = 20 * ms
-	for _, entries := range []int{15, 60} {
-		for first := range entries {
-			if entries > 15 && first%4 != 0 {
-				continue
-			}
+	for _, fleet := range []struct{ entries, step int }{{15, 1}, {60, 4}, {126, 63}} {
+		entries := fleet.entries
+		for first := 0; first < entries; first += fleet.step {
 			// Entries of one failure domain fall silent together, as those of a rack do.
 			for _, silentEntries := range []int{1, 3} {
 				t.Run(fmt.Sprintf("%d entries, %d from entry-%d on", entries, silentEntries, first), func(t *testing.T) {
--- a/internal/entry/documents.go
+++ b/internal/entry/documents.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -12,13 +14,13 @@
 	"github.com/tealhall/tealhall/internal/published"
 )
 
-// documentPartBytes is the size of the parts in which peers fetch the packed list of VMs. A part
+// documentPartBytes is the size of the parts in which peers fetch a value. A part
 // takes a small VM's link for a moment only, and a call for it ends within its timeout however long
 // the list is.
 const documentPartBytes = 64 << 10
 
-// maxDocumentBytes bounds the packed list of VMs that an entry accepts from a peer, some hundred
-// thousand rows.
+// maxDocumentBytes bounds the value that an entry accepts from a peer. A list of some hundred
+// thousand VMs has this size.
 const maxDocumentBytes = 16 << 20
 
 // documents has the values in force, which peers fetch.
@@ -26,15 +28,21 @@
 	mu       sync.Mutex
 	profiles published.Value
 	vms      published.History
+	// served are the revisions of the profiles of which peers fetched a part most recently, the
+	// latest last. A peer gets the remaining parts although the profiles change meanwhile.
+	served []snapshot
 
 	// packing guards snapshot and is taken before mu.
 	packing  sync.Mutex
 	snapshot snapshot
 }
 
-// snapshot is the packed list of VMs at one revision. It serves later fetches as long as
-// differences lead from its revision to the list in force, so that the list is not packed anew
-// while peers fetch its parts.
+// maxServed bounds the revisions of the profiles that are kept for peers.
+const maxServed = 4
+
+// snapshot is a value at one revision, as peers fetch it. That of the packed list of VMs serves
+// later fetches as long as differences lead from its revision to the list in force, so that the
+// list is not packed anew while peers fetch its parts.
 type snapshot struct {
 	revision uint64
 	data     []byte
@@ -94,10 +102,7 @@
 	case answer.Revision <= f.After:
 		return answer, nil
 	case f.Name != published.VMsValue:
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		answer.Data = d.profiles.Data
-		return answer, nil
+		return d.profilesPart(f)
 	case !f.Packed: // a peer of an earlier release
 		list := d.list()
 		answer.Revision, answer.Data = list.Revision, published.EncodeVMs(list)
@@ -108,7 +113,25 @@
 			return difference, nil
 		}
 	}
-	return d.part(f)
+	return d.listPart(f)
+}
+
+// profilesPart returns the part of the profiles that begins at f.Offset, or all of them for a peer
+// of an earlier release.
+func (d *documents) profilesPart(f message.Fetch) (message.Document, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !f.Packed {
+		return message.Document{Name: f.Name, Revision: d.profiles.Revision, Data: d.profiles.Data}, nil
+	}
+	asked := snapshot{d.profiles.Revision, d.profiles.Data}
+	if i := slices.IndexFunc(d.served, func(s snapshot) bool { return f.Offset > 0 && s.revision == f.Revision }); i >= 0 {
+		asked = d.served[i]
+	}
+	d.served = slices.DeleteFunc(d.served, func(s snapshot) bool { return s.revision == asked.revision })
+	d.served = append(d.served, asked)
+	d.served = slices.Delete(d.served, 0, max(0, len(d.served)-maxServed))
+	return partOf(f, asked)
 }
 
 // since returns the difference from a revision to the list in force, if it fits into one part.
@@ -125,20 +148,27 @@
 	}, len(data) <= documentPartBytes
 }
 
-// part returns the part of the packed list that begins at f.Offset.
-func (d *documents) part(f message.Fetch) (message.Document, error) {
+// listPart returns the part of the packed list that begins at f.Offset.
+func (d *documents) listPart(f message.Fetch) (message.Document, error) {
 	d.packing.Lock()
 	defer d.packing.Unlock()
 	if f.Offset == 0 {
 		d.refreshSnapshot(f.After)
-	} else if f.Revision != d.snapshot.revision || f.Offset < 0 || f.Offset > len(d.snapshot.data) {
-		return message.Document{}, fault.New(fault.NotFound, "fetch the value from its beginning", "the list of revision %s is no longer kept here",
-			published.RevisionText(f.Revision))
 	}
-	s := &d.snapshot
+	part, err := partOf(f, d.snapshot)
+	part.Packed = true
+	return part, err
+}
+
+// partOf returns the part of a value that begins at f.Offset. All parts of a value are of one
+// revision.
+func partOf(f message.Fetch, s snapshot) (message.Document, error) {
+	if f.Offset != 0 && f.Revision != s.revision || f.Offset < 0 || f.Offset > len(s.data) {
+		return message.Document{}, fault.New(fault.NotFound, "fetch the value from its beginning", "revision %s of %s is no longer kept here",
+			published.RevisionText(f.Revision), f.Name)
+	}
 	return message.Document{
-		Name: f.Name, Revision: s.revision, Packed: true, Size: len(s.data),
-		Data: s.data[f.Offset:min(f.Offset+documentPartBytes, len(s.data))],
+		Name: f.Name, Revision: s.revision, Size: len(s.data), Data: s.data[f.Offset:min(f.Offset+documentPartBytes, len(s.data))],
 	}, nil
 }
 
@@ -175,10 +205,11 @@
 // fetchAndOffer fetches a value and offers it to the core. It returns false if a difference does not
 // fit the list in force.
 func (e *Entry) fetchAndOffer(ctx context.Context, f core.Fetch, request message.Fetch) (fits bool, err error) {
-	d, err := e.fetchParts(ctx, f.Address, request)
+	d, err := e.fetchParts(ctx, f, request)
 	if err != nil {
 		return true, err
 	}
+	e.fetchReceived(f, true)
 	v, err := decodeDocument(d)
 	if err != nil || v.Unchanged() {
 		return true, err
@@ -208,25 +239,38 @@
 	return v, nil
 }
 
-// fetchParts fetches all parts of a document.
-func (e *Entry) fetchParts(ctx context.Context, address string, f message.Fetch) (message.Document, error) {
-	whole, err := e.fetchPart(ctx, address, f)
+// fetchParts fetches all parts of a document. It ends without data once the revision is in force,
+// which it may be by another fetch.
+func (e *Entry) fetchParts(ctx context.Context, f core.Fetch, request message.Fetch) (message.Document, error) {
+	whole, err := e.fetchPart(ctx, f.Address, request)
 	if err == nil && whole.Size > maxDocumentBytes {
 		return whole, fault.New(fault.BadMessage, "check the peer", "value %s has %d bytes, at most %d are accepted", f.Name, whole.Size, maxDocumentBytes)
 	}
-	f.Revision = whole.Revision
+	request.Revision = whole.Revision
 	for err == nil && len(whole.Data) < whole.Size {
-		f.Offset = len(whole.Data)
+		if e.documents.revision(f.Name) >= whole.Revision {
+			whole.Data = nil
+			break
+		}
+		e.fetchReceived(f, false)
+		request.Offset = len(whole.Data)
 		var part message.Document
-		part, err = e.fetchPart(ctx, address, f)
+		part, err = e.fetchPart(ctx, f.Address, request)
 		if err == nil && (part.Revision != whole.Revision || len(part.Data) == 0) {
-			err = fault.New(fault.BadMessage, "check the peer", "value %s ended after %d of %d bytes", f.Name, f.Offset, whole.Size)
+			err = fault.New(fault.BadMessage, "check the peer", "value %s ended after %d of %d bytes", f.Name, request.Offset, whole.Size)
 		}
 		whole.Data = append(whole.Data, part.Data...)
 	}
 	return whole, err
 }
 
+// fetchReceived tells the core that the source of a fetch sent a part of its answer, or all of it.
+func (e *Entry) fetchReceived(f core.Fetch, complete bool) {
+	if f.Planned {
+		e.engine.event(func(now time.Duration, c *core.Core, _ *core.Actions) { c.FetchReceived(now, f, complete) })
+	}
+}
+
 // fetchPart makes one call. Each part has fetchTimeout of its own.
 func (e *Entry) fetchPart(ctx context.Context, address string, f message.Fetch) (message.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
--- a/internal/entry/documents_test.go
+++ b/internal/entry/documents_test.go
@@ -61,6 +61,31 @@
 	}
 }
 
+// Guards against a large configuration that peers never get as a whole because it changes while
+// they fetch its parts.
+func TestProfilesArePassedOnWhileTheyChange(t *testing.T) {
+	profilesOf := func(revision uint64) published.Value {
+		return published.Value{Name: published.ProfilesValue, Revision: revision, Data: bytes.Repeat([]byte{byte(revision)}, 5*documentPartBytes/2)}
+	}
+	var d documents
+	d.putProfiles(profilesOf(1))
+	revision := uint64(1)
+	document, err := fetchAll(t, &d, message.Fetch{Name: published.ProfilesValue, Packed: true}, func() {
+		revision++
+		d.putProfiles(profilesOf(revision))
+		if _, err := d.answer(message.Fetch{Name: published.ProfilesValue, Packed: true}); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if err != nil || revision < 3 || document.Revision != 1 || !bytes.Equal(document.Data, profilesOf(1).Data) {
+		t.Errorf("revision %d, %d bytes while revision %d came into force, error %v", document.Revision, len(document.Data), revision, err)
+	}
+	whole, err := d.answer(message.Fetch{Name: published.ProfilesValue})
+	if err != nil || !bytes.Equal(whole.Data, profilesOf(revision).Data) {
+		t.Errorf("an older entry is sent %d bytes of revision %d, error %v", len(whole.Data), whole.Revision, err)
+	}
+}
+
 // Guards against parts of a snapshot that is no longer kept: the peer is told to begin again and
 // does not get those of another one.
 func TestPartOfDroppedSnapshotIsRefused(t *testing.T) {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -205,7 +205,7 @@
 	After uint64
 	// Difference is set if the peer may answer with the difference from revision After.
 	Difference bool
-	// Packed is set if the peer may answer with packed rows in parts. Offset is where in the packed
+	// Packed is set if the peer may answer in parts, and with packed rows. Offset is where in the
 	// value the requested part begins, and Revision the revision of the parts before it.
 	Packed   bool
 	Offset   int
@@ -221,7 +221,8 @@
 	Data     []byte `cbor:"3,keyasint,omitempty"`
 	// Difference is set if Data contains only the changes since Fetch.After, not the whole value.
 	Difference bool `cbor:"4,keyasint,omitempty"`
-	// Packed is set if Data is a part of packed rows, which have Size bytes in all.
+	// Packed is set if Data is a part of packed rows. Size is the size of the whole value if Data
+	// may be a part of it, else 0.
 	Packed bool `cbor:"5,keyasint,omitempty"`
 	Size   int  `cbor:"6,keyasint,omitempty"`
 }
