A service that leaves a pool while its requests wait there does not hang the entry

Cause: a request that waits in a pool gets a probe round; without room it returns to the queue, and the next round is due 30 ms later. Whether requests wait for that round was asked of the services that use the pool now. A configuration that moves the last service with load probes away from a pool leaves its waiting requests behind; these were then taken from the queue and put back without end, while the entry held its lock and appended to the list of rounds.

TestServiceMovesAwayWhileRequestsWaitForRoom never ended before (timed out in drainPool).

--- a/internal/core/loadprobes.go
+++ b/internal/core/loadprobes.go
@@ -58,9 +58,9 @@
 }
 
 // waitsForLoadProbe reports whether queued requests have to wait for a probe round that is under
-// way, or for the next one.
+// way, or for the next one. This also holds for requests of services that no longer use the pool.
 func (c *Core) waitsForLoadProbe(now time.Duration, p *pool) bool {
-	return p.usesLoadProbes() && (p.probingFor != 0 || now < p.probeAgainAt)
+	return p.probingFor != 0 || now < p.probeAgainAt
 }
 
 // placementView returns a request and its pool in the form that package placement uses.
--- a/internal/core/profilechange_test.go
+++ b/internal/core/profilechange_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/published"
+	"github.com/tealhall/tealhall/internal/route"
 )
 
 // republish publishes the profiles with parts of their text replaced.
@@ -85,3 +86,30 @@
 		t.Errorf("%d deciders on ordinary days and %d during the close, want 3 and 6", before, after)
 	}
 }
+
+// Guards against an entry that never ends the work on a configuration which moves a service away from
+// a pool while its requests wait there for an endpoint with room.
+func TestServiceMovesAwayWhileRequestsWaitForRoom(t *testing.T) {
+	h := newEntryHarness(t, idleEndpoints(3, "d0")...)
+	h.learnServiceTime(3)
+	for _, ep := range h.endpoints {
+		ep.running, ep.waiting = 2, 4
+	}
+	for range 5 {
+		h.sendRequest(route.Idempotent, 3*sec)
+		h.run(20 * ms)
+	}
+	if h.pools["p"].queue.Len() == 0 {
+		t.Fatal("no request waits")
+	}
+	h.publish(2, harnessRoutes(route.Part{Service: "q", Weight: 1}))
+	h.run(100 * ms)
+	for _, ep := range h.endpoints {
+		ep.running, ep.waiting = 0, 0
+	}
+	h.serviceTime = 50 * ms
+	h.run(sec)
+	if len(h.sent) != 5 || h.InFlight() != 0 {
+		t.Errorf("%d requests sent of 5, %d in flight", len(h.sent), h.InFlight())
+	}
+}
