An endless answer to another request ends the exchange

Heads, informational answers, chunk sizes and trailers were bounded. The body of an answer to an earlier request was not: it was read until the deadline of the request in whose place it came, at the full rate of the VM's link (2.2 and 13.7 GB in 20 s on loopback). It now has at most 1 MB; beyond that the exchange fails at once, and an idempotent request may still be served by another endpoint.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -52,8 +52,12 @@
 	}
 }
 
-// maxStrayAnswers is the maximum number of answers to other requests that one exchange discards.
-const maxStrayAnswers = 2
+// Bounds of the answers to other requests that one exchange discards: their number, and the size of
+// the body of each.
+const (
+	maxStrayAnswers = 2
+	maxStrayBytes   = 1 << 20
+)
 
 // discardStray reads and discards an answer that belongs to another request.
 func (x *exchange) discardStray(resp *http.Response) error {
@@ -62,9 +66,13 @@
 		return &Error{Failure: BadAnswer, Address: x.out.Address, Cause: errStrayAnswer}
 	}
 	x.conn.unlimitHead()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	read, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes+1))
+	if err != nil {
 		return err
 	}
+	if read > maxStrayBytes {
+		return &Error{Failure: BadAnswer, Address: x.out.Address, Cause: errStrayAnswer}
+	}
 	x.conn.limitHead(x.connections.cfg.MaxResponseHeaderBytes)
 	return nil
 }
