wanted_age_s counts only while a search is under way

A search that ended left its begin in the view, so that the gauge showed an age of the search before while the next revision had not been reported by a peer yet. Found by reading.

--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -59,7 +59,8 @@
 // PublishedView describes a published value.
 type PublishedView struct {
 	InForce message.Mark
-	// Wanted is a later revision that is known to exist, or 0; Search describes the search for it.
+	// Wanted is a later revision that is known to exist, or 0; Search describes the search for it,
+	// if there is one.
 	Wanted uint64
 	Search assign.Search
 	// Refused is the latest revision that was found invalid, or 0, and RefusedWhy the reason.
@@ -263,7 +264,9 @@
 	if name == published.ProfilesValue && c.Routed() {
 		v.Problems = c.snapshot.Routes().Problems()
 	}
-	v.Search, _ = t.Search()
+	if search, searching := t.Search(); searching {
+		v.Search = search
+	}
 	v.ConfirmedAt, v.Confirmed = t.ConfirmedAt()
 	v.StaleAt, v.Stale = c.explained.staleAt[name]
 	return v
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -160,7 +160,7 @@
 			age = (f.now - v.ConfirmedAt).Seconds()
 		}
 		wantedFor := 0.0
-		if v.Wanted != 0 {
+		if v.Search.Revision != 0 {
 			wantedFor = (f.now - v.Search.Since).Seconds()
 		}
 		all = append(all,
