The simulated large fleet fetches its configuration

Until now only clusters of a few entries fetched in simulation, so nothing showed when a configuration is in force in a large fleet. The simulated fleet now has readers, fetches with the timeout of a call (1 s), parts, and links of 10 and 100 Mbit/s.

--- /dev/null
+++ b/internal/core/largeconfig_test.go
@@ -0,0 +1,188 @@
+package core
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tealhall/tealhall/internal/core/assign"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/profile"
+	"github.com/tealhall/tealhall/internal/published"
+)
+
+// Times and sizes of fetches in a large fleet.
+const (
+	largeReadTime = 4 * time.Millisecond   // a read of the configuration service
+	largeReadGap  = 100 * time.Millisecond // between two reads of a reader
+	largePart     = 64 << 10
+	// parseCost is the work on a megabyte of a configuration, on a whole core.
+	parseCost = 30 * time.Millisecond
+)
+
+// largeConfig is a configuration in a large fleet, with the size that its transfer takes.
+type largeConfig struct {
+	mark     message.Mark
+	snapshot *profile.Snapshot
+	bytes    int
+}
+
+// publishConfig has the readers find a new configuration from now on.
+func (f *largeFleet) publishConfig(revision uint64, bytes int) {
+	text, err := os.ReadFile("testdata/profiles.toml")
+	if err != nil {
+		f.Fatal(err)
+	}
+	data := []byte(strings.ReplaceAll(string(text), `deadline = "800ms"`, fmt.Sprintf(`deadline = "%dms"`, 800+revision)))
+	snapshot, err := profile.Parse(data, revision)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.config = &largeConfig{message.Mark{Revision: revision, Digest: xxhash.Sum64(data)}, snapshot, bytes}
+}
+
+// readConfig lets an entry that is a reader read the configuration.
+func (f *largeFleet) readConfig(e *largeEntry) {
+	if f.config == nil || !e.Reader() || f.now < e.readAt {
+		return
+	}
+	e.readAt = f.now + largeReadGap
+	config := f.config
+	f.post(largeReadTime, func() {
+		if f.cut(e.vm, e.vm) {
+			return
+		}
+		f.schedule(e, messageCost, func() {
+			e.PlatformAnswered(true)
+			f.offerConfig(e, config, assign.Platform)
+		})
+	})
+}
+
+func (f *largeFleet) offerConfig(e *largeEntry, c *largeConfig, source uint64) {
+	if e.InForce(published.ProfilesValue).Revision >= c.mark.Revision {
+		return
+	}
+	f.do(e, func(now time.Duration, out *Actions) {
+		e.Offer(now, OfferedValue{Name: published.ProfilesValue, Source: source, Mark: c.mark, Profiles: c.snapshot}, out)
+	})
+	e.config = c
+}
+
+// fetch runs a fetch of the configuration.
+func (f *largeFleet) fetch(e *largeEntry, get Fetch) {
+	if f.config == nil || get.Name != published.ProfilesValue {
+		return
+	}
+	ended := false
+	end := func(answered bool) {
+		if !ended && get.Planned {
+			f.schedule(e, 0, func() {
+				f.do(e, func(now time.Duration, _ *Actions) { e.FetchDone(now, get, answered) })
+			})
+		}
+		ended = true
+	}
+	f.post(callTimeout, func() { end(false) })
+	if get.Source == assign.Platform {
+		config := f.config
+		f.post(largeReadTime, func() {
+			if !f.cut(e.vm, e.vm) {
+				f.schedule(e, messageCost, func() { f.offerConfig(e, config, assign.Platform); end(true) })
+			}
+		})
+		return
+	}
+	to := f.byAddress[get.Address]
+	if !f.reaches(e, to) || !f.reaches(to, e) {
+		return
+	}
+	f.post(largeLag, func() {
+		f.schedule(to, messageCost, func() {
+			if to.config == nil || to.config.mark.Revision <= get.After {
+				f.post(largeLag, func() { end(true) })
+				return
+			}
+			f.sendParts(e, to, get, to.config, 0, end)
+		})
+	})
+}
+
+// sendParts sends the parts of a configuration from an offset on through the sender's link.
+func (f *largeFleet) sendParts(e, from *largeEntry, get Fetch, c *largeConfig, offset int, end func(answered bool)) {
+	size := min(largePart, c.bytes-offset)
+	from.linkFreeAt = max(from.linkFreeAt, f.now) + time.Duration(float64(size)/linkBytesPerSecond(from.vm)*float64(time.Second))
+	f.post(from.linkFreeAt-f.now+largeLag, func() {
+		if !f.reaches(from, e) || !f.reaches(e, from) {
+			return
+		}
+		complete := offset+size >= c.bytes
+		f.do(e, func(now time.Duration, _ *Actions) { e.FetchReceived(now, get, complete) })
+		if !complete {
+			f.sendParts(e, from, get, c, offset+size, end)
+			return
+		}
+		f.schedule(e, time.Duration(float64(parseCost)*float64(c.bytes)/(1<<20)), func() {
+			f.offerConfig(e, c, get.Source)
+			end(true)
+		})
+	})
+}
+
+// linkBytesPerSecond returns the rate of a VM's link: 10 Mbit/s for the smallest, else 100.
+func linkBytesPerSecond(vm int) float64 {
+	if vm%3 == 0 {
+		return 10e6 / 8
+	}
+	return 100e6 / 8
+}
+
+// Guards against a configuration that is in force late at some entries of a large fleet because
+// others fall silent just after they have it, or because it is large.
+func TestConfigurationIsInForceInLargeFleet(t *testing.T) {
+	t.Parallel()
+	const small, large = 4 << 10, 300 << 10
+	for _, n := range fleetSizes(t) {
+		for _, c := range []struct {
+			name   string
+			bytes  int
+			after  time.Duration // after the publication
+			silent func(e *largeEntry) bool
+		}{
+			{"all answer", small, 0, nil},
+			{"a tenth falls silent", small, 60 * ms, func(e *largeEntry) bool { return e.vm%10 == 3 }},
+			{"half of those that have it fall silent", small, 120 * ms, func(e *largeEntry) bool { return e.config != nil && e.config.mark.Revision == 2 && e.vm%2 == 0 }},
+			{"all that have it fall silent", small, 120 * ms, func(e *largeEntry) bool { return e.config != nil && e.config.mark.Revision == 2 }},
+			{"a failure domain falls silent", small, 150 * ms, func(e *largeEntry) bool { return e.hello.Domain == "d1" }},
+			{"large, all answer", large, 0, nil},
+			{"large, a tenth falls silent", large, 150 * ms, func(e *largeEntry) bool { return e.vm%10 == 3 }},
+		} {
+			t.Run(fmt.Sprint(n, " entries, ", c.name), func(t *testing.T) {
+				f := newLargeFleet(t, n)
+				f.publishConfig(1, c.bytes)
+				f.run(12 * sec)
+				for _, e := range f.vms {
+					if e.InForce(published.ProfilesValue).Revision != 1 {
+						t.Fatalf("%s has no configuration after its start", e.hello.Name)
+					}
+				}
+				f.publishConfig(2, c.bytes)
+				f.run(c.after)
+				silent := map[int]bool{}
+				for _, e := range f.vms {
+					silent[e.vm] = c.silent != nil && c.silent(e)
+				}
+				f.cut = func(from, to int) bool { return silent[from] || silent[to] }
+				took := c.after + f.until(20*sec, func(e *largeEntry) bool { return silent[e.vm] || e.InForce(published.ProfilesValue).Revision == 2 })
+				t.Logf("in force after %v", took)
+				if took > inForceLimit {
+					t.Errorf("in force at all entries in contact after %v, want at most %v", took, inForceLimit)
+				}
+			})
+		}
+	}
+}
--- a/internal/core/largefleetharness_test.go
+++ b/internal/core/largefleetharness_test.go
@@ -40,6 +40,8 @@
 	cut func(from, to int) bool
 	// cpuShare returns the share of a core that a VM has.
 	cpuShare func(vm int) float64
+	// config is the configuration of the configuration service, nil for none.
+	config *largeConfig
 }
 
 // largeEntry is one process of an entry.
@@ -57,6 +59,9 @@
 	redialAt       time.Duration
 	bytes          int // sent in updates and pulls, approximately
 	notes          []Note
+	config         *largeConfig  // in force
+	readAt         time.Duration // time of the next read of the configuration service
+	linkFreeAt     time.Duration // end of the transfers that this entry has begun
 }
 
 type event struct {
@@ -166,6 +171,7 @@
 	f.schedule(e, tickCost, func() {
 		f.do(e, func(now time.Duration, out *Actions) { e.Tick(now, time.Time{}.Add(f.now), out) })
 		f.updateLinks(e)
+		f.readConfig(e)
 		if p, due := e.PullDue(f.now - e.startedAt); due {
 			f.pull(e, p)
 		}
@@ -180,6 +186,9 @@
 	for _, u := range out.Updates {
 		f.send(e, u)
 	}
+	for _, get := range out.Fetches {
+		f.fetch(e, get)
+	}
 }
 
 func (f *largeFleet) reaches(from *largeEntry, to *largeEntry) bool {
