--- a/internal/core/profilechange_test.go
+++ b/internal/core/profilechange_test.go
@@ -90,26 +90,42 @@
 // Guards against an entry that never ends the work on a configuration which moves a service away from
 // a pool while its requests wait there for an endpoint with room.
 func TestServiceMovesAwayWhileRequestsWaitForRoom(t *testing.T) {
-	h := newEntryHarness(t, idleEndpoints(3, "d0")...)
-	h.learnServiceTime(3)
-	for _, ep := range h.endpoints {
-		ep.running, ep.waiting = 2, 4
-	}
-	for range 5 {
-		h.sendRequest(route.Idempotent, 3*sec)
-		h.run(20 * ms)
-	}
-	if h.pools["p"].queue.Len() == 0 {
-		t.Fatal("no request waits")
-	}
-	h.publish(2, harnessRoutes(route.Part{Service: "q", Weight: 1}))
-	h.run(100 * ms)
-	for _, ep := range h.endpoints {
-		ep.running, ep.waiting = 0, 0
-	}
-	h.serviceTime = 50 * ms
-	h.run(sec)
-	if len(h.sent) != 5 || h.InFlight() != 0 {
-		t.Errorf("%d requests sent of 5, %d in flight", len(h.sent), h.InFlight())
+	const requests = 5
+	toP, toQ := route.Part{Service: "p", Weight: 1}, route.Part{Service: "q", Weight: 1}
+	for _, c := range []struct {
+		name  string
+		moves [][]route.Part
+	}{
+		{"away", [][]route.Part{{toQ}}},
+		{"in part", [][]route.Part{{toP, toQ}}},
+		{"away and back", [][]route.Part{{toQ}, {toP}}},
+		{"away, back and away", [][]route.Part{{toQ}, {toP}, {toQ}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newEntryHarness(t, idleEndpoints(3, "d0")...)
+			h.learnServiceTime(3)
+			for _, ep := range h.endpoints {
+				ep.running, ep.waiting = 2, 4
+			}
+			for range requests {
+				h.sendRequest(route.Idempotent, 3*sec)
+				h.run(20 * ms)
+			}
+			if h.pools["p"].queue.Len() == 0 {
+				t.Fatal("no request waits")
+			}
+			for i, parts := range c.moves {
+				h.publish(uint64(2+i), harnessRoutes(parts...))
+				h.run(20 * ms)
+			}
+			for _, ep := range h.endpoints {
+				ep.running, ep.waiting = 0, 0
+			}
+			h.serviceTime = 50 * ms
+			h.run(sec)
+			if len(h.sent) != requests || h.InFlight() != 0 {
+				t.Errorf("%d requests sent of %d, %d in flight", len(h.sent), requests, h.InFlight())
+			}
+		})
 	}
 }
