--- a/internal/core/largeconfig_test.go
+++ b/internal/core/largeconfig_test.go
@@ -141,8 +141,19 @@
 	return 100e6 / 8
 }
 
+// leaveEndpoints has entries learn every gap, for a time, that another endpoint leaves.
+func (f *largeFleet) leaveEndpoints(gap, duration time.Duration) {
+	for at := time.Duration(0); at < duration; at += gap {
+		e := f.vms[f.rng.IntN(len(f.vms))]
+		leaving := message.Evidence{VM: fmt.Sprint("i-", at), Incarnation: 1, Kind: message.EvidenceLeaving}
+		f.post(at, func() {
+			f.schedule(e, 0, func() { e.fleet.gossip.Spread(f.now-e.startedAt, []message.Evidence{leaving}) })
+		})
+	}
+}
+
 // Guards against a configuration that is in force late at some entries of a large fleet because
-// others fall silent just after they have it, or because it is large.
+// others fall silent just after they have it, because many endpoints leave, or because it is large.
 func TestConfigurationIsInForceInLargeFleet(t *testing.T) {
 	t.Parallel()
 	const small, large = 4 << 10, 300 << 10
@@ -152,14 +163,17 @@
 			bytes  int
 			after  time.Duration // after the publication
 			silent func(e *largeEntry) bool
+			leave  time.Duration // between two endpoints that leave, 0 for none
 		}{
-			{"all answer", small, 0, nil},
-			{"a tenth falls silent", small, 60 * ms, func(e *largeEntry) bool { return e.vm%10 == 3 }},
-			{"half of those that have it fall silent", small, 120 * ms, func(e *largeEntry) bool { return e.config != nil && e.config.mark.Revision == 2 && e.vm%2 == 0 }},
-			{"all that have it fall silent", small, 120 * ms, func(e *largeEntry) bool { return e.config != nil && e.config.mark.Revision == 2 }},
-			{"a failure domain falls silent", small, 150 * ms, func(e *largeEntry) bool { return e.hello.Domain == "d1" }},
-			{"large, all answer", large, 0, nil},
-			{"large, a tenth falls silent", large, 150 * ms, func(e *largeEntry) bool { return e.vm%10 == 3 }},
+			{"all answer", small, 0, nil, 0},
+			{"endpoints leave", small, 0, nil, 20 * ms},
+			{"endpoints leave, a tenth falls silent", small, 60 * ms, func(e *largeEntry) bool { return e.vm%10 == 3 }, 20 * ms},
+			{"a tenth falls silent", small, 60 * ms, func(e *largeEntry) bool { return e.vm%10 == 3 }, 0},
+			{"half of those that have it fall silent", small, 120 * ms, func(e *largeEntry) bool { return e.config != nil && e.config.mark.Revision == 2 && e.vm%2 == 0 }, 0},
+			{"all that have it fall silent", small, 120 * ms, func(e *largeEntry) bool { return e.config != nil && e.config.mark.Revision == 2 }, 0},
+			{"a failure domain falls silent", small, 150 * ms, func(e *largeEntry) bool { return e.hello.Domain == "d1" }, 0},
+			{"large, all answer", large, 0, nil, 0},
+			{"large, a tenth falls silent", large, 150 * ms, func(e *largeEntry) bool { return e.vm%10 == 3 }, 0},
 		} {
 			t.Run(fmt.Sprint(n, " entries, ", c.name), func(t *testing.T) {
 				f := newLargeFleet(t, n)
@@ -170,6 +184,10 @@
 						t.Fatalf("%s has no configuration after its start", e.hello.Name)
 					}
 				}
+				if c.leave > 0 {
+					f.leaveEndpoints(c.leave, 4*sec)
+					f.run(sec)
+				}
 				f.publishConfig(2, c.bytes)
 				f.run(c.after)
 				silent := map[int]bool{}
