Any one of the remembered sources is asked in time, whichever others are silent

Four fetches under way at most left out the fifth source, the only one that answers, if three peers and the configuration service are silent: it was asked only when a call had ended, after 3 s by default. The bound is now one fetch for each remembered peer and one for the configuration service.

--- a/internal/core/assign/fetch.go
+++ b/internal/core/assign/fetch.go
@@ -28,8 +28,10 @@
 // source needs to answer.
 const sourcePatience = 400 * time.Millisecond
 
-// maxFetches bounds the fetches of one value that are under way at the same time.
-const maxFetches = 4
+// maxFetches bounds the fetches of one value that are under way at the same time: one from each
+// remembered peer and one from the configuration service, of which any may be the only one that
+// answers.
+const maxFetches = maxSources + 1
 
 // fetchPlan decides when to fetch next, and from where.
 type fetchPlan struct {
