Late revisions: the audit trail tells the transfer from what precedes and follows it

The line of a late revision had the number of fetches only. It does not tell whether the entry waited before it asked, whether the answer took long, or whether decoding and use took long, which are three of the hypotheses of the incident. It now has the time until the first fetch, the bytes, the time until the answer was whole, and the time until the revision was in force. Nothing is decided by it.

--- a/internal/core/assign/fetch.go
+++ b/internal/core/assign/fetch.go
@@ -98,6 +98,9 @@
 	p.underway = append(p.underway, pendingFetch{Fetch: f, heardAt: now})
 	p.attempt++
 	p.search.Fetches++
+	if p.search.FetchedAt == 0 {
+		p.search.FetchedAt = now
+	}
 	return f, true
 }
 
@@ -145,11 +148,18 @@
 	return Platform, fmt.Sprintf("no peer has reported a revision, %d are reachable", len(peers)), !platformAsked
 }
 
-// Received records that a source sent a part of its answer, or all of it.
-func (t *Tracker) Received(now time.Duration, f Fetch, complete bool) {
-	if i := t.plan.pendingIndex(f); i >= 0 {
-		pending := &t.plan.underway[i]
-		pending.heardAt, pending.received = now, complete
+// Received records that a source sent a part of its answer of the given size, and whether the answer
+// is complete.
+func (t *Tracker) Received(now time.Duration, f Fetch, bytes int, complete bool) {
+	i := t.plan.pendingIndex(f)
+	if i < 0 {
+		return
+	}
+	pending, search := &t.plan.underway[i], &t.plan.search
+	pending.heardAt, pending.received = now, complete
+	search.Bytes += bytes
+	if complete && search.ReceivedAt == 0 {
+		search.ReceivedAt = now
 	}
 }
 
--- a/internal/core/assign/tracker_test.go
+++ b/internal/core/assign/tracker_test.go
@@ -46,7 +46,7 @@
 		fetches[f.From] = f
 		return fmt.Sprintf("ask %d after %d", f.From, f.After)
 	case "received":
-		tr.Received(now, fetches[args["from"]], !flag("part"))
+		tr.Received(now, fetches[args["from"]], 0, !flag("part"))
 	case "done":
 		tr.Done(now, fetches[args["from"]], !flag("failed"), rng)
 	case "ready":
--- a/internal/core/largeconfig_test.go
+++ b/internal/core/largeconfig_test.go
@@ -121,7 +121,7 @@
 			return
 		}
 		complete := offset+size >= c.bytes
-		f.do(e, func(now time.Duration, _ *Actions) { e.FetchReceived(now, get, complete) })
+		f.do(e, func(now time.Duration, _ *Actions) { e.FetchReceived(now, get, size, complete) })
 		if !complete {
 			f.sendParts(e, from, get, c, offset+size, end)
 			return
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -112,7 +111,7 @@
 		why = slices.Clone(o.Profiles.Routes().Problems())
 	}
 	if known := now - search.Since; searched && o.Mark.Revision >= search.Revision && known >= lateSearch {
-		why = append(why, fmt.Sprintf("late: known for %v, %d fetches, %d without an answer", known.Round(time.Millisecond), search.Fetches, search.Unanswered))
+		why = append(why, "late: "+search.Describe(now))
 	}
 	note.Why = strings.Join(why, "; ")
 	out.note(note)
@@ -157,9 +156,10 @@
 // InForce returns the mark of the revision in force of the named published value.
 func (c *Core) InForce(name string) message.Mark { return c.tracker(name).InForce() }
 
-// FetchReceived records that the source of a fetch sent a part of its answer, or all of it.
-func (c *Core) FetchReceived(now time.Duration, f Fetch, complete bool) {
-	c.tracker(f.Name).Received(now, f.planned(), complete)
+// FetchReceived records that the source of a fetch sent a part of its answer of the given size, and
+// whether the answer is complete.
+func (c *Core) FetchReceived(now time.Duration, f Fetch, bytes int, complete bool) {
+	c.tracker(f.Name).Received(now, f.planned(), bytes, complete)
 }
 
 // FetchDone records that a fetch ended. The driver has passed a fetched value to Offer before.
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -142,7 +142,7 @@
 			klog.V(1).InfoS("could not read a value from the platform", "value", f.Name, "err", err)
 			return false
 		}
-		e.fetchReceived(f, true)
+		e.fetchReceived(f, len(value.Data), true)
 		e.offer(value, assign.Platform)
 		return true
 	}
--- a/internal/entry/documents.go
+++ b/internal/entry/documents.go
@@ -209,7 +209,7 @@
 	if err != nil {
 		return true, err
 	}
-	e.fetchReceived(f, true)
+	e.fetchReceived(f, 0, true)
 	v, err := decodeDocument(d)
 	if err != nil || v.Unchanged() {
 		return true, err
@@ -242,7 +242,7 @@
 // fetchParts fetches all parts of a document. It ends without data once the revision is in force,
 // which it may be by another fetch.
 func (e *Entry) fetchParts(ctx context.Context, f core.Fetch, request message.Fetch) (message.Document, error) {
-	whole, err := e.fetchPart(ctx, f.Address, request)
+	whole, err := e.fetchPart(ctx, f, request)
 	if err == nil && whole.Size > maxDocumentBytes {
 		return whole, fault.New(fault.BadMessage, "check the peer", "value %s has %d bytes, at most %d are accepted", f.Name, whole.Size, maxDocumentBytes)
 	}
@@ -252,10 +252,9 @@
 			whole.Data = nil
 			break
 		}
-		e.fetchReceived(f, false)
 		request.Offset = len(whole.Data)
 		var part message.Document
-		part, err = e.fetchPart(ctx, f.Address, request)
+		part, err = e.fetchPart(ctx, f, request)
 		if err == nil && (part.Revision != whole.Revision || len(part.Data) == 0) {
 			err = fault.New(fault.BadMessage, "check the peer", "value %s ended after %d of %d bytes", f.Name, request.Offset, whole.Size)
 		}
@@ -264,16 +263,21 @@
 	return whole, err
 }
 
-// fetchReceived tells the core that the source of a fetch sent a part of its answer, or all of it.
-func (e *Entry) fetchReceived(f core.Fetch, complete bool) {
+// fetchReceived tells the core that the source of a fetch sent a part of its answer of the given
+// size, and whether the answer is complete.
+func (e *Entry) fetchReceived(f core.Fetch, bytes int, complete bool) {
 	if f.Planned {
-		e.engine.event(func(now time.Duration, c *core.Core, _ *core.Actions) { c.FetchReceived(now, f, complete) })
+		e.engine.event(func(now time.Duration, c *core.Core, _ *core.Actions) { c.FetchReceived(now, f, bytes, complete) })
 	}
 }
 
 // fetchPart makes one call. Each part has fetchTimeout of its own.
-func (e *Entry) fetchPart(ctx context.Context, address string, f message.Fetch) (message.Document, error) {
+func (e *Entry) fetchPart(ctx context.Context, f core.Fetch, request message.Fetch) (message.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	return e.links.Fetch(ctx, address, f)
+	part, err := e.links.Fetch(ctx, f.Address, request)
+	if err == nil {
+		e.fetchReceived(f, len(part.Data), false)
+	}
+	return part, err
 }
