Failing test: a large configuration is late on small VMs

Simulated fleets with the users' links and shares (10 Mbit/s and 0.112 of a core, one VM in 36 with 200 Mbit/s and 0.8), a value of the largest size that the platform takes, the cost of decoding and parsing it, while endpoints leave, a tenth of the entries falls silent, or entries start. The harness had links of 100 Mbit/s for two entries in three and at most 300 KB; that test is unchanged but for the receiver's link, which now takes time as the sender's does.

--- a/internal/core/largefleetharness_test.go
+++ b/internal/core/largefleetharness_test.go
@@ -40,6 +40,8 @@
 	cut func(from, to int) bool
 	// cpuShare returns the share of a core that a VM has.
 	cpuShare func(vm int) float64
+	// linkRate returns the bytes per second of a VM's link, in each direction.
+	linkRate func(vm int) float64
 	// config is the configuration of the configuration service, nil for none.
 	config *largeConfig
 }
@@ -62,6 +64,7 @@
 	config         *largeConfig  // in force
 	readAt         time.Duration // time of the next read of the configuration service
 	linkFreeAt     time.Duration // end of the transfers that this entry has begun
+	receivedAt     time.Duration // end of the transfers to this entry
 }
 
 type event struct {
@@ -96,6 +99,7 @@
 	f := &largeFleet{TB: t, byAddress: map[string]*largeEntry{}, rng: rand.New(rand.NewPCG(7, uint64(n))), vms: make([]*largeEntry, n)}
 	f.cut = func(int, int) bool { return false }
 	f.cpuShare = func(vm int) float64 { return []float64{0.16, 0.32, 0.8}[vm%3] }
+	f.linkRate = linkBytesPerSecond
 	for vm := range n {
 		f.post(time.Duration(f.rng.IntN(300))*ms, func() { f.start(vm) })
 	}
