Thousands of routes are put in force without work that grows with their square

Each part of a route is a service of its own. A new service was looked for among all rows by name, and each service hashed all entries of the fleet anew, also when all of them had been chosen for the pool.

Rows are found by name, the number of entries of a service is counted once for each policy, and the assignment of a pool ends when it has all entries.

--- a/internal/core/assign/assign.go
+++ b/internal/core/assign/assign.go
@@ -86,6 +86,22 @@
 	return topOfPlaces(entries, domainOf, Key(scopeService, service), perDomain)
 }
 
+// CountServiceEntries returns the number of entries that ServiceEntries returns for any service.
+func CountServiceEntries(entries []Member, perDomain int) (count int) {
+	place, most := domainOf, perDomain
+	if perDomain == 0 {
+		place, most = regionOf, 1
+	}
+	sizes := make(map[string]int)
+	for i := range entries {
+		sizes[place(entries[i])]++
+	}
+	for _, size := range sizes {
+		count += min(size, most)
+	}
+	return count
+}
+
 // placeTop collects the entries of a place with the highest scores, the highest first.
 type placeTop struct {
 	place       string
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -116,6 +116,8 @@
 	services map[string]*service
 	// serviceRows lists the services by index; a removed service keeps its row.
 	serviceRows []*service
+	// rowsByService maps the names of services to their rows.
+	rowsByService map[string]*service
 	pools       map[string]*pool
 	poolRows    []*pool
 	// splits choose among the services of routes that lead to several services.
@@ -210,6 +212,8 @@
 		cfg:      cfg,
 		rng:      rng,
 		services: make(map[string]*service),
+
+		rowsByService: make(map[string]*service),
 		pools:    make(map[string]*pool),
 		requests: make(map[RequestID]*request),
 		keys:     idem.NewTable(cfg.Keys),
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -55,6 +55,9 @@
 	ownShare float64
 	// poolPeers are the entries that serve a pool which this entry also serves.
 	poolPeers map[uint64]bool
+	// serviceEntryCounts maps the number of entries per failure domain that a policy sets to the
+	// number of entries to which callers of its services are sent.
+	serviceEntryCounts map[int]int
 	// gossipPeers is scratch memory of Core.gossipPeers.
 	gossipPeers []gossip.Peer
 	// due, newEvidence and loadReports are scratch memory of composeUpdates.
@@ -126,6 +129,8 @@
 		}),
 		peers:     make(map[uint64]*peer),
 		poolPeers: make(map[uint64]bool),
+
+		serviceEntryCounts: make(map[int]int),
 		profiles:  assign.NewTracker(0, trackerConfig),
 		vms:       assign.NewTracker(0, trackerConfig),
 		rows:      make(map[string]endpointRef),
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -20,6 +20,7 @@
 func (c *Core) assignServices(now time.Duration) {
 	c.fleet.assignedVersion, c.fleet.assignedAt = c.fleet.entriesVersion, now
 	clear(c.fleet.poolPeers)
+	clear(c.fleet.serviceEntryCounts)
 	for _, p := range c.poolRows {
 		deciders := c.decidersOf(p)
 		p.serving = deciders[c.cfg.Self.Incarnation]
@@ -45,19 +46,33 @@
 }
 
 // decidersOf returns the pool's deciders: the entries to which callers of its services are sent,
-// and which therefore choose among its endpoints.
+// and which therefore choose among its endpoints. The services of a pool with thousands of routes
+// soon have all entries among them.
 func (c *Core) decidersOf(p *pool) map[uint64]bool {
 	chosen := make(map[uint64]bool)
 	for _, sv := range p.services {
-		entries := c.serviceEntries(sv)
-		sv.entries = len(entries)
-		for _, incarnation := range entries {
+		sv.entries = c.countServiceEntries(sv)
+		if len(chosen) == len(c.fleet.assignMembers) {
+			continue
+		}
+		for _, incarnation := range c.serviceEntries(sv) {
 			chosen[incarnation] = true
 		}
 	}
 	return chosen
 }
 
+// countServiceEntries returns the number of entries to which callers of a service are sent.
+func (c *Core) countServiceEntries(sv *service) int {
+	perDomain := sv.policy.EntriesPerDomain
+	count, known := c.fleet.serviceEntryCounts[perDomain]
+	if !known {
+		count = assign.CountServiceEntries(c.fleet.assignMembers, perDomain)
+		c.fleet.serviceEntryCounts[perDomain] = count
+	}
+	return count
+}
+
 // serviceEntries returns the entries to which callers of a service are sent.
 func (c *Core) serviceEntries(sv *service) []uint64 {
 	return c.incarnationsOf(assign.ServiceEntries(sv.name, c.fleet.assignMembers, sv.policy.EntriesPerDomain))
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -289,13 +289,12 @@
 
 // serviceRow returns the existing row of the service, or a new one.
 func (c *Core) serviceRow(name string) *service {
-	for _, sv := range c.serviceRows {
-		if sv.name == name {
-			return sv
-		}
+	if sv, ok := c.rowsByService[name]; ok {
+		return sv
 	}
 	sv := &service{name: name, index: int32(len(c.serviceRows))}
 	c.serviceRows = append(c.serviceRows, sv)
+	c.rowsByService[name] = sv
 	return sv
 }
 
