The strongest entries of a failure domain read the configuration service

All others wait while a reader receives and decodes a value. Readers were chosen by hash alone. Now the capacity that entries announce decides, and the hash among equals; where all are alike nothing changes.

--- a/internal/core/assign/assign.go
+++ b/internal/core/assign/assign.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 )
@@ -13,15 +14,21 @@
 )
 
 // Readers returns the IDs of up to perDomain entries of a failure domain that watch the
-// configuration service for all others, the highest score first.
-func Readers(entries []Member, domain string, perDomain int) []uint64 {
-	key, top := Key(scopeReader, domain), placeTop{place: domain}
-	for i := range entries {
-		if entries[i].Domain == domain {
-			top.add(Score(key, entries[i].ID), entries[i].ID, perDomain)
-		}
+// configuration service for all others, the first in rank first.
+func Readers(entries []Member, domain string, perDomain int) (readers []uint64) {
+	candidates := slices.DeleteFunc(slices.Clone(entries), func(m Member) bool { return m.Domain != domain })
+	slices.SortFunc(candidates, func(a, b Member) int { return compareReaders(&a, &b) })
+	for _, m := range candidates[:min(perDomain, len(candidates))] {
+		readers = append(readers, m.ID)
 	}
-	return top.ids
+	return readers
+}
+
+// compareReaders orders the entries of a failure domain as readers. The strongest come first, since
+// all others wait while a reader decodes a large value; among equals the rendezvous score decides.
+func compareReaders(a, b *Member) int {
+	key := Key(scopeReader, a.Domain)
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(Score(key, b.ID), Score(key, a.ID)))
 }
 
 // ReaderRank returns how many other entries of its failure domain precede the entry self as readers
@@ -31,11 +38,9 @@
 	if own < 0 {
 		return -1
 	}
-	domain, rank := entries[own].Domain, 0
-	key := Key(scopeReader, domain)
-	score := Score(key, self)
+	rank := 0
 	for i := range entries {
-		if entries[i].Domain == domain && Score(key, entries[i].ID) > score {
+		if entries[i].Domain == entries[own].Domain && compareReaders(&entries[i], &entries[own]) < 0 {
 			rank++
 		}
 	}
--- a/internal/core/assign/hash.go
+++ b/internal/core/assign/hash.go
@@ -18,6 +18,8 @@
 	ID     uint64
 	Region string
 	Domain string
+	// Capacity is the capacity of the entry's VM in thousandths of a core, 0 if it is not known.
+	Capacity uint32
 }
 
 // Key hashes a text for use with Score. The scope separates kinds of work, so that the same entry
--- a/internal/core/readers.go
+++ b/internal/core/readers.go
@@ -60,6 +60,10 @@
 		return
 	}
 	r.stale = false
+	for i := range f.readerCandidates {
+		m := &f.readerCandidates[i]
+		m.Capacity = c.capacityOf(&f.entries[f.byAssignID[m.ID]])
+	}
 	f.reader = assign.IsReader(f.selfAssignID, f.readerCandidates, c.cfg.ReadersPerDomain)
 	r.assigned, r.standbyGroup = r.assigned[:0], 0
 	if rank := assign.ReaderRank(f.selfAssignID, f.readerCandidates); rank >= 0 {
