--- a/internal/core/assign/fetch.go
+++ b/internal/core/assign/fetch.go
@@ -28,6 +28,10 @@
 // source needs to answer.
 const sourcePatience = 400 * time.Millisecond
 
+// leastPatience bounds the patience with a source while others are silent, which is halved for each of
+// them: four silent sources in a row take less than a second.
+const leastPatience = 100 * time.Millisecond
+
 // maxFetches bounds the fetches of one value that are under way at the same time: one from each
 // remembered peer and one from the configuration service, of which any may be the only one that
 // answers.
@@ -41,6 +45,10 @@
 	retryAt  time.Duration
 	failures int
 	attempt  int
+	// hintedAt is when a caller last named a revision that was not known, and hintPeerAsked whether a
+	// peer has been asked for it.
+	hintedAt      time.Duration
+	hintPeerAsked bool
 	// hintsIgnoredUntil is the time before which callers' hints are ignored.
 	hintsIgnoredUntil time.Duration
 	search            Search
@@ -53,7 +61,7 @@
 	heardAt time.Duration
 	// received says that the answer is complete and is being applied.
 	received bool
-	// overdue says that the source has sent nothing for sourcePatience. The fetch goes on, but
+	// overdue says that the source has sent nothing for too long. The fetch goes on, but
 	// others are not delayed by it.
 	overdue bool
 }
@@ -67,6 +75,11 @@
 	p.retryAt = now
 }
 
+// hintPatience is how long a revision that only a caller named is looked for at peers, before the
+// configuration service is asked. A caller often sees a revision just before this entry hears of it,
+// and each read of the service is a whole value.
+const hintPatience = 400 * time.Millisecond
+
 // addSource adds a peer that can provide a newer revision. An additional source makes a fetch due
 // after its delay, whatever failures preceded it.
 func (p *fetchPlan) addSource(now time.Duration, revision uint64, s Source) {
@@ -80,7 +93,7 @@
 }
 
 // Next returns the fetch that is due now, if any. The caller ends each fetch with Done. Until then
-// no other fetch is due, unless the source is silent for sourcePatience: a revision that several
+// no other fetch is due, unless the source is silent for too long: a revision that several
 // peers have is not delayed by the one that was asked first. peers are the reachable entries; an
 // entry without a revision in force asks them alternately with the configuration service.
 func (t *Tracker) Next(now time.Duration, peers []uint64, rng *rand.Rand) (Fetch, bool) {
@@ -90,7 +103,7 @@
 	if now < p.retryAt || p.isWaiting() || (!fresh && t.Wanted() == 0) {
 		return Fetch{}, false
 	}
-	from, why, ok := p.source(fresh, peers)
+	from, why, ok := p.source(now, fresh, peers)
 	if !ok {
 		return Fetch{}, false
 	}
@@ -104,12 +117,17 @@
 	return f, true
 }
 
-// noteOverdue looks for sources that have been silent for sourcePatience. Each counts as a failure.
+// noteOverdue looks for sources that have been silent for too long. Each counts as a failure.
 func (t *Tracker) noteOverdue(now time.Duration, rng *rand.Rand) {
 	p := &t.plan
+	patience := sourcePatience
 	for i := range p.underway {
 		f := &p.underway[i]
-		if f.overdue || f.received || now-f.heardAt < sourcePatience {
+		if f.overdue {
+			patience = max(patience/2, leastPatience)
+			continue
+		}
+		if f.received || now-f.heardAt < patience {
 			continue
 		}
 		f.overdue = true
@@ -130,21 +148,29 @@
 }
 
 // source picks the source for this attempt, which none of the fetches under way asks.
-func (p *fetchPlan) source(fresh bool, peers []uint64) (from uint64, why string, ok bool) {
+func (p *fetchPlan) source(now time.Duration, fresh bool, peers []uint64) (from uint64, why string, ok bool) {
 	platformAsked := p.asks(Platform)
 	if len(p.sources) > 0 {
 		if p.failures%platformEvery == platformEvery-1 && !platformAsked {
 			return Platform, fmt.Sprintf("%d fetches from peers failed", p.failures), true
 		}
-		if peer, found := p.sources.best(p.asks); found {
+		if peer, found := p.sources.best(now, p.asks); found {
 			return peer, "", true
 		}
+		if free, some := p.sources.nextFree(); some && now < free {
+			return 0, "", false
+		}
 		return Platform, "all peers that reported a revision are silent", !platformAsked
 	}
 	if fresh && len(peers) > 0 && (p.attempt%2 == 1 || platformAsked) {
 		peer := peers[(p.attempt/2)%len(peers)]
 		return peer, "", !p.asks(peer)
 	}
+	if !fresh && len(peers) > 0 && now < p.hintedAt+hintPatience {
+		peer, first := peers[p.attempt%len(peers)], !p.hintPeerAsked
+		p.hintPeerAsked = true
+		return peer, "", first
+	}
 	return Platform, fmt.Sprintf("no peer has reported a revision, %d are reachable", len(peers)), !platformAsked
 }
 
@@ -188,6 +214,8 @@
 	case answered && f.From != Platform && t.highestJudged() > f.After:
 		// The peer may be as far as the latest revision by now.
 		p.failures = 0
+	case answered && !fresh && f.From != Platform && p.sources.index(f.From) < 0:
+		// The peer was asked because of a caller's hint, which is no failure of the peer.
 	case answered:
 		p.handleMissing(now, f, t)
 		p.failures++
@@ -202,11 +230,29 @@
 }
 
 // scheduleRetry sets when the next fetch is due. After a failure a source that has not failed yet
-// is asked without a pause.
+// is asked without a pause, unless it is busy.
 func (t *Tracker) scheduleRetry(now time.Duration, failed bool, rng *rand.Rand) {
-	t.plan.retryAt = now
-	if !failed || !t.plan.sources.hasUntried() {
-		t.plan.retryAt += t.retryPause(rng)
+	free, some := t.plan.sources.nextFree()
+	if failed && some {
+		t.plan.retryAt = max(now, free)
+		return
+	}
+	t.plan.retryAt = now + t.retryPause(rng)
+}
+
+// Deferred ends a fetch whose source sends to others now and is to be asked again after wait. It is
+// no failure; other sources are asked meanwhile.
+func (t *Tracker) Deferred(now time.Duration, f Fetch, wait time.Duration) {
+	p := &t.plan
+	i := p.pendingIndex(f)
+	if i < 0 {
+		return // given up by Pause
+	}
+	p.underway = slices.Delete(p.underway, i, i+1)
+	p.sources.noteBusy(f.From, now+wait)
+	p.retryAt = now
+	if free, some := p.sources.nextFree(); some {
+		p.retryAt = max(now, free)
 	}
 }
 
--- a/internal/core/assign/sources.go
+++ b/internal/core/assign/sources.go
@@ -23,6 +23,8 @@
 type knownSource struct {
 	Source
 	failures int
+	// busyUntil is when a source that sends to others can be asked again.
+	busyUntil time.Duration
 }
 
 // sources are the peers that reported a newer revision than the one in force.
@@ -59,31 +61,41 @@
 	}
 }
 
-// hasUntried reports whether there is a source that has not failed to answer.
-func (l *sources) hasUntried() bool {
-	return slices.ContainsFunc(*l, func(known knownSource) bool { return known.failures == 0 })
+// noteBusy records that a source is to be asked again at a later time.
+func (l *sources) noteBusy(peer uint64, until time.Duration) {
+	if i := l.index(peer); i >= 0 {
+		(*l)[i].busyUntil = until
+	}
+}
+
+// nextFree returns when the first source that has not failed to answer can be asked, and whether
+// there is one.
+func (l *sources) nextFree() (at time.Duration, found bool) {
+	for _, known := range *l {
+		if known.failures == 0 && (!found || known.busyUntil < at) {
+			at, found = known.busyUntil, true
+		}
+	}
+	return at, found
 }
 
-// best returns the source to ask: of those for which isAsked is false the one with the fewest
-// failures, a near one first among equals, and whether there is one.
-func (l *sources) best(isAsked func(peer uint64) bool) (peer uint64, found bool) {
-	free := slices.DeleteFunc(slices.Clone(*l), func(known knownSource) bool { return isAsked(known.Peer) })
+// best returns the source to ask: of those that are not busy and for which isAsked is false the one
+// with the fewest failures, and whether there is one. Among equals a near one comes first, unless a
+// near one has failed to answer: the whole failure domain may be cut off or without power.
+func (l *sources) best(now time.Duration, isAsked func(peer uint64) bool) (peer uint64, found bool) {
+	free := slices.DeleteFunc(slices.Clone(*l), func(known knownSource) bool { return now < known.busyUntil || isAsked(known.Peer) })
 	if len(free) == 0 {
 		return 0, false
 	}
+	nearFirst := !slices.ContainsFunc(*l, func(known knownSource) bool { return known.Near && known.failures > 0 })
 	best := slices.MinFunc(free, func(a, b knownSource) int {
-		return cmp.Or(cmp.Compare(a.failures, b.failures), compareNear(a, b))
+		if byFailures := cmp.Compare(a.failures, b.failures); byFailures != 0 || a.Near == b.Near {
+			return byFailures
+		}
+		if a.Near == nearFirst {
+			return -1
+		}
+		return 1
 	})
 	return best.Peer, true
 }
-
-// compareNear orders near sources before others.
-func compareNear(a, b knownSource) int {
-	switch {
-	case a.Near == b.Near:
-		return 0
-	case a.Near:
-		return -1
-	}
-	return 1
-}
--- a/internal/core/assign/tracker.go
+++ b/internal/core/assign/tracker.go
@@ -165,6 +165,9 @@
 	return Newer
 }
 
+// IsLater reports whether a revision is later than the one in force and was not refused.
+func (t *Tracker) IsLater(m message.Mark) bool { return t.classify(m) == Newer }
+
 // Settle records the result of validating a newer text. It reports whether the revision is now in
 // force.
 func (t *Tracker) Settle(m message.Mark, accepted bool) bool {
@@ -203,6 +206,9 @@
 // ignored for HintPause, so that a caller that invents revisions causes few calls.
 func (t *Tracker) NoteCallerRevision(now time.Duration, revision uint64) {
 	if revision > t.highestJudged() && now >= t.plan.hintsIgnoredUntil {
+		if t.Wanted() == 0 {
+			t.plan.hintedAt, t.plan.hintPeerAsked = now, false
+		}
 		t.plan.requestRevision(now, revision)
 		t.updateSearch(now)
 	}
