A large configuration passes between entries packed, in turn, and before it is in force

The time grew with the size of the value and with the number of entries that ask, its bound does not. A change of one field on top of many routes took as long as the routes.

An entry passes on the packed text as it came. - An entry announces a revision when it has the text, not when it is in force. Each entry validates by itself; a refused revision is no longer announced. - Turns (commit before) decide who is sent parts, which have 32 KB now. - Peers are asked for profiles at once; the delays for other failure domains and for readers remain for the list. - A revision that is in force by a peer is not parsed again when the platform's answer has been decoded.

The harness models the packed sizes, lets other events in between slices of long work, as Go's scheduler does, and counts 40 ms a megabyte for parsing and use instead of 30.

Interfaces: peers of the release before get plain text as they ask for it, and are not told to wait.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -118,8 +118,8 @@
 	serviceRows []*service
 	// rowsByService maps the names of services to their rows.
 	rowsByService map[string]*service
-	pools       map[string]*pool
-	poolRows    []*pool
+	pools         map[string]*pool
+	poolRows      []*pool
 	// splits choose among the services of routes that lead to several services.
 	splits map[string]*split
 	// probing lists the requests with a probe round under way, supervised the requests whose
@@ -214,11 +214,11 @@
 		services: make(map[string]*service),
 
 		rowsByService: make(map[string]*service),
-		pools:    make(map[string]*pool),
-		requests: make(map[RequestID]*request),
-		keys:     idem.NewTable(cfg.Keys),
-		waiters:  make(map[idem.Key][]RequestID),
-		state:    message.EntryStarting,
+		pools:         make(map[string]*pool),
+		requests:      make(map[RequestID]*request),
+		keys:          idem.NewTable(cfg.Keys),
+		waiters:       make(map[idem.Key][]RequestID),
+		state:         message.EntryStarting,
 
 		explained:  newExplanations(),
 		quarantine: quarantine.NewTable(),
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -36,8 +36,10 @@
 	selfAssignID     uint64
 	peers            map[uint64]*peer
 	profiles         *assign.Tracker
-	vms              *assign.Tracker
-	nextCheck        time.Duration
+	// held is the latest revision of the profiles that peers can fetch although it is not in force.
+	held      message.Mark
+	vms       *assign.Tracker
+	nextCheck time.Duration
 	// evacuated lists the failure domains whose endpoints get no new work.
 	evacuated []Evacuation
 	// remembered are the entries that count for the ownership of cold endpoints, by assignID, as of
@@ -131,9 +133,9 @@
 		poolPeers: make(map[uint64]bool),
 
 		serviceEntryCounts: make(map[int]int),
-		profiles:  assign.NewTracker(0, trackerConfig),
-		vms:       assign.NewTracker(0, trackerConfig),
-		rows:      make(map[string]endpointRef),
+		profiles:           assign.NewTracker(0, trackerConfig),
+		vms:                assign.NewTracker(0, trackerConfig),
+		rows:               make(map[string]endpointRef),
 
 		remembered: make(map[uint64]rememberedEntry),
 		gossip:     gossip.New(gossipConfig),
--- a/internal/core/largeconfig_test.go
+++ b/internal/core/largeconfig_test.go
@@ -19,13 +19,19 @@
 const (
 	largeReadTime = 4 * time.Millisecond   // a read of the configuration service
 	largeReadGap  = 100 * time.Millisecond // between two reads of a reader
-	largePart     = 64 << 10
-	// parseCost is the work on a megabyte of a configuration, on a whole core. decodeCost is the work
-	// on a megabyte of the configuration service's answer, which a reader does besides.
-	parseCost  = 30 * time.Millisecond
+	largePart     = 32 << 10
+	// parseCost is the work to parse a megabyte of a configuration and put it in force, on a whole
+	// core. decodeCost is the work on a megabyte of the configuration service's answer, which a reader
+	// does besides, packCost and unpackCost that on a packed text.
+	parseCost  = 40 * time.Millisecond
 	decodeCost = 55 * time.Millisecond
-	// encodedShare is the size of the configuration service's answer, relative to the value.
+	packCost   = 4 * time.Millisecond
+	unpackCost = 3 * time.Millisecond
+	// encodedShare is the size of the configuration service's answer, packedShare that of a packed
+	// text, each relative to the value. changeBytes is the size of a change of one route.
 	encodedShare = 4.0 / 3
+	packedShare  = 0.15
+	changeBytes  = 300
 )
 
 // largestValue is the size of the largest value that the configuration service takes.
@@ -54,8 +60,21 @@
 		f.Fatal(err)
 	}
 	f.config = &largeConfig{message.Mark{Revision: revision, Digest: xxhash.Sum64(data)}, snapshot, bytes}
+	f.sizes[revision] = bytes
 }
 
+// packedBytes returns the size of a packed text for an entry that has revision after.
+func (f *largeFleet) packedBytes(c *largeConfig, after uint64) int {
+	new := c.bytes
+	if had, ok := f.sizes[after]; ok {
+		new = max(c.bytes-had, 0)
+	}
+	return changeBytes + int(packedShare*float64(new))
+}
+
+// linkShareOfTurns is the share of the link's rate with which an entry computes turns.
+const linkShareOfTurns = 0.9
+
 // readConfig lets an entry that is a reader read the configuration.
 func (f *largeFleet) readConfig(e *largeEntry) {
 	if f.config == nil || !e.Reader() || f.now < e.readAt {
@@ -65,24 +84,32 @@
 		e.readAt = f.now + largeReadGap
 		return
 	}
+	e.readAt = f.now + f.readTime(e, f.config) + largeReadGap
+	f.readPlatform(e, func() { e.PlatformAnswered(true) })
+}
+
+// readPlatform lets an entry read the configuration service's answer, decode it and use it.
+func (f *largeFleet) readPlatform(e *largeEntry, done func()) {
 	config := f.config
 	took := f.readTime(e, config)
-	e.readAt = f.now + took + largeReadGap
+	e.readsUntil = f.now + took
 	f.post(took, func() {
 		if f.cut(e.vm, e.vm) {
 			return
 		}
-		f.schedule(e, messageCost+costOf(decodeCost+parseCost, config.bytes), func() {
-			e.PlatformAnswered(true)
-			f.offerConfig(e, config, assign.Platform)
+		f.work(e, messageCost+costOf(decodeCost, config.bytes), func() {
+			f.holdConfig(e, config)
+			f.work(e, costOf(parseCost, config.bytes), func() {
+				done()
+				f.offerConfig(e, config, assign.Platform)
+			})
 		})
 	})
 }
 
 // readTime returns how long an answer of the configuration service takes to an entry.
 func (f *largeFleet) readTime(e *largeEntry, c *largeConfig) time.Duration {
-	e.receivedAt = max(e.receivedAt, f.now) + f.sendTime(e.vm, int(encodedShare*float64(c.bytes)))
-	return e.receivedAt - f.now + largeReadTime
+	return largeReadTime + f.sendTime(e.vm, int(encodedShare*float64(c.bytes)))
 }
 
 // sendTime returns how long bytes take on a VM's link.
@@ -90,6 +117,15 @@
 	return time.Duration(float64(bytes) / f.linkRate(vm) * float64(time.Second))
 }
 
+// holdConfig lets peers fetch a configuration from an entry.
+func (f *largeFleet) holdConfig(e *largeEntry, c *largeConfig) {
+	f.do(e, func(now time.Duration, out *Actions) {
+		if e.Hold(now, c.mark, out) {
+			e.config = c
+		}
+	})
+}
+
 func (f *largeFleet) offerConfig(e *largeEntry, c *largeConfig, source uint64) {
 	if e.InForce(published.ProfilesValue).Revision >= c.mark.Revision {
 		return
@@ -97,7 +133,6 @@
 	f.do(e, func(now time.Duration, out *Actions) {
 		e.Offer(now, OfferedValue{Name: published.ProfilesValue, Source: source, Mark: c.mark, Profiles: c.snapshot}, out)
 	})
-	e.config = c
 }
 
 // fetch runs a fetch of the configuration.
@@ -116,12 +151,7 @@
 	}
 	f.post(callTimeout, func() { end(false) })
 	if get.Source == assign.Platform {
-		config := f.config
-		f.post(f.readTime(e, config), func() {
-			if !f.cut(e.vm, e.vm) {
-				f.schedule(e, messageCost+costOf(decodeCost+parseCost, config.bytes), func() { f.offerConfig(e, config, assign.Platform); end(true) })
-			}
-		})
+		f.readPlatform(e, func() { end(true) })
 		return
 	}
 	to := f.byAddress[get.Address]
@@ -134,29 +164,65 @@
 				f.post(largeLag, func() { end(true) })
 				return
 			}
-			f.sendParts(e, to, get, to.config, 0, end)
+			size := f.packedBytes(to.config, get.After)
+			wait := to.turns.Ask(f.now, assign.TransferID{Peer: e.hello.Incarnation, Name: get.Name}, size, 0, min(size, largePart))
+			if wait > 0 {
+				ended = true
+				f.post(largeLag, func() {
+					f.schedule(e, messageCost, func() {
+						f.do(e, func(now time.Duration, out *Actions) { e.FetchDeferred(now, get, wait, out) })
+					})
+				})
+				return
+			}
+			f.pack(to, get.After, func() { f.sendParts(e, to, get, to.config, 0, end) })
 		})
 	})
 }
 
-// sendParts sends the parts of a configuration from an offset on through the sender's link.
+// pack lets an entry pack its configuration for peers with a revision, unless it has done so or has
+// received it in that form.
+func (f *largeFleet) pack(e *largeEntry, after uint64, done func()) {
+	if e.packedFor[after] == e.config.mark.Revision {
+		done()
+		return
+	}
+	e.packedFor[after] = e.config.mark.Revision
+	f.work(e, costOf(packCost, e.config.bytes), done)
+}
+
+// sendParts sends the parts of a configuration from an offset on through the links of both entries.
 func (f *largeFleet) sendParts(e, from *largeEntry, get Fetch, c *largeConfig, offset int, end func(answered bool)) {
-	size := min(largePart, c.bytes-offset)
+	whole := f.packedBytes(c, get.After)
+	size := min(largePart, whole-offset)
+	if offset > 0 {
+		from.turns.Ask(f.now, assign.TransferID{Peer: e.hello.Incarnation, Name: get.Name}, whole, offset, size)
+	}
 	from.linkFreeAt = max(from.linkFreeAt, f.now) + f.sendTime(from.vm, size)
-	e.receivedAt = max(e.receivedAt+f.sendTime(e.vm, size), from.linkFreeAt)
+	receiving := f.sendTime(e.vm, size)
+	if f.now < e.readsUntil {
+		receiving *= 2 // the link is shared with an answer of the configuration service
+	}
+	e.receivedAt = max(e.receivedAt+receiving, from.linkFreeAt)
 	f.post(e.receivedAt-f.now+largeLag, func() {
 		if !f.reaches(from, e) || !f.reaches(e, from) {
 			return
 		}
-		complete := offset+size >= c.bytes
+		complete := offset+size >= whole
 		f.do(e, func(now time.Duration, _ *Actions) { e.FetchReceived(now, get, size, complete) })
 		if !complete {
-			f.sendParts(e, from, get, c, offset+size, end)
+			f.post(largeLag, func() {
+				f.schedule(from, messageCost, func() { f.sendParts(e, from, get, c, offset+size, end) })
+			})
 			return
 		}
-		f.schedule(e, costOf(parseCost, c.bytes), func() {
-			f.offerConfig(e, c, get.Source)
-			end(true)
+		f.work(e, messageCost+costOf(unpackCost, c.bytes), func() {
+			e.packedFor[get.After] = c.mark.Revision
+			f.holdConfig(e, c)
+			f.work(e, costOf(parseCost, c.bytes), func() {
+				f.offerConfig(e, c, get.Source)
+				end(true)
+			})
 		})
 	})
 }
--- a/internal/core/largefleetharness_test.go
+++ b/internal/core/largefleetharness_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/core/assign"
 	"github.com/tealhall/tealhall/internal/core/member"
 	"github.com/tealhall/tealhall/internal/message"
 )
@@ -44,6 +45,8 @@
 	linkRate func(vm int) float64
 	// config is the configuration of the configuration service, nil for none.
 	config *largeConfig
+	// sizes holds the size of each revision of the configuration.
+	sizes map[uint64]int
 }
 
 // largeEntry is one process of an entry.
@@ -61,10 +64,13 @@
 	redialAt       time.Duration
 	bytes          int // sent in updates and pulls, approximately
 	notes          []Note
-	config         *largeConfig  // in force
+	config         *largeConfig      // the latest one that peers can fetch
+	packedFor      map[uint64]uint64 // the revision that is packed for peers with a revision
+	turns          *assign.Turns
 	readAt         time.Duration // time of the next read of the configuration service
 	linkFreeAt     time.Duration // end of the transfers that this entry has begun
 	receivedAt     time.Duration // end of the transfers to this entry
+	readsUntil     time.Duration // end of the answer of the configuration service
 }
 
 type event struct {
@@ -96,7 +102,7 @@
 
 // newLargeFleet starts n entries within 0.3 s; the first three are the seeds of all entries.
 func newLargeFleet(t testing.TB, n int) *largeFleet {
-	f := &largeFleet{TB: t, byAddress: map[string]*largeEntry{}, rng: rand.New(rand.NewPCG(7, uint64(n))), vms: make([]*largeEntry, n)}
+	f := &largeFleet{TB: t, byAddress: map[string]*largeEntry{}, sizes: map[uint64]int{}, rng: rand.New(rand.NewPCG(7, uint64(n))), vms: make([]*largeEntry, n)}
 	f.cut = func(int, int) bool { return false }
 	f.cpuShare = func(vm int) float64 { return []float64{0.16, 0.32, 0.8}[vm%3] }
 	f.linkRate = linkBytesPerSecond
@@ -131,7 +137,7 @@
 	h := message.Hello{Name: fmt.Sprintf("entry-%03d", vm), Incarnation: incarnation, Region: "r", Domain: fmt.Sprint("d", vm%5),
 		CallerAddress: fmt.Sprintf("10.0.%d.%d:80", vm/200, vm%200), PeerAddress: peerAddressAt(vm), Capacity: uint32(1000 * f.cpuShare(vm))}
 	e := &largeEntry{Core: New(DefaultConfig(h), rand.New(rand.NewPCG(1, incarnation))), vm: vm, hello: h, startedAt: f.now,
-		knownAddresses: map[string]bool{}, linked: map[string]bool{}}
+		knownAddresses: map[string]bool{}, linked: map[string]bool{}, packedFor: map[uint64]uint64{}, turns: assign.NewTurns(linkShareOfTurns * f.linkRate(vm))}
 	for seed := range 3 {
 		e.knownAddresses[peerAddressAt(seed)] = true
 	}
@@ -171,6 +177,19 @@
 	})
 }
 
+// timeSlice is how long the Go scheduler lets a goroutine run before others get their turn.
+const timeSlice = 10 * time.Millisecond
+
+// work runs a function on an entry after long work, which leaves other events their turns.
+func (f *largeFleet) work(e *largeEntry, cost time.Duration, run func()) {
+	slice := time.Duration(float64(timeSlice) * f.cpuShare(e.vm))
+	if cost <= slice {
+		f.schedule(e, cost, run)
+		return
+	}
+	f.schedule(e, slice, func() { f.work(e, cost-slice, run) })
+}
+
 func (f *largeFleet) tick(e *largeEntry) {
 	f.schedule(e, tickCost, func() {
 		f.do(e, func(now time.Duration, out *Actions) { e.Tick(now, time.Time{}.Add(f.now), out) })
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -139,7 +139,7 @@
 	return gossip.State{
 		State:      c.state,
 		Epoch:      c.keys.Epoch(),
-		Profiles:   c.InForce(published.ProfilesValue),
+		Profiles:   c.available(),
 		VMs:        c.InForce(published.VMsValue),
 		Reader:     c.reachesPlatform(),
 		NoEndpoint: c.fleet.noEndpoint,
@@ -319,10 +319,10 @@
 	c.fetchDue(now, out)
 }
 
-// Delays before a later revision is fetched from a peer. Traffic between failure domains is
-// expensive, and a peer in the same domain usually has the revision a moment later. An entry that
-// reads the configuration service gets the revision from there, once a series of changes is over.
-// Both delays are far below the seconds within which a revision has to be in force.
+// Delays before a later list of VMs is fetched from a peer. Traffic between failure domains is
+// expensive, and a peer in the same domain usually has the list a moment later. An entry that reads
+// the configuration service gets the list from there, once a series of changes is over. The profiles
+// change rarely and have to be in force soon, so they are asked for at once.
 const (
 	farSourceDelay    = 150 * time.Millisecond
 	readerSourceDelay = 450 * time.Millisecond
@@ -332,7 +332,7 @@
 func (c *Core) sourceOf(peer uint64, t *assign.Tracker) assign.Source {
 	source := assign.Source{Peer: peer, Near: c.isNear(peer)}
 	switch {
-	case t.InForce().Revision == 0: // an entry that starts asks without delay
+	case t == c.fleet.profiles || t.InForce().Revision == 0: // no delay
 	case c.reachesPlatform():
 		source.Delay = readerSourceDelay
 	case !source.Near:
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -126,13 +126,20 @@
 
 // fetch gets a published value from a peer or the configuration service.
 func (e *Entry) fetch(f core.Fetch) {
-	answered := e.fetchFrom(f)
-	if f.Planned {
-		e.engine.event(func(now time.Duration, c *core.Core, _ *core.Actions) { c.FetchDone(now, f, answered) })
+	answered, deferred := e.fetchFrom(f)
+	if !f.Planned {
+		return
 	}
+	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) {
+		if deferred > 0 {
+			c.FetchDeferred(now, f, deferred, out)
+			return
+		}
+		c.FetchDone(now, f, answered)
+	})
 }
 
-func (e *Entry) fetchFrom(f core.Fetch) bool {
+func (e *Entry) fetchFrom(f core.Fetch) (answered bool, deferred time.Duration) {
 	if f.Source == assign.Platform {
 		klog.InfoS("reading a value of the platform", "value", f.Name, "why", f.Why)
 		ctx, cancel := context.WithTimeout(e.life, fetchTimeout)
@@ -140,11 +147,11 @@
 		value, err := e.platform.Read(ctx, f.Name)
 		if err != nil {
 			klog.V(1).InfoS("could not read a value from the platform", "value", f.Name, "err", err)
-			return false
+			return false, 0
 		}
 		e.fetchReceived(f, len(value.Data), true)
 		e.offer(value, assign.Platform)
-		return true
+		return true, 0
 	}
 	return e.fetchFromPeer(e.life, f)
 }
--- a/internal/entry/documents_test.go
+++ b/internal/entry/documents_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/tealhall/tealhall/internal/fault"
@@ -51,7 +52,7 @@
 	if err != nil || parts < 2 {
 		t.Fatalf("error %v after %d further parts", err, parts)
 	}
-	v, err := decodeDocument(document)
+	v, err := decodeDocument(document, published.Text{})
 	if err != nil || v.Revision != 1 || v.List.VMs[0].Incarnation != 1 || len(v.List.VMs) != endpoints {
 		t.Fatalf("revision %d, error %v", v.Revision, err)
 	}
@@ -64,25 +65,34 @@
 // Guards against a large configuration that peers never get as a whole because it changes while
 // they fetch its parts.
 func TestProfilesArePassedOnWhileTheyChange(t *testing.T) {
-	profilesOf := func(revision uint64) published.Value {
-		return published.Value{Name: published.ProfilesValue, Revision: revision, Data: bytes.Repeat([]byte{byte(revision)}, 5*documentPartBytes/2)}
-	}
-	var d documents
-	d.putProfiles(profilesOf(1))
-	revision := uint64(1)
-	document, err := fetchAll(t, &d, message.Fetch{Name: published.ProfilesValue, Packed: true}, func() {
-		revision++
-		d.putProfiles(profilesOf(revision))
-		if _, err := d.answer(message.Fetch{Name: published.ProfilesValue, Packed: true}); err != nil {
-			t.Fatal(err)
+	profilesOf := func(revision uint64) published.Text {
+		data := make([]byte, 5*documentPartBytes/2)
+		random := rand.NewChaCha8([32]byte{byte(revision)})
+		_, _ = random.Read(data)
+		return published.Text{Revision: revision, Data: data}
+	}
+	for _, compressed := range []bool{false, true} {
+		var d documents
+		d.profiles.add(profilesOf(1), 0, nil)
+		revision := uint64(1)
+		document, err := fetchAll(t, &d, message.Fetch{Name: published.ProfilesValue, Packed: true, Compressed: compressed}, func() {
+			revision++
+			d.profiles.add(profilesOf(revision), 0, nil)
+			if _, err := d.answer(message.Fetch{Name: published.ProfilesValue, Packed: true, Compressed: compressed, After: revision - 1, Difference: true}); err != nil {
+				t.Fatal(err)
+			}
+		})
+		if err != nil || revision < 3 || document.Revision != 1 {
+			t.Fatalf("revision %d while revision %d came into force, error %v", document.Revision, revision, err)
+		}
+		got, err := decodeDocument(document, published.Text{})
+		if err != nil || !bytes.Equal(got.Data, profilesOf(1).Data) {
+			t.Errorf("compressed %v: %d bytes, error %v", compressed, len(got.Data), err)
+		}
+		whole, err := d.answer(message.Fetch{Name: published.ProfilesValue})
+		if err != nil || !bytes.Equal(whole.Data, profilesOf(revision).Data) {
+			t.Errorf("an older entry is sent %d bytes of revision %d, error %v", len(whole.Data), whole.Revision, err)
 		}
-	})
-	if err != nil || revision < 3 || document.Revision != 1 || !bytes.Equal(document.Data, profilesOf(1).Data) {
-		t.Errorf("revision %d, %d bytes while revision %d came into force, error %v", document.Revision, len(document.Data), revision, err)
-	}
-	whole, err := d.answer(message.Fetch{Name: published.ProfilesValue})
-	if err != nil || !bytes.Equal(whole.Data, profilesOf(revision).Data) {
-		t.Errorf("an older entry is sent %d bytes of revision %d, error %v", len(whole.Data), whole.Revision, err)
 	}
 }
 
@@ -118,7 +128,7 @@
 	if err != nil || toOlder.Difference || toOlder.Packed {
 		t.Fatalf("an older entry is sent %+v, error %v", toOlder, err)
 	}
-	fromOlder, err := decodeDocument(toOlder)
+	fromOlder, err := decodeDocument(toOlder, published.Text{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -126,7 +136,7 @@
 		t.Errorf("the text of an older entry: %+v, error %v", list, err)
 	}
 	older := message.Document{Name: published.VMsValue, Revision: 2, Difference: true, Data: []byte(`{"rows":[],"digest":1}`)}
-	if _, err := decodeDocument(older); fault.KindOf(err) != fault.BadMessage {
+	if _, err := decodeDocument(older, published.Text{}); fault.KindOf(err) != fault.BadMessage {
 		t.Errorf("difference of an older entry: error %v, want one of kind BadMessage", err)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 
 	"github.com/tealhall/tealhall/internal/audit"
 	"github.com/tealhall/tealhall/internal/core"
+	"github.com/tealhall/tealhall/internal/core/assign"
 	"github.com/tealhall/tealhall/internal/fault"
 	"github.com/tealhall/tealhall/internal/forward"
 	"github.com/tealhall/tealhall/internal/forward/socket"
@@ -111,6 +112,7 @@
 	knownAddresses addressBook
 	trail          *audit.Trail
 	documents      documents
+	sending        sending
 	platform       *countedPlatform
 	liveness       livenessChecks
 	instruments    *instruments
@@ -176,6 +178,7 @@
 	e.instruments = newInstruments()
 	e.buildConnections(clock)
 	e.link = transfer.NewLink(linkConfig(&s.Limits, clock))
+	e.sending.turns = assign.NewTurns(linkConfig(&s.Limits, clock).Rate)
 	rng := rand.New(rand.NewPCG(incarnation, uint64(opts.Wall().UnixNano())))
 	e.engine = newEngine(core.New(e.coreConfig(), rng), clock, opts.Wall)
 	e.engine.execute = e.executeActions
--- a/internal/entry/metrics_gauges.go
+++ b/internal/entry/metrics_gauges.go
@@ -151,6 +151,8 @@
 		total("platform.glances_late", f.lateLivenessChecks),
 		total("platform.watches_renewed", f.renewedWatches),
 		gauge("platform.failing", float64(len(f.failingValues()))),
+		gauge("published.sending", float64(f.sentTo)),
+		gauge("published.send_waiting", float64(f.sendWaiting)),
 		total("published.stale", c.StaleProfiles),
 		total("published.refused", c.RefusedDocuments),
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -249,11 +249,19 @@
 }
 
 // Fetch implements peer.Handler.
-func (h *peerHandler) Fetch(f message.Fetch) (message.Document, error) {
+func (h *peerHandler) Fetch(peer uint64, f message.Fetch) (message.Document, error) {
+	e := (*Entry)(h)
 	if f.Name == message.RecordsValue {
-		return (*Entry)(h).unmarkedRecords(f.Marks)
+		return e.unmarkedRecords(f.Marks)
+	}
+	answer, err := e.documents.answer(f)
+	if err != nil || !f.MayDefer {
+		return answer, err
+	}
+	if wait := e.sending.ask(e.engine.clock(), peer, f, &answer); wait > 0 {
+		return message.Document{Name: f.Name, Revision: answer.Revision, AskAgainMillis: uint32(max(1, wait.Milliseconds()))}, nil
 	}
-	return (*Entry)(h).documents.answer(f)
+	return answer, nil
 }
 
 // unmarkedRecords returns the records that a peer lacks; marks identify the records that it has.
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -211,6 +211,12 @@
 	case v.Difference != nil:
 		return e.offerDifference(v.Difference, source)
 	}
+	if v.Name == published.ProfilesValue {
+		if e.isInForce(v, source) {
+			return true
+		}
+		e.hold(v, 0, nil)
+	}
 	offered := e.parse(v)
 	offered.Source = source
 	var inForce *profile.Snapshot
@@ -223,10 +229,12 @@
 			e.documents.putVMs(offered.VMs)
 			return
 		}
-		e.documents.putProfiles(v)
 		e.revision.Store(v.Revision)
 		inForce = offered.Profiles
 	})
+	if offered.Problem != nil {
+		e.documents.profiles.drop(v.Revision)
+	}
 	if inForce != nil {
 		e.setRouteLimits(inForce.Routes())
 		e.instruments.forgetServices(func(name string) bool { _, ok := inForce.Service(name); return ok })
@@ -234,6 +242,35 @@
 	return true
 }
 
+// isInForce reports whether the profiles are those in force, which need not be parsed again: a reader
+// often gets a revision from a peer while it decodes the configuration service's answer.
+func (e *Entry) isInForce(v published.Value, source uint64) (inForce bool) {
+	mark := markOf(v)
+	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) {
+		if inForce = c.InForce(v.Name) == mark; inForce {
+			c.Offer(now, core.OfferedValue{Name: v.Name, Mark: mark, Source: source}, out)
+		}
+	})
+	return inForce
+}
+
+// markOf returns the mark of a text.
+func markOf(v published.Value) message.Mark {
+	return message.Mark{Revision: v.Revision, Digest: xxhash.Sum64(v.Data)}
+}
+
+// hold lets peers fetch the text of a later revision before it is parsed and in force here: a step
+// from entry to entry then takes a transfer only. Each entry validates the text by itself. packed is
+// the form in which a peer sent the text, with the difference from revision after.
+func (e *Entry) hold(v published.Value, after uint64, packed []byte) {
+	mark := markOf(v)
+	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) {
+		if c.Hold(now, mark, out) {
+			e.documents.profiles.add(published.Text{Revision: v.Revision, Data: v.Data}, after, packed)
+		}
+	})
+}
+
 // offerDifference passes the changes of the list of VMs to the core. It returns false if they do not
 // fit the list in force.
 func (e *Entry) offerDifference(d *published.Difference, source uint64) (fits bool) {
@@ -266,7 +303,7 @@
 
 // parse parses a value's text. It takes no lock, since parsing a large document takes long.
 func (e *Entry) parse(v published.Value) core.OfferedValue {
-	o := core.OfferedValue{Name: v.Name, Mark: message.Mark{Revision: v.Revision, Digest: xxhash.Sum64(v.Data)}}
+	o := core.OfferedValue{Name: v.Name, Mark: markOf(v)}
 	if v.Name == published.VMsValue {
 		o.VMs, o.Problem = published.ParseVMs(v)
 		if o.Problem == nil {
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -47,6 +47,8 @@
 	process                   processStats
 	// transfers describes the large answers on the entry's link.
 	transfers transfer.Stats
+	// sentTo counts the peers that are being sent a value in parts, sendWaiting those that wait.
+	sentTo, sendWaiting int
 }
 
 // processStats are figures of the process from the operating system and the Go runtime.
@@ -73,6 +75,7 @@
 		process:            readProcess(),
 		transfers:          e.link.Stats(),
 	}
+	f.sentTo, f.sendWaiting = e.sending.counts()
 	e.engine.view(func(now time.Duration, c *core.Core) { f.now, f.view = now, c.View(now) })
 	f.view.Sort()
 	e.instruments.addRefusals(&f.view.Counters)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -210,6 +210,9 @@
 	Packed   bool
 	Offset   int
 	Revision uint64
+	// Compressed is set if the peer may answer with a packed text, and MayDefer if it may answer that
+	// it is to be asked again.
+	Compressed, MayDefer bool
 	// Marks are hashes of the records that the sender of a Fetch of RecordsValue already has.
 	Marks []uint32
 }
@@ -225,6 +228,11 @@
 	// may be a part of it, else 0.
 	Packed bool `cbor:"5,keyasint,omitempty"`
 	Size   int  `cbor:"6,keyasint,omitempty"`
+	// Compressed is set if Data is a part of a packed text.
+	Compressed bool `cbor:"7,keyasint,omitempty"`
+	// AskAgainMillis is after which time the peer is to be asked again, because it sends to others
+	// now. The document is empty then.
+	AskAgainMillis uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // Handover is a part of a sealed idempotency table. Parts may arrive in any order and more than
--- a/internal/peer/helper_test.go
+++ b/internal/peer/helper_test.go
@@ -150,7 +150,7 @@
 	return message.Ack{Accepted: !r.refuseUpdates}, nil
 }
 
-func (r *recordingHandler) Fetch(f message.Fetch) (message.Document, error) {
+func (r *recordingHandler) Fetch(_ uint64, f message.Fetch) (message.Document, error) {
 	if r.fetch == nil {
 		return message.Document{}, fault.New(fault.NotFound, "publish 100% of it", "no value %s", f.Name)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -26,8 +26,9 @@
 	Hello(message.Hello) (message.Hello, error)
 	// Update processes a regular message. The handler owns its slices.
 	Update(message.Update) (message.Ack, error)
-	// Fetch returns a published value of a later revision than the one in the request.
-	Fetch(message.Fetch) (message.Document, error)
+	// Fetch returns a published value of a later revision than the one in the request, to the peer
+	// with the given incarnation.
+	Fetch(peer uint64, f message.Fetch) (message.Document, error)
 	// Handover receives a part of a sealed idempotency table.
 	Handover(message.Handover) (message.Ack, error)
 }
--- a/internal/peer/receiver.go
+++ b/internal/peer/receiver.go
@@ -100,10 +100,11 @@
 }
 
 func (r *receiver) fetch(args message.Fetch) (message.Document, error) {
-	if _, err := r.requireHello(); err != nil {
+	peer, err := r.requireHello()
+	if err != nil {
 		return message.Document{}, err
 	}
-	document, err := r.session.server.handler.Fetch(args)
+	document, err := r.session.server.handler.Fetch(peer.Incarnation, args)
 	if err != nil {
 		return message.Document{}, err
 	}
