Nothing is fetched while the text of the latest revision is being parsed

Found by reading the change: when two sources were asked, the second fetch ended as soon as the first had brought the text, counted as one without a result, and further sources, in the end the platform, were asked for 0.1 to 0.3 s until the text was in force. The tracker knows the text that is held now; the core's own copy of that state is gone. The test fails without the condition in Next.

--- a/internal/core/assign/busysources_test.go
+++ b/internal/core/assign/busysources_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/tealhall/tealhall/internal/message"
 )
 
 // Guards against the configuration service being read, or a source being given up, because all
@@ -78,3 +80,35 @@
 		}
 	}
 }
+
+// Guards against a value that is fetched again, or read from the platform, while the text that this
+// entry has is still being parsed.
+func TestNothingIsFetchedWhileTextIsParsed(t *testing.T) {
+	tracker, rng := NewTracker(0, TrackerConfig{}), rand.New(rand.NewPCG(1, 1))
+	tracker.Settle(message.Mark{Revision: 1, Digest: 1}, true)
+	tracker.NotePeerRevision(0, 2, Source{Peer: 11})
+	tracker.NotePeerRevision(0, 2, Source{Peer: 12})
+	first, _ := tracker.Next(0, nil, rng)
+	second, due := tracker.Next(sourcePatience, nil, rng) // the first source is silent
+	if !due {
+		t.Fatal("no second source is asked")
+	}
+	if !tracker.Hold(message.Mark{Revision: 2, Digest: 2}) || tracker.Available().Revision != 2 {
+		t.Fatal("the text is not held")
+	}
+	tracker.Done(sourcePatience+10*ms, second, true, rng) // its answer is not needed any more
+	tracker.Done(sourcePatience+10*ms, first, true, rng)
+	for now := sourcePatience + 10*ms; now < time.Second; now += 10 * ms {
+		if f, due := tracker.Next(now, nil, rng); due {
+			t.Fatalf("%d is asked after %v", f.From, now)
+		}
+	}
+	tracker.NotePeerRevision(time.Second, 3, Source{Peer: 13})
+	if _, due := tracker.Next(time.Second+10*ms, nil, rng); !due {
+		t.Error("a still later revision is not fetched")
+	}
+	tracker.Settle(message.Mark{Revision: 2, Digest: 2}, false)
+	if got := tracker.Available().Revision; got != 1 {
+		t.Errorf("revision %d is available after the text was refused", got)
+	}
+}
--- a/internal/core/assign/fetch.go
+++ b/internal/core/assign/fetch.go
@@ -100,7 +100,7 @@
 	p := &t.plan
 	fresh := t.inForce.Revision == 0
 	t.noteOverdue(now, rng)
-	if now < p.retryAt || p.isWaiting() || (!fresh && t.Wanted() == 0) {
+	if now < p.retryAt || p.isWaiting() || (!fresh && t.Wanted() == 0) || t.isSettling() && t.held.Revision >= p.wanted {
 		return Fetch{}, false
 	}
 	from, why, ok := p.source(now, fresh, peers)
--- a/internal/core/assign/tracker.go
+++ b/internal/core/assign/tracker.go
@@ -100,6 +100,8 @@
 
 	inForce message.Mark
 	refused message.Mark
+	// held is the latest revision whose text this entry has, whether or not it is in force.
+	held message.Mark
 	// confirmedAt is when the configuration service last confirmed that inForce is its latest
 	// revision.
 	confirmedAt time.Duration
@@ -165,8 +167,27 @@
 	return Newer
 }
 
-// IsLater reports whether a revision is later than the one in force and was not refused.
-func (t *Tracker) IsLater(m message.Mark) bool { return t.classify(m) == Newer }
+// Hold records that this entry has the text of a revision, which it validates and settles next. It
+// reports whether the revision is later than all others that it has. Nothing is fetched meanwhile,
+// unless a still later revision is known.
+func (t *Tracker) Hold(m message.Mark) bool {
+	if m.Revision <= t.held.Revision || t.classify(m) != Newer {
+		return false
+	}
+	t.held = m
+	return true
+}
+
+// Available returns the mark of the latest revision that other entries can fetch from this one.
+func (t *Tracker) Available() message.Mark {
+	if t.isSettling() {
+		return t.held
+	}
+	return t.inForce
+}
+
+// isSettling reports whether the text of a later revision is being validated.
+func (t *Tracker) isSettling() bool { return t.held.Revision > t.highestJudged() }
 
 // Settle records the result of validating a newer text. It reports whether the revision is now in
 // force.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -36,10 +36,8 @@
 	selfAssignID     uint64
 	peers            map[uint64]*peer
 	profiles         *assign.Tracker
-	// held is the latest revision of the profiles that peers can fetch although it is not in force.
-	held      message.Mark
-	vms       *assign.Tracker
-	nextCheck time.Duration
+	vms              *assign.Tracker
+	nextCheck        time.Duration
 	// evacuated lists the failure domains whose endpoints get no new work.
 	evacuated []Evacuation
 	// remembered are the entries that count for the ownership of cold endpoints, by assignID, as of
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -145,7 +145,7 @@
 	return gossip.State{
 		State:      c.state,
 		Epoch:      c.keys.Epoch(),
-		Profiles:   c.available(),
+		Profiles:   c.fleet.profiles.Available(),
 		VMs:        c.InForce(published.VMsValue),
 		Reader:     c.reachesPlatform(),
 		NoEndpoint: c.fleet.noEndpoint,
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -95,9 +95,6 @@
 func (c *Core) putInForce(now time.Duration, t *assign.Tracker, o OfferedValue, note Note, out *Actions) {
 	if o.Problem != nil {
 		t.Settle(o.Mark, false)
-		if c.fleet.held == o.Mark {
-			c.fleet.held = message.Mark{}
-		}
 		c.counters.RefusedDocuments++
 		c.explained.refused[o.Name] = problemText(o.Problem)
 		note.Action, note.Why = "refused", o.Problem.Error()
@@ -175,24 +172,13 @@
 // revision is not validated and not in force yet. It reports whether the revision is later than all
 // others that this entry has.
 func (c *Core) Hold(now time.Duration, mark message.Mark, out *Actions) bool {
-	t := c.fleet.profiles
-	if mark.Revision <= c.fleet.held.Revision || !t.IsLater(mark) {
+	if !c.fleet.profiles.Hold(mark) {
 		return false
 	}
-	c.fleet.held = mark
 	c.composeUpdates(now, out)
 	return true
 }
 
-// available returns the mark of the latest revision of the profiles that peers can fetch.
-func (c *Core) available() message.Mark {
-	inForce := c.InForce(published.ProfilesValue)
-	if c.fleet.held.Revision > inForce.Revision {
-		return c.fleet.held
-	}
-	return inForce
-}
-
 // FetchDone records that a fetch ended. The driver has passed a fetched value to Offer before.
 func (c *Core) FetchDone(now time.Duration, f Fetch, answered bool) {
 	c.tracker(f.Name).Done(now, f.planned(), answered, c.rng)
