--- a/internal/core/assign/turns.go
+++ b/internal/core/assign/turns.go
@@ -73,8 +73,7 @@
 	return 0
 }
 
-// Waiting returns the number of peers that were told to ask again, and Sending the number of those
-// that are being sent a value.
+// Waiting returns the number of peers that were told to ask again.
 func (t *Turns) Waiting() int { return len(t.waiting) }
 
 // Sending returns the number of peers that are being sent a value in parts.
