--- a/internal/core/largeconfig_test.go
+++ b/internal/core/largeconfig_test.go
@@ -338,6 +338,7 @@
 	silent        func(e *largeEntry) bool
 	leave         time.Duration // between two endpoints that leave, 0 for none
 	starts        bool          // entries start meanwhile
+	fresh         bool          // the first configuration has been in force for a few seconds only
 }
 
 // Guards against a large configuration that is in force late on VMs with little processor time and
@@ -360,6 +361,16 @@
 	}
 }
 
+// Guards against a configuration of which entries hear late, because evidence on many endpoints that leave
+// goes to the same peers right after the fleet has started.
+func TestLargeConfigurationIsInForceSoonAfterStart(t *testing.T) {
+	t.Parallel()
+	for _, n := range fleetSizes(t) {
+		c := largeConfigCase{before: largestValue, bytes: largestValue, silent: func(e *largeEntry) bool { return e.vm%10 == 3 }, leave: 20 * ms, fresh: true}
+		t.Run(fmt.Sprint(n, " entries"), func(t *testing.T) { playLargeConfig(t, n, &c, true) })
+	}
+}
+
 // Guards against the same in a fleet without a strong VM, in which a reader needs more than a second
 // for the configuration service's answer.
 func TestLargeConfigurationIsInForceWhereAllVMsAreSmall(t *testing.T) {
@@ -379,7 +390,12 @@
 	f := newLargeFleet(t, n)
 	f.useSmallVMs(someStrong)
 	f.publishConfig(1, c.before)
-	f.run(15 * sec)
+	if c.fresh {
+		f.until(15*sec, func(e *largeEntry) bool { return e.InForce(published.ProfilesValue).Revision == 1 })
+		f.run(3 * sec)
+	} else {
+		f.run(15 * sec)
+	}
 	if c.leave > 0 {
 		f.leaveEndpoints(c.leave, 4*sec)
 		f.run(sec)
