--- a/internal/core/largeconfig_test.go
+++ b/internal/core/largeconfig_test.go
@@ -348,13 +348,13 @@
 	isTenth := func(e *largeEntry) bool { return e.vm%10 == 3 }
 	for _, n := range fleetSizes(t) {
 		for _, c := range []largeConfigCase{
-			{"routes are added", largestValue / 2, largestValue, nil, 0, false},
-			{"routes are added, endpoints leave", largestValue / 2, largestValue, nil, 20 * ms, false},
-			{"routes are added, a tenth falls silent", largestValue / 2, largestValue, isTenth, 0, false},
-			{"routes are added, entries start", largestValue / 2, largestValue, nil, 0, true},
-			{"all routes at once", 4 << 10, largestValue, nil, 0, false},
-			{"one route changes", largestValue, largestValue, nil, 0, false},
-			{"one route changes, endpoints leave, a tenth falls silent", largestValue, largestValue, isTenth, 20 * ms, false},
+			{name: "routes are added", before: largestValue / 2, bytes: largestValue},
+			{name: "routes are added, endpoints leave", before: largestValue / 2, bytes: largestValue, leave: 20 * ms},
+			{name: "routes are added, a tenth falls silent", before: largestValue / 2, bytes: largestValue, silent: isTenth},
+			{name: "routes are added, entries start", before: largestValue / 2, bytes: largestValue, starts: true},
+			{name: "all routes at once", before: 4 << 10, bytes: largestValue},
+			{name: "one route changes", before: largestValue, bytes: largestValue},
+			{name: "one route changes, endpoints leave, a tenth falls silent", before: largestValue, bytes: largestValue, silent: isTenth, leave: 20 * ms},
 		} {
 			t.Run(fmt.Sprint(n, " entries, ", c.name), func(t *testing.T) { playLargeConfig(t, n, &c, true) })
 		}
