--- a/internal/route/document.go
+++ b/internal/route/document.go
@@ -49,8 +49,8 @@
 // decodedRoutes maps the hashes of encoded routes to the routes. It is not modified once built.
 type decodedRoutes map[[sha256.Size]byte]Route
 
-// writtenByEntries leaves out a check that a document from Encode does not need.
-var writtenByEntries = jsontext.AllowDuplicateNames(true)
+// skipNameCheck leaves out the check for repeated names, which a document from Encode does not need.
+var skipNameCheck = jsontext.AllowDuplicateNames(true)
 
 // encodedDocument is a Document whose routes are decoded one by one.
 type encodedDocument struct {
@@ -66,7 +66,7 @@
 // Unknown fields are ignored, so that a later release may add fields.
 func (d *Decoder) Parse(data []byte) (*Table, error) {
 	var encoded encodedDocument
-	if err := json.Unmarshal(data, &encoded, writtenByEntries); err != nil {
+	if err := json.Unmarshal(data, &encoded, skipNameCheck); err != nil {
 		return nil, undecodable(err)
 	}
 	routes, err := d.decodeRoutes(encoded.Routes)
@@ -93,7 +93,7 @@
 		key := sha256.Sum256(value)
 		r, found := known[key]
 		if !found {
-			if err := json.Unmarshal(value, &r, writtenByEntries); err != nil {
+			if err := json.Unmarshal(value, &r, skipNameCheck); err != nil {
 				return nil, err
 			}
 		}
