--- a/review/testdata/trial/instance.go
+++ b/review/testdata/trial/instance.go
@@ -57,6 +57,8 @@
 	// its answers that it sends a second time, up to extraDelay later.
 	shedShare, extraShare float64
 	extraDelay            time.Duration
+	// lostShare is the share of the requests that it runs and whose answer is lost with the connection.
+	lostShare float64
 
 	store *store
 	l     net.Listener
@@ -146,6 +148,9 @@
 			return
 		}
 		answer := i.answer(r)
+		if answer == nil {
+			return
+		}
 		writing.Lock()
 		_, err = c.Write(answer)
 		writing.Unlock()
@@ -175,7 +180,7 @@
 	return fmt.Sprintf("%d,%d,%d,100", len(i.busy), i.waiting.Load(), i.slots)
 }
 
-// answer runs or rejects a request and returns the bytes of the answer.
+// answer runs or rejects a request and returns the bytes of the answer, nil if it is lost.
 func (i *instance) answer(r *http.Request) []byte {
 	id := r.Header.Get("X-Attempt-Id")
 	switch expected := r.Header.Get("X-Expect-Instance"); {
@@ -196,6 +201,10 @@
 	i.ledger.add(run{i.id, id, time.Now()})
 	i.log.add("run", i.id, "runs %s %s %s", id, r.Method, r.RequestURI)
 	time.Sleep(i.work)
+	if rand.Float64() < i.lostShare {
+		i.log.add("lost", i.id, "the answer to %s is lost", id)
+		return nil
+	}
 	return i.format(200, id, "X-Response-Signature: s."+id+"\r\n", "ran "+id+"\n")
 }
 
