--- a/review/testdata/trial/gone.go
+++ b/review/testdata/trial/gone.go
@@ -9,9 +9,9 @@
 func init() { cases["gone"] = goneInstance }
 
 const (
-	stormTime   = 4 * time.Second
+	stormTime   = 8 * time.Second // two in a row
 	stormGap    = 330 * time.Millisecond
-	removeAfter = 2500 * time.Millisecond
+	removeAfter = 6500 * time.Millisecond
 	drainWithin = 2 * time.Second
 	servesOn    = 3 * time.Second // drain_ms and a little longer
 	goneRounds  = 5
@@ -81,7 +81,7 @@
 	}
 	late := 0
 	for n := range goneRounds {
-		time.Sleep(4 * time.Second)
+		time.Sleep(3 * time.Second)
 		began, removed := time.Now(), time.Time{}
 		for time.Since(began) < stormTime {
 			if env.trouble {
