--- a/review/testdata/trial/extra.go
+++ b/review/testdata/trial/extra.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 )
@@ -39,8 +40,17 @@
 	defer s.close()
 	writeConfig(s, "00000007", map[string]route{
 		"r-xd9dnn2": {"host": "hulo84.example", "prefix": "/xapu221/", "kind": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 1000, "priority": 1, "service": "wuno96b", "max_attempts": 2},
-	}, "wuno96b")
+		"r-b9wu3fe": {"host": "jepu9.example", "prefix": "/lepu270/", "kind": "idempotent", "timeout_ms": 1500, "target_latency_ms": 400, "priority": 2, "service": "huvo11a", "max_attempts": 2},
+	}, "wuno96b", "huvo11a")
 	ran := &ledger{}
+	// Six sound instances of another service: one of seven is faulty.
+	for n := range 6 {
+		sound := &instance{id: fmt.Sprintf("i-%d1d0aa25", n), service: "huvo11a", zone: "bajio-a", slots: 2, work: 60 * time.Millisecond, ledger: ran, log: env.log}
+		if err := sound.start(s); err != nil {
+			return false, err
+		}
+		defer sound.end()
+	}
 	i := &instance{id: "i-7f3a91c2", service: "wuno96b", zone: "bajio-a", slots: 2, work: 60 * time.Millisecond, ledger: ran, log: env.log}
 	if env.trouble {
 		i.shedShare, i.extraShare, i.extraDelay = 0.3, 0.03, 120*time.Millisecond
--- a/review/testdata/trial/fleet.go
+++ b/review/testdata/trial/fleet.go
@@ -112,6 +112,8 @@
 	e.cmd = exec.Command("target/tealhalld", "--config", e.settings)
 	e.cmd.Stdout, e.cmd.Stderr = out, out
 	e.cmd.Env = append(os.Environ(), "TEALHALL_SETTINGS="+e.settings)
+	// The process ends with this one, however this one ends.
+	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return e.cmd.Start()
 }
 
--- a/review/testdata/trial/reuse.go
+++ b/review/testdata/trial/reuse.go
@@ -11,8 +11,8 @@
 const (
 	reuseBefore  = 6 * time.Second // calm traffic before the disruption
 	reuseWithin  = 2 * time.Second // addr_reuse_s
-	killAfter    = 400 * time.Millisecond
-	downFor      = 700 * time.Millisecond
+	killAfter    = 300 * time.Millisecond
+	downFor      = time.Second
 	recoverAfter = 15 * time.Second // recover_s
 	reuseAfter   = 20 * time.Second // traffic after recover_s
 	reuseBudget  = 4 * time.Second
@@ -29,10 +29,13 @@
 	}
 	defer s.close()
 	const reads, writes = "huvo11a", "wuno96b"
-	writeConfig(s, "00000007", map[string]route{
-		"r-b9wu3fe": {"host": "jepu9.example", "prefix": "/lepu270/", "kind": "idempotent", "timeout_ms": 1500, "target_latency_ms": 400, "priority": 2, "service": reads, "max_attempts": 2},
-		"r-xd9dnn2": {"host": "hulo84.example", "prefix": "/xapu221/", "kind": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 500, "priority": 1, "service": writes, "max_attempts": 2},
-	}, reads, writes)
+	write := func(version string) {
+		writeConfig(s, version, map[string]route{
+			"r-b9wu3fe": {"host": "jepu9.example", "prefix": "/lepu270/", "kind": "idempotent", "timeout_ms": 1500, "target_latency_ms": 400, "priority": 2, "service": reads, "max_attempts": 2},
+			"r-xd9dnn2": {"host": "hulo84.example", "prefix": "/xapu221/", "kind": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 500, "priority": 1, "service": writes, "max_attempts": 2},
+		}, reads, writes)
+	}
+	write("00000007")
 	ran := &ledger{}
 	zones := []string{"bajio-a", "bajio-b", "bajio-c"}
 	add := func(id, service, addr string, n int) (*instance, error) {
@@ -90,7 +93,8 @@
 		time.Sleep(reuseWithin)
 	}
 	time.Sleep(killAfter)
-	env.log.add("kill", "fleet", "the processes of all entries are killed")
+	write("0000000c")
+	env.log.add("kill", "fleet", "a config was acknowledged; the processes of all entries are killed")
 	f.killAll()
 	killed := time.Now()
 	time.Sleep(downFor)
