A connection carries each request name once

Cause: stray answers are told by the identifier that endpoints echo. All attempts at a request have the same one. The entry kept the connection after a rejection and sent the second attempt on it, so a late copy of the rejection passed for the answer to the second attempt. An identifier that names a request was read as if it named an attempt.

Change: a connection remembers hashes of the request names that it has carried and is not used again for one of them; after 256 it is closed.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -38,6 +38,7 @@
 		ContentLength: x.body.Length(),
 		Trailer:       x.request.Trailer,
 		Extra:         x.extraHeader(d),
+		Name:          x.requestName,
 		Once:          d.Once,
 		OpenOnly:      d.OpenOnly,
 		MaySend:       maySend,
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -5,8 +5,10 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"hash/maphash"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +46,9 @@
 	// malformed.
 	readErr error
 
+	// carried has the hashes of the names of the requests that the connection has carried.
+	carried []uint64
+
 	// index is the position in pool.all; guarded by the lock of the pool.
 	index int
 	// aliveAt is when the connection was set up or last delivered a whole answer.
@@ -112,6 +117,29 @@
 	return !c.encrypted && c.reader.Buffered() == 0 && c.inspector.ReadState() == socket.WouldBlock
 }
 
+// maxNamesPerConn is how many named requests one connection carries. It bounds the memory for their
+// names.
+const maxNamesPerConn = 256
+
+// nameSeed is the seed of the hashes of names. Callers choose the names.
+var nameSeed = maphash.MakeSeed()
+
+// carry records that the connection is used for a request of the given name.
+func (c *conn) carry(name string) {
+	if name != "" {
+		c.carried = append(c.carried, maphash.String(nameSeed, name))
+	}
+}
+
+// hasCarried reports whether the connection was used for a request of the given name. Two names with
+// the same hash cost no more than a new connection.
+func (c *conn) hasCarried(name string) bool {
+	return name != "" && slices.Contains(c.carried, maphash.String(nameSeed, name))
+}
+
+// isSpent reports whether the connection has carried as many named requests as it may.
+func (c *conn) isSpent() bool { return len(c.carried) >= maxNamesPerConn }
+
 // abort closes the connection for the given reason; only the first call has an effect. The endpoint
 // sees this as the cancellation of the request.
 func (c *conn) abort(reason Failure) {
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -144,7 +144,7 @@
 			return acquired{}, &Error{Failure: Closed, Address: address}
 		}
 		if !out.NewConn {
-			if idle := c.reuse(p, out.Once); idle != nil {
+			if idle := c.reuse(p, out); idle != nil {
 				return acquired{pool: p, conn: idle}, nil
 			}
 		}
@@ -170,16 +170,16 @@
 	}
 }
 
-// reuse returns an idle connection that can carry another request, or nil. If once is set, the
+// reuse returns an idle connection that can carry the request, or nil. If out.Once is set, the
 // connection must also have been alive within Config.FreshWithin.
-func (c *Connections) reuse(p *pool, once bool) *conn {
+func (c *Connections) reuse(p *pool, out *Outgoing) *conn {
 	now := c.cfg.Clock()
 	within := c.cfg.IdleTimeout
-	if once {
+	if out.Once {
 		within = min(within, c.cfg.FreshWithin)
 	}
 	for {
-		idle := p.takeIdle(now - within)
+		idle := p.takeIdle(now-within, out.Name)
 		if idle == nil {
 			return nil
 		}
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -146,6 +146,12 @@
 	return out
 }
 
+// outgoingAgain returns another attempt at the same request.
+func outgoingAgain(out Outgoing, body string) Outgoing {
+	out.Body = strings.NewReader(body)
+	return out
+}
+
 // exchangeText sends a request and returns the whole body of the answer.
 func exchangeText(c *Connections, out Outgoing) (string, Delivery, error) {
 	resp, delivery, err := c.Send(context.Background(), out)
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -41,24 +42,26 @@
 	stats  ConnStats
 }
 
-// takeIdle removes and returns the most recently used idle connection, if it was alive at the
-// time since or later. Otherwise it returns nil.
-func (p *pool) takeIdle(since time.Duration) *conn {
+// takeIdle removes and returns the most recently used idle connection that was alive at the time
+// since or later and has not carried a request of the given name. Otherwise it returns nil.
+func (p *pool) takeIdle(since time.Duration, name string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 || p.idle[last].aliveAt < since {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if c.aliveAt < since {
+			return nil
+		}
+		if !c.hasCarried(name) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return c
+	return nil
 }
 
 // reserve makes room for one more connection. If the limit is reached but some connections are
-// idle, which takeIdle did not return because they are too old for the request, it closes the
-// oldest of them. If all connections are busy, it returns a channel that is closed when the request
+// idle, which takeIdle did not return because they cannot carry the request, it closes the oldest of
+// them. If all connections are busy, it returns a channel that is closed when the request
 // should try again.
 func (p *pool) reserve(limit int, now time.Duration) (ok bool, freed <-chan struct{}) {
 	p.mu.Lock()
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -27,6 +27,9 @@
 	// canonical form. If it contains "Expect: 100-continue", the endpoint is asked before the body
 	// is sent. The same header in Request has this effect unless the body is small and in memory.
 	Extra http.Header
+	// Name identifies the request in all its attempts, "" if it has no name. A connection carries each
+	// name once: a late second answer to one attempt would otherwise pass for the answer to another.
+	Name string
 	// Once is set when the request must run at most once. It is then sent only on a new connection
 	// or on one that was alive within Config.FreshWithin.
 	Once bool
@@ -78,6 +81,7 @@
 		return nil, delivery, err
 	}
 	used := got.conn
+	used.carry(out.Name)
 	if out.MaySend != nil && !out.MaySend() {
 		got.pool.discard(used) // putIdle would count the connection as having delivered an answer
 		return nil, delivery, &Error{Failure: Withdrawn, Address: out.Address}
@@ -176,7 +180,7 @@
 // release ends the exchange after a whole answer. It keeps the connection for reuse if the answer
 // allows that and both the request and the answer are complete.
 func (x *exchange) release(reusable bool) {
-	reusable = reusable && x.strayAnswers == 0 && !x.conn.encrypted && !x.bodyPending && (x.upload == nil || x.upload.finished())
+	reusable = reusable && x.strayAnswers == 0 && !x.conn.encrypted && !x.conn.isSpent() && !x.bodyPending && (x.upload == nil || x.upload.finished())
 	watched := x.unwatch()
 	if reusable && watched && x.conn.reader.Buffered() == 0 {
 		x.pool.putIdle(x.conn, x.connections.cfg.Clock())
