A shared address no longer ends an endpoint for good

Cause: a starting entry read a list with two registrations of one address, an endpoint that had ended and the live one that got its address. Both have incarnation 1, so each row ended the one before it, by name; the end is final for the name and was spread to the fleet.

Change: the list carries the number at which the platform registered an endpoint. The later one has the address. A shared address is never evidence that an endpoint has ended: the earlier one is not used while both are listed. Where the order is unknown, the one applied last is used until its row is gone. Packed rows get a column for the number; a list of an older release reads as unknown order.

--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -23,8 +23,7 @@
 	heldAt time.Duration
 	// skipped holds the names of unusable rows of the latest list.
 	skipped map[string]bool
-	// conflicting holds the names of rows that were not accepted because of another VM at their
-	// address.
+	// conflicting holds the names of rows that are not used because of another VM at their address.
 	conflicting map[string]bool
 	// evacuated holds the failure domains that the latest list evacuates.
 	evacuated []string
@@ -56,7 +55,8 @@
 		changes = nil // already reported with this revision
 	}
 	t.list.revision, t.list.appliedAt, t.list.applied = l.Revision, now, true
-	t.list.vms, t.list.skipped, t.list.conflicting = vms, skipped, make(map[string]bool)
+	t.list.vms, t.list.skipped = vms, skipped
+	maps.DeleteFunc(t.list.conflicting, func(name string, _ bool) bool { _, listed := vms[name]; return !listed })
 	// Evacuation comes before the rows: endpoints that this list adds may be in an evacuated
 	// domain.
 	changes = append(changes, t.setEvacuated(l.Evacuated)...)
@@ -106,7 +106,6 @@
 // retryConflicting applies the rows that another VM at their address kept from being accepted.
 func (t *Table) retryConflicting(now time.Duration) (changes []Change) {
 	for _, name := range slices.Sorted(maps.Keys(t.list.conflicting)) {
-		delete(t.list.conflicting, name)
 		changes = append(changes, t.applyRow(now, t.list.vms[name])...)
 	}
 	return changes
@@ -194,9 +193,13 @@
 	if isEntry(vm) {
 		return t.applyEntryRow(now, vm)
 	}
-	changes, accepted := t.replaceByListed(now, vm)
+	var changes []Change
+	if r := t.rows[vm.Name]; r != nil && r.vm.Incarnation != vm.Incarnation {
+		changes = t.replaced(now, r, vm)
+	}
+	superseded, accepted := t.takeAddress(vm)
+	changes = append(changes, superseded...)
 	if !accepted {
-		t.list.conflicting[vm.Name] = true
 		return changes
 	}
 	r := t.rows[vm.Name]
@@ -262,26 +265,36 @@
 	return t.leave(now, r, "the platform's list marks it as leaving")
 }
 
-// replaceByListed ends the incarnation that the listed vm replaces, by name or by address. It
-// reports whether vm is accepted.
-func (t *Table) replaceByListed(now time.Duration, vm published.VM) (changes []Change, accepted bool) {
-	if r := t.rows[vm.Name]; r != nil && r.vm.Incarnation != vm.Incarnation {
-		changes = t.replaced(now, r, vm)
-	}
+// takeAddress drops the row of another endpoint at the address of a listed one, or reports that the
+// other one keeps the address.
+//
+// Neither is final: a list may name an endpoint that has ended beside the one that got its address,
+// and it does not always tell which of them is live. The end of an endpoint is known only from its
+// own row or its own answers.
+func (t *Table) takeAddress(vm published.VM) (changes []Change, accepted bool) {
 	r := t.byAddress(vm)
 	if r == nil {
-		return changes, true
+		delete(t.list.conflicting, vm.Name)
+		return nil, true
 	}
-	listedVM, both := t.list.vms[r.vm.Name]
-	if both && listedVM.Incarnation == r.vm.Incarnation && listedVM.Incarnation > vm.Incarnation {
-		return changes, false // the list has two VMs at one address; the one with the higher incarnation counts
+	if t.lists(vmKey{r.vm.Name, r.vm.Incarnation}) {
+		if r.vm.Supersedes(&vm) || t.list.conflicting[vm.Name] && !vm.Supersedes(&r.vm) {
+			t.list.conflicting[vm.Name] = true
+			return nil, false
+		}
+		t.list.conflicting[r.vm.Name] = true
 	}
-	return append(changes, t.replaced(now, r, vm)...), true
+	delete(t.list.conflicting, vm.Name)
+	return t.drop(r, replacedBy(vm)), true
+}
+
+// replacedBy says which VM replaced another one.
+func replacedBy(vm published.VM) string {
+	return fmt.Sprintf("%s, incarnation %d, replaced it", vm.Name, vm.Incarnation)
 }
 
 func (t *Table) replaced(now time.Duration, r *row, by published.VM) []Change {
-	why := fmt.Sprintf("%s, incarnation %d, replaced it", by.Name, by.Incarnation)
-	return t.end(now, r, message.EvidenceReplaced, why)
+	return t.end(now, r, message.EvidenceReplaced, replacedBy(by))
 }
 
 // refresh updates a row with the list's data on its VM except the state.
--- a/internal/published/difference.go
+++ b/internal/published/difference.go
@@ -54,12 +54,13 @@
 	} {
 		writeField(&hash, field)
 	}
-	var numbers [17]byte
+	var numbers [25]byte
 	binary.LittleEndian.PutUint64(numbers[:], vm.Incarnation)
 	binary.LittleEndian.PutUint64(numbers[8:], uint64(vm.Slots))
 	if vm.Cold {
 		numbers[16] = 1
 	}
+	binary.LittleEndian.PutUint64(numbers[17:], vm.Registered)
 	hash.Write(numbers[:])
 	*d ^= digest(hash.Sum64())
 }
--- a/internal/published/difference_test.go
+++ b/internal/published/difference_test.go
@@ -154,6 +154,7 @@
 		for range rapid.IntRange(0, 40).Draw(rt, "rows") {
 			vm := rowOf(rapid.IntRange(0, 99).Draw(rt, "name"), rapid.IntRange(0, 5).Draw(rt, "version"))
 			vm.Cold = rapid.Bool().Draw(rt, "cold")
+			vm.Registered = rapid.Uint64Range(0, 1<<40).Draw(rt, "registered")
 			vm.Pool = rapid.SampledFrom([]string{"p", "q"}).Draw(rt, "pool")
 			rows[vm.Name] = vm
 		}
--- a/internal/published/packed.go
+++ b/internal/published/packed.go
@@ -11,7 +11,7 @@
 // its JSON form and a tenth of the time to decode. A release may add keys; it must not change the
 // meaning of an existing one.
 type packedRows struct {
-	// Kinds are the distinct rows without name, incarnation and address.
+	// Kinds are the distinct rows without name, incarnation, address and order of registration.
 	Kinds []VM `cbor:"1,keyasint,omitempty"`
 	// The following have one element for each row; Kind is an index of Kinds.
 	Kind         []uint32 `cbor:"2,keyasint,omitempty"`
@@ -23,6 +23,8 @@
 	Evacuated []string `cbor:"7,keyasint,omitempty"`
 	After     uint64   `cbor:"8,keyasint,omitempty"`
 	Digest    uint64   `cbor:"9,keyasint,omitempty"`
+	// Registered has one element for each row, or none.
+	Registered []uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // decodePacked limits the number of rows of one message.
@@ -77,12 +79,12 @@
 func packRows(rows []VM) packedRows {
 	p := packedRows{
 		Kind: make([]uint32, len(rows)), Names: make([]string, len(rows)),
-		Incarnations: make([]uint64, len(rows)), Addresses: make([]string, len(rows)),
+		Incarnations: make([]uint64, len(rows)), Addresses: make([]string, len(rows)), Registered: make([]uint64, len(rows)),
 	}
 	kinds := make(map[VM]uint32)
 	for i, vm := range rows {
-		p.Names[i], p.Incarnations[i], p.Addresses[i] = vm.Name, vm.Incarnation, vm.Address
-		vm.Name, vm.Incarnation, vm.Address = "", 0, ""
+		p.Names[i], p.Incarnations[i], p.Addresses[i], p.Registered[i] = vm.Name, vm.Incarnation, vm.Address, vm.Registered
+		vm.Name, vm.Incarnation, vm.Address, vm.Registered = "", 0, "", 0
 		kind, found := kinds[vm]
 		if !found {
 			kind = uint32(len(p.Kinds))
@@ -106,7 +108,10 @@
 		return p, nil, fault.Wrap(err, fault.BadMessage, remedyPacked, "packed rows of the VM list are not readable")
 	}
 	n := len(p.Kind)
-	if len(p.Names) != n || len(p.Incarnations) != n || len(p.Addresses) != n {
+	if len(p.Registered) == 0 {
+		p.Registered = make([]uint64, n) // of a release that does not know the order of registration
+	}
+	if len(p.Names) != n || len(p.Incarnations) != n || len(p.Addresses) != n || len(p.Registered) != n {
 		return p, nil, fault.New(fault.BadMessage, remedyPacked, "packed rows of the VM list have columns of different lengths")
 	}
 	rows := make([]VM, n)
@@ -115,7 +120,7 @@
 			return p, nil, fault.New(fault.BadMessage, remedyPacked, "a packed row of the VM list has no kind")
 		}
 		rows[i] = p.Kinds[kind]
-		rows[i].Name, rows[i].Incarnation, rows[i].Address = p.Names[i], p.Incarnations[i], p.Addresses[i]
+		rows[i].Name, rows[i].Incarnation, rows[i].Address, rows[i].Registered = p.Names[i], p.Incarnations[i], p.Addresses[i], p.Registered[i]
 	}
 	return p, rows, nil
 }
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -123,6 +123,18 @@
 	Slots int `json:"slots,omitempty"`
 	// Cold marks an endpoint that was started or emptied a moment ago and can take few requests.
 	Cold bool `json:"cold,omitempty"`
+	// Registered orders the VMs by when the platform began to list them, 0 if that is unknown. Of two
+	// VMs at one address, the one that was registered later runs there.
+	Registered uint64 `json:"registered,omitempty"`
+}
+
+// Supersedes reports whether vm is known to have taken over the address of another VM: it was
+// registered later or, where that is unknown, has the higher incarnation.
+func (vm *VM) Supersedes(other *VM) bool {
+	if vm.Registered != 0 && other.Registered != 0 {
+		return vm.Registered > other.Registered
+	}
+	return vm.Incarnation > other.Incarnation
 }
 
 // VMList is the platform's list at one revision. It lags behind the actual state of the VMs.
