Changes of one value no longer delay the other of the same watch

Cause: one watch serves the configuration and the list. An event of either ends both waits, and the loop whose value had not changed took the immediate answer for a lagging replica and backed off, up to 2 s.

Change: a watch says that another value ended it, and the next one follows after the gap between changes.

Evidence: without the new condition TestChangesOfAnotherValueDoNotDelayThisOne fails: "paused for 2.27711201s, want at most 200ms".

--- a/internal/published/follow.go
+++ b/internal/published/follow.go
@@ -16,7 +16,7 @@
 type FollowOptions struct {
 	// Backoff spaces the attempts after a failure; fields that are zero have their defaults.
 	Backoff Backoff
-	// ChangeGap is the shortest time between two watches that deliver a change.
+	// ChangeGap is the shortest time between two watches that a change ends, of this value or another.
 	ChangeGap time.Duration
 	// Rand is used by the loop only.
 	Rand *rand.Rand
@@ -53,7 +53,8 @@
 //
 // After a failure, and after an immediate answer without a later revision, the loop waits for the
 // back-off. The latter prevents a tight loop of calls to a lagging replica or to a service that
-// ignores the wait parameter.
+// ignores the wait parameter. A watch that another value ended is none of these: the next one follows
+// after ChangeGap, since the value may change at any time meanwhile.
 func Follow(ctx context.Context, service Service, name string, after uint64, opts FollowOptions, deliver func(Value)) {
 	opts = opts.withDefaults()
 	for ctx.Err() == nil {
@@ -68,13 +69,16 @@
 			continue
 		}
 		deliver(value)
-		waited := opts.Now()-started >= minUnchangedWait
-		if value.Revision > after || waited {
+		took := opts.Now() - started
+		switch changed := value.Revision > after || value.OtherChanged; {
+		case changed:
 			opts.Backoff.Reset()
-			if remaining := opts.ChangeGap - (opts.Now() - started); value.Revision > after && remaining > 0 {
-				opts.Sleep(ctx, remaining)
+			if took < opts.ChangeGap {
+				opts.Sleep(ctx, opts.ChangeGap-took)
 			}
-		} else {
+		case took >= minUnchangedWait:
+			opts.Backoff.Reset()
+		default:
 			opts.Sleep(ctx, opts.Backoff.Next(opts.Rand))
 		}
 		after = max(after, value.Revision)
--- a/internal/published/follow_test.go
+++ b/internal/published/follow_test.go
@@ -26,6 +26,8 @@
 	revision uint64
 	waited   time.Duration
 	err      error
+	// otherChanged ends the watch because another value has changed.
+	otherChanged bool
 }
 
 func (s *scriptedService) Read(context.Context, string) (published.Value, error) {
@@ -41,7 +43,31 @@
 	s.steps = s.steps[1:]
 	s.askedFrom = append(s.askedFrom, after)
 	s.now += next.waited
-	return published.Value{Name: name, Revision: next.revision}, next.err
+	return published.Value{Name: name, Revision: next.revision, OtherChanged: next.otherChanged}, next.err
+}
+
+// Guards against a change that is seen late because another value that the same watch serves changes
+// often: the pauses between the watches must not grow.
+func TestChangesOfAnotherValueDoNotDelayThisOne(t *testing.T) {
+	const gap, changes = 200 * time.Millisecond, 50
+	ctx, cancel := context.WithCancel(context.Background())
+	service := &scriptedService{stop: cancel}
+	for range changes {
+		service.steps = append(service.steps, step{revision: 5, waited: gap / 4, otherChanged: true})
+	}
+	published.Follow(ctx, service, published.VMsValue, 5, published.FollowOptions{
+		ChangeGap: gap,
+		Backoff:   published.NewBackoff(time.Second, time.Minute),
+		Now:       func() time.Duration { return service.now },
+		Sleep: func(_ context.Context, d time.Duration) {
+			if service.now += d; d > gap {
+				t.Errorf("paused for %v, want at most %v", d, gap)
+			}
+		},
+	}, func(published.Value) {})
+	if len(service.askedFrom) != changes || service.now > changes*gap {
+		t.Errorf("%d watches took %v, want %d within %v", len(service.askedFrom), service.now, changes, changes*gap)
+	}
 }
 
 // The service fails, then recovers with a lagging replica that answers at once. Guards against a
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -30,6 +30,9 @@
 	// Problem is the reason why the current value of the service is unreadable, nil if it is
 	// readable. With a Problem, Revision and Data are those of the value that was read before.
 	Problem error
+	// OtherChanged reports that a watch ended without a change of this value because another value of
+	// the service changed.
+	OtherChanged bool
 }
 
 // Unchanged reports whether the value only confirms its revision.
