Incarnations grow with the start also within a second

Cause: an incarnation was the second of the start and 32 random bits. Of two starts of one entry within a second the later has the lower number in half of the cases. Peers then take its hello for a late one of an earlier process, refuse its updates and go on to rely on its predecessor, since the new process acknowledges what they send to the address.

Change: the start counts in units of 1/1024 s, with 22 random bits. The second keeps its place, so an upgraded entry has a higher number than its predecessor.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -261,9 +261,16 @@
 	return func() time.Duration { return time.Since(start) }
 }
 
-// incarnationOf generates the incarnation number of this process: the second of its start in the
-// upper half, so that later processes have higher numbers, and 32 random bits, so that no two
-// processes share a number.
+// The lower bits of an incarnation number: the fraction of the second in which the process started,
+// and random bits.
+const (
+	startFractionBits = 10
+	randomBits        = 22
+)
+
+// incarnationOf generates the incarnation number of this process: the time of its start in units of
+// 1/1024 s, so that later processes have higher numbers, and random bits, so that no two processes
+// share a number. The second of the start is in the upper half, as in earlier releases.
 func incarnationOf(opts Options) (uint64, error) {
 	if opts.Incarnation != 0 {
 		return opts.Incarnation, nil
@@ -272,7 +279,10 @@
 	if _, err := cryptorand.Read(random[:]); err != nil {
 		return 0, fault.Wrap(err, fault.Unavailable, "check the system's source of randomness", "cannot generate an incarnation number")
 	}
-	return uint64(opts.Wall().Unix())<<32 | uint64(binary.BigEndian.Uint32(random[:])), nil
+	started := opts.Wall()
+	fraction := uint64(started.Nanosecond()) << startFractionBits / uint64(time.Second)
+	start := uint64(started.Unix())<<startFractionBits | fraction
+	return start<<randomBits | uint64(binary.BigEndian.Uint32(random[:])>>(32-randomBits)), nil
 }
 
 // platformStartDelay returns how long a starting entry waits to hear from a peer before it reads
--- a/internal/idem/key.go
+++ b/internal/idem/key.go
@@ -33,9 +33,9 @@
 	// Home is the only entry incarnation that may dispatch the request.
 	//
 	// Two processes with the same Home could both run a key. The daemon prevents that: it makes a
-	// new number at each start of the process from the time of the start in seconds and 32 random
-	// bits. It never takes the number from settings, the VM or the platform, because these stay
-	// the same when a process restarts on its VM.
+	// new number at each start of the process from the time of the start and random bits. It never
+	// takes the number from settings, the VM or the platform, because these stay the same when a
+	// process restarts on its VM.
 	Home uint64
 	// Epoch is the home's key epoch in which the key was made.
 	Epoch uint32
