Routes are looked up by the path as it is forwarded

Change: the lookup of routes and of pipelining takes the escaped path, which is what is forwarded. A path whose prefix is encoded matches no route (404).

Evidence: with the old serve.go TestEncodedPathSelectsRouteAsSent fails: "/a/b%2F7 ran at i-reads: true".

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -97,7 +97,7 @@
 func (e *Entry) admission(r *http.Request) (a core.Admission) {
 	e.engine.view(func(_ time.Duration, c *core.Core) {
 		if e.options.RouteProfiles != nil {
-			a = c.AdmitRoute(r.Host, r.URL.Path)
+			a = c.AdmitRoute(r.Host, r.URL.EscapedPath())
 			return
 		}
 		a = c.Admit(serviceOf(r))
@@ -112,7 +112,7 @@
 		return false
 	}
 	may := false
-	e.engine.view(func(_ time.Duration, c *core.Core) { may = c.MayPipeline(serviceOf(r), r.Host, r.URL.Path) })
+	e.engine.view(func(_ time.Duration, c *core.Core) { may = c.MayPipeline(serviceOf(r), r.Host, r.URL.EscapedPath()) })
 	return may
 }
 
