Log which connection an attempt used and what it carried before

A request that is answered as not run can be believed unsent, or be refused by an answer; an answer can belong to the request, to an earlier attempt at it or to another request on the connection. The log line of a request did not say which. Each attempt now has the number of its connection, how many requests and probes that had carried before and how many answers to others were discarded on it; connections.stray_answers counts the latter. No decision changes.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -21,7 +21,7 @@
 		out.addDirective(Directive{ID: h.ID, Step: StepDiscard, Attempt: h.Attempt})
 		return
 	}
-	a.status = h.Status
+	a.status, a.conn = h.Status, h.Conn
 	if a.relay {
 		a.helperReason, a.retryAfter = h.Reason, h.RetryAfter
 	}
@@ -147,6 +147,9 @@
 		return
 	}
 	a.live, a.end, a.cause, a.took = false, e.Kind, e.Cause, now-a.sentAt
+	if e.Conn.Number != 0 {
+		a.conn = e.Conn
+	}
 	r.replayable = e.Replayable
 	if !a.toEntry() {
 		c.settleAttempt(now, r, a, e, out)
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -102,12 +102,24 @@
 	Unusable bool
 	// Connected is set if a new connection was opened for the attempt.
 	Connected bool
+	// Conn is the connection that was used, for the log.
+	Conn ConnUse
 	// Reason is why the entry to which the request was relayed refused it.
 	Reason Reason
 	// HomeLost is set if the entry to which the request was forwarded does not know its key.
 	HomeLost bool
 }
 
+// ConnUse says which connection an attempt used, and what else came on it.
+type ConnUse struct {
+	// Number identifies the connection within the entry's process, 0 if there was none.
+	Number uint64
+	// Carried is how many requests and probes the connection had carried before.
+	Carried int
+	// StrayAnswers counts the discarded answers to other requests.
+	StrayAnswers int
+}
+
 // Load is an endpoint's report of its own load.
 type Load struct {
 	Known    bool
@@ -166,6 +178,8 @@
 	DialFailed, Connected, NoOpenConn bool
 	// Cause names the fault, for the log; "" if there was none.
 	Cause string
+	// Conn is the connection that was used, for the log, if no head of an answer came on it.
+	Conn ConnUse
 	// Bytes is the size of the request's body and the answer's, if the answer was passed on
 	// completely.
 	Bytes int64
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -76,12 +76,13 @@
 	// more.
 	written, withdrawn bool
 	// endpoint is the endpoint's name, probedLoad and limit the load and rate limit that it had
-	// reported; end, cause and took describe the end of the attempt, for the request trace.
+	// reported; end, cause, took and conn describe the end of the attempt, for the request trace.
 	endpoint   string
 	probedLoad table.ProbedLoad
 	limit      float64
 	end        EndKind
 	cause      string
+	conn       ConnUse
 	took       time.Duration
 	// repeatSpent is set when the budget for the retry after this attempt was already spent.
 	repeatSpent bool
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -75,6 +75,11 @@
 	Status int  `json:"status,omitempty"`
 	// RetryAfterMillis is for how many milliseconds the endpoint asked for no more requests.
 	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
+	// Conn identifies the connection that was used, Carried is how many requests and probes it had
+	// carried before, Strays how many answers to other requests were discarded on it.
+	Conn    uint64 `json:"conn,omitempty"`
+	Carried int    `json:"carried,omitempty"`
+	Strays  int    `json:"strays,omitempty"`
 	// End is how the attempt ended, "running" if it had not ended; Cause names the fault, if any.
 	End   string `json:"end"`
 	Cause string `json:"cause,omitempty"`
@@ -132,6 +137,7 @@
 	return AttemptTrace{
 		Endpoint: a.endpoint, AtMillis: (a.sentAt - r.arrived).Milliseconds(), TookMillis: took.Milliseconds(),
 		Running: a.probedLoad.Running, Waiting: a.probedLoad.Waiting, Pace: a.probedLoad.Pace, AgeMillis: (a.sentAt - a.probedLoad.At).Milliseconds(), Limit: a.limit,
-		Second: a.hedge, Relay: a.relay, Status: a.status, RetryAfterMillis: a.retryAfter.Milliseconds(), End: a.end.String(), Cause: a.cause,
+		Second: a.hedge, Relay: a.relay, Status: a.status, RetryAfterMillis: a.retryAfter.Milliseconds(),
+		Conn: a.conn.Number, Carried: a.conn.Carried, Strays: a.conn.StrayAnswers, End: a.end.String(), Cause: a.cause,
 	}
 }
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -45,10 +45,13 @@
 		id := h.sendNamed(route.NonIdempotent, 3*sec, "lost")
 		h.run(20 * ms)
 		endpoint := h.open[id][1].Endpoint
-		h.do(func(out *Actions) { h.End(h.now, End{ID: id, Attempt: 1, Kind: EndLost, Replayable: true}, out) })
+		h.do(func(out *Actions) {
+			h.End(h.now, End{ID: id, Attempt: 1, Kind: EndLost, Replayable: true, Conn: ConnUse{Number: 7, Carried: 3, StrayAnswers: 1}}, out)
+		})
 		got := tracesOf(h, id, "lost")
 		if len(got) != 1 || got[0].Outcome != OutcomeUnknown || got[0].Reason != ReasonEndpointLost || len(got[0].Attempts) != 1 ||
-			got[0].Attempts[0].Endpoint != endpoint || got[0].Attempts[0].End != "lost" || got[0].Attempts[0].Second {
+			got[0].Attempts[0].Endpoint != endpoint || got[0].Attempts[0].End != "lost" || got[0].Attempts[0].Second ||
+			got[0].Attempts[0].Conn != 7 || got[0].Attempts[0].Carried != 3 || got[0].Attempts[0].Strays != 1 {
 			t.Errorf("%+v", got)
 		}
 	})
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -106,7 +106,7 @@
 		NewConn:  end.Probe.NewConn,
 		IsStray:  func(answer http.Header) bool { return e.dialect.IsStray(request.Header, answer) },
 	})
-	e.instruments.countConnection(delivery)
+	e.instruments.countDelivery(delivery)
 	if err != nil {
 		failure := forward.FailureOf(err)
 		end.Refused = failure == forward.DialRefused
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -46,7 +46,7 @@
 			return x.entry.dialect.IsStray(x.request.Header, answer)
 		},
 	})
-	x.entry.instruments.countConnection(delivery)
+	x.entry.instruments.countDelivery(delivery)
 	if err != nil {
 		cancel()
 		x.entry.engine.end(x.failedEnd(d, delivery, err))
@@ -81,7 +81,7 @@
 // exchange gets it; otherwise it is closed.
 func (x *exchange) handleHead(d core.Directive, response *http.Response, delivery forward.Delivery, cancel context.CancelFunc) {
 	head := x.headOf(d, response)
-	head.Connected = delivery.NewConn
+	head.Connected, head.Conn = delivery.NewConn, connUse(delivery)
 	waited := delivery.FirstByte - delivery.Started
 	commit, outcome := x.entry.engine.head(head)
 	if commit {
@@ -131,7 +131,7 @@
 // failedEnd classifies an attempt that failed before the head of an answer.
 func (x *exchange) failedEnd(d core.Directive, delivery forward.Delivery, err error) core.End {
 	failure := forward.FailureOf(err)
-	end := core.End{ID: d.ID, Attempt: d.Attempt, Kind: core.EndLost, Replayable: !x.body.Streamed(), Cause: failure.String()}
+	end := core.End{ID: d.ID, Attempt: d.Attempt, Kind: core.EndLost, Replayable: !x.body.Streamed(), Cause: failure.String(), Conn: connUse(delivery)}
 	switch failure {
 	case forward.ConnectionLost:
 		end.ConnBroken = true
@@ -157,6 +157,11 @@
 	return end
 }
 
+// connUse returns which connection a delivery used.
+func connUse(d forward.Delivery) core.ConnUse {
+	return core.ConnUse{Number: d.Conn, Carried: d.Carried, StrayAnswers: d.StrayAnswers}
+}
+
 // noteTooLarge records that the body failed because it exceeds its limit.
 func (x *exchange) noteTooLarge(err error) {
 	if bodyErr := (*front.BodyTooLargeError)(nil); !errors.As(err, &bodyErr) {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -66,6 +66,8 @@
 	// newConnections counts the attempts to open a connection to an endpoint or, for requests
 	// with a key, to another entry.
 	newConnections metrics.Counter
+	// strayAnswers counts the answers that were discarded because they belonged to other requests.
+	strayAnswers metrics.Counter
 	// atAdmission counts the requests that were refused before they reached the core, by reason;
 	// unknownAtAdmission counts those whose callers received the outcome unknown.
 	atAdmission        [reasonCount]atomic.Uint64
@@ -91,10 +93,12 @@
 		registry:       metrics.NewRegistry(),
 		addedLatency:   newHistogram(),
 		newConnections: metrics.NewCounter(),
+		strayAnswers:   metrics.NewCounter(),
 	}
 	m.gauges.registry = m.registry
 	m.register("entry.added_us", m.addedLatency)
 	m.register("connections.opened", m.newConnections)
+	m.register("connections.stray_answers", m.strayAnswers)
 	return m
 }
 
@@ -156,8 +160,10 @@
 	}
 }
 
-// countConnection counts the connection that was opened for a request or a probe, if any.
-func (m *instruments) countConnection(d forward.Delivery) {
+// countDelivery counts the connection that was opened for a request or a probe, if any, and the
+// answers that were discarded on it.
+func (m *instruments) countDelivery(d forward.Delivery) {
+	m.strayAnswers.Inc(int64(d.StrayAnswers))
 	if d.NewConn {
 		m.newConnections.Inc(1)
 	}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -46,6 +46,10 @@
 	// malformed.
 	readErr error
 
+	// number identifies the connection in this process. uses counts the requests and probes that it
+	// has carried.
+	number uint64
+	uses   int
 	// carried has the hashes of the names of the requests that the connection has carried.
 	carried []uint64
 
@@ -124,8 +128,9 @@
 // nameSeed is the seed of the hashes of names. Callers choose the names.
 var nameSeed = maphash.MakeSeed()
 
-// carry records that the connection is used for a request of the given name.
+// carry records that the connection is used for a request of the given name, "" for none.
 func (c *conn) carry(name string) {
+	c.uses++
 	if name != "" {
 		c.carried = append(c.carried, maphash.String(nameSeed, name))
 	}
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -12,6 +12,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -32,6 +33,9 @@
 	pools  map[string]*pool
 	closed bool
 
+	// lastConn is the number of the connection that was set up last.
+	lastConn atomic.Uint64
+
 	stop  chan struct{}
 	ended chan struct{}
 }
@@ -196,6 +200,9 @@
 func (c *Connections) dial(ctx context.Context, p *pool) (acquired, error) {
 	started := c.cfg.Clock()
 	fresh, err := c.connect(ctx, p.address)
+	if fresh != nil {
+		fresh.number = c.lastConn.Add(1)
+	}
 	p.dialed(fresh)
 	got := acquired{pool: p, conn: fresh, fresh: true, dial: c.cfg.Clock() - started}
 	if err == nil {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -60,6 +60,12 @@
 	NewConn bool
 	// Dial is how long setting up the connection took.
 	Dial time.Duration
+	// Conn is the number of the connection in this process, 0 without one, and Carried how many
+	// requests and probes it had carried before. StrayAnswers counts the answers that were discarded
+	// because they belonged to other requests.
+	Conn         uint64
+	Carried      int
+	StrayAnswers int
 	// Started is when writing the request began, and FirstByte when the first byte of an answer
 	// arrived. Each is zero if that did not happen.
 	Started, FirstByte time.Duration
@@ -81,6 +87,7 @@
 		return nil, delivery, err
 	}
 	used := got.conn
+	delivery.Conn, delivery.Carried = used.number, used.uses
 	used.carry(out.Name)
 	if out.MaySend != nil && !out.MaySend() {
 		got.pool.discard(used) // putIdle would count the connection as having delivered an answer
@@ -90,6 +97,7 @@
 	x.watchContext()
 	resp, err := x.run(&delivery)
 	delivery.Wrote = used.written.Load() > x.writtenBefore
+	delivery.StrayAnswers = x.strayAnswers
 	if err != nil {
 		return nil, delivery, x.fail(err)
 	}
--- a/internal/forward/stray_test.go
+++ b/internal/forward/stray_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -42,7 +43,10 @@
 			if text != c.want || FailureOf(err) != c.failure || !delivery.Wrote {
 				t.Fatalf("got %q, %v", text, err)
 			}
-			if _, again, _ := exchangeText(connections, out); !again.NewConn {
+			if strays := strings.Count(c.answers, "For: a"); delivery.StrayAnswers != strays || delivery.Conn != 1 || delivery.Carried != 0 {
+				t.Errorf("delivery %+v, want %d stray answers", delivery, strays)
+			}
+			if _, again, _ := exchangeText(connections, out); !again.NewConn || again.Conn != 2 {
 				t.Error("the connection was used again")
 			}
 		})
