One function says whether a request may have run

Refusals, refusals after a relay and requests whose caller left each computed the outcome; the second did not look at attempts under way, which its only caller excluded. All use the same function.

--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -107,7 +107,7 @@
 		r.pool.queue.Remove(uint64(r.arrival.ID))
 	}
 	c.endProbeRound(r)
-	repeated := r.attemptsOutcome != OutcomeNotRun || r.live() > 0
+	repeated := r.unansweredOutcome() != OutcomeNotRun
 	r.phase = phaseActive
 	r.dispatches++
 	r.relayedTo = append(r.relayedTo, helper.VM.Incarnation)
@@ -226,7 +226,7 @@
 	if after == 0 {
 		after = c.retryAfter(now, r, a.helperReason)
 	}
-	c.reply(r, r.attemptsOutcome, a.helperReason, after, out)
+	c.reply(r, r.unansweredOutcome(), a.helperReason, after, out)
 	c.finish(r, out)
 }
 
--- a/internal/core/reply.go
+++ b/internal/core/reply.go
@@ -37,13 +37,18 @@
 	out.addDirective(Directive{ID: a.ID, Step: StepReply, Outcome: outcome, Reason: reason, RetryAfter: after})
 }
 
-// fail ends a request with tealhall's own answer. The outcome is "not run" only if no
-// attempt may have run, and otherwise "unknown".
-func (c *Core) fail(now time.Duration, r *request, reason Reason, out *Actions) {
-	outcome := r.attemptsOutcome
+// unansweredOutcome is the outcome of a request that gets no endpoint's answer: "not run" only if no
+// attempt may have run or is under way, and otherwise "unknown".
+func (r *request) unansweredOutcome() Outcome {
 	if r.live() > 0 {
-		outcome = OutcomeUnknown
+		return OutcomeUnknown
 	}
+	return r.attemptsOutcome
+}
+
+// fail ends a request with tealhall's own answer.
+func (c *Core) fail(now time.Duration, r *request, reason Reason, out *Actions) {
+	outcome := r.unansweredOutcome()
 	c.reply(r, outcome, reason, c.retryAfter(now, r, reason), out)
 	c.settleKey(now, r, outcome, nil, out)
 	c.finish(r, out)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -401,11 +401,8 @@
 	if r.phase == phaseJoined {
 		c.removeWaiter(r)
 	}
-	c.now, r.callerGone, r.outcome = now, true, r.attemptsOutcome
-	if r.live() > 0 {
-		r.outcome = OutcomeUnknown
-	}
-	c.settleKey(now, r, r.attemptsOutcome, nil, out)
+	c.now, r.callerGone, r.outcome = now, true, r.unansweredOutcome()
+	c.settleKey(now, r, r.outcome, nil, out)
 	c.finish(r, out)
 	c.drainPool(now, p, out)
 	return false
