--- a/internal/published/vms.go
+++ b/internal/published/vms.go
@@ -76,16 +76,26 @@
 	return nil
 }
 
-// CheckVM validates a single VM, and returns nil if it can be used.
+// CheckVM validates a single VM that was registered, and returns nil if it can be used. Unlike a list
+// that another entry has accepted, it must not have an address of several VMs.
 func CheckVM(vm VM) error {
 	var found problems
 	checkVM(&vm, &found)
+	if address, err := netip.ParseAddrPort(vm.Address); err == nil && isShared(address.Addr()) {
+		found.add(&vm, "address %q is a multicast or broadcast address", vm.Address)
+	}
 	if found.count == 0 {
 		return nil
 	}
 	return fault.New(fault.PlatformAnswer, remedyVMs, "%s", strings.Join(found.texts, "; "))
 }
 
+// isShared reports whether packets to an address go to several VMs.
+func isShared(address netip.Addr) bool {
+	address = address.Unmap()
+	return address.IsMulticast() || address == netip.AddrFrom4([4]byte{255, 255, 255, 255})
+}
+
 // CheckDomain validates the name of an evacuated failure domain, and returns nil if it can be
 // used.
 func CheckDomain(name string) error {
