Endpoints that have left stay recorded when everything is read again

An endpoint that had left was listed again from the backup of a restored store, if the reader had read everything again in between: the new roster knew only the removals seen by that reading. It starts with the earlier ones now.

TestRemovedEndpointsAreRememberedWhenEverythingIsReadAgain failed before ("i-1 i-2 i-3" for "i-2 i-3").

--- a/internal/published/roster.go
+++ b/internal/published/roster.go
@@ -117,8 +117,11 @@
 }
 
 // RecordRemoved records the VMs of the earlier roster that are missing in r, which was read anew,
-// as removed.
+// as removed, after those that were removed before.
 func (r *Roster) RecordRemoved(before *Roster) {
+	if len(r.removed) == 0 {
+		r.removed = slices.Clone(before.removed)
+	}
 	for name := range before.vms {
 		if _, found := r.vms[name]; !found {
 			r.recordRemoval(name, before.reports[name])
