The time to keep a removed endpoint counts from its removal

Such endpoints are kept for 1.44 of 2 s in case the list is wrong, counted from when an entry hears of the removal; the list took over 0.56 s.

A difference of the list now says for how long each removed VM has been gone, each entry passes that on, and the time to keep an endpoint counts from there. A difference with removed VMs is preferred to the whole list, which cannot say so. Entries of an earlier release ignore the new column and count as before.

TestRemovedEndpointsAreKeptFromTheirRemoval failed before (2 endpoints for 1 and 0).

--- a/internal/core/member/finallist_test.go
+++ b/internal/core/member/finallist_test.go
@@ -55,6 +55,25 @@
 	}
 }
 
+// Guards against requests to the last endpoints of a pool that have left without a notice, at an entry
+// that hears of it late: the time for which they are kept counts from their removal.
+func TestRemovedEndpointsAreKeptFromTheirRemoval(t *testing.T) {
+	const last = 1440 * time.Millisecond
+	table := New(Config{Self: 1, Region: "r1", ListIsFinal: true, MissingAfter: 1400 * time.Millisecond, KeepLast: last})
+	table.ApplyList(0, published.VMList{Revision: 1, VMs: []published.VM{parseVM("a/1"), parseVM("b/1")}})
+	const heard = 10 * time.Second
+	table.ApplyDifference(heard, &published.Difference{After: 1, Revision: 2, Gone: []string{"a", "b"}, GoneAges: []time.Duration{650 * time.Millisecond, time.Second}})
+	for _, c := range []struct {
+		at   time.Duration
+		live int
+	}{{heard, 2}, {heard + last - time.Second, 1}, {heard + last - 651*time.Millisecond, 1}, {heard + last - 600*time.Millisecond, 0}} {
+		table.Tick(c.at)
+		if live := len(table.Endpoints(nil)); live != c.live {
+			t.Errorf("%d endpoints at %v, want %d", live, c.at, c.live)
+		}
+	}
+}
+
 // Guards against requests to endpoints that have left, where more leave at once than departures were
 // remembered: a list that lags names the first of them as live.
 func TestManyDeparturesAreRemembered(t *testing.T) {
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -93,7 +93,19 @@
 	}
 	// Without held losses, only a changed row can be lost.
 	t.list.held = false
-	return append(changes, t.markMissing(now, t.lostOf(d))...)
+	changes = append(changes, t.markMissing(now, t.lostOf(d))...)
+	t.dateMissing(now, d)
+	return changes
+}
+
+// dateMissing sets since when the rows have been missing that a difference has just removed. How long
+// they may be used counts from their removal, however late an entry hears of it.
+func (t *Table) dateMissing(now time.Duration, d *published.Difference) {
+	for i, name := range d.Gone {
+		if r := t.rows[name]; r != nil && r.missing && r.missingAt == now {
+			r.missingAt = now - d.GoneAge(i)
+		}
+	}
 }
 
 // unlist removes the row of a VM from the latest list.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -183,6 +183,7 @@
 	e.sending.turns = assign.NewTurns(linkConfig(&s.Limits, clock).Rate)
 	rng := rand.New(rand.NewPCG(incarnation, uint64(opts.Wall().UnixNano())))
 	e.engine = newEngine(core.New(e.coreConfig(), rng), clock, opts.Wall)
+	e.documents.vms.Clock = clock
 	e.engine.execute = e.executeActions
 	e.buildPeers()
 	e.routeLimits.Store(&front.Limits{})
--- a/internal/published/difference.go
+++ b/internal/published/difference.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,12 +21,23 @@
 	// Rows are the new and changed rows, Gone the names of the removed ones.
 	Rows []VM
 	Gone []string
+	// GoneAges is for how long each of Gone was known to be removed when the difference was made;
+	// empty if its maker does not know.
+	GoneAges []time.Duration
 	// Evacuated are the evacuated failure domains of the resulting list.
 	Evacuated []string
 	// Digest is the digest of the resulting list.
 	Digest uint64
 }
 
+// GoneAge returns the i-th of GoneAges, 0 if they are not known.
+func (d *Difference) GoneAge(i int) time.Duration {
+	if i >= len(d.GoneAges) {
+		return 0
+	}
+	return d.GoneAges[i]
+}
+
 // Check validates the rows of a difference that another process made.
 func (d *Difference) Check() error {
 	var found problems
--- a/internal/published/difference_test.go
+++ b/internal/published/difference_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -184,3 +185,46 @@
 		}
 	})
 }
+
+// Guards against an entry that counts the time since a VM's removal from when it hears of it: the age
+// of a removal passes from entry to entry, and does not depend on which revisions each has seen.
+func TestAgeOfRemovalPassesBetweenEntries(t *testing.T) {
+	now := time.Duration(0)
+	clock := func() time.Duration { return now }
+	rows := map[string]VM{}
+	for n := range 4 {
+		rows[rowOf(n, 0).Name] = rowOf(n, 0)
+	}
+	first, second, third := History{Clock: clock}, History{Clock: clock}, History{Clock: clock}
+	put := func(revision uint64, histories ...*History) {
+		list := listOf(rows, nil)
+		list.Revision = revision
+		for _, h := range histories {
+			h.Replace(list)
+		}
+	}
+	pass := func(from, to *History) Difference {
+		made, ok := from.Since(to.Revision())
+		sent, err := UnpackDifference(made.Revision, PackDifference(&made))
+		if !ok || err != nil || to.CheckFit(&sent) != nil {
+			t.Fatalf("difference %+v, %v, error %v", made, ok, err)
+		}
+		to.Apply(&sent)
+		return sent
+	}
+	put(1, &first, &second, &third)
+	clear(rows) // more VMs than are left
+	rows[rowOf(9, 0).Name] = rowOf(9, 0)
+	now = 10 * time.Second
+	put(2, &first)
+	now += 300 * time.Millisecond
+	if d := pass(&first, &second); d.GoneAge(0) != 300*time.Millisecond || len(d.Gone) != 4 {
+		t.Errorf("after 300 ms the difference is %+v", d)
+	}
+	rows[rowOf(8, 0).Name] = rowOf(8, 0)
+	put(3, &first, &second)
+	now += 400 * time.Millisecond
+	if d := pass(&second, &third); d.GoneAge(3) != 700*time.Millisecond {
+		t.Errorf("after 700 ms and another entry the difference is %+v", d)
+	}
+}
--- a/internal/published/history.go
+++ b/internal/published/history.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/tealhall/tealhall/internal/fault"
 )
@@ -11,6 +12,9 @@
 // with an earlier list can get the difference. The zero value is empty. It is not safe for
 // concurrent use.
 type History struct {
+	// Clock, if not nil, tells for how long VMs have been gone.
+	Clock func() time.Duration
+
 	rows      map[string]VM
 	evacuated []string
 	sum       digest
@@ -23,21 +27,28 @@
 // Digest returns the digest of the list.
 func (h *History) Digest() uint64 { return h.sum.withDomains(h.evacuated) }
 
+func (h *History) now() time.Duration {
+	if h.Clock == nil {
+		return 0
+	}
+	return h.Clock()
+}
+
 // Replace records a whole list of a later revision.
 func (h *History) Replace(list VMList) {
-	before, sum := h.rows, digest(0)
+	before, sum, now := h.rows, digest(0), h.now()
 	h.rows = make(map[string]VM, len(list.VMs))
-	var changed []string
+	var changed []change
 	for _, vm := range list.VMs {
 		h.rows[vm.Name] = vm
 		sum.toggle(vm)
 		if old, found := before[vm.Name]; before != nil && (!found || old != vm) {
-			changed = append(changed, vm.Name)
+			changed = append(changed, change{vm.Name, now})
 		}
 	}
 	for name := range before {
 		if _, found := h.rows[name]; !found {
-			changed = append(changed, name)
+			changed = append(changed, change{name, now})
 		}
 	}
 	h.sum, h.evacuated = sum, list.Evacuated
@@ -81,31 +92,32 @@
 
 // Apply applies a difference that fits.
 func (h *History) Apply(d *Difference) {
-	names := make([]string, 0, len(d.Rows)+len(d.Gone))
-	remove := func(name string) {
+	now, changes := h.now(), make([]change, 0, len(d.Rows)+len(d.Gone))
+	remove := func(name string, age time.Duration) {
 		if old, found := h.rows[name]; found {
 			h.sum.toggle(old)
 			delete(h.rows, name)
 		}
-		names = append(names, name)
+		changes = append(changes, change{name, now - age})
 	}
 	for _, vm := range d.Rows {
-		remove(vm.Name)
+		remove(vm.Name, 0)
 		h.rows[vm.Name] = vm
 		h.sum.toggle(vm)
 	}
-	for _, name := range d.Gone {
-		remove(name)
+	for i, name := range d.Gone {
+		remove(name, d.GoneAge(i))
 	}
 	h.evacuated = d.Evacuated
-	h.log.record(d.Revision, names...)
+	h.log.record(d.Revision, changes...)
 }
 
 // Since returns the difference between the list of an earlier revision and the current one, and
-// whether that difference exists and has fewer rows than the list.
+// whether that difference exists and has fewer rows than the list. A list doesn't tell for how long
+// VMs have been gone, so the difference may name more of these.
 func (h *History) Since(revision uint64) (Difference, bool) {
-	d, ok := h.log.difference(revision, h.rows, h.evacuated, h.Digest())
-	return d, ok && len(d.Rows)+len(d.Gone) < len(h.rows)
+	d, ok := h.log.difference(h.now(), revision, h.rows, h.evacuated, h.Digest())
+	return d, ok && (len(d.Rows) < len(h.rows) || len(d.Gone) > 0)
 }
 
 // List returns the whole list, sorted by name.
--- a/internal/published/packed.go
+++ b/internal/published/packed.go
@@ -1,6 +1,9 @@
 package published
 
 import (
+	"math"
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tealhall/tealhall/internal/fault"
@@ -25,6 +28,8 @@
 	Digest    uint64   `cbor:"9,keyasint,omitempty"`
 	// Registered has one element for each row, or none.
 	Registered []uint64 `cbor:"10,keyasint,omitempty"`
+	// GoneMillis has one element for each of Gone, or none.
+	GoneMillis []uint32 `cbor:"11,keyasint,omitempty"`
 }
 
 // decodePacked limits the number of rows of one message.
@@ -63,6 +68,9 @@
 func PackDifference(d *Difference) []byte {
 	p := packRows(d.Rows)
 	p.Gone, p.Evacuated, p.After, p.Digest = d.Gone, d.Evacuated, d.After, d.Digest
+	for _, age := range d.GoneAges {
+		p.GoneMillis = append(p.GoneMillis, uint32(min(max(age.Milliseconds(), 0), math.MaxUint32)))
+	}
 	return p.encode()
 }
 
@@ -73,6 +81,9 @@
 		return Difference{}, err
 	}
 	d := Difference{After: p.After, Revision: revision, Rows: rows, Gone: p.Gone, Evacuated: p.Evacuated, Digest: p.Digest}
+	for _, millis := range p.GoneMillis {
+		d.GoneAges = append(d.GoneAges, time.Duration(millis)*time.Millisecond)
+	}
 	return d, d.Check()
 }
 
--- a/internal/published/roster.go
+++ b/internal/published/roster.go
@@ -106,14 +106,14 @@
 		r.log.record(revision)
 		return
 	}
-	r.log.record(revision, name)
+	r.log.record(revision, change{name: name})
 }
 
 // Since returns the difference from the list of an earlier revision, if the recorded changes reach
 // back to it.
 func (r *Roster) Since(revision uint64) (Difference, bool) {
 	domains := r.evacuatedDomains()
-	return r.log.difference(revision, r.vms, domains, r.sum.withDomains(domains))
+	return r.log.difference(0, revision, r.vms, domains, r.sum.withDomains(domains))
 }
 
 // RecordRemoved records the VMs of the earlier roster that are missing in r, which was read anew,
