--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -104,7 +104,7 @@
 		Request:  request,
 		OpenOnly: end.Probe.OpenOnly,
 		NewConn:  end.Probe.NewConn,
-		IsStray:  func(answer http.Header) bool { return e.dialect.BelongsTo("", request.Header, answer) == Stray },
+		IsStray:  func(answer http.Header) bool { return e.dialect.BelongsTo("", request.Header, answer) == StrayAnswer },
 	})
 	e.instruments.countDelivery(delivery)
 	if err != nil {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -42,7 +42,7 @@
 		Once:          d.Once,
 		OpenOnly:      d.OpenOnly,
 		MaySend:       maySend,
-		IsStray:       func(answer http.Header) bool { return x.belonging(answer) == Stray },
+		IsStray:       func(answer http.Header) bool { return x.belonging(answer) == StrayAnswer },
 	})
 	x.entry.instruments.countDelivery(delivery)
 	if err != nil {
@@ -110,7 +110,7 @@
 // request: it names it, or the connection has carried no other. A statement without a name may be a
 // second copy of the answer to an earlier request. Entries answer each request once.
 func (x *exchange) provesNotRun(d core.Directive, response *http.Response, delivery forward.Delivery) bool {
-	return d.Step != core.StepDispatch || delivery.Carried == 0 || x.belonging(response.Header) == Own
+	return d.Step != core.StepDispatch || delivery.Carried == 0 || x.belonging(response.Header) == OwnAnswer
 }
 
 // dropAnswer closes an answer whose caller has left.
--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -39,13 +39,13 @@
 type Belonging uint8
 
 const (
-	// Unnamed: the answer names no request. It belongs to the one that was sent, unless the endpoint
+	// UnnamedAnswer: the answer names no request. It belongs to the one that was sent, unless the endpoint
 	// answers a request twice.
-	Unnamed Belonging = iota
-	// Own: it belongs to the request that was sent.
-	Own
-	// Stray: it belongs to another one.
-	Stray
+	UnnamedAnswer Belonging = iota
+	// OwnAnswer: it belongs to the request that was sent.
+	OwnAnswer
+	// StrayAnswer: it belongs to another one.
+	StrayAnswer
 )
 
 // AttemptInfo is what the headers of an attempt may tell its endpoint.
@@ -141,11 +141,11 @@
 func (nativeDialect) BelongsTo(name string, _, answer http.Header) Belonging {
 	switch answer.Get(contract.HeaderRequest) {
 	case "":
-		return Unnamed
+		return UnnamedAnswer
 	case name:
-		return Own
+		return OwnAnswer
 	}
-	return Stray
+	return StrayAnswer
 }
 
 // entryHeaders are the headers that entries set for callers and endpoints set for entries. An
