--- a/internal/entry/log_test.go
+++ b/internal/entry/log_test.go
@@ -9,8 +9,7 @@
 	"testing"
 
 	"github.com/tealhall/tealhall/internal/core"
-	"github.com/tealhall/tealhall/internal/logging"
-	"k8s.io/klog/v2"
+	"github.com/tealhall/tealhall/internal/logging/logtest"
 )
 
 const operationsPage = "../../docs/OPERATIONS.md"
@@ -31,15 +30,16 @@
 	if !slices.Equal(documented, traceFields) {
 		t.Errorf("the page explains %v, a request trace has %v", documented, traceFields)
 	}
-	var out strings.Builder
-	w := logging.NewWriter(&out, logging.Config{})
-	logging.RedirectKlog(w)
-	defer klog.ClearLogger()
+	end := logtest.Capture(t)
 	logTrace(&core.RequestTrace{Name: "9c41", Attempts: []core.AttemptTrace{{Endpoint: "i-1", End: "lost"}}})
-	w.Close()
+	lines := end()
+	at := slices.IndexFunc(lines, func(line string) bool { return strings.Contains(line, "9c41") })
+	if at < 0 {
+		t.Fatalf("the trace is not among %q", lines)
+	}
 	var line map[string]any
-	if err := json.Unmarshal([]byte(out.String()), &line); err != nil {
-		t.Fatalf("%q: %v", out.String(), err)
+	if err := json.Unmarshal([]byte(lines[at]), &line); err != nil {
+		t.Fatalf("%q: %v", lines[at], err)
 	}
 	for _, field := range traceFields {
 		if _, found := line[field]; !found {
--- /dev/null
+++ b/internal/entry/main_test.go
@@ -0,0 +1,9 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/tealhall/tealhall/internal/logging/logtest"
+)
+
+func TestMain(m *testing.M) { logtest.Main(m) }
