--- a/review/testdata/parts/main.go
+++ b/review/testdata/parts/main.go
@@ -16,6 +16,7 @@
 // what was seen and the broken rules.
 var cases = map[string]func(disturbed bool) (*ledger, []string){
 	"early": early,
+	"odd":   odd,
 }
 
 func main() {
--- a/review/testdata/parts/soak.go
+++ b/review/testdata/parts/soak.go
@@ -138,7 +138,7 @@
 				if rand.Intn(20) == 0 {
 					c.budget = 50 * time.Millisecond // leaves early
 				}
-				r := cc.do(l, c)
+				r := paced(l, cc, c)
 				if e, ok := r.err.(net.Error); ok && e.Timeout() && c.budget > 100*time.Millisecond {
 					l.note("TIMEOUT %s %s %s at %s", r.id, c.method, c.target, cc.RemoteAddr())
 				}
@@ -276,3 +276,40 @@
 	}
 	return cc
 }
+
+// paced sends a request as a client on a slow link does, and at times leaves in the middle.
+func paced(l *ledger, cc *clientConn, c *call) *result {
+	id := newID()
+	l.send(c, id)
+	head, body := []byte(c.head(id)), c.encodedBody()
+	leave := -1
+	if len(body) > 1000 && rand.Intn(12) == 0 {
+		leave = rand.Intn(len(body) - 500)
+	}
+	slowHead := rand.Intn(15) == 0
+	gap := time.Duration(rand.Intn(4)) * time.Millisecond
+	go func() {
+		for slowHead && len(head) > 10 {
+			cc.Write(head[:8])
+			head = head[8:]
+			time.Sleep(20 * time.Millisecond)
+		}
+		cc.Write(head)
+		for sent := 0; sent < len(body); {
+			n := min(len(body)-sent, 20_000)
+			if leave >= 0 && sent+n > leave {
+				cc.Write(body[sent : sent+max(0, leave-sent)])
+				cc.Close()
+				return
+			}
+			if _, err := cc.Write(body[sent : sent+n]); err != nil {
+				return
+			}
+			sent += n
+			time.Sleep(gap)
+		}
+	}()
+	r := cc.read(c, id, time.Now().Add(c.budget))
+	l.end(r)
+	return r
+}
