--- a/review/testdata/parts/instance.go
+++ b/review/testdata/parts/instance.go
@@ -47,6 +47,12 @@
 	l.notes = append(l.notes, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, a...))
 }
 
+// arrival is a request that reached an instance.
+type arrival struct {
+	id string
+	at time.Time
+}
+
 // instance is a server of a service. It runs slots requests at a time, queues a few and answers
 // health checks at once.
 type instance struct {
@@ -67,6 +73,10 @@
 	onFull           string // "", "hang" or "reset"
 	// behave, if not nil, chooses how a request is answered; see the answer* constants.
 	behave func(i *instance, r *http.Request) string
+	// silent is set once the instance no longer reports to the store.
+	silent bool
+	// arrivals are the requests that reached the instance; the ledger's lock guards them.
+	arrivals []arrival
 	// largest is the size of the largest answers, 0 for small ones; idle is how long a connection
 	// may be idle.
 	largest int
@@ -106,7 +116,7 @@
 func (i *instance) register() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.gone {
+	if i.gone || i.silent {
 		return
 	}
 	i.seq++
@@ -222,6 +232,9 @@
 // handle answers one request and reports whether the connection goes on.
 func (i *instance) handle(c net.Conn, reader *bufio.Reader, r *http.Request) bool {
 	id := r.Header.Get("X-Attempt-Id")
+	i.ledger.mu.Lock()
+	i.arrivals = append(i.arrivals, arrival{id, time.Now()})
+	i.ledger.mu.Unlock()
 	how := ""
 	if i.behave != nil {
 		how = i.behave(i, r)
--- a/review/testdata/parts/main.go
+++ b/review/testdata/parts/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(disturbed bool) (*ledger, []string){
 	"early": early,
 	"odd":   odd,
+	"drain": drain,
 }
 
 func main() {
--- a/review/testdata/parts/store.go
+++ b/review/testdata/parts/store.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -106,6 +107,8 @@
 	mu    sync.Mutex
 	mode  string
 	cut   chan struct{}
+	// watches counts the watches that wait.
+	watches atomic.Int32
 }
 
 func openDoor(s *store) *door {
@@ -184,6 +187,8 @@
 	case "/-/kv-watch":
 		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("wait_ms"))
+		d.watches.Add(1)
+		defer d.watches.Add(-1)
 		s.watch(w, r, q.Get("prefix"), after, time.Duration(wait)*time.Millisecond, cut)
 	default:
 		http.NotFound(w, r)
