--- a/review/testdata/parts/drain.go
+++ b/review/testdata/parts/drain.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -11,19 +12,23 @@
 const (
 	// drainWithin is the bound drain_ms.
 	drainWithin = 2 * time.Second
-	// freezeFor is how long a machine is frozen, and removeAfter how long after that the instance is
-	// removed.
-	freezeFor   = 4 * time.Second
+	// machines is the number of machines, and killed how many of them are killed at once.
+	machines = 14
+	killed   = 7
+	// downFor is how long these are down, removeAfter how long after the kill the instance is removed,
+	// and watchFor how long after the kill its arrivals are watched.
+	downFor     = 2 * time.Second
 	removeAfter = 100 * time.Millisecond
-	// betweenRounds lets a machine that was frozen be in touch again.
+	watchFor    = 4 * time.Second
+	// betweenRounds lets the machines that were killed be in touch again.
 	betweenRounds = 6 * time.Second
 	rounds        = 5
 )
 
-// drain plays the removal of a service's only instance, which goes on serving for a while, while the machine that reads the store
-// is frozen. Clients use the other machines only. All of them are in one zone.
+// drain plays the removal of a service's only instance, which goes on serving for a while, while half
+// of the machines are killed, those that read the store among them. Clients use the other machines only.
 func drain(disturbed bool) (*ledger, []string) {
-	f := newFleet(4, []string{"za"})
+	f := newFleet(machines, []string{"za", "zb", "zc"})
 	l := f.ledger
 	f.publish(map[string]any{
 		"read": routeOf("/read/", "idempotent", 1000, 250, 2, 2, "reads"),
@@ -36,7 +41,7 @@
 	defer f.stopAll()
 	time.Sleep(4 * time.Second)
 	var mu sync.Mutex
-	var frozen *entryProc
+	down := map[*entryProc]bool{}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for n := range 24 {
@@ -51,7 +56,7 @@
 				}
 				e := f.entries[rand.Intn(len(f.entries))]
 				mu.Lock()
-				skip := e == frozen
+				skip := down[e]
 				mu.Unlock()
 				if skip {
 					continue
@@ -73,29 +78,44 @@
 	for round := range rounds {
 		leaving := startInstance(l, f.store, "orders", "za", fmt.Sprintf("i-o%d", round), "", 4, 30*time.Millisecond)
 		time.Sleep(betweenRounds)
-		reader := f.reader()
+		victims := f.readers()
+		for _, e := range f.entries {
+			if len(victims) < killed && !slices.Contains(victims, e) {
+				victims = append(victims, e)
+			}
+		}
 		mu.Lock()
-		frozen = reader
+		for _, e := range victims {
+			down[e] = true
+		}
 		mu.Unlock()
-		time.Sleep(500 * time.Millisecond) // requests at that machine end
+		time.Sleep(500 * time.Millisecond) // requests at these machines end
 		if disturbed {
-			l.note("freeze %s, which reads the store", reader.name)
-			reader.signal(syscall.SIGSTOP)
+			for _, e := range victims {
+				l.note("kill %s", e.name)
+				e.signal(syscall.SIGKILL)
+			}
 		}
 		began := time.Now()
 		time.Sleep(removeAfter)
 		leaving.unregister()
 		acked := time.Now()
 		l.note("%s is removed from the store and goes on serving", leaving.id)
-		time.Sleep(time.Until(began.Add(freezeFor)))
-		late := l.arrivedAfter(leaving, acked.Add(drainWithin), began.Add(freezeFor))
+		time.Sleep(time.Until(began.Add(downFor)))
+		for _, e := range victims {
+			if disturbed {
+				<-e.ended
+				f.start(e, false)
+			}
+		}
+		time.Sleep(time.Until(began.Add(watchFor)))
+		late := l.arrivedAfter(leaving, acked.Add(drainWithin), began.Add(watchFor))
 		l.note("%d requests reached it more than drain_ms later, the last request %v after the ack", len(late), l.lastArrival(leaving, acked))
 		broken = append(broken, late...)
-		reader.signal(syscall.SIGCONT)
 		time.Sleep(time.Second)
 		leaving.end(true)
 		mu.Lock()
-		frozen = nil
+		clear(down)
 		mu.Unlock()
 	}
 	close(stop)
@@ -103,18 +123,19 @@
 	return l, append(l.check(), broken...)
 }
 
-// reader returns the entry that watches the store.
-func (f *fleet) reader() *entryProc {
-	for range 100 {
+// readers returns the entries that watched the store within a second.
+func (f *fleet) readers() (readers []*entryProc) {
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		for _, e := range f.entries {
-			if e.door.watches.Load() > 0 {
-				return e
+			if e.door.watches.Load() > 0 && !slices.Contains(readers, e) {
+				readers = append(readers, e)
 			}
 		}
-		time.Sleep(50 * time.Millisecond)
 	}
-	must(fmt.Errorf("no entry reads the store"))
-	return nil
+	if len(readers) == 0 || len(readers) > killed {
+		must(fmt.Errorf("%d entries read the store", len(readers)))
+	}
+	return readers
 }
 
 // unregister removes the instance from the store without a report that it leaves.
