Request bodies have a bound of time and one of memory for all of them

Callers saw an entry process end: it ran out of memory while many clients sent large bodies and stopped short of their end. Before that, none of these clients was answered or closed, although each had named a deadline.

Cause: the part of a body that is kept for a second attempt was read before the request reached the core, without a deadline, and each request could keep replay_body_bytes. Nothing bounded the sum. The bytes.Buffer that held a body took up to three times its size while it grew. The limit that the Go runtime got was 256 MB whatever memory_mb said.

Change: intake.Memory is one account of the bytes of all requests, with limits.request_share (0.2) of the memory as its limit. Bodies are kept in segments that are taken from the account one by one. When it is full, a body that has made no progress for a second gives way and is refused as body-late (408); without such a body the new request is refused as memory-full (503). Both are said before anything was sent to an endpoint, so "not run" holds. The kept part has until the caller's deadline, at most the route's, and that time no longer extends the deadline. A kept part is given back when the body streams beyond it. After an answer the server reads the rest of an unread body for half a second at most.

Why it works: what is held grows only by segments that the account grants, and whoever stops sending is either timed out or gives way.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -61,7 +61,7 @@
 func (c *Core) Routed() bool { return c.snapshot != nil && c.snapshot.Routes() != nil }
 
 func admissionOf(sv *service) Admission {
-	return Admission{Service: sv.name, MaxBody: sv.policy.MaxBodyBytes, row: sv.index + 1, pool: sv.pool, policy: sv.policy}
+	return Admission{Service: sv.name, MaxBody: sv.policy.MaxBodyBytes, Deadline: sv.policy.Deadline, row: sv.index + 1, pool: sv.pool, policy: sv.policy}
 }
 
 // unknownServiceReason returns why a service is not known: it is not published, this entry has no
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -68,6 +68,8 @@
 	Service string
 	// MaxBody is its largest request body in bytes.
 	MaxBody int64
+	// Deadline is the longest time that a request may take.
+	Deadline time.Duration
 	// LargeAnswer is set if answers of the service are large, so that they take turns on the link.
 	LargeAnswer bool
 	// Reason is why the request is refused, ReasonNone if it is not.
--- a/internal/core/reason.go
+++ b/internal/core/reason.go
@@ -41,6 +41,8 @@
 	ReasonBodyTooLarge
 	ReasonBadRequest
 	ReasonBodyBroken
+	ReasonBodyLate
+	ReasonMemoryFull
 	reasonCount
 )
 
@@ -86,6 +88,8 @@
 	ReasonBodyTooLarge:    {"body-too-large", http.StatusRequestEntityTooLarge, "send a smaller body or raise max_body in the profile"},
 	ReasonBadRequest:      {"bad-request", http.StatusBadRequest, "send a well-formed request"},
 	ReasonBodyBroken:      {"body-broken", http.StatusBadRequest, "send the whole body again"},
+	ReasonBodyLate:        {"body-late", http.StatusRequestTimeout, "send the body faster or allow a longer deadline"},
+	ReasonMemoryFull:      {"memory-full", http.StatusServiceUnavailable, "use another entry or come back after Retry-After; this one has no memory for another request"},
 }
 
 // String returns the reason's name as callers see it.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,7 +127,7 @@
 		fmt.Fprintf(command.OutOrStdout(), "%s: the settings of %s are valid\n", f.config, s.Name)
 		return nil
 	}
-	entry.TuneMemory(s.Limits.HeapGrowth)
+	entry.TuneMemory(&s.Limits)
 	logTo(command.ErrOrStderr(), s.Log.Verbosity)
 	defer klog.Flush()
 	if s.Log.Format == settings.JSONLog {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/tealhall/tealhall/internal/forward"
 	"github.com/tealhall/tealhall/internal/forward/socket"
 	"github.com/tealhall/tealhall/internal/front"
+	"github.com/tealhall/tealhall/internal/intake"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/peer"
 	"github.com/tealhall/tealhall/internal/profile"
@@ -106,6 +107,9 @@
 	// relayConnections are those on which requests are relayed to entries that may reach endpoints.
 	homeConnections, relayConnections *forward.Connections
 	front                             *front.Server
+	// requestMemory accounts for the requests that have not been answered.
+	requestMemory *intake.Memory
+	capacity      Capacity
 	// link schedules large answers; nil if the settings do not bound them.
 	link           *transfer.Link
 	peerServer     *peer.Server
@@ -179,6 +183,8 @@
 	e.liveness.every = e.settings.Platform.LivenessEvery.Duration
 	e.instruments = newInstruments()
 	e.buildConnections(clock)
+	e.capacity = CapacityOf(s)
+	e.requestMemory = intake.NewMemory(e.capacity.RequestBytes, clock)
 	e.link = transfer.NewLink(linkConfig(&s.Limits, clock))
 	e.sending.turns = assign.NewTurns(linkConfig(&s.Limits, clock).Rate)
 	rng := rand.New(rand.NewPCG(incarnation, uint64(opts.Wall().UnixNano())))
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -260,4 +260,5 @@
 	if !x.body.Whole() {
 		x.attempts.Wait()
 	}
+	x.body.Release()
 }
--- a/internal/entry/overhead_test.go
+++ b/internal/entry/overhead_test.go
@@ -116,7 +116,7 @@
 // BenchmarkAddedLatency sends the same open-loop load to an endpoint directly and through one
 // entry, in alternating rounds, and reports both latencies and their difference.
 func BenchmarkAddedLatency(b *testing.B) {
-	entry.TuneMemory(settings.Default().Limits.HeapGrowth)
+	entry.TuneMemory(&settings.Default().Limits)
 	endpoint := startEchoEndpoint(b)
 	e := startEntry(b, endpoint)
 	direct := newLoadGenerator(endpoint)
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -23,11 +23,6 @@
 
 // replyAs is reply with a status and a remedy that are more specific than those of the reason.
 func (e *Entry) replyAs(w http.ResponseWriter, r *http.Request, d core.Directive, status int, remedy string) {
-	if d.Reason == core.ReasonBodyTooLarge {
-		// Otherwise net/http reads the rest of the body before it answers, for as long as the
-		// caller takes to send it.
-		w.Header().Set("Connection", "close")
-	}
 	e.markRelayed(w.Header(), r, d.Outcome, d.Reason)
 	e.dialect.Refuse(w, r, Refusal{Mark: e.mark(d.Outcome, d.Reason), Status: status, Remedy: remedy, RetryAfter: d.RetryAfter})
 	if e.settings.Log.Requests {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -16,6 +16,7 @@
 	"github.com/tealhall/tealhall/internal/core/directory"
 	"github.com/tealhall/tealhall/internal/front"
 	"github.com/tealhall/tealhall/internal/idem"
+	"github.com/tealhall/tealhall/internal/intake"
 )
 
 // callerHandler passes requests to tealhall's own paths to their handlers, and all other requests
@@ -42,7 +43,7 @@
 	if refusal != core.ReasonNone {
 		outcome := admissionOutcome(r, refusal)
 		e.instruments.countRefusal(refusal, outcome)
-		e.reply(w, r, core.Directive{Outcome: outcome, Reason: refusal})
+		e.reply(w, r, core.Directive{Outcome: outcome, Reason: refusal, RetryAfter: admissionRetryAfter(refusal)})
 		return
 	}
 	defer x.close()
@@ -61,6 +62,14 @@
 	return core.OutcomeNotRun
 }
 
+// admissionRetryAfter returns when a caller should send a request again that was refused at admission.
+func admissionRetryAfter(reason core.Reason) time.Duration {
+	if reason == core.ReasonMemoryFull {
+		return intake.StallTime
+	}
+	return 0
+}
+
 func hasKey(r *http.Request) bool { return len(r.Header[contract.HeaderIdempotencyKey]) > 0 }
 
 // admit reads a request, or returns the reason for which it is refused.
@@ -69,12 +78,15 @@
 	if admission.Reason != core.ReasonNone {
 		return nil, nil, admission.Reason
 	}
-	body, err := front.NewReplayBody(w, r, front.BodyLimits{Buffer: int64(e.settings.Limits.ReplayBodyBytes), Max: admission.MaxBody})
-	if tooLarge := (*front.BodyTooLargeError)(nil); errors.As(err, &tooLarge) {
-		return nil, nil, core.ReasonBodyTooLarge
-	}
+	began := e.engine.clock()
+	body, err := front.NewReplayBody(w, r, front.BodyLimits{
+		Buffer:  int64(e.settings.Limits.ReplayBodyBytes),
+		Max:     admission.MaxBody,
+		Timeout: e.bodyTimeout(r, admission),
+		Memory:  e.requestMemory,
+	})
 	if err != nil {
-		return nil, nil, core.ReasonBodyBroken
+		return nil, nil, reasonOfBody(err)
 	}
 	x := &exchange{
 		entry:   e,
@@ -85,13 +97,40 @@
 		caller:  callerOf(r),
 		// A small part of a keyed answer is kept for replay, which reads it before it is sent.
 		largeAnswer: admission.LargeAnswer && e.link != nil && !hasKey(r),
-		began:       e.engine.clock(),
+		began:       began,
 		wake:        make(chan struct{}, 1),
 	}
 	arrival, reason := x.arrival(admission)
+	if reason != core.ReasonNone {
+		body.Release()
+	}
 	return x, arrival, reason
 }
 
+// bodyTimeout returns how long the part of a body that is kept may take to arrive: as long as its caller
+// waits, and at most as long as a request to its service may take.
+func (e *Entry) bodyTimeout(r *http.Request, admission core.Admission) time.Duration {
+	left, ok := e.dialect.TimeLeft(r.Header)
+	if !ok || admission.Deadline > 0 && left > admission.Deadline {
+		return admission.Deadline
+	}
+	return max(left, time.Nanosecond)
+}
+
+// reasonOfBody returns the reason for which a request is refused whose body could not be read.
+func reasonOfBody(err error) core.Reason {
+	if tooLarge := (*front.BodyTooLargeError)(nil); errors.As(err, &tooLarge) {
+		return core.ReasonBodyTooLarge
+	}
+	switch {
+	case errors.Is(err, front.ErrBodyLate):
+		return core.ReasonBodyLate
+	case errors.Is(err, front.ErrNoMemory):
+		return core.ReasonMemoryFull
+	}
+	return core.ReasonBodyBroken
+}
+
 // admission asks the core whether a request may be admitted: by its host and path if routes are
 // published, else by the service that it names.
 func (e *Entry) admission(r *http.Request) (a core.Admission) {
@@ -166,7 +205,7 @@
 		Counted:       isRelayed(x.request) && h.Get(contract.HeaderCounted) == contract.CountedValue,
 	}
 	if left, ok := x.entry.dialect.TimeLeft(h); ok {
-		a.Timeout = max(left, time.Nanosecond)
+		a.Timeout = max(left-(x.entry.engine.clock()-x.began), time.Nanosecond)
 	}
 	if attempt, ok := contract.ParseAttempt(h.Get(contract.HeaderAttempt)); ok && !a.Forwarded {
 		a.CallerAttempt = attempt
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -5,9 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/tealhall/tealhall/internal/intake"
 )
 
 // BodyLimits bounds a request body.
@@ -18,6 +21,8 @@
 	Max int64
 	// Timeout bounds the time for reading the part that is kept; 0 means no limit.
 	Timeout time.Duration
+	// Memory accounts for the part that is kept, and for a large head; nil means no limit.
+	Memory *intake.Memory
 }
 
 // BodyTooLargeError is the error for a body that exceeds its limit.
@@ -31,6 +36,14 @@
 	return "the body is larger than " + strconv.FormatInt(e.Limit, 10) + " bytes; send less at a time"
 }
 
+var (
+	// ErrBodyLate is the error for a body that did not arrive in time, or that stalled while memory
+	// was needed for other requests.
+	ErrBodyLate = errors.New("the body did not arrive in time")
+	// ErrNoMemory is the error for a request for which there is no memory.
+	ErrNoMemory = errors.New("no memory is left for another request body")
+)
+
 // errInterrupted is returned by reads of a body after Interrupt.
 var errInterrupted = errors.New("reading the request body was interrupted")
 
@@ -43,78 +56,193 @@
 	request    *http.Request
 	controller *http.ResponseController
 	source     io.Reader
-	buffer     []byte
-	whole      bool
+	// kept is the part that was read so far, in segments, and keptBytes its length. It is dropped
+	// once the body cannot be sent again.
+	kept      [][]byte
+	keptBytes int64
+	held      *intake.Part
+	whole     bool
 
 	mu sync.Mutex
 	// streamed is set when bytes beyond the buffer were requested, and ended when the body was read
 	// to its end.
 	streamed, ended bool
+	// readers counts the readers of a body that is not whole.
+	readers int
 }
 
 // NewReplayBody prepares the body of r and reads up to limits.Buffer bytes of it. It reads nothing
 // if the caller waits for 100-continue and the body may not fit the buffer, because the endpoint
-// must first decide whether it accepts the body. The error is a *BodyTooLargeError, wraps
-// os.ErrDeadlineExceeded, or comes from the caller's connection.
+// must first decide whether it accepts the body. The error is a *BodyTooLargeError, ErrBodyLate,
+// ErrNoMemory, or comes from the caller's connection. Without an error, Release must be called at the
+// end.
 func NewReplayBody(w http.ResponseWriter, r *http.Request, limits BodyLimits) (*ReplayBody, error) {
 	b := &ReplayBody{request: r, controller: http.NewResponseController(w), source: r.Body}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		b.whole = true
-		return b, nil
+		b.held = limits.Memory.Hold()
+		return b, b.holdHead()
+	}
+	tracked, _ := unwrapTo[*answerWriter](w)
+	b.held = limits.Memory.Receive(b.giveUp)
+	err := b.receive(w, limits)
+	if !b.held.Received() {
+		err = ErrBodyLate
+	}
+	if err != nil {
+		b.recycle()
+		b.Release()
+		tracked.noteBody(bodyRefused)
+		return nil, err
+	}
+	if b.whole {
+		tracked.noteBody(bodyRead)
+	}
+	return b, nil
+}
+
+// receive reads the part of the body that is kept.
+func (b *ReplayBody) receive(w http.ResponseWriter, limits BodyLimits) error {
+	if limits.Max > 0 && b.request.ContentLength > limits.Max {
+		return &BodyTooLargeError{Limit: limits.Max}
+	}
+	if err := b.holdHead(); err != nil {
+		return err
 	}
 	if limits.Max > 0 {
-		if r.ContentLength > limits.Max {
-			return nil, &BodyTooLargeError{Limit: limits.Max}
-		}
 		// MaxBytesReader needs net/http's own writer, which then closes the connection without a
 		// reset when the body exceeds the limit.
-		b.source = http.MaxBytesReader(innermostWriter(w), r.Body, limits.Max)
+		b.source = http.MaxBytesReader(innermostWriter(w), b.request.Body, limits.Max)
 	}
-	fits := r.ContentLength >= 0 && r.ContentLength <= limits.Buffer
-	if !fits && (r.Header.Get("Expect") != "" || limits.Buffer <= 0) {
-		return b, b.enableStreaming(w)
+	fits := b.request.ContentLength >= 0 && b.request.ContentLength <= limits.Buffer
+	if !fits && (b.request.Header.Get("Expect") != "" || limits.Buffer <= 0) {
+		return b.enableStreaming(w)
 	}
 	if limits.Timeout > 0 {
 		b.controller.SetReadDeadline(time.Now().Add(limits.Timeout))
-		defer b.controller.SetReadDeadline(time.Time{})
 	}
 	if err := b.fill(limits.Buffer); err != nil {
-		return nil, err
+		return err
+	}
+	if limits.Timeout > 0 {
+		b.controller.SetReadDeadline(time.Time{})
 	}
 	if b.whole {
-		return b, nil
+		return nil
+	}
+	return b.enableStreaming(w)
+}
+
+// giveUp ends the reading of a body that gives way to other requests.
+func (b *ReplayBody) giveUp() { b.controller.SetReadDeadline(expired) }
+
+// expired is a deadline in the past, which interrupts a read.
+var expired = time.Unix(1, 0)
+
+// The memory of a head that is not accounted for, and the memory of a larger head as a multiple of its
+// size: the parsed head refers to copies of its parts.
+const (
+	freeHeadBytes = 4 << 10
+	headFactor    = 2
+)
+
+// holdHead accounts for a large head.
+func (b *ReplayBody) holdHead() error {
+	size := 0
+	for name, values := range b.request.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	if size > freeHeadBytes && !b.held.Take(int64(headFactor*size)) {
+		return ErrNoMemory
 	}
-	return b, b.enableStreaming(w)
+	return nil
 }
 
-// fill reads up to limit bytes into the buffer.
+// The sizes of the segments in which a body is kept. The first one holds most bodies whole.
+const (
+	firstSegment = 8 << 10
+	segmentSize  = 32 << 10
+)
+
+// fill reads up to limit bytes into segments.
 func (b *ReplayBody) fill(limit int64) error {
 	readLimit := limit + 1 // one more byte detects the end of a body that just fits
-	if length := b.request.ContentLength; length >= 0 {
+	length := b.request.ContentLength
+	if length >= 0 {
 		readLimit = min(length, limit)
 	}
-	var kept bytes.Buffer
-	kept.Grow(int(min(readLimit, copySize)) + bytes.MinRead)
-	n, err := kept.ReadFrom(io.LimitReader(b.source, readLimit))
-	b.buffer = kept.Bytes()
+	ended, err := b.readSegments(readLimit)
 	if err != nil {
-		return asTooLarge(err)
+		return asBodyError(err)
 	}
-	if n == b.request.ContentLength {
+	if b.keptBytes == length {
 		b.whole = true
 		// One more read reaches the end of the body. This makes the server watch the connection for
 		// the caller's departure, and sets the trailers.
 		var next [1]byte
 		_, err = b.source.Read(next[:])
 		if err != nil && err != io.EOF {
-			return asTooLarge(err)
+			return asBodyError(err)
 		}
 		return nil
 	}
-	b.whole = b.request.ContentLength < 0 && n < readLimit
+	b.whole = length < 0 && ended
 	return nil
 }
 
+// readSegments reads up to limit bytes, and reports whether the body has ended.
+func (b *ReplayBody) readSegments(limit int64) (ended bool, err error) {
+	size := int64(firstSegment)
+	for b.keptBytes < limit && !ended && err == nil {
+		size = min(size, limit-b.keptBytes)
+		if !b.held.Take(size) {
+			return false, ErrNoMemory
+		}
+		ended, err = b.readSegment(size)
+		size = segmentSize
+	}
+	return ended, err
+}
+
+// readSegment reads a segment of the given size, or less if the body ends.
+func (b *ReplayBody) readSegment(size int64) (ended bool, err error) {
+	segment := newSegment(size)
+	for len(segment) < cap(segment) && err == nil {
+		var n int
+		n, err = b.source.Read(segment[len(segment):cap(segment)])
+		segment = segment[:len(segment)+n]
+	}
+	b.kept = append(b.kept, segment)
+	b.keptBytes += int64(len(segment))
+	if err == io.EOF {
+		return true, nil
+	}
+	return false, err
+}
+
+// segments is a pool of segments of segmentSize bytes.
+var segments = sync.Pool{New: func() any { return new([segmentSize]byte) }}
+
+// newSegment returns an empty segment of the given capacity.
+func newSegment(size int64) []byte {
+	if size == segmentSize {
+		return segments.Get().(*[segmentSize]byte)[:0]
+	}
+	return make([]byte, 0, size)
+}
+
+// recycle gives back the segments, which nothing else may refer to.
+func (b *ReplayBody) recycle() {
+	for _, segment := range b.kept {
+		if cap(segment) == segmentSize {
+			segments.Put((*[segmentSize]byte)(segment[:segmentSize]))
+		}
+	}
+	b.kept = nil
+}
+
 // enableStreaming allows the answer to begin before the whole body has been read.
 func (b *ReplayBody) enableStreaming(w http.ResponseWriter) error {
 	if tracked, ok := unwrapTo[*answerWriter](w); ok {
@@ -130,9 +258,16 @@
 // Whole reports whether the buffer holds the whole body.
 func (b *ReplayBody) Whole() bool { return b.whole }
 
-// Bytes returns the buffered bytes: the whole body if Whole, else its first part. The caller must
-// not modify them.
-func (b *ReplayBody) Bytes() []byte { return b.buffer }
+// writeKept writes the part of the body that is kept to w, which must not fail.
+func (b *ReplayBody) writeKept(w io.Writer) {
+	for _, segment := range b.kept {
+		w.Write(segment)
+	}
+}
+
+// Release gives back the memory of the body. Attempts that are still in progress may use it until they
+// end.
+func (b *ReplayBody) Release() { b.held.Release() }
 
 // Streamed reports whether bytes beyond the buffer were read, so that the body cannot be sent
 // again.
@@ -145,7 +280,7 @@
 // Length returns the length of the body, or -1 if it is unknown.
 func (b *ReplayBody) Length() int64 {
 	if b.whole {
-		return int64(len(b.buffer))
+		return b.keptBytes
 	}
 	return b.request.ContentLength
 }
@@ -154,31 +289,54 @@
 // returns false if the body cannot be sent again. Concurrent attempts need a whole body.
 func (b *ReplayBody) Reader() (io.Reader, bool) {
 	if b.whole {
-		if len(b.buffer) == 0 {
+		switch len(b.kept) {
+		case 0:
 			return nil, true
+		case 1:
+			return bytes.NewReader(b.kept[0]), true
 		}
-		return bytes.NewReader(b.buffer), true
+		return &keptReader{rest: b.kept}, true
 	}
-	if b.Streamed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.streamed {
 		return nil, false
 	}
-	return &streamReader{body: b, kept: b.buffer}, true
+	b.readers++
+	return &streamReader{body: b, kept: keptReader{rest: b.kept}}, true
+}
+
+// keptReader reads segments, from offset in the first one.
+type keptReader struct {
+	rest   [][]byte
+	offset int
+}
+
+// Read implements io.Reader.
+func (k *keptReader) Read(p []byte) (int, error) {
+	for len(k.rest) > 0 && k.offset == len(k.rest[0]) {
+		k.rest, k.offset = k.rest[1:], 0
+	}
+	if len(k.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, k.rest[0][k.offset:])
+	k.offset += n
+	return n, nil
 }
 
 // streamReader reads the body for one attempt: first the buffered bytes, then the rest from the
 // caller.
 type streamReader struct {
 	body *ReplayBody
-	kept []byte
+	kept keptReader
 	// interrupted is guarded by body.mu.
 	interrupted bool
 }
 
 // Read implements io.Reader.
 func (s *streamReader) Read(p []byte) (int, error) {
-	if len(s.kept) > 0 {
-		n := copy(p, s.kept)
-		s.kept = s.kept[n:]
+	if n, err := s.kept.Read(p); err == nil {
 		return n, nil
 	}
 	if !s.startStreaming() {
@@ -199,10 +357,23 @@
 	if s.interrupted {
 		return false
 	}
-	s.body.streamed = true
+	if !s.body.streamed {
+		s.body.streamed = true
+		s.body.dropKept()
+	}
 	return true
 }
 
+// dropKept gives back the part that is kept, once a reader has read all of it. An earlier reader may
+// still refer to its segments. The lock must be held.
+func (b *ReplayBody) dropKept() {
+	if b.readers == 1 {
+		b.recycle()
+	}
+	b.kept = nil
+	b.held.Release()
+}
+
 // finished reports whether the part beyond the buffer was read to its end.
 func (b *ReplayBody) finished() bool {
 	b.mu.Lock()
@@ -227,8 +398,7 @@
 	if !s.body.streamed || s.body.ended {
 		return
 	}
-	// Any time in the past interrupts the read.
-	s.body.controller.SetReadDeadline(time.Unix(1, 0))
+	s.body.controller.SetReadDeadline(expired)
 }
 
 // asTooLarge converts net/http's error for a body that exceeds its limit to a BodyTooLargeError.
@@ -240,6 +410,14 @@
 	return err
 }
 
+// asBodyError converts the error of reading the part of a body that is kept.
+func asBodyError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return ErrBodyLate
+	}
+	return asTooLarge(err)
+}
+
 // innermostWriter returns the writer of net/http that w wraps.
 func innermostWriter(w http.ResponseWriter) http.ResponseWriter {
 	for {
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -20,7 +20,7 @@
 	writeField(h, r.URL.RequestURI())
 	writeLength(h, body.Length())
 	if body.Whole() {
-		h.Write(body.Bytes())
+		body.writeKept(h)
 	}
 	h.Sum(digest[:0])
 	return digest, body.Whole()
@@ -47,7 +47,7 @@
 	writeField(h, r.Method)
 	writeField(h, r.URL.RequestURI())
 	writeLength(h, body.Length())
-	h.Write(body.Bytes())
+	body.writeKept(h)
 	var sum [sha256.Size]byte
 	return binary.BigEndian.Uint64(h.Sum(sum[:0]))
 }
--- a/internal/front/helpers_test.go
+++ b/internal/front/helpers_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/tealhall/tealhall/internal/forward/socket"
 )
@@ -73,5 +74,19 @@
 	io.WriteString(w, r.RequestURI+" "+string(body))
 }
 
+// await waits until the condition holds.
+func await(t *testing.T, holds func() bool) {
+	t.Helper()
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-t.Context().Done():
+			t.Fatal("the test has ended")
+		}
+	}
+}
+
 // lines joins the lines of a message with CR LF.
 func lines(parts ...string) string { return strings.Join(parts, "\r\n") }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -204,7 +204,7 @@
 		s.refuse(w, r, g.violation())
 		return
 	}
-	tracked := &answerWriter{ResponseWriter: w, server: s, conn: g, number: number}
+	tracked := &answerWriter{ResponseWriter: w, server: s, conn: g, number: number, bodyState: bodyStateOf(r)}
 	s.handler.ServeHTTP(tracked, r)
 	tracked.finish()
 	if tracked.cutOff {
@@ -245,8 +245,9 @@
 	http.ResponseWriter
 	server      *Server
 	wroteHeader bool
-	// body is set if the request's body is streamed.
-	body *ReplayBody
+	// body is set if the request's body is streamed, and bodyState says what was read of another one.
+	body      *ReplayBody
+	bodyState bodyState
 	// cutOff is set if the answer was begun but cannot be completed.
 	cutOff bool
 	// pipelined is set for an answer that is buffered until its turn. The writer to which it is
@@ -257,15 +258,51 @@
 	number uint64
 }
 
+// bodyState says how much of a request's body was read.
+type bodyState uint8
+
+const (
+	// bodyRead: the request has no body, or it was read to its end.
+	bodyRead bodyState = iota
+	// bodyUnread: nothing was read, and the server may read the rest to use the connection again.
+	bodyUnread
+	// bodyRefused: the rest is not wanted.
+	bodyRefused
+)
+
+// noteBody records how much of the body was read; w may be nil.
+func (w *answerWriter) noteBody(state bodyState) {
+	if w != nil {
+		w.bodyState = state
+	}
+}
+
+// bodyStateOf returns the state of a body before anything is read.
+func bodyStateOf(r *http.Request) bodyState {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return bodyRead
+	}
+	return bodyUnread
+}
+
+// limitRest limits the time in which the server reads the rest of the body. The caller may send
+// nothing more.
+func (w *answerWriter) limitRest() {
+	http.NewResponseController(w.ResponseWriter).SetReadDeadline(time.Now().Add(lingerTime))
+}
+
 // WriteHeader asks the caller to close the connection if the server is leaving. It also closes the
 // connection if the answer begins before the whole body was read: net/http panics if it reads the
 // rest of such a body after the handler and then waits for the next request.
 func (w *answerWriter) WriteHeader(status int) {
 	if status >= http.StatusOK && !w.wroteHeader {
 		w.wroteHeader = true
-		if w.closesConnection() || w.body != nil && !w.body.finished() {
+		if w.closesConnection() || w.bodyState == bodyRefused || w.body != nil && !w.body.finished() {
 			w.Header().Set("Connection", "close")
 		}
+		if w.bodyState == bodyUnread {
+			w.limitRest()
+		}
 	}
 	w.ResponseWriter.WriteHeader(status)
 }
@@ -289,16 +326,18 @@
 }
 
 // finish is called after the handler has returned. The server then reads the rest of the body in
-// order to close the connection without a reset. finish limits the time for this, because the
-// caller may send nothing more.
+// order to close the connection without a reset.
 func (w *answerWriter) finish() {
+	if w.bodyState != bodyRead {
+		w.limitRest()
+	}
 	if w.body == nil || w.body.finished() {
 		return
 	}
 	if !w.wroteHeader {
 		w.WriteHeader(http.StatusOK)
 	}
-	w.body.controller.SetReadDeadline(time.Now().Add(lingerTime))
+	w.limitRest()
 }
 
 // Unwrap supports http.ResponseController.
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -114,7 +114,7 @@
 			}
 			// A first attempt ends before it needs the rest of the body.
 			if reader, _ := body.Reader(); reader != nil {
-				io.ReadFull(reader, make([]byte, len(body.Bytes())))
+				io.ReadFull(reader, make([]byte, body.keptBytes))
 				if attempt, ok := reader.(forward.Interrupter); ok {
 					attempt.Interrupt()
 					if _, err := reader.Read(make([]byte, 1)); err == nil {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -209,6 +209,8 @@
 	c.checkInt("limits.heap_growth", l.HeapGrowth, 10, 10_000)
 	c.checkFloat("limits.link_mbps", l.LinkMbps, 1e6)
 	c.checkFloat("limits.memory_mb", l.MemoryMB, 1e6)
+	c.checkInt("limits.descriptors", l.Descriptors, 0, 10_000_000)
+	c.checkFloat("limits.request_share", l.RequestShare, 0.5)
 	c.checkFloat("limits.held_share", l.HeldShare, 0.5)
 	c.checkInt("limits.held_answer_bytes", l.HeldAnswerBytes, 0, 1<<30)
 	c.checkDuration("limits.repeat_window", l.RepeatWindow, time.Second, time.Hour)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -202,6 +202,12 @@
 	// LinkMbps is the rate of the VM's network link. Large answers take turns on it, and make room for
 	// small ones; default 0, which means that it is not known and answers do not wait.
 	LinkMbps float64 `toml:"link_mbps" unit:"Mbit/s"`
+	// Descriptors is the number of files and sockets that the process may have open; default 0, which
+	// means the limit of the operating system. Connections beyond a share of it are closed.
+	Descriptors int `toml:"descriptors" unit:"descriptors"`
+	// RequestShare is the share of the memory that may be held of requests that have not been
+	// answered; default 0.2. Without MemoryMB, it is a share of the memory of the VM.
+	RequestShare float64 `toml:"request_share" unit:"share"`
 	// MemoryMB is the memory that the process may use. HeldShare of it is for large answers whose
 	// callers read slowly; default 0, which means that nothing is held for them.
 	MemoryMB float64 `toml:"memory_mb" unit:"MB"`
@@ -317,6 +323,7 @@
 			RepeatWindow:           Duration{10 * time.Second},
 			WarmupOver:             1,
 			HeapGrowth:             400,
+			RequestShare:           0.2,
 			HeldShare:              0.125,
 			HeldAnswerBytes:        1 << 20,
 		},
