What the kernel receives ahead of the server is bounded

Not reading from a caller moves its bytes into the socket's buffer, which the kernel lets grow to megabytes for each connection, and they count toward the memory of the VM. 200 uploads of 3 MB had 184 MB received and not read on.

Change: callers' listeners set a receive buffer of 64 KiB. When the server closes a connection after an answer whose request it did not read, it lowers the buffer to the kernel's minimum and drops what has arrived, so that the half second in which the caller reads the answer costs no memory, and so that the close does not reset the connection before the caller has read it.

--- a/internal/forward/socket/socket.go
+++ b/internal/forward/socket/socket.go
@@ -34,6 +34,30 @@
 	return errors.Join(err, optErr)
 }
 
+// SetReceiveBuffer bounds the bytes that a connection, or each connection that a listening socket
+// accepts, receives before they are read.
+func SetReceiveBuffer(raw syscall.RawConn, bytes int) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+	})
+	return errors.Join(err, optErr)
+}
+
+// Discard reads and drops up to limit bytes that a connection has received, without waiting for more.
+func Discard(raw syscall.RawConn, limit int) {
+	var buffer [4 << 10]byte
+	_ = raw.Control(func(fd uintptr) {
+		for limit > 0 {
+			n, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_DONTWAIT)
+			if n <= 0 || err != nil {
+				return
+			}
+			limit -= n
+		}
+	})
+}
+
 // Listen listens on an IP:port with plain TCP. Go's default for listeners is Multipath TCP, whose
 // sockets support neither filters nor all TCP options.
 func Listen(address string) (*net.TCPListener, error) {
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/tealhall/tealhall/internal/forward/socket"
 )
 
 // refusedPath is the target of a placeholder request.
@@ -21,6 +23,8 @@
 	// size of the buffer for discarding what follows a refused head.
 	headBufferSize = 1 << 10
 	lingerTime     = 500 * time.Millisecond
+	// smallestBuffer is a size that the kernel raises to its minimum.
+	smallestBuffer = 1
 	lingerBytes    = 256 << 10
 )
 
@@ -51,7 +55,9 @@
 	// idle is set while the server waits for a request, and used once the first request has
 	// arrived.
 	idle, used atomic.Bool
-	opened     time.Time
+	// lingers is set once the server has sent the last answer.
+	lingers atomic.Bool
+	opened  time.Time
 
 	mu           sync.Mutex
 	deadline     time.Time // the deadline set by the server
@@ -294,17 +300,23 @@
 // CloseWrite lets the server close the connection in two steps, so that a caller that is still
 // sending can read the answer before the connection is closed.
 func (g *guardedConn) CloseWrite() error {
+	g.lingers.Store(true)
+	if raw, err := g.tcp.SyscallConn(); err == nil {
+		// What the caller still sends is not wanted, and stays with the caller while the server waits.
+		_ = socket.SetReceiveBuffer(raw, smallestBuffer)
+		socket.Discard(raw, lingerBytes)
+	}
 	if half, ok := g.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return nil
 }
 
-// Close closes the connection. After a refusal it first discards input, up to lingerTime and
-// lingerBytes, because closing a connection with unread bytes resets it, and the caller might then
-// never read the refusal.
+// Close closes the connection. After a refusal, or an answer to a request whose body was not read, it
+// first discards input, up to lingerTime and lingerBytes, because closing a connection with unread bytes
+// resets it, and the caller might then never read the answer.
 func (g *guardedConn) Close() error {
-	if g.violation() != ViolationNone {
+	if g.violation() != ViolationNone || g.lingers.Load() {
 		g.CloseWrite()
 		g.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 		io.CopyN(io.Discard, g.Conn, lingerBytes)
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -21,6 +21,19 @@
 // connected and whose request is on its way.
 const firstRequestWait = time.Second
 
+// receiveBuffer bounds the bytes that the kernel receives on a caller's connection ahead of the server. By
+// default the kernel lets it grow to several megabytes for each connection.
+const receiveBuffer = 64 << 10
+
+// boundReceiveBuffers sets receiveBuffer for the connections that l accepts.
+func boundReceiveBuffers(l *net.TCPListener) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return socket.SetReceiveBuffer(raw, receiveBuffer)
+}
+
 // listener accepts TCP connections and wraps them as guarded connections.
 type listener struct {
 	*net.TCPListener
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -155,6 +155,9 @@
 
 // Serve accepts callers' connections on l until Stop. It returns nil after Stop.
 func (s *Server) Serve(l *net.TCPListener) error {
+	if err := boundReceiveBuffers(l); err != nil {
+		return err
+	}
 	guarded := &listener{TCPListener: l, server: s}
 	s.mu.Lock()
 	if s.stopped {
