Connections of callers are bounded by descriptors and memory

Callers of an entry whose descriptors are used up are not accepted, and requests can't be sent to endpoints. 4,200 connections whose head never ends took 4,219 descriptors of the 4,100 of such a VM; nothing bounded their number.

Change: intake.Connections follows the states of the server's connections. At the limit a new connection takes the place of one that has sent no request for a second, else of the one that has been idle for longest, else of a request whose body has stalled; without any it is closed at once. No request is in progress on a connection that is closed, so its caller may send it again.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -194,11 +194,13 @@
 	e.buildPeers()
 	e.routeLimits.Store(&front.Limits{})
 	e.front = front.NewServer(front.ServerConfig{
-		Limits:      front.Limits{HeaderBytes: s.Limits.HeaderBytes, HeaderTimeout: s.Timeouts.Header.Duration, Idle: s.Timeouts.Idle.Duration},
-		Allowed:     func() front.Limits { return *e.routeLimits.Load() },
-		TLS:         opts.TLS.Callers,
-		Refuse:      e.refuseMalformedHead,
-		MayPipeline: e.mayPipeline,
+		Limits:         front.Limits{HeaderBytes: s.Limits.HeaderBytes, HeaderTimeout: s.Timeouts.Header.Duration, Idle: s.Timeouts.Idle.Duration},
+		Allowed:        func() front.Limits { return *e.routeLimits.Load() },
+		Memory:         e.requestMemory,
+		MaxConnections: e.capacity.Callers,
+		TLS:            opts.TLS.Callers,
+		Refuse:         e.refuseMalformedHead,
+		MayPipeline:    e.mayPipeline,
 	}, e.callerHandler())
 	return e, nil
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/tealhall/tealhall/internal/intake"
 )
 
 // ServerConfig configures a Server. Zero values select the default given at each field.
@@ -29,6 +31,11 @@
 	// UserTimeout is the TCP user timeout. It also ends a connection whose caller does not read its
 	// answer for that long. Default 30 s.
 	UserTimeout time.Duration
+	// Memory accounts for heads and buffered answers; nil means no limit.
+	Memory *intake.Memory
+	// MaxConnections bounds the open connections; 0 means no limit. At the limit, a new connection
+	// takes the place of one that waits for a request.
+	MaxConnections int
 	// TLS, if not nil, enables TLS on callers' connections.
 	TLS *tls.Config
 	// Refuse answers a request whose head was refused; the connection is then closed. The parameter
@@ -70,7 +77,9 @@
 	mu        sync.Mutex
 	listeners []*listener
 	conns     map[*guardedConn]struct{}
-	stopped   bool
+	// bound closes connections beyond MaxConnections; nil without a limit.
+	bound   *intake.Connections
+	stopped bool
 	// accepting counts the listeners that still accept connections.
 	accepting int
 }
@@ -82,6 +91,9 @@
 		cfg.TLS = http1Only(cfg.TLS)
 	}
 	s := &Server{cfg: cfg, handler: handler, conns: make(map[*guardedConn]struct{})}
+	if cfg.MaxConnections > 0 {
+		s.bound = intake.NewConnections(cfg.MaxConnections, monotonic(), cfg.Memory.GiveUpStalled)
+	}
 	s.http = &http.Server{
 		Handler: s,
 		// guardedConn applies the limits, so those of net/http must not be reached first.
@@ -141,6 +153,9 @@
 		g.pipeline.cancelAll()
 		s.track(g, false)
 	}
+	if s.bound != nil {
+		s.bound.State(c, state)
+	}
 }
 
 func (s *Server) track(g *guardedConn, open bool) {
@@ -177,6 +192,20 @@
 	return err
 }
 
+// ConnectionStats describes the connections that were closed because of the limit.
+func (s *Server) ConnectionStats() intake.ConnectionStats {
+	if s.bound == nil {
+		return intake.ConnectionStats{}
+	}
+	return s.bound.Stats()
+}
+
+// monotonic returns a clock that starts at 0 now.
+func monotonic() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
+
 // Connections returns the number of open connections from callers.
 func (s *Server) Connections() int {
 	s.mu.Lock()
