Large heads and answers that wait for their turn are in the account

The buffer of a connection for heads grew to the size of the largest head, up to 1 MiB where the routes allow it, and kept that size while the connection was idle; requests that are read ahead took 64 KiB more, and the answers to pipelined requests up to 2 MiB for each connection. None of it had a bound over all connections.

Change: a buffer beyond 4 KiB is taken from the account of the requests, and dropped when it is empty. Without room a head is refused with 503 and reading ahead stops. The buffered part of an answer that waits is in the account too; without room its handler waits for its turn, as it does for a long answer.

--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/forward/socket"
+	"github.com/tealhall/tealhall/internal/intake"
 )
 
 // refusedPath is the target of a placeholder request.
@@ -19,6 +21,9 @@
 const placeholderHead = "GET " + refusedPath + " HTTP/1.1\r\nHost: refused\r\nConnection: close\r\n\r\n"
 
 const (
+	// smallHeadBuffer is the size up to which the buffer is kept between requests and not accounted
+	// for.
+	smallHeadBuffer = 4 << 10
 	// headBufferSize is the initial size of the buffer for heads, which holds most heads, and the
 	// size of the buffer for discarding what follows a refused head.
 	headBufferSize = 1 << 10
@@ -39,10 +44,12 @@
 
 	// The fields below belong to the reading goroutine; the server has one per connection at a
 	// time.
-	head      []byte // bytes read but not yet passed to the server
-	scan      int    // where the search for the end of the head continues
-	ready     int    // bytes at the start of head that may be passed to the server
-	body      bodyTracker
+	head  []byte // bytes read but not yet passed to the server
+	scan  int    // where the search for the end of the head continues
+	ready int    // bytes at the start of head that may be passed to the server
+	body  bodyTracker
+	// held accounts for the buffer of a large head, nil while there is none.
+	held      *intake.Part
 	malformed bool // the framing of the body is malformed; net/http refuses it too
 	// pipeline starts requests before their turn.
 	pipeline pipeline
@@ -123,7 +130,12 @@
 		if len(g.head) > 0 {
 			g.beginHead()
 		}
-		if err := g.fill(); err != nil {
+		err := g.fill()
+		if err == errNoHeadMemory {
+			g.refuseHead(ViolationNoMemory)
+			return nil
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -143,10 +155,8 @@
 // fill reads more bytes into the buffer. The buffered bytes survive an interrupted read; the server
 // interrupts the pending read at the end of every request.
 func (g *guardedConn) fill() error {
-	if cap(g.head)-len(g.head) < headBufferSize/2 {
-		grown := make([]byte, len(g.head), max(headBufferSize, 2*cap(g.head)))
-		copy(grown, g.head)
-		g.head = grown
+	if cap(g.head)-len(g.head) < headBufferSize/2 && !g.growHead() {
+		return errNoHeadMemory
 	}
 	n, err := g.Conn.Read(g.head[len(g.head):cap(g.head)])
 	g.head = g.head[:len(g.head)+n]
@@ -159,6 +169,48 @@
 	return err
 }
 
+// errNoHeadMemory is the error of fill when the account has no room for a larger buffer.
+var errNoHeadMemory = errors.New("no memory is left for a larger head")
+
+// growHead enlarges the buffer.
+func (g *guardedConn) growHead() bool {
+	size := max(headBufferSize, 2*cap(g.head))
+	if size > smallHeadBuffer && !g.holdHead(int64(size)) {
+		return false
+	}
+	grown := make([]byte, len(g.head), size)
+	copy(grown, g.head)
+	g.head = grown
+	return true
+}
+
+// holdHead accounts for a buffer of the given size, in place of the present one.
+func (g *guardedConn) holdHead(size int64) bool {
+	held := g.cfg.Memory.Hold()
+	if !held.Take(size) {
+		return false
+	}
+	g.releaseHead()
+	g.held = held
+	return true
+}
+
+// releaseHead gives back the memory that holdHead took.
+func (g *guardedConn) releaseHead() {
+	if g.held != nil {
+		g.held.Release()
+		g.held = nil
+	}
+}
+
+// shrinkHead drops an empty buffer that is large.
+func (g *guardedConn) shrinkHead() {
+	if len(g.head) == 0 && cap(g.head) > smallHeadBuffer {
+		g.head = nil
+		g.releaseHead()
+	}
+}
+
 // headEnd returns the length of the head, or 0 if the head is incomplete. It drops empty lines
 // before the request line, which RFC 9112 allows.
 func (g *guardedConn) headEnd() int {
@@ -210,7 +262,13 @@
 
 func (g *guardedConn) consume(n int) {
 	g.ready -= n
+	g.dropHead(n)
+}
+
+// dropHead removes the first n bytes of the buffer.
+func (g *guardedConn) dropHead(n int) {
 	g.head = g.head[:copy(g.head, g.head[n:])]
+	g.shrinkHead()
 }
 
 // readBody returns bytes of the body only. The lines of the chunked coding are read through the
@@ -230,7 +288,7 @@
 		}
 	}
 	n := g.trackBody(p[:copy(p, g.head)])
-	g.head = g.head[:copy(g.head, g.head[n:])]
+	g.dropHead(n)
 	if n == 0 {
 		return 0, io.ErrUnexpectedEOF
 	}
--- a/internal/front/headcheck.go
+++ b/internal/front/headcheck.go
@@ -46,6 +46,8 @@
 	ViolationHost
 	// ViolationExpectation: the expectation is not 100-continue.
 	ViolationExpectation
+	// ViolationNoMemory: no memory is left for a head of this size.
+	ViolationNoMemory
 )
 
 var violationTexts = [...]string{
@@ -62,6 +64,7 @@
 	ViolationMethod:      "use another method than CONNECT",
 	ViolationHost:        "send one Host with a valid name",
 	ViolationExpectation: "expect nothing but 100-continue",
+	ViolationNoMemory:    "use another entry or send smaller headers; this one has no memory for a large head",
 }
 
 // String returns the remedy for the caller.
@@ -76,6 +79,8 @@
 		return http.StatusNotImplemented
 	case ViolationMethod:
 		return http.StatusMethodNotAllowed
+	case ViolationNoMemory:
+		return http.StatusServiceUnavailable
 	case ViolationExpectation:
 		return http.StatusExpectationFailed
 	}
--- a/internal/front/pipeline.go
+++ b/internal/front/pipeline.go
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/tealhall/tealhall/internal/intake"
 )
 
 // net/http reads the next request of a connection only after it has answered the previous one. When
@@ -135,6 +137,18 @@
 	}
 }
 
+// end is called when the connection has been closed. It drops the answers that wait for their turn.
+func (p *pipeline) end() {
+	p.cancelAll()
+	p.mu.Lock()
+	waiting := p.waiting
+	p.waiting = nil
+	p.mu.Unlock()
+	for _, request := range waiting {
+		request.answer.drop()
+	}
+}
+
 // startReadAhead starts the request whose head was read while another request is in progress, and
 // then reads ahead for the requests behind it. first is a copy of the head, and number is the
 // number of the request.
@@ -208,7 +222,7 @@
 	if err == nil {
 		return true
 	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) && err != errNoHeadMemory {
 		g.pipeline.cancelAll()
 	}
 	return false
@@ -243,7 +257,7 @@
 // answer in front of the request closes the connection.
 func (g *guardedConn) startRequest(r *http.Request, number uint64) bool {
 	p := &g.pipeline
-	answer := newPipelinedAnswer()
+	answer := newPipelinedAnswer(g.cfg.Memory)
 	request := &pipelinedRequest{number: number, answer: answer, done: make(chan struct{})}
 	request.tracked = &answerWriter{ResponseWriter: answer, server: p.server, pipelined: true}
 	p.mu.Lock()
@@ -291,10 +305,12 @@
 	buffered  bytes.Buffer
 	target    http.ResponseWriter
 	abandoned bool
+	// held accounts for buffered.
+	held *intake.Part
 }
 
-func newPipelinedAnswer() *pipelinedAnswer {
-	a := &pipelinedAnswer{header: make(http.Header)}
+func newPipelinedAnswer(memory *intake.Memory) *pipelinedAnswer {
+	a := &pipelinedAnswer{header: make(http.Header), held: memory.Hold()}
 	a.attached = sync.NewCond(&a.mu)
 	return a
 }
@@ -324,7 +340,7 @@
 	a.WriteHeader(http.StatusOK)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for a.target == nil && !a.abandoned && a.buffered.Len()+len(p) > maxBufferedAnswer {
+	for a.target == nil && !a.abandoned && !a.mayBuffer(len(p)) {
 		a.attached.Wait()
 	}
 	switch {
@@ -336,6 +352,11 @@
 	return a.buffered.Write(p)
 }
 
+// mayBuffer reports whether n more bytes may be buffered. The lock mu must be held.
+func (a *pipelinedAnswer) mayBuffer(n int) bool {
+	return a.buffered.Len()+n <= maxBufferedAnswer && a.held.Take(int64(n))
+}
+
 // FlushError implements the flushing of http.ResponseController.
 func (a *pipelinedAnswer) FlushError() error {
 	a.mu.Lock()
@@ -357,6 +378,7 @@
 		_, _ = w.Write(a.buffered.Bytes())
 		a.buffered = bytes.Buffer{}
 	}
+	a.held.Release()
 	a.attached.Broadcast()
 }
 
@@ -369,6 +391,15 @@
 	a.target.WriteHeader(a.status)
 }
 
+// drop discards the answer, which can no longer be sent.
+func (a *pipelinedAnswer) drop() {
+	a.abandon()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.buffered = bytes.Buffer{}
+	a.held.Release()
+}
+
 // abandon unblocks a handler that waits for attach after the request was cancelled.
 func (a *pipelinedAnswer) abandon() {
 	a.mu.Lock()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -150,7 +150,9 @@
 	case http.StateIdle:
 		g.idle.Store(true)
 	case http.StateClosed, http.StateHijacked:
-		g.pipeline.cancelAll()
+		g.stopReadAhead()
+		g.pipeline.end()
+		g.releaseHead()
 		s.track(g, false)
 	}
 	if s.bound != nil {
