Connections to the other ports are bounded

Any client that reaches the directory could take all descriptors of the process: 1,000 connections with heads that don't end, or with a part of a body that these servers expect to be empty, took 1,011 sockets of 400, and those with a part of a body were neither answered nor closed in 20 s. The same held for the health and the admin port. At the port of the peers, connections that never say who they are could take all places.

Cause: these servers bounded the time for a head but no number of connections, and net/http waits without a deadline for a body that a handler left unread.

Change: each of these servers closes connections that wait in favour of new ones beyond 1 of 25 of the descriptors, gives a body a second, and bounds the time for an answer. The server of the peers has at most 1 of 8 of the descriptors, and a connection without a Hello for 200 ms gives way to a new one.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -8,27 +8,35 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/tealhall/tealhall/internal/intake"
 )
 
 // Limits for connections to the admin interface.
 const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = time.Minute
+	headerTimeout = 5 * time.Second
+	idleTimeout   = time.Minute
+	// writeTimeout bounds the time for an answer. Streams set deadlines of their own.
+	writeTimeout   = 30 * time.Second
 	maxHeaderBytes = 16 << 10
 )
 
 // Server serves the admin interface on a listener.
 type Server struct{ http http.Server }
 
-// NewServer returns a server of h. A nil config means plain HTTP.
-func NewServer(h http.Handler, config *tls.Config) *Server {
-	return &Server{http: http.Server{
+// NewServer returns a server of h with at most the given number of open connections. A nil config means
+// plain HTTP.
+func NewServer(h http.Handler, config *tls.Config, connections int) *Server {
+	s := &Server{http: http.Server{
 		Handler:           h,
 		TLSConfig:         config,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		WriteTimeout:      writeTimeout,
 	}}
+	intake.Bound(&s.http, connections)
+	return s
 }
 
 // Serve answers requests until Close, and then returns nil. It logs a warning if the interface can
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/tealhall/tealhall/internal/admin"
+	"github.com/tealhall/tealhall/internal/entry"
 	"github.com/tealhall/tealhall/internal/fault"
 	"github.com/tealhall/tealhall/internal/settings"
 )
@@ -24,7 +25,7 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "free the port or set another addresses.admin", "cannot listen on %s", s.Addresses.Admin)
 	}
-	a := &adminServer{server: admin.NewServer(h, config), done: make(chan struct{})}
+	a := &adminServer{server: admin.NewServer(h, config, entry.CapacityOf(s).Auxiliary), done: make(chan struct{})}
 	go func() {
 		defer close(a.done)
 		if err := a.server.Serve(l); err != nil {
--- a/internal/daemon/auxservers.go
+++ b/internal/daemon/auxservers.go
@@ -9,6 +9,7 @@
 	"github.com/tealhall/tealhall/internal/entry"
 	"github.com/tealhall/tealhall/internal/fault"
 	"github.com/tealhall/tealhall/internal/forward/socket"
+	"github.com/tealhall/tealhall/internal/intake"
 	"github.com/tealhall/tealhall/internal/settings"
 	"github.com/tealhall/tealhall/platform"
 )
@@ -17,16 +18,21 @@
 const (
 	auxHeaderTimeout = 5 * time.Second
 	auxIdleTimeout   = 15 * time.Second
+	auxWriteTimeout  = 10 * time.Second
 	auxHeaderBytes   = 16 << 10
 )
 
 // auxServers are the HTTP servers beside those of the entry itself: the platform asks one whether
 // the entry is ready, and callers ask the other which entries to use.
-type auxServers struct{ servers []*http.Server }
+type auxServers struct {
+	// connections bounds the open connections of each server.
+	connections int
+	servers     []*http.Server
+}
 
 // startAuxServers starts the auxiliary servers that have an address in the settings.
 func startAuxServers(s *settings.Settings, e *entry.Entry) (*auxServers, error) {
-	a := &auxServers{}
+	a := &auxServers{connections: entry.CapacityOf(s).Auxiliary}
 	for _, listener := range []struct {
 		address string
 		handler http.Handler
@@ -55,7 +61,9 @@
 		ReadHeaderTimeout: auxHeaderTimeout,
 		IdleTimeout:       auxIdleTimeout,
 		MaxHeaderBytes:    auxHeaderBytes,
+		WriteTimeout:      auxWriteTimeout,
 	}
+	intake.Bound(server, a.connections)
 	a.servers = append(a.servers, server)
 	go func() {
 		if err := server.Serve(l); err != http.ErrServerClosed {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -35,7 +35,7 @@
 		BackoffMin:     backoffMin,
 		BackoffMax:     backoffMax,
 		BytesPerSecond: e.settings.Peers.BytesPerSecond,
-		Connections:    e.settings.Peers.Connections,
+		Connections:    e.capacity.Peers,
 		HandoverBytes:  handoverBytes + 2*e.settings.Limits.KeyAnswerBytes,
 		ServerTLS:      e.options.TLS.PeerServer,
 		ClientTLS:      e.options.TLS.PeerClient,
--- a/internal/peer/bounds_test.go
+++ b/internal/peer/bounds_test.go
@@ -159,6 +159,30 @@
 	})
 }
 
+// Guards against connections that are not peers' and take all places of those that are.
+func TestPeersFindPlaceAmongStrangers(t *testing.T) {
+	withPair(t, &recordingHandler{hello: helloOf("b", 2)}, Config{Connections: 3}, helloOf("a", 1), func(t *testing.T, p *pair) {
+		var strangers []net.Conn
+		for range 2 {
+			strangers = append(strangers, p.dialStranger(t))
+		}
+		advance(strangerTime)
+		client := rpc.NewClientWithCodec(wire.NewClientCodec(p.dialStranger(t), Config{}.withDefaults().limits()))
+		defer client.Close()
+		hello := wire.Hello(helloOf("c", 3))
+		if err := client.Call("Peer.Hello", &hello, new(wire.HelloReply)); err != nil {
+			t.Errorf("another peer is rejected: %v", err)
+		}
+		if took := awaitClose(strangers[0]); took != 0 {
+			t.Errorf("the first stranger was closed after %s", took)
+		}
+		if p.links.Stats()[0].Opened != 1 {
+			t.Errorf("the link of the first peer: %+v", p.links.Stats()[0])
+		}
+		strangers[1].Close()
+	})
+}
+
 // Pings of sixty idle links would use more bandwidth than everything else that an entry may spend
 // on control traffic. They must become rarer as the number of links grows.
 func TestPingsStayWithinByteShare(t *testing.T) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -148,7 +148,7 @@
 	if s.closed {
 		return false
 	}
-	if len(s.sessions) >= s.cfg.Connections {
+	if len(s.sessions) >= s.cfg.Connections && !s.closeStranger() {
 		s.rejected.Add(1)
 		return false
 	}
@@ -157,6 +157,27 @@
 	return true
 }
 
+// closeStranger closes the connection that has waited longest without a Hello, so that connections which
+// are not peers' do not take the place of those that are. It reports false if there is none. The lock
+// must be held.
+func (s *Server) closeStranger() bool {
+	var oldest *session
+	for sess := range s.sessions {
+		if !sess.HelloAccepted() && time.Since(sess.opened) >= strangerTime && (oldest == nil || sess.opened.Before(oldest.opened)) {
+			oldest = sess
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(s.sessions, oldest)
+	oldest.codec.Close()
+	return true
+}
+
+// strangerTime is how long a connection without a Hello keeps its place at the bound on connections.
+const strangerTime = 200 * time.Millisecond
+
 func (s *Server) removeSession(sess *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
