Metrics and concerns of what is held for callers

An operator sees how much of the memory for requests is used, how often it was full, which requests gave way, and how many connections were closed because of the limit; status names the settings when a limit is near.

--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -11,6 +11,7 @@
 	"github.com/tealhall/tealhall/internal/admin"
 	"github.com/tealhall/tealhall/internal/core"
 	tables "github.com/tealhall/tealhall/internal/core/table"
+	"github.com/tealhall/tealhall/internal/intake"
 	"github.com/tealhall/tealhall/internal/message"
 	"github.com/tealhall/tealhall/internal/peer"
 	"github.com/tealhall/tealhall/internal/settings"
@@ -47,6 +48,10 @@
 	process                   processStats
 	// transfers describes the large answers on the entry's link.
 	transfers transfer.Stats
+	// requestMemory describes what is held of requests, callerBound the limit on callers' connections.
+	requestMemory intake.MemoryStats
+	callerBound   intake.ConnectionStats
+	capacity      Capacity
 	// sentTo counts the peers that are being sent a value in parts, sendWaiting those that wait.
 	sentTo, sendWaiting int
 }
@@ -74,6 +79,9 @@
 		peerServer:         e.peerServer.Stats(),
 		process:            readProcess(),
 		transfers:          e.link.Stats(),
+		requestMemory:      e.requestMemory.Stats(),
+		callerBound:        e.front.ConnectionStats(),
+		capacity:           e.capacity,
 	}
 	f.sentTo, f.sendWaiting = e.sending.counts()
 	e.engine.view(func(now time.Duration, c *core.Core) { f.now, f.view = now, c.View(now) })
--- a/internal/entry/views_concerns.go
+++ b/internal/entry/views_concerns.go
@@ -272,6 +272,8 @@
 		return "start endpoints, or correct the pool in the profiles or the VM list"
 	case core.ReasonOverload:
 		return "add entries, or raise limits.in_flight_requests"
+	case core.ReasonMemoryFull:
+		return "by itself when fewer callers send large requests at a time; add entries, or raise limits.request_share"
 	case core.ReasonLinkFull:
 		return "by itself when the large answers under way are sent; add entries, or raise limits.link_mbps if the link is faster"
 	case core.ReasonEndpointsRefuse, core.ReasonEndpointLost, core.ReasonAnswerBroken:
@@ -293,6 +295,8 @@
 	near(f.view.InFlight, f.settings.Limits.InFlightRequests, "allowed requests are in flight", "limits.in_flight_requests")
 	near(f.view.Keys.Keys, f.settings.Limits.Keys, "allowed idempotency keys are in the key table", "limits.keys")
 	held := int(f.settings.Limits.HeldShare * f.settings.Limits.MemoryMB * bytesPerMB)
+	near(int(f.requestMemory.Held), int(f.capacity.RequestBytes), "bytes of requests are held", "limits.request_share")
+	near(f.callers, f.capacity.Callers, "connections of callers are open", "limits.descriptors and limits.memory_mb")
 	near(int(f.transfers.Held), held, "bytes are held for callers that read slowly", "limits.held_share")
 	for i := range f.view.Pools {
 		for _, s := range f.view.Pools[i].Services {
