Answers with a malformed head are not passed on

What callers saw on systems of this kind: an instance in trouble sent an answer with the status 000, or with a blank or a control byte in the name of a header. The caller got it as an answer, with that line dropped, or with a body that was not the instance's: with "Content-Length : n" the line is not seen as a length, and the body lasts until the connection ends.

Cause: heads of answers were read by http.ReadResponse alone. It takes any three characters that form a number as a status, so that 000 counted as informational and the next answer on the connection as the final one; it lets blanks in names through; it drops Transfer-Encoding from HTTP/1.0 and passes the chunked coding on as the body; and it ignores a length beside a transfer coding.

Change: package headcheck checks a head as it was received: version, status 100 to 599, names, values, and one way of framing. The client of endpoints, which also carries probes and relayed requests, records the bytes of each head for it, and checks trailers at the end of a body. A malformed answer is none: the attempt fails as "answer is not usable".

Evidence: ten of eleven new cases of TestAnswerFraming failed before, seven of them with "ok" or the raw chunks as a whole answer; a control byte in a name was refused already.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"github.com/tealhall/tealhall/internal/headcheck"
 )
 
 var (
@@ -83,12 +85,21 @@
 		x.conn.SetReadDeadline(time.Now().Add(timeout))
 		defer x.conn.SetReadDeadline(time.Time{})
 	}
+	x.conn.record()
 	resp, err := http.ReadResponse(x.conn.reader, x.out.Request)
-	if err == nil {
+	var malformed error
+	x.conn.endRecord(func(head []byte) {
+		if err == nil {
+			malformed = headcheck.Check(head)
+		}
+	})
+	if err == nil && malformed == nil {
 		return resp, nil
 	}
 	failure := ConnectionLost
 	switch {
+	case malformed != nil:
+		failure, err = BadAnswer, malformed
 	case errors.Is(x.conn.readErr, os.ErrDeadlineExceeded):
 		failure = AnswerTimeout
 	case x.conn.readErr == nil, x.conn.readErr == errHeadTooLarge:
@@ -182,7 +193,7 @@
 		resp.Body = http.NoBody
 		return resp, nil
 	}
-	resp.Body = &answerBody{exchange: x, source: resp.Body, reusable: !resp.Close}
+	resp.Body = &answerBody{exchange: x, source: resp.Body, reusable: !resp.Close, resp: resp}
 	return resp, nil
 }
 
@@ -197,6 +208,8 @@
 	exchange *exchange
 	source   io.Reader
 	reusable bool
+	// resp has the trailers once the source has ended.
+	resp *http.Response
 	// err is the error that Read returns once the exchange has ended.
 	err error
 }
@@ -211,12 +224,23 @@
 		return n, nil
 	}
 	if err == io.EOF {
-		b.err = io.EOF
-		b.exchange.release(b.reusable)
-		return n, io.EOF
+		err = b.checkEnd()
+	}
+	if err != nil {
+		b.err = b.exchange.failBody(err)
+		return n, b.err
 	}
-	b.err = b.exchange.failBody(err)
-	return n, b.err
+	b.err = io.EOF
+	b.exchange.release(b.reusable)
+	return n, io.EOF
+}
+
+// checkEnd returns an error if the end of the body does not show that the answer is whole.
+func (b *answerBody) checkEnd() error {
+	if err := headcheck.CheckFields(b.resp.Trailer); err != nil {
+		return &Error{Failure: BadAnswer, Address: b.exchange.out.Address, Cause: err}
+	}
+	return nil
 }
 
 // Close ends the exchange. If the body has not been read to its end, Close closes the connection,
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -42,6 +42,8 @@
 	written atomic.Int64
 	// headLeft is how many bytes the head of the answer may still take.
 	headLeft int64
+	// received records the bytes that are read, nil while none are recorded.
+	received *[]byte
 	// readErr is the last error of Read. The parsers hide it: they report a truncated line as
 	// malformed.
 	readErr error
@@ -95,6 +97,9 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.readErr = err
+	if c.received != nil {
+		*c.received = append(*c.received, p[:n]...)
+	}
 	if c.headLeft != math.MaxInt64 {
 		c.headLeft -= int64(n)
 	}
@@ -111,6 +116,24 @@
 // limitHead limits the bytes that may be read until unlimitHead is called.
 func (c *conn) limitHead(limit int64) { c.headLeft = limit }
 
+// recordings is a pool of buffers for the bytes of heads.
+var recordings = sync.Pool{New: func() any { return new([]byte) }}
+
+// record records what is read from the connection from the next byte of the reader on.
+func (c *conn) record() {
+	c.received = recordings.Get().(*[]byte)
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	*c.received = append((*c.received)[:0], buffered...)
+}
+
+// endRecord ends the recording after use has been called with the bytes, which it must not keep.
+func (c *conn) endRecord(use func(received []byte)) {
+	received := c.received
+	c.received = nil
+	use(*received)
+	recordings.Put(received)
+}
+
 // unlimitHead lifts the limit, so that the body of the answer can be read.
 func (c *conn) unlimitHead() { c.headLeft = math.MaxInt64 }
 
--- a/internal/forward/exchange_test.go
+++ b/internal/forward/exchange_test.go
@@ -52,6 +52,17 @@
 		{"endless informational", "GET", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1000), Config{MaxResponseHeaderBytes: 4096}, "", BadAnswer, false},
 		{"not HTTP", "GET", "SSH-2.0\r\n\r\n", Config{}, "", BadAnswer, false},
 		{"two lengths", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", Config{}, "", BadAnswer, false},
+		{"status 000", "GET", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", Config{}, "", BadAnswer, false},
+		{"status 000 before another answer", "GET", "HTTP/1.1 000 OK\r\n\r\n" + okAnswer, Config{}, "", BadAnswer, false},
+		{"status 999", "GET", "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nok", Config{}, "", BadAnswer, false},
+		{"blank in a name", "GET", "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok", Config{}, "", BadAnswer, false},
+		{"blank behind a name", "GET", "HTTP/1.1 200 OK\r\nX-Odd : 1\r\nContent-Length: 2\r\n\r\nok", Config{}, "", BadAnswer, false},
+		{"blank behind the length", "GET", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nok", Config{AllowUnframed: true}, "", BadAnswer, false},
+		{"control byte in a name", "GET", "HTTP/1.1 200 OK\r\nX\x02Odd: 1\r\nContent-Length: 2\r\n\r\nok", Config{}, "", BadAnswer, false},
+		{"blank in a trailer", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Sum: 1\r\n\r\n", Config{}, "ok", BadAnswer, false},
+		{"chunks in HTTP/1.0", "GET", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Config{AllowUnframed: true}, "", BadAnswer, false},
+		{"length and chunks", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Config{}, "", BadAnswer, false},
+		{"odd name in an informational answer", "GET", "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + okAnswer, Config{}, "", BadAnswer, false},
 		{"other protocol", "GET", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", Config{}, "", BadAnswer, false},
 	}
 	for _, test := range tests {
