Malformed heads are refused by the other clients too

What net/http hides from its users, a transfer coding in HTTP/1.0 or beside a length, is not seen there.

--- a/client/client.go
+++ b/client/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/headcheck"
 )
 
 // Outcome says whether a request was run.
@@ -140,6 +141,7 @@
 		opts.Wait = wait
 	}
 	httpClient := *opts.HTTP
+	httpClient.Transport = headcheck.Transport(httpClient.Transport)
 	httpClient.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{opts: opts, http: &httpClient, directory: newDirectory(opts, &httpClient)}, nil
 }
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/tealhall/tealhall/internal/admin"
 	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/headcheck"
 )
 
 // maxResponseBytes is the largest response of the admin interface that is read.
@@ -61,7 +62,7 @@
 
 func (o *options) client() (*http.Client, error) {
 	if o.authorities == "" {
-		return http.DefaultClient, nil
+		return &http.Client{Transport: headcheck.Transport(nil)}, nil
 	}
 	text, err := os.ReadFile(o.authorities)
 	if err != nil {
@@ -71,7 +72,8 @@
 	if !pool.AppendCertsFromPEM(text) {
 		return nil, fault.New(fault.Unavailable, "give a PEM file with certificates to --authorities", "%s contains no certificate", o.authorities)
 	}
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}}, nil
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	return &http.Client{Transport: headcheck.Transport(transport)}, nil
 }
 
 // responseError returns the error that a response with a status other than 200 reports.
--- a/internal/published/client.go
+++ b/internal/published/client.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/tealhall/tealhall/internal/fault"
+	"github.com/tealhall/tealhall/internal/headcheck"
 )
 
 // The HTTP interface of the service, described in docs/design/platform.md.
@@ -95,7 +96,7 @@
 		cfg:  cfg,
 		base: strings.TrimRight(cfg.BaseURL, "/") + ValuesPath,
 		http: &http.Client{
-			Transport: cfg.Transport,
+			Transport: headcheck.Transport(cfg.Transport),
 			// A redirect would lead to an address that is not in the settings.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
