A reset during the upload no longer ends an answer without a length

What callers saw: an instance answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the end of such an answer is the end of its connection. The kernel reports a reset once. When the goroutine that writes the upload got the error, the one that reads the answer saw the end of the stream.

Change: at the end of an answer without a length the state of the TCP connection decides: closed by the endpoint is an end, reset is not. Where the kernel does not say, the answer is whole only if the upload was written to its end. TLS reports an end without an alert as an error already.

Why it works: the state does not depend on who got the error.

Evidence: TestResetDuringUploadDoesNotEndAnswer, which lets the writer get the error first, failed before in its one run ("half", no error) and passes in 300 of 300; an answer before the end of its upload that ends by a close stays whole (TestUnframedAnswerEndsWithConnection).

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/tealhall/tealhall/internal/forward/socket"
 	"github.com/tealhall/tealhall/internal/headcheck"
 )
 
@@ -14,6 +15,7 @@
 	errSwitchedProtocols = errors.New("the endpoint switched protocols without a request to do so")
 	errUnframed          = errors.New("the answer has neither a Content-Length nor the chunked coding")
 	errUnacknowledged    = errors.New("the endpoint has stopped acknowledging sent bytes")
+	errBrokenEnd         = errors.New("the connection was reset, or its end cannot be told from a reset")
 	errStrayAnswer       = errors.New("the answer belongs to another request")
 	errHeadTimeout       = errors.New("the connection is alive but no answer arrived")
 )
@@ -240,9 +242,27 @@
 	if err := headcheck.CheckFields(b.resp.Trailer); err != nil {
 		return &Error{Failure: BadAnswer, Address: b.exchange.out.Address, Cause: err}
 	}
+	if unframed(b.resp, false) && !b.exchange.endedByEndpoint() {
+		return &Error{Failure: Truncated, Address: b.exchange.out.Address, Cause: errBrokenEnd}
+	}
 	return nil
 }
 
+// endedByEndpoint reports, after the last byte was read, whether the endpoint closed the connection. The
+// kernel reports a reset once, and if the upload gets the error, a read returns the end of the stream.
+func (x *exchange) endedByEndpoint() bool {
+	if x.conn.encrypted {
+		return true // TLS reports an end that the endpoint did not announce as an error
+	}
+	switch x.conn.inspector.End() {
+	case socket.EndClosed:
+		return true
+	case socket.EndReset:
+		return false
+	}
+	return x.upload == nil || x.upload.finished()
+}
+
 // Close ends the exchange. If the body has not been read to its end, Close closes the connection,
 // which tells the endpoint to stop sending.
 func (b *answerBody) Close() error {
--- a/internal/forward/socket/socket.go
+++ b/internal/forward/socket/socket.go
@@ -157,6 +157,43 @@
 	}
 }
 
+// End is how the other end ended a connection.
+type End uint8
+
+// The ends.
+const (
+	// EndUnknown: the connection has not ended, or the kernel does not say how.
+	EndUnknown End = iota
+	// EndClosed: the other end has closed the connection, or its half of it.
+	EndClosed
+	// EndReset: the connection was reset, or has failed.
+	EndReset
+)
+
+// The states of a TCP connection in tcp_info.
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+)
+
+// End returns how the other end ended the connection. It is safe for concurrent use.
+func (i *Inspector) End() End {
+	var info *unix.TCPInfo
+	var infoErr error
+	err := i.raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	switch {
+	case err != nil || infoErr != nil:
+		return EndUnknown
+	case info.State == tcpCloseWait:
+		return EndClosed
+	case info.State == tcpClose:
+		return EndReset
+	}
+	return EndUnknown
+}
+
 // Silent reports whether the kernel is retransmitting bytes and has received no acknowledgement for
 // at least the given time. A slow endpoint does not count as silent: its kernel acknowledges bytes
 // that its process has not read yet, and answers zero-window probes, which leave no segment
