A rejected upload is no longer answered with an empty 200

Cause: when the answer of an endpoint ends an attempt, the attempt interrupts its read of the caller's body. net/http takes the failed read for the caller's departure and cancels the context of the request. The exchange was given up as if nobody waited, and a handler that returns without an answer has answered 200.

Change: a cancelled context after an interruption of our own is not a departure. An exchange that is given up aborts the connection of its caller, so that the absence of an answer is never a success.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -73,7 +74,16 @@
 	t := x.entry.link.Begin(response.ContentLength)
 	defer t.End()
 	response.Body = &watchedBody{ReadCloser: response.Body, failed: x.stopWatch}
-	return front.CopyLargeAnswer(x.request.Context(), w, response, t)
+	return front.CopyLargeAnswer(x.callerContext(), w, response, t)
+}
+
+// callerContext returns a context that ends when the caller leaves.
+func (x *exchange) callerContext() context.Context {
+	ctx := x.request.Context()
+	if x.body.Interrupted() {
+		return context.WithoutCancel(ctx)
+	}
+	return ctx
 }
 
 // watchedBody calls failed when an answer breaks off. The connection of its caller is then ended too,
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -143,8 +143,12 @@
 }
 
 // callerGone runs when the caller closes its connection. It cancels the attempts, unless the core
-// lets the request run on, as it may with an idempotency key.
+// lets the request run on, as it may with an idempotency key. It also runs when an attempt has
+// interrupted the reading of the body; the caller then waits for its answer.
 func (x *exchange) callerGone() {
+	if x.body.Interrupted() {
+		return
+	}
 	if x.entry.engine.callerGone(x.id) {
 		return
 	}
@@ -181,6 +185,9 @@
 		x.passAnswer(w, c)
 		return true
 	}
+	if abandoned {
+		front.CutOff(w) // a handler that only returns has answered with success
+	}
 	return abandoned
 }
 
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -67,6 +67,8 @@
 	// streamed is set when bytes beyond the buffer were requested, and ended when the body was read
 	// to its end.
 	streamed, ended bool
+	// interrupted is set when a read from the caller was interrupted.
+	interrupted bool
 	// readers counts the readers of a body that is not whole.
 	readers int
 }
@@ -374,6 +376,14 @@
 	b.held.Release()
 }
 
+// Interrupted reports whether the server itself has ended the reading of the body. net/http then cancels
+// the context of the request as if the caller had left.
+func (b *ReplayBody) Interrupted() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.interrupted
+}
+
 // finished reports whether the part beyond the buffer was read to its end.
 func (b *ReplayBody) finished() bool {
 	b.mu.Lock()
@@ -398,6 +408,7 @@
 	if !s.body.streamed || s.body.ended {
 		return
 	}
+	s.body.interrupted = true
 	s.body.controller.SetReadDeadline(expired)
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -368,7 +368,7 @@
 	if w.body == nil || w.body.finished() {
 		return
 	}
-	if !w.wroteHeader {
+	if !w.wroteHeader && !w.cutOff {
 		w.WriteHeader(http.StatusOK)
 	}
 	w.limitRest()
