Connections and pipelined requests hold less at their limit

Cause: 1,800 connections with a receive buffer of 64 KiB, of which the kernel fills some 110 KB, and up to eight requests of each connection that are started before their turn and were not in the account.

--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -57,7 +57,7 @@
 	minPeers         = 32
 	minAuxiliary     = 16
 	connectionShare  = 0.2
-	connectionBytes  = 32 << 10
+	connectionBytes  = 48 << 10
 	maxDescriptors   = 1 << 20
 	fallbackMemoryMB = 1024
 )
--- a/internal/front/helpers_test.go
+++ b/internal/front/helpers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -77,16 +78,21 @@
 // await waits until the condition holds.
 func await(t *testing.T, holds func() bool) {
 	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), awaitTimeout)
+	defer cancel()
 	ticker := time.NewTicker(time.Millisecond)
 	defer ticker.Stop()
 	for !holds() {
 		select {
 		case <-ticker.C:
-		case <-t.Context().Done():
-			t.Fatal("the test has ended")
+		case <-ctx.Done():
+			t.Fatal("timed out")
 		}
 	}
 }
 
+// awaitTimeout bounds the wait for a condition.
+const awaitTimeout = time.Minute
+
 // lines joins the lines of a message with CR LF.
 func lines(parts ...string) string { return strings.Join(parts, "\r\n") }
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -23,7 +23,7 @@
 
 // receiveBuffer bounds the bytes that the kernel receives on a caller's connection ahead of the server. By
 // default the kernel lets it grow to several megabytes for each connection.
-const receiveBuffer = 64 << 10
+const receiveBuffer = 32 << 10
 
 // boundReceiveBuffers sets receiveBuffer for the connections that l accepts.
 func boundReceiveBuffers(l *net.TCPListener) error {
--- a/internal/front/pipeline.go
+++ b/internal/front/pipeline.go
@@ -32,6 +32,8 @@
 	// maxBufferedAnswer bounds the part of an answer that is buffered until its turn. The handler
 	// of a longer answer blocks until then.
 	maxBufferedAnswer = 256 << 10
+	// earlyRequestBytes is the memory of a request that is started before its turn, without its answer.
+	earlyRequestBytes = 16 << 10
 )
 
 // pipeline starts the pipelined requests of one connection before their turn.
@@ -254,15 +256,19 @@
 }
 
 // startRequest passes a request to the handler in a goroutine of its own. It returns false if an
-// answer in front of the request closes the connection.
+// answer in front of the request closes the connection, or if there is no memory.
 func (g *guardedConn) startRequest(r *http.Request, number uint64) bool {
 	p := &g.pipeline
 	answer := newPipelinedAnswer(g.cfg.Memory)
+	if !answer.held.Take(earlyRequestBytes) {
+		return false
+	}
 	request := &pipelinedRequest{number: number, answer: answer, done: make(chan struct{})}
 	request.tracked = &answerWriter{ResponseWriter: answer, server: p.server, pipelined: true}
 	p.mu.Lock()
 	if p.closing {
 		p.mu.Unlock()
+		answer.held.Release()
 		return false
 	}
 	p.lastStarted = number
