A row of an unused service takes no address from a live endpoint

Cause: of two rows at one address the one that was registered later is taken for the live one, whatever its service.

Change: the table of VMs knows the pools that services use. A row of another pool takes no address from one of those, and gives its address up to it. When the configuration changes, the rows that were kept from their address are looked at again, so an address that is given to a service which is used later is taken over then.

Evidence: TestRowOfUnusedPoolTakesNoAddress fails in all three cases without the comparison of pools, and passes with it.

--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -290,7 +290,7 @@
 		return nil, true
 	}
 	if t.lists(vmKey{r.vm.Name, r.vm.Incarnation}) {
-		if r.vm.Supersedes(&vm) || t.list.conflicting[vm.Name] && !vm.Supersedes(&r.vm) {
+		if t.supersedes(&r.vm, &vm) || t.list.conflicting[vm.Name] && !t.supersedes(&vm, &r.vm) {
 			t.list.conflicting[vm.Name] = true
 			return nil, false
 		}
@@ -300,6 +300,27 @@
 	return t.drop(r, replacedBy(vm)), true
 }
 
+// supersedes reports whether vm has taken over the address of another VM. A row of a pool that no service
+// uses names no endpoint to use, so it takes no address from one of a pool in use.
+func (t *Table) supersedes(vm, other *published.VM) bool {
+	if used := t.isUsed(vm); used != t.isUsed(other) {
+		return used
+	}
+	return vm.Supersedes(other)
+}
+
+// isUsed reports whether a service uses the pool of vm, as far as is known.
+func (t *Table) isUsed(vm *published.VM) bool { return t.pools == nil || t.pools[vm.Pool] }
+
+// SetPools sets the pools that services use.
+func (t *Table) SetPools(now time.Duration, names []string) []Change {
+	t.pools = make(map[string]bool, len(names))
+	for _, name := range names {
+		t.pools[name] = true
+	}
+	return t.retryConflicting(now)
+}
+
 // replacedBy says which VM replaced another one.
 func replacedBy(vm published.VM) string {
 	return fmt.Sprintf("%s, incarnation %d, replaced it", vm.Name, vm.Incarnation)
--- a/internal/core/member/sharedaddress_test.go
+++ b/internal/core/member/sharedaddress_test.go
@@ -80,3 +80,35 @@
 		}
 	}
 }
+
+// Guards against a live endpoint that is out of use because of a row with its address for a service that
+// nothing uses.
+func TestRowOfUnusedPoolTakesNoAddress(t *testing.T) {
+	live, odd := registered("live", 10), registered("odd", 20)
+	live.Pool, odd.Pool = "orders", "elsewhere"
+	for _, learned := range []string{"list first", "pools first", "odd first"} {
+		t.Run(learned, func(t *testing.T) {
+			table := New(Config{Self: 1, Region: "r1", ListIsFinal: true})
+			both := []published.VM{live, odd}
+			switch learned {
+			case "list first":
+				table.ApplyList(0, published.VMList{Revision: 1, VMs: both})
+				table.SetPools(0, []string{"orders"})
+			case "pools first":
+				table.SetPools(0, []string{"orders"})
+				table.ApplyList(0, published.VMList{Revision: 1, VMs: both})
+			case "odd first":
+				table.SetPools(0, []string{"orders"})
+				table.ApplyList(0, published.VMList{Revision: 0, VMs: []published.VM{odd}})
+				table.ApplyDifference(0, &published.Difference{After: 0, Revision: 1, Rows: []published.VM{live}})
+			}
+			if got := endpointNames(table); !slices.Equal(got, []string{"live"}) {
+				t.Errorf("the endpoints are %v", got)
+			}
+			table.SetPools(0, []string{"elsewhere", "orders"})
+			if got := endpointNames(table); !slices.Equal(got, []string{"odd"}) {
+				t.Errorf("once its service is used, the endpoints are %v, want the one that was registered later", got)
+			}
+		})
+	}
+}
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -134,6 +134,8 @@
 	departures  departures
 	newEvidence []message.Evidence
 	list        listState
+	// pools are those that services use, nil as long as that is not known.
+	pools map[string]bool
 	// entriesVersion grows with each change of the result of Entries.
 	entriesVersion uint64
 	index          index
--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -125,6 +125,7 @@
 		return
 	}
 	c.applySnapshot(o.Profiles, out)
+	c.applyChanges(now, c.fleet.members.SetPools(now, o.Profiles.Pools()), note.Actor, out)
 	c.assignServices(now)
 	c.drainQueues(now, out)
 }
