An answer sets no deadline for an upload that streams on

An upload beyond what is kept counted as unread when its answer began, so that its rest had half a second, and the end of that time looked like the caller's departure to net/http. An endpoint that answers before it has read a long upload, and an answer that takes longer than that, would have been cut off.

Change: the state of a body that streams is that of the body itself, as before.

Evidence: TestAnswerSetsNoDeadlineForStreamedBody failed before and passes.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -97,9 +97,7 @@
 		tracked.noteBody(bodyRefused)
 		return nil, err
 	}
-	if b.whole {
-		tracked.noteBody(bodyRead)
-	}
+	tracked.noteBody(bodyRead) // a body that streams is followed by answerWriter.body
 	return b, nil
 }
 
--- a/internal/front/unread_test.go
+++ b/internal/front/unread_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 )
 
 // Guards against a refusal that waits for the rest of a body which the handler does not read.
@@ -26,3 +27,27 @@
 		}
 	}
 }
+
+// Guards against an upload that is cut off half a second after its answer has begun, and against an answer
+// that is cut off then because the deadline looks like the caller's departure.
+func TestAnswerSetsNoDeadlineForStreamedBody(t *testing.T) {
+	deadlines := make(chan time.Time, 1)
+	_, address := serve(t, ServerConfig{}, func(w http.ResponseWriter, r *http.Request) {
+		body, err := NewReplayBody(w, r, BodyLimits{Buffer: 4})
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer body.Release()
+		w.WriteHeader(http.StatusOK)
+		g := r.Context().Value(connKey{}).(*guardedConn)
+		g.mu.Lock()
+		deadlines <- g.deadline
+		g.mu.Unlock()
+	})
+	conn := dial(t, address)
+	conn.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\npart")
+	if deadline := <-deadlines; !deadline.IsZero() {
+		t.Errorf("the rest of the body has until %v", deadline)
+	}
+}
