--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -97,7 +97,7 @@
 		tracked.noteBody(bodyRefused)
 		return nil, err
 	}
-	tracked.noteBody(bodyRead) // a body that streams is followed by answerWriter.body
+	tracked.noteBody(bodyRead)
 	return b, nil
 }
 
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -48,7 +48,7 @@
 	scan  int    // where the search for the end of the head continues
 	ready int    // bytes at the start of head that may be passed to the server
 	body  bodyTracker
-	// held accounts for the buffer of a large head, nil while there is none.
+	// held accounts for head while it is large, else nil.
 	held      *intake.Part
 	malformed bool // the framing of the body is malformed; net/http refuses it too
 	// pipeline starts requests before their turn.
--- a/internal/front/pipeline.go
+++ b/internal/front/pipeline.go
@@ -311,7 +311,7 @@
 	buffered  bytes.Buffer
 	target    http.ResponseWriter
 	abandoned bool
-	// held accounts for buffered.
+	// held accounts for the request and for buffered.
 	held *intake.Part
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -296,7 +296,7 @@
 type bodyState uint8
 
 const (
-	// bodyRead: the request has no body, or it was read to its end.
+	// bodyRead: the request has no body, it was read to its end, or ReplayBody reads it on.
 	bodyRead bodyState = iota
 	// bodyUnread: nothing was read, and the server may read the rest to use the connection again.
 	bodyUnread
