Stand-ins: a killed service no longer answers what waits with an empty 200

Cause: Kill cancelled the handlers first and reset the connections after that. A handler that returns before its connection is reset has written nothing, which net/http sends as a 200 with length 0. No entry does this: the fault was that of the simulated service.

Change: the connections are reset first, the handlers are cancelled last.

--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -107,7 +107,8 @@
 	if server == nil {
 		return
 	}
-	cancel()
+	// A handler that returns before its connection is closed sends an empty 200.
+	defer cancel()
 	s.conns.reset()
 	_ = server.Close()
 	<-served
