--- a/internal/core/readers.go
+++ b/internal/core/readers.go
@@ -50,6 +50,10 @@
 	reachedAt time.Duration
 	// standbyActive says that this entry reads although it is not an assigned reader.
 	standbyActive bool
+	// reading says that this entry reads. unwatchedSince is since when, at the earliest, no entry
+	// watched the configuration service when this entry began to read; unwatched says that it is known.
+	reading, unwatched bool
+	unwatchedSince     time.Duration
 }
 
 // assignReaders assigns the readers anew after a change of entries. It runs only when the
@@ -128,7 +132,13 @@
 }
 
 // PlatformAnswered records whether the configuration service answered this entry's latest call.
-func (c *Core) PlatformAnswered(ok bool) { c.fleet.readers.platformAnswered = ok }
+func (c *Core) PlatformAnswered(ok bool) {
+	r := &c.fleet.readers
+	r.platformAnswered = ok
+	if !ok {
+		r.unwatched = false
+	}
+}
 
 // PlatformAlive records whether the configuration service answered this entry's latest liveness
 // check in time.
@@ -140,9 +150,37 @@
 	return c.Reader() && r.platformAnswered && !r.platformSilent
 }
 
-// checkReaders decides whether this entry has to read although it is not an assigned reader.
+// checkReaders decides whether this entry has to read, and since when no other entry may have read.
 func (c *Core) checkReaders(now time.Duration) {
 	c.assignReaders()
+	r := &c.fleet.readers
+	reachedAt := r.reachedAt
+	c.checkStandby(now)
+	if reading := c.Reader(); reading != r.reading {
+		r.reading, r.unwatched = reading, reading && reachedAt > 0
+		// A reader that was lost counts as reading until it is suspected.
+		r.unwatchedSince = reachedAt - c.fleet.members.SuspectAfter()
+	}
+}
+
+// longestTakeover is how long it takes other entries to read in place of readers that are suspected. If
+// it takes longer, the configuration service does not answer.
+const longestTakeover = (lastStandbyGroup + 1) * readerSilence
+
+// UnwatchedFor returns for how long no entry may have watched the configuration service until now, when
+// this entry has just taken over from other readers, else 0. While the service does not answer it drops
+// endpoints that cannot report to it, so the time of an outage does not count.
+func (c *Core) UnwatchedFor(now time.Duration) time.Duration {
+	r := &c.fleet.readers
+	unwatched := now - r.unwatchedSince
+	if !r.unwatched || unwatched > c.fleet.members.SuspectAfter()+longestTakeover {
+		return 0
+	}
+	return unwatched
+}
+
+// checkStandby decides whether this entry has to read although it is not an assigned reader.
+func (c *Core) checkStandby(now time.Duration) {
 	r := &c.fleet.readers
 	if c.assignedReaderReachesPlatform(now) {
 		r.reachedAt, r.standbyActive = now, false
--- a/internal/core/readers_test.go
+++ b/internal/core/readers_test.go
@@ -178,3 +178,58 @@
 		t.Error("the isolated entry does not read the platform")
 	}
 }
+
+// Guards against a removed endpoint that is used for too long because the entries that would have heard of
+// its removal were killed: those that read in their place count how long it was gone from when they hear.
+func TestUnwatchedTimeReachesBackToLossOfReaders(t *testing.T) {
+	h := newServingCluster(t, 15, "counts/c1")
+	h.run(5 * sec)
+	for _, n := range h.nodes {
+		if n.UnwatchedFor(h.now-n.started) != 0 {
+			t.Errorf("%s counts unwatched time although all readers are live", n.hello.Name)
+		}
+		n.dead = n.Reader()
+	}
+	killed, began, read := h.now, map[*node]bool{}, 0
+	for h.now-killed < 3*sec {
+		h.run(h.tick)
+		for _, n := range h.nodes {
+			if n.dead || !n.Reader() || began[n] {
+				continue
+			}
+			began[n] = true
+			read++
+			gone, unwatched := h.now-killed, n.UnwatchedFor(h.now-n.started)
+			if unwatched < gone || unwatched > gone+n.fleet.members.SuspectAfter() {
+				t.Errorf("%s reads %v after the readers were killed and counts %v", n.hello.Name, gone, unwatched)
+			}
+		}
+	}
+	if read == 0 {
+		t.Error("no entry reads in place of those that were killed")
+	}
+	h.run(5 * sec)
+	for n := range began {
+		if unwatched := n.UnwatchedFor(h.now - n.started); unwatched != 0 {
+			t.Errorf("%s counts %v long after it began to read", n.hello.Name, unwatched)
+		}
+	}
+}
+
+// Guards against endpoints that are dropped at once after an outage of the configuration service, during
+// which they could not report to it.
+func TestOutageDoesNotCountAsUnwatched(t *testing.T) {
+	h := newServingCluster(t, 15, "counts/c1")
+	h.run(5 * sec)
+	h.platformDown = func(*node) bool { return true }
+	h.run(sec)
+	h.platformDown = func(*node) bool { return false }
+	for range 300 {
+		h.run(h.tick)
+		for _, n := range h.nodes {
+			if unwatched := n.UnwatchedFor(h.now - n.started); n.fleet.readers.platformAnswered && unwatched != 0 {
+				t.Fatalf("%s counts %v", n.hello.Name, unwatched)
+			}
+		}
+	}
+}
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -209,7 +209,7 @@
 		})
 		return true
 	case v.Difference != nil:
-		return e.offerDifference(v.Difference, source)
+		return e.offerDifference(v, source)
 	}
 	if v.Name == published.ProfilesValue {
 		if e.isInForce(v, source) {
@@ -273,7 +273,8 @@
 
 // offerDifference passes the changes of the list of VMs to the core. It returns false if they do not
 // fit the list in force.
-func (e *Entry) offerDifference(d *published.Difference, source uint64) (fits bool) {
+func (e *Entry) offerDifference(v published.Value, source uint64) (fits bool) {
+	d := v.Difference
 	offered := core.OfferedValue{
 		Name: published.VMsValue, Mark: message.Mark{Revision: d.Revision, Digest: d.Digest}, Source: source, Difference: d,
 	}
@@ -284,6 +285,9 @@
 			return
 		}
 		fits = true
+		if v.CatchUp {
+			d.Backdate(c.UnwatchedFor(now))
+		}
 		c.Offer(now, offered, out)
 		if isLater && c.InForce(published.VMsValue) == offered.Mark {
 			e.documents.applyDifference(d)
--- a/internal/published/difference.go
+++ b/internal/published/difference.go
@@ -38,6 +38,15 @@
 	return d.GoneAges[i]
 }
 
+// Backdate records that each of Gone may have been removed as long ago as age.
+func (d *Difference) Backdate(age time.Duration) {
+	ages := make([]time.Duration, len(d.Gone))
+	for i := range ages {
+		ages[i] = max(age, d.GoneAge(i))
+	}
+	d.GoneAges = ages
+}
+
 // Check validates the rows of a difference that another process made.
 func (d *Difference) Check() error {
 	var found problems
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -33,6 +33,9 @@
 	// OtherChanged reports that a watch ended without a change of this value because another value of
 	// the service changed.
 	OtherChanged bool
+	// CatchUp reports that the changes of the Difference are older than the call: they were made while
+	// this process did not watch the service.
+	CatchUp bool
 }
 
 // Unchanged reports whether the value only confirms its revision.
