Removal while the readers are lost counts from when they were last heard

A difference tells for how long a VM has been gone, but its maker had only just heard.

Change: the first watch after a takeover returns only what had changed before it, and marks it. A removal among that is dated back to the earliest time at which it can have happened: when a reader was last known to be live. Not after an outage, in which the service drops endpoints that cannot report to it.

Without the rule for outages TestOutageDoesNotCountAsUnwatched fails; the other two tests need what this adds.

--- a/internal/core/published.go
+++ b/internal/core/published.go
@@ -23,10 +23,12 @@
 	// Source is assign.Platform or the incarnation of a peer.
 	Source uint64
 	// Profiles or VMs is the parsed text, unless Problem says why it is refused. Difference replaces
-	// VMs if it leads from the list in force to the offered one.
+	// VMs if it leads from the list in force to the offered one. CatchUp is that of published.Value; the
+	// Difference is dated back if it is put in force.
 	Profiles   *profile.Snapshot
 	VMs        published.VMList
 	Difference *published.Difference
+	CatchUp    bool
 	Problem    error
 }
 
@@ -133,6 +135,9 @@
 // applyVMs applies an accepted list of VMs, or the difference that leads to it.
 func (c *Core) applyVMs(now time.Duration, o *OfferedValue) []member.Change {
 	if o.Difference != nil {
+		if o.CatchUp {
+			o.Difference.Backdate(c.unwatchedFor(now))
+		}
 		return c.fleet.members.ApplyDifference(now, o.Difference)
 	}
 	return c.fleet.members.ApplyList(now, o.VMs)
--- a/internal/core/readers.go
+++ b/internal/core/readers.go
@@ -163,14 +163,14 @@
 	}
 }
 
-// longestTakeover is how long it takes other entries to read in place of readers that are suspected. If
-// it takes longer, the configuration service does not answer.
-const longestTakeover = (lastStandbyGroup + 1) * readerSilence
+// longestTakeover bounds how long it takes other entries to read in place of readers that are suspected.
+// If it takes longer, the configuration service does not answer.
+const longestTakeover = (lastStandbyGroup + 1) * (readerSilence + standbyGap)
 
-// UnwatchedFor returns for how long no entry may have watched the configuration service until now, when
+// unwatchedFor returns for how long no entry may have watched the configuration service until now, when
 // this entry has just taken over from other readers, else 0. While the service does not answer it drops
 // endpoints that cannot report to it, so the time of an outage does not count.
-func (c *Core) UnwatchedFor(now time.Duration) time.Duration {
+func (c *Core) unwatchedFor(now time.Duration) time.Duration {
 	r := &c.fleet.readers
 	unwatched := now - r.unwatchedSince
 	if !r.unwatched || unwatched > c.fleet.members.SuspectAfter()+longestTakeover {
--- a/internal/core/readers_test.go
+++ b/internal/core/readers_test.go
@@ -3,6 +3,10 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/tealhall/tealhall/internal/core/assign"
+	"github.com/tealhall/tealhall/internal/message"
+	"github.com/tealhall/tealhall/internal/published"
 )
 
 // Guards against a published profile that comes into force only after the readers' watches time
@@ -185,7 +189,7 @@
 	h := newServingCluster(t, 15, "counts/c1")
 	h.run(5 * sec)
 	for _, n := range h.nodes {
-		if n.UnwatchedFor(h.now-n.started) != 0 {
+		if n.unwatchedFor(h.now-n.started) != 0 {
 			t.Errorf("%s counts unwatched time although all readers are live", n.hello.Name)
 		}
 		n.dead = n.Reader()
@@ -199,9 +203,14 @@
 			}
 			began[n] = true
 			read++
-			gone, unwatched := h.now-killed, n.UnwatchedFor(h.now-n.started)
-			if unwatched < gone || unwatched > gone+n.fleet.members.SuspectAfter() {
-				t.Errorf("%s reads %v after the readers were killed and counts %v", n.hello.Name, gone, unwatched)
+			d := &published.Difference{Revision: n.InForce(published.VMsValue).Revision + 1, Gone: []string{"c1"}}
+			h.do(n, func(now time.Duration, out *Actions) {
+				mark := message.Mark{Revision: d.Revision}
+				n.Offer(now, OfferedValue{Name: published.VMsValue, Mark: mark, Source: assign.Platform, Difference: d, CatchUp: true}, out)
+			})
+			gone := h.now - killed
+			if age := d.GoneAge(0); age < gone || age > gone+n.fleet.members.SuspectAfter() {
+				t.Errorf("%s reads %v after the readers were killed and dates a removal %v back", n.hello.Name, gone, age)
 			}
 		}
 	}
@@ -210,7 +219,7 @@
 	}
 	h.run(5 * sec)
 	for n := range began {
-		if unwatched := n.UnwatchedFor(h.now - n.started); unwatched != 0 {
+		if unwatched := n.unwatchedFor(h.now - n.started); unwatched != 0 {
 			t.Errorf("%s counts %v long after it began to read", n.hello.Name, unwatched)
 		}
 	}
@@ -227,7 +236,7 @@
 	for range 300 {
 		h.run(h.tick)
 		for _, n := range h.nodes {
-			if unwatched := n.UnwatchedFor(h.now - n.started); n.fleet.readers.platformAnswered && unwatched != 0 {
+			if unwatched := n.unwatchedFor(h.now - n.started); n.fleet.readers.platformAnswered && unwatched != 0 {
 				t.Fatalf("%s counts %v", n.hello.Name, unwatched)
 			}
 		}
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -134,7 +134,7 @@
 	if name == published.VMsValue {
 		service = vmsByDifference{e.platform}
 	}
-	if e.tryResume(name) {
+	if e.tryResume() && name == published.VMsValue {
 		published.Follow(ctx, service, name, e.documents.revision(name), options, e.platformAnswered)
 		return
 	}
@@ -152,13 +152,13 @@
 
 // tryResume lets the configuration service continue from the list of VMs that is in force here, and
 // reports whether the service can do so. Peers have already sent this list, which is large.
-func (e *Entry) tryResume(name string) bool {
+func (e *Entry) tryResume() bool {
 	service, can := e.platform.service.(published.Resumer)
-	if !can || name != published.VMsValue || e.documents.revision(name) == 0 {
+	if !can || e.documents.revision(published.VMsValue) == 0 {
 		return false
 	}
 	list := e.documents.list()
-	service.Resume(published.Value{Name: name, Revision: list.Revision, List: &list})
+	service.Resume(published.Value{Name: published.VMsValue, Revision: list.Revision, List: &list})
 	return true
 }
 
@@ -276,7 +276,7 @@
 func (e *Entry) offerDifference(v published.Value, source uint64) (fits bool) {
 	d := v.Difference
 	offered := core.OfferedValue{
-		Name: published.VMsValue, Mark: message.Mark{Revision: d.Revision, Digest: d.Digest}, Source: source, Difference: d,
+		Name: published.VMsValue, Mark: message.Mark{Revision: d.Revision, Digest: d.Digest}, Source: source, Difference: d, CatchUp: v.CatchUp,
 	}
 	e.engine.event(func(now time.Duration, c *core.Core, out *core.Actions) {
 		isLater := d.Revision > c.InForce(published.VMsValue).Revision
@@ -285,9 +285,6 @@
 			return
 		}
 		fits = true
-		if v.CatchUp {
-			d.Backdate(c.UnwatchedFor(now))
-		}
 		c.Offer(now, offered, out)
 		if isLater && c.InForce(published.VMsValue) == offered.Mark {
 			e.documents.applyDifference(d)
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -77,8 +77,8 @@
 
 // Resumer is a service that can continue from a known list of VMs without reading it.
 type Resumer interface {
-	// Resume makes the service continue from a list that was in force. It has no effect if the
-	// service already has a newer list.
+	// Resume makes the service continue from a list that was in force, or from a newer one if it has
+	// one, after a time in which it was not watched from here.
 	Resume(list Value)
 }
 
