--- a/internal/logging/logtest/logtest.go
+++ b/internal/logging/logtest/logtest.go
@@ -16,10 +16,15 @@
 	"github.com/tealhall/tealhall/internal/logging"
 )
 
-// Main runs the tests of a package whose tests capture the log. It is the package's TestMain.
-func Main(m *testing.M) {
+// Main runs the tests of a package whose tests capture the log, then cleanup. It is the package's
+// TestMain.
+func Main(m *testing.M, cleanup ...func()) {
 	klog.SetSlogLogger(slog.New(destination))
-	os.Exit(m.Run())
+	code := m.Run()
+	for _, clean := range cleanup {
+		clean()
+	}
+	os.Exit(code)
 }
 
 // destination is the handler of all lines.
