A planned stop refuses what it would cut off

What callers saw: requests that came late in a planned stop were passed on and cut off at its end without an answer, among them uploads, which may not be repeated.

Cause: the core knew that its entry was leaving, but not when requests would be cut off. A request was passed on whenever it had been read, or when an endpoint had room, however little time was left.

Change: the stop tells the core when it cuts off requests. A request that would probably still run then is refused as not run while no endpoint has it: on arrival, in the queue, before its attempt is written, before a repeat or a relay; and an upload while its body is still arriving. What is running gets the whole time, and its answer is passed on rather than dropped for a repeat.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -114,6 +114,9 @@
 	if r.live() > 1 {
 		return false
 	}
+	if c.outlastsStop(now, r) {
+		return true // no other attempt follows
+	}
 	a.repeatSpent = c.mayRetry(now, r, false, false)
 	return !a.repeatSpent
 }
@@ -186,6 +189,9 @@
 // finishCommitted ends a request whose answer was being passed on to the caller.
 func (c *Core) finishCommitted(now time.Duration, r *request, a *attempt, e End, out *Actions) {
 	r.status, r.outcome = a.status, OutcomeUnknown
+	if e.Kind == EndComplete {
+		r.service.longest.observe(now, now-a.sentAt)
+	}
 	if e.Kind == EndComplete && !(ambiguousStatus(a.status) && !r.mayRunTwice) {
 		c.counters.Done++
 		r.outcome = OutcomeDone
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -164,6 +164,8 @@
 	state message.EntryState
 	// servingSince is when this entry became ready to serve.
 	servingSince time.Duration
+	// cutOffAt is when the stop of this entry cuts off the requests that still run, 0 without a stop.
+	cutOffAt time.Duration
 
 	// now is the time of the latest tick or request event.
 	now             time.Duration
@@ -248,6 +250,7 @@
 	c.lastTick = now
 	c.keys.Tick(now)
 	c.applyCalendar(now, out)
+	c.tickStop(now, out)
 	c.expireQueues(now, out)
 	c.expireJoined(now, out)
 	c.sendDueHedges(now, out)
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -189,8 +189,8 @@
 }
 
 // MaySend is called by the driver right before it writes the first byte of an attempt. It returns
-// false if the request was answered, cancelled or quarantined meanwhile, if its deadline passed, or
-// if its endpoint is leaving, backing off or not reached. A process that was suspended between the
+// false if the request was answered, cancelled or quarantined meanwhile, if its deadline passed, if it
+// would outlast the stop of this entry, or if its endpoint is leaving, backing off or not reached. A process that was suspended between the
 // decision and the write must not send a request that its caller has given up or that was reported
 // as not run. After false the driver reports EndNotWritten.
 func (c *Core) MaySend(now time.Duration, id RequestID, n Attempt) bool {
@@ -213,6 +213,9 @@
 	if r.committed != 0 && r.committed != n || c.isQuarantined(now, r) {
 		return false
 	}
+	if a := &r.attempts[n]; !a.hedge && !a.forward && c.outlastsStop(now, r) {
+		return false
+	}
 	if a := &r.attempts[n]; a.withdrawn || !a.toEntry() && !r.pool.accepts(now, a) {
 		return false
 	}
@@ -271,7 +274,7 @@
 		c.fail(now, r, ReasonDeadline, out)
 		return true
 	}
-	if c.relayLost(now, r, out) {
+	if c.refuseOutlasting(now, r, out) || c.relayLost(now, r, out) {
 		return true
 	}
 	if reason := c.unservable(now, r); reason != ReasonNone {
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -99,6 +99,11 @@
 // successor that may have the home's key table. A request that another entry forwarded is not
 // forwarded again: two entries that disagree about a home must not send it back and forth.
 func (c *Core) forwardHome(now time.Duration, r *request, home uint64, out *Actions) {
+	if c.outlastsStop(now, r) {
+		c.reply(r, OutcomeUnknown, ReasonStopping, c.retryAfter(now, r, ReasonStopping), out)
+		c.finish(r, out)
+		return
+	}
 	if !r.arrival.Forwarded && c.forwardNext(now, r, home, out) {
 		return
 	}
--- a/internal/core/loadprobes.go
+++ b/internal/core/loadprobes.go
@@ -249,6 +249,9 @@
 		c.decideSecondAttempt(now, r, best, out)
 		return
 	}
+	if c.refuseOutlasting(now, r, out) {
+		return
+	}
 	if best.Index < 0 && !r.probeRound.ownOnly && c.heardNobody(r) && c.relayNext(now, r, false, out) {
 		return
 	}
@@ -309,6 +312,9 @@
 		return false // other requests have used up the endpoint's quota
 	}
 	second := r.probeRound.second
+	if !second && c.outlastsStop(now, r) {
+		return false
+	}
 	if second && !c.spendRepeat(now, r) {
 		return false
 	}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -96,7 +96,7 @@
 	if r.arrival.Forwarded || r.arrival.Relayed || r.keyed || len(r.relayedTo) >= maxRelays || int(r.dispatches) >= MaxAttempts || now >= r.deadline {
 		return false
 	}
-	if r.dispatches > 0 && !r.replayable {
+	if r.dispatches > 0 && !r.replayable || !second && c.outlastsStop(now, r) {
 		return false
 	}
 	helper := c.nextHelper(now, r)
--- a/internal/core/reply.go
+++ b/internal/core/reply.go
@@ -88,6 +88,9 @@
 	if reason == ReasonBackoff {
 		return c.backoffDelay(now, r)
 	}
+	if reason == ReasonStopping {
+		return c.randomBetween(minShortRetryDelay, maxShortRetryDelay) // other entries serve the caller
+	}
 	if c.usesLoadProbes(r) {
 		return c.retryDelayAfter(now, r, reason)
 	}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -293,7 +293,7 @@
 // place dispatches r now or puts it into its pool's queue.
 func (c *Core) place(now time.Duration, r *request, out *Actions) {
 	p := r.pool
-	if c.relayLost(now, r, out) {
+	if c.refuseOutlasting(now, r, out) || c.relayLost(now, r, out) {
 		return
 	}
 	if reason := c.unservable(now, r); reason != ReasonNone {
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -94,7 +94,7 @@
 
 // placeAgain dispatches a request again or puts it into the queue.
 func (c *Core) placeAgain(now time.Duration, r *request, out *Actions) {
-	if c.relayLost(now, r, out) {
+	if c.refuseOutlasting(now, r, out) || c.relayLost(now, r, out) {
 		return
 	}
 	if c.tryDispatch(now, r, false, out) {
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -53,6 +53,8 @@
 	typical health.Typical
 	// hedges are the requests that may still be hedged, oldest first.
 	hedges []pendingHedge
+	// longest is the longest of the service's recent attempts.
+	longest longestAttempt
 	// work is the median time that requests of the service take at idle endpoints.
 	work placement.Median
 	// kilobytes is the smoothed size of a request with its answer.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -109,7 +109,9 @@
 	front                             *front.Server
 	// requestMemory accounts for the requests that have not been answered.
 	requestMemory *intake.Memory
-	capacity      Capacity
+	// arriving are the request bodies that are being received.
+	arriving arrivingBodies
+	capacity Capacity
 	// link schedules large answers; nil if the settings do not bound them.
 	link           *transfer.Link
 	peerServer     *peer.Server
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -79,12 +79,7 @@
 		return nil, nil, admission.Reason
 	}
 	began := e.engine.clock()
-	body, err := front.NewReplayBody(w, r, front.BodyLimits{
-		Buffer:  int64(e.settings.Limits.ReplayBodyBytes),
-		Max:     admission.MaxBody,
-		Timeout: e.bodyTimeout(r, admission),
-		Memory:  e.requestMemory,
-	})
+	body, err := e.receiveBody(w, r, admission, began)
 	if err != nil {
 		return nil, nil, reasonOfBody(err)
 	}
@@ -107,6 +102,22 @@
 	return x, arrival, reason
 }
 
+// receiveBody receives the part of a request's body that is kept.
+func (e *Entry) receiveBody(w http.ResponseWriter, r *http.Request, admission core.Admission, began time.Duration) (*front.ReplayBody, error) {
+	limits := front.BodyLimits{
+		Buffer:  int64(e.settings.Limits.ReplayBodyBytes),
+		Max:     admission.MaxBody,
+		Timeout: e.bodyTimeout(r, admission),
+		Memory:  e.requestMemory,
+	}
+	if front.HasBody(r) {
+		ctx, remove := e.arriving.add(admission, began+limits.Timeout)
+		defer remove()
+		limits.Context = ctx
+	}
+	return front.NewReplayBody(w, r, limits)
+}
+
 // bodyTimeout returns how long the part of a body that is kept may take to arrive: as long as its caller
 // waits, and at most as long as a request to its service may take.
 func (e *Entry) bodyTimeout(r *http.Request, admission core.Admission) time.Duration {
@@ -127,6 +138,8 @@
 		return core.ReasonBodyLate
 	case errors.Is(err, front.ErrNoMemory):
 		return core.ReasonMemoryFull
+	case errors.Is(err, errStopping):
+		return core.ReasonStopping
 	}
 	return core.ReasonBodyBroken
 }
@@ -199,6 +212,7 @@
 		Caller:        xxhash.Sum64String(x.caller),
 		Idempotent:    idempotentMethod(x.request.Method),
 		Replayable:    x.body.Whole(),
+		BodyRest:      x.body.Rest(x.entry.engine.clock() - x.began),
 		CallerAttempt: 1,
 		Forwarded:     h.Get(contract.HeaderForwarded) == contract.ForwardedValue,
 		Relayed:       isRelayed(x.request),
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -32,6 +32,10 @@
 	began := e.engine.clock()
 	plan := planStop(e.answersTTL(), &e.settings.Timeouts)
 	until := func(step time.Duration) time.Duration { return step - (e.engine.clock() - began) }
+	e.engine.event(func(_ time.Duration, c *core.Core, _ *core.Actions) { c.CutOffAt(began + plan.cutOff) })
+	bodiesCtx, stopBodies := context.WithCancel(ctx)
+	defer stopBodies()
+	go e.refuseLateBodies(bodiesCtx)
 	e.leave("a planned stop")
 	wait.For(ctx, until(plan.askToClose))
 	// From here on, only callers with expired directory answers send requests. Each answer asks its
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -23,6 +24,9 @@
 	Timeout time.Duration
 	// Memory accounts for the part that is kept, and for a large head; nil means no limit.
 	Memory *intake.Memory
+	// Context ends the reading of the part that is kept, with its cause as the error; nil means that
+	// nothing does.
+	Context context.Context
 }
 
 // BodyTooLargeError is the error for a body that exceeds its limit.
@@ -80,7 +84,7 @@
 // end.
 func NewReplayBody(w http.ResponseWriter, r *http.Request, limits BodyLimits) (*ReplayBody, error) {
 	b := &ReplayBody{request: r, controller: http.NewResponseController(w), source: r.Body}
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+	if !HasBody(r) {
 		b.whole = true
 		b.held = limits.Memory.Hold()
 		return b, b.holdHead()
@@ -101,6 +105,11 @@
 	return b, nil
 }
 
+// HasBody reports whether a request may have a body.
+func HasBody(r *http.Request) bool {
+	return r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0
+}
+
 // receive reads the part of the body that is kept.
 func (b *ReplayBody) receive(w http.ResponseWriter, limits BodyLimits) error {
 	if limits.Max > 0 && b.request.ContentLength > limits.Max {
@@ -121,7 +130,7 @@
 	if limits.Timeout > 0 {
 		b.controller.SetReadDeadline(time.Now().Add(limits.Timeout))
 	}
-	if err := b.fill(limits.Buffer); err != nil {
+	if err := b.fillUntil(limits.Context, limits.Buffer); err != nil {
 		return err
 	}
 	if limits.Timeout > 0 {
@@ -133,7 +142,20 @@
 	return b.enableStreaming(w)
 }
 
-// giveUp ends the reading of a body that gives way to other requests.
+// fillUntil is fill, ended by ctx.
+func (b *ReplayBody) fillUntil(ctx context.Context, limit int64) error {
+	if ctx == nil {
+		return b.fill(limit)
+	}
+	stop := context.AfterFunc(ctx, b.giveUp)
+	err := b.fill(limit)
+	if !stop() {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+// giveUp ends the reading of a body that is not wanted any more.
 func (b *ReplayBody) giveUp() { b.controller.SetReadDeadline(expired) }
 
 // expired is a deadline in the past, which interrupts a read.
@@ -202,6 +224,16 @@
 	return b.request.ContentLength
 }
 
+// Rest estimates how long the rest of the body takes to arrive, at the rate of the part that was
+// received in elapsed. It is 0 for a body of unknown length.
+func (b *ReplayBody) Rest(elapsed time.Duration) time.Duration {
+	left := b.request.ContentLength - b.keptBytes
+	if b.whole || b.keptBytes == 0 || left <= 0 {
+		return 0
+	}
+	return time.Duration(float64(elapsed) * float64(left) / float64(b.keptBytes))
+}
+
 // Reader returns a reader of the body from its start for one attempt, or nil for an empty body. It
 // returns false if the body cannot be sent again. Concurrent attempts need a whole body.
 func (b *ReplayBody) Reader() (io.Reader, bool) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -313,10 +313,10 @@
 
 // bodyStateOf returns the state of a body before anything is read.
 func bodyStateOf(r *http.Request) bodyState {
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return bodyRead
+	if HasBody(r) {
+		return bodyUnread
 	}
-	return bodyUnread
+	return bodyRead
 }
 
 // limitRest limits the time in which the server reads the rest of the body. The caller may send
