An endpoint that answers at its address takes it back from another item

What callers would see: a route isn't served at all while an item of another writer names the address of its only endpoint and a service that routes use.

Cause: of two listed endpoints at one address the one that was registered later is taken for the live one. That is a guess, which nothing corrected: the answers of the endpoint, which names itself, were not asked.

The one that answers has the address. An item registered after the answer may take it again, until it is probed: addresses of endpoints that have ended are given to others.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -30,9 +30,12 @@
 	}
 	if c.useAnswer(now, r, a, h) {
 		c.commit(r, h, out)
-		return
+	} else {
+		out.addDirective(Directive{ID: h.ID, Step: StepDiscard, Attempt: h.Attempt})
+	}
+	if e := r.pool.endpointAt(a.index, a.incarnation); e != nil && !a.toEntry() {
+		c.noteAnsweredBy(now, h.AnsweredBy, e.Address, out)
 	}
-	out.addDirective(Directive{ID: h.ID, Step: StepDiscard, Attempt: h.Attempt})
 }
 
 // attemptOf returns a running attempt and its request, or nil.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -155,6 +155,9 @@
 	// backoffs holds the backoffs of removed endpoints.
 	backoffs map[endpointID]table.Backoff
 
+	// contested holds the endpoints whose address another one has, by name.
+	contested map[string]contestedProbe
+
 	// helpers is what is known of the entries that serve relayed requests, and relayedInFlight counts
 	// the requests that other entries relayed to this one.
 	helpers         map[helperPool]helperState
@@ -229,7 +232,8 @@
 		limits:     make(map[endpointID]knownLimit),
 		backoffs:   make(map[endpointID]table.Backoff),
 
-		helpers: make(map[helperPool]helperState),
+		contested: make(map[string]contestedProbe),
+		helpers:   make(map[helperPool]helperState),
 	}
 	c.initFleet()
 	return c
--- a/internal/core/entryharness_test.go
+++ b/internal/core/entryharness_test.go
@@ -223,7 +223,7 @@
 	for _, p := range out.Probes {
 		h.probed, h.probes = append(h.probed, p.Endpoint), append(h.probes, p)
 		after := ms
-		if ep := h.endpoint(p.Endpoint); ep.dead && ep.silent {
+		if ep := h.endpoint(p.Address); ep.dead && ep.silent {
 			after = p.Wait
 		}
 		h.schedule(after, func() { h.answerLoadProbe(p) })
@@ -239,9 +239,12 @@
 }
 
 func (h *entryHarness) answerLoadProbe(p Probe) {
-	ep := h.endpoint(p.Endpoint)
-	end := ProbeEnd{Probe: p, OK: !ep.silent && !ep.dead, Refused: ep.dead && !ep.silent, Misdirected: ep.misdirected, Draining: ep.leaving, Latency: ms,
+	ep := h.endpoint(p.Address)
+	end := ProbeEnd{Probe: p, OK: !ep.silent && !ep.dead, Refused: ep.dead && !ep.silent, Misdirected: ep.misdirected || ep.name != p.Endpoint, Draining: ep.leaving, Latency: ms,
 		Load: Load{Known: !ep.silent, InFlight: ep.running, Queued: ep.waiting, Slots: 2, Pace: max(ep.pace, 100), Cold: max(0, ep.coldUntil-h.now)}}
+	if end.OK && !ep.misdirected {
+		end.AnsweredBy = ep.name
+	}
 	h.do(func(out *Actions) { h.ProbeEnd(h.now, end, out) })
 }
 
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -101,6 +101,8 @@
 	// Misdirected is set if another endpoint than expected answered at the address; NotRun is set
 	// as well.
 	Misdirected bool
+	// AnsweredBy is the name of the endpoint that answered; "" if it does not give it.
+	AnsweredBy string
 	// Unusable is set if the answer lacks the proof that its status requires of the endpoint, such
 	// as the signature of a success. The request may have run.
 	Unusable bool
@@ -316,6 +318,8 @@
 	Unhealthy bool
 	// Misdirected is set if another endpoint answers at the address.
 	Misdirected bool
+	// AnsweredBy is as in a Head.
+	AnsweredBy string
 }
 
 // Outgoing is an update for one peer.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -372,4 +372,5 @@
 	c.rememberEntries(now)
 	c.checkReaders(now)
 	c.fetchDue(now, out)
+	c.probeContested(now, out)
 }
--- a/internal/core/healthprobes.go
+++ b/internal/core/healthprobes.go
@@ -95,6 +95,7 @@
 	if !end.NoOpenConn {
 		c.observeProbe(now, p, &end, out)
 	}
+	c.noteAnsweredBy(now, end.answeredBy(), end.Probe.Address, out)
 	if end.Probe.CrashProbe {
 		c.crashProbeEnd(now, end, out)
 		return
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -25,6 +25,8 @@
 	skipped map[string]bool
 	// conflicting holds the names of rows that are not used because of another VM at their address.
 	conflicting map[string]bool
+	// owners holds the endpoints that have answered at addresses which several rows name.
+	owners map[servedAt]addressOwner
 	// evacuated holds the failure domains that the latest list evacuates.
 	evacuated []string
 }
@@ -57,6 +59,7 @@
 	t.list.revision, t.list.appliedAt, t.list.applied = l.Revision, now, true
 	t.list.vms, t.list.skipped = vms, skipped
 	maps.DeleteFunc(t.list.conflicting, func(name string, _ bool) bool { _, listed := vms[name]; return !listed })
+	t.forgetOwners()
 	// Evacuation comes before the rows: endpoints that this list adds may be in an evacuated
 	// domain.
 	changes = append(changes, t.setEvacuated(l.Evacuated)...)
@@ -80,6 +83,7 @@
 	}
 	maps.Copy(t.list.vms, vms)
 	maps.Copy(t.list.skipped, skipped)
+	t.forgetOwners()
 	t.list.revision, t.list.appliedAt, t.list.applied = d.Revision, now, true
 	changes = append(changes, t.setEvacuated(d.Evacuated)...)
 	for _, vm := range d.Rows {
@@ -301,11 +305,20 @@
 }
 
 // supersedes reports whether vm has taken over the address of another VM. A row of a pool that no service
-// uses names no endpoint to use, so it takes no address from one of a pool in use.
+// uses names no endpoint to use, so it takes no address from one of a pool in use. Of two others, the one
+// that answers at the address has it.
 func (t *Table) supersedes(vm, other *published.VM) bool {
 	if used := t.isUsed(vm); used != t.isUsed(other) {
 		return used
 	}
+	if owner, known := t.list.owners[servedAtOf(*vm)]; known {
+		switch {
+		case owner.proves(vm, other):
+			return true
+		case owner.proves(other, vm):
+			return false
+		}
+	}
 	return vm.Supersedes(other)
 }
 
--- a/internal/core/member/sharedaddress_test.go
+++ b/internal/core/member/sharedaddress_test.go
@@ -112,3 +112,39 @@
 		})
 	}
 }
+
+// Guards against a live endpoint that is out of use because of a row with its address, which was
+// registered later for a service in use: the endpoint's own answer decides.
+func TestEndpointThatAnswersTakesItsAddressBack(t *testing.T) {
+	live, odd := registered("live", 10), registered("odd", 20)
+	odd.Pool = "other"
+	table := New(Config{Self: 1, Region: "r1", ListIsFinal: true})
+	uses := func(step, want string) {
+		t.Helper()
+		if got := endpointNames(table); !slices.Equal(got, []string{want}) {
+			t.Errorf("%s: the endpoints are %v, want %s", step, got, want)
+		}
+	}
+	table.ApplyList(0, published.VMList{Revision: 20, VMs: []published.VM{live, odd}})
+	uses("both are listed", "odd")
+	if got := table.Contested(nil); len(got) != 1 || got[0].Name != "live" {
+		t.Errorf("contested: %v", got)
+	}
+	table.AnsweredAt(0, "live", "elsewhere")
+	table.AnsweredAt(0, "unknown", live.Address)
+	uses("answers from elsewhere", "odd")
+	table.AnsweredAt(0, "live", live.Address)
+	uses("it has answered", "live")
+	table.ApplyList(0, published.VMList{Revision: 20, VMs: []published.VM{live, odd}})
+	table.ApplyDifference(0, &published.Difference{After: 20, Revision: 25, Rows: []published.VM{odd}})
+	uses("the odd row is written again", "live")
+	next := registered("next", 30)
+	table.ApplyDifference(0, &published.Difference{After: 25, Revision: 30, Rows: []published.VM{next}})
+	uses("an endpoint is registered after the answer", "next")
+	table.AnsweredAt(0, "next", next.Address)
+	table.ApplyDifference(0, &published.Difference{After: 30, Revision: 31, Gone: []string{"next"}})
+	uses("that endpoint is gone", "live")
+	if evidence := table.TakeEvidence(nil); len(evidence) > 0 {
+		t.Errorf("evidence %+v was spread on the word of a shared address", evidence)
+	}
+}
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -181,7 +181,7 @@
 		rows:       make(map[string]*row),
 		unlisted:   make(map[string]bool),
 		departures: newDepartures(),
-		list:       listState{conflicting: make(map[string]bool)},
+		list:       listState{conflicting: make(map[string]bool), owners: make(map[servedAt]addressOwner)},
 		index:      index{entries: make(map[uint64][]*row), addresses: make(map[servedAt][]*row)},
 	}
 }
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -125,6 +125,7 @@
 	end.Unhealthy = response.StatusCode >= http.StatusInternalServerError
 	end.Load, end.RetryAfter, end.Draining = head.Load, head.RetryAfter, head.Draining
 	end.Incarnation, end.Misdirected = head.Incarnation, head.Misdirected
+	end.AnsweredBy = head.AnsweredBy
 }
 
 // fetch gets a published value from a peer or the configuration service.
