Connections to endpoints receive no more than 32 KiB ahead

What operators of a similar system saw: an endpoint sent without end, the machine that had called it ran out of memory, and the requests of others ended with it.

Cause here: an answer is read as fast as its caller takes it, and the kernel lets the receive buffer of the connection to the endpoint grow, by default up to tens of megabytes each. Callers' connections had a bound, those to endpoints none.

Change: a receive buffer of 32 KiB for connections to endpoints and other entries.

--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -73,6 +74,10 @@
 	defaultHeaderBytes     = 64 << 10
 )
 
+// receiveBuffer bounds the bytes that the kernel receives on a connection while the caller of its answer
+// is slow to read. By default the kernel lets it grow to tens of megabytes for each connection.
+const receiveBuffer = 32 << 10
+
 // withDefaults returns c with its zero values replaced.
 func (c Config) withDefaults() Config {
 	c.MaxConnsPerEndpoint = cmp.Or(c.MaxConnsPerEndpoint, defaultMaxConns)
@@ -93,7 +98,7 @@
 		Timeout:         c.DialTimeout,
 		KeepAliveConfig: socket.KeepAlive(c.KeepAlive),
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return socket.SetUserTimeout(raw, c.UserTimeout)
+			return errors.Join(socket.SetUserTimeout(raw, c.UserTimeout), socket.SetReceiveBuffer(raw, receiveBuffer))
 		},
 	}
 }
