A stop refuses bodies that arrive too late, at any age of its process

From some seconds after the start of the process on, such a body was not refused while it arrived, only once it had.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -190,9 +190,9 @@
 
 // MaySend is called by the driver right before it writes the first byte of an attempt. It returns
 // false if the request was answered, cancelled or quarantined meanwhile, if its deadline passed, if it
-// would outlast the stop of this entry, or if its endpoint is leaving, backing off or not reached. A process that was suspended between the
-// decision and the write must not send a request that its caller has given up or that was reported
-// as not run. After false the driver reports EndNotWritten.
+// would outlast the stop of this entry, or if its endpoint is leaving, backing off or not reached. A
+// process that was suspended between the decision and the write must not send a request that its
+// caller has given up or that was reported as not run. After false the driver reports EndNotWritten.
 func (c *Core) MaySend(now time.Duration, id RequestID, n Attempt) bool {
 	if !c.MayConnect(now, id, n) {
 		return false
@@ -213,10 +213,11 @@
 	if r.committed != 0 && r.committed != n || c.isQuarantined(now, r) {
 		return false
 	}
-	if a := &r.attempts[n]; !a.hedge && !a.forward && c.outlastsStop(now, r) {
+	a := &r.attempts[n]
+	if a.withdrawn || !a.toEntry() && !r.pool.accepts(now, a) {
 		return false
 	}
-	if a := &r.attempts[n]; a.withdrawn || !a.toEntry() && !r.pool.accepts(now, a) {
+	if !a.hedge && !a.forward && c.outlastsStop(now, r) {
 		return false
 	}
 	return !r.keyed || c.keys.MayDispatch(r.arrival.Key)
--- a/internal/entry/arriving.go
+++ b/internal/entry/arriving.go
@@ -83,7 +83,7 @@
 // stop, if the body were received now.
 func (e *Entry) outlastsStop(b *arrivingBody) (outlasts bool) {
 	e.engine.view(func(now time.Duration, c *core.Core) {
-		outlasts = c.Outlasts(now, b.admission, b.deadline-now, refusalTime)
+		outlasts = c.Outlasts(now, b.admission, b.deadline, refusalTime)
 	})
 	return outlasts
 }
--- a/internal/front/bodylimits_test.go
+++ b/internal/front/bodylimits_test.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -77,3 +79,28 @@
 		t.Errorf("the stalled request: %q, %v", text, err)
 	}
 }
+
+// Guards against a caller that is still sending when its body is refused, and that is not answered or loses
+// the answer in a reset.
+func TestRefusedBodyIsAnswered(t *testing.T) {
+	refusal := errors.New("not now")
+	for name, framing := range map[string]string{"with a length": "Content-Length: 200000\r\n\r\npart", "in chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			ctx, refuse := context.WithCancelCause(t.Context())
+			memory := intake.NewMemory(1<<20, func() time.Duration { return 0 })
+			_, address := serve(t, ServerConfig{}, keepBody(BodyLimits{Buffer: 1 << 20, Timeout: time.Minute, Memory: memory, Context: ctx}))
+			conn := dial(t, address)
+			conn.send("POST / HTTP/1.1\r\nHost: a\r\n" + framing)
+			await(t, func() bool { return memory.Stats().Held > 0 })
+			refuse(refusal)
+			conn.send(strings.Repeat("x", 50_000))
+			resp, text, err := conn.answer(http.MethodPost)
+			if err != nil || text != refusal.Error() || !resp.Close {
+				t.Fatalf("got %q, close %v, %v", text, resp != nil && resp.Close, err)
+			}
+			if s := memory.Stats(); s.Held != 0 || s.Receiving != 0 {
+				t.Errorf("still held: %+v", s)
+			}
+		})
+	}
+}
