A stop adds the work of an upload to the time for the rest of its body

What callers would see: a large upload, passed on while it arrives late in a planned stop, is cut off although it was expected to end in time.

Cause: of the time for the rest of the body and that of the longest recent attempt the stop took the longer one. The endpoint works once the body is complete, so the sum counts. Found while the change was read again.

Change: an attempt is expected to begin when the body is complete. Names beside it: BodyRemaining, RemainingTime and SetCutOff in place of BodyRest, Rest and CutOffAt, which is the name of the field that it sets.

Evidence: TestStopRefusesUploadsThatArriveTooLate has a row whose body is complete 50 ms before the cut-off and whose work takes 100 ms: taken before, refused now.

--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -38,8 +38,8 @@
 	Idempotent bool
 	// Replayable is set if the driver can send the body more than once.
 	Replayable bool
-	// BodyRest is how long the rest of the body takes to arrive, as far as known.
-	BodyRest time.Duration
+	// BodyRemaining is how long the rest of the body takes to arrive, as far as known.
+	BodyRemaining time.Duration
 	// Timeout is the time that the caller still allows; 0 if it named no deadline.
 	Timeout time.Duration
 	// CallerAttempt is 1 for a first try. It is higher if the caller, itself an endpoint of another
--- a/internal/core/stopping.go
+++ b/internal/core/stopping.go
@@ -34,8 +34,8 @@
 // duration returns the longest duration, or 0 if no attempt was observed.
 func (l *longestAttempt) duration() time.Duration { return max(l.current, l.previous) }
 
-// CutOffAt sets the time at which the stop of this entry cuts off the requests that still run.
-func (c *Core) CutOffAt(at time.Duration) { c.cutOffAt = at }
+// SetCutOff sets the time at which the stop of this entry cuts off the requests that still run.
+func (c *Core) SetCutOff(at time.Duration) { c.cutOffAt = at }
 
 // Outlasts reports whether a request that arrives now, and whose caller waits until the deadline,
 // would probably still run when the stop of this entry cuts off requests. An attempt counts as at
@@ -47,18 +47,18 @@
 // outlastsStop reports whether r, sent now, would probably still run when the stop of this entry
 // cuts off requests.
 func (c *Core) outlastsStop(now time.Duration, r *request) bool {
-	return c.outlasts(now, r.service, r.deadline, r.arrival.BodyRest)
+	return c.outlasts(now+r.arrival.BodyRemaining, r.service, r.deadline, 0)
 }
 
-// outlasts reports whether an attempt that starts now and takes at least as long as least may still
-// run at the cut-off. It ends by the deadline. For a service without recent attempts only the
-// deadline is known.
-func (c *Core) outlasts(now time.Duration, sv *service, deadline, least time.Duration) bool {
+// outlasts reports whether an attempt whose request is complete at a time, and which then takes at
+// least as long as least, may still run at the cut-off. It ends by the deadline. For a service without
+// recent attempts only the deadline is known.
+func (c *Core) outlasts(complete time.Duration, sv *service, deadline, least time.Duration) bool {
 	if c.cutOffAt == 0 || deadline <= c.cutOffAt {
 		return false
 	}
 	longest := sv.longest.duration()
-	return longest == 0 || now+max(least, time.Duration(longestMargin*float64(longest))) > c.cutOffAt
+	return longest == 0 || complete+max(least, time.Duration(longestMargin*float64(longest))) > c.cutOffAt
 }
 
 // refuseOutlasting refuses r if it would outlast the stop of this entry. It reports whether it did.
--- a/internal/core/stopping_test.go
+++ b/internal/core/stopping_test.go
@@ -22,7 +22,7 @@
 	h.serviceTime, h.endpointsQueue = 100*ms, true
 	h.do(func(out *Actions) {
 		h.Leave(h.now, "a planned stop", out)
-		h.CutOffAt(h.now + cutOff)
+		h.SetCutOff(h.now + cutOff)
 	})
 	return h
 }
@@ -113,11 +113,11 @@
 // cut-off.
 func TestStopRefusesUploadsThatArriveTooLate(t *testing.T) {
 	const cutOff = sec
-	for rest, want := range map[time.Duration]int{300 * ms: 0, 2 * sec: 1} {
+	for remaining, want := range map[time.Duration]int{300 * ms: 0, cutOff - 50*ms: 1, 2 * sec: 1} {
 		h := stoppingHarness(t, cutOff, 2)
-		h.arrive(route.Upload, Arrival{Timeout: 9 * sec, BodyRest: rest})
+		h.arrive(route.Upload, Arrival{Timeout: 9 * sec, BodyRemaining: remaining})
 		if refused := h.checkNothingCut(cutOff); refused != want {
-			t.Errorf("rest of %v: %d requests were refused, want %d", rest, refused, want)
+			t.Errorf("the rest arrives after %v: %d requests were refused, want %d", remaining, refused, want)
 		}
 	}
 }
@@ -130,7 +130,7 @@
 	h.sendRequest(route.NonIdempotent, 9*sec)
 	h.run(100 * ms)
 	h.do(func(out *Actions) { h.Leave(h.now, "a planned stop", out) })
-	h.CutOffAt(h.now + sec)
+	h.SetCutOff(h.now + sec)
 	h.sendRequest(route.Upload, 900*ms)
 	if refused := h.checkNothingCut(sec); refused != 0 {
 		t.Errorf("%d requests were refused", refused)
--- a/internal/entry/arriving.go
+++ b/internal/entry/arriving.go
@@ -70,7 +70,7 @@
 	ticker := time.NewTicker(arrivingInterval)
 	defer ticker.Stop()
 	for {
-		e.arriving.refuseIf(e.outlastsStop)
+		e.arriving.refuseIf(e.bodyOutlastsStop)
 		select {
 		case <-ctx.Done():
 			return
@@ -79,9 +79,9 @@
 	}
 }
 
-// outlastsStop reports whether the request of a body would probably still run at the cut-off of a
+// bodyOutlastsStop reports whether the request of a body would probably still run at the cut-off of a
 // stop, if the body were received now.
-func (e *Entry) outlastsStop(b *arrivingBody) (outlasts bool) {
+func (e *Entry) bodyOutlastsStop(b *arrivingBody) (outlasts bool) {
 	e.engine.view(func(now time.Duration, c *core.Core) {
 		outlasts = c.Outlasts(now, b.admission, b.deadline, refusalTime)
 	})
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -212,7 +212,7 @@
 		Caller:        xxhash.Sum64String(x.caller),
 		Idempotent:    idempotentMethod(x.request.Method),
 		Replayable:    x.body.Whole(),
-		BodyRest:      x.body.Rest(x.entry.engine.clock() - x.began),
+		BodyRemaining: x.body.RemainingTime(x.entry.engine.clock() - x.began),
 		CallerAttempt: 1,
 		Forwarded:     h.Get(contract.HeaderForwarded) == contract.ForwardedValue,
 		Relayed:       isRelayed(x.request),
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -32,7 +32,7 @@
 	began := e.engine.clock()
 	plan := planStop(e.answersTTL(), &e.settings.Timeouts)
 	until := func(step time.Duration) time.Duration { return step - (e.engine.clock() - began) }
-	e.engine.event(func(_ time.Duration, c *core.Core, _ *core.Actions) { c.CutOffAt(began + plan.cutOff) })
+	e.engine.event(func(_ time.Duration, c *core.Core, _ *core.Actions) { c.SetCutOff(began + plan.cutOff) })
 	bodiesCtx, stopBodies := context.WithCancel(ctx)
 	defer stopBodies()
 	go e.refuseLateBodies(bodiesCtx)
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -224,9 +224,9 @@
 	return b.request.ContentLength
 }
 
-// Rest estimates how long the rest of the body takes to arrive, at the rate of the part that was
-// received in elapsed. It is 0 for a body of unknown length.
-func (b *ReplayBody) Rest(elapsed time.Duration) time.Duration {
+// RemainingTime estimates how long the rest of the body takes to arrive, at the rate of the part that
+// was received in elapsed. It is 0 for a body of unknown length.
+func (b *ReplayBody) RemainingTime(elapsed time.Duration) time.Duration {
 	left := b.request.ContentLength - b.keptBytes
 	if b.whole || b.keptBytes == 0 || left <= 0 {
 		return 0
