One budget for probes that are not for a request

Cause: the probes of contested addresses had a copy of the budget and of the form of probes that crash probes and probes of lost pools have.

Change: spendProbe, earnProbe and reachProbe serve all three. A pool without an endpoint in use counts as having one, as the copy did.

--- a/internal/core/contested.go
+++ b/internal/core/contested.go
@@ -24,34 +24,30 @@
 // probeContested probes the endpoints that are not used because of another one at their address. The
 // one that answers there is used.
 func (c *Core) probeContested(now time.Duration, out *Actions) {
-	contested := c.fleet.members.Contested(nil)
+	contested := c.fleet.members.Contested()
 	maps.DeleteFunc(c.contested, func(name string, _ contestedProbe) bool {
 		return !slices.ContainsFunc(contested, func(vm published.VM) bool { return vm.Name == name })
 	})
 	for _, vm := range contested {
 		p, ok := c.pools[vm.Pool]
-		due := c.contested[vm.Name]
-		if !ok || len(p.services) == 0 || due.incarnation == vm.Incarnation && now < due.next || !p.spendContestedProbe(now, c.fleet.ownShare) {
+		if !ok || len(p.services) == 0 {
 			continue
 		}
+		due := c.contested[vm.Name]
 		if due.incarnation != vm.Incarnation {
 			due = contestedProbe{incarnation: vm.Incarnation}
 		}
-		due.gap = min(max(2*due.gap, minContestedGap), maxContestedGap)
-		due.next = now + due.gap
+		if now < due.next {
+			continue
+		}
+		p.earnProbe()
+		if c.spendProbe(now, p) {
+			due.gap = min(max(2*due.gap, minContestedGap), maxContestedGap)
+			out.Probes = append(out.Probes, reachProbe(p, vm.Name, vm.Incarnation, vm.Address))
+		}
+		due.next = now + max(due.gap, minContestedGap)
 		c.contested[vm.Name] = due
-		out.Probes = append(out.Probes, Probe{Pool: p.Name, Endpoint: vm.Name, Incarnation: vm.Incarnation, Address: vm.Address,
-			Path: p.probePath, Wait: 4 * loadProbeWait})
-	}
-}
-
-// spendContestedProbe takes a probe from the budget of a pool, which may have no endpoint in use.
-func (p *pool) spendContestedProbe(now time.Duration, ownShare float64) bool {
-	if p.usesLoadProbes() {
-		p.loadProbes.Request(1)
-		return p.loadProbes.TrySpend(now, max(1, p.countLive()), ownShare)
 	}
-	return p.healthProbes.TrySpend(now, max(1, p.Slots()))
 }
 
 // noteAnsweredBy records which endpoint answered at an address, as it says itself; "" if it does not.
--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -76,7 +76,7 @@
 	c.brokenAttempts = slices.DeleteFunc(c.brokenAttempts, func(b brokenAttempt) bool { return now-b.at >= crashProbeDuration })
 	for i := range c.brokenAttempts {
 		b := &c.brokenAttempts[i]
-		if now < b.probeAt || b.inBackoff(now) || !c.spendCrashProbe(now, b.pool) {
+		if now < b.probeAt || b.inBackoff(now) || !c.spendProbe(now, b.pool) {
 			continue
 		}
 		for j := range c.brokenAttempts {
@@ -95,13 +95,6 @@
 	return i >= 0 && quota.InBackoff(now, &b.pool.Endpoints[i])
 }
 
-func (c *Core) spendCrashProbe(now time.Duration, p *pool) bool {
-	if p.usesLoadProbes() {
-		return p.loadProbes.TrySpend(now, p.countLive(), c.fleet.ownShare)
-	}
-	return p.healthProbes.TrySpend(now, p.Slots())
-}
-
 // crashProbeEnd processes the result of a crash probe. The endpoint also counts as crashed if
 // another endpoint or another incarnation answers at its address. While several endpoints fail to
 // answer, this entry may have lost its paths to all of them, and a refused connection counts only
@@ -184,8 +177,8 @@
 		if !e.TakesWork() || quota.InBackoff(now, e) || p.reach.HasFailed(e.Name) {
 			continue
 		}
-		if c.spendCrashProbe(now, p) {
-			out.Probes = append(out.Probes, reachProbe(p, e))
+		if c.spendProbe(now, p) {
+			out.Probes = append(out.Probes, reachProbe(p, e.Name, e.Incarnation, e.Address))
 		}
 		return
 	}
--- a/internal/core/member/contested.go
+++ b/internal/core/member/contested.go
@@ -24,13 +24,13 @@
 	return o.key == vmKey{vm.Name, vm.Incarnation} && other.Registered <= o.listRevision
 }
 
-// Contested appends the listed endpoints that are not used because of another one at their address,
+// Contested returns the listed endpoints that are not used because of another one at their address,
 // by name.
-func (t *Table) Contested(dst []published.VM) []published.VM {
+func (t *Table) Contested() (vms []published.VM) {
 	for _, name := range slices.Sorted(maps.Keys(t.list.conflicting)) {
-		dst = append(dst, t.list.vms[name])
+		vms = append(vms, t.list.vms[name])
 	}
-	return dst
+	return vms
 }
 
 // AnsweredAt records that the endpoint of a name answered at an address. If another row keeps the
--- a/internal/core/member/sharedaddress_test.go
+++ b/internal/core/member/sharedaddress_test.go
@@ -127,7 +127,7 @@
 	}
 	table.ApplyList(0, published.VMList{Revision: 20, VMs: []published.VM{live, odd}})
 	uses("both are listed", "odd")
-	if got := table.Contested(nil); len(got) != 1 || got[0].Name != "live" {
+	if got := table.Contested(); len(got) != 1 || got[0].Name != "live" {
 		t.Errorf("contested: %v", got)
 	}
 	table.AnsweredAt(0, "live", "elsewhere")
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -182,15 +182,29 @@
 		if !e.TakesWork() || quota.InBackoff(now, e) {
 			continue
 		}
-		if p.usesLoadProbes() {
-			p.loadProbes.Request(1)
-		}
-		return reachProbe(p, e), c.spendCrashProbe(now, p)
+		p.earnProbe()
+		return reachProbe(p, e.Name, e.Incarnation, e.Address), c.spendProbe(now, p)
 	}
 	return Probe{}, false
 }
 
-// reachProbe returns a probe that asks whether an endpoint can be reached.
-func reachProbe(p *pool, e *table.Endpoint) Probe {
-	return Probe{Pool: p.Name, Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address, Path: p.probePath, Wait: 4 * loadProbeWait}
+// reachProbe returns a probe that asks whether an endpoint can be reached at an address.
+func reachProbe(p *pool, name string, incarnation uint64, address string) Probe {
+	return Probe{Pool: p.Name, Endpoint: name, Incarnation: incarnation, Address: address, Path: p.probePath, Wait: 4 * loadProbeWait}
+}
+
+// earnProbe adds a probe to the budget of a pool that may get no requests, which earn them.
+func (p *pool) earnProbe() {
+	if p.usesLoadProbes() {
+		p.loadProbes.Request(1)
+	}
+}
+
+// spendProbe takes a probe that is not for a request from the budget of a pool, which may have no
+// endpoint in use.
+func (c *Core) spendProbe(now time.Duration, p *pool) bool {
+	if p.usesLoadProbes() {
+		return p.loadProbes.TrySpend(now, max(1, p.countLive()), c.fleet.ownShare)
+	}
+	return p.healthProbes.TrySpend(now, max(1, p.Slots()))
 }
