The demo stops an entry that callers use

Since callers use one entry of each failure domain, none used entry-3, and its stop proved nothing. The progress lines said "99 of 100 done" of a request that was in flight.

Change: the demo stops the only entry of its failure domain, and fails if that hands over no key. The progress lines say what is in flight.

--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -128,6 +128,7 @@
 	}
 	add(len(r.RanTwice) > 0, "%d once-only requests ran more than once, first: %s", len(r.RanTwice), first(r.RanTwice))
 	add(r.CutOff > 0, "%d answers were cut off", r.CutOff)
+	add(r.Stop.Keys == 0, "the planned stop of %s handed over no idempotency key", r.Stop.Entry)
 	add(r.Stop.Cut > 0, "the planned stop of %s cut off %d requests", r.Stop.Entry, r.Stop.Cut)
 	for _, p := range r.Probes {
 		add(p.share() > p.Budget, "probes of %s took %.3f%% of its slot time, more than the budget of %.3f%%", p.Pool, 100*p.share(), 100*p.Budget)
--- a/internal/demo/report_test.go
+++ b/internal/demo/report_test.go
@@ -43,6 +43,7 @@
 		"false not run":    {func(r *Report) { r.Services[0].FalseNotRun = []string{"w-8"} }, "1 requests ran although they were reported as not run, first: w-8"},
 		"nothing answered": {func(r *Report) { r.Services[0].Done = 0 }, "completed no request"},
 		"cut off":          {func(r *Report) { r.CutOff = 4 }, "4 answers were cut off"},
+		"no keys":          {func(r *Report) { r.Stop.Keys = 0 }, "the planned stop of entry-3 handed over no idempotency key"},
 		"cut by the stop":  {func(r *Report) { r.Stop.Cut = 1 }, "the planned stop of entry-3 cut off 1"},
 		"over budget":      {func(r *Report) { r.Probes[0].Spent = 2 * time.Second }, "took 2.222% of its slot time, more than the budget of 2.000%"},
 		"late requests":    {func(r *Report) { r.Leaving[0].LateRequests = 1 }, "got 1 requests more than 3s"},
--- a/internal/demo/session.go
+++ b/internal/demo/session.go
@@ -33,6 +33,9 @@
 const (
 	// callerCount is the number of callers that send requests.
 	callerCount = 6
+	// stoppedEntry is the index of the entry that is stopped. It is the only one of its failure domain,
+	// so that callers there use it.
+	stoppedEntry = 1
 	// largestFleet is the number of entries between which the probe budget is divided. The demo
 	// never runs more entries.
 	largestFleet = 4
@@ -135,10 +138,9 @@
 	fmt.Fprintf(s.out, "%5.1fs  %s\n", time.Since(s.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// stopEntry stops the last entry gracefully.
+// stopEntry stops an entry gracefully.
 func (s *session) stopEntry(ctx context.Context) {
-	entries := s.fleet.entries()
-	leaving := entries[len(entries)-1]
+	leaving := s.fleet.entries()[stoppedEntry]
 	s.printProgress("%s begins a planned stop, which lasts until callers no longer cache entry lists that name it", leaving.Name())
 	s.fleet.RemoveEntry(leaving)
 	summary := leaving.Stop(ctx)
@@ -176,8 +178,8 @@
 func (s *session) progressLine() string {
 	var parts []string
 	for _, t := range s.tallies {
-		sent, done := t.progress()
-		parts = append(parts, fmt.Sprintf("%s %d of %d done", t.service, done, sent))
+		done, inFlight := t.progress()
+		parts = append(parts, fmt.Sprintf("%s %d done and %d in flight", t.service, done, inFlight))
 	}
 	return strings.Join(parts, ", ")
 }
--- a/internal/demo/tally.go
+++ b/internal/demo/tally.go
@@ -88,10 +88,14 @@
 	}
 }
 
-func (t *tally) progress() (sent, done int) {
+func (t *tally) progress() (done, inFlight int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sent, t.counts[client.Done]
+	inFlight = t.sent
+	for _, n := range t.counts {
+		inFlight -= n
+	}
+	return t.counts[client.Done], inFlight
 }
 
 // report returns the counts and compares the reported outcomes with what the endpoints did.
